--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+CODE := libs features demo tools bench
+SEED ?= 1
+STEPS ?= 2000
+
+.PHONY: setup demo test lint format bench soak report
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt --requirement requirements.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python demo/run.py
+
+test: $(STAMP)
+	$(BIN)/python tools/run_tests.py
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/mypy libs demo tools bench
+	$(BIN)/lint-imports
+	$(BIN)/python tools/check_tree.py
+
+format: $(STAMP)
+	$(BIN)/ruff format $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+
+bench: $(STAMP)
+	$(BIN)/python bench/run.py
+
+soak: $(STAMP)
+	$(BIN)/python bench/soak.py --seed $(SEED) --steps $(STEPS)
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,20 @@
+"""Runs all benchmarks and prints their figures as JSON lines."""
+
+import json
+import sys
+from dataclasses import asdict
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from fold_speed import SIZES, measure_fold  # noqa: E402
+
+
+def main() -> None:
+    """Print one line a figure."""
+    for size in SIZES:
+        print(json.dumps({'fold': asdict(measure_fold(size))}))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/libs/cli/tarragonlb/cli/command.py
@@ -0,0 +1,53 @@
+"""The command ``tarragonlb``: groups of commands and their exit codes."""
+
+import sys
+
+import cyclopts
+
+from tarragonlb.cli import jobcommands, settingscommands, wavecommands
+from tarragonlb.cli.client import CallError
+from tarragonlb.cli.session import DEFAULT_SESSION, Session
+
+application = cyclopts.App(
+    name='tarragonlb',
+    help='Drive a fleet by its administration API.',
+    help_epilogue=(
+        'Exit codes: 0 done, 1 refused, 2 bad input, 3 server not reached, '
+        '4 unknown whether the change took effect.'
+    ),
+)
+application.command(settingscommands.application)
+application.command(jobcommands.application)
+application.command(wavecommands.application)
+application.register_install_completion_command()
+pool_application = cyclopts.App(name='pool', help='Look at pools.')
+vm_application = cyclopts.App(name='vm', help='Look at VMs.')
+application.command(pool_application)
+application.command(vm_application)
+
+
+@application.command
+def status(*, session: Session = DEFAULT_SESSION) -> None:
+    """Show what the entry VM knows and how far it has read."""
+    session.get('/v1/status')
+
+
+@pool_application.command(name='list')
+def list_pools(*, session: Session = DEFAULT_SESSION) -> None:
+    """List pools with their sizes and budgets."""
+    session.get('/v1/pools')
+
+
+@vm_application.command(name='list')
+def list_vms(*, session: Session = DEFAULT_SESSION) -> None:
+    """List VMs with their pools and charges."""
+    session.get('/v1/vms')
+
+
+def main() -> None:
+    """Run the command with the arguments of this process."""
+    try:
+        application()
+    except CallError as error:
+        sys.stderr.write(f'tarragonlb: {error}\n')
+        sys.exit(error.exit_code)
--- /dev/null
+++ b/libs/cli/tarragonlb/cli/output.py
@@ -0,0 +1,63 @@
+"""Answers as a table for people, or as JSON for programs."""
+
+import enum
+import json
+from collections.abc import Sequence
+from typing import Any
+
+MAX_CELL = 40
+
+
+class OutputFormat(enum.StrEnum):
+    """Say how answers are shown."""
+
+    TEXT = 'text'
+    JSON = 'json'
+
+
+def format_answer(answer: Any, shape: OutputFormat) -> str:
+    """Return the text that shows an answer."""
+    if shape is OutputFormat.JSON:
+        return json.dumps(answer, indent=2, sort_keys=True)
+    if isinstance(answer, list):
+        return format_table(answer)
+    if isinstance(answer, dict):
+        width = max(map(len, answer), default=0)
+        return '\n'.join(
+            f'{key.ljust(width)}  {_format_cell(cell)}'
+            for key, cell in answer.items()
+        )
+    return str(answer)
+
+
+def format_table(rows: Sequence[dict[str, Any]]) -> str:
+    """Return rows as aligned columns under their names."""
+    if not rows:
+        return 'nothing to show'
+    names = list(rows[0])
+    cells = [
+        [_shorten(_format_cell(row[name])) for name in names] for row in rows
+    ]
+    table = [names, *cells]
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    return '\n'.join(
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in table
+    )
+
+
+def _format_cell(cell: Any) -> str:
+    if cell is None:
+        return '-'
+    if isinstance(cell, dict):
+        return ', '.join(f'{key}={part}' for key, part in cell.items())
+    if isinstance(cell, list):
+        return ', '.join(map(str, cell))
+    return str(cell)
+
+
+def _shorten(text: str) -> str:
+    line = text.replace('\n', ' ')
+    return line if len(line) <= MAX_CELL else f'{line[: MAX_CELL - 1]}…'
--- /dev/null
+++ b/libs/cli/tarragonlb/cli/session.py
@@ -0,0 +1,49 @@
+"""The options that every command shares."""
+
+import sys
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cyclopts
+
+from tarragonlb.cli.client import Server
+from tarragonlb.cli.output import OutputFormat, format_answer
+
+
+@cyclopts.Parameter(name='*')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Session:
+    """Where to call, who is calling, and how to show the answer."""
+
+    server: Annotated[
+        str,
+        cyclopts.Parameter(
+            help='Address of an entry VM.', env_var='TARRAGONLB_SERVER'
+        ),
+    ] = 'http://127.0.0.1:8080'
+    token: Annotated[
+        str,
+        cyclopts.Parameter(
+            help='Bearer token of a team or an operator.',
+            env_var='TARRAGONLB_TOKEN',
+            show_default=False,
+        ),
+    ] = ''
+    output: Annotated[
+        OutputFormat, cyclopts.Parameter(help='Shape of the answer.')
+    ] = OutputFormat.TEXT
+
+    def connect(self) -> Server:
+        """Return the server to call."""
+        return Server(url=self.server, token=self.token)
+
+    def show(self, answer: Any) -> None:
+        """Print an answer."""
+        sys.stdout.write(f'{format_answer(answer, self.output)}\n')
+
+    def get(self, path: str) -> None:
+        """Print the answer of a path."""
+        self.show(self.connect().call('GET', path))
+
+
+DEFAULT_SESSION = Session()
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/access.py
@@ -0,0 +1,88 @@
+"""Who is asking: bearer tokens of teams and operators.
+
+Settings hold only hashes of tokens.  A token belongs to one team, which may
+see and use its own subtree, or to an operator, who may change settings.
+"""
+
+import hashlib
+from dataclasses import dataclass
+
+from tarragonlb.journal.state import State
+from tarragonlb.model.errors import RefusedError
+from tarragonlb.model.verdict import Verdict
+from tarragonlb.settings.schema import DaemonSettings
+
+STATUS_UNAUTHORIZED = 401
+STATUS_FORBIDDEN = 403
+BEARER = 'Bearer '
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """A team, or an operator where ``team`` is empty."""
+
+    name: str
+    team: str = ''
+
+    def require_operator(self) -> None:
+        """Raise ``RefusedError`` unless this is an operator."""
+        if self.team:
+            raise RefusedError(
+                f'team {self.team} is not an operator',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_FORBIDDEN,
+            )
+
+    def require_team(self, team: str) -> None:
+        """Raise ``RefusedError`` unless the subtree of a team is open."""
+        if self.team not in {'', team}:
+            raise RefusedError(
+                f'team {self.team} may not see team {team}',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_FORBIDDEN,
+            )
+
+
+class AccessTable:
+    """The hashes of all tokens in force, indexed anew when settings change."""
+
+    __slots__ = ('_identities', '_indexed_at', '_operators', '_state')
+
+    def __init__(self, settings: DaemonSettings, state: State) -> None:
+        """Use the operators of the start-up file and the teams' settings."""
+        self._operators = settings.operators
+        self._state = state
+        self._indexed_at = -1
+        self._identities: dict[str, Identity] = {}
+
+    def identify(self, authorization: str) -> Identity:
+        """Return who sent an ``Authorization`` header.
+
+        Raises ``RefusedError`` for a missing or unknown token.
+        """
+        token = authorization.removeprefix(BEARER)
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        identity = self._index().get(digest)
+        if identity is None or not authorization.startswith(BEARER):
+            raise RefusedError(
+                'a known bearer token is needed',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_UNAUTHORIZED,
+            )
+        return identity
+
+    def _index(self) -> dict[str, Identity]:
+        if self._indexed_at != self._state.settings_offset:
+            self._indexed_at = self._state.settings_offset
+            self._identities = self._build()
+        return self._identities
+
+    def _build(self) -> dict[str, Identity]:
+        identities = {
+            digest: Identity(name=team, team=team)
+            for team, settings in self._state.teams.items()
+            for digest in settings.tokens
+        }
+        for operator in self._operators:
+            identities[operator.token_sha256] = Identity(name=operator.name)
+        return identities
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/apibase.py
@@ -0,0 +1,83 @@
+"""What all handlers of the API share."""
+
+from typing import TypeVar
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+
+from tarragonlb.daemon.access import AccessTable, Identity
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.watch import FleetWatch
+from tarragonlb.model.errors import RefusedError
+from tarragonlb.model.verdict import Verdict
+
+Body = TypeVar('Body')
+MAX_BODY_BYTES = 512 * 1024
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_TOO_LARGE = 413
+
+
+class ApiPart:
+    """A group of handlers over the state of this process."""
+
+    __slots__ = ('access', 'entry', 'journal', 'watch')
+
+    def __init__(
+        self,
+        entry: str,
+        access: AccessTable,
+        journal: Journal,
+        watch: FleetWatch,
+    ) -> None:
+        """Answer as the entry VM ``entry``."""
+        self.entry = entry
+        self.access = access
+        self.journal = journal
+        self.watch = watch
+
+    def identify(self, request: Request) -> Identity:
+        """Return who sent a request."""
+        return self.access.identify(request.headers.get('authorization', ''))
+
+
+async def read_body(request: Request) -> bytes:
+    """Return the body of a request, refusing one that is too large."""
+    body = b''
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise RefusedError(
+                f'expected a body of at most {MAX_BODY_BYTES} bytes',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_TOO_LARGE,
+            )
+    return body
+
+
+async def read_json(request: Request, kind: type[Body]) -> Body:
+    """Return the object that a JSON body describes."""
+    body = await read_body(request)
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RefusedError(
+            f'the body is not as expected: {error}',
+            verdict=Verdict.NOT_RUN,
+            status=STATUS_BAD_REQUEST,
+        ) from error
+
+
+def refuse_missing(what: str) -> RefusedError:
+    """Return the refusal for something that doesn't exist."""
+    return RefusedError(
+        f'{what} does not exist',
+        verdict=Verdict.NOT_RUN,
+        status=STATUS_NOT_FOUND,
+    )
+
+
+def answer_json(body: object, status: int = 200) -> JSONResponse:
+    """Return an answer that shows an object's fields."""
+    return JSONResponse(msgspec.to_builtins(body), status_code=status)
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/apierrors.py
@@ -0,0 +1,70 @@
+"""Errors of the API, as answers that say what went wrong and where."""
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+
+from tarragonlb.model.errors import (
+    CommitUnknownError,
+    RecordVoidError,
+    RefusedError,
+    TarragonError,
+)
+from tarragonlb.model.verdict import Verdict
+from tarragonlb.settings.problem import SettingsError
+
+STATUS_CONFLICT = 409
+STATUS_UNPROCESSABLE = 422
+STATUS_UNAVAILABLE = 503
+RETRY_AFTER_SECONDS = '2'
+
+
+async def answer_refused(request: Request, error: Exception) -> JSONResponse:
+    """Answer with what a refusal says."""
+    if not isinstance(error, RefusedError):
+        raise error
+    return _answer(error.status, error.verdict, str(error))
+
+
+async def answer_void(request: Request, error: Exception) -> JSONResponse:
+    """Answer that a change lost against another one."""
+    return _answer(STATUS_CONFLICT, Verdict.NOT_RUN, str(error))
+
+
+async def answer_unknown(request: Request, error: Exception) -> JSONResponse:
+    """Answer that a change may still come into force."""
+    response = _answer(STATUS_UNAVAILABLE, Verdict.MAY_HAVE_RUN, str(error))
+    response.headers['retry-after'] = RETRY_AFTER_SECONDS
+    return response
+
+
+async def answer_settings(request: Request, error: Exception) -> JSONResponse:
+    """Answer with every problem of a document."""
+    if not isinstance(error, SettingsError):
+        raise error
+    problems = [
+        {
+            'source': problem.source,
+            'line': problem.line,
+            'field': problem.field,
+            'message': problem.message,
+        }
+        for problem in error.problems
+    ]
+    return _answer(STATUS_UNPROCESSABLE, Verdict.NOT_RUN, str(error), problems)
+
+
+def _answer(
+    status: int, verdict: Verdict, reason: str, problems: object = ()
+) -> JSONResponse:
+    body = {'reason': reason, 'verdict': verdict.value, 'problems': problems}
+    headers = {'tarragon-verdict': verdict.value}
+    return JSONResponse(body, status_code=status, headers=headers)
+
+
+ANSWERS = (
+    (RefusedError, answer_refused),
+    (RecordVoidError, answer_void),
+    (CommitUnknownError, answer_unknown),
+    (SettingsError, answer_settings),
+    (TarragonError, answer_unknown),
+)
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/apifleet.py
@@ -0,0 +1,167 @@
+"""Handlers for VMs, pools, waves and the state of this entry VM."""
+
+import uuid
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from tarragonlb.daemon.apibase import (
+    ApiPart,
+    answer_json,
+    read_json,
+    refuse_missing,
+)
+from tarragonlb.journal.vmfold import count_charged, find_budget
+from tarragonlb.model.wave import WavePlanned, WaveStatus, WaveSteered
+from tarragonlb.settings.schema import PoolSettings
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaveRequest:
+    """The body of a new wave over a whole pool."""
+
+    pool: str
+    at_once: Annotated[int, Meta(ge=1)] | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SteerRequest:
+    """The body of a change of a wave's status."""
+
+    status: WaveStatus
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolAnswer:
+    """What an operator sees of a pool."""
+
+    pool: str
+    vms: int
+    unavailable: int
+    budget: int | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StatusAnswer:
+    """What this entry VM knows, and how far it has read."""
+
+    entry: str
+    offset: int
+    digest: str
+    planner: str
+    vms: int
+    jobs: int
+    waves: int
+
+
+class FleetApi(ApiPart):
+    """The part of the API that is about VMs and waves."""
+
+    __slots__ = ()
+
+    def list_routes(self) -> list[Route]:
+        """Return the routes of this part."""
+        return [
+            Route('/v1/status', self.show_status),
+            Route('/v1/vms', self.list_vms),
+            Route('/v1/pools', self.list_pools),
+            Route('/v1/waves', self.plan_wave, methods=['POST']),
+            Route('/v1/waves', self.list_waves, methods=['GET']),
+            Route('/v1/waves/{wave_id}', self.show_wave, methods=['GET']),
+            Route('/v1/waves/{wave_id}', self.steer_wave, methods=['PUT']),
+        ]
+
+    async def show_status(self, request: Request) -> Response:
+        """Answer with what this entry VM knows."""
+        self.identify(request)
+        state = self.journal.state
+        term = state.terms.get('planner')
+        status = StatusAnswer(
+            entry=self.entry,
+            offset=state.offset,
+            digest=state.digest.hex(),
+            planner=term.holder if term else '',
+            vms=len(state.vms),
+            jobs=len(state.jobs),
+            waves=len(state.waves),
+        )
+        return answer_json(status)
+
+    async def list_vms(self, request: Request) -> Response:
+        """Answer with all VMs, their pools and charges."""
+        self.identify(request).require_operator()
+        return answer_json(list(self.journal.state.vms.values()))
+
+    async def list_pools(self, request: Request) -> Response:
+        """Answer with all pools, their sizes and budgets."""
+        self.identify(request).require_operator()
+        state = self.journal.state
+        names = sorted({vm.pool for vm in state.vms.values()})
+        pools = [
+            PoolAnswer(
+                pool=name,
+                vms=sum(1 for vm in state.vms.values() if vm.pool == name),
+                unavailable=count_charged(state, name),
+                budget=find_budget(state, name),
+            )
+            for name in names
+        ]
+        return answer_json(pools)
+
+    async def plan_wave(self, request: Request) -> Response:
+        """Begin a wave over all VMs of a pool."""
+        identity = self.identify(request)
+        identity.require_operator()
+        order = await read_json(request, WaveRequest)
+        state = self.journal.state
+        vm_ids = sorted(
+            vm.vm_id for vm in state.vms.values() if vm.pool == order.pool
+        )
+        if not vm_ids:
+            raise refuse_missing(f'pool {order.pool}')
+        settings = state.pools.get(order.pool, PoolSettings())
+        record = WavePlanned(
+            head=self.journal.sign(identity.name),
+            wave_id=uuid.uuid4().hex,
+            pool=order.pool,
+            vm_ids=tuple(vm_ids),
+            at_once=order.at_once or settings.at_once,
+        )
+        await self.journal.commit(record)
+        return answer_json(state.waves[record.wave_id])
+
+    async def list_waves(self, request: Request) -> Response:
+        """Answer with all waves."""
+        self.identify(request).require_operator()
+        return answer_json(list(self.journal.state.waves.values()))
+
+    async def show_wave(self, request: Request) -> Response:
+        """Answer with one wave."""
+        self.identify(request).require_operator()
+        wave_id = request.path_params['wave_id']
+        wave = self.journal.state.waves.get(wave_id)
+        if wave is None:
+            raise refuse_missing(f'wave {wave_id}')
+        return answer_json(wave)
+
+    async def steer_wave(self, request: Request) -> Response:
+        """Pause, resume or abort a wave."""
+        identity = self.identify(request)
+        identity.require_operator()
+        order = await read_json(request, SteerRequest)
+        wave_id = request.path_params['wave_id']
+        wave = self.journal.state.waves.get(wave_id)
+        if wave is None:
+            raise refuse_missing(f'wave {wave_id}')
+        record = WaveSteered(
+            head=self.journal.sign(identity.name),
+            wave_id=wave_id,
+            expected_version=wave.version,
+            status=order.status,
+        )
+        await self.journal.commit(record)
+        return answer_json(self.journal.state.waves[wave_id])
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/apisettings.py
@@ -0,0 +1,117 @@
+"""Handlers for settings: get, set, history, explain."""
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from tarragonlb.daemon.access import Identity
+from tarragonlb.daemon.apibase import (
+    ApiPart,
+    answer_json,
+    read_body,
+    refuse_missing,
+)
+from tarragonlb.model.entry import SettingEntry
+from tarragonlb.model.errors import RefusedError
+from tarragonlb.model.record import SettingPublished
+from tarragonlb.model.verdict import Verdict
+from tarragonlb.settings.check import read_document
+
+STATUS_BAD_REQUEST = 400
+
+
+class SettingsApi(ApiPart):
+    """The part of the API that is about settings."""
+
+    __slots__ = ()
+
+    def list_routes(self) -> list[Route]:
+        """Return the routes of this part."""
+        path = '/v1/settings/{path:path}'
+        return [
+            Route('/v1/settings', self.list_all, methods=['GET']),
+            Route(path, self.show, methods=['GET']),
+            Route(path, self.publish, methods=['PUT']),
+            Route('/v1/history/{path:path}', self.show_history),
+        ]
+
+    async def list_all(self, request: Request) -> Response:
+        """Answer with the paths that have a document."""
+        identity = self.identify(request)
+        entries = [
+            entry
+            for path, entry in sorted(self.journal.state.settings.items())
+            if _may_see(identity, path)
+        ]
+        return answer_json(entries)
+
+    async def show(self, request: Request) -> Response:
+        """Answer with the document in force under a path."""
+        return answer_json(self._find(request))
+
+    async def show_history(self, request: Request) -> Response:
+        """Answer with the latest versions under a path, oldest first."""
+        entry = self._find(request)
+        return answer_json(self.journal.state.history[entry.path])
+
+    async def publish(self, request: Request) -> Response:
+        """Put a document in force if its path is at the stated version.
+
+        The header ``If-Match`` holds the expected version, 0 for a new path.
+        """
+        identity = self.identify(request)
+        path = _read_path(request)
+        _require_subtree(identity, path)
+        text = _decode(await read_body(request))
+        read_document(text, path)
+        record = SettingPublished(
+            head=self.journal.sign(identity.name),
+            path=path,
+            text=text,
+            source=request.headers.get('tarragon-source', path),
+            expected_version=_read_version(request),
+        )
+        await self.journal.commit(record)
+        return answer_json(self.journal.state.settings[path])
+
+    def _find(self, request: Request) -> SettingEntry:
+        identity = self.identify(request)
+        path = _read_path(request)
+        _require_subtree(identity, path)
+        entry = self.journal.state.settings.get(path)
+        if entry is None:
+            raise refuse_missing(f'the path {path}')
+        return entry
+
+
+def _may_see(identity: Identity, path: str) -> bool:
+    return identity.team == '' or path == f'/teams/{identity.team}'
+
+
+def _require_subtree(identity: Identity, path: str) -> None:
+    if not _may_see(identity, path):
+        identity.require_operator()
+
+
+def _decode(body: bytes) -> str:
+    try:
+        return body.decode()
+    except UnicodeDecodeError as error:
+        raise _refuse(f'the body is not UTF-8: {error}') from error
+
+
+def _read_version(request: Request) -> int:
+    text = request.headers.get('if-match', '')
+    if not (text.isascii() and text.isdigit()):
+        raise _refuse('If-Match: expected the version that is to be replaced')
+    return int(text)
+
+
+def _refuse(reason: str) -> RefusedError:
+    return RefusedError(
+        reason, verdict=Verdict.NOT_RUN, status=STATUS_BAD_REQUEST
+    )
+
+
+def _read_path(request: Request) -> str:
+    return f'/{request.path_params["path"]}'
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -0,0 +1,87 @@
+"""The HTTP application of the daemon: callers, the API, and health."""
+
+from typing import Any
+
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from tarragonlb.daemon.apierrors import ANSWERS
+from tarragonlb.daemon.apifleet import FleetApi
+from tarragonlb.daemon.apijobs import JobApi
+from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.exchange import Receive, Send
+from tarragonlb.daemon.gateway import PREFIX, Gateway
+
+STATUS_UNAVAILABLE = 503
+
+
+class Application:
+    """Sends each request to the gateway or to the API.
+
+    ``stopping`` is set once the process has been asked to stop: it then
+    serves what it has and tells the platform's balancer to send nothing new.
+    """
+
+    __slots__ = ('_api', '_gateway', '_idle', 'active', 'ready', 'stopping')
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        parts: tuple[JobApi, SettingsApi, FleetApi],
+    ) -> None:
+        """Serve callers by the gateway and all else by the API."""
+        self._gateway = gateway
+        self._idle = trio.Event()
+        self.active = 0
+        self.ready = False
+        self.stopping = False
+        routes = [
+            Route('/health', self.show_health),
+            Route('/ready', self.show_ready),
+        ]
+        for part in parts:
+            routes.extend(part.list_routes())
+        self._api = Starlette(routes=routes, exception_handlers=dict(ANSWERS))
+
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Serve one connection event of the HTTP server."""
+        if scope['type'] == 'lifespan':
+            await _live(receive, send)
+            return
+        self.active += 1
+        try:
+            if scope['path'].startswith(PREFIX):
+                await self._gateway.serve(scope, receive, send)
+            else:
+                await self._api(scope, receive, send)
+        finally:
+            self.active -= 1
+            if not self.active:
+                self._idle.set()
+                self._idle = trio.Event()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self.active:
+            await self._idle.wait()
+
+    async def show_health(self, request: Request) -> Response:
+        """Answer that the process is alive."""
+        return PlainTextResponse('alive\n')
+
+    async def show_ready(self, request: Request) -> Response:
+        """Answer whether the platform's balancer should send requests."""
+        if self.ready and not self.stopping:
+            return PlainTextResponse('ready\n')
+        return PlainTextResponse('not ready\n', status_code=STATUS_UNAVAILABLE)
+
+
+async def _live(receive: Receive, send: Send) -> None:
+    while True:
+        event = await receive()
+        await send({'type': f'{event["type"]}.complete'})
+        if event['type'] == 'lifespan.shutdown':
+            return
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/command.py
@@ -0,0 +1,47 @@
+"""The command ``tarragonlbd``: reads the start-up file and runs the daemon."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+import trio
+
+from tarragonlb.daemon.process import Process
+from tarragonlb.settings.check import read_settings
+from tarragonlb.settings.problem import SettingsError
+from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.telemetry.log import start_logging
+
+EXIT_BAD_SETTINGS = 2
+
+application = cyclopts.App(
+    name='tarragonlbd', help='Run the tarragonlb daemon on this entry VM.'
+)
+
+
+@application.default
+def run_daemon(
+    *, settings: Annotated[Path, cyclopts.Parameter(name='--settings')]
+) -> None:
+    """Run until SIGTERM or SIGINT, then finish requests and stop.
+
+    Parameters
+    ----------
+    settings
+        Start-up file in YAML: name, zone, addresses, operators.
+
+    """
+    try:
+        text = settings.read_text()
+        start = read_settings(text, str(settings), DaemonSettings)
+    except (OSError, UnicodeDecodeError, SettingsError) as error:
+        sys.stderr.write(f'tarragonlbd: {error}\n')
+        sys.exit(EXIT_BAD_SETTINGS)
+    start_logging()
+    trio.run(Process(start).run)
+
+
+def main() -> None:
+    """Run the command with the arguments of this process."""
+    application()
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/gateway.py
@@ -0,0 +1,185 @@
+"""The entrance for callers: ``/call/SERVICE/...`` on behalf of a team.
+
+The team follows from the bearer token.  A request says how long its caller
+waits (``Tarragon-Timeout``, in seconds) and, where it must run at most once,
+carries an ``Idempotency-Key``.
+"""
+
+import json
+import uuid
+from typing import Any
+
+from tarragonlb.daemon.access import AccessTable
+from tarragonlb.daemon.clock import read_monotonic
+from tarragonlb.daemon.dispatch import Dispatcher
+from tarragonlb.daemon.exchange import Exchange, Receive, Send
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.model.errors import (
+    CommitUnknownError,
+    RecordVoidError,
+    RefusedError,
+)
+from tarragonlb.model.record import KeyClaimed
+from tarragonlb.model.verdict import Verdict
+from tarragonlb.routing.request import RequestInfo
+from tarragonlb.settings.schema import ServiceSettings, Urgency
+from tarragonlb.telemetry.log import Log
+
+PREFIX = '/call/'
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+RETRY_AFTER_SECONDS = 2
+
+
+class Gateway:
+    """Answers the requests of callers."""
+
+    __slots__ = (
+        '_access',
+        '_dispatcher',
+        '_entry',
+        '_journal',
+        '_say',
+    )
+
+    def __init__(
+        self,
+        entry: str,
+        access: AccessTable,
+        journal: Journal,
+        dispatcher: Dispatcher,
+    ) -> None:
+        """Serve as the entry VM ``entry``."""
+        self._entry = entry
+        self._access = access
+        self._journal = journal
+        self._dispatcher = dispatcher
+        self._say = Log('gateway').say
+
+    async def serve(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Answer one request; a refusal says why and with what verdict."""
+        request_id = uuid.uuid4().hex
+        try:
+            await self._serve(request_id, scope, receive, send)
+        except RefusedError as refusal:
+            self._say(
+                'Request refused.',
+                request_id=request_id,
+                reason=refusal.reason,
+                verdict=refusal.verdict.value,
+            )
+            await send_refusal(send, request_id, refusal)
+
+    async def _serve(
+        self, request_id: str, scope: Any, receive: Receive, send: Send
+    ) -> None:
+        headers = dict(scope['headers'])
+        info = self._describe(request_id, scope['path'], headers)
+        max_body = self._journal.state.fleet.max_body_bytes
+        exchange = Exchange(info, scope, receive, send, max_body)
+        await exchange.open_body()
+        key = headers.get(b'idempotency-key', b'').decode('latin-1')
+        if key and not info.idempotent:
+            await self._claim(info, key)
+        await self._dispatcher.serve(exchange)
+
+    def _describe(
+        self, request_id: str, path: str, headers: dict[bytes, bytes]
+    ) -> RequestInfo:
+        authorization = headers.get(b'authorization', b'').decode('latin-1')
+        identity = self._access.identify(authorization)
+        service = path.removeprefix(PREFIX).partition('/')[0]
+        settings = self._find_service(identity.team, service)
+        timeout = _read_timeout(headers, settings.timeout_seconds)
+        return RequestInfo(
+            request_id=request_id,
+            team=identity.team,
+            service=service,
+            pool=settings.pool,
+            urgent=settings.urgency is Urgency.URGENT,
+            idempotent=settings.idempotent,
+            deadline=read_monotonic() + timeout,
+        )
+
+    def _find_service(self, team: str, service: str) -> ServiceSettings:
+        settings = self._journal.state.teams.get(team)
+        found = settings.services.get(service) if settings else None
+        if found is None:
+            raise RefusedError(
+                f'/teams/{team} has no service "{service}"',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_NOT_FOUND,
+            )
+        return found
+
+    async def _claim(self, info: RequestInfo, key: str) -> None:
+        record = KeyClaimed(
+            head=self._journal.sign(info.team),
+            team=info.team,
+            key=key,
+            entry=self._entry,
+        )
+        wait = max(info.deadline - read_monotonic(), 0)
+        try:
+            await self._journal.commit(record, wait)
+        except RecordVoidError as error:
+            raise RefusedError(
+                error.reason,
+                verdict=Verdict.MAY_HAVE_RUN,
+                status=STATUS_CONFLICT,
+            ) from error
+        except CommitUnknownError as error:
+            raise RefusedError(
+                'the claim of the key was not recorded in time',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_UNAVAILABLE,
+                retry_after=RETRY_AFTER_SECONDS,
+            ) from error
+
+
+async def send_refusal(
+    send: Send, request_id: str, refusal: RefusedError
+) -> None:
+    """Send a refusal as JSON, with its verdict in a header."""
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'tarragon-verdict', refusal.verdict.encode()),
+        (b'tarragon-request', request_id.encode()),
+    ]
+    if refusal.retry_after is not None:
+        seconds = max(1, round(refusal.retry_after))
+        headers.append((b'retry-after', str(seconds).encode()))
+    body = json.dumps(
+        {
+            'reason': refusal.reason,
+            'verdict': refusal.verdict.value,
+            'request': request_id,
+        }
+    )
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': refusal.status,
+            'headers': headers,
+        }
+    )
+    await send({'type': 'http.response.body', 'body': body.encode()})
+
+
+def _read_timeout(headers: dict[bytes, bytes], limit: float) -> float:
+    text = headers.get(b'tarragon-timeout')
+    if text is None:
+        return limit
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1
+    if not seconds > 0:
+        raise RefusedError(
+            'Tarragon-Timeout: expected seconds greater than 0',
+            verdict=Verdict.NOT_RUN,
+            status=STATUS_BAD_REQUEST,
+        )
+    return min(seconds, limit)
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/planning.py
@@ -0,0 +1,170 @@
+"""The planner task: it holds the term, decides, and carries out.
+
+At most one daemon plans at a time, so that work is not done twice.  Safety
+doesn't rest on it: a record of an older term is void, and an act of the
+platform is refused once the VM was restarted.
+"""
+
+import trio
+
+from tarragonlb.capacity import action
+from tarragonlb.capacity.planner import decide_round
+from tarragonlb.capacity.view import FleetView
+from tarragonlb.daemon.clock import read_monotonic, read_wall
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.watch import FleetWatch
+from tarragonlb.model.entry import TermEntry
+from tarragonlb.model.errors import JournalError, PlatformError
+from tarragonlb.model.record import Record, TermTaken
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.platform.fleet import Fleet, TaskOrder
+from tarragonlb.telemetry.log import Log
+
+SCOPE = 'planner'
+ROUND_SECONDS = 0.5
+TERM_SECONDS = 6
+RENEW_SECONDS = 2
+FRESH_SECONDS = 2
+
+
+class TermWatch:
+    """Counts on this process's clock how long a term went unrenewed."""
+
+    __slots__ = ('_entry', '_seen_at')
+
+    def __init__(self) -> None:
+        """Start without having seen any term."""
+        self._entry: TermEntry | None = None
+        self._seen_at = float('-inf')
+
+    def needs_record(
+        self, entry: TermEntry | None, member: str, now: float
+    ) -> bool:
+        """Return whether ``member`` should take or renew the term now."""
+        if entry != self._entry:
+            self._entry = entry
+            self._seen_at = now
+        if entry is None:
+            return True
+        own = entry.holder == member
+        limit = RENEW_SECONDS if own else TERM_SECONDS
+        return now - self._seen_at >= limit
+
+
+class PlannerTask:
+    """Runs rounds of decisions while it holds the term."""
+
+    __slots__ = (
+        '_fleet',
+        '_journal',
+        '_member',
+        '_say',
+        '_scribe',
+        '_terms',
+        '_watch',
+    )
+
+    def __init__(
+        self,
+        journal: Journal,
+        watch: FleetWatch,
+        fleet: Fleet,
+        scribe: Scribe,
+        member: str,
+    ) -> None:
+        """Plan as ``member``."""
+        self._journal = journal
+        self._watch = watch
+        self._fleet = fleet
+        self._scribe = scribe
+        self._member = member
+        self._terms = TermWatch()
+        self._say = Log('planner').say
+
+    async def run(self) -> None:
+        """Decide a round whenever it is due, until cancelled."""
+        await self._journal.wait_until_read()
+        while True:
+            now = read_monotonic()
+            await self._keep_term(now)
+            if self._may_decide(now):
+                await self._carry_out(self._decide())
+            await trio.sleep(ROUND_SECONDS)
+
+    async def _keep_term(self, now: float) -> None:
+        entry = self._journal.state.terms.get(SCOPE)
+        if not self._terms.needs_record(entry, self._member, now):
+            return
+        record = TermTaken(
+            head=self._journal.sign(),
+            scope=SCOPE,
+            expected_number=entry.number if entry else 0,
+            holder=self._member,
+        )
+        await self._commit(record)
+
+    def _may_decide(self, now: float) -> bool:
+        term = self._journal.state.terms.get(SCOPE)
+        if term is None or term.holder != self._member:
+            return False
+        oldest = min(self._journal.last_read, self._watch.last_read)
+        return now - oldest < FRESH_SECONDS + TERM_SECONDS
+
+    def _decide(self) -> list[action.Action]:
+        state = self._journal.state
+        view = FleetView(
+            offset=state.offset,
+            term=state.terms[SCOPE].number,
+            vms=state.vms,
+            jobs=state.jobs,
+            waves=state.waves,
+            teams=state.teams,
+            pools=state.pools,
+            fleet=state.fleet,
+            vm_readings=self._watch.vms,
+            task_readings=self._watch.tasks,
+        )
+        return decide_round(view, self._scribe, read_wall())
+
+    async def _carry_out(self, actions: list[action.Action]) -> None:
+        async with trio.open_nursery() as nursery:
+            for step in actions:
+                nursery.start_soon(self._carry_out_one, step)
+
+    async def _carry_out_one(self, step: action.Action) -> None:
+        if isinstance(step, action.Commit):
+            await self._commit(step.record)
+            return
+        try:
+            await self._act(step)
+        except PlatformError as error:
+            self._say('An act failed.', act=repr(step), error=str(error))
+
+    async def _commit(self, record: Record) -> None:
+        try:
+            await self._journal.commit(record)
+        except JournalError as error:
+            self._say(
+                'A record did not count.',
+                record=repr(record),
+                reason=str(error),
+            )
+
+    async def _act(self, step: action.Action) -> None:
+        match step:
+            case action.DrainVm(vm_id, boot):
+                await self._fleet.drain(vm_id, boot)
+            case action.RebootVm(vm_id, boot):
+                await self._fleet.reboot(vm_id, boot)
+            case action.StopTask(vm_id, boot, task_id):
+                await self._fleet.stop_task(vm_id, boot, task_id)
+            case action.StartTask():
+                await self._fleet.start_task(
+                    TaskOrder(
+                        vm_id=step.vm_id,
+                        boot=step.boot,
+                        task_id=step.task_id,
+                        payload=step.payload,
+                        lease_seconds=step.lease_seconds,
+                    )
+                )
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -0,0 +1,128 @@
+"""A process of the daemon: all its tasks, from start to stop."""
+
+import random
+import signal
+import uuid
+from collections.abc import Awaitable, Callable
+
+import hypercorn
+import trio
+from hypercorn.trio import serve
+
+from tarragonlb.daemon.access import AccessTable
+from tarragonlb.daemon.apifleet import FleetApi
+from tarragonlb.daemon.apijobs import JobApi
+from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.application import Application
+from tarragonlb.daemon.dispatch import Dispatcher
+from tarragonlb.daemon.gateway import Gateway
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.planning import PlannerTask
+from tarragonlb.daemon.pools import PoolTask
+from tarragonlb.daemon.watch import FleetWatch
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.platform.client import PlatformClient
+from tarragonlb.platform.remote import RemoteFleet, RemoteLog
+from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.telemetry.log import Log
+
+KEEP_ALIVE_SECONDS = 30
+NOTICE_SECONDS = 1
+
+
+class Process:
+    """Owns the tasks of one daemon."""
+
+    __slots__ = (
+        '_application',
+        '_journal',
+        '_planner',
+        '_pools',
+        '_say',
+        '_settings',
+        '_watch',
+    )
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Put the parts together; nothing runs yet."""
+        self._settings = settings
+        self._say = Log('process').say
+        client = PlatformClient(settings.platform)
+        fleet = RemoteFleet(client)
+        scribe = Scribe(settings.name, uuid.uuid4().hex)
+        self._journal = Journal(RemoteLog(client), scribe)
+        self._watch = FleetWatch(fleet)
+        self._planner = PlannerTask(
+            self._journal, self._watch, fleet, scribe, settings.name
+        )
+        dispatcher = Dispatcher(settings.zone, random.Random())
+        self._pools = PoolTask(self._journal, self._watch, dispatcher)
+        access = AccessTable(settings, self._journal.state)
+        gateway = Gateway(settings.name, access, self._journal, dispatcher)
+        self._application = Application(
+            gateway,
+            (
+                JobApi(settings.name, access, self._journal, self._watch),
+                SettingsApi(settings.name, access, self._journal, self._watch),
+                FleetApi(settings.name, access, self._journal, self._watch),
+            ),
+        )
+
+    async def run(self) -> None:
+        """Run until a signal asks to stop and all requests have ended."""
+        self._say('The daemon starts.', name=self._settings.name)
+        stopped = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for task in self._list_tasks():
+                nursery.start_soon(task)
+            nursery.start_soon(self._serve, stopped)
+            await self._wait_for_stop()
+            stopped.set()
+            await self._finish_requests()
+            nursery.cancel_scope.cancel()
+        self._say('The daemon has stopped.', name=self._settings.name)
+
+    def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        return (
+            self._journal.run,
+            self._watch.run,
+            self._planner.run,
+            self._pools.run,
+            self._announce_ready,
+        )
+
+    async def _announce_ready(self) -> None:
+        await self._journal.wait_until_read()
+        self._application.ready = True
+        self._say('The daemon is ready.', offset=self._journal.state.offset)
+
+    async def _serve(self, stopped: trio.Event) -> None:
+        config = hypercorn.Config()
+        config.bind = [self._settings.listen]
+        config.graceful_timeout = self._settings.stop_limit_seconds
+        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+        config.accesslog = None
+        config.errorlog = None
+        await serve(
+            self._application,
+            config,
+            shutdown_trigger=stopped.wait,
+            mode='asgi',
+        )
+
+    async def _wait_for_stop(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as caught:
+            await anext(caught)
+        self._application.stopping = True
+        self._say('The daemon was asked to stop.')
+        await trio.sleep(NOTICE_SECONDS)
+
+    async def _finish_requests(self) -> None:
+        with trio.move_on_after(self._settings.stop_limit_seconds) as limit:
+            await self._application.wait_idle()
+        if limit.cancelled_caught:
+            self._say(
+                'The stop limit cuts requests.',
+                active=self._application.active,
+                setting='stop_limit_seconds',
+            )
--- /dev/null
+++ b/libs/journal/tarragonlb/journal/fold.py
@@ -0,0 +1,90 @@
+"""The fold: from a state and a record to the next state.
+
+``apply_record`` is a deterministic function of its arguments.  A record that
+doesn't hold against the state is void: it changes nothing but the offset and
+the digest, and the outcome tells its writer why.
+"""
+
+import hashlib
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from tarragonlb.journal import jobfold, settingfold, vmfold, wavefold
+from tarragonlb.journal.codec import decode_record
+from tarragonlb.journal.rule import Reason, Rule
+from tarragonlb.journal.state import State
+from tarragonlb.model.errors import JournalError, UnknownRecordError
+from tarragonlb.model.invariant import ensure
+from tarragonlb.model.record import Record
+
+SEEN_WINDOW_RECORDS = 65_536
+DIGEST_BYTES = 16
+
+_RULES: MappingProxyType[type, Rule] = MappingProxyType(
+    {
+        **settingfold.RULES,
+        **vmfold.RULES,
+        **jobfold.RULES,
+        **wavefold.RULES,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Whether a record counted; ``reason`` is empty if it did."""
+
+    offset: int
+    record_id: str
+    reason: Reason = ''
+
+    @property
+    def accepted(self) -> bool:
+        """Return whether the record changed the state."""
+        return not self.reason
+
+
+def apply_blob(state: State, offset: int, blob: bytes) -> Outcome:
+    """Fold the bytes that stand in the log at an offset.
+
+    Bytes that are no record are void.  Raises ``UnknownRecordError`` for a
+    kind of a newer version, with the state unchanged.
+    """
+    ensure(offset == state.offset + 1, 'offsets have no gap', offset)
+    try:
+        entry = decode_record(blob)
+    except UnknownRecordError:
+        raise
+    except JournalError as error:
+        outcome = Outcome(offset, '', str(error))
+    else:
+        outcome = Outcome(
+            offset, entry.head.record_id, _fold(state, entry, offset)
+        )
+    state.offset = offset
+    state.digest = _chain(state.digest, blob, outcome)
+    return outcome
+
+
+def _fold(state: State, entry: Record, offset: int) -> Reason:
+    counted_at = state.seen.get(entry.head.record_id)
+    if counted_at:
+        return f'counted at offset {counted_at}'
+    if entry.head.basis < offset - SEEN_WINDOW_RECORDS:
+        return f'made too long ago, at offset {entry.head.basis}'
+    reason = _RULES[type(entry)](state, entry, offset)
+    _remember(state, entry.head.record_id, offset)
+    return reason or ''
+
+
+def _remember(state: State, record_id: str, offset: int) -> None:
+    state.seen[record_id] = offset
+    while len(state.seen) > SEEN_WINDOW_RECORDS:
+        state.seen.pop(next(iter(state.seen)))
+
+
+def _chain(digest: bytes, blob: bytes, outcome: Outcome) -> bytes:
+    link = hashlib.blake2b(digest, digest_size=DIGEST_BYTES)
+    link.update(blob)
+    link.update(outcome.reason.encode())
+    return link.digest()
--- /dev/null
+++ b/libs/journal/tarragonlb/journal/jobfold.py
@@ -0,0 +1,123 @@
+"""Rules for jobs: none lost, and at most one attempt that may be live."""
+
+from dataclasses import replace
+from types import MappingProxyType
+
+from tarragonlb.journal.rule import Reason, Rule, check_term
+from tarragonlb.journal.state import State
+from tarragonlb.model.entry import JobEntry, JobPhase
+from tarragonlb.model.job import (
+    JobEnded,
+    JobOutcome,
+    JobsCancelled,
+    JobSetAside,
+    JobStarted,
+    JobSubmitted,
+)
+
+MAX_ATTEMPTS = 5
+
+
+def submit_job(state: State, entry: JobSubmitted, offset: int) -> Reason | None:
+    """Queue a job; the same key of the same team names the same job."""
+    key = (entry.team, entry.key)
+    twin = state.keys.get(key)
+    if entry.key and twin:
+        return f'key {entry.key} names job {twin}'
+    if entry.job_id in state.jobs:
+        return f'job {entry.job_id} is known already'
+    if entry.key:
+        state.keys[key] = entry.job_id
+    state.jobs[entry.job_id] = JobEntry(
+        spec=entry, phase=JobPhase.QUEUED, offset=offset
+    )
+    return None
+
+
+def start_job(state: State, entry: JobStarted, offset: int) -> Reason | None:
+    """Start the next attempt of a queued job on a VM of its pool."""
+    job = state.jobs.get(entry.job_id)
+    if job is None or job.phase is not JobPhase.QUEUED:
+        return f'job {entry.job_id} is not queued'
+    if entry.attempt != job.attempt + 1:
+        return f'job {entry.job_id} is at attempt {job.attempt}'
+    vm = state.vms.get(entry.vm_id)
+    if vm is None or vm.pool != job.spec.pool or vm.charge:
+        return f'{entry.vm_id} is not available in pool {job.spec.pool}'
+    refusal = check_term(state, 'planner', entry.term)
+    if refusal:
+        return refusal
+    state.jobs[entry.job_id] = replace(
+        job, phase=JobPhase.STARTED, attempt=entry.attempt, vm_id=entry.vm_id
+    )
+    return None
+
+
+def end_job(state: State, entry: JobEnded, offset: int) -> Reason | None:
+    """End the attempt that is running; a stopped one is queued again."""
+    job = state.jobs.get(entry.job_id)
+    if job is None or job.phase is not JobPhase.STARTED:
+        return f'job {entry.job_id} is not running'
+    if entry.attempt != job.attempt:
+        return f'job {entry.job_id} is at attempt {job.attempt}'
+    state.jobs[entry.job_id] = replace(
+        job, phase=_choose_phase(job, entry.outcome), output=entry.output
+    )
+    return None
+
+
+def set_job_aside(
+    state: State, entry: JobSetAside, offset: int
+) -> Reason | None:
+    """Show a job that can't go on to the operator, with the reason."""
+    job = state.jobs.get(entry.job_id)
+    if job is None or job.phase not in {JobPhase.QUEUED, JobPhase.STARTED}:
+        return f'job {entry.job_id} has ended'
+    state.jobs[entry.job_id] = replace(
+        job, phase=JobPhase.SET_ASIDE, output=entry.reason
+    )
+    return None
+
+
+def cancel_jobs(
+    state: State, entry: JobsCancelled, offset: int
+) -> Reason | None:
+    """Cancel the queued ones at once and mark the running ones."""
+    jobs = [
+        state.jobs[job_id]
+        for job_id in entry.job_ids
+        if job_id in state.jobs and state.jobs[job_id].spec.team == entry.team
+    ]
+    for job in jobs:
+        state.jobs[job.spec.job_id] = _cancel(job)
+    return None if jobs else f'team {entry.team} has none of these jobs'
+
+
+def _cancel(job: JobEntry) -> JobEntry:
+    if job.phase is JobPhase.QUEUED:
+        return replace(job, phase=JobPhase.CANCELLED)
+    if job.phase is JobPhase.STARTED:
+        return replace(job, cancelled=True)
+    return job
+
+
+def _choose_phase(job: JobEntry, outcome: JobOutcome) -> JobPhase:
+    if outcome is JobOutcome.SUCCEEDED:
+        return JobPhase.SUCCEEDED
+    if job.cancelled:
+        return JobPhase.CANCELLED
+    may_repeat = job.spec.idempotent or outcome is JobOutcome.STOPPED
+    if may_repeat and job.attempt < MAX_ATTEMPTS:
+        return JobPhase.QUEUED
+    return JobPhase.FAILED
+
+
+RULES: MappingProxyType[type, Rule] = MappingProxyType(
+    {
+        JobSubmitted: submit_job,
+        JobStarted: start_job,
+        JobEnded: end_job,
+        JobSetAside: set_job_aside,
+        JobsCancelled: cancel_jobs,
+    }
+)
--- /dev/null
+++ b/libs/journal/tarragonlb/journal/vmfold.py
@@ -0,0 +1,138 @@
+"""Rules for VMs: one pool each, and charges within every team's budget."""
+
+from dataclasses import replace
+from types import MappingProxyType
+
+from tarragonlb.journal.rule import Reason, Rule, check_term
+from tarragonlb.journal.state import State
+from tarragonlb.model.entry import Charge, VmEntry
+from tarragonlb.model.ownership import (
+    ChargeReason,
+    VmAdopted,
+    VmCharged,
+    VmMoved,
+    VmReleased,
+)
+
+
+def count_charged(state: State, pool: str) -> int:
+    """Return how many VMs of a pool count as unavailable."""
+    return sum(1 for vm in state.vms.values() if vm.pool == pool and vm.charge)
+
+
+def find_budget(state: State, pool: str) -> int | None:
+    """Return the tightest budget that any team has on a pool.
+
+    The count is of VMs that may be unavailable at once; None means that no
+    team has a budget there.
+    """
+    limits = [
+        budget.max_unavailable
+        for team in state.teams.values()
+        for budget in team.budgets
+        if budget.pool == pool
+    ]
+    return min(limits, default=None)
+
+
+def adopt_vm(state: State, entry: VmAdopted, offset: int) -> Reason | None:
+    """Take a VM that was not known before into its first pool."""
+    if entry.vm_id in state.vms:
+        return f'{entry.vm_id} is known already'
+    state.vms[entry.vm_id] = VmEntry(
+        vm_id=entry.vm_id, pool=entry.pool, zone=entry.zone, rack=entry.rack
+    )
+    return None
+
+
+def charge_vm(state: State, entry: VmCharged, offset: int) -> Reason | None:
+    """Count a VM as unavailable; only a failure may go over the budget."""
+    vm = state.vms.get(entry.vm_id)
+    if vm is None or vm.version != entry.expected_version:
+        return _explain_version(entry.vm_id, vm, entry.expected_version)
+    if vm.charge:
+        return f'{entry.vm_id} is charged already'
+    planned = entry.reason is not ChargeReason.FAILURE
+    refusal = _refuse_planned(state, vm.pool, entry) if planned else None
+    if refusal:
+        return refusal
+    charge = Charge(
+        reason=entry.reason,
+        boot=entry.boot,
+        wave_id=entry.wave_id,
+        offset=offset,
+    )
+    state.vms[vm.vm_id] = replace(vm, version=vm.version + 1, charge=charge)
+    return None
+
+
+def release_vm(state: State, entry: VmReleased, offset: int) -> Reason | None:
+    """End a charge on evidence that the VM is back."""
+    vm = state.vms.get(entry.vm_id)
+    if vm is None or vm.version != entry.expected_version:
+        return _explain_version(entry.vm_id, vm, entry.expected_version)
+    if vm.charge is None:
+        return f'{entry.vm_id} has no charge'
+    if entry.maintained and entry.boot <= vm.charge.boot:
+        return f'{entry.vm_id} was not rebooted since its charge'
+    if entry.maintained:
+        _note_maintained(state, vm.charge.wave_id, vm.vm_id)
+    state.vms[vm.vm_id] = replace(vm, version=vm.version + 1, charge=None)
+    return None
+
+
+def move_vm(state: State, entry: VmMoved, offset: int) -> Reason | None:
+    """Change the pool of a VM that is charged for the move."""
+    vm = state.vms.get(entry.vm_id)
+    if vm is None or vm.version != entry.expected_version:
+        return _explain_version(entry.vm_id, vm, entry.expected_version)
+    if vm.charge is None or vm.charge.reason is not ChargeReason.MOVE:
+        return f'{entry.vm_id} is not charged for a move'
+    refusal = check_term(state, 'planner', entry.term)
+    if refusal:
+        return refusal
+    state.vms[vm.vm_id] = replace(vm, version=vm.version + 1, pool=entry.pool)
+    return None
+
+
+def _refuse_planned(state: State, pool: str, entry: VmCharged) -> Reason | None:
+    refusal = check_term(state, 'planner', entry.term)
+    if refusal:
+        return refusal
+    wave = state.waves.get(entry.wave_id)
+    if entry.reason is ChargeReason.WAVE and wave is None:
+        return f'wave {entry.wave_id} is not known'
+    charged = count_charged(state, pool)
+    if wave and charged >= wave.at_once:
+        return f'wave {wave.wave_id} has {charged} VMs away already'
+    budget = find_budget(state, pool)
+    if budget is not None and charged >= budget:
+        return f'the budget of pool {pool} has {charged} of {budget} used'
+    return None
+
+
+def _note_maintained(state: State, wave_id: str, vm_id: str) -> None:
+    wave = state.waves.get(wave_id)
+    if wave and vm_id not in wave.done:
+        state.waves[wave_id] = replace(wave, done=(*wave.done, vm_id))
+
+
+def _explain_version(
+    vm_id: str, vm: VmEntry | None, expected_version: int
+) -> Reason:
+    if vm is None:
+        return f'{vm_id} is not known'
+    return (
+        f'{vm_id} is at version {vm.version}, '
+        f'expected version {expected_version}'
+    )
+
+
+RULES: MappingProxyType[type, Rule] = MappingProxyType(
+    {
+        VmAdopted: adopt_vm,
+        VmCharged: charge_vm,
+        VmReleased: release_vm,
+        VmMoved: move_vm,
+    }
+)
--- /dev/null
+++ b/libs/journal/tarragonlb/journal/wavefold.py
@@ -0,0 +1,56 @@
+"""Rules for maintenance waves."""
+
+from dataclasses import replace
+from types import MappingProxyType
+
+from tarragonlb.journal.rule import Reason, Rule
+from tarragonlb.journal.state import State
+from tarragonlb.model.entry import WaveEntry
+from tarragonlb.model.wave import WavePlanned, WaveStatus, WaveSteered
+
+_ENDED = frozenset((WaveStatus.ABORTED, WaveStatus.FINISHED))
+
+
+def plan_wave(state: State, entry: WavePlanned, offset: int) -> Reason | None:
+    """Begin a wave if no other one is open on the pool."""
+    if entry.wave_id in state.waves:
+        return f'wave {entry.wave_id} is known already'
+    for wave in state.waves.values():
+        if wave.pool == entry.pool and wave.status not in _ENDED:
+            return f'wave {wave.wave_id} is open on pool {entry.pool}'
+    strangers = [
+        vm_id
+        for vm_id in entry.vm_ids
+        if vm_id not in state.vms or state.vms[vm_id].pool != entry.pool
+    ]
+    if strangers or entry.at_once < 1:
+        return f'not in pool {entry.pool}: {", ".join(strangers)}'
+    state.waves[entry.wave_id] = WaveEntry(
+        wave_id=entry.wave_id,
+        pool=entry.pool,
+        vm_ids=entry.vm_ids,
+        at_once=entry.at_once,
+        status=WaveStatus.RUNNING,
+    )
+    return None
+
+
+def steer_wave(state: State, entry: WaveSteered, offset: int) -> Reason | None:
+    """Pause, resume, abort or finish a wave that has not ended."""
+    wave = state.waves.get(entry.wave_id)
+    if wave is None or wave.status in _ENDED:
+        return f'wave {entry.wave_id} is not open'
+    if wave.version != entry.expected_version:
+        return f'wave {entry.wave_id} is at version {wave.version}'
+    state.waves[entry.wave_id] = replace(
+        wave, status=entry.status, version=wave.version + 1
+    )
+    return None
+
+
+RULES: MappingProxyType[type, Rule] = MappingProxyType(
+    {
+        WavePlanned: plan_wave,
+        WaveSteered: steer_wave,
+    }
+)
--- /dev/null
+++ b/libs/model/tarragonlb/model/scribe.py
@@ -0,0 +1,33 @@
+"""Makes the heads of records, each with an id of its own."""
+
+from tarragonlb.model.record import Head
+
+
+class Scribe:
+    """Numbers the records of one process.
+
+    ``incarnation`` is different for each start of a process, so that ids are
+    never used twice.
+    """
+
+    __slots__ = ('_author', '_count', '_incarnation')
+
+    def __init__(self, author: str, incarnation: str) -> None:
+        """Start to count at the first record."""
+        self._author = author
+        self._incarnation = incarnation
+        self._count = 0
+
+    def sign(self, basis: int, now: float, author: str = '') -> Head:
+        """Return the head of the next record.
+
+        ``now`` is the wall-clock time in seconds; ``author`` names whom the
+        process writes for, itself where it is empty.
+        """
+        self._count += 1
+        return Head(
+            record_id=f'{self._author}-{self._incarnation}-{self._count}',
+            basis=basis,
+            author=author or self._author,
+            written_at=now,
+        )
--- /dev/null
+++ b/libs/model/tarragonlb/model/wave.py
@@ -0,0 +1,34 @@
+"""Records about maintenance waves: planned, paused, resumed, ended."""
+
+import enum
+from dataclasses import dataclass
+
+from tarragonlb.model.record import Record
+
+
+class WaveStatus(enum.StrEnum):
+    """Say whether a maintenance wave may go on."""
+
+    RUNNING = 'running'
+    PAUSED = 'paused'
+    ABORTED = 'aborted'
+    FINISHED = 'finished'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WavePlanned(Record):
+    """A maintenance wave over the VMs of a pool, in order."""
+
+    wave_id: str
+    pool: str
+    vm_ids: tuple[str, ...]
+    at_once: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaveSteered(Record):
+    """A change of the status of a wave."""
+
+    wave_id: str
+    expected_version: int
+    status: WaveStatus
--- /dev/null
+++ b/libs/platform/tarragonlb/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Narrow interfaces to the platform and their HTTP clients."""
--- /dev/null
+++ b/libs/platform/tarragonlb/platform/client.py
@@ -0,0 +1,93 @@
+"""HTTP calls to the platform, with what is known of each one's effect.
+
+Bodies are CBOR.  A call that never reached the platform raises
+``PlatformUnavailableError``; one whose answer did not come back raises
+``AnswerLostError``.
+"""
+
+from typing import Any
+
+import cbor2
+import httpcore
+
+from tarragonlb.model.errors import (
+    AnswerLostError,
+    PlatformError,
+    PlatformUnavailableError,
+    RecordsExpiredError,
+)
+
+CALL_TIMEOUT_SECONDS = 5
+CONNECT_TIMEOUT_SECONDS = 1
+STATUS_GONE = 410
+STATUS_UNAVAILABLE = 503
+STATUS_ERRORS_FROM = 400
+
+_NOT_CONNECTED = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+_LOST = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+class PlatformClient:
+    """Calls the platform's HTTP interface at one address."""
+
+    __slots__ = ('_connections', '_url')
+
+    def __init__(self, address: str) -> None:
+        """Prepare calls to ``address``, an ``ip:port``."""
+        self._url = f'http://{address}'
+        self._connections = httpcore.AsyncConnectionPool(
+            max_connections=8, keepalive_expiry=5
+        )
+
+    async def call(
+        self,
+        path: str,
+        body: object,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Any:
+        """Send a body to a path and return the decoded answer."""
+        try:
+            response = await self._connections.request(
+                'POST',
+                self._url + path,
+                content=cbor2.dumps(body),
+                extensions={'timeout': _limit(timeout_seconds)},
+            )
+        except _NOT_CONNECTED as error:
+            raise PlatformUnavailableError(repr(error)) from error
+        except _LOST as error:
+            raise AnswerLostError(repr(error)) from error
+        _check_status(response)
+        return cbor2.loads(response.content)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._connections.aclose()
+
+
+def _limit(seconds: float) -> dict[str, float]:
+    return {
+        'connect': CONNECT_TIMEOUT_SECONDS,
+        'read': seconds,
+        'write': seconds,
+        'pool': seconds,
+    }
+
+
+def _check_status(response: httpcore.Response) -> None:
+    if response.status == STATUS_GONE:
+        raise RecordsExpiredError(cbor2.loads(response.content))
+    if response.status == STATUS_UNAVAILABLE:
+        raise PlatformUnavailableError('the platform refused the call')
+    if response.status >= STATUS_ERRORS_FROM:
+        raise PlatformError(
+            f'status {response.status}: {response.content[:200]!r}'
+        )
--- /dev/null
+++ b/libs/platform/tarragonlb/platform/remote.py
@@ -0,0 +1,70 @@
+"""The log and the fleet over HTTP."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from tarragonlb.journal.log import Log, LogEntry
+from tarragonlb.model.fleet import FleetReading
+from tarragonlb.platform.client import CALL_TIMEOUT_SECONDS, PlatformClient
+from tarragonlb.platform.fleet import Fleet, TaskOrder
+
+
+class RemoteLog(Log):
+    """The platform's log behind its HTTP interface."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self, client: PlatformClient) -> None:
+        """Use a client of the platform."""
+        self._client = client
+
+    async def append(self, blobs: Sequence[bytes]) -> None:
+        """Append records in order."""
+        await self._client.call('/log/append', list(blobs))
+
+    async def read(self, after: int, wait_seconds: float) -> list[LogEntry]:
+        """Return the records behind an offset."""
+        rows = await self._client.call(
+            '/log/read',
+            {'after': after, 'wait_seconds': wait_seconds},
+            timeout_seconds=wait_seconds + CALL_TIMEOUT_SECONDS,
+        )
+        return [LogEntry(offset, blob) for offset, blob in rows]
+
+
+class RemoteFleet(Fleet):
+    """The platform's VMs and tasks behind its HTTP interface."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self, client: PlatformClient) -> None:
+        """Use a client of the platform."""
+        self._client = client
+
+    async def read(self, after: int) -> FleetReading:
+        """Return what changed in the platform's list."""
+        tree = await self._client.call('/fleet/read', {'after': after})
+        return msgspec.convert(tree, FleetReading)
+
+    async def drain(self, vm_id: str, boot: int) -> None:
+        """Drain a VM."""
+        await self._client.call('/fleet/drain', {'vm_id': vm_id, 'boot': boot})
+
+    async def reboot(self, vm_id: str, boot: int) -> None:
+        """Reboot a drained VM."""
+        await self._client.call('/fleet/reboot', {'vm_id': vm_id, 'boot': boot})
+
+    async def move(self, vm_id: str, boot: int, pool: str) -> None:
+        """Move a drained VM."""
+        order = {'vm_id': vm_id, 'boot': boot, 'pool': pool}
+        await self._client.call('/fleet/move', order)
+
+    async def start_task(self, order: TaskOrder) -> None:
+        """Start a task on a worker."""
+        await self._client.call('/fleet/start_task', msgspec.to_builtins(order))
+
+    async def stop_task(self, vm_id: str, boot: int, task_id: str) -> None:
+        """Stop a task on a worker."""
+        order = {'vm_id': vm_id, 'boot': boot, 'task_id': task_id}
+        await self._client.call('/fleet/stop_task', order)
--- /dev/null
+++ b/libs/settings/tarragonlb/settings/document.py
@@ -0,0 +1,92 @@
+"""YAML text with the line of every value.
+
+A document is parsed once into plain values and a table that maps each field,
+written as ``services.transcribe.pool`` or ``budgets[0].pool``, to its line.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import yaml
+
+from tarragonlb.settings.problem import Problem, SettingsError
+
+MAX_DOCUMENT_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """Parsed text: ``tree`` holds plain values, ``lines`` their lines."""
+
+    source: str
+    tree: object
+    lines: Mapping[str, int]
+
+    def find_line(self, field: str) -> int:
+        """Return the line of a field, or of its nearest parent."""
+        while field:
+            line = self.lines.get(field)
+            if line:
+                return line
+            cut = max(field.rfind('.'), field.rfind('['))
+            field = field[: max(cut, 0)]
+        return self.lines.get('', 1)
+
+
+def parse_document(text: str, source: str) -> Document:
+    """Parse YAML text.
+
+    ``source`` names the file or path in messages.  Raises ``SettingsError``
+    for text that is too long, is not YAML, has a key twice, or uses aliases.
+    """
+    if len(text.encode()) > MAX_DOCUMENT_BYTES:
+        message = f'expected at most {MAX_DOCUMENT_BYTES} bytes'
+        raise SettingsError([Problem(source, 1, '', message)])
+    try:
+        return _parse(text, source)
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
+        raise SettingsError([_explain(error, source)]) from error
+
+
+def _parse(text: str, source: str) -> Document:
+    for token in yaml.scan(text, Loader=yaml.SafeLoader):
+        if isinstance(token, (yaml.AliasToken, yaml.AnchorToken)):
+            line = token.start_mark.line + 1
+            message = 'aliases and anchors are not allowed'
+            raise SettingsError([Problem(source, line, '', message)])
+    node = yaml.compose(text, Loader=yaml.SafeLoader)
+    lines: dict[str, int] = {}
+    problems: list[Problem] = []
+    if node is not None:
+        _collect_lines(node, '', lines, problems, source)
+    if problems:
+        raise SettingsError(problems)
+    return Document(source, yaml.safe_load(text), lines)
+
+
+def _collect_lines(
+    node: yaml.Node,
+    field: str,
+    lines: dict[str, int],
+    problems: list[Problem],
+    source: str,
+) -> None:
+    lines[field] = node.start_mark.line + 1
+    if isinstance(node, yaml.SequenceNode):
+        for index, child in enumerate(node.value):
+            _collect_lines(child, f'{field}[{index}]', lines, problems, source)
+    if isinstance(node, yaml.MappingNode):
+        for key, child in node.value:
+            name = f'{field}.{key.value}' if field else str(key.value)
+            if name in lines:
+                line = key.start_mark.line + 1
+                problems.append(Problem(source, line, name, 'given twice'))
+            _collect_lines(child, name, lines, problems, source)
+            lines[name] = key.start_mark.line + 1
+
+
+def _explain(error: Exception, source: str) -> Problem:
+    mark = getattr(error, 'problem_mark', None)
+    line = mark.line + 1 if mark else 1
+    message = getattr(error, 'problem', None) or str(error)
+    return Problem(source, line, '', f'not valid YAML: {message}')
--- /dev/null
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -0,0 +1,110 @@
+"""The shape of each document of settings.
+
+``/teams/NAME`` holds a team's services, quota and availability budgets,
+``/pools/NAME`` how a pool is maintained, and ``/fleet`` what holds for all.
+A daemon's start-up file is read once and only says where it runs.
+"""
+
+import enum
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
+
+Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(ge=0)]
+Digest = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
+Address = Annotated[str, Meta(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')]
+
+
+class Urgency(enum.StrEnum):
+    """Say whether work waits for others or goes first."""
+
+    URGENT = 'urgent'
+    PATIENT = 'patient'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceSettings:
+    """One service of a team; times are in seconds."""
+
+    pool: Name
+    urgency: Urgency = Urgency.URGENT
+    timeout_seconds: Positive = 4.5
+    slots_per_endpoint: Annotated[int, Meta(ge=1)] = 8
+    idempotent: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BudgetSettings:
+    """How many VMs of a pool may be unavailable at once for a team."""
+
+    pool: Name
+    max_unavailable: Count
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaSettings:
+    """What a team's running jobs may use in total."""
+
+    cores: Count = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TeamSettings:
+    """The document under ``/teams/NAME``."""
+
+    tokens: tuple[Digest, ...] = ()
+    services: dict[Name, ServiceSettings] = field(default_factory=dict)
+    budgets: tuple[BudgetSettings, ...] = ()
+    quota: QuotaSettings = QuotaSettings()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolSettings:
+    """The document under ``/pools/NAME``."""
+
+    at_once: Annotated[int, Meta(ge=1)] = 1
+    drain_limit_seconds: Positive = 600
+    spare: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WeightSettings:
+    """How much each of the three measures counts in a choice."""
+
+    buffer_cost: Positive = 1
+    rollout_time: Positive = 1
+    vm_moves: Positive = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetSettings:
+    """The document under ``/fleet``."""
+
+    weights: WeightSettings = WeightSettings()
+    max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
+    job_lease_seconds: Positive = 30
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorSettings:
+    """One operator who may change settings, by the hash of a token."""
+
+    name: Name
+    token_sha256: Digest
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DaemonSettings:
+    """A daemon's start-up file."""
+
+    name: Name
+    zone: Name
+    listen: Address
+    peer_listen: Address
+    platform: Address
+    peers: tuple[Address, ...] = ()
+    operators: tuple[OperatorSettings, ...] = ()
+    stop_limit_seconds: Positive = 60
--- /dev/null
+++ b/libs/standin/tarragonlb/standin/caller.py
@@ -0,0 +1,98 @@
+"""A caller of the daemons, for tests and the demo."""
+
+import json
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import httpcore
+
+Found = TypeVar('Found')
+TIMEOUT_SECONDS = 30
+POLL_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer with its status, headers and body."""
+
+    status: int
+    headers: Mapping[str, str]
+    text: str
+
+    @property
+    def fields(self) -> dict[str, Any]:
+        """Return the body as a JSON object."""
+        return dict(json.loads(self.text))
+
+    @property
+    def rows(self) -> list[dict[str, Any]]:
+        """Return the body as a list of JSON objects."""
+        return list(json.loads(self.text))
+
+
+class Caller:
+    """Calls one entry VM with one token; each call has a new connection."""
+
+    __slots__ = ('_address', '_token')
+
+    def __init__(self, address: str, token: str) -> None:
+        """Call an ``ip:port``."""
+        self._address = address
+        self._token = token
+
+    def get(self, path: str) -> Answer:
+        """Send a GET request."""
+        return self.call('GET', path)
+
+    def post(
+        self,
+        path: str,
+        order: object,
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Send a POST request with a JSON body."""
+        return self.call('POST', path, json.dumps(order).encode(), headers)
+
+    def put(self, path: str, body: bytes, headers: Mapping[str, str]) -> Answer:
+        """Send a PUT request."""
+        return self.call('PUT', path, body, headers)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Send a request and return the whole answer."""
+        all_headers = {'authorization': f'Bearer {self._token}'}
+        all_headers.update(headers or {})
+        limits = dict.fromkeys(('connect', 'read', 'write'), TIMEOUT_SECONDS)
+        response = httpcore.request(
+            method,
+            f'http://{self._address}{path}',
+            headers=list(all_headers.items()),
+            content=body,
+            extensions={'timeout': limits},
+        )
+        names = {
+            name.decode().lower(): text.decode()
+            for name, text in response.headers
+        }
+        return Answer(response.status, names, response.content.decode())
+
+
+def poll(check: Callable[[], Found | None], seconds: float) -> Found:
+    """Return the first answer of ``check`` that is true.
+
+    Raises ``TimeoutError`` if there is none within so many seconds.
+    """
+    limit = time.monotonic() + seconds
+    while time.monotonic() < limit:
+        found = check()
+        if found:
+            return found
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f'not seen within {seconds} seconds')
--- /dev/null
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -0,0 +1,165 @@
+"""A small installation as processes on loopback, for tests and the demo.
+
+It starts a platform stand-in, its endpoints and one daemon for each
+availability zone, each as a process of its own, and ends only those.
+"""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+
+import cbor2
+import httpcore
+import yaml
+
+from tarragonlb.standin.fault import Faults
+from tarragonlb.standin.fleetfile import FleetFile, VmFile
+
+OPERATOR_TOKEN = 'demo-operator'
+OPERATOR_SHA256 = (
+    '9437e87fae95c03d3778f2575bb18ce30e647e51d86a8c37963364e1fc4f374e'
+)
+START_SECONDS = 30
+POLL_SECONDS = 0.05
+STOP_SECONDS = 30
+STATUS_OK = 200
+ZONES = ('colombo', 'negombo', 'kandy')
+
+
+def find_port() -> int:
+    """Return a port of the loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+def make_fleet(pools: dict[str, int]) -> FleetFile:
+    """Return a fleet with so many VMs a pool, spread over the zones."""
+    vms = [
+        VmFile(
+            vm_id=f'{pool}-{index}',
+            pool=pool,
+            zone=ZONES[index % len(ZONES)],
+            rack=f'rack-{index % len(ZONES)}',
+            cores=16,
+            memory_gb=64,
+            address=f'127.0.0.1:{find_port()}',
+        )
+        for pool, count in pools.items()
+        for index in range(count)
+    ]
+    return FleetFile(vms=tuple(vms))
+
+
+class Cluster:
+    """Owns the processes of one installation below a folder."""
+
+    __slots__ = ('_folder', '_processes', 'addresses', 'fleet', 'platform')
+
+    def __init__(self, folder: Path, fleet: FleetFile) -> None:
+        """Choose addresses; nothing runs yet."""
+        self._folder = folder
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.fleet = fleet
+        self.platform = f'127.0.0.1:{find_port()}'
+        self.addresses = {
+            f'entry-{zone}': f'127.0.0.1:{find_port()}' for zone in ZONES
+        }
+
+    def start(self) -> None:
+        """Start all processes and wait until the daemons are ready."""
+        path = self._folder / 'fleet.yaml'
+        path.write_text(yaml.safe_dump(_plain(asdict(self.fleet))))
+        self._spawn(
+            'platform',
+            'tarragonlb-standin',
+            'platform',
+            str(path),
+            self.platform,
+        )
+        self._spawn('endpoints', 'tarragonlb-standin', 'endpoints', str(path))
+        for name in self.addresses:
+            self.start_daemon(name)
+        for name in self.addresses:
+            self.wait_ready(name)
+
+    def start_daemon(self, name: str) -> None:
+        """Start the daemon of one entry VM."""
+        settings = {
+            'name': name,
+            'zone': name.removeprefix('entry-'),
+            'listen': self.addresses[name],
+            'peer_listen': f'127.0.0.1:{find_port()}',
+            'platform': self.platform,
+            'operators': [
+                {'name': 'operator', 'token_sha256': OPERATOR_SHA256}
+            ],
+        }
+        path = self._folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        self._spawn(name, 'tarragonlbd', '--settings', str(path))
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a daemon says that it is ready."""
+        limit = time.monotonic() + START_SECONDS
+        while time.monotonic() < limit:
+            if self._is_ready(name):
+                return
+            time.sleep(POLL_SECONDS)
+        raise TimeoutError(f'{name} is not ready, see {self.find_log(name)}')
+
+    def find_log(self, name: str) -> Path:
+        """Return the file that holds the log of a process."""
+        return self._folder / f'{name}.log'
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self._processes[name].send_signal(number)
+
+    def wait_end(self, name: str) -> int:
+        """Wait until a process has ended and return its exit code."""
+        return self._processes.pop(name).wait(STOP_SECONDS)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Switch faults of the platform stand-in."""
+        httpcore.request(
+            'POST',
+            f'http://{self.platform}/faults',
+            content=cbor2.dumps(asdict(faults)),
+        )
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self._processes.values():
+            process.wait(STOP_SECONDS)
+
+    def _is_ready(self, name: str) -> bool:
+        try:
+            response = httpcore.request(
+                'GET', f'http://{self.addresses[name]}/ready'
+            )
+        except httpcore.ConnectError:
+            return False
+        return response.status == STATUS_OK
+
+    def _spawn(self, name: str, command: str, *arguments: str) -> None:
+        path = Path(sys.executable).parent / command
+        with self.find_log(name).open('ab') as log:
+            self._processes[name] = subprocess.Popen(
+                [str(path), *arguments], stderr=log, stdout=log
+            )
+
+
+def _plain(tree: object) -> object:
+    if isinstance(tree, dict):
+        return {key: _plain(child) for key, child in tree.items()}
+    if isinstance(tree, (tuple, list)):
+        return [_plain(child) for child in tree]
+    return tree
--- /dev/null
+++ b/libs/standin/tarragonlb/standin/fleetfile.py
@@ -0,0 +1,44 @@
+"""The file that describes the fleet of a stand-in platform."""
+
+from dataclasses import dataclass
+
+from tarragonlb.model.fleet import VmPhase, VmReading
+from tarragonlb.settings.schema import Address, Name
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmFile:
+    """One VM of the file."""
+
+    vm_id: Name
+    pool: Name
+    zone: Name
+    rack: Name
+    cores: int
+    memory_gb: int
+    address: Address | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetFile:
+    """The whole file; ``lag_seconds`` delays the list of VMs."""
+
+    vms: tuple[VmFile, ...]
+    retention_records: int = 100_000
+    lag_seconds: float = 0.2
+    slots: int = 8
+
+
+def make_reading(vm: VmFile) -> VmReading:
+    """Return the first reading of a VM of the file."""
+    return VmReading(
+        vm_id=vm.vm_id,
+        pool=vm.pool,
+        zone=vm.zone,
+        rack=vm.rack,
+        phase=VmPhase.LIVE,
+        boot=1,
+        cores=vm.cores,
+        memory_gb=vm.memory_gb,
+        address=vm.address or '',
+    )
--- /dev/null
+++ b/libs/standin/tarragonlb/standin/fleetstore.py
@@ -0,0 +1,143 @@
+"""VMs and tasks in memory, with the platform's lagging list.
+
+Every change gets a number and becomes visible to readers only after the lag.
+Acts name the boot count that they are meant for.
+"""
+
+from collections import deque
+from dataclasses import dataclass, replace
+
+from tarragonlb.model.errors import PlatformError
+from tarragonlb.model.fleet import (
+    FleetReading,
+    TaskPhase,
+    TaskReading,
+    VmPhase,
+    VmReading,
+)
+
+
+@dataclass(slots=True)
+class Task:
+    """A task that runs: when it ends, and when its lease ends."""
+
+    vm_id: str
+    output: str
+    succeeds: bool
+    ends_at: float
+    lease_ends_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of the list, with its number and time."""
+
+    number: int
+    at: float
+    subject: VmReading | TaskReading
+
+
+class FleetStore:
+    """Owns the VMs and tasks; all times are in seconds of ``now``."""
+
+    __slots__ = ('_changes', '_lag', '_number', 'tasks', 'vms')
+
+    def __init__(self, vms: list[VmReading], lag: float) -> None:
+        """Start with all VMs live and in the list."""
+        self._lag = lag
+        self._number = 0
+        self._changes: deque[Change] = deque()
+        self.vms: dict[str, VmReading] = {}
+        self.tasks: dict[str, Task] = {}
+        for vm in vms:
+            self.put_vm(vm, -lag)
+
+    def read(self, after: int, now: float) -> FleetReading:
+        """Return the changes behind a number that are visible by now."""
+        visible = [
+            change
+            for change in self._changes
+            if change.number > after and change.at + self._lag <= now
+        ]
+        number = max((change.number for change in visible), default=after)
+        subjects = [change.subject for change in visible]
+        return FleetReading(
+            number=number,
+            vms=tuple(one for one in subjects if isinstance(one, VmReading)),
+            tasks=tuple(
+                one for one in subjects if isinstance(one, TaskReading)
+            ),
+        )
+
+    def put_vm(self, vm: VmReading, now: float) -> None:
+        """Change a VM and list the change."""
+        self.vms[vm.vm_id] = vm
+        self._note(vm, now)
+
+    def set_phase(self, vm_id: str, phase: VmPhase, now: float) -> None:
+        """Change the phase of a VM."""
+        self.put_vm(replace(self.vms[vm_id], phase=phase), now)
+
+    def find_vm(self, vm_id: str, boot: int) -> VmReading:
+        """Return a VM; raise ``PlatformError`` if it was restarted."""
+        vm = self.vms.get(vm_id)
+        if vm is None or vm.boot != boot:
+            raise PlatformError(f'{vm_id} has no boot {boot}')
+        return vm
+
+    def is_busy(self, vm_id: str) -> bool:
+        """Return whether a task runs on a VM."""
+        return any(task.vm_id == vm_id for task in self.tasks.values())
+
+    def start_task(self, task_id: str, task: Task, now: float) -> None:
+        """Start a task once; a second start renews its lease."""
+        running = self.tasks.get(task_id)
+        if running:
+            running.lease_ends_at = task.lease_ends_at
+            return
+        if not self._knows(task_id):
+            self.tasks[task_id] = task
+            self._note_task(task_id, task, TaskPhase.RUNNING, now)
+
+    def stop_task(self, vm_id: str, task_id: str, now: float) -> None:
+        """Stop a task, or keep one that is not known from ever starting."""
+        task = self.tasks.pop(task_id, None)
+        if task is None and self._knows(task_id):
+            return
+        stopped = task or Task(vm_id, '', False, now, now)
+        self._note_task(task_id, stopped, TaskPhase.STOPPED, now)
+
+    def end_tasks(self, now: float) -> None:
+        """End the tasks whose time or lease has passed."""
+        for task_id, task in list(self.tasks.items()):
+            if task.ends_at <= now:
+                done = TaskPhase.SUCCEEDED
+                phase = done if task.succeeds else TaskPhase.FAILED
+                self._note_task(task_id, task, phase, now)
+                self.tasks.pop(task_id)
+            elif task.lease_ends_at <= now:
+                self._note_task(task_id, task, TaskPhase.STOPPED, now)
+                self.tasks.pop(task_id)
+
+    def _knows(self, task_id: str) -> bool:
+        return any(
+            isinstance(change.subject, TaskReading)
+            and change.subject.task_id == task_id
+            for change in self._changes
+        )
+
+    def _note_task(
+        self, task_id: str, task: Task, phase: TaskPhase, now: float
+    ) -> None:
+        ended = phase in {TaskPhase.SUCCEEDED, TaskPhase.FAILED}
+        reading = TaskReading(
+            task_id=task_id,
+            vm_id=task.vm_id,
+            phase=phase,
+            output=task.output if ended else '',
+        )
+        self._note(reading, now)
+
+    def _note(self, subject: VmReading | TaskReading, now: float) -> None:
+        self._number += 1
+        self._changes.append(Change(self._number, now, subject))
--- /dev/null
+++ b/libs/standin/tarragonlb/standin/logstore.py
@@ -0,0 +1,52 @@
+"""An append-only log in memory, with offsets and limited retention."""
+
+from collections.abc import Sequence
+
+import trio
+
+from tarragonlb.model.errors import RecordsExpiredError
+
+MAX_READ_RECORDS = 1024
+
+
+class LogStore:
+    """Keeps the latest ``retention`` records; offsets start at 1."""
+
+    __slots__ = ('_appended', '_blobs', '_first', '_retention')
+
+    def __init__(self, retention: int) -> None:
+        """Start empty."""
+        self._retention = retention
+        self._first = 1
+        self._blobs: list[bytes] = []
+        self._appended = trio.Event()
+
+    @property
+    def end(self) -> int:
+        """Return the offset of the latest record."""
+        return self._first + len(self._blobs) - 1
+
+    def append(self, blobs: Sequence[bytes]) -> None:
+        """Append records and wake all readers."""
+        self._blobs.extend(blobs)
+        excess = max(len(self._blobs) - self._retention, 0)
+        del self._blobs[:excess]
+        self._first += excess
+        self._appended.set()
+        self._appended = trio.Event()
+
+    async def read(
+        self, after: int, wait_seconds: float
+    ) -> list[tuple[int, bytes]]:
+        """Return records behind an offset, waiting for the first one.
+
+        Raises ``RecordsExpiredError`` if some are no longer kept.
+        """
+        with trio.move_on_after(wait_seconds):
+            while self.end <= after:
+                await self._appended.wait()
+        if after + 1 < self._first:
+            raise RecordsExpiredError(self._first)
+        start = after + 1 - self._first
+        blobs = self._blobs[start : start + MAX_READ_RECORDS]
+        return list(enumerate(blobs, start=after + 1))
--- /dev/null
+++ b/libs/telemetry/tarragonlb/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the report on service-level burn."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,133 @@
+"""Runs the behave features of every library and of the whole system.
+
+Each folder of features runs in a process of its own, several at a time.  The
+last line counts the scenarios.  A scenario that ``KNOWN-RED.txt`` lists may
+fail; it is printed, and everything else must pass.
+"""
+
+import json
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+MAX_PARALLEL_RUNS = 4
+TIMEOUT_SECONDS = 2400
+TAIL_CHARACTERS = 6000
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """The result of one folder: names of scenarios, and what was printed."""
+
+    folder: Path
+    passed: tuple[str, ...]
+    failed: tuple[str, ...]
+    printed: str
+    exit_code: int
+
+
+def list_folders() -> list[Path]:
+    """Return all folders with features, those of the whole system first."""
+    folders = [ROOT / 'features', *sorted(ROOT.glob('libs/*/features'))]
+    return [folder for folder in folders if folder.is_dir()]
+
+
+def run_folder(folder: Path) -> Run:
+    """Run the features of one folder."""
+    with tempfile.TemporaryDirectory() as scratch:
+        report = Path(scratch) / 'report.json'
+        command = [
+            sys.executable,
+            '-m',
+            'behave',
+            '--no-color',
+            '--format=progress',
+            '--format=json',
+            '--outfile=/dev/stdout',
+            f'--outfile={report}',
+            str(folder),
+        ]
+        ended = subprocess.run(
+            command,
+            cwd=ROOT,
+            check=False,
+            timeout=TIMEOUT_SECONDS,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        features = json.loads(report.read_text() or '[]')
+    passed = _name_scenarios(features, wanted=True)
+    failed = _name_scenarios(features, wanted=False)
+    printed = ended.stdout.decode(errors='replace')
+    return Run(folder, passed, failed, printed, ended.returncode)
+
+
+def read_known_red() -> frozenset[str]:
+    """Return the names of scenarios that may fail, one an entry."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    lines = KNOWN_RED.read_text().splitlines()
+    return frozenset(
+        line.removeprefix('test:').strip()
+        for line in lines
+        if line.startswith('test:')
+    )
+
+
+def main() -> int:
+    """Run everything and return the exit code."""
+    known_red = read_known_red()
+    with ThreadPoolExecutor(MAX_PARALLEL_RUNS) as workers:
+        runs = list(workers.map(run_folder, list_folders()))
+    broken = [run for run in runs if not _is_fine(run, known_red)]
+    for run in broken:
+        print(f'--- {run.folder.relative_to(ROOT)}')
+        print(run.printed[-TAIL_CHARACTERS:])
+    failures = [name for run in runs for name in run.failed]
+    for name in failures:
+        mark = 'known red' if name in known_red else 'FAILED'
+        print(f'{mark}: {name}')
+    print_counts(runs, known_red, len(broken))
+    return 1 if broken or not any(run.passed for run in runs) else 0
+
+
+def print_counts(
+    runs: list[Run], known_red: frozenset[str], broken: int
+) -> None:
+    """Print the closing lines."""
+    passed = sum(len(run.passed) for run in runs)
+    failed = sum(len(set(run.failed) - known_red) for run in runs)
+    known = sum(len(known_red.intersection(run.failed)) for run in runs)
+    print(f'{known} known red')
+    print(f'{passed} passed, {max(failed, broken)} failed')
+
+
+def _is_fine(run: Run, known_red: frozenset[str]) -> bool:
+    unexpected = set(run.failed) - known_red
+    ended_well = run.exit_code == 0 or bool(run.failed)
+    return ended_well and not unexpected
+
+
+def _name_scenarios(
+    features: list[dict[str, object]], *, wanted: bool
+) -> tuple[str, ...]:
+    names = []
+    for feature in features:
+        elements = feature.get('elements', [])
+        assert isinstance(elements, list)
+        for element in elements:
+            if element['type'] == 'background':
+                continue
+            name = f'{feature["name"]}: {element["name"]}'
+            if (element.get('status') == 'passed') == wanted:
+                names.append(name)
+    return tuple(names)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
