Issue keys, so that at most once holds through an outage of the log

Claims in the fold grew without bound.

Ruled out: ranges of the key space with owners through the log. A successor can tell used from new keys only by comparing wall clocks of VMs.

Change: an entry VM issues keys and grants each once; other entry VMs ask it over a websocket with CBOR. Free keys keep the claim record, and the last 50,000 are remembered. The end of a claim is reported after the caller has its answer.

--- a/bench/run.py
+++ b/bench/run.py
@@ -7,6 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+from claim_cost import measure_claims  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
 
 
@@ -14,6 +15,8 @@
     """Print one line a figure."""
     for size in SIZES:
         print(json.dumps({'fold': asdict(measure_fold(size))}))
+    for figure in measure_claims():
+        print(json.dumps({'claim': asdict(figure)}))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/features/steps/claims_steps.py
@@ -0,0 +1,146 @@
+"""Steps for at most once across entry VMs."""
+
+import signal
+import tempfile
+import uuid
+from pathlib import Path
+
+from behave import given, then, when
+
+from tarragonlb.standin.caller import Caller, poll
+from tarragonlb.standin.cluster import OPERATOR_TOKEN, Cluster, make_fleet
+from tarragonlb.standin.fault import Faults
+
+EXAMPLES = Path(__file__).parent.parent.parent / 'examples' / 'demo'
+ISSUER = 'entry-colombo'
+PATH = '/call/dispatch-booklet/x'
+IN_FORCE_SECONDS = 18
+
+
+def call(context, entry, token='demo-archive'):
+    return Caller(context.cluster.addresses[entry], token)
+
+
+def send(context, entry, key):
+    path = f'{PATH}?mark={context.mark}'
+    return call(context, entry).post(path, {}, {'idempotency-key': key})
+
+
+def can_call(context, entry):
+    """Return whether an entry VM has settings, endpoints and links."""
+    keys = call(context, entry).post('/v1/keys', {'count': 1})
+    if keys.status != 200:
+        return False
+    headers = {'idempotency-key': keys.fields['keys'][0]}
+    return all(
+        call(context, other).post(PATH, {}, headers).status in {200, 409}
+        for other in context.cluster.addresses
+    )
+
+
+@given("an installation with the demo's settings")
+def start(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    fleet = make_fleet({'transcription': 3})
+    context.cluster = Cluster(Path(folder.name), fleet)
+    context.add_cleanup(context.cluster.stop)
+    context.cluster.start()
+    context.mark = uuid.uuid4().hex
+    settings = (EXAMPLES / 'team-archive.yaml').read_bytes()
+    operator = call(context, ISSUER, OPERATOR_TOKEN)
+    path = '/v1/settings/teams/archive'
+    assert operator.put(path, settings, {'if-match': '0'}).status == 200
+    for entry in context.cluster.addresses:
+        poll(lambda name=entry: can_call(context, name), IN_FORCE_SECONDS)
+
+
+@given('an issued key')
+def take_issued(context):
+    answer = call(context, ISSUER).post('/v1/keys', {'count': 1})
+    context.key = answer.fields['keys'][0]
+
+
+@given('a free key')
+def take_free(context):
+    context.key = uuid.uuid4().hex
+
+
+@given('the log is down')
+def fail_log(context):
+    context.cluster.set_faults(Faults(log_down=True))
+
+
+@given('its issuer is killed')
+def kill(context):
+    context.cluster.send_signal(ISSUER, signal.SIGKILL)
+    context.cluster.wait_end(ISSUER)
+
+
+@given('its issuer is paused')
+def pause(context):
+    context.cluster.send_signal(ISSUER, signal.SIGSTOP)
+
+
+@when('its issuer goes on')
+def go_on(context):
+    context.cluster.send_signal(ISSUER, signal.SIGCONT)
+
+
+@when('it is sent through "{entry}"')
+def send_first(context, entry):
+    context.first = send(context, entry, context.key)
+
+
+@when('it is sent again through "{second}" and "{third}"')
+def send_again(context, second, third):
+    context.again = [
+        send(context, entry, context.key) for entry in (second, third)
+    ]
+
+
+@when('a free key is sent through "{entry}"')
+def send_free(context, entry):
+    context.free = send(context, entry, uuid.uuid4().hex)
+
+
+def count_runs(context):
+    marks = [
+        mark
+        for vm in context.cluster.fleet.vms
+        for mark in Caller(vm.address, 'none').get('/journal').rows
+    ]
+    return marks.count(context.mark)
+
+
+@then('one request ran')
+def check_one(context):
+    assert context.first.status == 200, context.first
+    assert context.first.headers['tarragon-verdict'] == 'ran'
+    assert count_runs(context) == 1
+
+
+@then('no request ran')
+def check_none(context):
+    assert count_runs(context) == 0
+
+
+@then('the second answers say that it may have run')
+def check_again(context):
+    for answer in context.again:
+        assert answer.status == 409, answer
+        verdict = answer.headers['tarragon-verdict']
+        assert verdict in {'may-have-run', 'ran'}, answer
+
+
+@then('the answer says that it may have run')
+def check_first(context):
+    assert context.first.status in {409, 503}, context.first
+    verdict = context.first.headers['tarragon-verdict']
+    assert verdict == 'may-have-run', context.first
+
+
+@then('the free key was refused as not run')
+def check_free(context):
+    assert context.free.status == 503, context.free
+    assert context.free.headers['tarragon-verdict'] == 'not-run', context.free
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/api.py
@@ -0,0 +1,27 @@
+"""All parts of the API of one daemon, put together."""
+
+from tarragonlb.daemon.access import AccessTable
+from tarragonlb.daemon.apifleet import FleetApi
+from tarragonlb.daemon.apijobs import JobApi
+from tarragonlb.daemon.apikeys import KeyApi
+from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.application import ApiRoutes
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.keydesk import KeyDesk
+from tarragonlb.daemon.watch import FleetWatch
+
+
+def list_parts(
+    entry: str,
+    access: AccessTable,
+    journal: Journal,
+    watch: FleetWatch,
+    desk: KeyDesk,
+) -> tuple[ApiRoutes, ...]:
+    """Return the parts that answer as the entry VM ``entry``."""
+    return (
+        JobApi(entry, access, journal, watch),
+        SettingsApi(entry, access, journal, watch),
+        FleetApi(entry, access, journal, watch),
+        KeyApi(access, desk.ledger),
+    )
--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -1,6 +1,7 @@
 """The HTTP application of the daemon: callers, the API, and health."""
 
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, Protocol
 
 import trio
 from starlette.applications import Starlette
@@ -9,15 +10,19 @@
 from starlette.routing import Route
 
 from tarragonlb.daemon.apierrors import ANSWERS
-from tarragonlb.daemon.apifleet import FleetApi
-from tarragonlb.daemon.apijobs import JobApi
-from tarragonlb.daemon.apisettings import SettingsApi
 from tarragonlb.daemon.exchange import Receive, Send
 from tarragonlb.daemon.gateway import PREFIX, Gateway
 
 STATUS_UNAVAILABLE = 503
 
 
+class ApiRoutes(Protocol):
+    """A part of the API that has routes."""
+
+    def list_routes(self) -> list[Route]:
+        """Return the routes of this part."""
+
+
 class Application:
     """Sends each request to the gateway or to the API.
 
@@ -30,7 +35,7 @@
     def __init__(
         self,
         gateway: Gateway,
-        parts: tuple[JobApi, SettingsApi, FleetApi],
+        parts: Iterable[ApiRoutes],
     ) -> None:
         """Serve callers by the gateway and all else by the API."""
         self._gateway = gateway
--- a/libs/daemon/tarragonlb/daemon/gateway.py
+++ b/libs/daemon/tarragonlb/daemon/gateway.py
@@ -10,16 +10,12 @@
 from typing import Any
 
 from tarragonlb.daemon.access import AccessTable
+from tarragonlb.daemon.claims import Claims
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.dispatch import Dispatcher
 from tarragonlb.daemon.exchange import Exchange, Receive, Send
 from tarragonlb.daemon.journal import Journal
-from tarragonlb.model.errors import (
-    CommitUnknownError,
-    RecordVoidError,
-    RefusedError,
-)
-from tarragonlb.model.record import KeyClaimed
+from tarragonlb.model.errors import RefusedError
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.routing.request import RequestInfo
 from tarragonlb.settings.schema import ServiceSettings, Urgency
@@ -28,9 +24,6 @@
 PREFIX = '/call/'
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
-STATUS_CONFLICT = 409
-STATUS_UNAVAILABLE = 503
-RETRY_AFTER_SECONDS = 2
 
 
 class Gateway:
@@ -38,21 +31,21 @@
 
     __slots__ = (
         '_access',
+        '_claims',
         '_dispatcher',
-        '_entry',
         '_journal',
         '_say',
     )
 
     def __init__(
         self,
-        entry: str,
         access: AccessTable,
         journal: Journal,
         dispatcher: Dispatcher,
+        claims: Claims,
     ) -> None:
-        """Serve as the entry VM ``entry``."""
-        self._entry = entry
+        """Serve teams that ``access`` knows, by the settings in force."""
+        self._claims = claims
         self._access = access
         self._journal = journal
         self._dispatcher = dispatcher
@@ -81,9 +74,17 @@
         exchange = Exchange(info, scope, receive, send, max_body)
         await exchange.open_body()
         key = headers.get(b'idempotency-key', b'').decode('latin-1')
-        if key and not info.idempotent:
-            await self._claim(info, key)
-        await self._dispatcher.serve(exchange)
+        if info.idempotent or not key:
+            await self._dispatcher.serve(exchange)
+        else:
+            await self._serve_once(exchange, key)
+
+    async def _serve_once(self, exchange: Exchange, key: str) -> None:
+        claim = await self._claims.claim(exchange.info, key)
+        try:
+            await self._dispatcher.serve(exchange)
+        finally:
+            self._claims.conclude(claim, exchange.verdict)
 
     def _describe(
         self, request_id: str, path: str, headers: dict[bytes, bytes]
@@ -114,30 +115,6 @@
             )
         return found
 
-    async def _claim(self, info: RequestInfo, key: str) -> None:
-        record = KeyClaimed(
-            head=self._journal.sign(info.team),
-            team=info.team,
-            key=key,
-            entry=self._entry,
-        )
-        wait = max(info.deadline - read_monotonic(), 0)
-        try:
-            await self._journal.commit(record, wait)
-        except RecordVoidError as error:
-            raise RefusedError(
-                error.reason,
-                verdict=Verdict.MAY_HAVE_RUN,
-                status=STATUS_CONFLICT,
-            ) from error
-        except CommitUnknownError as error:
-            raise RefusedError(
-                'the claim of the key was not recorded in time',
-                verdict=Verdict.NOT_RUN,
-                status=STATUS_UNAVAILABLE,
-                retry_after=RETRY_AFTER_SECONDS,
-            ) from error
-
 
 async def send_refusal(
     send: Send, request_id: str, refusal: RefusedError
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/keylink.py
@@ -0,0 +1,180 @@
+"""Asks the issuer of a key over a websocket between entry VMs.
+
+Each question and each answer is one CBOR message with a number, so that many
+questions share one connection.  A question without an answer in time has an
+answer, too: the issuer can't be asked now, and nothing goes to an endpoint.
+"""
+
+import itertools
+from dataclasses import dataclass, field
+
+import cbor2
+import msgspec
+import trio
+from websockets.exceptions import WebSocketException
+from websockets.trio.client import ClientConnection, connect
+from websockets.trio.server import ServerConnection, serve
+
+from tarragonlb.routing.ledger import Grant, KeyLedger, read_key
+from tarragonlb.telemetry.log import Log
+
+MAX_MESSAGE_BYTES = 4096
+PING_SECONDS = 10
+RECONNECT_SECONDS = 0.5
+
+_BROKEN = (WebSocketException, OSError, ValueError, msgspec.ValidationError)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyQuestion:
+    """A claim of a key, or the conclusion of an earlier claim.
+
+    ``ran`` is None for a claim.
+    """
+
+    number: int
+    key: str
+    team: str
+    ran: bool | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyAnswer:
+    """The answer to the question with the same number."""
+
+    number: int
+    grant: Grant
+
+
+@dataclass(eq=False, slots=True)
+class Waiter:
+    """Somebody who waits for an answer; None if there will be none."""
+
+    done: trio.Event = field(default_factory=trio.Event)
+    grant: Grant | None = None
+
+    def settle(self, grant: Grant | None) -> None:
+        """Wake the one who waits."""
+        self.grant = grant
+        self.done.set()
+
+
+class KeyServer:
+    """Answers the questions of other entry VMs about this one's keys."""
+
+    __slots__ = ('_ledger', '_listen', '_say')
+
+    def __init__(self, listen: str, ledger: KeyLedger) -> None:
+        """Answer on ``listen``, an ``ip:port``, from a ledger."""
+        self._listen = listen
+        self._ledger = ledger
+        self._say = Log('keys').say
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        host, _, port = self._listen.partition(':')
+        await serve(
+            self._answer_all,
+            int(port),
+            host=host,
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            ping_interval=PING_SECONDS,
+        )
+
+    async def _answer_all(self, connection: ServerConnection) -> None:
+        try:
+            async for message in connection:
+                question = msgspec.convert(read_message(message), KeyQuestion)
+                grant = answer_question(self._ledger, question)
+                answer = KeyAnswer(number=question.number, grant=grant)
+                await connection.send(cbor2.dumps(msgspec.to_builtins(answer)))
+        except _BROKEN as error:
+            self._say('A link has ended.', error=repr(error))
+
+
+class KeyLink:
+    """Owns the connection to one other entry VM."""
+
+    __slots__ = ('_address', '_connection', '_numbers', '_say', '_waiters')
+
+    def __init__(self, address: str) -> None:
+        """Ask the entry VM whose peer address is ``address``."""
+        self._address = address
+        self._connection: ClientConnection | None = None
+        self._numbers = itertools.count(1)
+        self._waiters: dict[int, Waiter] = {}
+        self._say = Log('keys').say
+
+    async def run(self) -> None:
+        """Keep a connection until cancelled."""
+        while True:
+            try:
+                await self._run_once()
+            except _BROKEN as error:
+                self._say('No link.', peer=self._address, error=repr(error))
+            await trio.sleep(RECONNECT_SECONDS)
+
+    async def ask(
+        self, key: str, team: str, *, ran: bool | None = None
+    ) -> Grant | None:
+        """Return the issuer's answer, or None if it can't be asked now."""
+        if self._connection is None:
+            return None
+        number = next(self._numbers)
+        question = KeyQuestion(number=number, key=key, team=team, ran=ran)
+        waiter = Waiter()
+        self._waiters[number] = waiter
+        try:
+            await self._connection.send(
+                cbor2.dumps(msgspec.to_builtins(question))
+            )
+            await waiter.done.wait()
+        except _BROKEN:
+            return None
+        finally:
+            self._waiters.pop(number, None)
+        return waiter.grant
+
+    async def _run_once(self) -> None:
+        async with connect(
+            f'ws://{self._address}/keys',
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            ping_interval=PING_SECONDS,
+            proxy=None,
+        ) as connection:
+            self._connection = connection
+            try:
+                await self._receive(connection)
+            finally:
+                self._connection = None
+                for waiter in self._waiters.values():
+                    waiter.settle(None)
+
+    async def _receive(self, connection: ClientConnection) -> None:
+        async for message in connection:
+            answer = msgspec.convert(read_message(message), KeyAnswer)
+            waiter = self._waiters.get(answer.number)
+            if waiter:
+                waiter.settle(answer.grant)
+
+
+def answer_question(ledger: KeyLedger, question: KeyQuestion) -> Grant:
+    """Return what a ledger says to a question."""
+    key = read_key(question.key)
+    if key is None:
+        return Grant.FORGED
+    if question.ran is None:
+        return ledger.claim(key, question.team)
+    return ledger.conclude(key, question.team, ran=question.ran)
+
+
+def read_message(message: str | bytes) -> object:
+    """Return the tree of a message; raise ``ValueError`` for bad ones."""
+    if isinstance(message, str):
+        raise ValueError('expected a binary message')
+    try:
+        return cbor2.loads(message)
+    except cbor2.CBORDecodeError as error:
+        raise ValueError(f'not CBOR: {error}') from error
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -10,13 +10,13 @@
 from hypercorn.trio import serve
 
 from tarragonlb.daemon.access import AccessTable
-from tarragonlb.daemon.apifleet import FleetApi
-from tarragonlb.daemon.apijobs import JobApi
-from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.api import list_parts
 from tarragonlb.daemon.application import Application
+from tarragonlb.daemon.claims import Claims
 from tarragonlb.daemon.dispatch import Dispatcher
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.keydesk import KeyDesk
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.watch import FleetWatch
@@ -36,6 +36,8 @@
     __slots__ = (
         '_application',
         '_journal',
+        '_claims',
+        '_desk',
         '_planner',
         '_pools',
         '_say',
@@ -58,13 +60,13 @@
         dispatcher = Dispatcher(settings.zone, random.Random())
         self._pools = PoolTask(self._journal, self._watch, dispatcher)
         access = AccessTable(settings, self._journal.state)
-        gateway = Gateway(settings.name, access, self._journal, dispatcher)
+        self._desk = KeyDesk(settings)
+        self._claims = Claims(settings.name, self._journal, self._desk)
+        gateway = Gateway(access, self._journal, dispatcher, self._claims)
         self._application = Application(
             gateway,
-            (
-                JobApi(settings.name, access, self._journal, self._watch),
-                SettingsApi(settings.name, access, self._journal, self._watch),
-                FleetApi(settings.name, access, self._journal, self._watch),
+            list_parts(
+                settings.name, access, self._journal, self._watch, self._desk
             ),
         )
 
@@ -83,13 +85,15 @@
         self._say('The daemon has stopped.', name=self._settings.name)
 
     def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
-        return (
-            self._journal.run,
-            self._watch.run,
-            self._planner.run,
-            self._pools.run,
-            self._announce_ready,
+        parts = (
+            self._journal,
+            self._watch,
+            self._planner,
+            self._pools,
+            self._desk,
+            self._claims,
         )
+        return (self._announce_ready, *(part.run for part in parts))
 
     async def _announce_ready(self) -> None:
         await self._journal.wait_until_read()
--- a/libs/journal/tarragonlb/journal/settingfold.py
+++ b/libs/journal/tarragonlb/journal/settingfold.py
@@ -11,6 +11,7 @@
 from tarragonlb.settings.schema import FleetSettings, PoolSettings, TeamSettings
 
 MAX_HISTORY_ENTRIES = 10
+MAX_CLAIMS = 50_000
 
 
 def publish_setting(
@@ -82,6 +83,8 @@
     state.claims[key] = ClaimEntry(
         entry=entry.entry, record_id=entry.head.record_id, offset=offset
     )
+    if len(state.claims) > MAX_CLAIMS:
+        state.claims.pop(next(iter(state.claims)))
     return None
 
 
--- a/libs/standin/tarragonlb/standin/cluster.py
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -58,7 +58,14 @@
 class Cluster:
     """Owns the processes of one installation below a folder."""
 
-    __slots__ = ('_folder', '_processes', 'addresses', 'fleet', 'platform')
+    __slots__ = (
+        '_folder',
+        '_processes',
+        'addresses',
+        'fleet',
+        'peers',
+        'platform',
+    )
 
     def __init__(self, folder: Path, fleet: FleetFile) -> None:
         """Choose addresses; nothing runs yet."""
@@ -66,6 +73,9 @@
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self.fleet = fleet
         self.platform = f'127.0.0.1:{find_port()}'
+        self.peers = {
+            f'entry-{zone}': f'127.0.0.1:{find_port()}' for zone in ZONES
+        }
         self.addresses = {
             f'entry-{zone}': f'127.0.0.1:{find_port()}' for zone in ZONES
         }
@@ -93,7 +103,10 @@
             'name': name,
             'zone': name.removeprefix('entry-'),
             'listen': self.addresses[name],
-            'peer_listen': f'127.0.0.1:{find_port()}',
+            'peer_listen': self.peers[name],
+            'peers': [
+                peer for other, peer in self.peers.items() if other != name
+            ],
             'platform': self.platform,
             'operators': [
                 {'name': 'operator', 'token_sha256': OPERATOR_SHA256}
