Measure what an idle daemon spends at 1,000, 5,000 and 23,000 VMs

Cause: the targets (3.3% of a core, 128 MB) had no measurement. The first try at 5,000 VMs failed: the stand-in refused its own fleet file, larger than the 256 KB that a document may have.

--- a/bench/run.py
+++ b/bench/run.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from claim_cost import measure_claims  # noqa: E402
+from daemon_cost import measure_daemons  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
 
 
@@ -15,6 +16,9 @@
     """Print one line a figure."""
     for size in SIZES:
         print(json.dumps({'fold': asdict(measure_fold(size))}))
+    for size in SIZES:
+        for daemon in measure_daemons(size):
+            print(json.dumps({'daemon': asdict(daemon)}))
     for figure in measure_claims():
         print(json.dumps({'claim': asdict(figure)}))
 
--- a/libs/standin/tarragonlb/standin/cluster.py
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -129,6 +129,10 @@
         """Return the file that holds the log of a process."""
         return self._folder / f'{name}.log'
 
+    def find_pid(self, name: str) -> int:
+        """Return the process id of a running process."""
+        return self._processes[name].pid
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self._processes[name].send_signal(number)
--- a/libs/standin/tarragonlb/standin/command.py
+++ b/libs/standin/tarragonlb/standin/command.py
@@ -11,7 +11,7 @@
 
 from tarragonlb.settings.check import read_settings
 from tarragonlb.standin.endpointapp import EndpointStandin
-from tarragonlb.standin.fleetfile import FleetFile, make_reading
+from tarragonlb.standin.fleetfile import FleetFile, list_readings
 from tarragonlb.standin.platformapp import PlatformStandin
 
 application = cyclopts.App(
@@ -42,7 +42,7 @@
 
 async def _serve_platform(fleet: FleetFile, listen: str) -> None:
     standin = PlatformStandin(
-        [make_reading(vm) for vm in fleet.vms],
+        list_readings(fleet),
         fleet.retention_records,
         fleet.lag_seconds,
     )
--- a/libs/standin/tarragonlb/standin/fleetfile.py
+++ b/libs/standin/tarragonlb/standin/fleetfile.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from tarragonlb.model.fleet import VmPhase, VmReading
-from tarragonlb.settings.schema import Address, Name
+from tarragonlb.settings.schema import Address, Count, Name
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -19,11 +19,24 @@
     address: Address | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmGroup:
+    """Many VMs without endpoints, spread over pools, zones and racks."""
+
+    count: Count
+    pools: Count = 72
+    zones: Count = 8
+    vms_a_rack: Count = 4
+    cores: Count = 16
+    memory_gb: Count = 64
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetFile:
     """The whole file; ``lag_seconds`` delays the list of VMs."""
 
-    vms: tuple[VmFile, ...]
+    vms: tuple[VmFile, ...] = ()
+    groups: tuple[VmGroup, ...] = ()
     retention_records: int = 100_000
     lag_seconds: float = 0.2
     slots: int = 8
@@ -42,3 +55,27 @@
         memory_gb=vm.memory_gb,
         address=vm.address or '',
     )
+
+
+def list_readings(fleet: FleetFile) -> list[VmReading]:
+    """Return the first readings of all VMs of the file."""
+    readings = [make_reading(vm) for vm in fleet.vms]
+    for group in fleet.groups:
+        readings.extend(_list_group(group))
+    return readings
+
+
+def _list_group(group: VmGroup) -> list[VmReading]:
+    return [
+        VmReading(
+            vm_id=f'vm-{index}',
+            pool=f'pool-{index % group.pools}',
+            zone=f'zone-{index % group.zones}',
+            rack=f'rack-{index // group.vms_a_rack}',
+            phase=VmPhase.LIVE,
+            boot=1,
+            cores=group.cores,
+            memory_gb=group.memory_gb,
+        )
+        for index in range(group.count)
+    ]
