Make the stand-ins cut zones, lose answers truly, and report broken promises

Cause: a lost answer reached the daemon as status 500, because the HTTP server answers for an application that raises; so the client's AnswerLostError was never met. No zone could be cut off from the platform or from endpoints, the list of changes grew for ever, and nothing noted acts that break a promise. Ruled out: a port for each zone (the list would have to carry several addresses for each endpoint); zone by a header (daemons would send it for the tests alone). Change: each zone calls the stand-ins at a loopback address of its own; a lost answer begins and ends its connection; FleetStore keeps the latest visible change of each subject and 10,000 ended tasks; POST /violations and GET /events are the witnesses; VMs of a rack can be lost from sight.

--- a/libs/standin/tarragonlb/standin/cluster.py
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -14,10 +14,13 @@
 
 import cbor2
 import httpcore
+import msgspec
 import yaml
 
-from tarragonlb.standin.fault import Faults
+from tarragonlb.standin.endpointapp import EndpointEvent
+from tarragonlb.standin.fault import EndpointFaults, Faults
 from tarragonlb.standin.fleetfile import FleetFile, VmFile
+from tarragonlb.standin.violation import Report
 
 OPERATOR_TOKEN = 'demo-operator'
 OPERATOR_SHA256 = (
@@ -27,6 +30,7 @@
 POLL_SECONDS = 0.05
 STOP_SECONDS = 30
 STATUS_OK = 200
+FIRST_ZONE_HOST = 2
 ZONES = ('colombo', 'negombo', 'kandy')
 
 
@@ -52,7 +56,13 @@
         for pool, count in pools.items()
         for index in range(count)
     ]
-    return FleetFile(vms=tuple(vms))
+    hosts = ('127.0.0.1', *(find_host(zone) for zone in ZONES))
+    return FleetFile(vms=tuple(vms), hosts=hosts)
+
+
+def find_host(zone: str) -> str:
+    """Return the address at which the daemons of a zone call stand-ins."""
+    return f'127.0.0.{ZONES.index(zone) + FIRST_ZONE_HOST}'
 
 
 class Cluster:
@@ -89,12 +99,14 @@
 
     def start_daemon(self, name: str) -> None:
         """Start the daemon of one entry VM."""
+        zone = name.removeprefix('entry-')
+        port = self.platform.partition(':')[2]
         settings = {
             'name': name,
-            'zone': name.removeprefix('entry-'),
+            'zone': zone,
             'listen': self.addresses[name],
             'peer_listen': f'127.0.0.1:{find_port()}',
-            'platform': self.platform,
+            'platform': f'{find_host(zone)}:{port}',
             'operators': [
                 {'name': 'operator', 'token_sha256': OPERATOR_SHA256}
             ],
@@ -132,6 +144,34 @@
             content=cbor2.dumps(asdict(faults)),
         )
 
+    def set_endpoint_faults(self, address: str, faults: EndpointFaults) -> None:
+        """Switch faults of one endpoint."""
+        httpcore.request(
+            'POST',
+            f'http://{address}/faults',
+            content=msgspec.json.encode(faults),
+        )
+
+    def read_report(self) -> Report:
+        """Return what the platform stand-in saw of promises broken."""
+        response = httpcore.request(
+            'POST',
+            f'http://{self.platform}/violations',
+            content=cbor2.dumps(()),
+        )
+        return msgspec.convert(cbor2.loads(response.content), Report)
+
+    def read_events(self) -> list[EndpointEvent]:
+        """Return the events of all endpoints, in the order of their time."""
+        events: list[EndpointEvent] = []
+        for vm in self.fleet.vms:
+            response = httpcore.request('GET', f'http://{vm.address}/events')
+            seen = msgspec.json.decode(
+                response.content, type=list[EndpointEvent]
+            )
+            events.extend(seen)
+        return sorted(events, key=lambda event: event.at)
+
     def stop(self) -> None:
         """End all processes."""
         for process in self._processes.values():
--- a/libs/standin/tarragonlb/standin/command.py
+++ b/libs/standin/tarragonlb/standin/command.py
@@ -48,7 +48,7 @@
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(standin.run)
-        nursery.start_soon(_serve, standin.make_application(), listen)
+        nursery.start_soon(_serve, standin.make_application(), fleet, listen)
 
 
 async def _serve_endpoints(fleet: FleetFile) -> None:
@@ -57,12 +57,13 @@
             if vm.address:
                 standin = EndpointStandin(vm.vm_id, fleet.slots)
                 served = standin.make_application()
-                nursery.start_soon(_serve, served, vm.address)
+                nursery.start_soon(_serve, served, fleet, vm.address)
 
 
-async def _serve(served: Any, listen: str) -> None:
+async def _serve(served: Any, fleet: FleetFile, listen: str) -> None:
+    port = listen.partition(':')[2]
     config = hypercorn.Config()
-    config.bind = [listen]
+    config.bind = [f'{host}:{port}' for host in fleet.hosts]
     config.accesslog = None
     config.errorlog = None
     forever: Callable[..., Awaitable[None]] = trio.sleep_forever
--- a/libs/standin/tarragonlb/standin/endpointapp.py
+++ b/libs/standin/tarragonlb/standin/endpointapp.py
@@ -1,31 +1,64 @@
 """An endpoint stand-in: slots, delays, failures, and a journal of its own.
 
-The journal holds the id of every request that ran here.  Tests take it as the
-witness of what really happened.
+The journal holds the mark of every request that ran here, and the events when
+each started, finished or was cut by a reboot.  Tests take it as the witness
+of what really happened.
 """
 
+import time
+from dataclasses import asdict, dataclass
+
+import msgspec
 import trio
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 
+from tarragonlb.standin.fault import EndpointFaults, EndpointMode, FaultSwitch
+from tarragonlb.standin.lost import LostAnswer
+
+STATUS_ERROR = 500
 STATUS_UNAVAILABLE = 503
 REBOOT_SECONDS = 0.5
+SLOW_SECONDS = 2
+STARTED = 'started'
+FINISHED = 'finished'
+CUT = 'cut'
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointEvent:
+    """What became of a request, and when on the monotonic clock."""
+
+    endpoint: str
+    mark: str
+    event: str
+    at: float
 
 
 class EndpointStandin:
     """Runs requests in a limited number of slots."""
 
-    __slots__ = ('_name', '_slots', 'active', 'away_until', 'ran')
+    __slots__ = (
+        '_boot',
+        '_events',
+        '_switch',
+        '_name',
+        '_slots',
+        'active',
+        'away_until',
+    )
 
     def __init__(self, name: str, slots: int) -> None:
         """Start idle."""
         self._name = name
         self._slots = slots
+        self._boot = 1
+        self._events: list[EndpointEvent] = []
+        self._switch = FaultSwitch(EndpointFaults())
         self.active = 0
         self.away_until = 0.0
-        self.ran: list[str] = []
 
     def make_application(self) -> Starlette:
         """Return the application to serve."""
@@ -33,7 +66,9 @@
             routes=[
                 Route('/active', self.show_active, methods=['POST']),
                 Route('/reboot', self.reboot, methods=['POST']),
+                Route('/faults', self.turn_faults, methods=['POST']),
                 Route('/journal', self.show_journal),
+                Route('/events', self.show_events),
                 Route('/call/{path:path}', self.run, methods=['GET', 'POST']),
             ]
         )
@@ -44,38 +79,90 @@
 
     async def show_journal(self, request: Request) -> Response:
         """Answer with the marks of the requests that ran."""
-        return JSONResponse(self.ran)
+        started = [one.mark for one in self._events if one.event == STARTED]
+        return JSONResponse(started)
+
+    async def show_events(self, request: Request) -> Response:
+        """Answer with all events, oldest first."""
+        return JSONResponse([asdict(event) for event in self._events])
+
+    async def turn_faults(self, request: Request) -> Response:
+        """Switch the faults of this endpoint."""
+        body = await request.body()
+        self._switch.turn(msgspec.json.decode(body, type=EndpointFaults))
+        return PlainTextResponse('')
 
     async def reboot(self, request: Request) -> Response:
-        """Be away for a while; a request in progress would be cut."""
+        """Be away for a while, and cut the requests in progress."""
         self.away_until = trio.current_time() + REBOOT_SECONDS
-        cut = self.active
-        return PlainTextResponse(str(cut))
+        self._boot += 1
+        return PlainTextResponse(str(self.active))
 
     async def run(self, request: Request) -> Response:
-        """Run a request: ``seconds`` long, marked by ``mark``."""
-        away = trio.current_time() < self.away_until
-        if away or self.active >= self._slots:
+        """Run a request: ``seconds`` long, marked by ``mark``.
+
+        The answer has ``size`` more bytes, made of the mark.
+        """
+        host = request.scope['server'][0]
+        if host in self._switch.faults.cut_hosts:
+            return await self._lose(host)
+        if self._switch.faults.mode is EndpointMode.SILENT:
+            return await self._lose(host)
+        if self._switch.faults.mode is EndpointMode.FAILING:
+            return Response(status_code=STATUS_ERROR)
+        if self._is_full():
             return Response(
                 status_code=STATUS_UNAVAILABLE,
                 headers={'tarragon-verdict': 'not-run'},
             )
         self.active += 1
         try:
-            return await self._run(request)
+            response = await self._run(request)
         finally:
             self.active -= 1
+        if host in self._switch.faults.cut_hosts:
+            return await self._lose(host)
+        return response
+
+    def _is_full(self) -> bool:
+        away = trio.current_time() < self.away_until
+        return away or self.active >= self._slots
 
     async def _run(self, request: Request) -> Response:
-        body = await request.body()
         mark = request.query_params.get('mark', '')
-        self.ran.append(mark)
-        await trio.sleep(float(request.query_params.get('seconds', '0')))
+        self._note(mark, STARTED)
+        boot = self._boot
+        body = await request.body()
+        seconds = float(request.query_params.get('seconds', '0'))
+        if self._switch.faults.mode is EndpointMode.SLOW:
+            seconds += SLOW_SECONDS
+        await trio.sleep(seconds)
+        if boot != self._boot:
+            self._note(mark, CUT)
+            return LostAnswer()
+        self._note(mark, FINISHED)
+        if self._switch.faults.mode is EndpointMode.MUTE:
+            return await self._lose('')
+        size = int(request.query_params.get('size', '0'))
         return JSONResponse(
             {
                 'endpoint': self._name,
                 'mark': mark,
                 'bytes': len(body),
                 'body': body.decode('latin-1')[:200],
+                'filler': (mark * size)[:size],
             }
         )
+
+    def _note(self, mark: str, event: str) -> None:
+        seen = EndpointEvent(self._name, mark, event, time.monotonic())
+        self._events.append(seen)
+
+    async def _lose(self, host: str) -> Response:
+        silent = {EndpointMode.SILENT, EndpointMode.MUTE}
+        while (
+            host in self._switch.faults.cut_hosts
+            or self._switch.faults.mode in silent
+        ):
+            await self._switch.wait()
+        return LostAnswer()
--- a/libs/standin/tarragonlb/standin/fleetfile.py
+++ b/libs/standin/tarragonlb/standin/fleetfile.py
@@ -21,9 +21,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetFile:
-    """The whole file; ``lag_seconds`` delays the list of VMs."""
+    """The whole file; ``lag_seconds`` delays the list of VMs.
+
+    The stand-ins listen on each of ``hosts``, one for each zone, so that they
+    can tell from where a call comes.
+    """
 
     vms: tuple[VmFile, ...]
+    hosts: tuple[str, ...] = ('127.0.0.1',)
     retention_records: int = 100_000
     lag_seconds: float = 0.2
     slots: int = 8
--- a/libs/standin/tarragonlb/standin/fleetstore.py
+++ b/libs/standin/tarragonlb/standin/fleetstore.py
@@ -1,10 +1,12 @@
 """VMs and tasks in memory, with the platform's lagging list.
 
 Every change gets a number and becomes visible to readers only after the lag.
-Acts name the boot count that they are meant for.
+Of each VM and task only the latest visible change is kept, and of the tasks
+that ended only the last ones.  Acts name the boot count that they are meant
+for.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, replace
 
 from tarragonlb.model.errors import PlatformError
@@ -16,6 +18,8 @@
     VmReading,
 )
 
+MAX_ENDED_TASKS = 10_000
+
 
 @dataclass(slots=True)
 class Task:
@@ -40,13 +44,23 @@
 class FleetStore:
     """Owns the VMs and tasks; all times are in seconds of ``now``."""
 
-    __slots__ = ('_changes', '_lag', '_number', 'tasks', 'vms')
+    __slots__ = (
+        '_ended',
+        '_hidden',
+        '_lag',
+        '_number',
+        '_visible',
+        'tasks',
+        'vms',
+    )
 
     def __init__(self, vms: list[VmReading], lag: float) -> None:
         """Start with all VMs live and in the list."""
         self._lag = lag
         self._number = 0
-        self._changes: deque[Change] = deque()
+        self._hidden: deque[Change] = deque()
+        self._visible: dict[str, Change] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
         self.vms: dict[str, VmReading] = {}
         self.tasks: dict[str, Task] = {}
         for vm in vms:
@@ -54,10 +68,9 @@
 
     def read(self, after: int, now: float) -> FleetReading:
         """Return the changes behind a number that are visible by now."""
+        self._show(now)
         visible = [
-            change
-            for change in self._changes
-            if change.number > after and change.at + self._lag <= now
+            change for change in self._visible.values() if change.number > after
         ]
         number = max((change.number for change in visible), default=after)
         subjects = [change.subject for change in visible]
@@ -89,20 +102,25 @@
         """Return whether a task runs on a VM."""
         return any(task.vm_id == vm_id for task in self.tasks.values())
 
-    def start_task(self, task_id: str, task: Task, now: float) -> None:
-        """Start a task once; a second start renews its lease."""
+    def start_task(self, task_id: str, task: Task, now: float) -> bool:
+        """Start a task once; a second start renews its lease.
+
+        Returns whether the task began.
+        """
         running = self.tasks.get(task_id)
         if running:
             running.lease_ends_at = task.lease_ends_at
-            return
-        if not self._knows(task_id):
-            self.tasks[task_id] = task
-            self._note_task(task_id, task, TaskPhase.RUNNING, now)
+            return False
+        if task_id in self._ended:
+            return False
+        self.tasks[task_id] = task
+        self._note_task(task_id, task, TaskPhase.RUNNING, now)
+        return True
 
     def stop_task(self, vm_id: str, task_id: str, now: float) -> None:
         """Stop a task, or keep one that is not known from ever starting."""
         task = self.tasks.pop(task_id, None)
-        if task is None and self._knows(task_id):
+        if task is None and task_id in self._ended:
             return
         stopped = task or Task(vm_id, '', False, now, now)
         self._note_task(task_id, stopped, TaskPhase.STOPPED, now)
@@ -119,13 +137,6 @@
                 self._note_task(task_id, task, TaskPhase.STOPPED, now)
                 self.tasks.pop(task_id)
 
-    def _knows(self, task_id: str) -> bool:
-        return any(
-            isinstance(change.subject, TaskReading)
-            and change.subject.task_id == task_id
-            for change in self._changes
-        )
-
     def _note_task(
         self, task_id: str, task: Task, phase: TaskPhase, now: float
     ) -> None:
@@ -136,8 +147,24 @@
             phase=phase,
             output=task.output if ended else '',
         )
+        if phase is not TaskPhase.RUNNING:
+            self._ended[task_id] = None
         self._note(reading, now)
 
     def _note(self, subject: VmReading | TaskReading, now: float) -> None:
         self._number += 1
-        self._changes.append(Change(self._number, now, subject))
+        self._hidden.append(Change(self._number, now, subject))
+
+    def _show(self, now: float) -> None:
+        while self._hidden and self._hidden[0].at + self._lag <= now:
+            change = self._hidden.popleft()
+            self._visible[_name(change.subject)] = change
+        while len(self._ended) > MAX_ENDED_TASKS:
+            task_id, _ = self._ended.popitem(last=False)
+            self._visible.pop(f'task {task_id}', None)
+
+
+def _name(subject: VmReading | TaskReading) -> str:
+    if isinstance(subject, VmReading):
+        return f'vm {subject.vm_id}'
+    return f'task {subject.task_id}'
--- a/libs/standin/tarragonlb/standin/platformapp.py
+++ b/libs/standin/tarragonlb/standin/platformapp.py
@@ -6,7 +6,6 @@
 from typing import Any, TypeAlias
 
 import cbor2
-import httpcore
 import msgspec
 import trio
 from starlette.applications import Starlette
@@ -14,20 +13,24 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from tarragonlb.model.errors import PlatformError, RecordsExpiredError
-from tarragonlb.model.fleet import VmPhase, VmReading
-from tarragonlb.standin.fault import Faults
-from tarragonlb.standin.fleetstore import FleetStore, Task
+from tarragonlb.model.errors import (
+    PlatformError,
+    PlatformUnavailableError,
+    RecordsExpiredError,
+)
+from tarragonlb.model.fleet import VmReading
+from tarragonlb.standin.fault import Faults, FaultSwitch
+from tarragonlb.standin.fleetacts import NOTHING, FleetActs
+from tarragonlb.standin.fleetstore import FleetStore
 from tarragonlb.standin.logstore import LogStore
+from tarragonlb.standin.lost import LostAnswer
 
 STATUS_GONE = 410
 STATUS_REFUSED = 409
 STATUS_UNAVAILABLE = 503
-REBOOT_SECONDS = 1.0
 STEP_SECONDS = 0.1
-DEFAULT_TASK_SECONDS = 0.2
-
-NOTHING: tuple[()] = ()
+CONTROL_PATHS = frozenset(('/faults', '/violations'))
+READ_PATHS = frozenset(('/log/read', '/fleet/read'))
 
 Act: TypeAlias = Callable[[Any, float], Awaitable[object]]
 
@@ -35,17 +38,15 @@
 class PlatformStandin:
     """Answers calls, and lets time pass for VMs and tasks."""
 
-    __slots__ = ('_connections', '_faults', '_fleet', '_log', '_rebooting')
+    __slots__ = ('_acts', '_log', '_switch')
 
     def __init__(
         self, vms: list[VmReading], retention: int, lag: float
     ) -> None:
         """Start with a fleet, a log retention, and a lag in seconds."""
-        self._faults = Faults()
+        self._switch = FaultSwitch(Faults())
         self._log = LogStore(retention)
-        self._fleet = FleetStore(vms, lag)
-        self._rebooting: dict[str, float] = {}
-        self._connections = httpcore.AsyncConnectionPool()
+        self._acts = FleetActs(FleetStore(vms, lag), self._switch)
 
     def make_application(self) -> Starlette:
         """Return the application to serve."""
@@ -53,12 +54,13 @@
             ('/log/append', self._append),
             ('/log/read', self._read_log),
             ('/fleet/read', self._read_fleet),
-            ('/fleet/drain', self._drain),
-            ('/fleet/reboot', self._reboot),
-            ('/fleet/move', self._move),
-            ('/fleet/start_task', self._start_task),
-            ('/fleet/stop_task', self._stop_task),
-            ('/faults', self._set_faults),
+            ('/fleet/drain', self._acts.drain),
+            ('/fleet/reboot', self._acts.reboot),
+            ('/fleet/move', self._acts.move),
+            ('/fleet/start_task', self._acts.start_task),
+            ('/fleet/stop_task', self._acts.stop_task),
+            ('/faults', self._turn_faults),
+            ('/violations', self._show_violations),
         )
         return Starlette(
             routes=[
@@ -75,29 +77,42 @@
         """Let VMs and tasks move on until cancelled."""
         while True:
             await trio.sleep(STEP_SECONDS)
-            now = trio.current_time()
-            self._fleet.end_tasks(now)
-            for vm in list(self._fleet.vms.values()):
-                await self._move_on(vm, now)
+            await self._acts.move_on(trio.current_time())
 
     async def _answer(self, path: str, act: Act, request: Request) -> Response:
         body = cbor2.loads(await request.body())
-        if path == '/faults':
+        if path in CONTROL_PATHS:
             return await _perform(act, body)
+        host = request.scope['server'][0]
+        if self._is_cut(host):
+            return await self._lose(host)
         if self._is_down(path):
             return Response(status_code=STATUS_UNAVAILABLE)
-        await trio.sleep(self._faults.slow_seconds)
+        await trio.sleep(self._switch.faults.slow_seconds)
+        if path == '/fleet/read':
+            body['host'] = host
         response = await _perform(act, body)
-        if self._faults.lose_answers:
-            left = self._faults.lose_answers - 1
-            self._faults = replace(self._faults, lose_answers=left)
-            raise ConnectionError('the answer is lost on purpose')
+        if self._is_cut(host):
+            return await self._lose(host)
+        left = self._switch.faults.lose_answers
+        if left and path not in READ_PATHS:
+            fewer = replace(self._switch.faults, lose_answers=left - 1)
+            self._switch.turn(fewer)
+            return LostAnswer()
         return response
 
+    def _is_cut(self, host: str) -> bool:
+        return host in self._switch.faults.cut_hosts
+
+    async def _lose(self, host: str) -> Response:
+        while self._is_cut(host):
+            await self._switch.wait()
+        return LostAnswer()
+
     def _is_down(self, path: str) -> bool:
         if path.startswith('/log'):
-            return self._faults.log_down
-        return path.startswith('/fleet') and self._faults.fleet_down
+            return self._switch.faults.log_down
+        return path.startswith('/fleet') and self._switch.faults.fleet_down
 
     async def _append(self, body: Any, now: float) -> object:
         self._log.append(body)
@@ -107,73 +122,18 @@
         return await self._log.read(body['after'], body['wait_seconds'])
 
     async def _read_fleet(self, body: Any, now: float) -> object:
-        return msgspec.to_builtins(self._fleet.read(body['after'], now))
-
-    async def _drain(self, body: Any, now: float) -> object:
-        vm = self._fleet.find_vm(body['vm_id'], body['boot'])
-        if vm.phase is VmPhase.LIVE:
-            self._fleet.set_phase(vm.vm_id, VmPhase.DRAINING, now)
-        return NOTHING
-
-    async def _reboot(self, body: Any, now: float) -> object:
-        vm = self._fleet.find_vm(body['vm_id'], body['boot'])
-        if vm.phase is not VmPhase.DRAINED:
-            raise PlatformError(f'{vm.vm_id} is {vm.phase}')
-        if vm.address:
-            await _call_endpoint(self._connections, vm, '/reboot')
-        self._rebooting[vm.vm_id] = now + REBOOT_SECONDS
-        gone = replace(vm, phase=VmPhase.REBOOTING, boot=vm.boot + 1)
-        self._fleet.put_vm(gone, now)
-        return NOTHING
+        reading = self._acts.fleet.read(body['after'], now)
+        vms = tuple(_localize(vm, body['host']) for vm in reading.vms)
+        return msgspec.to_builtins(replace(reading, vms=vms))
 
-    async def _move(self, body: Any, now: float) -> object:
-        vm = self._fleet.find_vm(body['vm_id'], body['boot'])
-        self._fleet.put_vm(replace(vm, pool=body['pool']), now)
-        return await self._reboot(body, now)
-
-    async def _start_task(self, body: Any, now: float) -> object:
-        vm = self._fleet.find_vm(body['vm_id'], body['boot'])
-        seconds, succeeds = _read_payload(body['payload'])
-        task = Task(
-            vm_id=vm.vm_id,
-            output=f'{body["task_id"]} on {vm.vm_id}',
-            succeeds=succeeds,
-            ends_at=now + seconds,
-            lease_ends_at=now + body['lease_seconds'],
-        )
-        self._fleet.start_task(body['task_id'], task, now)
+    async def _turn_faults(self, body: Any, now: float) -> object:
+        self._switch.turn(msgspec.convert(body, Faults))
         return NOTHING
 
-    async def _stop_task(self, body: Any, now: float) -> object:
-        self._fleet.find_vm(body['vm_id'], body['boot'])
-        self._fleet.stop_task(body['vm_id'], body['task_id'], now)
-        return NOTHING
-
-    async def _set_faults(self, body: Any, now: float) -> object:
-        self._faults = msgspec.convert(body, Faults)
-        return NOTHING
-
-    async def _move_on(self, vm: VmReading, now: float) -> None:
-        if vm.phase is VmPhase.DRAINING and not await self._is_busy(vm):
-            self._fleet.set_phase(vm.vm_id, VmPhase.DRAINED, now)
-        back_at = self._rebooting.get(vm.vm_id)
-        if back_at and back_at <= now:
-            self._rebooting.pop(vm.vm_id)
-            self._fleet.set_phase(vm.vm_id, VmPhase.LIVE, now)
-
-    async def _is_busy(self, vm: VmReading) -> bool:
-        if self._fleet.is_busy(vm.vm_id):
-            return True
-        if not vm.address:
-            return False
-        return await _call_endpoint(self._connections, vm, '/active') > 0
-
-
-async def _call_endpoint(
-    connections: httpcore.AsyncConnectionPool, vm: VmReading, path: str
-) -> int:
-    response = await connections.request('POST', f'http://{vm.address}{path}')
-    return int(response.content)
+    async def _show_violations(self, body: Any, now: float) -> object:
+        vms = self._acts.fleet.vms.values()
+        boots = {vm.vm_id: vm.boot for vm in vms}
+        return msgspec.to_builtins(self._acts.referee.make_report(boots))
 
 
 async def _perform(act: Act, body: Any) -> Response:
@@ -181,12 +141,15 @@
         answer = await act(body, trio.current_time())
     except RecordsExpiredError as error:
         return Response(cbor2.dumps(error.oldest), status_code=STATUS_GONE)
+    except PlatformUnavailableError:
+        return Response(status_code=STATUS_UNAVAILABLE)
     except PlatformError as error:
         return Response(str(error), status_code=STATUS_REFUSED)
     return Response(cbor2.dumps(answer))
 
 
-def _read_payload(payload: str) -> tuple[float, bool]:
-    words = dict(word.split('=', 1) for word in payload.split() if '=' in word)
-    seconds = float(words.get('seconds', DEFAULT_TASK_SECONDS))
-    return seconds, words.get('fail', 'no') != 'yes'
+def _localize(vm: VmReading, host: str) -> VmReading:
+    if not vm.address:
+        return vm
+    port = vm.address.partition(':')[2]
+    return replace(vm, address=f'{host}:{port}')
