Trace every setting to its file and line, and try the tool with bad input

Cause: settings explain showed only who set a document; values inside it could not be asked for, and nothing was checked between documents. The tool had no test of its own.

Seen before the change, with the new features of libs/cli: an answer that is no object crashed the tool with AttributeError or KeyError, a server that closed the connection without an answer with RemoteProtocolError, port 99999 with OverflowError, an unknown route was answered as plain text. timeout_seconds: .inf was accepted (trial: msgspec.convert gives inf for gt=0).

Change: paths go on inside a document; explain names value, source file and line, author, version, offset and the entry VMs where it is in force; settings check takes a file or a folder; cross-checks of pools and tokens; a token that another team uses is refused at publication; errors of any answer have an exit code.

--- /dev/null
+++ b/libs/cli/features/environment.py
@@ -0,0 +1,39 @@
+"""One small installation for the features that talk to a server."""
+
+import tempfile
+from pathlib import Path
+
+from behave import fixture, use_fixture
+
+from tarragonlb.standin.cluster import Cluster, make_fleet
+
+
+@fixture
+def run_cluster(context):
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(Path(folder), make_fleet({'transcription': 3}))
+        try:
+            cluster.start()
+            yield cluster
+        finally:
+            cluster.stop()
+
+
+@fixture
+def make_folder(context):
+    with tempfile.TemporaryDirectory() as folder:
+        yield Path(folder)
+
+
+def before_feature(context, feature):
+    context.token = 'demo-operator'
+    context.server = 'http://127.0.0.1:1'
+    if 'cluster' in feature.tags:
+        context.cluster = use_fixture(run_cluster, context)
+        addresses = list(context.cluster.addresses.values())
+        context.server = f'http://{addresses[0]}'
+        context.other = f'http://{addresses[1]}'
+
+
+def before_scenario(context, scenario):
+    context.folder = use_fixture(make_folder, context)
--- /dev/null
+++ b/libs/cli/features/offline.feature
@@ -0,0 +1,53 @@
+Feature: The tool without a server
+
+  Scenario Outline: What goes wrong before a server is reached has an exit code
+    When "<command>" is run
+    Then it exits with <code>
+    And it prints "<text>"
+
+    Examples:
+      | command                                    | code | text                                        |
+      | status                                     | 3    | was not reached                             |
+      | status --server ftp://127.0.0.1:1          | 2    | expected http://IP:PORT                     |
+      | status --server 127.0.0.1:1                | 2    | expected http://IP:PORT                     |
+      | status --server http://127.0.0.1:99999     | 2    | expected http://IP:PORT                     |
+      | status --server http://[                   | 2    | expected http://IP:PORT                     |
+      | nothing                                    | 2    | Unknown command "nothing"                   |
+      | job submit index pool --cores many         | 2    | unable to convert "many" into int           |
+      | settings check nofile.yaml --path /fleet   | 2    | nofile.yaml: No such file                   |
+      | settings set /fleet nofile.yaml 0          | 2    | nofile.yaml: No such file                   |
+      | --help                                     | 0    | Exit codes: 0 done, 1 refused, 2 bad input  |
+      | settings check --help                      | 0    | a folder with a whole tree                  |
+
+  Scenario Outline: A file is checked under the path that it stands for
+    Given the file "<file>" with "<text>"
+    When "settings check FOLDER/<file>" is run
+    Then it exits with <code>
+    And it prints "<seen>"
+
+    Examples:
+      | file             | text           | code | seen                                              |
+      | pools/portal.yaml | at_once: 2    | 0    | no problem found                                  |
+      | pools/portal.yaml | at_once: 0    | 2    | portal.yaml:1: at_once: expected `int` >= 1       |
+      | teams/a.yaml     | at_once: 2     | 2    | a.yaml:1: at_once: unknown key                    |
+      | fleet.yaml       | weights: [     | 2    | fleet.yaml:1: not valid YAML                      |
+      | other.yaml       | at_once: 2     | 2    | say with --path where the document would stand    |
+
+  Scenario: A tree is checked as a whole
+    Given the file "teams/a.yaml" with "services: {s: {pool: portal}}"
+    When "settings check FOLDER" is run
+    Then it exits with 2
+    And it prints "teams/a.yaml:1: services.s.pool: no document describes /pools/portal"
+    Given the file "pools/portal.yaml" with "at_once: 1"
+    When "settings check FOLDER" is run
+    Then it exits with 0
+    And it prints "no problem in 2 documents"
+
+  Scenario: A server that stops in the middle of its answer leaves it unknown
+    Given a server that reads the request and closes the connection
+    When "job submit index transcription" is run
+    Then it exits with 4
+    And it prints "did not answer"
+
+  Scenario: A server that answers with anything at all crashes nothing
+    Then no answer of a server makes the tool fail in another way
--- /dev/null
+++ b/libs/cli/features/steps/tool_steps.py
@@ -0,0 +1,133 @@
+"""Steps that run the tool inside this process."""
+
+import contextlib
+import hashlib
+import io
+import json
+import os
+import socket
+import sys
+import threading
+from unittest import mock
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+
+from tarragonlb.cli.command import main
+
+SHA256 = hashlib.sha256(b'a team').hexdigest()
+
+
+def run_tool(server, token, arguments):
+    printed = io.StringIO()
+    code = 0
+    environment = {'TARRAGONLB_SERVER': server, 'TARRAGONLB_TOKEN': token}
+    with (
+        mock.patch.object(sys, 'argv', ['tarragonlb', *arguments]),
+        mock.patch.dict(os.environ, environment),
+        contextlib.redirect_stdout(printed),
+        contextlib.redirect_stderr(printed),
+    ):
+        try:
+            main()
+        except SystemExit as error:
+            code = error.code or 0
+    return code, printed.getvalue()
+
+
+def answer_once(answer):
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def serve():
+        with listener, listener.accept()[0] as connection:
+            connection.recv(65_536)
+            connection.sendall(answer)
+
+    threading.Thread(target=serve, daemon=True).start()
+    address = listener.getsockname()
+    return f'http://{address[0]}:{address[1]}'
+
+
+def fill(context, text):
+    text = text.replace('FOLDER', str(context.folder))
+    text = text.replace('OTHER', getattr(context, 'other', ''))
+    return text.replace('{token}', SHA256).replace('\\n', '\n')
+
+
+@given('the file "{name}" with "{text}"')
+def write_file(context, name, text):
+    path = context.folder / name
+    path.parent.mkdir(exist_ok=True)
+    path.write_text(fill(context, text))
+
+
+@given('a server that reads the request and closes the connection')
+def start_server(context):
+    context.server = answer_once(b'')
+
+
+@when('"{command}" is run')
+def run(context, command):
+    arguments = fill(context, command).split()
+    context.code, context.printed = run_tool(
+        context.server, context.token, arguments
+    )
+
+
+@then('it exits with {code:d}')
+def check_code(context, code):
+    assert context.code == code, (context.code, context.printed)
+
+
+@then('it prints "{text}"')
+def check_text(context, text):
+    printed = ' '.join(context.printed.split())
+    wanted = ' '.join(fill(context, text).split())
+    assert wanted in printed, context.printed
+
+
+@then('it prints JSON')
+def check_json(context):
+    json.loads(context.printed)
+
+
+@then('it prints JSON with {count:d} items')
+def check_items(context, count):
+    assert len(json.loads(context.printed)) == count, context.printed
+
+
+@then('no answer of a server makes the tool fail in another way')
+def check_any_answer(context):
+    bodies = strategies.one_of(
+        strategies.binary(max_size=40),
+        strategies.recursive(
+            strategies.none() | strategies.integers() | strategies.text(),
+            lambda inner: (
+                strategies.lists(inner, max_size=3)
+                | strategies.dictionaries(
+                    strategies.sampled_from(('reason', 'verdict', 'text')),
+                    inner,
+                )
+            ),
+        ).map(lambda tree: json.dumps(tree).encode()),
+    )
+    commands = strategies.sampled_from(
+        ('status', 'settings get /fleet', 'settings list', 'job list')
+    )
+
+    @hypothesis.settings(
+        max_examples=60, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(
+        strategies.sampled_from((200, 202, 400, 404, 409, 500, 503)),
+        bodies,
+        commands,
+    )
+    def check(status, body, command):
+        head = f'HTTP/1.1 {status} x\r\ncontent-length: {len(body)}\r\n\r\n'
+        server = answer_once(head.encode() + body)
+        code, printed = run_tool(server, 'token', command.split())
+        assert code in {0, 1, 2, 4}, (code, printed)
+
+    check()
--- a/libs/cli/tarragonlb/cli/client.py
+++ b/libs/cli/tarragonlb/cli/client.py
@@ -21,6 +21,17 @@
 STATUS_BAD_INPUT = frozenset((400, 422))
 MAY_HAVE_RUN = 'may-have-run'
 TIMEOUT_SECONDS = 15
+MAX_SHOWN_CHARACTERS = 200
+
+
+NOT_REACHED_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
+ADDRESS_ERRORS = (httpcore.UnsupportedProtocol, ValueError, OverflowError)
+UNKNOWN_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+CALL_ERRORS = NOT_REACHED_ERRORS + ADDRESS_ERRORS + UNKNOWN_ERRORS
 
 
 class CallError(TarragonError):
@@ -58,15 +69,8 @@
                 content=body,
                 extensions={'timeout': timeout},
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            message = f'{self.url} was not reached: {error}'
-            raise CallError(message, EXIT_NOT_REACHED) from error
-        except httpcore.UnsupportedProtocol as error:
-            message = f'--server: expected http://IP:PORT, got {self.url!r}'
-            raise CallError(message, EXIT_BAD_INPUT) from error
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
-            message = f'{self.url} did not answer: {error!r}'
-            raise CallError(message, EXIT_UNKNOWN) from error
+        except CALL_ERRORS as error:
+            raise _explain(self.url, error) from error
         return _read_answer(response)
 
     def send(
@@ -80,13 +84,46 @@
         return self.call(method, path, json.dumps(order).encode(), headers)
 
 
+def read_fields(answer: Any) -> dict[str, Any]:
+    """Return an answer that has to be an object with fields."""
+    if isinstance(answer, dict):
+        return answer
+    raise _refuse_shape(answer)
+
+
+def read_rows(answer: Any) -> list[dict[str, Any]]:
+    """Return an answer that has to be a list of objects."""
+    if isinstance(answer, list):
+        return [read_fields(row) for row in answer]
+    raise _refuse_shape(answer)
+
+
+def _explain(url: str, error: Exception) -> CallError:
+    if isinstance(error, NOT_REACHED_ERRORS):
+        message = f'{url} was not reached: {error}'
+        return CallError(message, EXIT_NOT_REACHED)
+    if isinstance(error, ADDRESS_ERRORS):
+        message = f'--server: expected http://IP:PORT, got {url!r}'
+        return CallError(message, EXIT_BAD_INPUT)
+    return CallError(f'{url} did not answer: {error!r}', EXIT_UNKNOWN)
+
+
+def _refuse_shape(answer: Any) -> CallError:
+    shown = json.dumps(answer)[:MAX_SHOWN_CHARACTERS]
+    message = f'is --server an entry VM? its answer is not expected: {shown}'
+    return CallError(message, EXIT_UNKNOWN)
+
+
 def _read_answer(response: httpcore.Response) -> Any:
     try:
         answer = json.loads(response.content)
     except ValueError:
-        answer = {'reason': response.content[:200].decode('latin-1')}
+        shown = response.content[:MAX_SHOWN_CHARACTERS].decode('latin-1')
+        answer = {'reason': shown or f'status {response.status}'}
     if response.status < STATUS_ERRORS_FROM:
         return answer
+    if not isinstance(answer, dict):
+        answer = {}
     reason = answer.get('reason', f'status {response.status}')
     if answer.get('verdict') == MAY_HAVE_RUN:
         raise CallError(f'{reason} (it may have run)', EXIT_UNKNOWN)
--- a/libs/cli/tarragonlb/cli/output.py
+++ b/libs/cli/tarragonlb/cli/output.py
@@ -1,11 +1,13 @@
 """Answers as a table for people, or as JSON for programs."""
 
+import datetime
 import enum
 import json
 from collections.abc import Sequence
 from typing import Any
 
 MAX_CELL = 40
+TIME_SUFFIX = '_at'
 
 
 class OutputFormat(enum.StrEnum):
@@ -19,24 +21,27 @@
     """Return the text that shows an answer."""
     if shape is OutputFormat.JSON:
         return json.dumps(answer, indent=2, sort_keys=True)
-    if isinstance(answer, list):
+    if isinstance(answer, list) and all(
+        isinstance(row, dict) for row in answer
+    ):
         return format_table(answer)
     if isinstance(answer, dict):
         width = max(map(len, answer), default=0)
         return '\n'.join(
-            f'{key.ljust(width)}  {_format_cell(cell)}'
+            f'{key.ljust(width)}  {_format_field(key, cell)}'.rstrip()
             for key, cell in answer.items()
         )
-    return str(answer)
+    return str(answer).rstrip('\n')
 
 
 def format_table(rows: Sequence[dict[str, Any]]) -> str:
     """Return rows as aligned columns under their names."""
     if not rows:
         return 'nothing to show'
-    names = list(rows[0])
+    names = list(dict.fromkeys(name for row in rows for name in row))
     cells = [
-        [_shorten(_format_cell(row[name])) for name in names] for row in rows
+        [_shorten(_format_field(name, row.get(name))) for name in names]
+        for row in rows
     ]
     table = [names, *cells]
     widths = [max(map(len, column)) for column in zip(*table, strict=True)]
@@ -48,13 +53,25 @@
     )
 
 
+def format_time(seconds: float) -> str:
+    """Return a wall-clock time in seconds since 1970 as a date in UTC."""
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return f'{moment:%Y-%m-%d %H:%M:%S} UTC'
+
+
+def _format_field(name: str, cell: Any) -> str:
+    if name.endswith(TIME_SUFFIX) and isinstance(cell, float):
+        return format_time(cell)
+    return _format_cell(cell)
+
+
 def _format_cell(cell: Any) -> str:
     if cell is None:
         return '-'
     if isinstance(cell, dict):
-        return ', '.join(f'{key}={part}' for key, part in cell.items())
+        return ', '.join(f'{key}={part}' for key, part in cell.items()) or '-'
     if isinstance(cell, list):
-        return ', '.join(map(str, cell))
+        return ', '.join(map(str, cell)) or '-'
     return str(cell)
 
 
--- a/libs/cli/tarragonlb/cli/settingscommands.py
+++ b/libs/cli/tarragonlb/cli/settingscommands.py
@@ -2,13 +2,20 @@
 
 import sys
 from pathlib import Path
+from typing import Annotated
+from urllib.parse import quote
 
 import cyclopts
 
-from tarragonlb.cli.client import EXIT_BAD_INPUT, CallError
+from tarragonlb.cli.client import read_fields, read_rows
+from tarragonlb.cli.explanation import explain_setting
+from tarragonlb.cli.output import OutputFormat
 from tarragonlb.cli.session import DEFAULT_SESSION, Session
-from tarragonlb.settings.check import read_document
-from tarragonlb.settings.problem import Problem, SettingsError
+from tarragonlb.cli.settingsfiles import (
+    check_folder,
+    find_path,
+    read_checked,
+)
 
 application = cyclopts.App(
     name='settings', help='Check, read and change settings.'
@@ -16,31 +23,48 @@
 
 
 @application.command
-def check(path: str, file: Path) -> None:
-    """Check a file of settings without sending it.
+def check(target: Path, *, path: str = '') -> None:
+    """Check a file, or a folder with a whole tree, without sending it.
 
     Parameters
     ----------
+    target
+        A YAML file, or a folder with fleet.yaml, pools/ and teams/.
     path
-        Where the document would stand: /fleet, /pools/NAME or /teams/NAME.
-    file
-        The YAML file.
+        Where a single file would stand: /fleet, /pools/NAME or /teams/NAME.
+        Left out, the names of the file and its folder say so.
 
     """
-    _check(path, file)
-    sys.stdout.write(f'{file}: no problem found\n')
+    if target.is_dir():
+        count = check_folder(target)
+        sys.stdout.write(f'{target}: no problem in {count} documents\n')
+    else:
+        read_checked(path or find_path(target), target)
+        sys.stdout.write(f'{target}: no problem found\n')
 
 
 @application.command(name='list')
 def list_paths(*, session: Session = DEFAULT_SESSION) -> None:
     """List the paths that have a document."""
-    session.get('/v1/settings')
+    _show_entries('/v1/settings', session)
 
 
 @application.command
 def get(path: str, *, session: Session = DEFAULT_SESSION) -> None:
-    """Show the document in force under PATH."""
-    session.get(f'/v1/settings{path}')
+    """Show what is in force under PATH.
+
+    Parameters
+    ----------
+    path
+        A document such as /teams/archive, or a value inside it such as
+        /teams/archive/services/transcribe/pool.
+
+    """
+    answer = session.connect().call('GET', _make_target('settings', path))
+    if session.output is OutputFormat.TEXT:
+        fields = read_fields(answer)
+        answer = fields.get('text', fields.get('setting'))
+    session.show(answer)
 
 
 @application.command(name='set')
@@ -59,41 +83,57 @@
         The version that is to be replaced, 0 for a new path.
 
     """
-    text = _check(path, file)
-    headers = {'if-match': str(version), 'tarragon-source': str(file)}
-    server = session.connect()
-    answer = server.call('PUT', f'/v1/settings{path}', text.encode(), headers)
+    text = read_checked(path, file)
+    headers = {
+        'if-match': str(version),
+        'tarragon-source': quote(str(file), safe='/ '),
+    }
+    target = _make_target('settings', path)
+    answer = session.connect().call('PUT', target, text.encode(), headers)
+    if session.output is OutputFormat.TEXT:
+        read_fields(answer).pop('text', None)
     session.show(answer)
 
 
 @application.command
 def history(path: str, *, session: Session = DEFAULT_SESSION) -> None:
     """Show the latest versions under PATH, oldest first."""
-    session.get(f'/v1/history{path}')
+    _show_entries(_make_target('history', path), session)
 
 
 @application.command
-def explain(path: str, *, session: Session = DEFAULT_SESSION) -> None:
-    """Show who set PATH, when, from which file, and at which offset."""
-    entry = session.connect().call('GET', f'/v1/settings{path}')
-    entry.pop('text')
-    session.show(entry)
-
-
-def _check(path: str, file: Path) -> str:
-    try:
-        text = file.read_text()
-        read_document(text, path)
-    except SettingsError as error:
-        message = '\n'.join(
-            str(_place(problem, path, file)) for problem in error.problems
-        )
-        raise CallError(message, EXIT_BAD_INPUT) from error
-    except (OSError, UnicodeDecodeError) as error:
-        raise CallError(f'{file}: {error}', EXIT_BAD_INPUT) from error
-    return text
-
-
-def _place(problem: Problem, path: str, file: Path) -> Problem:
-    message = f'{problem.message} (for {path})'
-    return Problem(str(file), problem.line, problem.field, message)
+def explain(
+    path: str,
+    *,
+    also: Annotated[
+        tuple[str, ...], cyclopts.Parameter(env_var='TARRAGONLB_ALSO')
+    ] = (),
+    session: Session = DEFAULT_SESSION,
+) -> None:
+    """Show a value, where it comes from, and where it is in force.
+
+    Parameters
+    ----------
+    path
+        A document, or a value inside it.
+    also
+        Addresses of further entry VMs to ask, beside --server.
+
+    """
+    target = _make_target('explain', path)
+    explanation = explain_setting(session.connect(), also, target)
+    session.show(explanation)
+
+
+def _show_entries(target: str, session: Session) -> None:
+    entries = session.connect().call('GET', target)
+    if session.output is OutputFormat.TEXT:
+        entries = [
+            {name: entry[name] for name in entry if name != 'text'}
+            for entry in read_rows(entries)
+        ]
+    session.show(entries)
+
+
+def _make_target(kind: str, path: str) -> str:
+    return f'/v1/{kind}/{quote(path.strip("/"))}'
--- a/libs/daemon/tarragonlb/daemon/access.py
+++ b/libs/daemon/tarragonlb/daemon/access.py
@@ -65,7 +65,8 @@
         identity = self._index().get(digest)
         if identity is None or not authorization.startswith(BEARER):
             raise RefusedError(
-                'a known bearer token is needed',
+                'the token is missing or not known, '
+                'expected the bearer token of a team or operator',
                 verdict=Verdict.NOT_RUN,
                 status=STATUS_UNAUTHORIZED,
             )
--- a/libs/daemon/tarragonlb/daemon/apibase.py
+++ b/libs/daemon/tarragonlb/daemon/apibase.py
@@ -63,12 +63,20 @@
         return msgspec.json.decode(body, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise RefusedError(
-            f'the body is not as expected: {error}',
+            _explain(str(error)),
             verdict=Verdict.NOT_RUN,
             status=STATUS_BAD_REQUEST,
         ) from error
 
 
+def _explain(message: str) -> str:
+    expected, separator, field = message.partition(' - at `$.')
+    if separator:
+        name = field.rstrip('`')
+        return f'{name}: {expected[:1].lower()}{expected[1:]}'
+    return f'the body is not as expected: {message}'
+
+
 def refuse_missing(what: str) -> RefusedError:
     """Return the refusal for something that doesn't exist."""
     return RefusedError(
--- a/libs/daemon/tarragonlb/daemon/apierrors.py
+++ b/libs/daemon/tarragonlb/daemon/apierrors.py
@@ -1,5 +1,6 @@
 """Errors of the API, as answers that say what went wrong and where."""
 
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import JSONResponse
 
@@ -25,6 +26,14 @@
     return _answer(error.status, error.verdict, str(error))
 
 
+async def answer_route(request: Request, error: Exception) -> JSONResponse:
+    """Answer that no handler has this method and path."""
+    if not isinstance(error, HTTPException):
+        raise error
+    reason = f'{request.method} {request.url.path} does not exist'
+    return _answer(error.status_code, Verdict.NOT_RUN, reason)
+
+
 async def answer_void(request: Request, error: Exception) -> JSONResponse:
     """Answer that a change lost against another one."""
     return _answer(STATUS_CONFLICT, Verdict.NOT_RUN, str(error))
@@ -62,6 +71,7 @@
 
 
 ANSWERS = (
+    (HTTPException, answer_route),
     (RefusedError, answer_refused),
     (RecordVoidError, answer_void),
     (CommitUnknownError, answer_unknown),
--- a/libs/daemon/tarragonlb/daemon/apisettings.py
+++ b/libs/daemon/tarragonlb/daemon/apisettings.py
@@ -1,5 +1,9 @@
 """Handlers for settings: get, set, history, explain."""
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+from urllib.parse import unquote
+
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -16,8 +20,34 @@
 from tarragonlb.model.record import SettingPublished
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.settings.check import read_document
+from tarragonlb.settings.place import find_value, split_path
+from tarragonlb.settings.problem import SettingsError
+from tarragonlb.settings.schema import TeamSettings
+from tarragonlb.settings.tree import SourceText, check_tokens
 
 STATUS_BAD_REQUEST = 400
+TEAMS = '/teams/'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExplainAnswer:
+    """Where a value comes from, and which entry VM says so.
+
+    ``line`` is that of ``source``, or None where the default holds because
+    the document says nothing.  ``written_at`` is in seconds since 1970.
+    """
+
+    path: str
+    setting: object
+    document: str
+    source: str
+    line: int | None
+    author: str
+    written_at: float
+    version: int
+    offset: int
+    entry: str
+    read_to_offset: int
 
 
 class SettingsApi(ApiPart):
@@ -33,6 +63,7 @@
             Route(path, self.show, methods=['GET']),
             Route(path, self.publish, methods=['PUT']),
             Route('/v1/history/{path:path}', self.show_history),
+            Route('/v1/explain/{path:path}', self.explain),
         ]
 
     async def list_all(self, request: Request) -> Response:
@@ -46,14 +77,38 @@
         return answer_json(entries)
 
     async def show(self, request: Request) -> Response:
-        """Answer with the document in force under a path."""
-        return answer_json(self._find(request))
+        """Answer with the document, or the value inside it, under a path."""
+        entry = self._find(request)
+        path = split_path(_read_path(request))
+        if path.members:
+            return answer_json(find_value(entry.text, path))
+        return answer_json(entry)
 
     async def show_history(self, request: Request) -> Response:
         """Answer with the latest versions under a path, oldest first."""
         entry = self._find(request)
         return answer_json(self.journal.state.history[entry.path])
 
+    async def explain(self, request: Request) -> Response:
+        """Answer with the value under a path and where it comes from."""
+        entry = self._find(request)
+        path = split_path(_read_path(request))
+        found = find_value(entry.text, path)
+        answer = ExplainAnswer(
+            path=found.path,
+            setting=found.setting,
+            document=entry.path,
+            source=entry.source,
+            line=found.line,
+            author=entry.author,
+            written_at=entry.written_at,
+            version=entry.version,
+            offset=entry.offset,
+            entry=self.entry,
+            read_to_offset=self.journal.state.offset,
+        )
+        return answer_json(answer)
+
     async def publish(self, request: Request) -> Response:
         """Put a document in force if its path is at the stated version.
 
@@ -63,12 +118,14 @@
         path = _read_path(request)
         _require_subtree(identity, path)
         text = _decode(await read_body(request))
-        read_document(text, path)
+        document = read_document(text, path)
+        if isinstance(document, TeamSettings):
+            _check_tokens(self.journal.state.teams, path, text, document)
         record = SettingPublished(
             head=self.journal.sign(identity.name),
             path=path,
             text=text,
-            source=request.headers.get('tarragon-source', path),
+            source=unquote(request.headers.get('tarragon-source', path)),
             expected_version=_read_version(request),
         )
         await self.journal.commit(record)
@@ -76,7 +133,7 @@
 
     def _find(self, request: Request) -> SettingEntry:
         identity = self.identify(request)
-        path = _read_path(request)
+        path = split_path(_read_path(request)).document
         _require_subtree(identity, path)
         entry = self.journal.state.settings.get(path)
         if entry is None:
@@ -84,6 +141,20 @@
         return entry
 
 
+def _check_tokens(
+    teams: Mapping[str, TeamSettings],
+    path: str,
+    text: str,
+    document: TeamSettings,
+) -> None:
+    others = {f'{TEAMS}{name}': team for name, team in teams.items()}
+    others.pop(path, None)
+    source = SourceText(path=path, source=path, text=text)
+    problems = list(check_tokens(others | {path: document}, {path: source}))
+    if problems:
+        raise SettingsError(problems)
+
+
 def _may_see(identity: Identity, path: str) -> bool:
     return identity.team == '' or path == f'/teams/{identity.team}'
 
--- a/libs/settings/tarragonlb/settings/check.py
+++ b/libs/settings/tarragonlb/settings/check.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import math
 import re
 import typing
 from types import MappingProxyType
@@ -17,7 +18,13 @@
 
 from tarragonlb.settings.document import Document, parse_document
 from tarragonlb.settings.problem import Problem, SettingsError
-from tarragonlb.settings.schema import FleetSettings, PoolSettings, TeamSettings
+from tarragonlb.settings.schema import (
+    DIGEST_CHARACTERS,
+    Digest,
+    FleetSettings,
+    PoolSettings,
+    TeamSettings,
+)
 
 Settings = typing.TypeVar('Settings')
 _PATH = re.compile('^/(?:fleet|(?:pools|teams)/[a-z][a-z0-9-]{0,62})$')
@@ -137,10 +144,15 @@
     def _read_leaf(
         self, tree: object, kind: typing.Any, field: str
     ) -> object | None:
+        if isinstance(tree, float) and not math.isfinite(tree):
+            self._report(field, f'expected a finite number, got {tree}')
+            return None
         try:
             return typing.cast(object, msgspec.convert(tree, kind))
         except msgspec.ValidationError as error:
             message = str(error)
+        if kind == Digest and isinstance(tree, str):
+            message = _explain_digest(tree)
         self._report(field, message[:1].lower() + message[1:])
         return None
 
@@ -150,5 +162,12 @@
         self.problems.append(Problem(source, line, field, message))
 
 
+def _explain_digest(text: str) -> str:
+    return (
+        f'expected {DIGEST_CHARACTERS} characters 0-9 a-f, the SHA-256 of a '
+        f'token, got {len(text)} characters'
+    )
+
+
 def _join(field: str, key: object) -> str:
     return f'{field}.{key}' if field else str(key)
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -14,7 +14,8 @@
 Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=0)]
-Digest = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
+DIGEST_CHARACTERS = 64
+Digest = Annotated[str, Meta(pattern=f'^[0-9a-f]{{{DIGEST_CHARACTERS}}}$')]
 Address = Annotated[str, Meta(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')]
 
 
