Describe both users' fleets of today in examples, with objectives

Seen: a feature of the tool failed once since VMs were not adopted when the daemons were ready; the environment now waits until every entry VM lists them.

--- a/libs/cli/features/environment.py
+++ b/libs/cli/features/environment.py
@@ -1,19 +1,31 @@
 """One small installation for the features that talk to a server."""
 
 import tempfile
+from functools import partial
 from pathlib import Path
 
 from behave import fixture, use_fixture
 
-from tarragonlb.standin.cluster import Cluster, make_fleet
+from tarragonlb.standin.caller import Caller, poll
+from tarragonlb.standin.cluster import OPERATOR_TOKEN, Cluster, make_fleet
+
+VM_COUNT = 3
+ADOPTION_SECONDS = 30
+
+
+def knows_all(caller):
+    return len(caller.get('/v1/vms').rows) == VM_COUNT
 
 
 @fixture
 def run_cluster(context):
     with tempfile.TemporaryDirectory() as folder:
-        cluster = Cluster(Path(folder), make_fleet({'transcription': 3}))
+        cluster = Cluster(Path(folder), make_fleet({'transcription': VM_COUNT}))
         try:
             cluster.start()
+            for address in cluster.addresses.values():
+                caller = Caller(address, OPERATOR_TOKEN)
+                poll(partial(knows_all, caller), ADOPTION_SECONDS)
             yield cluster
         finally:
             cluster.stop()
--- a/libs/cli/features/offline.feature
+++ b/libs/cli/features/offline.feature
@@ -51,3 +51,25 @@
 
   Scenario: A server that answers with anything at all crashes nothing
     Then no answer of a server makes the tool fail in another way
+
+  Scenario Outline: The examples of both users are without a problem
+    When "settings check EXAMPLES/<user>" is run
+    Then it exits with 0
+    And it prints "no problem in <documents> documents"
+    And the platform file of "<user>" has <vms> VMs in <zones> zones, at most 4 to a rack
+
+    Examples:
+      | user       | documents | vms | zones |
+      | dharmavani | 20        | 30  | 3     |
+      | bahla      | 19        | 40  | 4     |
+
+  Scenario: Two start-up files with one address
+    Given the file "fleet.yaml" with "weights: {vm_moves: 2}"
+    And the file "entries/a.yaml" with "{start}"
+    And the file "entries/b.yaml" with "{start}\nzones: x"
+    When "settings check FOLDER" is run
+    Then it exits with 2
+    And it prints "b.yaml:6: zones: unknown key"
+    Given the file "entries/b.yaml" with "{start}"
+    When "settings check FOLDER" is run
+    Then it prints "b.yaml:1: FOLDER/entries/a.yaml has entry-1, too"
--- a/libs/cli/features/steps/tool_steps.py
+++ b/libs/cli/features/steps/tool_steps.py
@@ -8,6 +8,8 @@
 import socket
 import sys
 import threading
+from collections import Counter
+from pathlib import Path
 from unittest import mock
 
 import hypothesis
@@ -15,7 +17,14 @@
 from hypothesis import strategies
 
 from tarragonlb.cli.command import main
-
+from tarragonlb.settings.check import read_settings
+from tarragonlb.standin.fleetfile import FleetFile
+
+EXAMPLES = Path(__file__).parents[4] / 'examples'
+START = (
+    'name: entry-1\nzone: z\nlisten: 127.0.0.1:1\n'
+    'peer_listen: 127.0.0.1:2\nplatform: 127.0.0.1:3'
+)
 SHA256 = hashlib.sha256(b'a team').hexdigest()
 
 
@@ -52,6 +61,7 @@
 def fill(context, text):
     text = text.replace('FOLDER', str(context.folder))
     text = text.replace('OTHER', getattr(context, 'other', ''))
+    text = text.replace('{start}', START).replace('EXAMPLES', str(EXAMPLES))
     return text.replace('{token}', SHA256).replace('\\n', '\n')
 
 
@@ -131,3 +141,16 @@
         assert code in {0, 1, 2, 4}, (code, printed)
 
     check()
+
+
+@then(
+    'the platform file of "{user}" has {vms:d} VMs in {zones:d} zones, '
+    'at most {size:d} to a rack'
+)
+def check_platform(context, user, vms, zones, size):
+    path = EXAMPLES / user / 'platform.yaml'
+    fleet = read_settings(path.read_text(), str(path), FleetFile)
+    assert len(fleet.vms) == vms
+    assert len({vm.zone for vm in fleet.vms}) == zones
+    racks = Counter(vm.rack for vm in fleet.vms)
+    assert max(racks.values()) <= size, racks
--- a/libs/cli/tarragonlb/cli/settingsfiles.py
+++ b/libs/cli/tarragonlb/cli/settingsfiles.py
@@ -1,18 +1,21 @@
 """Files of settings on the operator's side: read, placed and checked.
 
 A folder holds a whole tree: ``fleet.yaml``, ``pools/NAME.yaml`` and
-``teams/NAME.yaml`` stand for the documents of the same paths.
+``teams/NAME.yaml`` stand for the documents of the same paths.  Start-up files
+of daemons may stand beside them as ``entries/NAME.yaml``.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 from tarragonlb.cli.client import EXIT_BAD_INPUT, CallError
-from tarragonlb.settings.check import read_document
+from tarragonlb.settings.check import read_document, read_settings
 from tarragonlb.settings.problem import Problem, SettingsError
+from tarragonlb.settings.schema import DaemonSettings
 from tarragonlb.settings.tree import SourceText, check_tree
 
 FLEET = 'fleet'
+ENTRIES = 'entries'
 FOLDERS = ('pools', 'teams')
 SUFFIX = '.yaml'
 
@@ -37,17 +40,18 @@
         raise _refuse(
             [f'{folder}: expected fleet.yaml, pools/*.yaml or teams/*.yaml']
         )
-    problems = check_tree(documents)
+    starts = _list_files(folder / ENTRIES)
+    problems = [*check_tree(documents), *_check_starts(starts)]
     if problems:
         raise _refuse(problems)
-    return len(documents)
+    return len(documents) + len(starts)
 
 
 def list_documents(folder: Path) -> list[SourceText]:
     """Return the documents of a folder, pools before the teams on them."""
     paths = {f'/{FLEET}': folder / f'{FLEET}{SUFFIX}'}
     for name in FOLDERS:
-        for file in sorted((folder / name).glob(f'*{SUFFIX}')):
+        for file in _list_files(folder / name):
             paths[f'/{name}/{file.stem}'] = file
     return [
         SourceText(path=path, source=str(file), text=read_file(file))
@@ -79,6 +83,24 @@
         raise _refuse([f'{file}: not UTF-8: {error}']) from error
 
 
+def _list_files(folder: Path) -> list[Path]:
+    return sorted(folder.glob(f'*{SUFFIX}'))
+
+
+def _check_starts(files: Iterable[Path]) -> Iterator[Problem]:
+    owners: dict[str, Path] = {}
+    for file in files:
+        try:
+            start = read_settings(read_file(file), str(file), DaemonSettings)
+        except SettingsError as error:
+            yield from error.problems
+            continue
+        for used in (start.name, start.listen, start.peer_listen):
+            owner = owners.setdefault(used, file)
+            if owner != file:
+                yield Problem(str(file), 1, '', f'{owner} has {used}, too')
+
+
 def _place(
     error: SettingsError, path: str, file: Path
 ) -> Iterable[Problem | str]:
--- a/libs/settings/tarragonlb/settings/check.py
+++ b/libs/settings/tarragonlb/settings/check.py
@@ -12,7 +12,7 @@
 import math
 import re
 import typing
-from types import MappingProxyType
+from types import MappingProxyType, UnionType
 
 import msgspec
 
@@ -76,12 +76,21 @@
         if dataclasses.is_dataclass(kind):
             return self._read_object(tree, kind, field)
         origin = typing.get_origin(kind)
+        if origin is UnionType:
+            return self._read_optional(tree, kind, field)
         if origin is dict:
             return self._read_mapping(tree, kind, field)
         if origin is tuple:
             return self._read_sequence(tree, kind, field)
         return self._read_leaf(tree, kind, field)
 
+    def _read_optional(
+        self, tree: object, kind: typing.Any, field: str
+    ) -> object | None:
+        if tree is None:
+            return None
+        return self.read(tree, typing.get_args(kind)[0], field)
+
     def _read_object(
         self, tree: object, kind: typing.Any, field: str
     ) -> object | None:
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -12,6 +12,8 @@
 from msgspec import Meta
 
 Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
+MAX_WINDOW_DAYS = 35
+Share = Annotated[float, Meta(gt=0, lt=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=0)]
 DIGEST_CHARACTERS = 64
@@ -26,6 +28,21 @@
     PATIENT = 'patient'
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectiveSettings:
+    """What a team is promised of a service over the latest days.
+
+    ``availability`` is the share of requests that are answered and not
+    refused or failed, ``within_latency`` the share of these that are answered
+    within ``latency_seconds``.
+    """
+
+    availability: Share
+    latency_seconds: Positive
+    within_latency: Share = 0.95
+    window_days: Annotated[int, Meta(ge=1, le=MAX_WINDOW_DAYS)] = 28
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceSettings:
     """One service of a team; times are in seconds."""
@@ -35,6 +52,7 @@
     timeout_seconds: Positive = 4.5
     slots_per_endpoint: Annotated[int, Meta(ge=1)] = 8
     idempotent: bool = False
+    objective: ObjectiveSettings | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
