Decide on requests by one routing front: fair shares, limits, endpoint choice

Cause, read in the code: _count_ahead summed the queues of all teams for each request and withdraw scanned one, so a decision cost as much as teams waited; the expected wait counted all teams' queues, so one team's burst had another team's request refused; a queued request learned that it was late only at its deadline; long patient requests could hold every place; the number of places was the declared one on each of several entry VMs; an endpoint that failed fast had few requests in progress and so drew more.

Change: typed events in and typed actions out (front), deficit round robin over teams with a weight from /teams/NAME (fairqueue), a heap of latest starts (waiting), a quarter of the places kept from patient requests while there are urgent callers (places), a limit that takes a tenth off at each refusal for want of a slot (limit), paced Retry-After (pacing), and endpoint choice by load, latency and failures with ejection, probes and slow start (balancer, load). The dispatcher only carries out orders. Connections are kept a pool an address.

--- a/libs/daemon/tarragonlb/daemon/dispatch.py
+++ b/libs/daemon/tarragonlb/daemon/dispatch.py
@@ -1,53 +1,82 @@
-"""Sends requests to endpoints, within slots, retries and deadlines."""
+"""Carries out what the routing front of each pool decides.
+
+One task serves each request.  It tells the front what has happened and waits
+for its orders: to send the request to an endpoint, or to refuse it.  The
+order for one request may follow from the end of another, so each request has
+a place where orders for it are put.
+"""
 
 import random
-from dataclasses import dataclass, field
 
-import httpcore
 import trio
 
+from tarragonlb.daemon.attempt import Attempt
 from tarragonlb.daemon.clock import read_monotonic
-from tarragonlb.daemon.exchange import VERDICT_HEADER, Exchange
+from tarragonlb.daemon.connections import EndpointConnections
+from tarragonlb.daemon.exchange import Exchange
 from tarragonlb.model.errors import RefusedError
 from tarragonlb.model.verdict import Verdict
-from tarragonlb.routing.admission import Admission, Decision
-from tarragonlb.routing.balancer import Balancer, Endpoint
-from tarragonlb.routing.request import RequestInfo
+from tarragonlb.routing.action import Action, Refuse, Send
+from tarragonlb.routing.balancer import Endpoint
+from tarragonlb.routing.event import (
+    Arrived,
+    AttemptEnded,
+    CallerLeft,
+    DeadlinePassed,
+    EndpointsChanged,
+    Event,
+    TimePassed,
+)
+from tarragonlb.routing.front import RoutingFront
+from tarragonlb.routing.journey import ENDS
+from tarragonlb.routing.load import Outcome
 from tarragonlb.routing.retry import RetryBudget
 
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
-RETRY_AFTER_SECONDS = 1
-CONNECT_TIMEOUT_SECONDS = 1
-MAX_CONNECTIONS = 512
-IDLE_SECONDS = 10
-
-_NOT_SENT = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
-_BROKEN = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
+CLEANUP_SECONDS = 5
 
 
-@dataclass(eq=False, slots=True)
 class Gate:
-    """The way into one pool."""
+    """The way into one pool: its front, and the orders for each request."""
+
+    __slots__ = ('_orders', 'endpoints', 'front')
 
-    admission: Admission
-    balancer: Balancer
-    waiting: dict[str, trio.Event] = field(default_factory=dict)
+    def __init__(self, front: RoutingFront) -> None:
+        """Start without any request."""
+        self.front = front
+        self.endpoints: list[Endpoint] = []
+        self._orders: dict[str, trio.MemorySendChannel[Action]] = {}
+
+    def open_orders(self, request_id: str) -> trio.MemoryReceiveChannel[Action]:
+        """Return where the orders for a request arrive."""
+        sender, receiver = trio.open_memory_channel[Action](2)
+        self._orders[request_id] = sender
+        return receiver
+
+    def close_orders(self, request_id: str) -> None:
+        """Forget a request that has ended."""
+        self._orders.pop(request_id, None)
+
+    def tell(self, event: Event) -> None:
+        """Tell the front what has happened and hand out its orders."""
+        for action in self.front.handle(event, read_monotonic()):
+            self._orders[action.request.request_id].send_nowait(action)
 
 
 class Dispatcher:
     """Owns the connections to endpoints and the gates of all pools."""
 
-    __slots__ = ('_connections', '_gates', '_random', '_retries', '_zone')
+    __slots__ = (
+        '_connections',
+        '_gates',
+        '_random',
+        '_retries',
+        '_wake_at',
+        '_woken',
+        '_zone',
+    )
 
     def __init__(self, zone: str, source: random.Random) -> None:
         """Prefer endpoints of ``zone``; ``source`` draws candidates."""
@@ -55,182 +84,115 @@
         self._random = source
         self._gates: dict[str, Gate] = {}
         self._retries = RetryBudget()
-        self._connections = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_SECONDS
-        )
+        self._connections = EndpointConnections()
+        self._wake_at = float('inf')
+        self._woken = trio.Event()
+
+    async def run(self) -> None:
+        """Wake the fronts when time alone decides something."""
+        while True:
+            for gate in self._gates.values():
+                if gate.front.find_next_wake() <= read_monotonic():
+                    gate.tell(TimePassed())
+            await self._connections.close_retired()
+            await self._sleep()
 
     def update_pool(self, pool: str, endpoints: list[Endpoint]) -> None:
         """Take over the endpoints of a pool that may get new requests."""
         gate = self._open_gate(pool)
-        gate.balancer.replace(endpoints)
-        gate.admission.resize(gate.balancer.count_slots())
-        self._wake(gate, read_monotonic())
+        gate.endpoints = endpoints
+        self._connections.retain(
+            frozenset(
+                spot.address
+                for other in self._gates.values()
+                for spot in other.endpoints
+            )
+        )
+        self._tell(gate, EndpointsChanged(tuple(endpoints)))
+        self._woken.set()
 
     async def serve(self, exchange: Exchange) -> None:
         """Get a request answered.
 
-        Raises ``RefusedError`` with the verdict where there is no answer.
+        Raises ``RefusedError`` with the verdict where there is no answer, and
+        ``AnswerCutError`` where the answer ended before it was whole.
         """
         info = exchange.info
         gate = self._open_gate(info.pool)
-        with trio.move_on_at(info.deadline):
-            await self._enter(gate, exchange)
-            entered_at = read_monotonic()
-            try:
-                await self._send(gate, exchange)
-            finally:
-                self._leave(gate, info, read_monotonic() - entered_at)
-            return
-        raise RefusedError(
-            'the deadline has passed',
-            verdict=exchange.verdict,
-            status=STATUS_TIMEOUT,
-        )
+        orders = gate.open_orders(info.request_id)
+        try:
+            with trio.move_on_at(info.deadline):
+                await self._follow(gate, exchange, orders)
+                return
+            self._tell(gate, DeadlinePassed(info.request_id))
+            exchange.check_uncut('the deadline has passed')
+            raise _make_error(_take_refusal(orders), STATUS_TIMEOUT)
+        finally:
+            self._tell(gate, CallerLeft(info.request_id))
+            gate.close_orders(info.request_id)
 
     def _open_gate(self, pool: str) -> Gate:
         gate = self._gates.get(pool)
         if gate is None:
-            gate = Gate(Admission(0), Balancer(self._zone, self._random))
+            front = RoutingFront(self._zone, self._random, self._retries)
+            gate = Gate(front)
             self._gates[pool] = gate
         return gate
 
-    async def _enter(self, gate: Gate, exchange: Exchange) -> None:
-        info = exchange.info
-        answer = gate.admission.offer(info, read_monotonic())
-        if answer.decision is Decision.REFUSED:
-            raise RefusedError(
-                answer.reason,
-                verdict=Verdict.NOT_RUN,
-                status=STATUS_UNAVAILABLE,
-                retry_after=answer.retry_after,
-            )
-        if answer.decision is Decision.QUEUED:
-            await self._wait_for_slot(gate, exchange)
+    async def _follow(
+        self,
+        gate: Gate,
+        exchange: Exchange,
+        orders: trio.MemoryReceiveChannel[Action],
+    ) -> None:
+        self._tell(gate, Arrived(exchange.info))
+        async for order in orders:
+            if isinstance(order, Refuse):
+                raise _make_error(order, STATUS_BAD_GATEWAY)
+            ended = await self._attempt(exchange, order)
+            self._tell(gate, ended)
+            if ended.outcome is Outcome.CUT:
+                exchange.check_uncut(ended.reason)
+            if ended.outcome in ENDS:
+                return
 
-    async def _wait_for_slot(self, gate: Gate, exchange: Exchange) -> None:
-        info = exchange.info
-        ready = trio.Event()
-        gate.waiting[info.request_id] = ready
+    async def _attempt(self, exchange: Exchange, order: Send) -> AttemptEnded:
+        attempt = Attempt(self._connections, exchange, order)
         try:
-            await ready.wait()
+            return await attempt.run()
         except trio.Cancelled:
-            self._leave_queue(gate, exchange)
+            if read_monotonic() >= exchange.info.deadline:
+                attempt.suspect()
             raise
-        finally:
-            gate.waiting.pop(info.request_id, None)
 
-    def _leave_queue(self, gate: Gate, exchange: Exchange) -> None:
-        if gate.admission.withdraw(exchange.info):
-            return
-        if gate.waiting[exchange.info.request_id].is_set():
-            self._leave(gate, exchange.info, 0)
+    def _tell(self, gate: Gate, event: Event) -> None:
+        gate.tell(event)
+        if gate.front.find_next_wake() < self._wake_at:
+            self._woken.set()
 
-    def _leave(self, gate: Gate, info: RequestInfo, seconds: float) -> None:
-        now = read_monotonic()
-        started = gate.admission.release(info.request_id, seconds, now)
-        self._start(gate, started)
+    async def _sleep(self) -> None:
+        self._woken = trio.Event()
+        wakes = [gate.front.find_next_wake() for gate in self._gates.values()]
+        if self._connections.has_retired():
+            wakes.append(read_monotonic() + CLEANUP_SECONDS)
+        self._wake_at = min(wakes, default=float('inf'))
+        with trio.move_on_at(self._wake_at):
+            await self._woken.wait()
 
-    def _wake(self, gate: Gate, now: float) -> None:
-        self._start(gate, gate.admission.start_waiting(now))
 
-    def _start(self, gate: Gate, started: list[RequestInfo]) -> None:
-        for info in started:
-            gate.waiting[info.request_id].set()
+def _take_refusal(orders: trio.MemoryReceiveChannel[Action]) -> Refuse:
+    while True:
+        order = orders.receive_nowait()
+        if isinstance(order, Refuse):
+            return order
 
-    async def _send(self, gate: Gate, exchange: Exchange) -> None:
-        self._retries.earn()
-        tried: frozenset[str] = frozenset()
-        while True:
-            spot = gate.balancer.choose(read_monotonic(), tried)
-            if spot is None:
-                raise _refuse(exchange, 'no endpoint is free')
-            reason = await self._attempt(gate, exchange, spot)
-            if not reason:
-                return
-            tried |= {spot.vm_id}
-            if not self._may_retry(exchange):
-                raise _refuse(exchange, reason)
 
-    def _may_retry(self, exchange: Exchange) -> bool:
-        allowed = exchange.verdict.allows_retry(
-            idempotent=exchange.info.idempotent
-        )
-        fresh = exchange.replayable and not exchange.started
-        return allowed and fresh and self._retries.spend()
-
-    async def _attempt(
-        self, gate: Gate, exchange: Exchange, spot: Endpoint
-    ) -> str:
-        failed = True
-        gate.balancer.begin(spot.vm_id)
-        try:
-            reason = await self._pass_through(exchange, spot)
-            failed = bool(reason)
-        except _NOT_SENT as error:
-            reason = f'{spot.vm_id} was not reached: {error!r}'
-        except _BROKEN as error:
-            if exchange.started:
-                raise
-            exchange.verdict = Verdict.MAY_HAVE_RUN
-            reason = f'{spot.vm_id} did not answer: {error!r}'
-        finally:
-            gate.balancer.finish(spot.vm_id, read_monotonic(), failed=failed)
-        return reason
-
-    async def _pass_through(self, exchange: Exchange, spot: Endpoint) -> str:
-        remaining = max(exchange.info.deadline - read_monotonic(), 0)
-        limits = {
-            'connect': min(CONNECT_TIMEOUT_SECONDS, remaining),
-            'pool': remaining,
-            'read': remaining,
-            'write': remaining,
-        }
-        request = httpcore.Request(
-            exchange.method,
-            httpcore.URL(
-                scheme=b'http',
-                host=spot.address.partition(':')[0],
-                port=int(spot.address.partition(':')[2]),
-                target=exchange.target,
-            ),
-            headers=[
-                (b'host', spot.address.encode()),
-                *exchange.request_headers,
-            ],
-            content=exchange.read_body(),
-            extensions={'timeout': limits},
-        )
-        before = exchange.verdict
-        exchange.verdict = Verdict.MAY_HAVE_RUN
-        try:
-            response = await self._connections.handle_async_request(request)
-        except _NOT_SENT:
-            exchange.verdict = before
-            raise
-        try:
-            if _was_refused(response):
-                exchange.verdict = before
-                return f'{spot.vm_id} refused the request'
-            await exchange.answer(response)
-        finally:
-            with trio.CancelScope(shield=True):
-                await response.aclose()
-        return ''
-
-
-def _was_refused(response: httpcore.Response) -> bool:
-    headers = dict(response.headers)
-    return headers.get(VERDICT_HEADER) == Verdict.NOT_RUN.encode()
-
-
-def _refuse(exchange: Exchange, reason: str) -> RefusedError:
-    if exchange.verdict is Verdict.NOT_RUN:
-        return RefusedError(
-            reason,
-            verdict=exchange.verdict,
-            status=STATUS_UNAVAILABLE,
-            retry_after=RETRY_AFTER_SECONDS,
-        )
+def _make_error(order: Refuse, status: int) -> RefusedError:
+    if order.verdict is Verdict.NOT_RUN:
+        status = STATUS_UNAVAILABLE
     return RefusedError(
-        reason, verdict=exchange.verdict, status=STATUS_BAD_GATEWAY
+        order.reason,
+        verdict=order.verdict,
+        status=status,
+        retry_after=order.retry_after,
     )
--- a/libs/daemon/tarragonlb/daemon/exchange.py
+++ b/libs/daemon/tarragonlb/daemon/exchange.py
@@ -8,8 +8,9 @@
 from typing import Any, TypeAlias
 
 import httpcore
+import trio
 
-from tarragonlb.model.errors import RefusedError
+from tarragonlb.model.errors import RefusedError, TarragonError
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.routing.request import RequestInfo
 
@@ -23,8 +24,11 @@
     (
         b'authorization',
         b'connection',
+        b'expect',
         b'host',
         b'keep-alive',
+        b'proxy-connection',
+        b'tarragon-timeout',
         b'te',
         b'trailer',
         b'transfer-encoding',
@@ -34,25 +38,40 @@
 )
 
 
+class AnswerCutError(TarragonError):
+    """An answer ended before it was whole, and the caller has a part of it.
+
+    The HTTP server then closes the connection without ending the answer
+    properly, so that the caller can't take the part for the whole.
+    """
+
+
+class CallerGoneError(TarragonError):
+    """The caller has closed its connection and waits for no answer."""
+
+
 class Exchange:
     """A request on its way through the daemon.
 
-    ``verdict`` says what is known so far, ``started`` whether the first byte
-    of an answer was sent to the caller.
+    ``started`` says whether the first byte of an answer may have gone to the
+    caller, ``finished`` whether the last one may have.  ``replayable`` says
+    whether the body can be sent again.
     """
 
     __slots__ = (
+        '_body_read',
+        '_declared_size',
         '_first',
         '_max_body',
         '_receive',
         '_send',
+        'finished',
         'info',
         'method',
         'replayable',
         'request_headers',
         'started',
         'target',
-        'verdict',
     )
 
     def __init__(
@@ -72,16 +91,22 @@
         self.request_headers = list_request_headers(scope['headers'])
         self.replayable = False
         self.started = False
-        self.verdict = Verdict.NOT_RUN
+        self.finished = False
+        self._body_read = trio.Event()
+        self._declared_size = _find_size(scope['headers'])
         self._first: Any = None
         self._max_body = max_body
         self._receive = receive
         self._send = send
 
     async def open_body(self) -> None:
-        """Read the first piece of the body."""
-        self._first = await self._receive()
+        """Read the first piece of the body; refuse one that is too large."""
+        if self._declared_size > self._max_body:
+            raise self._refuse_size(Verdict.NOT_RUN)
+        self._first = await self._take_piece()
         self.replayable = not self._first.get('more_body', False)
+        if self.replayable:
+            self._body_read.set()
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the body of the request; refuse one that is too large."""
@@ -91,22 +116,39 @@
             chunk = event.get('body', b'')
             size += len(chunk)
             if size > self._max_body:
-                raise RefusedError(
-                    f'the body is larger than {self._max_body} bytes',
-                    verdict=self.verdict,
-                    status=STATUS_TOO_LARGE,
-                )
+                raise self._refuse_size(Verdict.MAY_HAVE_RUN)
             if chunk:
                 yield chunk
             if not event.get('more_body', False):
-                return
+                break
+            event = await self._take_piece()
+        self._body_read.set()
+
+    async def wait_until_gone(self) -> None:
+        """Return when the caller has closed its connection early.
+
+        A caller that is still sending its body is watched by ``read_body``.
+        """
+        await self._body_read.wait()
+        while True:
             event = await self._receive()
+            if event['type'] == 'http.disconnect':
+                break
+        if self.finished:
+            await trio.sleep_forever()
+
+    def check_uncut(self, reason: str) -> None:
+        """Raise ``AnswerCutError`` if the caller has a part of an answer."""
+        if self.started:
+            raise AnswerCutError(reason)
 
     async def answer(self, response: httpcore.Response) -> None:
-        """Pass the answer of an endpoint to the caller."""
-        self.verdict = Verdict.RAN
+        """Pass the answer of an endpoint to the caller.
+
+        Its end is sent only after the endpoint has properly ended it.
+        """
         headers = drop_hop_headers(response.headers)
-        headers.append((VERDICT_HEADER, self.verdict.encode()))
+        headers.append((VERDICT_HEADER, Verdict.RAN.encode()))
         headers.append((b'tarragon-request', self.info.request_id.encode()))
         self.started = True
         await self._send(
@@ -124,8 +166,22 @@
                     'more_body': True,
                 }
             )
+        self.finished = True
         await self._send({'type': 'http.response.body', 'body': b''})
 
+    async def _take_piece(self) -> Any:
+        event = await self._receive()
+        if event['type'] == 'http.disconnect':
+            raise CallerGoneError('the caller left within its request')
+        return event
+
+    def _refuse_size(self, verdict: Verdict) -> RefusedError:
+        return RefusedError(
+            f'the body is larger than {self._max_body} bytes',
+            verdict=verdict,
+            status=STATUS_TOO_LARGE,
+        )
+
 
 def drop_hop_headers(headers: Headers) -> Headers:
     """Return the headers that are meant for the other end."""
@@ -142,3 +198,10 @@
     if any(name.lower() == b'transfer-encoding' for name, _ in headers):
         kept.append((b'transfer-encoding', b'chunked'))
     return kept
+
+
+def _find_size(headers: Headers) -> int:
+    for name, text in headers:
+        if name.lower() == b'content-length' and text.isdigit():
+            return int(text)
+    return 0
--- a/libs/daemon/tarragonlb/daemon/gateway.py
+++ b/libs/daemon/tarragonlb/daemon/gateway.py
@@ -7,17 +7,27 @@
 
 import json
 import uuid
+from math import ceil
 from typing import Any
 
+import trio
+
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.dispatch import Dispatcher
-from tarragonlb.daemon.exchange import Exchange, Receive, Send
+from tarragonlb.daemon.exchange import (
+    AnswerCutError,
+    CallerGoneError,
+    Exchange,
+    Receive,
+    Send,
+)
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.model.errors import (
     CommitUnknownError,
     RecordVoidError,
     RefusedError,
+    TarragonError,
 )
 from tarragonlb.model.record import KeyClaimed
 from tarragonlb.model.verdict import Verdict
@@ -71,6 +81,10 @@
                 verdict=refusal.verdict.value,
             )
             await send_refusal(send, request_id, refusal)
+        except AnswerCutError as error:
+            self._say('Answer cut.', request_id=request_id, reason=str(error))
+        except CallerGoneError as error:
+            self._say('Caller left.', request_id=request_id, reason=str(error))
 
     async def _serve(
         self, request_id: str, scope: Any, receive: Receive, send: Send
@@ -83,7 +97,21 @@
         key = headers.get(b'idempotency-key', b'').decode('latin-1')
         if key and not info.idempotent:
             await self._claim(info, key)
-        await self._dispatcher.serve(exchange)
+        await self._dispatch(exchange)
+
+    async def _dispatch(self, exchange: Exchange) -> None:
+        failure: TarragonError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                _cancel_when_gone, exchange, nursery.cancel_scope
+            )
+            try:
+                await self._dispatcher.serve(exchange)
+            except TarragonError as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure:
+            raise failure
 
     def _describe(
         self, request_id: str, path: str, headers: dict[bytes, bytes]
@@ -101,6 +129,7 @@
             urgent=settings.urgency is Urgency.URGENT,
             idempotent=settings.idempotent,
             deadline=read_monotonic() + timeout,
+            weight=self._journal.state.teams[identity.team].weight,
         )
 
     def _find_service(self, team: str, service: str) -> ServiceSettings:
@@ -139,6 +168,13 @@
             ) from error
 
 
+async def _cancel_when_gone(
+    exchange: Exchange, scope: trio.CancelScope
+) -> None:
+    await exchange.wait_until_gone()
+    scope.cancel()
+
+
 async def send_refusal(
     send: Send, request_id: str, refusal: RefusedError
 ) -> None:
@@ -149,7 +185,7 @@
         (b'tarragon-request', request_id.encode()),
     ]
     if refusal.retry_after is not None:
-        seconds = max(1, round(refusal.retry_after))
+        seconds = max(1, ceil(refusal.retry_after))
         headers.append((b'retry-after', str(seconds).encode()))
     body = json.dumps(
         {
--- a/libs/daemon/tarragonlb/daemon/pools.py
+++ b/libs/daemon/tarragonlb/daemon/pools.py
@@ -31,10 +31,12 @@
         self._known: dict[str, list[Endpoint]] = {}
 
     async def run(self) -> None:
-        """Update the dispatcher until cancelled."""
-        while True:
-            self.update()
-            await trio.sleep(UPDATE_SECONDS)
+        """Update the dispatcher, and run it, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._dispatcher.run)
+            while True:
+                self.update()
+                await trio.sleep(UPDATE_SECONDS)
 
     def update(self) -> None:
         """Pass on the pools whose endpoints have changed."""
--- /dev/null
+++ b/libs/routing/tarragonlb/routing/front.py
@@ -0,0 +1,216 @@
+"""The routing front of one pool: typed events in, typed actions out.
+
+It joins admission, endpoint choice and the retry budget, and follows each
+request from its arrival to its end.  A driver (the daemon, a test, a bench)
+calls ``handle`` with what has happened and carries out the actions.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, TypeAlias
+
+from tarragonlb.model.invariant import ensure
+from tarragonlb.model.verdict import Verdict
+from tarragonlb.routing.action import Action, Refuse, Send
+from tarragonlb.routing.admission import LATE_REASON, Admission, Decision, Pass
+from tarragonlb.routing.balancer import Balancer, Endpoint
+from tarragonlb.routing.event import (
+    Arrived,
+    AttemptEnded,
+    CallerLeft,
+    DeadlinePassed,
+    EndpointsChanged,
+    Event,
+    TimePassed,
+)
+from tarragonlb.routing.journey import CROWDED, ENDS, RENEWABLE, Journey
+from tarragonlb.routing.load import FAILURES, Outcome
+from tarragonlb.routing.request import RequestInfo
+from tarragonlb.routing.retry import RetryBudget
+
+REFRESH_SECONDS = 1.0
+MIN_SILENCE_SECONDS = 1.0
+SILENCE_FACTOR = 8
+OVERDUE_REASON = 'the deadline has passed'
+
+Handler: TypeAlias = Callable[[Any, float], Iterable[Action]]
+
+
+class RoutingFront:
+    """Decides on all requests to one pool."""
+
+    __slots__ = (
+        '_handlers',
+        '_journeys',
+        '_refresh_at',
+        '_retries',
+        'admission',
+        'balancer',
+    )
+
+    def __init__(
+        self, zone: str, source: random.Random, retries: RetryBudget
+    ) -> None:
+        """Start without endpoints; ``retries`` is shared by all pools."""
+        self.admission = Admission()
+        self.balancer = Balancer(zone, source)
+        self._retries = retries
+        self._journeys: dict[str, Journey] = {}
+        self._refresh_at = float('inf')
+        self._handlers: dict[type[Event], Handler] = {
+            Arrived: self._arrive,
+            AttemptEnded: self._end_attempt,
+            CallerLeft: self._drop,
+            DeadlinePassed: self._drop,
+            EndpointsChanged: self._change_endpoints,
+        }
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return what is to be done now that something has happened."""
+        actions: list[Action] = []
+        if not isinstance(event, TimePassed):
+            actions.extend(self._handlers[type(event)](event, now))
+        actions.extend(self._advance(now))
+        ensure(
+            self.admission.places.active + self.admission.waiting.count()
+            == len(self._journeys),
+            'each request that has not ended holds a place or waits',
+        )
+        return tuple(actions)
+
+    def find_next_wake(self) -> float:
+        """Return when ``TimePassed`` is due at the latest."""
+        return min(self.admission.waiting.find_next_expiry(), self._refresh_at)
+
+    def _arrive(self, event: Arrived, now: float) -> Iterable[Action]:
+        request = event.request
+        name = request.request_id
+        ensure(name not in self._journeys, 'a request arrives once', name)
+        answer = self.admission.offer(request, now)
+        if answer.decision is Decision.REFUSED:
+            return [
+                Refuse(
+                    request, answer.reason, Verdict.NOT_RUN, answer.retry_after
+                )
+            ]
+        self._journeys[name] = Journey(request)
+        if answer.decision is Decision.QUEUED:
+            return []
+        return self._carry_out(Pass((request,)), now)
+
+    def _end_attempt(self, event: AttemptEnded, now: float) -> Iterable[Action]:
+        journey = self._journeys[event.request_id]
+        self._count_end(journey, event.outcome, now)
+        if event.outcome in ENDS:
+            self._finish(journey)
+            return []
+        endpoint = self._find_retry(journey, event, now)
+        if endpoint:
+            return [self._send(journey, endpoint, now)]
+        self._finish(journey)
+        return [self._refuse(journey, event.reason, now)]
+
+    def _drop(
+        self, event: CallerLeft | DeadlinePassed, now: float
+    ) -> Iterable[Action]:
+        journey = self._journeys.get(event.request_id)
+        if journey is None:
+            return []
+        left = isinstance(event, CallerLeft)
+        if self.admission.waiting.remove(journey.request):
+            self._journeys.pop(event.request_id)
+        else:
+            outcome = Outcome.ABANDONED if left else Outcome.TIMED_OUT
+            self._count_end(journey, outcome, now)
+            self._finish(journey)
+        if left:
+            return []
+        return [self._refuse(journey, OVERDUE_REASON, now)]
+
+    def _change_endpoints(
+        self, event: EndpointsChanged, now: float
+    ) -> Iterable[Action]:
+        self.balancer.replace(event.endpoints, now)
+        self._refresh_at = now
+        return []
+
+    def _advance(self, now: float) -> Iterable[Action]:
+        if now >= self._refresh_at:
+            return self._refresh(now)
+        return self._carry_out(self.admission.advance(now), now)
+
+    def _refresh(self, now: float) -> Iterable[Action]:
+        slots = self.balancer.count_slots(now)
+        degraded = slots < self.balancer.count_declared()
+        self._refresh_at = now + REFRESH_SECONDS if degraded else float('inf')
+        return self._carry_out(self.admission.declare(slots, now), now)
+
+    def _count_end(
+        self, journey: Journey, outcome: Outcome, now: float
+    ) -> None:
+        endpoint = journey.end(outcome)
+        seconds = now - journey.sent_at
+        self.balancer.finish(endpoint.vm_id, outcome, seconds, now)
+        if outcome is Outcome.ANSWERED:
+            self.admission.learn(journey.request, seconds)
+        if outcome in CROWDED:
+            self.admission.slow_down(now)
+        if outcome in FAILURES:
+            self._refresh_at = now
+
+    def _finish(self, journey: Journey) -> None:
+        self._journeys.pop(journey.request.request_id)
+        self.admission.places.release(journey.request)
+
+    def _find_retry(
+        self, journey: Journey, event: AttemptEnded, now: float
+    ) -> Endpoint | None:
+        if not (event.replayable and journey.may_send()):
+            return None
+        if self.admission.is_late(journey.request, now):
+            return None
+        endpoint = self.balancer.choose(now, journey.tried)
+        if endpoint is None and event.outcome in RENEWABLE:
+            endpoint = self.balancer.choose(now)
+        if endpoint and self._retries.spend():
+            return endpoint
+        return None
+
+    def _carry_out(self, done: Pass, now: float) -> list[Action]:
+        actions: list[Action] = []
+        while done.started or done.given_up:
+            for late in done.given_up:
+                journey = self._journeys.pop(late.request_id)
+                actions.append(self._refuse(journey, LATE_REASON, now))
+            started = [self._start(request, now) for request in done.started]
+            actions.extend(started)
+            if not any(isinstance(action, Refuse) for action in started):
+                break
+            done = self.admission.advance(now)
+        return actions
+
+    def _start(self, request: RequestInfo, now: float) -> Action:
+        journey = self._journeys[request.request_id]
+        endpoint = self.balancer.choose(now)
+        if endpoint:
+            self._retries.earn()
+            return self._send(journey, endpoint, now)
+        self._finish(journey)
+        return self._refuse(journey, 'no endpoint is free', now)
+
+    def _send(self, journey: Journey, endpoint: Endpoint, now: float) -> Send:
+        fresh = bool(journey.tried)
+        journey.begin(endpoint, now)
+        self.balancer.begin(endpoint.vm_id)
+        silence = None
+        if journey.request.idempotent and not fresh:
+            expected = self.admission.estimate(journey.request)
+            silence = max(MIN_SILENCE_SECONDS, expected * SILENCE_FACTOR)
+        return Send(journey.request, endpoint, fresh, silence)
+
+    def _refuse(self, journey: Journey, reason: str, now: float) -> Refuse:
+        request = journey.request
+        retry_after = None
+        if journey.may_send():
+            retry_after = self.admission.suggest_return(request, now)
+        return Refuse(request, reason, journey.verdict, retry_after)
--- a/libs/routing/tarragonlb/routing/request.py
+++ b/libs/routing/tarragonlb/routing/request.py
@@ -8,7 +8,8 @@
     """One request of a caller.
 
     ``deadline`` is on the monotonic clock of this process, in seconds.
-    ``idempotent`` says that running it twice does no harm.
+    ``idempotent`` says that running it twice does no harm.  ``weight`` is the
+    share of its team against the other teams of the pool, at least 1.
     """
 
     request_id: str
@@ -18,3 +19,4 @@
     urgent: bool
     idempotent: bool
     deadline: float
+    weight: int = 1
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -53,8 +53,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TeamSettings:
-    """The document under ``/teams/NAME``."""
+    """The document under ``/teams/NAME``.
 
+    ``weight`` is the team's share of a full pool against other teams.
+    """
+
+    weight: Annotated[int, Meta(ge=1)] = 1
     tokens: tuple[Digest, ...] = ()
     services: dict[Name, ServiceSettings] = field(default_factory=dict)
     budgets: tuple[BudgetSettings, ...] = ()
