Count the bytes that a daemon exchanges with the platform

Cause: the users allow 2 KB a second for control, and nothing measured it.

Change: a metered network backend for the platform client, GET /v1/traffic, and the figure in bench/daemon_cost.py.

--- a/bench/daemon_cost.py
+++ b/bench/daemon_cost.py
@@ -13,7 +13,7 @@
 import psutil
 
 from tarragonlb.standin.caller import Caller, poll
-from tarragonlb.standin.cluster import OPERATOR_TOKEN, Cluster
+from tarragonlb.standin.cluster import OPERATOR_TOKEN, Cluster, list_hosts
 from tarragonlb.standin.fleetfile import FleetFile, VmGroup
 
 ADOPTION_SECONDS = 240
@@ -25,12 +25,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DaemonFigure:
-    """Percent of a core and megabytes; ``planner`` marks the term's holder."""
+    """What one daemon spends; ``planner`` marks the term's holder.
+
+    Traffic is with the platform, both ways, in bytes a second.
+    """
 
     vms: int
     planner: bool
     core_percent: float
     resident_mb: int
+    traffic: int
     adoption_seconds: float
 
 
@@ -38,7 +42,9 @@
     """Return a figure for each of three daemons over so many VMs."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = FleetFile(
-            groups=(VmGroup(count=vms),), retention_records=vms * 4
+            groups=(VmGroup(count=vms),),
+            hosts=list_hosts(),
+            retention_records=vms * 4,
         )
         cluster = Cluster(Path(folder), fleet)
         try:
@@ -73,6 +79,7 @@
         for name in cluster.addresses
     }
     before = {name: _read_seconds(one) for name, one in watched.items()}
+    bytes_before = {name: _read_bytes(cluster, name) for name in watched}
     time.sleep(WINDOW_SECONDS)
     return [
         DaemonFigure(
@@ -82,6 +89,10 @@
                 (_read_seconds(one) - before[name]) / WINDOW_SECONDS * PERCENT,
                 2,
             ),
+            traffic=round(
+                (_read_bytes(cluster, name) - bytes_before[name])
+                / WINDOW_SECONDS
+            ),
             resident_mb=one.memory_info().rss // MEGABYTE,
             adoption_seconds=round(adopted, 1),
         )
@@ -98,3 +109,9 @@
 def _read_seconds(one: psutil.Process) -> float:
     times = one.cpu_times()
     return float(times.user + times.system)
+
+
+def _read_bytes(cluster: Cluster, name: str) -> int:
+    caller = Caller(cluster.addresses[name], OPERATOR_TOKEN)
+    fields = caller.get('/v1/traffic').fields
+    return int(fields['sent'] + fields['received'])
--- a/libs/daemon/tarragonlb/daemon/api.py
+++ b/libs/daemon/tarragonlb/daemon/api.py
@@ -5,10 +5,12 @@
 from tarragonlb.daemon.apijobs import JobApi
 from tarragonlb.daemon.apikeys import KeyApi
 from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.apitraffic import TrafficApi
 from tarragonlb.daemon.application import ApiRoutes
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.keydesk import KeyDesk
 from tarragonlb.daemon.watch import FleetWatch
+from tarragonlb.platform.traffic import Traffic
 
 
 def list_parts(
@@ -17,6 +19,7 @@
     journal: Journal,
     watch: FleetWatch,
     desk: KeyDesk,
+    traffic: Traffic,
 ) -> tuple[ApiRoutes, ...]:
     """Return the parts that answer as the entry VM ``entry``."""
     return (
@@ -24,4 +27,5 @@
         SettingsApi(entry, access, journal, watch),
         FleetApi(entry, access, journal, watch),
         KeyApi(access, desk.ledger),
+        TrafficApi(access, traffic),
     )
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -66,7 +66,12 @@
         self._application = Application(
             gateway,
             list_parts(
-                settings.name, access, self._journal, self._watch, self._desk
+                settings.name,
+                access,
+                self._journal,
+                self._watch,
+                self._desk,
+                client.traffic,
             ),
         )
 
--- a/libs/platform/tarragonlb/platform/client.py
+++ b/libs/platform/tarragonlb/platform/client.py
@@ -16,9 +16,12 @@
     PlatformUnavailableError,
     RecordsExpiredError,
 )
+from tarragonlb.platform.traffic import MeteredBackend, Traffic
 
 CALL_TIMEOUT_SECONDS = 5
 CONNECT_TIMEOUT_SECONDS = 1
+MAX_CONNECTIONS = 8
+KEEP_ALIVE_SECONDS = 5
 STATUS_GONE = 410
 STATUS_UNAVAILABLE = 503
 STATUS_ERRORS_FROM = 400
@@ -38,13 +41,16 @@
 class PlatformClient:
     """Calls the platform's HTTP interface at one address."""
 
-    __slots__ = ('_connections', '_url')
+    __slots__ = ('_connections', '_url', 'traffic')
 
     def __init__(self, address: str) -> None:
         """Prepare calls to ``address``, an ``ip:port``."""
         self._url = f'http://{address}'
+        self.traffic = Traffic()
         self._connections = httpcore.AsyncConnectionPool(
-            max_connections=8, keepalive_expiry=5
+            max_connections=MAX_CONNECTIONS,
+            keepalive_expiry=KEEP_ALIVE_SECONDS,
+            network_backend=MeteredBackend(self.traffic),
         )
 
     async def call(
--- a/libs/standin/tarragonlb/standin/cluster.py
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -56,8 +56,12 @@
         for pool, count in pools.items()
         for index in range(count)
     ]
-    hosts = ('127.0.0.1', *(find_host(zone) for zone in ZONES))
-    return FleetFile(vms=tuple(vms), hosts=hosts)
+    return FleetFile(vms=tuple(vms), hosts=list_hosts())
+
+
+def list_hosts() -> tuple[str, ...]:
+    """Return the addresses that the stand-ins listen on."""
+    return ('127.0.0.1', *(find_host(zone) for zone in ZONES))
 
 
 def find_host(zone: str) -> str:
