Wait for changes of the VM list instead of polling it

Cause: an idle daemon asked for the list twice a second, most of its 547 bytes a second.

Change: reading the list waits up to 5 s for the first change, and pauses 0.5 s after each answer so that many changes are read together.

--- a/libs/daemon/tarragonlb/daemon/watch.py
+++ b/libs/daemon/tarragonlb/daemon/watch.py
@@ -8,7 +8,8 @@
 from tarragonlb.platform.fleet import Fleet
 from tarragonlb.telemetry.log import Log
 
-POLL_SECONDS = 0.5
+WAIT_SECONDS = 5
+PAUSE_SECONDS = 0.5
 
 
 class FleetWatch:
@@ -26,15 +27,15 @@
         self._say = Log('watch').say
 
     async def run(self) -> None:
-        """Poll the platform until cancelled."""
+        """Read changes until cancelled, in batches while there are many."""
         while True:
             try:
-                reading = await self._fleet.read(self.number)
+                reading = await self._fleet.read(self.number, WAIT_SECONDS)
             except PlatformError as error:
                 self._say('The list can not be read.', error=str(error))
             else:
                 self.merge(reading, read_monotonic())
-            await trio.sleep(POLL_SECONDS)
+            await trio.sleep(PAUSE_SECONDS)
 
     def merge(self, reading: FleetReading, now: float) -> None:
         """Take over what changed since the last reading."""
--- a/libs/platform/tarragonlb/platform/fleet.py
+++ b/libs/platform/tarragonlb/platform/fleet.py
@@ -26,10 +26,11 @@
     """The platform's VMs and the tasks on them."""
 
     @abc.abstractmethod
-    async def read(self, after: int) -> FleetReading:
+    async def read(self, after: int, wait_seconds: float) -> FleetReading:
         """Return what changed in the platform's list since a reading.
 
-        ``after`` is the number of that reading, 0 for the whole list.
+        ``after`` is the number of that reading, 0 for the whole list.  The
+        platform answers with the first change, or when the wait is over.
         """
 
     @abc.abstractmethod
--- a/libs/platform/tarragonlb/platform/remote.py
+++ b/libs/platform/tarragonlb/platform/remote.py
@@ -42,9 +42,13 @@
         """Use a client of the platform."""
         self._client = client
 
-    async def read(self, after: int) -> FleetReading:
+    async def read(self, after: int, wait_seconds: float) -> FleetReading:
         """Return what changed in the platform's list."""
-        tree = await self._client.call('/fleet/read', {'after': after})
+        tree = await self._client.call(
+            '/fleet/read',
+            {'after': after, 'wait_seconds': wait_seconds},
+            timeout_seconds=wait_seconds + CALL_TIMEOUT_SECONDS,
+        )
         return msgspec.convert(tree, FleetReading)
 
     async def drain(self, vm_id: str, boot: int) -> None:
--- a/libs/standin/tarragonlb/standin/platformapp.py
+++ b/libs/standin/tarragonlb/standin/platformapp.py
@@ -122,7 +122,12 @@
         return await self._log.read(body['after'], body['wait_seconds'])
 
     async def _read_fleet(self, body: Any, now: float) -> object:
+        until = now + body['wait_seconds']
         reading = self._acts.fleet.read(body['after'], now)
+        while reading.number == body['after'] and trio.current_time() < until:
+            await trio.sleep(STEP_SECONDS)
+            now = trio.current_time()
+            reading = self._acts.fleet.read(body['after'], now)
         vms = tuple(_localize(vm, body['host']) for vm in reading.vms)
         return msgspec.to_builtins(replace(reading, vms=vms))
 
