Report service-level burn as table, JSON and a page for managers

Cause: nothing said what was promised of a service and what happened.

Ways weighed for the histogram: hdrhistogram (compiled, adds pbr) and ddsketch (pure Python, needs six only); ddsketch, its buckets are the same everywhere and their counts add up in the fold. Ways weighed for keeping it: in memory of entry VMs (lost with them) and small summaries in the log; the log.

Change: objectives are counted per team and service by each entry VM, written as BurnReported now and then and before a stop, folded into 12 spans of five minutes, 72 hours and 36 days per service; burn rates over 5 min, 1 h, 6 h and 3 d, what is left and a forecast as pure functions; tarragonlb report burn.

Shown to fail first: with the flush before a stop off, the feature burn.feature saw 0 requests instead of 4.

--- a/libs/cli/features/steps/tool_steps.py
+++ b/libs/cli/features/steps/tool_steps.py
@@ -5,10 +5,12 @@
 import io
 import json
 import os
+import signal
 import socket
 import sys
 import threading
 from collections import Counter
+from functools import partial
 from pathlib import Path
 from unittest import mock
 
@@ -18,6 +20,7 @@
 
 from tarragonlb.cli.command import main
 from tarragonlb.settings.check import read_settings
+from tarragonlb.standin.caller import Caller, poll
 from tarragonlb.standin.fleetfile import FleetFile
 
 EXAMPLES = Path(__file__).parents[4] / 'examples'
@@ -25,6 +28,8 @@
     'name: entry-1\nzone: z\nlisten: 127.0.0.1:1\n'
     'peer_listen: 127.0.0.1:2\nplatform: 127.0.0.1:3'
 )
+REQUEST_SECONDS = 18
+LATE_SECONDS = 2.3
 SHA256 = hashlib.sha256(b'a team').hexdigest()
 
 
@@ -72,6 +77,34 @@
     path.write_text(fill(context, text))
 
 
+@given('requests through the first entry VM, some of them too late')
+def send_requests(context):
+    caller = Caller(context.server.removeprefix('http://'), 'a team')
+    poll(partial(try_call, caller, '/call/warm/x'), REQUEST_SECONDS)
+    for delay in (0, 0, 0, LATE_SECONDS):
+        answer = caller.get(f'/call/s/x?seconds={delay}&mark=m')
+        assert answer.fields['mark'] == 'm', answer
+
+
+def try_call(caller, path):
+    answer = caller.get(path)
+    return answer if answer.status == 200 else None
+
+
+@when('the first entry VM is stopped')
+def stop_first(context):
+    name = next(iter(context.cluster.addresses))
+    context.cluster.send_signal(name, signal.SIGTERM)
+    assert context.cluster.wait_end(name) == 0
+    context.server = context.other
+
+
+@then('the page "{name}" tells "{text}"')
+def check_page(context, name, text):
+    page = (context.folder / name).read_text()
+    assert text in page, page[:3000]
+
+
 @given('a server that reads the request and closes the connection')
 def start_server(context):
     context.server = answer_once(b'')
--- a/libs/cli/tarragonlb/cli/command.py
+++ b/libs/cli/tarragonlb/cli/command.py
@@ -19,6 +19,11 @@
 application.command(settingscommands.application)
 application.command(jobcommands.application)
 application.command(wavecommands.application)
+application.command(
+    'tarragonlb.cli.reportcommands:application',
+    name='report',
+    help='Report on what was promised.',
+)
 application.register_install_completion_command()
 pool_application = cyclopts.App(name='pool', help='Look at pools.')
 vm_application = cyclopts.App(name='vm', help='Look at VMs.')
--- a/libs/daemon/tarragonlb/daemon/apibase.py
+++ b/libs/daemon/tarragonlb/daemon/apibase.py
@@ -1,10 +1,12 @@
 """What all handlers of the API share."""
 
+import abc
 from typing import TypeVar
 
 import msgspec
 from starlette.requests import Request
 from starlette.responses import JSONResponse
+from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable, Identity
 from tarragonlb.daemon.journal import Journal
@@ -19,7 +21,7 @@
 STATUS_TOO_LARGE = 413
 
 
-class ApiPart:
+class ApiPart(abc.ABC):
     """A group of handlers over the state of this process."""
 
     __slots__ = ('access', 'entry', 'journal', 'watch')
@@ -37,6 +39,10 @@
         self.journal = journal
         self.watch = watch
 
+    @abc.abstractmethod
+    def list_routes(self) -> list[Route]:
+        """Return the routes of this part."""
+
     def identify(self, request: Request) -> Identity:
         """Return who sent a request."""
         return self.access.identify(request.headers.get('authorization', ''))
--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -8,12 +8,11 @@
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import Route
 
+from tarragonlb.daemon.apibase import ApiPart
 from tarragonlb.daemon.apierrors import ANSWERS
-from tarragonlb.daemon.apifleet import FleetApi
-from tarragonlb.daemon.apijobs import JobApi
-from tarragonlb.daemon.apisettings import SettingsApi
 from tarragonlb.daemon.exchange import Receive, Send
 from tarragonlb.daemon.gateway import PREFIX, Gateway
+from tarragonlb.daemon.metering import RequestMeter
 
 STATUS_UNAVAILABLE = 503
 
@@ -25,15 +24,25 @@
     serves what it has and tells the platform's balancer to send nothing new.
     """
 
-    __slots__ = ('_api', '_gateway', '_idle', 'active', 'ready', 'stopping')
+    __slots__ = (
+        '_api',
+        '_gateway',
+        '_idle',
+        '_meter',
+        'active',
+        'ready',
+        'stopping',
+    )
 
     def __init__(
         self,
         gateway: Gateway,
-        parts: tuple[JobApi, SettingsApi, FleetApi],
+        meter: RequestMeter,
+        parts: tuple[ApiPart, ...],
     ) -> None:
         """Serve callers by the gateway and all else by the API."""
         self._gateway = gateway
+        self._meter = meter
         self._idle = trio.Event()
         self.active = 0
         self.ready = False
@@ -54,7 +63,8 @@
         self.active += 1
         try:
             if scope['path'].startswith(PREFIX):
-                await self._gateway.serve(scope, receive, send)
+                serve = self._gateway.serve
+                await self._meter.serve(serve, scope, receive, send)
             else:
                 await self._api(scope, receive, send)
         finally:
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/burntask.py
@@ -0,0 +1,142 @@
+"""Writes what this entry VM has counted into the log, now and then.
+
+A summary whose answer was lost is sent again as the same record, so it counts
+once.  While the log is down the counts wait here; they are lost only with the
+entry VM.
+"""
+
+from collections.abc import Iterator
+
+import trio
+
+from tarragonlb.daemon.clock import read_wall
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.journal.codec import encode_record
+from tarragonlb.journal.state import State
+from tarragonlb.model.burn import BurnReported
+from tarragonlb.model.entry import VmEntry
+from tarragonlb.model.errors import CommitUnknownError, RecordVoidError
+from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.meter import (
+    SECONDS_PER_MINUTE,
+    BurnMeter,
+    choose_period,
+)
+
+SAMPLE_SECONDS = 5
+FLUSH_SECONDS = 2
+SHORT_ID = 8
+
+
+class BurnTask:
+    """Owns the summaries of one entry VM."""
+
+    __slots__ = (
+        '_entries',
+        '_entry',
+        '_journal',
+        '_meter',
+        '_next',
+        '_say',
+        '_settings_offset',
+        '_since',
+    )
+
+    def __init__(
+        self, settings: DaemonSettings, journal: Journal, meter: BurnMeter
+    ) -> None:
+        """Write the counts of a meter for the entry VM of the settings."""
+        self._entry = settings.name
+        self._entries = len(settings.peers) + 1
+        self._journal = journal
+        self._meter = meter
+        self._say = Log('burn').say
+        self._since = _read_minute()
+        self._next = self._since + 1
+        self._settings_offset = 0
+
+    async def run(self) -> None:
+        """Look around and write summaries until cancelled."""
+        while True:
+            await trio.sleep(SAMPLE_SECONDS)
+            self.note_causes()
+            minute = _read_minute()
+            if minute >= self._next:
+                size = await self.report()
+                self._next = minute + choose_period(size, self._entries)
+                self._since = minute
+
+    async def flush(self) -> None:
+        """Write what is left before the process stops."""
+        with trio.move_on_after(FLUSH_SECONDS):
+            await self.report()
+
+    async def report(self) -> int:
+        """Write one summary and return its size in bytes."""
+        self.note_causes()
+        counts = self._meter.cut()
+        self._settings_offset = self._journal.state.settings_offset
+        if not counts:
+            return 0
+        record = BurnReported(
+            head=self._journal.sign(),
+            entry=self._entry,
+            minute=self._since,
+            counts=counts,
+        )
+        await self._commit(record)
+        return len(encode_record(record))
+
+    def note_causes(self) -> None:
+        """Remember what is going on around services that had requests."""
+        state = self._journal.state
+        for service in self._meter.list_services():
+            causes = list_causes(state, service, self._settings_offset)
+            self._meter.note_causes(service, causes)
+
+    async def _commit(self, record: BurnReported) -> None:
+        while True:
+            try:
+                await self._journal.commit(record)
+            except CommitUnknownError:
+                self._say('The summary waits for the log.')
+            except RecordVoidError as error:
+                self._say('The summary did not count.', reason=error.reason)
+                return
+            else:
+                return
+
+
+def list_causes(
+    state: State, service: str, settings_offset: int
+) -> Iterator[str]:
+    """Yield in words what may have made requests of a service bad.
+
+    These are charges of VMs of its pool, and settings that came into force
+    behind an offset.
+    """
+    team, _, name = service.partition('/')
+    settings = state.teams.get(team)
+    found = settings.services.get(name) if settings else None
+    if found is None:
+        return
+    for vm in state.vms.values():
+        if vm.pool == found.pool and vm.charge:
+            yield _describe_charge(vm)
+    for path in ('/fleet', f'/pools/{found.pool}', f'/teams/{team}'):
+        entry = state.settings.get(path)
+        if entry and entry.offset > settings_offset:
+            yield f'{path} version {entry.version} set by {entry.author}'
+
+
+def _describe_charge(vm: VmEntry) -> str:
+    if vm.charge is None:
+        return ''
+    if vm.charge.wave_id:
+        return f'wave {vm.charge.wave_id[:SHORT_ID]} on pool {vm.pool}'
+    return f'{vm.charge.reason.value} of VM {vm.vm_id}'
+
+
+def _read_minute() -> int:
+    return int(read_wall() // SECONDS_PER_MINUTE)
--- a/libs/daemon/tarragonlb/daemon/command.py
+++ b/libs/daemon/tarragonlb/daemon/command.py
@@ -12,6 +12,7 @@
 from tarragonlb.settings.problem import SettingsError
 from tarragonlb.settings.schema import DaemonSettings
 from tarragonlb.telemetry.log import start_logging
+from tarragonlb.telemetry.metrics import start_metrics
 
 EXIT_BAD_SETTINGS = 2
 
@@ -39,6 +40,7 @@
         sys.stderr.write(f'tarragonlbd: {error}\n')
         sys.exit(EXIT_BAD_SETTINGS)
     start_logging()
+    start_metrics()
     trio.run(Process(start).run)
 
 
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/metering.py
@@ -0,0 +1,126 @@
+"""Watches each request of a caller and tells the meters how it went.
+
+A request is bad if the service refused it for lack of room or failed it, or
+if its answer was cut.  What the caller got wrong, and callers who went away,
+are not held against the service.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeAlias
+
+from tarragonlb.daemon.access import AccessTable
+from tarragonlb.daemon.clock import read_monotonic
+from tarragonlb.daemon.exchange import VERDICT_HEADER, Receive, Send
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.model.errors import RefusedError
+from tarragonlb.settings.schema import ServiceSettings
+from tarragonlb.telemetry.meter import BurnMeter, RequestResult
+from tarragonlb.telemetry.metrics import Instruments
+
+Serve: TypeAlias = Callable[[Any, Receive, Send], Awaitable[None]]
+CALL_PREFIX = '/call/'
+STATUS_TOO_MANY = 429
+STATUS_SERVER_ERRORS_FROM = 500
+UNKNOWN_SERVICE = 'unknown'
+
+
+class AnswerWatch:
+    """Passes the events of one request on and remembers how it went."""
+
+    __slots__ = ('_receive', '_send', 'ended', 'left', 'status', 'verdict')
+
+    def __init__(self, receive: Receive, send: Send) -> None:
+        """Watch both directions of a request."""
+        self._receive = receive
+        self._send = send
+        self.status = 0
+        self.verdict = ''
+        self.ended = False
+        self.left = False
+
+    async def receive(self) -> Any:
+        """Pass an event from the caller on."""
+        event = await self._receive()
+        self.left = self.left or event['type'] == 'http.disconnect'
+        return event
+
+    async def send(self, event: Any) -> None:
+        """Pass an event to the caller on."""
+        await self._send(event)
+        if event['type'] == 'http.response.start':
+            self.status = event['status']
+            headers = dict(event['headers'])
+            self.verdict = headers.get(VERDICT_HEADER, b'').decode()
+        elif event['type'] == 'http.response.body':
+            self.ended = not event.get('more_body', False)
+
+    @property
+    def failed(self) -> bool:
+        """Return whether the service is to blame for a bad answer."""
+        refused = self.status == STATUS_TOO_MANY
+        return (
+            not self.ended
+            or refused
+            or self.status >= STATUS_SERVER_ERRORS_FROM
+        )
+
+
+class RequestMeter:
+    """Measures requests for the burn report and for OpenTelemetry."""
+
+    __slots__ = ('_access', '_instruments', '_journal', '_meter')
+
+    def __init__(
+        self,
+        access: AccessTable,
+        journal: Journal,
+        meter: BurnMeter,
+        instruments: Instruments,
+    ) -> None:
+        """Count into a meter and into instruments."""
+        self._access = access
+        self._journal = journal
+        self._meter = meter
+        self._instruments = instruments
+
+    async def serve(
+        self, serve: Serve, scope: Any, receive: Receive, send: Send
+    ) -> None:
+        """Let a request be served, and measure it."""
+        started = read_monotonic()
+        watch = AnswerWatch(receive, send)
+        try:
+            await serve(scope, watch.receive, watch.send)
+        finally:
+            self._record(scope, watch, read_monotonic() - started)
+
+    def _record(self, scope: Any, watch: AnswerWatch, seconds: float) -> None:
+        service, settings = self._find_service(scope)
+        labels: dict[str, str | int] = {
+            'service': service,
+            'status': watch.status,
+            'verdict': watch.verdict,
+        }
+        self._instruments.requests.add(1, labels)
+        self._instruments.request_seconds.record(seconds, {'service': service})
+        gone = watch.left and not watch.ended
+        if settings and not gone and self._is_measured(watch):
+            seen = RequestResult(
+                service=service, seconds=seconds, answered=not watch.failed
+            )
+            self._meter.add(seen, settings.objective)
+
+    def _is_measured(self, watch: AnswerWatch) -> bool:
+        return watch.failed or watch.verdict == 'ran'
+
+    def _find_service(self, scope: Any) -> tuple[str, ServiceSettings | None]:
+        headers = dict(scope['headers'])
+        authorization = headers.get(b'authorization', b'').decode('latin-1')
+        try:
+            team = self._access.identify(authorization).team
+        except RefusedError:
+            return UNKNOWN_SERVICE, None
+        name = scope['path'].removeprefix(CALL_PREFIX).partition('/')[0]
+        settings = self._journal.state.teams.get(team)
+        found = settings.services.get(name) if settings else None
+        return f'{team}/{name}' if found else UNKNOWN_SERVICE, found
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -10,13 +10,12 @@
 from hypercorn.trio import serve
 
 from tarragonlb.daemon.access import AccessTable
-from tarragonlb.daemon.apifleet import FleetApi
-from tarragonlb.daemon.apijobs import JobApi
-from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.api import make_parts
 from tarragonlb.daemon.application import Application
 from tarragonlb.daemon.dispatch import Dispatcher
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.measurement import Measurement
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.watch import FleetWatch
@@ -36,6 +35,7 @@
     __slots__ = (
         '_application',
         '_journal',
+        '_measurement',
         '_planner',
         '_pools',
         '_say',
@@ -59,13 +59,11 @@
         self._pools = PoolTask(self._journal, self._watch, dispatcher)
         access = AccessTable(settings, self._journal.state)
         gateway = Gateway(settings.name, access, self._journal, dispatcher)
+        self._measurement = Measurement(settings, access, self._journal)
         self._application = Application(
             gateway,
-            (
-                JobApi(settings.name, access, self._journal, self._watch),
-                SettingsApi(settings.name, access, self._journal, self._watch),
-                FleetApi(settings.name, access, self._journal, self._watch),
-            ),
+            self._measurement.requests,
+            make_parts(settings.name, access, self._journal, self._watch),
         )
 
     async def run(self) -> None:
@@ -79,17 +77,19 @@
             await self._wait_for_stop()
             stopped.set()
             await self._finish_requests()
+            await self._measurement.burn.flush()
             nursery.cancel_scope.cancel()
         self._say('The daemon has stopped.', name=self._settings.name)
 
-    def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
-        return (
+    def _list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
+        return [
             self._journal.run,
             self._watch.run,
             self._planner.run,
             self._pools.run,
+            self._measurement.burn.run,
             self._announce_ready,
-        )
+        ]
 
     async def _announce_ready(self) -> None:
         await self._journal.wait_until_read()
--- /dev/null
+++ b/libs/journal/tarragonlb/journal/burnfold.py
@@ -0,0 +1,111 @@
+"""Rules for service-level burn: counts add up, and old ones are dropped.
+
+Each summary is added to a bucket of five minutes, one of an hour and one of a
+day.  A service keeps so many buckets of each width, whatever their times, so
+a writer with a wrong clock can't push the others out by one summary.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from types import MappingProxyType
+
+from tarragonlb.journal.rule import Reason, Rule
+from tarragonlb.journal.state import State
+from tarragonlb.model.burn import (
+    MINUTES_PER_DAY,
+    BurnBucket,
+    BurnEntry,
+    BurnReported,
+    LatencyCounts,
+    ServiceCount,
+)
+
+FINE_MINUTES = 5
+HOUR_MINUTES = 60
+MAX_FINE_BUCKETS = 12
+MAX_HOUR_BUCKETS = 72
+MAX_DAY_BUCKETS = 36
+MAX_CAUSES = 6
+
+
+def report_burn(
+    state: State, entry: BurnReported, offset: int
+) -> Reason | None:
+    """Add the counts of an entry VM to those of the others."""
+    known = [count for count in entry.counts if _is_known(state, count)]
+    if not known:
+        return 'none of these services is in the settings'
+    for count in known:
+        present = state.burn.get(
+            count.service, BurnEntry(service=count.service)
+        )
+        state.burn[count.service] = add_count(present, count, entry.minute)
+    return None
+
+
+def add_count(
+    present: BurnEntry, count: ServiceCount, minute: int
+) -> BurnEntry:
+    """Return the buckets of a service with one more count in them."""
+    return BurnEntry(
+        service=present.service,
+        fine=_add(present.fine, count, minute, FINE_MINUTES)[
+            -MAX_FINE_BUCKETS:
+        ],
+        hours=_add(present.hours, count, minute, HOUR_MINUTES)[
+            -MAX_HOUR_BUCKETS:
+        ],
+        days=_add(present.days, count, minute, MINUTES_PER_DAY)[
+            -MAX_DAY_BUCKETS:
+        ],
+    )
+
+
+def add_latency(counts: Iterable[LatencyCounts]) -> LatencyCounts:
+    """Return the sum of latency counts, in the order of the buckets."""
+    total: Counter[int] = Counter()
+    for pairs in counts:
+        total.update(dict(pairs))
+    return tuple(sorted(total.items()))
+
+
+def _is_known(state: State, count: ServiceCount) -> bool:
+    team, _, service = count.service.partition('/')
+    settings = state.teams.get(team)
+    return settings is not None and service in settings.services
+
+
+def _add(
+    buckets: tuple[BurnBucket, ...],
+    count: ServiceCount,
+    minute: int,
+    width: int,
+) -> tuple[BurnBucket, ...]:
+    start = minute - minute % width
+    others = [bucket for bucket in buckets if bucket.start != start]
+    present = next(
+        (bucket for bucket in buckets if bucket.start == start),
+        BurnBucket(start=start),
+    )
+    keeps_latency = width == MINUTES_PER_DAY
+    causes = dict.fromkeys((*present.causes, *count.causes))
+    added = BurnBucket(
+        start=start,
+        good=present.good + count.good,
+        slow=present.slow + count.slow,
+        bad=present.bad + count.bad,
+        latency=add_latency((present.latency, count.latency))
+        if keeps_latency
+        else (),
+        causes=tuple(causes)[:MAX_CAUSES],
+    )
+    return tuple(sorted((*others, added), key=_read_start))
+
+
+def _read_start(bucket: BurnBucket) -> int:
+    return bucket.start
+
+
+RULES: MappingProxyType[type, Rule] = MappingProxyType(
+    {BurnReported: report_burn}
+)
--- a/libs/journal/tarragonlb/journal/codec.py
+++ b/libs/journal/tarragonlb/journal/codec.py
@@ -10,7 +10,7 @@
 import cbor2
 import msgspec
 
-from tarragonlb.model import job, ownership, record, wave
+from tarragonlb.model import burn, job, ownership, record, wave
 from tarragonlb.model.errors import JournalError, UnknownRecordError
 
 MAX_RECORD_BYTES = 512 * 1024
@@ -33,6 +33,7 @@
             job.JobsCancelled,
             wave.WavePlanned,
             wave.WaveSteered,
+            burn.BurnReported,
         )
     }
 )
--- a/libs/journal/tarragonlb/journal/fold.py
+++ b/libs/journal/tarragonlb/journal/fold.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
-from tarragonlb.journal import jobfold, settingfold, vmfold, wavefold
+from tarragonlb.journal import burnfold, jobfold, settingfold, vmfold, wavefold
 from tarragonlb.journal.codec import decode_record
 from tarragonlb.journal.rule import Reason, Rule
 from tarragonlb.journal.state import State
@@ -26,6 +26,7 @@
         **vmfold.RULES,
         **jobfold.RULES,
         **wavefold.RULES,
+        **burnfold.RULES,
     }
 )
 
--- a/libs/journal/tarragonlb/journal/state.py
+++ b/libs/journal/tarragonlb/journal/state.py
@@ -5,6 +5,7 @@
 replaced whole; the mappings belong to the fold, readers only look.
 """
 
+from tarragonlb.model.burn import BurnEntry
 from tarragonlb.model.entry import (
     ClaimEntry,
     JobEntry,
@@ -20,6 +21,7 @@
     """All shared state at one offset."""
 
     __slots__ = (
+        'burn',
         'claims',
         'digest',
         'fleet',
@@ -54,3 +56,4 @@
         self.claims: dict[tuple[str, str], ClaimEntry] = {}
         self.waves: dict[str, WaveEntry] = {}
         self.terms: dict[str, TermEntry] = {}
+        self.burn: dict[str, BurnEntry] = {}
--- /dev/null
+++ b/libs/telemetry/features/burn.feature
@@ -0,0 +1,59 @@
+Feature: Service-level burn
+
+  Scenario: Counts of several entry VMs add up, and a repeated summary counts once
+    Given a log with the team "archive" that is promised 0.99 within 2 seconds
+    When "entry-1" reports 90 good, 5 slow and 5 bad
+    And "entry-2" reports 100 good, 0 slow and 0 bad
+    And the last summary is appended again
+    Then the report shows 200 requests, 5 bad and 5 slow
+
+  Scenario: A summary of an unknown service is void
+    Given a log with the team "archive" that is promised 0.99 within 2 seconds
+    When "entry-1" reports 1 good, 0 slow and 0 bad of "archive/other"
+    Then the last summary is void
+
+  Scenario: Any stream of summaries keeps a bounded number of buckets
+    Then any summaries in any order give the same counts in bounded space
+
+  Scenario Outline: A promise is judged by what is left and how fast it goes
+    Given a log with the team "archive" that is promised 0.99 within 2 seconds
+    When <bad> of 1000 requests were bad <days> days ago
+    Then the promise is "<status>" with <left> of the budget left
+
+    Examples:
+      | bad | days | status  | left |
+      | 0   | 1    | kept    | 1.0  |
+      | 5   | 10   | kept    | 0.5  |
+      | 9   | 10   | kept    | 0.1  |
+      | 9   | 0    | kept    | 0.1  |
+      | 10  | 0    | at risk | 0.0  |
+      | 11  | 10   | broken  | -0.1 |
+      | 900 | 40   | kept    | 1.0  |
+
+  Scenario Outline: The forecast divides what is left by the rate
+    Then <left> left at rate <rate> over 28 days lasts <days> days
+
+    Examples:
+      | left | rate | days |
+      | 0.5  | 7    | 2    |
+      | 1    | 1    | 28   |
+      | 0.5  | 0    | none |
+      | -1   | 3    | 0    |
+
+  Scenario: Late answers are told by what was promised
+    Given a meter
+    When requests take 0.1, 1.9, 2.1 and 40 seconds and one is refused
+    Then it counts 2 good, 2 slow and 1 bad
+    And the median is about 2 seconds
+    And causes are told only while something went wrong
+
+  Scenario: The page says what was promised, what happened and what was going on
+    Given a log with the team "archive" that is promised 0.99 within 2 seconds
+    When "entry-1" reports 90 good, 5 slow and 5 bad
+    Then the page tells "99% of requests are answered"
+    And the page tells "5 were refused or failed and 5 were answered late"
+    And the page tells "wave 70e94343 on pool a &lt;b&gt;"
+    And the page loads nothing from elsewhere
+
+  Scenario: Summaries of all entry VMs stay within their rate
+    Then any size and number of entry VMs give a period within the rate
--- /dev/null
+++ b/libs/telemetry/features/steps/burn_steps.py
@@ -0,0 +1,263 @@
+"""Steps for service-level burn."""
+
+import json
+import random
+import re
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+
+from tarragonlb.journal import burnfold
+from tarragonlb.journal.codec import encode_record
+from tarragonlb.journal.fold import apply_blob
+from tarragonlb.journal.state import State
+from tarragonlb.model.burn import (
+    MINUTES_PER_DAY,
+    BurnEntry,
+    BurnReported,
+    ServiceCount,
+)
+from tarragonlb.model.record import SettingPublished
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.settings.schema import ObjectiveSettings
+from tarragonlb.telemetry.burn import report_service
+from tarragonlb.telemetry.burnrate import forecast_days
+from tarragonlb.telemetry.latency import find_quantile
+from tarragonlb.telemetry.meter import (
+    BURN_BYTES_PER_SECOND,
+    MAX_PERIOD_MINUTES,
+    BurnMeter,
+    RequestResult,
+    choose_period,
+)
+from tarragonlb.telemetry.page import write_page
+
+NOW = 30_000_000
+SERVICE = 'archive/s'
+CAUSE = 'wave 70e94343 on pool a <b>'
+LATENCY = ((0, 100),)
+
+
+@given(
+    'a log with the team "{team}" that is promised {share:g} '
+    'within {seconds:g} seconds'
+)
+def start(context, team, share, seconds):
+    context.state = State()
+    context.scribe = Scribe('test', '1')
+    promise = {'availability': share, 'latency_seconds': seconds}
+    settings = {'services': {'s': {'pool': 'a', 'objective': promise}}}
+    context.objective = ObjectiveSettings(**promise)
+    record = SettingPublished(
+        head=context.scribe.sign(0, 0),
+        path=f'/teams/{team}',
+        text=json.dumps(settings),
+        source='test',
+        expected_version=0,
+    )
+    append(context, record)
+
+
+def append(context, record):
+    context.record = record
+    blob = encode_record(record)
+    offset = context.state.offset + 1
+    context.outcome = apply_blob(context.state, offset, blob)
+
+
+def report(context, entry, count, minute=NOW):
+    record = BurnReported(
+        head=context.scribe.sign(0, 0),
+        entry=entry,
+        minute=minute,
+        counts=(count,),
+    )
+    append(context, record)
+
+
+@when('"{entry}" reports {good:d} good, {slow:d} slow and {bad:d} bad')
+def report_counts(context, entry, good, slow, bad):
+    count = ServiceCount(
+        service=SERVICE,
+        good=good,
+        slow=slow,
+        bad=bad,
+        latency=LATENCY,
+        causes=(CAUSE,),
+    )
+    report(context, entry, count)
+
+
+@when(
+    '"{entry}" reports {good:d} good, {slow:d} slow and {bad:d} bad '
+    'of "{service}"'
+)
+def report_other(context, entry, good, slow, bad, service):
+    report(context, entry, ServiceCount(service=service, good=good))
+
+
+@when('the last summary is appended again')
+def repeat(context):
+    append(context, context.record)
+
+
+@when('{bad:d} of 1000 requests were bad {days:d} days ago')
+def report_past(context, bad, days):
+    count = ServiceCount(service=SERVICE, good=1000 - bad, bad=bad)
+    report(context, 'entry-1', count, NOW - days * MINUTES_PER_DAY)
+
+
+def read_report(context):
+    entry = context.state.burn[SERVICE]
+    return report_service(entry, context.objective, NOW)
+
+
+@then('the report shows {requests:d} requests, {bad:d} bad and {slow:d} slow')
+def check_report(context, requests, bad, slow):
+    found = read_report(context)
+    assert (found.requests, found.bad, found.slow) == (requests, bad, slow)
+
+
+@then('the last summary is void')
+def check_void(context):
+    assert not context.outcome.accepted
+    assert not context.state.burn
+
+
+@then('the promise is "{status}" with {left:g} of the budget left')
+def check_promise(context, status, left):
+    budget = read_report(context).availability
+    assert budget.status == status, budget
+    assert abs(budget.left - left) < 1e-6, budget
+
+
+@then('{left:g} left at rate {rate:g} over 28 days lasts {days} days')
+def check_forecast(context, left, rate, days):
+    found = forecast_days(left, rate, 28)
+    assert found == (None if days == 'none' else float(days)), found
+
+
+@given('a meter')
+def make_meter(context):
+    context.meter = BurnMeter()
+    context.objective = ObjectiveSettings(availability=0.9, latency_seconds=2)
+
+
+@when('requests take {a:g}, {b:g}, {c:g} and {d:g} seconds and one is refused')
+def meter_requests(context, a, b, c, d):
+    for seconds in (a, b, c, d):
+        seen = RequestResult(service=SERVICE, seconds=seconds, answered=True)
+        context.meter.add(seen, context.objective)
+    seen = RequestResult(service=SERVICE, seconds=0.1, answered=False)
+    context.meter.add(seen, context.objective)
+    context.meter.note_causes(SERVICE, (CAUSE,))
+    context.counts = context.meter.cut()
+
+
+@then('it counts {good:d} good, {slow:d} slow and {bad:d} bad')
+def check_counts(context, good, slow, bad):
+    (count,) = context.counts
+    assert (count.good, count.slow, count.bad) == (good, slow, bad)
+    assert context.meter.cut() == ()
+
+
+@then('the median is about {seconds:g} seconds')
+def check_median(context, seconds):
+    median = find_quantile(context.counts[0].latency, 0.5)
+    assert abs(median - seconds) <= 0.25 * seconds, median
+
+
+@then('causes are told only while something went wrong')
+def check_causes(context):
+    assert context.counts[0].causes == (CAUSE,)
+    seen = RequestResult(service=SERVICE, seconds=0.1, answered=True)
+    context.meter.add(seen, context.objective)
+    context.meter.note_causes(SERVICE, (CAUSE,))
+    assert context.meter.cut()[0].causes == ()
+
+
+def read_page(context):
+    return write_page([read_report(context)], 'Written now.')
+
+
+@then('the page tells "{text}"')
+def check_page(context, text):
+    plain = re.sub('<[^>]*>', '', read_page(context))
+    assert text in ' '.join(plain.split()), plain[-3000:]
+
+
+@then('the page loads nothing from elsewhere')
+def check_page_links(context):
+    page = read_page(context)
+    assert page.count('<svg') == 2
+    assert '<script' not in page
+    assert not re.search('(src|href)="(?!#)', page.replace('xlink:href="#', ''))
+
+
+@then('any size and number of entry VMs give a period within the rate')
+def check_period(context):
+    @hypothesis.settings(
+        max_examples=300, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(
+        strategies.integers(0, 10**6), strategies.integers(1, 100)
+    )
+    def check(size, entries):
+        minutes = choose_period(size, entries)
+        rate = size * entries / (minutes * 60)
+        assert 1 <= minutes <= MAX_PERIOD_MINUTES
+        assert rate <= BURN_BYTES_PER_SECOND or minutes == MAX_PERIOD_MINUTES
+
+    check()
+
+
+@then('any summaries in any order give the same counts in bounded space')
+def check_stream(context):
+    counts = strategies.builds(
+        ServiceCount,
+        service=strategies.just(SERVICE),
+        good=strategies.integers(0, 9),
+        bad=strategies.integers(0, 9),
+        latency=strategies.lists(
+            strategies.tuples(strategies.integers(-9, 9), strategies.just(1)),
+            max_size=3,
+            unique=True,
+        ).map(tuple),
+        causes=strategies.lists(strategies.text(max_size=2)).map(tuple),
+    )
+    minutes = strategies.integers(NOW, NOW + 20 * MINUTES_PER_DAY)
+
+    def fold(stream):
+        entry = BurnEntry(service=SERVICE)
+        for count, minute in stream:
+            entry = burnfold.add_count(entry, count, minute)
+        return entry
+
+    @hypothesis.settings(
+        max_examples=200, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(strategies.tuples(counts, minutes), max_size=30),
+        strategies.randoms(use_true_random=False),
+    )
+    def check(stream, order: random.Random):
+        shuffled = list(stream)
+        order.shuffle(shuffled)
+        entry = fold(stream)
+        days = [(day.start, day.good, day.bad) for day in entry.days]
+        other = fold(shuffled)
+        assert days == [(day.start, day.good, day.bad) for day in other.days]
+        assert [day.latency for day in other.days] == [
+            day.latency for day in entry.days
+        ]
+        assert sum(day.good for day in entry.days) == sum(
+            count.good for count, _ in stream
+        )
+        assert len(entry.fine) <= burnfold.MAX_FINE_BUCKETS
+        assert len(entry.hours) <= burnfold.MAX_HOUR_BUCKETS
+        assert len(entry.days) <= burnfold.MAX_DAY_BUCKETS
+        for day in entry.days:
+            assert len(day.causes) <= burnfold.MAX_CAUSES
+
+    check()
--- /dev/null
+++ b/libs/telemetry/tarragonlb/telemetry/page.py
@@ -0,0 +1,166 @@
+"""The burn report as one self-contained HTML page for managers.
+
+The page says first how many promises were kept, then for each service what
+was promised, what happened, and what was going on when it did not go well.
+It needs no network and no script.
+"""
+
+import html
+from collections.abc import Sequence
+from types import MappingProxyType
+
+from tarragonlb.telemetry.burn import ReportDay, ServiceReport
+from tarragonlb.telemetry.burnrate import Budget, PromiseStatus
+from tarragonlb.telemetry.plot import (
+    PERCENT,
+    draw_budget,
+    draw_days,
+    name_day,
+)
+
+STYLE = """
+body { font: 16px/1.5 sans-serif; color: #222; max-width: 52rem;
+  margin: 2rem auto; padding: 0 1rem; }
+h2 { margin-top: 3rem; border-top: 1px solid #ccc; padding-top: 1rem; }
+table { border-collapse: collapse; width: 100%; }
+th, td { text-align: left; padding: .3rem .6rem;
+  border-bottom: 1px solid #ddd; }
+.kept { background: #e3f1e5; } .at-risk { background: #fdf3d7; }
+.broken { background: #f7dcdc; }
+svg { width: 100%; height: auto; }
+"""
+WORDS = MappingProxyType(
+    {
+        PromiseStatus.KEPT: 'kept',
+        PromiseStatus.AT_RISK: 'kept, but soon broken if it goes on like this',
+        PromiseStatus.BROKEN: 'broken',
+    }
+)
+
+
+def write_page(reports: Sequence[ServiceReport], written: str) -> str:
+    """Return the page; ``written`` says when and by whom, in words."""
+    parts = [
+        '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">',
+        f'<title>Promises and what happened</title><style>{STYLE}</style>',
+        '</head><body><h1>Promises and what happened</h1>',
+        f'<p>{html.escape(written)}</p>',
+        _write_summary(reports),
+        *map(_write_service, reports),
+        '</body></html>',
+    ]
+    return '\n'.join(parts)
+
+
+def _write_summary(reports: Sequence[ServiceReport]) -> str:
+    statuses = [
+        budget.status
+        for report in reports
+        for budget in (report.availability, report.latency)
+    ]
+    kept = statuses.count(PromiseStatus.KEPT)
+    rows = '\n'.join(_write_row(report) for report in reports)
+    return (
+        f'<p><strong>{kept} of {len(statuses)} promises are kept, '
+        f'{statuses.count(PromiseStatus.AT_RISK)} are at risk, '
+        f'{statuses.count(PromiseStatus.BROKEN)} are broken.</strong></p>'
+        '<table><tr><th>Service</th><th>Requests</th><th>Answered</th>'
+        f'<th>In time</th></tr>{rows}</table>'
+    )
+
+
+def _write_row(report: ServiceReport) -> str:
+    return (
+        f'<tr><td>{html.escape(report.service)}</td>'
+        f'<td>{report.requests:,}</td>'
+        f'{_write_cell(report.availability)}{_write_cell(report.latency)}</tr>'
+    )
+
+
+def _write_cell(budget: Budget) -> str:
+    style = budget.status.value.replace(' ', '-')
+    seen = 'no request' if budget.seen is None else _format_share(budget.seen)
+    return (
+        f'<td class="{style}">{seen} of {_format_share(budget.promised)} '
+        f'promised: {budget.status.value}</td>'
+    )
+
+
+def _write_service(report: ServiceReport) -> str:
+    parts = [
+        f'<h2>{html.escape(report.service)}</h2>',
+        f'<p>{_describe_promise(report)}</p>',
+        f'<p>{_describe_result(report)}</p>',
+    ]
+    if report.days:
+        parts.extend(
+            (
+                '<h3>Requests that did not go well, day by day</h3>',
+                draw_days(report),
+                '<h3>Allowed failures that were left</h3>',
+                draw_budget(report),
+            )
+        )
+    causes = list_troubles(report)
+    if causes:
+        items = ''.join(f'<li>{html.escape(line)}</li>' for line in causes)
+        parts.append(
+            f'<h3>What was going on when it went wrong</h3><ul>{items}</ul>'
+        )
+    return '\n'.join(parts)
+
+
+def _describe_promise(report: ServiceReport) -> str:
+    return (
+        f'<strong>Promised:</strong> over {report.window_days} days, '
+        f'{_format_share(report.availability.promised)} of requests are '
+        f'answered, and {_format_share(report.latency.promised)} of the '
+        f'answers come within {report.latency_seconds:g} seconds.'
+    )
+
+
+def _describe_result(report: ServiceReport) -> str:
+    if not report.requests:
+        return '<strong>What happened:</strong> there was no request.'
+    return (
+        f'<strong>What happened:</strong> of {report.requests:,} requests, '
+        f'{report.bad:,} were refused or failed and {report.slow:,} were '
+        'answered late. The promise to answer is '
+        f'{_describe_budget(report.availability)} The promise to answer in '
+        f'time is {_describe_budget(report.latency)}'
+    )
+
+
+def _describe_budget(budget: Budget) -> str:
+    left = max(budget.left, 0) * PERCENT
+    text = f'{WORDS[budget.status]}: {left:.0f}% of what may fail is left'
+    if budget.days_left:
+        return (
+            f'{text}, enough for {budget.days_left:.0f} days at the rate of '
+            'the last three days.'
+        )
+    return f'{text}.'
+
+
+def list_troubles(report: ServiceReport) -> list[str]:
+    """Return a line for each day that went worse than is allowed.
+
+    Days on which something is known to have gone on while requests failed or
+    were late are listed, too.
+    """
+    return [
+        f'{name_day(day)}: {day.bad:,} refused or failed, {day.slow:,} late. '
+        f'Going on at the time: {"; ".join(day.causes) or "nothing known"}.'
+        for day in report.days
+        if day.causes or _is_over(report, day)
+    ]
+
+
+def _is_over(report: ServiceReport, day: ReportDay) -> bool:
+    allowed_bad = (1 - report.availability.promised) * day.requests
+    allowed_slow = (1 - report.latency.promised) * (day.requests - day.bad)
+    return day.bad > allowed_bad or day.slow > allowed_slow
+
+
+def _format_share(share: float) -> str:
+    return f'{share * PERCENT:.5g}%'
