--- a/libs/daemon/tarragonlb/daemon/api.py
+++ b/libs/daemon/tarragonlb/daemon/api.py
@@ -1,19 +1,29 @@
-"""All parts of the administration API."""
+"""All parts of the API of one daemon, put together."""
 
 from tarragonlb.daemon.access import AccessTable
-from tarragonlb.daemon.apibase import ApiPart
 from tarragonlb.daemon.apiburn import BurnApi
 from tarragonlb.daemon.apifleet import FleetApi
 from tarragonlb.daemon.apijobs import JobApi
+from tarragonlb.daemon.apikeys import KeyApi
 from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.application import ApiRoutes
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.keydesk import KeyDesk
 from tarragonlb.daemon.watch import FleetWatch
 
-PARTS: tuple[type[ApiPart], ...] = (JobApi, SettingsApi, FleetApi, BurnApi)
 
-
-def make_parts(
-    entry: str, access: AccessTable, journal: Journal, watch: FleetWatch
-) -> tuple[ApiPart, ...]:
-    """Return the parts of the API of one entry VM."""
-    return tuple(part(entry, access, journal, watch) for part in PARTS)
+def list_parts(
+    entry: str,
+    access: AccessTable,
+    journal: Journal,
+    watch: FleetWatch,
+    desk: KeyDesk,
+) -> tuple[ApiRoutes, ...]:
+    """Return the parts that answer as the entry VM ``entry``."""
+    return (
+        JobApi(entry, access, journal, watch),
+        SettingsApi(entry, access, journal, watch),
+        FleetApi(entry, access, journal, watch),
+        BurnApi(entry, access, journal, watch),
+        KeyApi(access, desk.ledger),
+    )
--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -1,6 +1,7 @@
 """The HTTP application of the daemon: callers, the API, and health."""
 
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, Protocol
 
 import trio
 from starlette.applications import Starlette
@@ -8,7 +9,6 @@
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import Route
 
-from tarragonlb.daemon.apibase import ApiPart
 from tarragonlb.daemon.apierrors import ANSWERS
 from tarragonlb.daemon.exchange import Receive, Send
 from tarragonlb.daemon.gateway import PREFIX, Gateway
@@ -17,6 +17,13 @@
 STATUS_UNAVAILABLE = 503
 
 
+class ApiRoutes(Protocol):
+    """A part of the API that has routes."""
+
+    def list_routes(self) -> list[Route]:
+        """Return the routes of this part."""
+
+
 class Application:
     """Sends each request to the gateway or to the API.
 
@@ -38,7 +45,7 @@
         self,
         gateway: Gateway,
         meter: RequestMeter,
-        parts: tuple[ApiPart, ...],
+        parts: Iterable[ApiRoutes],
     ) -> None:
         """Serve callers by the gateway and all else by the API."""
         self._gateway = gateway
--- a/libs/daemon/tarragonlb/daemon/gateway.py
+++ b/libs/daemon/tarragonlb/daemon/gateway.py
@@ -7,19 +7,24 @@
 
 import json
 import uuid
+from math import ceil
 from typing import Any
 
+import trio
+
 from tarragonlb.daemon.access import AccessTable
+from tarragonlb.daemon.claims import Claims
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.dispatch import Dispatcher
-from tarragonlb.daemon.exchange import Exchange, Receive, Send
-from tarragonlb.daemon.journal import Journal
-from tarragonlb.model.errors import (
-    CommitUnknownError,
-    RecordVoidError,
-    RefusedError,
+from tarragonlb.daemon.exchange import (
+    AnswerCutError,
+    CallerGoneError,
+    Exchange,
+    Receive,
+    Send,
 )
-from tarragonlb.model.record import KeyClaimed
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.model.errors import RefusedError, TarragonError
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.routing.request import RequestInfo
 from tarragonlb.settings.schema import ServiceSettings, Urgency
@@ -28,9 +33,6 @@
 PREFIX = '/call/'
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
-STATUS_CONFLICT = 409
-STATUS_UNAVAILABLE = 503
-RETRY_AFTER_SECONDS = 2
 
 
 class Gateway:
@@ -38,21 +40,21 @@
 
     __slots__ = (
         '_access',
+        '_claims',
         '_dispatcher',
-        '_entry',
         '_journal',
         '_say',
     )
 
     def __init__(
         self,
-        entry: str,
         access: AccessTable,
         journal: Journal,
         dispatcher: Dispatcher,
+        claims: Claims,
     ) -> None:
-        """Serve as the entry VM ``entry``."""
-        self._entry = entry
+        """Serve teams that ``access`` knows, by the settings in force."""
+        self._claims = claims
         self._access = access
         self._journal = journal
         self._dispatcher = dispatcher
@@ -71,6 +73,10 @@
                 verdict=refusal.verdict.value,
             )
             await send_refusal(send, request_id, refusal)
+        except AnswerCutError as error:
+            self._say('Answer cut.', request_id=request_id, reason=str(error))
+        except CallerGoneError as error:
+            self._say('Caller left.', request_id=request_id, reason=str(error))
 
     async def _serve(
         self, request_id: str, scope: Any, receive: Receive, send: Send
@@ -81,9 +87,34 @@
         exchange = Exchange(info, scope, receive, send, max_body)
         await exchange.open_body()
         key = headers.get(b'idempotency-key', b'').decode('latin-1')
-        if key and not info.idempotent:
-            await self._claim(info, key)
-        await self._dispatcher.serve(exchange)
+        if info.idempotent or not key:
+            await self._dispatch(exchange)
+        else:
+            await self._serve_once(exchange, key)
+
+    async def _serve_once(self, exchange: Exchange, key: str) -> None:
+        claim = await self._claims.claim(exchange.info, key)
+        try:
+            await self._dispatch(exchange)
+        except RefusedError as refusal:
+            self._claims.conclude(claim, refusal.verdict)
+            raise
+        if exchange.finished:
+            self._claims.conclude(claim, Verdict.RAN)
+
+    async def _dispatch(self, exchange: Exchange) -> None:
+        failure: TarragonError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                _cancel_when_gone, exchange, nursery.cancel_scope
+            )
+            try:
+                await self._dispatcher.serve(exchange)
+            except TarragonError as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure:
+            raise failure
 
     def _describe(
         self, request_id: str, path: str, headers: dict[bytes, bytes]
@@ -101,6 +132,7 @@
             urgent=settings.urgency is Urgency.URGENT,
             idempotent=settings.idempotent,
             deadline=read_monotonic() + timeout,
+            weight=self._journal.state.teams[identity.team].weight,
         )
 
     def _find_service(self, team: str, service: str) -> ServiceSettings:
@@ -114,29 +146,12 @@
             )
         return found
 
-    async def _claim(self, info: RequestInfo, key: str) -> None:
-        record = KeyClaimed(
-            head=self._journal.sign(info.team),
-            team=info.team,
-            key=key,
-            entry=self._entry,
-        )
-        wait = max(info.deadline - read_monotonic(), 0)
-        try:
-            await self._journal.commit(record, wait)
-        except RecordVoidError as error:
-            raise RefusedError(
-                error.reason,
-                verdict=Verdict.MAY_HAVE_RUN,
-                status=STATUS_CONFLICT,
-            ) from error
-        except CommitUnknownError as error:
-            raise RefusedError(
-                'the claim of the key was not recorded in time',
-                verdict=Verdict.NOT_RUN,
-                status=STATUS_UNAVAILABLE,
-                retry_after=RETRY_AFTER_SECONDS,
-            ) from error
+
+async def _cancel_when_gone(
+    exchange: Exchange, scope: trio.CancelScope
+) -> None:
+    await exchange.wait_until_gone()
+    scope.cancel()
 
 
 async def send_refusal(
@@ -149,7 +164,7 @@
         (b'tarragon-request', request_id.encode()),
     ]
     if refusal.retry_after is not None:
-        seconds = max(1, round(refusal.retry_after))
+        seconds = max(1, ceil(refusal.retry_after))
         headers.append((b'retry-after', str(seconds).encode()))
     body = json.dumps(
         {
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -10,11 +10,13 @@
 from hypercorn.trio import serve
 
 from tarragonlb.daemon.access import AccessTable
-from tarragonlb.daemon.api import make_parts
+from tarragonlb.daemon.api import list_parts
 from tarragonlb.daemon.application import Application
+from tarragonlb.daemon.claims import Claims
 from tarragonlb.daemon.dispatch import Dispatcher
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.keydesk import KeyDesk
 from tarragonlb.daemon.measurement import Measurement
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
@@ -35,6 +37,8 @@
     __slots__ = (
         '_application',
         '_journal',
+        '_claims',
+        '_desk',
         '_measurement',
         '_planner',
         '_pools',
@@ -58,12 +62,16 @@
         dispatcher = Dispatcher(settings.zone, random.Random())
         self._pools = PoolTask(self._journal, self._watch, dispatcher)
         access = AccessTable(settings, self._journal.state)
-        gateway = Gateway(settings.name, access, self._journal, dispatcher)
+        self._desk = KeyDesk(settings)
+        self._claims = Claims(settings.name, self._journal, self._desk)
+        gateway = Gateway(access, self._journal, dispatcher, self._claims)
         self._measurement = Measurement(settings, access, self._journal)
         self._application = Application(
             gateway,
             self._measurement.requests,
-            make_parts(settings.name, access, self._journal, self._watch),
+            list_parts(
+                settings.name, access, self._journal, self._watch, self._desk
+            ),
         )
 
     async def run(self) -> None:
@@ -81,15 +89,17 @@
             nursery.cancel_scope.cancel()
         self._say('The daemon has stopped.', name=self._settings.name)
 
-    def _list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
-        return [
-            self._journal.run,
-            self._watch.run,
-            self._planner.run,
-            self._pools.run,
-            self._measurement.burn.run,
-            self._announce_ready,
-        ]
+    def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        parts = (
+            self._journal,
+            self._watch,
+            self._planner,
+            self._pools,
+            self._desk,
+            self._claims,
+            self._measurement.burn,
+        )
+        return (self._announce_ready, *(part.run for part in parts))
 
     async def _announce_ready(self) -> None:
         await self._journal.wait_until_read()
