Record metrics, write the pages that follow from the code, limit the API

Cause: instruments were made but nothing was recorded; there was no OpenAPI document, no list of metrics and no reference of settings; a token could call the administration API without limit and every operator could change all.

Change: requests, durations, offsets, jobs and unavailable VMs are recorded and read as OTLP JSON from GET /metrics; make docs writes docs/METRICS.md, docs/openapi.json and docs/operators/settings-reference.md, make lint compares them; operators may be viewers; /fleet api_requests_per_second holds for each team and operator, 429 comes with Retry-After; unknown routes answer JSON.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: setup demo test lint format bench soak report
+.PHONY: setup demo test lint format bench soak docs
 
 setup: $(STAMP)
 
@@ -29,11 +29,15 @@
 	$(BIN)/mypy libs demo tools bench
 	$(BIN)/lint-imports
 	$(BIN)/python tools/check_tree.py
+	$(BIN)/python tools/write_docs.py --check
 
 format: $(STAMP)
 	$(BIN)/ruff format $(CODE)
 	$(BIN)/ruff check --fix $(CODE)
 
+docs: $(STAMP)
+	$(BIN)/python tools/write_docs.py
+
 bench: $(STAMP)
 	$(BIN)/python bench/run.py
 
--- a/libs/daemon/tarragonlb/daemon/access.py
+++ b/libs/daemon/tarragonlb/daemon/access.py
@@ -7,13 +7,15 @@
 import hashlib
 from dataclasses import dataclass
 
+from tarragonlb.daemon.ratelimit import RateLimiter
 from tarragonlb.journal.state import State
 from tarragonlb.model.errors import RefusedError
 from tarragonlb.model.verdict import Verdict
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.schema import DaemonSettings, Role
 
 STATUS_UNAUTHORIZED = 401
 STATUS_FORBIDDEN = 403
+STATUS_TOO_MANY = 429
 BEARER = 'Bearer '
 
 
@@ -23,6 +25,16 @@
 
     name: str
     team: str = ''
+    role: Role = Role.ADMIN
+
+    def require_admin(self) -> None:
+        """Raise ``RefusedError`` for an operator who may only look."""
+        if self.role is Role.VIEWER:
+            raise RefusedError(
+                f'operator {self.name} is a viewer and may change nothing',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_FORBIDDEN,
+            )
 
     def require_operator(self) -> None:
         """Raise ``RefusedError`` unless this is an operator."""
@@ -46,12 +58,19 @@
 class AccessTable:
     """The hashes of all tokens in force, indexed anew when settings change."""
 
-    __slots__ = ('_identities', '_indexed_at', '_operators', '_state')
+    __slots__ = (
+        '_identities',
+        '_indexed_at',
+        '_limiter',
+        '_operators',
+        '_state',
+    )
 
     def __init__(self, settings: DaemonSettings, state: State) -> None:
         """Use the operators of the start-up file and the teams' settings."""
         self._operators = settings.operators
         self._state = state
+        self._limiter = RateLimiter()
         self._indexed_at = -1
         self._identities: dict[str, Identity] = {}
 
@@ -72,6 +91,22 @@
             )
         return identity
 
+    def limit(self, identity: Identity, now: float) -> None:
+        """Count a call of the administration API.
+
+        Raises ``RefusedError`` if the identity calls too often.
+        """
+        rate = self._state.fleet.api_requests_per_second
+        wait = self._limiter.take(str(identity), rate=rate, now=now)
+        if wait is not None:
+            raise RefusedError(
+                f'{identity.name} may call {rate:g} times a second '
+                '(/fleet api_requests_per_second)',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_TOO_MANY,
+                retry_after=wait,
+            )
+
     def _index(self) -> dict[str, Identity]:
         if self._indexed_at != self._state.settings_offset:
             self._indexed_at = self._state.settings_offset
@@ -85,5 +120,7 @@
             for digest in settings.tokens
         }
         for operator in self._operators:
-            identities[operator.token_sha256] = Identity(name=operator.name)
+            identities[operator.token_sha256] = Identity(
+                name=operator.name, role=operator.role
+            )
         return identities
--- a/libs/daemon/tarragonlb/daemon/apibase.py
+++ b/libs/daemon/tarragonlb/daemon/apibase.py
@@ -9,6 +9,7 @@
 from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable, Identity
+from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.watch import FleetWatch
 from tarragonlb.model.errors import RefusedError
@@ -19,6 +20,7 @@
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
+READING_METHODS = frozenset(('GET', 'HEAD'))
 
 
 class ApiPart(abc.ABC):
@@ -44,8 +46,17 @@
         """Return the routes of this part."""
 
     def identify(self, request: Request) -> Identity:
-        """Return who sent a request."""
-        return self.access.identify(request.headers.get('authorization', ''))
+        """Return who sent a request.
+
+        Raises ``RefusedError`` for those who call too often, and for viewers
+        who want to change something.
+        """
+        authorization = request.headers.get('authorization', '')
+        identity = self.access.identify(authorization)
+        self.access.limit(identity, read_monotonic())
+        if request.method not in READING_METHODS:
+            identity.require_admin()
+        return identity
 
 
 async def read_body(request: Request) -> bytes:
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/apidocument.py
@@ -0,0 +1,142 @@
+"""The OpenAPI document of the daemon's HTTP interfaces.
+
+Paths and methods come from the routes themselves, so none is left out.  What
+a body or an answer looks like comes from the classes that the handlers read
+and write; ``apioperations`` says which.
+"""
+
+import inspect
+from collections.abc import Iterable, Iterator
+from typing import Any, TypeAlias
+
+import msgspec
+from starlette.routing import Route
+
+from tarragonlb.daemon.apioperations import (
+    CALL_HEADERS,
+    OPERATIONS,
+    UNKNOWN,
+    Operation,
+    RefusalAnswer,
+)
+
+Tree: TypeAlias = dict[str, Any]
+OPENAPI_VERSION = '3.1.0'
+COMPONENTS = '#/components/schemas/{name}'
+JSON_TYPE = 'application/json'
+METHODS = ('get', 'post', 'put', 'delete')
+
+
+def write_document(routes: Iterable[Route]) -> Tree:
+    """Return the document as a tree of plain values."""
+    kinds = [RefusalAnswer, *_list_kinds()]
+    components = _make_schemas(kinds)[1]
+    paths: Tree = {'/call/{service}/{path}': _describe_call()}
+    for route in routes:
+        path = route.path.replace(':path}', '}')
+        described = paths.setdefault(path, {})
+        described.update(_describe_route(route, path))
+    return {
+        'openapi': OPENAPI_VERSION,
+        'info': {'title': 'tarragonlb', 'version': '1'},
+        'security': [{'token': []}],
+        'paths': dict(sorted(paths.items())),
+        'components': {
+            'schemas': dict(sorted(components.items())),
+            'securitySchemes': {'token': {'type': 'http', 'scheme': 'bearer'}},
+        },
+    }
+
+
+def _make_schemas(kinds: Iterable[Any]) -> tuple[tuple[Tree, ...], Tree]:
+    return msgspec.json.schema_components(
+        kinds, schema_hook=_describe_any, ref_template=COMPONENTS
+    )
+
+
+def _describe_any(kind: type) -> Tree:
+    return {'title': kind.__name__}
+
+
+def _list_kinds() -> Iterator[Any]:
+    for operation in OPERATIONS.values():
+        if operation.body:
+            yield operation.body
+        if operation.answer:
+            yield operation.answer
+
+
+def _describe_route(route: Route, path: str) -> Tree:
+    summary = inspect.getdoc(route.endpoint) or ''
+    given = {method.lower() for method in route.methods or ()}
+    return {
+        method: _describe_operation(
+            OPERATIONS.get(f'{method} {path}', UNKNOWN), summary, path
+        )
+        for method in METHODS
+        if method in given
+    }
+
+
+def _describe_operation(operation: Operation, summary: str, path: str) -> Tree:
+    described: Tree = {
+        'summary': summary.partition('\n')[0],
+        'parameters': [
+            *_describe_places(path),
+            *map(_describe_header, operation.headers),
+        ],
+        'responses': {
+            str(operation.status): _describe_answer(operation.answer),
+            'default': _describe_answer(RefusalAnswer),
+        },
+    }
+    if operation.body:
+        described['requestBody'] = {
+            'content': _describe_content(operation.body)
+        }
+    if operation.is_open:
+        described['security'] = []
+    return described
+
+
+def _describe_call() -> Tree:
+    operation = Operation(headers=CALL_HEADERS)
+    described = _describe_operation(
+        operation,
+        'Pass a request on to an endpoint of a service of the team.',
+        '/call/{service}/{path}',
+    )
+    return dict.fromkeys(METHODS, described)
+
+
+def _describe_places(path: str) -> Iterator[Tree]:
+    for part in path.split('/'):
+        if part.startswith('{'):
+            yield {
+                'name': part.strip('{}'),
+                'in': 'path',
+                'required': True,
+                'schema': {'type': 'string'},
+            }
+
+
+def _describe_header(text: str) -> Tree:
+    name, _, meaning = text.partition(': ')
+    return {
+        'name': name,
+        'in': 'header',
+        'description': meaning,
+        'schema': {'type': 'string'},
+    }
+
+
+def _describe_answer(kind: Any) -> Tree:
+    described: Tree = {'description': 'An answer.'}
+    if kind:
+        described['content'] = _describe_content(kind)
+    return described
+
+
+def _describe_content(kind: Any) -> Tree:
+    schema = _make_schemas([kind])[0][0]
+    return {JSON_TYPE: {'schema': schema}}
--- a/libs/daemon/tarragonlb/daemon/apierrors.py
+++ b/libs/daemon/tarragonlb/daemon/apierrors.py
@@ -1,5 +1,7 @@
 """Errors of the API, as answers that say what went wrong and where."""
 
+import math
+
 from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import JSONResponse
@@ -23,7 +25,11 @@
     """Answer with what a refusal says."""
     if not isinstance(error, RefusedError):
         raise error
-    return _answer(error.status, error.verdict, str(error))
+    response = _answer(error.status, error.verdict, str(error))
+    if error.retry_after is not None:
+        seconds = max(1, math.ceil(error.retry_after))
+        response.headers['retry-after'] = str(seconds)
+    return response
 
 
 async def answer_route(request: Request, error: Exception) -> JSONResponse:
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/apioperations.py
@@ -0,0 +1,82 @@
+"""What each operation of the HTTP interfaces takes and gives.
+
+The OpenAPI document is written from this table and from the routes.
+"""
+
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any
+
+from tarragonlb.daemon.apifleet import (
+    PoolAnswer,
+    StatusAnswer,
+    SteerRequest,
+    WaveRequest,
+)
+from tarragonlb.daemon.apijobs import CancelRequest, JobAnswer, JobRequest
+from tarragonlb.daemon.apikeys import KeyBatch, KeyRequest
+from tarragonlb.daemon.apisettings import ExplainAnswer
+from tarragonlb.model.entry import SettingEntry, VmEntry, WaveEntry
+from tarragonlb.telemetry.burn import ServiceReport
+
+IF_MATCH = 'If-Match: the version that is to be replaced, 0 for a new path.'
+SOURCE = 'Tarragon-Source: the file that the text comes from.'
+KEY = 'Idempotency-Key: the same key of a team gives the same job.'
+CALL_HEADERS = (
+    'Tarragon-Timeout: seconds that the caller waits.',
+    'Idempotency-Key: the request runs at most once for this key.',
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RefusalAnswer:
+    """What every refusal says; ``verdict`` is not-run or may-have-run."""
+
+    reason: str
+    verdict: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Operation:
+    """What one method of a path takes and gives."""
+
+    body: Any = None
+    answer: Any = None
+    headers: tuple[str, ...] = ()
+    status: int = 200
+    is_open: bool = False
+
+
+OPERATIONS: MappingProxyType[str, Operation] = MappingProxyType(
+    {
+        'get /health': Operation(is_open=True),
+        'get /ready': Operation(is_open=True),
+        'get /v1/settings': Operation(answer=list[SettingEntry]),
+        'get /v1/settings/{path}': Operation(answer=SettingEntry),
+        'put /v1/settings/{path}': Operation(
+            answer=SettingEntry, headers=(IF_MATCH, SOURCE)
+        ),
+        'get /v1/history/{path}': Operation(answer=list[SettingEntry]),
+        'get /v1/explain/{path}': Operation(answer=ExplainAnswer),
+        'post /v1/jobs': Operation(
+            body=JobRequest, answer=JobAnswer, headers=(KEY,), status=202
+        ),
+        'get /v1/jobs': Operation(answer=list[JobAnswer]),
+        'get /v1/jobs/{job_id}': Operation(answer=JobAnswer),
+        'post /v1/jobs/cancel': Operation(
+            body=CancelRequest, answer=list[JobAnswer]
+        ),
+        'get /v1/status': Operation(answer=StatusAnswer),
+        'get /v1/vms': Operation(answer=list[VmEntry]),
+        'get /v1/pools': Operation(answer=list[PoolAnswer]),
+        'post /v1/waves': Operation(body=WaveRequest, answer=WaveEntry),
+        'get /v1/waves': Operation(answer=list[WaveEntry]),
+        'get /v1/waves/{wave_id}': Operation(answer=WaveEntry),
+        'put /v1/waves/{wave_id}': Operation(
+            body=SteerRequest, answer=WaveEntry
+        ),
+        'get /v1/burn': Operation(answer=list[ServiceReport]),
+        'post /v1/keys': Operation(body=KeyRequest, answer=KeyBatch),
+    }
+)
+UNKNOWN = Operation()
--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -38,6 +38,7 @@
         '_meter',
         'active',
         'ready',
+        'routes',
         'stopping',
     )
 
@@ -54,13 +55,15 @@
         self.active = 0
         self.ready = False
         self.stopping = False
-        routes = [
+        self.routes = [
             Route('/health', self.show_health),
             Route('/ready', self.show_ready),
         ]
         for part in parts:
-            routes.extend(part.list_routes())
-        self._api = Starlette(routes=routes, exception_handlers=dict(ANSWERS))
+            self.routes.extend(part.list_routes())
+        self._api = Starlette(
+            routes=self.routes, exception_handlers=dict(ANSWERS)
+        )
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one connection event of the HTTP server."""
--- a/libs/daemon/tarragonlb/daemon/measurement.py
+++ b/libs/daemon/tarragonlb/daemon/measurement.py
@@ -1,12 +1,20 @@
 """What a daemon measures of the requests that it serves."""
 
+from collections import Counter
+
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.burntask import BurnTask
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.metering import RequestMeter
+from tarragonlb.journal.state import State
 from tarragonlb.settings.schema import DaemonSettings
 from tarragonlb.telemetry.meter import BurnMeter
-from tarragonlb.telemetry.metrics import Instruments
+from tarragonlb.telemetry.metrics import (
+    JOBS,
+    LOG_OFFSET,
+    VMS_UNAVAILABLE,
+    Instruments,
+)
 
 
 class Measurement:
@@ -20,4 +28,19 @@
         """Put both onto the same counts."""
         meter = BurnMeter()
         self.burn = BurnTask(settings, journal, meter)
-        self.requests = RequestMeter(access, journal, meter, Instruments())
+        instruments = Instruments()
+        self.requests = RequestMeter(access, journal, meter, instruments)
+        state = journal.state
+        instruments.watch(LOG_OFFSET, lambda: {'global': state.offset})
+        instruments.watch(VMS_UNAVAILABLE, lambda: count_unavailable(state))
+        instruments.watch(JOBS, lambda: count_jobs(state))
+
+
+def count_unavailable(state: State) -> Counter[str]:
+    """Return how many VMs of each pool count as unavailable."""
+    return Counter(vm.pool for vm in state.vms.values() if vm.charge)
+
+
+def count_jobs(state: State) -> Counter[str]:
+    """Return how many jobs are in each phase."""
+    return Counter(job.phase.value for job in state.jobs.values())
--- a/libs/daemon/tarragonlb/daemon/metering.py
+++ b/libs/daemon/tarragonlb/daemon/metering.py
@@ -96,13 +96,9 @@
 
     def _record(self, scope: Any, watch: AnswerWatch, seconds: float) -> None:
         service, settings = self._find_service(scope)
-        labels: dict[str, str | int] = {
-            'service': service,
-            'status': watch.status,
-            'verdict': watch.verdict,
-        }
-        self._instruments.requests.add(1, labels)
-        self._instruments.request_seconds.record(seconds, {'service': service})
+        self._instruments.observe_request(
+            service, watch.status, watch.verdict, seconds
+        )
         gone = watch.left and not watch.ended
         if settings and not gone and self._is_measured(watch):
             seen = RequestResult(
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -8,6 +8,7 @@
 import hypercorn
 import trio
 from hypercorn.trio import serve
+from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.api import list_parts
@@ -89,6 +90,10 @@
             nursery.cancel_scope.cancel()
         self._say('The daemon has stopped.', name=self._settings.name)
 
+    def list_routes(self) -> list[Route]:
+        """Return the routes of the API, which the OpenAPI document lists."""
+        return self._application.routes
+
     def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         parts = (
             self._journal,
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -104,19 +104,32 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
-    """The document under ``/fleet``."""
+    """The document under ``/fleet``.
+
+    ``api_requests_per_second`` holds for each team and operator on each entry
+    VM, and not for requests to services.
+    """
 
     weights: WeightSettings = WeightSettings()
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
+    api_requests_per_second: Positive = 50
     job_lease_seconds: Positive = 30
 
 
+class Role(enum.StrEnum):
+    """Say what an operator may do."""
+
+    ADMIN = 'admin'
+    VIEWER = 'viewer'
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OperatorSettings:
-    """One operator who may change settings, by the hash of a token."""
+    """One operator, by the hash of a token; a viewer changes nothing."""
 
     name: Name
     token_sha256: Digest
+    role: Role = Role.ADMIN
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/telemetry/tarragonlb/telemetry/metrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/metrics.py
@@ -1,11 +1,21 @@
 """Metrics by OpenTelemetry: names, units and what they count.
 
-All instruments are made here, so that ``docs/METRICS.md`` and the code can
-be compared at a glance.  They are read in the JSON of OTLP by ``GET
-/metrics``; nothing is sent anywhere.
+All of them stand in one table, from which ``docs/METRICS.md`` is written.
+They are read as the JSON of OTLP by ``GET /metrics``; nothing is sent
+anywhere, so that a daemon needs no further protocol and no address of a
+collector.
 """
 
-from opentelemetry import metrics
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from opentelemetry.metrics import (
+    CallbackOptions,
+    Observation,
+    get_meter,
+    set_meter_provider,
+)
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
@@ -13,40 +23,142 @@
 EMPTY = '{"resource_metrics": []}'
 _READER = InMemoryMetricReader()
 
+ReadGauge: TypeAlias = Callable[[], Mapping[str, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """A metric as operators see it; ``unit`` is in the notation of UCUM."""
+
+    name: str
+    kind: str
+    unit: str
+    attributes: tuple[str, ...]
+    description: str
+
+
+REQUESTS = Metric(
+    'tarragonlb.requests',
+    'counter',
+    '{request}',
+    ('service', 'status', 'verdict'),
+    'Requests of callers that have ended.',
+)
+REQUEST_SECONDS = Metric(
+    'tarragonlb.request.duration',
+    'histogram',
+    's',
+    ('service',),
+    'From the arrival of a request to the last byte of its answer.',
+)
+COMMIT_SECONDS = Metric(
+    'tarragonlb.commit.duration',
+    'histogram',
+    's',
+    ('kind',),
+    'From a record to its reading back, or to giving up.',
+)
+LOG_OFFSET = Metric(
+    'tarragonlb.log.offset',
+    'gauge',
+    '{record}',
+    ('stream',),
+    'Offset in the log up to which this entry VM has read.',
+)
+VMS_UNAVAILABLE = Metric(
+    'tarragonlb.vms.unavailable',
+    'gauge',
+    '{vm}',
+    ('pool',),
+    'VMs that count as unavailable.',
+)
+JOBS = Metric(
+    'tarragonlb.jobs',
+    'gauge',
+    '{job}',
+    ('phase',),
+    'Jobs that this entry VM knows.',
+)
+METRICS = (
+    REQUESTS,
+    REQUEST_SECONDS,
+    COMMIT_SECONDS,
+    LOG_OFFSET,
+    VMS_UNAVAILABLE,
+    JOBS,
+)
+
+
+class Gauge:
+    """Reads the numbers of a gauge when the metrics are asked for."""
+
+    __slots__ = ('_attribute', '_read')
+
+    def __init__(self, attribute: str, read: ReadGauge) -> None:
+        """Label each number by the value of one attribute."""
+        self._attribute = attribute
+        self._read = read
+
+    def observe(self, options: CallbackOptions) -> Iterable[Observation]:
+        """Yield one observation for each value of the attribute."""
+        for label, number in self._read().items():
+            yield Observation(number, {self._attribute: label})
+
 
 class Instruments:
-    """The instruments of one daemon."""
+    """The instruments of one daemon; its parts call the ``observe`` methods.
 
-    __slots__ = ('commit_seconds', 'refusals', 'request_seconds', 'requests')
+    A process makes one object; a second one counts into the same metrics.
+    """
+
+    __slots__ = ('_commit_seconds', '_meter', '_request_seconds', '_requests')
 
     def __init__(self) -> None:
         """Make all instruments from the process's meter provider."""
-        meter = metrics.get_meter(METER_NAME)
-        self.requests = meter.create_counter(
-            'tarragonlb.requests',
-            unit='{request}',
-            description='Requests of callers, by service, status and verdict.',
+        self._meter = get_meter(METER_NAME)
+        self._requests = self._meter.create_counter(
+            REQUESTS.name, REQUESTS.unit, REQUESTS.description
         )
-        self.request_seconds = meter.create_histogram(
-            'tarragonlb.request.duration',
-            unit='s',
-            description='From the arrival of a request to its last byte.',
+        self._request_seconds = self._meter.create_histogram(
+            REQUEST_SECONDS.name,
+            REQUEST_SECONDS.unit,
+            REQUEST_SECONDS.description,
         )
-        self.refusals = meter.create_counter(
-            'tarragonlb.refusals',
-            unit='{request}',
-            description='Requests that did not run, by service.',
+        self._commit_seconds = self._meter.create_histogram(
+            COMMIT_SECONDS.name,
+            COMMIT_SECONDS.unit,
+            COMMIT_SECONDS.description,
         )
-        self.commit_seconds = meter.create_histogram(
-            'tarragonlb.commit.duration',
-            unit='s',
-            description='From a record to its reading back, by its kind.',
+
+    def observe_request(
+        self, service: str, status: int, verdict: str, seconds: float
+    ) -> None:
+        """Count a request that has ended; status 0 if there was no answer."""
+        labels: dict[str, str | int] = {
+            'service': service,
+            'status': status,
+            'verdict': verdict,
+        }
+        self._requests.add(1, labels)
+        self._request_seconds.record(seconds, {'service': service})
+
+    def observe_commit(self, kind: str, seconds: float) -> None:
+        """Count a record that was read back, or given up."""
+        self._commit_seconds.record(seconds, {'kind': kind})
+
+    def watch(self, metric: Metric, read: ReadGauge) -> None:
+        """Let a gauge be read: ``read`` returns its value per attribute."""
+        self._meter.create_observable_gauge(
+            metric.name,
+            [Gauge(metric.attributes[0], read).observe],
+            metric.unit,
+            metric.description,
         )
 
 
 def start_metrics() -> None:
     """Keep the metrics of this process in memory; call once at start."""
-    metrics.set_meter_provider(MeterProvider(metric_readers=[_READER]))
+    set_meter_provider(MeterProvider(metric_readers=[_READER]))
 
 
 def read_metrics() -> str:
