--- a/libs/daemon/tarragonlb/daemon/api.py
+++ b/libs/daemon/tarragonlb/daemon/api.py
@@ -1,6 +1,7 @@
 """All parts of the API of one daemon, put together."""
 
 from tarragonlb.daemon.access import AccessTable
+from tarragonlb.daemon.apiburn import BurnApi
 from tarragonlb.daemon.apifleet import FleetApi
 from tarragonlb.daemon.apijobs import JobApi
 from tarragonlb.daemon.apikeys import KeyApi
@@ -26,6 +27,7 @@
         JobApi(entry, access, journal, watch),
         SettingsApi(entry, access, journal, watch),
         FleetApi(entry, access, journal, watch),
+        BurnApi(entry, access, journal, watch),
         KeyApi(access, desk.ledger),
         TrafficApi(access, traffic),
     )
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -8,6 +8,7 @@
 import hypercorn
 import trio
 from hypercorn.trio import serve
+from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.api import list_parts
@@ -17,6 +18,7 @@
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.keydesk import KeyDesk
+from tarragonlb.daemon.measurement import Measurement
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.watch import FleetWatch
@@ -38,6 +40,7 @@
         '_journal',
         '_claims',
         '_desk',
+        '_measurement',
         '_planner',
         '_pools',
         '_say',
@@ -63,8 +66,10 @@
         self._desk = KeyDesk(settings)
         self._claims = Claims(settings.name, self._journal, self._desk)
         gateway = Gateway(access, self._journal, dispatcher, self._claims)
+        self._measurement = Measurement(settings, access, self._journal)
         self._application = Application(
             gateway,
+            self._measurement.requests,
             list_parts(
                 settings.name,
                 access,
@@ -86,9 +91,14 @@
             await self._wait_for_stop()
             stopped.set()
             await self._finish_requests()
+            await self._measurement.burn.flush()
             nursery.cancel_scope.cancel()
         self._say('The daemon has stopped.', name=self._settings.name)
 
+    def list_routes(self) -> list[Route]:
+        """Return the routes of the API, which the OpenAPI document lists."""
+        return self._application.routes
+
     def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         parts = (
             self._journal,
@@ -97,6 +107,7 @@
             self._pools,
             self._desk,
             self._claims,
+            self._measurement.burn,
         )
         return (self._announce_ready, *(part.run for part in parts))
 
