--- /dev/null
+++ b/bench/journal_snapshot.py
@@ -0,0 +1,144 @@
+"""What the shared state costs: fold, snapshot, restart and memory."""
+
+import time
+import tracemalloc
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from tarragonlb.journal.codec import encode_record
+from tarragonlb.journal.fold import SEEN_WINDOW_RECORDS, apply_blob
+from tarragonlb.journal.snapshot import (
+    Cut,
+    compress_part,
+    expand_part,
+    restore_state,
+)
+from tarragonlb.journal.state import State
+from tarragonlb.model.ownership import VmAdopted
+from tarragonlb.model.record import Record, SettingPublished, TermTaken
+from tarragonlb.model.scribe import Scribe
+
+SNAPSHOT_SIZES = (1_000, 5_000, 23_000)
+POOLS = 72
+TEAMS = 380
+MICROSECONDS = 1_000_000
+MEBIBYTE = 1024 * 1024
+INCARNATION = '0123456789abcdef0123456789abcdef'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SnapshotFigure:
+    """The cost of one state with so many VMs and ``ids`` of records.
+
+    ``longest_part_milliseconds`` is the longest time that the encoding of one
+    chunk keeps the process from other work.
+    """
+
+    vms: int
+    ids: int
+    fold_microseconds_a_record: float
+    state_mebibytes: float
+    snapshot_bytes: int
+    chunks: int
+    cut_milliseconds: float
+    encode_seconds: float
+    longest_part_milliseconds: float
+    encode_peak_mebibytes: float
+    restore_seconds: float
+
+
+def list_records(vms: int, ids: int) -> Iterator[Record]:
+    """Yield records that make a state of this size."""
+    scribe = Scribe('entry-bench', INCARNATION)
+    for kind, count in (('pools', POOLS), ('teams', TEAMS)):
+        for index in range(count):
+            yield SettingPublished(
+                head=scribe.sign(0, 0),
+                path=f'/{kind}/{kind}-{index}',
+                text='{}',
+                source='bench.yaml',
+                expected_version=0,
+            )
+    for index in range(vms):
+        yield VmAdopted(
+            head=scribe.sign(0, 0),
+            vm_id=f'vm-{index}',
+            pool=f'pool-{index % POOLS}',
+            zone=f'zone-{index % 8}',
+            rack=f'rack-{index // 4}',
+        )
+    for number in range(ids - vms - POOLS - TEAMS):
+        yield TermTaken(
+            head=scribe.sign(number, 0),
+            scope='planner',
+            expected_number=min(number, 1),
+            holder='entry-bench',
+        )
+
+
+def measure_snapshot(
+    vms: int, ids: int = SEEN_WINDOW_RECORDS
+) -> SnapshotFigure:
+    """Fold a state of this size, take its snapshot and restore it."""
+    blobs = [encode_record(record) for record in list_records(vms, ids)]
+    state, fold_seconds = _fold(blobs)
+    cut_seconds = _cut(state)
+    bodies, times = _encode(Cut(state))
+    state_bytes, peak_bytes = _weigh(blobs)
+    return SnapshotFigure(
+        vms=vms,
+        ids=ids,
+        fold_microseconds_a_record=fold_seconds / len(blobs) * MICROSECONDS,
+        state_mebibytes=state_bytes / MEBIBYTE,
+        snapshot_bytes=sum(map(len, bodies)),
+        chunks=len(bodies),
+        cut_milliseconds=cut_seconds * 1000,
+        encode_seconds=sum(times),
+        longest_part_milliseconds=max(times) * 1000,
+        encode_peak_mebibytes=peak_bytes / MEBIBYTE,
+        restore_seconds=_restore(bodies),
+    )
+
+
+def _fold(blobs: list[bytes]) -> tuple[State, float]:
+    state = State()
+    started = time.process_time()
+    for offset, blob in enumerate(blobs, start=1):
+        apply_blob(state, offset, blob)
+    return state, time.process_time() - started
+
+
+def _weigh(blobs: list[bytes]) -> tuple[int, int]:
+    tracemalloc.start()
+    state, _ = _fold(blobs)
+    state_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.reset_peak()
+    Cut(state).read_content()
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return state_bytes, peak_bytes - state_bytes
+
+
+def _cut(state: State) -> float:
+    started = time.process_time()
+    Cut(state)
+    return time.process_time() - started
+
+
+def _encode(cut: Cut) -> tuple[list[bytes], list[float]]:
+    bodies = []
+    times = []
+    started = time.process_time()
+    part = cut.read_part()
+    while part is not None:
+        bodies.append(compress_part(part))
+        times.append(time.process_time() - started)
+        started = time.process_time()
+        part = cut.read_part()
+    return bodies, times
+
+
+def _restore(bodies: list[bytes]) -> float:
+    started = time.process_time()
+    restore_state(expand_part(body) for body in bodies)
+    return time.process_time() - started
--- a/bench/run.py
+++ b/bench/run.py
@@ -8,12 +8,18 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from fold_speed import SIZES, measure_fold  # noqa: E402
+from journal_snapshot import (  # noqa: E402
+    SNAPSHOT_SIZES,
+    measure_snapshot,
+)
 
 
 def main() -> None:
     """Print one line a figure."""
     for size in SIZES:
         print(json.dumps({'fold': asdict(measure_fold(size))}))
+    for size in SNAPSHOT_SIZES:
+        print(json.dumps({'snapshot': asdict(measure_snapshot(size))}))
 
 
 if __name__ == '__main__':
--- a/libs/daemon/tarragonlb/daemon/journal.py
+++ b/libs/daemon/tarragonlb/daemon/journal.py
@@ -1,80 +1,80 @@
-"""The journal of a process: it reads the log, folds it, and commits records.
+"""The journal of a process: it drives the replica over the platform's log.
 
 A commit ends when its record was read back, never before.  Records of many
-callers go to the log in one append.  An append whose answer was lost is sent
-again: the ids of the records make it count once.
+callers go to the log in one append.  What to append and what was read is
+decided in ``tarragonlb.journal.replica``; here are the calls and the waiting.
 """
 
 import math
-from dataclasses import dataclass
 
 import trio
 
 from tarragonlb.daemon.clock import read_monotonic, read_wall
-from tarragonlb.journal.codec import encode_record
-from tarragonlb.journal.fold import Outcome, apply_blob
+from tarragonlb.journal.fold import Outcome
 from tarragonlb.journal.log import Log as PlatformLog
+from tarragonlb.journal.outbox import Pending
+from tarragonlb.journal.replica import Replica
+from tarragonlb.journal.snapshotter import Snapshotter, make_records
 from tarragonlb.journal.state import State
 from tarragonlb.model.errors import (
     CommitUnknownError,
+    JournalError,
     PlatformError,
+    RecordsExpiredError,
     RecordVoidError,
 )
 from tarragonlb.model.record import Head, Record
 from tarragonlb.model.scribe import Scribe
+from tarragonlb.model.snapshot import SnapshotOpened
 from tarragonlb.telemetry.log import Log
 
 BATCH_SECONDS = 0.01
 POLL_SECONDS = 5
 RETRY_SECONDS = 0.2
 COMMIT_TIMEOUT_SECONDS = 5
-MAX_BATCH_RECORDS = 256
-
-
-@dataclass(eq=False, slots=True)
-class Pending:
-    """A record on its way into the log and back."""
-
-    record: Record
-    blob: bytes
-    done: trio.Event
-    outcome: Outcome | None = None
-    abandoned: bool = False
+SNAPSHOT_CHECK_SECONDS = 1
+CHUNK_SECONDS = 0.05
+PART_SECONDS = 0.01
 
 
 class Journal:
-    """Owns the state of this process and the connection to the log."""
+    """Owns the replica of this process and the connection to the log."""
 
     __slots__ = (
         '_changed',
         '_log',
-        '_pending',
-        '_receiver',
         '_say',
         '_scribe',
-        '_sender',
+        '_snapshotter',
+        '_submitted',
+        '_waiting',
         'last_read',
-        'state',
+        'replica',
     )
 
     def __init__(self, log: PlatformLog, scribe: Scribe) -> None:
         """Start with an empty state."""
-        self.state = State()
+        self.replica = Replica()
         self.last_read = -math.inf
         self._log = log
         self._scribe = scribe
+        self._snapshotter = Snapshotter(scribe.author)
         self._say = Log('journal').say
-        self._pending: dict[str, Pending] = {}
+        self._waiting: dict[str, trio.Event] = {}
         self._changed = trio.Event()
-        self._sender, self._receiver = trio.open_memory_channel[Pending](
-            math.inf
-        )
+        self._submitted = trio.Event()
+
+    @property
+    def state(self) -> State:
+        """Return the shared state; it is the same object at all times."""
+        return self.replica.state
 
     async def run(self) -> None:
         """Read and write until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._keep_reading)
             nursery.start_soon(self._keep_writing)
+            nursery.start_soon(self._keep_snapshots)
 
     def sign(self, author: str = '') -> Head:
         """Return the head of a new record on the present state."""
@@ -85,83 +85,112 @@
     ) -> Outcome:
         """Append a record and wait until it is read back.
 
-        Raises ``RecordVoidError`` if it did not count, and
-        ``CommitUnknownError`` if it was not read back in time.
+        Raises ``RecordVoidError`` if it did not count,
+        ``CommitUnknownError`` if it was not read back in time, and
+        ``JournalError`` if the journal has stopped and nothing was sent.
         """
-        pending = Pending(record, encode_record(record), trio.Event())
-        self._pending[record.head.record_id] = pending
-        self._sender.send_nowait(pending)
+        pending = self.replica.submit(record)
+        settled = self._waiting.setdefault(pending.record_id, trio.Event())
+        self._submitted.set()
         try:
             with trio.move_on_after(timeout_seconds):
-                await pending.done.wait()
+                await settled.wait()
         finally:
-            pending.abandoned = True
-            self._pending.pop(record.head.record_id, None)
-        if pending.outcome is None:
-            raise CommitUnknownError('the record was not read back in time')
-        if pending.outcome.reason:
-            raise RecordVoidError(pending.outcome.reason)
-        return pending.outcome
+            self._waiting.pop(pending.record_id)
+            self.replica.outbox.give_up(pending)
+        return _judge(pending)
 
     async def wait_for_change(self) -> None:
         """Wait until another record has been folded."""
         await self._changed.wait()
 
     async def wait_until_read(self) -> None:
-        """Wait until the log has answered once."""
+        """Wait until the end of the log was reached once."""
         while self.last_read == -math.inf:
             await self._changed.wait()
 
     async def _keep_reading(self) -> None:
         wait_seconds = 0.0
-        while True:
+        while not self.replica.halted:
             try:
-                entries = await self._log.read(self.state.offset, wait_seconds)
+                await self._read(wait_seconds)
+            except RecordsExpiredError as error:
+                self._say('Records have expired, a snapshot is searched.')
+                self.replica.expire(error.oldest)
+                wait_seconds = 0
             except PlatformError as error:
                 self._say('The log can not be read.', error=str(error))
                 await trio.sleep(RETRY_SECONDS)
-                continue
-            for entry in entries:
-                self._settle(apply_blob(self.state, entry.offset, entry.blob))
+            else:
+                caught_up = self.replica.caught_up
+                wait_seconds = POLL_SECONDS if caught_up else 0
+        self.last_read = -math.inf
+        self._say('The journal has halted.', reason=self.replica.halted)
+
+    async def _read(self, wait_seconds: float) -> None:
+        after = self.replica.read_after
+        entries = await self._log.read(after, wait_seconds)
+        self._announce(self.replica.take(entries))
+        if self.replica.caught_up and not self.replica.searching:
             self.last_read = read_monotonic()
-            wait_seconds = POLL_SECONDS
-            self._changed.set()
-            self._changed = trio.Event()
+        self._changed.set()
+        self._changed = trio.Event()
 
-    def _settle(self, outcome: Outcome) -> None:
-        pending = self._pending.pop(outcome.record_id, None)
-        if pending:
-            pending.outcome = outcome
-            pending.done.set()
+    def _announce(self, settled: list[Pending]) -> None:
+        for pending in settled:
+            waiting = self._waiting.get(pending.record_id)
+            if waiting is not None:
+                waiting.set()
 
     async def _keep_writing(self) -> None:
-        async for first in self._receiver:
+        while True:
+            await self._submitted.wait()
+            self._submitted = trio.Event()
             await trio.sleep(BATCH_SECONDS)
-            batch = [first, *self._take_waiting()]
-            await self._append(batch)
-
-    def _take_waiting(self) -> list[Pending]:
-        batch: list[Pending] = []
-        while len(batch) < MAX_BATCH_RECORDS:
-            try:
-                batch.append(self._receiver.receive_nowait())
-            except trio.WouldBlock:
-                break
-        return batch
+            await self._write_all()
 
-    async def _append(self, batch: list[Pending]) -> None:
-        while True:
-            batch = [
-                pending
-                for pending in batch
-                if not pending.abandoned and pending.outcome is None
-            ]
-            if not batch:
-                return
+    async def _write_all(self) -> None:
+        batch = self.replica.outbox.take_batch()
+        while batch and not self.replica.halted:
             try:
                 await self._log.append([pending.blob for pending in batch])
             except PlatformError as error:
                 self._say('The append failed.', error=repr(error))
+                self.replica.outbox.put_back(batch)
                 await trio.sleep(RETRY_SECONDS)
-            else:
-                return
+            batch = self.replica.outbox.take_batch()
+
+    async def _keep_snapshots(self) -> None:
+        await self.wait_until_read()
+        while True:
+            await trio.sleep(SNAPSHOT_CHECK_SECONDS)
+            now = read_monotonic()
+            opened = self._snapshotter.plan(self.replica, now, self.sign)
+            if opened:
+                await self._write_snapshot(opened)
+            await self._encode_cut()
+
+    async def _write_snapshot(self, opened: SnapshotOpened) -> None:
+        try:
+            await self.commit(opened)
+            for record in make_records(self.replica, opened, self.sign):
+                await self.commit(record)
+                await trio.sleep(CHUNK_SECONDS)
+        except JournalError as error:
+            self._say('No snapshot was written.', reason=str(error))
+        else:
+            self._say('A snapshot was written.', offset=self.state.offset)
+
+    async def _encode_cut(self) -> None:
+        cut = self.replica.cut
+        while cut and not cut.ended:
+            cut.read_part()
+            await trio.sleep(PART_SECONDS)
+
+
+def _judge(pending: Pending) -> Outcome:
+    if pending.outcome is None:
+        raise CommitUnknownError('the record was not read back in time')
+    if pending.outcome.reason:
+        raise RecordVoidError(pending.outcome.reason)
+    return pending.outcome
--- /dev/null
+++ b/libs/journal/features/steps/replica_steps.py
@@ -0,0 +1,186 @@
+"""Steps for replicas."""
+
+import contextlib
+import dataclasses
+from unittest import mock
+
+import cbor2
+from behave import given, then, when
+from replica_world import FakeLog, Member, ReplicaMachine, run_machine
+
+from tarragonlb.journal import fold, snapshot
+from tarragonlb.journal.codec import encode_record
+from tarragonlb.journal.replica import Replica
+from tarragonlb.journal.snapshotter import make_records
+from tarragonlb.model.errors import JournalError
+from tarragonlb.model.record import SettingPublished
+from tarragonlb.model.snapshot import SnapshotChunk, SnapshotOpened
+
+READ_ALL = 10_000
+
+
+def list_rows_without_ids(fields, list_rows=snapshot._list_rows):
+    return (row for row in list_rows(fields) if row[0] != 'seen')
+
+
+def take_at_once(self, entries, take=Replica.take):
+    self.caught_up = True
+    return take(self, entries)
+
+
+def write_and_acknowledge(self, name, fate):
+    """Tell the writer that its records count once they are appended."""
+    member = self.members[name]
+    batch = member.replica.outbox.take_batch()
+    self.log.append([pending.blob for pending in batch])
+    for pending in batch:
+        counted = self.log.accepted.get(pending.record_id)
+        assert counted, 'acknowledged and refused'
+
+
+MECHANISMS = {
+    'counting an id once': (fold, '_remember', lambda *_: None),
+    'keeping ids in a snapshot': (
+        snapshot,
+        '_list_rows',
+        list_rows_without_ids,
+    ),
+    'waiting for the end of the log': (Replica, 'take', take_at_once),
+    'waiting for the read-back': (
+        ReplicaMachine,
+        'write',
+        write_and_acknowledge,
+    ),
+}
+
+
+@then('{examples:d} random runs of {steps:d} steps keep every invariant')
+def check_machine(context, examples, steps):
+    run_machine(examples, steps)
+
+
+@when('{mechanism} is switched off')
+def switch_off(context, mechanism):
+    context.mechanism = MECHANISMS[mechanism]
+
+
+@then('the random runs fail with "{fault}"')
+def check_failing(context, fault):
+    try:
+        with mock.patch.object(*context.mechanism):
+            run_machine(60, 200)
+    except AssertionError as error:
+        assert fault in str(error), error
+    else:
+        raise AssertionError('the random runs found nothing')
+
+
+def publish(member, text):
+    record = SettingPublished(
+        head=member.sign(),
+        path='/fleet',
+        text=text,
+        source='test',
+        expected_version=0,
+    )
+    return encode_record(record)
+
+
+def write_snapshot(member, log):
+    opened = SnapshotOpened(
+        head=member.sign(),
+        expected_opened=member.replica.state.snapshot.opened,
+    )
+    log.append([encode_record(opened)])
+    catch_up(member, log)
+    return list(make_records(member.replica, opened, member.sign))
+
+
+def catch_up(member, log):
+    member.replica.take(log.read(member.replica.read_after, READ_ALL))
+
+
+@given('two replicas, one of which has a different text of a setting')
+def start_two(context):
+    context.log = FakeLog()
+    context.members = [Member('a1'), Member('b1')]
+    context.log.append([publish(context.members[0], '{}')])
+    for member in context.members:
+        catch_up(member, context.log)
+    settings = context.members[1].replica.state.settings
+    settings['/fleet'] = dataclasses.replace(
+        settings['/fleet'], text='weights: {}'
+    )
+
+
+@when('a snapshot is written by the other')
+def write_by_first(context):
+    records = write_snapshot(context.members[0], context.log)
+    context.log.append([encode_record(record) for record in records])
+    for member in context.members:
+        catch_up(member, context.log)
+
+
+@then('the one that differs has halted with "{reason}"')
+def check_halted(context, reason):
+    sound, differing = context.members
+    assert not sound.replica.halted
+    assert reason in differing.replica.halted, differing.replica.halted
+
+
+@then('it refuses to submit a record')
+def check_refusal(context):
+    differing = context.members[1]
+    with contextlib.suppress(JournalError):
+        differing.replica.submit(
+            SnapshotOpened(head=differing.sign(), expected_opened=0)
+        )
+        raise AssertionError('it was submitted')
+    assert not differing.replica.outbox.take_batch()
+
+
+@when('a record of an unknown kind is appended')
+def append_unknown(context):
+    blob = cbor2.dumps(['FromTheFuture', {}])
+    context.log.entries.append(
+        type(context.log.entries[0])(len(context.log.entries) + 1, blob)
+    )
+    for member in context.members:
+        catch_up(member, context.log)
+
+
+@then('every replica has halted with "{reason}"')
+def check_all_halted(context, reason):
+    for member in context.members:
+        assert reason in member.replica.halted
+        assert member.replica.state.offset == 1
+
+
+@given('a log with a snapshot whose chunk is damaged, and a sound one')
+def write_two(context):
+    context.log = FakeLog()
+    context.member = Member('a1')
+    context.log.append([publish(context.member, '{}')])
+    catch_up(context.member, context.log)
+    for damaged in (True, False):
+        for record in write_snapshot(context.member, context.log):
+            blob = encode_record(record)
+            if damaged and isinstance(record, SnapshotChunk):
+                blob = blob.replace(record.body[-4:], b'0000')
+            context.log.append([blob])
+        catch_up(context.member, context.log)
+
+
+@when('the records before the snapshots expire')
+def expire(context):
+    context.log.oldest = 2
+
+
+@then('a new replica starts from the sound one')
+def check_start(context):
+    replica = Replica()
+    replica.expire(context.log.oldest)
+    for _ in range(3):
+        replica.take(context.log.read(replica.read_after, READ_ALL))
+    assert not replica.searching
+    assert replica.state.digest == context.log.reference.digest
--- /dev/null
+++ b/libs/journal/features/steps/replica_world.py
@@ -0,0 +1,295 @@
+"""Many replicas over one log in memory, with every fault the log can have."""
+
+import contextlib
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from tarragonlb.journal import fold, snapshot
+from tarragonlb.journal.fold import apply_blob
+from tarragonlb.journal.log import LogEntry
+from tarragonlb.journal.replica import Replica
+from tarragonlb.journal.snapshot import Cut
+from tarragonlb.journal.snapshotter import Snapshotter, make_records
+from tarragonlb.journal.state import State
+from tarragonlb.model.record import SettingPublished, TermTaken
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.model.snapshot import SnapshotOpened
+
+MEMBERS = ('a1', 'a2', 'b1', 'b2')
+PATHS = ('/fleet', '/pools/p', '/teams/t')
+EXCHANGES = 12
+SNAPSHOT_RECORDS = 10
+RARELY = strategies.sampled_from((False, False, False, True))
+TEXTS = ('{}', 'x: [', '')
+
+SMALL_LIMITS = (
+    (snapshot, 'CHUNK_BYTES', 400),
+    (fold, 'SEEN_WINDOW_RECORDS', 64),
+)
+
+
+class FakeLog:
+    """Keeps all records; those before ``oldest`` can't be read any more."""
+
+    def __init__(self):
+        self.entries = []
+        self.oldest = 1
+        self.late = []
+        self.reference = State()
+        self.digests = {0: b''}
+        self.contents = {0: Cut(self.reference).read_content()}
+        self.accepted = {}
+
+    def append(self, blobs):
+        for blob in blobs:
+            offset = len(self.entries) + 1
+            self.entries.append(LogEntry(offset, blob))
+            outcome = apply_blob(self.reference, offset, blob)
+            self.digests[offset] = self.reference.digest
+            self.contents[offset] = Cut(self.reference).read_content()
+            if outcome.accepted:
+                first = self.accepted.setdefault(outcome.record_id, offset)
+                assert first == offset, f'{outcome.record_id} counted twice'
+
+    def read(self, after, count):
+        return self.entries[after : after + count]
+
+
+class Member:
+    """One entry VM; its process is replaced when it is killed."""
+
+    def __init__(self, name):
+        self.name = name
+        self.starts = 0
+        self.shown = 0
+        self.cut_off = False
+        self.start()
+
+    def start(self):
+        self.starts += 1
+        self.scribe = Scribe(self.name, str(self.starts))
+        self.replica = Replica()
+        self.snapshotter = Snapshotter(self.name)
+        self.opened = None
+        self.chunks = iter(())
+
+    def sign(self):
+        return self.scribe.sign(self.replica.state.offset, 0)
+
+    def settle(self, pending, log):
+        """Check what the writer is told against the reference."""
+        counted = log.accepted.get(pending.record_id)
+        if pending.doubtful:
+            return
+        if pending.outcome.accepted:
+            assert counted == pending.outcome.offset, 'acknowledged and lost'
+        else:
+            assert counted is None, 'refused and counted all the same'
+        if not pending.outcome.accepted:
+            return
+        if isinstance(pending.record, SnapshotOpened):
+            self.chunks = make_records(self.replica, pending.record, self.sign)
+        self.write_chunk()
+
+    def write_chunk(self):
+        record = next(self.chunks, None)
+        if record:
+            self.replica.submit(record)
+
+
+class ReplicaMachine(stateful.RuleBasedStateMachine):
+    """Drives the members in any order; see the invariants at the end."""
+
+    names = strategies.sampled_from(MEMBERS)
+
+    def __init__(self):
+        super().__init__()
+        self.log = FakeLog()
+        self.members = {name: Member(name) for name in MEMBERS}
+        self.down = False
+        self.now = 0
+
+    def alive(self, name):
+        member = self.members[name]
+        return member, not member.replica.halted
+
+    @stateful.rule(
+        name=names,
+        path=strategies.sampled_from(PATHS),
+        text=strategies.sampled_from(TEXTS),
+        stale=strategies.integers(0, 1),
+    )
+    def publish(self, name, path, text, stale):
+        member, alive = self.alive(name)
+        entry = member.replica.state.settings.get(path)
+        version = entry.version if entry else 0
+        if alive:
+            member.replica.submit(
+                SettingPublished(
+                    head=member.sign(),
+                    path=path,
+                    text=text,
+                    source=name,
+                    expected_version=max(version - stale, 0),
+                )
+            )
+
+    @stateful.rule(name=names)
+    def take_term(self, name):
+        member, alive = self.alive(name)
+        entry = member.replica.state.terms.get('planner')
+        if alive:
+            member.replica.submit(
+                TermTaken(
+                    head=member.sign(),
+                    scope='planner',
+                    expected_number=entry.number if entry else 0,
+                    holder=name,
+                )
+            )
+
+    @stateful.rule(
+        name=names,
+        fate=strategies.sampled_from(
+            ('done', 'done', 'lost', 'refused', 'late', 'doubled')
+        ),
+    )
+    def write(self, name, fate):
+        member, _ = self.alive(name)
+        outbox = member.replica.outbox
+        batch = outbox.take_batch()
+        blobs = [pending.blob for pending in batch]
+        if self.down or member.cut_off or fate == 'refused':
+            outbox.put_back(batch)
+        elif fate == 'late':
+            self.log.late.append(blobs)
+            outbox.put_back(batch)
+        else:
+            self.log.append(blobs * (2 if fate == 'doubled' else 1))
+            if fate == 'lost':
+                outbox.put_back(batch)
+
+    @stateful.rule()
+    def let_late_append_arrive(self):
+        if self.log.late:
+            self.log.append(self.log.late.pop(0))
+
+    @stateful.rule(name=names, count=strategies.sampled_from((3, 200, 200)))
+    def read(self, name, count):
+        member, alive = self.alive(name)
+        if not alive or self.down or member.cut_off:
+            return
+        replica = member.replica
+        if replica.read_after + 1 < self.log.oldest:
+            replica.expire(self.log.oldest)
+        entries = self.log.read(replica.read_after, count)
+        for pending in replica.take(entries):
+            member.settle(pending, self.log)
+
+    @stateful.rule(name=names, certain=RARELY)
+    def kill(self, name, certain):
+        if certain:
+            self.members[name].start()
+
+    @stateful.rule(zone=strategies.sampled_from('ab'), off=RARELY)
+    def cut_zone(self, zone, off):
+        for member in self.members.values():
+            if member.name[0] == zone:
+                member.cut_off = off
+
+    @stateful.rule(down=RARELY)
+    def switch_outage(self, down):
+        self.down = down
+
+    @stateful.rule(name=names, whole=strategies.booleans())
+    def write_snapshot(self, name, whole):
+        """Open a snapshot; finish it at once or leave it to later steps."""
+        if whole:
+            self.exchange(name)
+        self.open_snapshot(name)
+        if whole:
+            self.exchange(name)
+            self.expire_records()
+
+    def open_snapshot(self, name):
+        member, alive = self.alive(name)
+        if not alive or member.replica.searching:
+            return
+        opened = member.replica.state.snapshot.opened
+        if member.replica.state.offset - opened < SNAPSHOT_RECORDS:
+            return
+        member.replica.submit(
+            SnapshotOpened(head=member.sign(), expected_opened=opened)
+        )
+
+    @stateful.rule(name=names)
+    def exchange(self, name):
+        member = self.members[name]
+        if member.cut_off or self.down:
+            return
+        for _ in range(EXCHANGES):
+            self.write(name, 'done')
+            self.read(name, 200)
+
+    @stateful.rule()
+    def expire_records(self):
+        """Drop what is before the newest complete snapshot."""
+        latest = self.log.reference.snapshot
+        if latest.closed:
+            self.log.oldest = max(self.log.oldest, latest.opened)
+
+    @stateful.invariant()
+    def check_agreement(self):
+        """Equal offsets mean equal digests and equal contents."""
+        for member in self.members.values():
+            state = member.replica.state
+            assert not member.replica.halted, member.replica.halted
+            digest = self.log.digests[state.offset]
+            assert state.digest == digest, 'digests are not equal'
+            content = Cut(state).read_content()
+            expected = self.log.contents[state.offset]
+            assert content == expected, 'contents are not equal'
+
+    @stateful.invariant()
+    def check_offsets(self):
+        """What a member shows never goes back, over restarts either."""
+        for member in self.members.values():
+            replica = member.replica
+            if replica.caught_up:
+                assert replica.state.offset >= member.shown, 'offset fell'
+                member.shown = replica.state.offset
+
+    def teardown(self):
+        """Let everything heal: all come to the state of the whole log."""
+        self.down = False
+        for late in self.log.late:
+            self.log.append(late)
+        for member in self.members.values():
+            member.cut_off = False
+            self.exchange(member.name)
+        for member in self.members.values():
+            self.read(member.name, 10_000)
+            self.read(member.name, 10_000)
+            digest = member.replica.state.digest
+            assert digest == self.log.reference.digest, 'not equal'
+        self.check_agreement()
+
+
+def run_machine(examples, steps, seed=0):
+    """Run with small limits, so that chunks and windows are exceeded."""
+    machine = hypothesis.seed(seed)(ReplicaMachine) if seed else ReplicaMachine
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=not seed,
+        deadline=None,
+        database=None,
+        phases=(hypothesis.Phase.generate,),
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    with contextlib.ExitStack() as stack:
+        for place, name, limit in SMALL_LIMITS:
+            stack.enter_context(mock.patch.object(place, name, limit))
+        stateful.run_state_machine_as_test(machine, settings=settings)
--- a/libs/journal/tarragonlb/journal/codec.py
+++ b/libs/journal/tarragonlb/journal/codec.py
@@ -10,7 +10,7 @@
 import cbor2
 import msgspec
 
-from tarragonlb.model import job, ownership, record, wave
+from tarragonlb.model import job, ownership, record, snapshot, wave
 from tarragonlb.model.errors import JournalError, UnknownRecordError
 
 MAX_RECORD_BYTES = 512 * 1024
@@ -33,6 +33,9 @@
             job.JobsCancelled,
             wave.WavePlanned,
             wave.WaveSteered,
+            snapshot.SnapshotOpened,
+            snapshot.SnapshotChunk,
+            snapshot.SnapshotClosed,
         )
     }
 )
@@ -40,7 +43,8 @@
 
 def encode_record(entry: record.Record) -> bytes:
     """Return the bytes of a record."""
-    return cbor2.dumps([type(entry).__name__, msgspec.to_builtins(entry)])
+    fields = msgspec.to_builtins(entry, builtin_types=(bytes,))
+    return cbor2.dumps([type(entry).__name__, fields])
 
 
 def decode_record(blob: bytes) -> record.Record:
--- a/libs/journal/tarragonlb/journal/fold.py
+++ b/libs/journal/tarragonlb/journal/fold.py
@@ -9,7 +9,13 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
-from tarragonlb.journal import jobfold, settingfold, vmfold, wavefold
+from tarragonlb.journal import (
+    jobfold,
+    settingfold,
+    snapshotfold,
+    vmfold,
+    wavefold,
+)
 from tarragonlb.journal.codec import decode_record
 from tarragonlb.journal.rule import Reason, Rule
 from tarragonlb.journal.state import State
@@ -26,17 +32,24 @@
         **vmfold.RULES,
         **jobfold.RULES,
         **wavefold.RULES,
+        **snapshotfold.RULES,
     }
 )
 
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Whether a record counted; ``reason`` is empty if it did."""
+    """Whether a record counted; ``reason`` is empty if it did.
+
+    ``entry`` is the record, None for bytes that are none.  ``repeated`` says
+    that the id was folded before: this copy says nothing about the first one.
+    """
 
     offset: int
     record_id: str
     reason: Reason = ''
+    entry: Record | None = None
+    repeated: bool = False
 
     @property
     def accepted(self) -> bool:
@@ -58,23 +71,24 @@
     except JournalError as error:
         outcome = Outcome(offset, '', str(error))
     else:
-        outcome = Outcome(
-            offset, entry.head.record_id, _fold(state, entry, offset)
-        )
+        outcome = _fold(state, entry, offset)
     state.offset = offset
     state.digest = _chain(state.digest, blob, outcome)
     return outcome
 
 
-def _fold(state: State, entry: Record, offset: int) -> Reason:
-    counted_at = state.seen.get(entry.head.record_id)
+def _fold(state: State, entry: Record, offset: int) -> Outcome:
+    record_id = entry.head.record_id
+    counted_at = state.seen.get(record_id)
     if counted_at:
-        return f'counted at offset {counted_at}'
+        reason = f'counted at offset {counted_at}'
+        return Outcome(offset, record_id, reason, entry, repeated=True)
     if entry.head.basis < offset - SEEN_WINDOW_RECORDS:
-        return f'made too long ago, at offset {entry.head.basis}'
-    reason = _RULES[type(entry)](state, entry, offset)
-    _remember(state, entry.head.record_id, offset)
-    return reason or ''
+        reason = f'made too long ago, at offset {entry.head.basis}'
+        return Outcome(offset, record_id, reason, entry)
+    refusal = _RULES[type(entry)](state, entry, offset)
+    _remember(state, record_id, offset)
+    return Outcome(offset, record_id, refusal or '', entry)
 
 
 def _remember(state: State, record_id: str, offset: int) -> None:
--- /dev/null
+++ b/libs/journal/tarragonlb/journal/snapshotter.py
@@ -0,0 +1,104 @@
+"""Says when a snapshot is due, and makes its records.
+
+Every daemon watches; whoever is first to open a snapshot writes it.  Each one
+waits a while of its own once a snapshot is due, so that most of them see the
+record of another and write nothing.  A snapshot whose writer has died is given
+up by whoever opens the next one.
+"""
+
+import zlib
+from collections.abc import Callable, Iterator
+
+from tarragonlb.journal.replica import Replica
+from tarragonlb.journal.snapshot import compress_part
+from tarragonlb.model.record import Head, Record
+from tarragonlb.model.snapshot import (
+    SnapshotChunk,
+    SnapshotClosed,
+    SnapshotEntry,
+    SnapshotOpened,
+)
+
+STALLED_SECONDS = 60
+SPREAD_SECONDS = 30
+MAX_CHECKSUM = 0xFFFFFFFF
+
+
+class Snapshotter:
+    """Watches the snapshots of one replica for the process ``member``."""
+
+    __slots__ = ('_due_since', '_latest', '_member', '_seen_at')
+
+    def __init__(self, member: str) -> None:
+        """Start without having seen a snapshot."""
+        self._member = member
+        self._latest = SnapshotEntry()
+        self._seen_at = float('-inf')
+        self._due_since: float | None = None
+
+    def plan(
+        self, replica: Replica, now: float, sign: Callable[[], Head]
+    ) -> SnapshotOpened | None:
+        """Return the record that opens a snapshot, if this member should.
+
+        ``now`` is in seconds of the monotonic clock.
+        """
+        latest = replica.state.snapshot
+        if latest != self._latest or self._seen_at == float('-inf'):
+            self._latest = latest
+            self._seen_at = now
+        if not self._is_due(replica, now):
+            self._due_since = None
+            return None
+        if self._due_since is None:
+            self._due_since = now
+        if now < self._due_since + self._choose_wait():
+            return None
+        return SnapshotOpened(head=sign(), expected_opened=latest.opened)
+
+    def _is_due(self, replica: Replica, now: float) -> bool:
+        if replica.searching or replica.halted:
+            return False
+        idle_seconds = now - self._seen_at
+        if self._latest.opened and not self._latest.closed:
+            return idle_seconds >= STALLED_SECONDS
+        records = replica.state.offset - self._latest.opened
+        pace = replica.state.fleet.snapshot
+        return records >= pace.records or idle_seconds >= pace.seconds
+
+    def _choose_wait(self) -> float:
+        share = zlib.crc32(self._member.encode()) / MAX_CHECKSUM
+        return share * SPREAD_SECONDS
+
+
+def make_records(
+    replica: Replica, opened: SnapshotOpened, sign: Callable[[], Head]
+) -> Iterator[Record]:
+    """Yield the chunks of a snapshot that was opened, and its end.
+
+    It ends early if another snapshot was opened meanwhile.
+    """
+    cut = replica.cut
+    snapshot_id = opened.head.record_id
+    if cut is None or replica.state.snapshot.snapshot_id != snapshot_id:
+        return
+    index = 0
+    part = cut.read_part()
+    while part is not None:
+        yield SnapshotChunk(
+            head=sign(),
+            snapshot_id=snapshot_id,
+            opened=cut.opened,
+            index=index,
+            body=compress_part(part),
+        )
+        index += 1
+        part = cut.read_part()
+    yield SnapshotClosed(
+        head=sign(),
+        snapshot_id=snapshot_id,
+        opened=cut.opened,
+        chunks=index,
+        digest=cut.digest,
+        content=cut.read_content(),
+    )
--- a/libs/journal/tarragonlb/journal/state.py
+++ b/libs/journal/tarragonlb/journal/state.py
@@ -3,8 +3,13 @@
 Everything in it follows from the records up to ``offset`` and from nothing
 else: no clock, no address, no random number.  Entries are immutable and are
 replaced whole; the mappings belong to the fold, readers only look.
+
+The annotations are the shape of a snapshot: each mapping is a table of it, and
+a new field is carried as soon as it is annotated here.
 """
 
+from typing import Any
+
 from tarragonlb.model.entry import (
     ClaimEntry,
     JobEntry,
@@ -13,6 +18,8 @@
     VmEntry,
     WaveEntry,
 )
+from tarragonlb.model.invariant import ensure
+from tarragonlb.model.snapshot import SnapshotEntry
 from tarragonlb.settings.schema import FleetSettings, PoolSettings, TeamSettings
 
 
@@ -31,26 +38,68 @@
         'seen',
         'settings',
         'settings_offset',
+        'snapshot',
         'teams',
         'terms',
         'vms',
         'waves',
     )
 
+    offset: int
+    digest: bytes
+    seen: dict[str, int]
+    settings: dict[str, SettingEntry]
+    history: dict[str, tuple[SettingEntry, ...]]
+    settings_offset: int
+    fleet: FleetSettings
+    pools: dict[str, PoolSettings]
+    teams: dict[str, TeamSettings]
+    vms: dict[str, VmEntry]
+    jobs: dict[str, JobEntry]
+    keys: dict[tuple[str, str], str]
+    claims: dict[tuple[str, str], ClaimEntry]
+    waves: dict[str, WaveEntry]
+    terms: dict[str, TermEntry]
+    snapshot: SnapshotEntry
+
     def __init__(self) -> None:
         """Start before the first record of the log."""
         self.offset = 0
         self.digest = b''
-        self.seen: dict[str, int] = {}
-        self.settings: dict[str, SettingEntry] = {}
-        self.history: dict[str, tuple[SettingEntry, ...]] = {}
+        self.seen = {}
+        self.settings = {}
+        self.history = {}
         self.settings_offset = 0
         self.fleet = FleetSettings()
-        self.pools: dict[str, PoolSettings] = {}
-        self.teams: dict[str, TeamSettings] = {}
-        self.vms: dict[str, VmEntry] = {}
-        self.jobs: dict[str, JobEntry] = {}
-        self.keys: dict[tuple[str, str], str] = {}
-        self.claims: dict[tuple[str, str], ClaimEntry] = {}
-        self.waves: dict[str, WaveEntry] = {}
-        self.terms: dict[str, TermEntry] = {}
+        self.pools = {}
+        self.teams = {}
+        self.vms = {}
+        self.jobs = {}
+        self.keys = {}
+        self.claims = {}
+        self.waves = {}
+        self.terms = {}
+        self.snapshot = SnapshotEntry()
+
+    def read_fields(self) -> dict[str, Any]:
+        """Return every field by name, with mappings copied.
+
+        The entries are shared, they never change; so the copy stays a true
+        picture of this offset while the fold goes on.
+        """
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        return {
+            name: dict(field) if isinstance(field, dict) else field
+            for name, field in fields.items()
+        }
+
+    def adopt(self, later: 'State') -> None:
+        """Take over a state of a later offset, in place."""
+        ensure(
+            later.offset >= self.offset,
+            'the offset of the state never falls',
+            self.offset,
+            later.offset,
+        )
+        for name, field in later.read_fields().items():
+            setattr(self, name, field)
--- a/libs/model/tarragonlb/model/scribe.py
+++ b/libs/model/tarragonlb/model/scribe.py
@@ -18,6 +18,11 @@
         self._incarnation = incarnation
         self._count = 0
 
+    @property
+    def author(self) -> str:
+        """Return the name of the process."""
+        return self._author
+
     def sign(self, basis: int, now: float, author: str = '') -> Head:
         """Return the head of the next record.
 
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -79,11 +79,24 @@
     vm_moves: Positive = 1
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SnapshotSettings:
+    """How often the shared state is written into the log as a whole.
+
+    The limit that is reached first counts.  The log must keep records for at
+    least three times as long.
+    """
+
+    records: Annotated[int, Meta(ge=1)] = 16_384
+    seconds: Positive = 3600
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
     """The document under ``/fleet``."""
 
     weights: WeightSettings = WeightSettings()
+    snapshot: SnapshotSettings = SnapshotSettings()
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
     job_lease_seconds: Positive = 30
 
