--- a/bench/run.py
+++ b/bench/run.py
@@ -10,6 +10,10 @@
 from claim_cost import measure_claims  # noqa: E402
 from daemon_cost import measure_daemons  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
+from journal_snapshot import (  # noqa: E402
+    SNAPSHOT_SIZES,
+    measure_snapshot,
+)
 
 
 def main() -> None:
@@ -21,6 +25,8 @@
             print(json.dumps({'daemon': asdict(daemon)}))
     for figure in measure_claims():
         print(json.dumps({'claim': asdict(figure)}))
+    for size in SNAPSHOT_SIZES:
+        print(json.dumps({'snapshot': asdict(measure_snapshot(size))}))
 
 
 if __name__ == '__main__':
--- a/libs/daemon/tarragonlb/daemon/api.py
+++ b/libs/daemon/tarragonlb/daemon/api.py
@@ -23,11 +23,9 @@
     traffic: Traffic,
 ) -> tuple[ApiRoutes, ...]:
     """Return the parts that answer as the entry VM ``entry``."""
+    kinds = (JobApi, SettingsApi, FleetApi, BurnApi)
     return (
-        JobApi(entry, access, journal, watch),
-        SettingsApi(entry, access, journal, watch),
-        FleetApi(entry, access, journal, watch),
-        BurnApi(entry, access, journal, watch),
+        *(kind(entry, access, journal, watch) for kind in kinds),
         KeyApi(access, desk.ledger),
         TrafficApi(access, traffic),
     )
--- a/libs/daemon/tarragonlb/daemon/burntask.py
+++ b/libs/daemon/tarragonlb/daemon/burntask.py
@@ -16,7 +16,7 @@
 from tarragonlb.model.burn import BurnReported
 from tarragonlb.model.entry import VmEntry
 from tarragonlb.model.errors import CommitUnknownError, RecordVoidError
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
 from tarragonlb.telemetry.meter import (
     SECONDS_PER_MINUTE,
--- a/libs/daemon/tarragonlb/daemon/measurement.py
+++ b/libs/daemon/tarragonlb/daemon/measurement.py
@@ -7,7 +7,7 @@
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.metering import RequestMeter
 from tarragonlb.journal.state import State
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.meter import BurnMeter
 from tarragonlb.telemetry.metrics import (
     JOBS,
