Keep the words of refusals out of the digest

Cause: the digest chained the reason of a void record. Reasons contain words of libraries and of this version, so two versions of the daemon that word a refusal differently would differ in digest and halt.

Ruled out: chaining only whether a record counted.

Change: the digest chains one of three marks: counted, void, repeated.

--- a/libs/journal/features/steps/fold_steps.py
+++ b/libs/journal/features/steps/fold_steps.py
@@ -1,9 +1,12 @@
 """Steps for the fold."""
 
+from unittest import mock
+
 import hypothesis
 from behave import given, then, when
 from hypothesis import strategies
 
+from tarragonlb.journal import settingfold
 from tarragonlb.journal.codec import encode_record
 from tarragonlb.journal.fold import apply_blob
 from tarragonlb.journal.state import State
@@ -45,6 +48,30 @@
         append(context, encode_record(record))
 
 
+@when('"{path}" is published on version 7')
+def publish_stale(context, path):
+    record = SettingPublished(
+        head=sign(context.scribe),
+        path=path,
+        text='{}',
+        source='test',
+        expected_version=7,
+    )
+    context.blob = encode_record(record)
+
+
+@then('the digest does not change with the words of the refusal')
+def compare_words(context):
+    with mock.patch.object(
+        settingfold, '_explain_version', return_value='other words'
+    ):
+        append(context, context.blob)
+    assert context.outcomes[-1].reason == 'other words'
+    other = State()
+    assert not apply_blob(other, 1, context.blob).accepted
+    assert other.digest == context.state.digest
+
+
 @when('a record is appended twice')
 def append_twice(context):
     record = TermTaken(
--- a/libs/journal/tarragonlb/journal/fold.py
+++ b/libs/journal/tarragonlb/journal/fold.py
@@ -26,6 +26,9 @@
 
 SEEN_WINDOW_RECORDS = 65_536
 DIGEST_BYTES = 16
+COUNTED = b'\x01'
+VOID = b'\x00'
+REPEATED = b'\x02'
 
 _RULES: MappingProxyType[type, Rule] = MappingProxyType(
     {
@@ -102,5 +105,11 @@
 def _chain(digest: bytes, blob: bytes, outcome: Outcome) -> bytes:
     link = hashlib.blake2b(digest, digest_size=DIGEST_BYTES)
     link.update(blob)
-    link.update(outcome.reason.encode())
+    link.update(_mark(outcome))
     return link.digest()
+
+
+def _mark(outcome: Outcome) -> bytes:
+    if outcome.accepted:
+        return COUNTED
+    return REPEATED if outcome.repeated else VOID
--- a/libs/journal/tarragonlb/journal/settingfold.py
+++ b/libs/journal/tarragonlb/journal/settingfold.py
@@ -21,11 +21,7 @@
     current = state.settings.get(entry.path)
     version = current.version if current else 0
     if version != entry.expected_version:
-        author = current.author if current else 'nobody'
-        return (
-            f'{entry.path} is at version {version} set by {author}, '
-            f'expected version {entry.expected_version}'
-        )
+        return _explain_version(entry, current)
     try:
         document = read_document(entry.text, entry.path)
     except SettingsError as error:
@@ -47,6 +43,17 @@
     return None
 
 
+def _explain_version(
+    entry: SettingPublished, current: SettingEntry | None
+) -> Reason:
+    author = current.author if current else 'nobody'
+    version = current.version if current else 0
+    return (
+        f'{entry.path} is at version {version} set by {author}, '
+        f'expected version {entry.expected_version}'
+    )
+
+
 def put_in_force(state: State, path: str, document: object) -> None:
     """Index a checked document by the team or pool that it is about."""
     name = path.rpartition('/')[2]
