--- /dev/null
+++ b/bench/burn_cost.py
@@ -0,0 +1,134 @@
+"""What the burn report costs: counting, summaries, folding, and memory.
+
+Each figure is taken at three numbers of services, all of them active, with 36
+days, 24 hours and 12 spans of five minutes in the fold.
+"""
+
+import time
+import tracemalloc
+from dataclasses import dataclass
+
+from tarragonlb.journal.burnfold import (
+    FINE_MINUTES,
+    HOUR_MINUTES,
+    MAX_DAY_BUCKETS,
+    MAX_FINE_BUCKETS,
+    MAX_HOUR_BUCKETS,
+    add_count,
+)
+from tarragonlb.journal.codec import encode_record
+from tarragonlb.model.burn import (
+    MINUTES_PER_DAY,
+    BurnEntry,
+    BurnReported,
+    ServiceCount,
+)
+from tarragonlb.model.record import Head
+from tarragonlb.settings.schema import ObjectiveSettings
+from tarragonlb.telemetry.burn import report_service
+from tarragonlb.telemetry.meter import BurnMeter, RequestResult, choose_period
+
+SIZES = (60, 380, 1140)
+ENTRIES = 72
+REQUESTS_EACH = 100
+FIRST_MINUTE = 29_000_000
+LAST_MINUTE = FIRST_MINUTE + MAX_DAY_BUCKETS * MINUTES_PER_DAY
+MICROSECOND = 1e-6
+KILOBYTE = 1024
+MINUTES = (
+    *(FIRST_MINUTE + day * MINUTES_PER_DAY for day in range(MAX_DAY_BUCKETS)),
+    *(LAST_MINUTE - hour * HOUR_MINUTES for hour in range(MAX_HOUR_BUCKETS)),
+    *(LAST_MINUTE - step * FINE_MINUTES for step in range(MAX_FINE_BUCKETS)),
+)
+OBJECTIVE = ObjectiveSettings(availability=0.999, latency_seconds=2)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BurnFigure:
+    """Costs at a number of services; times in microseconds.
+
+    ``period_minutes`` is the time between two summaries of an entry VM if
+    there are 72 of them.
+    """
+
+    services: int
+    count_request: float
+    summary_bytes: int
+    period_minutes: int
+    fold_service: float
+    report_service: float
+    entry_kilobytes: float
+
+
+def measure_burn(services: int) -> BurnFigure:
+    """Return the costs at a number of services."""
+    meter = BurnMeter()
+    counting = _count(meter, services)
+    counts = meter.cut()
+    size = len(encode_record(_make_record(counts)))
+    started = time.perf_counter()
+    entries = _fold(counts)
+    folding = time.perf_counter() - started
+    return BurnFigure(
+        services=services,
+        count_request=_scale(counting, services * REQUESTS_EACH),
+        summary_bytes=size,
+        period_minutes=choose_period(size, ENTRIES),
+        fold_service=_scale(folding, services * len(MINUTES)),
+        report_service=_scale(_report(entries), services),
+        entry_kilobytes=_measure_memory(counts),
+    )
+
+
+def _measure_memory(counts: tuple[ServiceCount, ...]) -> float:
+    tracemalloc.start()
+    entries = _fold(counts)
+    kept = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return round(kept / len(entries) / KILOBYTE, 1)
+
+
+def _count(meter: BurnMeter, services: int) -> float:
+    started = time.perf_counter()
+    for number in range(services):
+        for step in range(REQUESTS_EACH):
+            seen = RequestResult(
+                service=f'team-{number}/service',
+                seconds=(step + 1) / REQUESTS_EACH,
+                answered=bool(step),
+            )
+            meter.add(seen, OBJECTIVE)
+    return time.perf_counter() - started
+
+
+def _make_record(counts: tuple[ServiceCount, ...]) -> BurnReported:
+    head = Head(
+        record_id='entry-colombo-1-0123456789abcdef0123456789abcdef-1',
+        basis=1,
+        author='entry-colombo-1',
+        written_at=1.5e9,
+    )
+    return BurnReported(
+        head=head, entry='entry-colombo-1', minute=FIRST_MINUTE, counts=counts
+    )
+
+
+def _fold(counts: tuple[ServiceCount, ...]) -> list[BurnEntry]:
+    entries = [BurnEntry(service=count.service) for count in counts]
+    for minute in MINUTES:
+        entries = [
+            add_count(entry, count, minute)
+            for entry, count in zip(entries, counts, strict=True)
+        ]
+    return entries
+
+
+def _report(entries: list[BurnEntry]) -> float:
+    started = time.perf_counter()
+    for entry in entries:
+        report_service(entry, OBJECTIVE, LAST_MINUTE)
+    return time.perf_counter() - started
+
+
+def _scale(seconds: float, steps: int) -> float:
+    return round(seconds / steps / MICROSECOND, 1)
--- a/bench/run.py
+++ b/bench/run.py
@@ -7,6 +7,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+from burn_cost import SIZES as BURN_SIZES  # noqa: E402
+from burn_cost import measure_burn  # noqa: E402
 from claim_cost import measure_claims  # noqa: E402
 from daemon_cost import measure_daemons  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
@@ -19,6 +21,8 @@
     for size in SIZES:
         for daemon in measure_daemons(size):
             print(json.dumps({'daemon': asdict(daemon)}))
+    for services in BURN_SIZES:
+        print(json.dumps({'burn': asdict(measure_burn(services))}))
     for figure in measure_claims():
         print(json.dumps({'claim': asdict(figure)}))
 
--- a/libs/daemon/tarragonlb/daemon/apiburn.py
+++ b/libs/daemon/tarragonlb/daemon/apiburn.py
@@ -1,5 +1,6 @@
 """Handlers for the report on service-level burn, and for metrics."""
 
+import trio
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -33,19 +34,20 @@
         """Answer with the report on all services that have an objective."""
         identity = self.identify(request)
         now_minute = int(read_wall() // SECONDS_PER_MINUTE)
-        return answer_json(self._report(identity, now_minute))
+        return answer_json(await self._report(identity, now_minute))
 
     async def show_metrics(self, request: Request) -> Response:
         """Answer with the metrics of this process as OTLP JSON."""
         self.identify(request).require_operator()
         return Response(read_metrics(), media_type='application/json')
 
-    def _report(
+    async def _report(
         self, identity: Identity, now_minute: int
     ) -> list[ServiceReport]:
         state = self.journal.state
         reports = []
         for name, settings in self._list_services(identity):
+            await trio.lowlevel.checkpoint()
             entry = state.burn.get(name, BurnEntry(service=name))
             if settings.objective:
                 reports.append(
--- a/libs/journal/tarragonlb/journal/burnfold.py
+++ b/libs/journal/tarragonlb/journal/burnfold.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import replace
 from types import MappingProxyType
 
 from tarragonlb.journal.rule import Reason, Rule
@@ -23,8 +24,9 @@
 FINE_MINUTES = 5
 HOUR_MINUTES = 60
 MAX_FINE_BUCKETS = 12
-MAX_HOUR_BUCKETS = 72
+MAX_HOUR_BUCKETS = 24
 MAX_DAY_BUCKETS = 36
+MAX_LATENCY_DAYS = 7
 MAX_CAUSES = 6
 
 
@@ -55,9 +57,11 @@
         hours=_add(present.hours, count, minute, HOUR_MINUTES)[
             -MAX_HOUR_BUCKETS:
         ],
-        days=_add(present.days, count, minute, MINUTES_PER_DAY)[
-            -MAX_DAY_BUCKETS:
-        ],
+        days=_forget_latency(
+            _add(present.days, count, minute, MINUTES_PER_DAY)[
+                -MAX_DAY_BUCKETS:
+            ]
+        ),
     )
 
 
@@ -102,6 +106,14 @@
     return tuple(sorted((*others, added), key=_read_start))
 
 
+def _forget_latency(days: tuple[BurnBucket, ...]) -> tuple[BurnBucket, ...]:
+    latest = len(days) - MAX_LATENCY_DAYS
+    return tuple(
+        replace(day, latency=()) if day.latency and index < latest else day
+        for index, day in enumerate(days)
+    )
+
+
 def _read_start(bucket: BurnBucket) -> int:
     return bucket.start
 
--- a/libs/model/tarragonlb/model/burn.py
+++ b/libs/model/tarragonlb/model/burn.py
@@ -50,8 +50,8 @@
 class BurnBucket:
     """The counts of all entry VMs in one span of time.
 
-    ``start`` is in minutes since 1970.  Only buckets of whole days keep
-    ``latency``.
+    ``start`` is in minutes since 1970.  Only the latest buckets of whole days
+    keep ``latency``.
     """
 
     start: int
--- a/libs/telemetry/tarragonlb/telemetry/burnrate.py
+++ b/libs/telemetry/tarragonlb/telemetry/burnrate.py
@@ -96,7 +96,7 @@
                 (entry.fine, FIVE_MINUTES),
                 (entry.fine, HOUR_MINUTES),
                 (entry.hours, SIX_HOURS_MINUTES),
-                (entry.hours, THREE_DAYS_MINUTES),
+                (entry.days, THREE_DAYS_MINUTES),
             )
         )
     )
--- a/libs/telemetry/tarragonlb/telemetry/latency.py
+++ b/libs/telemetry/tarragonlb/telemetry/latency.py
@@ -1,4 +1,4 @@
-"""Latencies as counts of logarithmic buckets, by the library ddsketch.
+"""Latencies as counts of logarithmic buckets, those of the library ddsketch.
 
 The buckets of all entry VMs are the same, so counts add up.  A quantile is
 exact to a fifth of its size, which is enough to say whether callers waited.
@@ -11,9 +11,7 @@
 
 from collections import Counter
 
-from ddsketch.ddsketch import BaseDDSketch
 from ddsketch.mapping import LogarithmicMapping
-from ddsketch.store import DenseStore
 
 from tarragonlb.model.burn import LatencyCounts
 
@@ -43,10 +41,15 @@
 
 
 def find_quantile(counts: LatencyCounts, share: float) -> float | None:
-    """Return the latency in seconds that a share of answers stays below."""
-    store = DenseStore()
+    """Return the latency in seconds that a share of answers stays below.
+
+    The counts are in the order of their buckets; None if there are none.
+    """
+    rank = share * sum(count for _, count in counts)
+    seen = 0
     for key, count in counts:
-        store.add(key, count)
-    sketch = BaseDDSketch(_MAPPING, store, DenseStore(), 0)
-    seconds: float | None = sketch.get_quantile_value(share)
-    return seconds
+        seen += count
+        if seen >= rank:
+            seconds: float = _MAPPING.value(key)
+            return seconds
+    return None
