--- a/libs/daemon/tarragonlb/daemon/api.py
+++ b/libs/daemon/tarragonlb/daemon/api.py
@@ -6,10 +6,12 @@
 from tarragonlb.daemon.apijobs import JobApi
 from tarragonlb.daemon.apikeys import KeyApi
 from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.apitraffic import TrafficApi
 from tarragonlb.daemon.application import ApiRoutes
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.keydesk import KeyDesk
 from tarragonlb.daemon.watch import FleetWatch
+from tarragonlb.platform.traffic import Traffic
 
 
 def list_parts(
@@ -18,6 +20,7 @@
     journal: Journal,
     watch: FleetWatch,
     desk: KeyDesk,
+    traffic: Traffic,
 ) -> tuple[ApiRoutes, ...]:
     """Return the parts that answer as the entry VM ``entry``."""
     return (
@@ -26,4 +29,5 @@
         FleetApi(entry, access, journal, watch),
         BurnApi(entry, access, journal, watch),
         KeyApi(access, desk.ledger),
+        TrafficApi(access, traffic),
     )
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -71,7 +71,12 @@
             gateway,
             self._measurement.requests,
             list_parts(
-                settings.name, access, self._journal, self._watch, self._desk
+                settings.name,
+                access,
+                self._journal,
+                self._watch,
+                self._desk,
+                client.traffic,
             ),
         )
 
