Refuse bad tokens and keys before sending, forget services given up

Seen in a trial: tarragonlb without a token ended in 'did not answer: LocalProtocolError' with exit code 4 although nothing was sent; a key that is not ASCII ended in a traceback. Both are bad input (2) now.

The burn counts of services that no settings name any more are dropped; the list of API parts is a list, so that it may grow; the version is the package's.

--- a/libs/cli/features/offline.feature
+++ b/libs/cli/features/offline.feature
@@ -12,6 +12,9 @@
       | status --server 127.0.0.1:1                | 2    | expected http://IP:PORT                     |
       | status --server http://127.0.0.1:99999     | 2    | expected http://IP:PORT                     |
       | status --server http://[                   | 2    | expected http://IP:PORT                     |
+      | status --token ঔ                           | 2    | --token: expected printable ASCII           |
+      | status --token=                            | 2    | a token is needed                           |
+      | job submit index pool --key ঔ              | 2    | characters that no header may have          |
       | nothing                                    | 2    | Unknown command "nothing"                   |
       | job submit index pool --cores many         | 2    | unable to convert "many" into int           |
       | settings check nofile.yaml --path /fleet   | 2    | nofile.yaml: No such file                   |
--- a/libs/cli/tarragonlb/cli/client.py
+++ b/libs/cli/tarragonlb/cli/client.py
@@ -25,13 +25,16 @@
 
 
 NOT_REACHED_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
+HEADER_ERRORS = (httpcore.LocalProtocolError, TypeError)
 ADDRESS_ERRORS = (httpcore.UnsupportedProtocol, ValueError, OverflowError)
 UNKNOWN_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
-CALL_ERRORS = NOT_REACHED_ERRORS + ADDRESS_ERRORS + UNKNOWN_ERRORS
+CALL_ERRORS = (
+    NOT_REACHED_ERRORS + HEADER_ERRORS + ADDRESS_ERRORS + UNKNOWN_ERRORS
+)
 
 
 class CallError(TarragonError):
@@ -58,6 +61,7 @@
         headers: Mapping[str, str] | None = None,
     ) -> Any:
         """Return the decoded answer; raise ``CallError`` for a refusal."""
+        self._check_token()
         timeout = dict.fromkeys(('connect', 'read', 'write'), TIMEOUT_SECONDS)
         all_headers = {'authorization': f'Bearer {self.token}'}
         all_headers.update(headers or {})
@@ -83,6 +87,14 @@
         """Send an object as JSON and return the decoded answer."""
         return self.call(method, path, json.dumps(order).encode(), headers)
 
+    def _check_token(self) -> None:
+        if not self.token.isascii() or not self.token.isprintable():
+            message = '--token: expected printable ASCII characters'
+            raise CallError(message, EXIT_BAD_INPUT)
+        if not self.token.strip():
+            message = 'a token is needed: --token or TARRAGONLB_TOKEN'
+            raise CallError(message, EXIT_BAD_INPUT)
+
 
 def read_fields(answer: Any) -> dict[str, Any]:
     """Return an answer that has to be an object with fields."""
@@ -102,6 +114,9 @@
     if isinstance(error, NOT_REACHED_ERRORS):
         message = f'{url} was not reached: {error}'
         return CallError(message, EXIT_NOT_REACHED)
+    if isinstance(error, HEADER_ERRORS):
+        message = 'a key or name has characters that no header may have'
+        return CallError(message, EXIT_BAD_INPUT)
     if isinstance(error, ADDRESS_ERRORS):
         message = f'--server: expected http://IP:PORT, got {url!r}'
         return CallError(message, EXIT_BAD_INPUT)
--- a/libs/cli/tarragonlb/cli/command.py
+++ b/libs/cli/tarragonlb/cli/command.py
@@ -1,6 +1,7 @@
 """The command ``tarragonlb``: groups of commands and their exit codes."""
 
 import sys
+from importlib import metadata
 
 import cyclopts
 
@@ -11,6 +12,7 @@
 application = cyclopts.App(
     name='tarragonlb',
     help='Drive a fleet by its administration API.',
+    version=metadata.version('tarragonlb-cli'),
     help_epilogue=(
         'Exit codes: 0 done, 1 refused, 2 bad input, 3 server not reached, '
         '4 unknown whether the change took effect.'
--- a/libs/daemon/tarragonlb/daemon/api.py
+++ b/libs/daemon/tarragonlb/daemon/api.py
@@ -21,13 +21,13 @@
     watch: FleetWatch,
     desk: KeyDesk,
     traffic: Traffic,
-) -> tuple[ApiRoutes, ...]:
+) -> list[ApiRoutes]:
     """Return the parts that answer as the entry VM ``entry``."""
-    return (
+    return [
         JobApi(entry, access, journal, watch),
         SettingsApi(entry, access, journal, watch),
         FleetApi(entry, access, journal, watch),
         BurnApi(entry, access, journal, watch),
         KeyApi(access, desk.ledger),
         TrafficApi(access, traffic),
-    )
+    ]
--- a/libs/daemon/tarragonlb/daemon/apioperations.py
+++ b/libs/daemon/tarragonlb/daemon/apioperations.py
@@ -16,6 +16,7 @@
 from tarragonlb.daemon.apijobs import CancelRequest, JobAnswer, JobRequest
 from tarragonlb.daemon.apikeys import KeyBatch, KeyRequest
 from tarragonlb.daemon.apisettings import ExplainAnswer
+from tarragonlb.daemon.apitraffic import TrafficAnswer
 from tarragonlb.model.entry import SettingEntry, VmEntry, WaveEntry
 from tarragonlb.telemetry.burn import ServiceReport
 
@@ -76,6 +77,7 @@
             body=SteerRequest, answer=WaveEntry
         ),
         'get /v1/burn': Operation(answer=list[ServiceReport]),
+        'get /v1/traffic': Operation(answer=TrafficAnswer),
         'post /v1/keys': Operation(body=KeyRequest, answer=KeyBatch),
     }
 )
--- a/libs/journal/tarragonlb/journal/burnfold.py
+++ b/libs/journal/tarragonlb/journal/burnfold.py
@@ -34,7 +34,7 @@
     state: State, entry: BurnReported, offset: int
 ) -> Reason | None:
     """Add the counts of an entry VM to those of the others."""
-    known = [count for count in entry.counts if _is_known(state, count)]
+    known = [count for count in entry.counts if _is_known(state, count.service)]
     if not known:
         return 'none of these services is in the settings'
     for count in known:
@@ -42,6 +42,7 @@
             count.service, BurnEntry(service=count.service)
         )
         state.burn[count.service] = add_count(present, count, entry.minute)
+    _forget_services(state)
     return None
 
 
@@ -73,10 +74,18 @@
     return tuple(sorted(total.items()))
 
 
-def _is_known(state: State, count: ServiceCount) -> bool:
-    team, _, service = count.service.partition('/')
+def _is_known(state: State, service: str) -> bool:
+    team, _, name = service.partition('/')
     settings = state.teams.get(team)
-    return settings is not None and service in settings.services
+    return settings is not None and name in settings.services
+
+
+def _forget_services(state: State) -> None:
+    known = sum(len(team.services) for team in state.teams.values())
+    if len(state.burn) > known:
+        for service in tuple(state.burn):
+            if not _is_known(state, service):
+                state.burn.pop(service)
 
 
 def _add(
--- a/libs/telemetry/features/burn.feature
+++ b/libs/telemetry/features/burn.feature
@@ -12,6 +12,13 @@
     When "entry-1" reports 1 good, 0 slow and 0 bad of "archive/other"
     Then the last summary is void
 
+  Scenario: A service that the team has given up is forgotten
+    Given a log with the team "archive" that is promised 0.99 within 2 seconds
+    When "entry-1" reports 1 good, 0 slow and 0 bad
+    And the team replaces its service by "t"
+    And "entry-1" reports 1 good, 0 slow and 0 bad of "archive/t"
+    Then only "archive/t" is kept
+
   Scenario: Any stream of summaries keeps a bounded number of buckets
     Then any summaries in any order give the same counts in bounded space
 
--- a/libs/telemetry/features/steps/burn_steps.py
+++ b/libs/telemetry/features/steps/burn_steps.py
@@ -97,6 +97,23 @@
     report(context, entry, ServiceCount(service=service, good=good))
 
 
+@when('the team replaces its service by "{service}"')
+def replace_service(context, service):
+    record = SettingPublished(
+        head=context.scribe.sign(0, 0),
+        path='/teams/archive',
+        text=json.dumps({'services': {service: {'pool': 'a'}}}),
+        source='test',
+        expected_version=1,
+    )
+    append(context, record)
+
+
+@then('only "{service}" is kept')
+def check_kept(context, service):
+    assert list(context.state.burn) == [service], context.state.burn
+
+
 @when('the last summary is appended again')
 def repeat(context):
     append(context, context.record)
