--- a/bench/run.py
+++ b/bench/run.py
@@ -12,6 +12,10 @@
 from claim_cost import measure_claims  # noqa: E402
 from daemon_cost import measure_daemons  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
+from journal_snapshot import (  # noqa: E402
+    SNAPSHOT_SIZES,
+    measure_snapshot,
+)
 
 
 def main() -> None:
@@ -25,6 +29,8 @@
         print(json.dumps({'burn': asdict(measure_burn(services))}))
     for figure in measure_claims():
         print(json.dumps({'claim': asdict(figure)}))
+    for size in SNAPSHOT_SIZES:
+        print(json.dumps({'snapshot': asdict(measure_snapshot(size))}))
 
 
 if __name__ == '__main__':
--- a/libs/daemon/tarragonlb/daemon/access.py
+++ b/libs/daemon/tarragonlb/daemon/access.py
@@ -11,7 +11,7 @@
 from tarragonlb.journal.state import State
 from tarragonlb.model.errors import RefusedError
 from tarragonlb.model.verdict import Verdict
-from tarragonlb.settings.schema import DaemonSettings, Role
+from tarragonlb.settings.startup import DaemonSettings, Role
 
 STATUS_UNAUTHORIZED = 401
 STATUS_FORBIDDEN = 403
--- a/libs/daemon/tarragonlb/daemon/measurement.py
+++ b/libs/daemon/tarragonlb/daemon/measurement.py
@@ -7,7 +7,7 @@
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.metering import RequestMeter
 from tarragonlb.journal.state import State
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.meter import BurnMeter
 from tarragonlb.telemetry.metrics import (
     JOBS,
@@ -30,6 +30,7 @@
         self.burn = BurnTask(settings, journal, meter)
         instruments = Instruments()
         self.requests = RequestMeter(access, journal, meter, instruments)
+        journal.observe_commit = instruments.observe_commit
         state = journal.state
         instruments.watch(LOG_OFFSET, lambda: {'global': state.offset})
         instruments.watch(VMS_UNAVAILABLE, lambda: count_unavailable(state))
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -102,6 +102,18 @@
     vm_moves: Positive = 1
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SnapshotSettings:
+    """How often the shared state is written into the log as a whole.
+
+    The limit that is reached first counts.  The log must keep records for at
+    least three times as long.
+    """
+
+    records: Annotated[int, Meta(ge=1)] = 16_384
+    seconds: Positive = 3600
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
     """The document under ``/fleet``.
@@ -111,36 +123,7 @@
     """
 
     weights: WeightSettings = WeightSettings()
+    snapshot: SnapshotSettings = SnapshotSettings()
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
     api_requests_per_second: Positive = 50
     job_lease_seconds: Positive = 30
-
-
-class Role(enum.StrEnum):
-    """Say what an operator may do."""
-
-    ADMIN = 'admin'
-    VIEWER = 'viewer'
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OperatorSettings:
-    """One operator, by the hash of a token; a viewer changes nothing."""
-
-    name: Name
-    token_sha256: Digest
-    role: Role = Role.ADMIN
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DaemonSettings:
-    """A daemon's start-up file."""
-
-    name: Name
-    zone: Name
-    listen: Address
-    peer_listen: Address
-    platform: Address
-    peers: tuple[Address, ...] = ()
-    operators: tuple[OperatorSettings, ...] = ()
-    stop_limit_seconds: Positive = 60
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -60,7 +60,8 @@
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
         )
-        features = json.loads(report.read_text() or '[]')
+        text = report.read_text() if report.exists() else ''
+        features = json.loads(text or '[]')
     passed = _name_scenarios(features, wanted=True)
     failed = _name_scenarios(features, wanted=False)
     printed = ended.stdout.decode(errors='replace')
