--- a/libs/daemon/features/steps/api_steps.py
+++ b/libs/daemon/features/steps/api_steps.py
@@ -16,7 +16,7 @@
 from tarragonlb.daemon.apioperations import OPERATIONS
 from tarragonlb.standin.caller import Caller, poll
 from tarragonlb.standin.cluster import OPERATOR_TOKEN, Cluster, make_fleet
-from tarragonlb.telemetry.metrics import COMMIT_SECONDS, METRICS
+from tarragonlb.telemetry.metrics import METRICS
 
 DOCUMENT = Path(__file__).parents[4] / 'docs' / 'openapi.json'
 ROLES = {'operator': OPERATOR_TOKEN, 'team': 'a team', 'viewer': 'a viewer'}
@@ -239,7 +239,7 @@
 
 @then('the requests, offsets and durations are there')
 def check_names(context):
-    names = {metric.name for metric in METRICS} - {COMMIT_SECONDS.name}
+    names = {metric.name for metric in METRICS}
     missing = names - set(context.seen)
     assert missing <= {'tarragonlb.vms.unavailable', 'tarragonlb.jobs'}, missing
 
--- a/libs/daemon/tarragonlb/daemon/journal.py
+++ b/libs/daemon/tarragonlb/daemon/journal.py
@@ -6,6 +6,8 @@
 """
 
 import math
+from collections.abc import Callable
+from typing import TypeAlias
 
 import trio
 
@@ -35,6 +37,7 @@
 SNAPSHOT_CHECK_SECONDS = 1
 CHUNK_SECONDS = 0.05
 PART_SECONDS = 0.01
+ObserveCommit: TypeAlias = Callable[[str, float], None]
 
 
 class Journal:
@@ -49,6 +52,7 @@
         '_submitted',
         '_waiting',
         'last_read',
+        'observe_commit',
         'replica',
     )
 
@@ -56,6 +60,7 @@
         """Start with an empty state."""
         self.replica = Replica()
         self.last_read = -math.inf
+        self.observe_commit: ObserveCommit = _observe_nothing
         self._log = log
         self._scribe = scribe
         self._snapshotter = Snapshotter(scribe.author)
@@ -89,6 +94,7 @@
         ``CommitUnknownError`` if it was not read back in time, and
         ``JournalError`` if the journal has stopped and nothing was sent.
         """
+        started = read_monotonic()
         pending = self.replica.submit(record)
         settled = self._waiting.setdefault(pending.record_id, trio.Event())
         self._submitted.set()
@@ -96,8 +102,8 @@
             with trio.move_on_after(timeout_seconds):
                 await settled.wait()
         finally:
-            self._waiting.pop(pending.record_id)
-            self.replica.outbox.give_up(pending)
+            self._conclude(pending)
+            self._measure(record, started)
         return _judge(pending)
 
     async def wait_for_change(self) -> None:
@@ -136,6 +142,14 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def _conclude(self, pending: Pending) -> None:
+        self._waiting.pop(pending.record_id)
+        self.replica.outbox.give_up(pending)
+
+    def _measure(self, record: Record, started: float) -> None:
+        seconds = read_monotonic() - started
+        self.observe_commit(type(record).__name__, seconds)
+
     def _announce(self, settled: list[Pending]) -> None:
         for pending in settled:
             waiting = self._waiting.get(pending.record_id)
@@ -188,6 +202,10 @@
             await trio.sleep(PART_SECONDS)
 
 
+def _observe_nothing(kind: str, seconds: float) -> None:
+    """Stand in until somebody measures commits."""
+
+
 def _judge(pending: Pending) -> Outcome:
     if pending.outcome is None:
         raise CommitUnknownError('the record was not read back in time')
--- a/libs/daemon/tarragonlb/daemon/measurement.py
+++ b/libs/daemon/tarragonlb/daemon/measurement.py
@@ -30,6 +30,7 @@
         self.burn = BurnTask(settings, journal, meter)
         instruments = Instruments()
         self.requests = RequestMeter(access, journal, meter, instruments)
+        journal.observe_commit = instruments.observe_commit
         state = journal.state
         instruments.watch(LOG_OFFSET, lambda: {'global': state.offset})
         instruments.watch(VMS_UNAVAILABLE, lambda: count_unavailable(state))
--- a/libs/journal/tarragonlb/journal/burnfold.py
+++ b/libs/journal/tarragonlb/journal/burnfold.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import replace
 from types import MappingProxyType
 
 from tarragonlb.journal.rule import Reason, Rule
@@ -23,8 +24,9 @@
 FINE_MINUTES = 5
 HOUR_MINUTES = 60
 MAX_FINE_BUCKETS = 12
-MAX_HOUR_BUCKETS = 72
+MAX_HOUR_BUCKETS = 24
 MAX_DAY_BUCKETS = 36
+MAX_LATENCY_DAYS = 7
 MAX_CAUSES = 6
 
 
@@ -32,7 +34,7 @@
     state: State, entry: BurnReported, offset: int
 ) -> Reason | None:
     """Add the counts of an entry VM to those of the others."""
-    known = [count for count in entry.counts if _is_known(state, count)]
+    known = [count for count in entry.counts if _is_known(state, count.service)]
     if not known:
         return 'none of these services is in the settings'
     for count in known:
@@ -40,6 +42,7 @@
             count.service, BurnEntry(service=count.service)
         )
         state.burn[count.service] = add_count(present, count, entry.minute)
+    _forget_services(state)
     return None
 
 
@@ -55,9 +58,11 @@
         hours=_add(present.hours, count, minute, HOUR_MINUTES)[
             -MAX_HOUR_BUCKETS:
         ],
-        days=_add(present.days, count, minute, MINUTES_PER_DAY)[
-            -MAX_DAY_BUCKETS:
-        ],
+        days=_forget_latency(
+            _add(present.days, count, minute, MINUTES_PER_DAY)[
+                -MAX_DAY_BUCKETS:
+            ]
+        ),
     )
 
 
@@ -69,10 +74,18 @@
     return tuple(sorted(total.items()))
 
 
-def _is_known(state: State, count: ServiceCount) -> bool:
-    team, _, service = count.service.partition('/')
+def _is_known(state: State, service: str) -> bool:
+    team, _, name = service.partition('/')
     settings = state.teams.get(team)
-    return settings is not None and service in settings.services
+    return settings is not None and name in settings.services
+
+
+def _forget_services(state: State) -> None:
+    known = sum(len(team.services) for team in state.teams.values())
+    if len(state.burn) > known:
+        for service in tuple(state.burn):
+            if not _is_known(state, service):
+                state.burn.pop(service)
 
 
 def _add(
@@ -102,6 +115,14 @@
     return tuple(sorted((*others, added), key=_read_start))
 
 
+def _forget_latency(days: tuple[BurnBucket, ...]) -> tuple[BurnBucket, ...]:
+    latest = len(days) - MAX_LATENCY_DAYS
+    return tuple(
+        replace(day, latency=()) if day.latency and index < latest else day
+        for index, day in enumerate(days)
+    )
+
+
 def _read_start(bucket: BurnBucket) -> int:
     return bucket.start
 
