Drive the decisions on capacity through a randomised run, mend what it found

Cause: nothing had run the planner against failures. A Hypothesis state machine (libs/capacity/features) now drives two planners, the fold and a small platform that is its own witness: lagging lists, late, doubled and lost acts and records, lapses, crashed, gone and replaced VMs, racks, racing operators. After each run all faults are healed and everything accepted must end.

Found by it, or read beside it, and mended: - A job whose VM was restarted or gone stayed started for ever. JobStarted carries the boot; a later boot or a gone VM ends the attempt as lost. A job that must not run twice is then unknown, shown and not run again; a stopped one too, unless the platform vouches that the task never began. - A gone VM counted as unavailable for ever. VmRetired drops it once a VM that was adopted after its charge stands in for it; adoptions have to rest on the latest list that the pool's records rest on. - An aborted wave left its VMs drained for ever: a VM that was taken comes back whatever becomes of its wave. - A wave with a VM that left the pool never ended: VmPassedOver. - Charges of a paused or aborted wave counted; releases counted without evidence; a stale list could end a failure's charge. Records now carry the number of the list they rest on, and the fold refuses these. - A drained VM that never got its task kept the wave waiting: the task is fenced by stop_task and the job is queued again.

Ruled out: starting a lost at-most-once job again on the evidence of the restart alone; it may have run. The planner looks only at what changed, via tables that keep their indexes (capacity/table.py); count_charged and find_budget no longer walk the fleet.

--- /dev/null
+++ b/bench/capacity_soak.py
@@ -0,0 +1,40 @@
+"""A long randomised run of the decisions on capacity, over many seeds.
+
+The machine and its invariants stand in ``libs/capacity/features``.  The same
+seed and number of steps give the same run.
+"""
+
+import argparse
+import importlib
+import sys
+from pathlib import Path
+
+FEATURES = Path(__file__).parent.parent / 'libs' / 'capacity' / 'features'
+EXAMPLES_A_SEED = 100
+STEPS_AN_EXAMPLE = 60
+
+
+def run_soak(seed: int, steps: int) -> int:
+    """Run seeds from ``seed`` on until so many steps were made."""
+    sys.path.insert(0, str(FEATURES))
+    machine = importlib.import_module('machine')
+    while machine.Counter.steps < steps:
+        before = machine.Counter.steps
+        machine.run_machine(EXAMPLES_A_SEED, STEPS_AN_EXAMPLE, seed)
+        done = machine.Counter.steps - before
+        print(f'seed {seed}: {done} steps, no invariant broken', flush=True)
+        seed += 1
+    return int(machine.Counter.steps)
+
+
+def main() -> None:
+    """Read the command line and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--steps', type=int, default=100_000)
+    options = parser.parse_args()
+    print(f'{run_soak(options.seed, options.steps)} steps in total')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/libs/capacity/features/steps/decision_steps.py
@@ -0,0 +1,22 @@
+import sys
+from pathlib import Path
+
+from behave import then, when
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from machine import Counter, run_machine  # noqa: E402
+
+EXAMPLES = 120
+STEPS = 50
+MIN_STEPS = 3000
+
+
+@when('planners run over a platform that fails at random')
+def run_planners(context):
+    run_machine(EXAMPLES, STEPS)
+
+
+@then('no invariant was broken')
+def check_steps(context):
+    assert Counter.steps >= MIN_STEPS, Counter.steps
--- /dev/null
+++ b/libs/capacity/features/world.py
@@ -0,0 +1,318 @@
+"""Several planners over one log and one platform, and the judge of them all.
+
+Every planner folds and reads as late as it likes, and whatever it decided can
+be carried out at any later time, twice or never.  ``settle`` heals all faults:
+then everything that was accepted must come to an end.
+"""
+
+from fakeplatform import FakePlatform
+
+from tarragonlb.capacity import action
+from tarragonlb.capacity.planner import Planner
+from tarragonlb.capacity.table import ChangeTable
+from tarragonlb.capacity.view import FleetView
+from tarragonlb.journal.codec import encode_record
+from tarragonlb.journal.fold import apply_blob
+from tarragonlb.journal.state import State
+from tarragonlb.model.entry import JobPhase
+from tarragonlb.model.errors import PlatformError
+from tarragonlb.model.fleet import TaskPhase, VmPhase, VmReading
+from tarragonlb.model.invariant import ensure
+from tarragonlb.model.job import JobsCancelled, JobSubmitted
+from tarragonlb.model.ownership import ChargeReason, VmCharged
+from tarragonlb.model.record import SettingPublished, TermTaken
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.model.wave import WavePlanned, WaveStatus, WaveSteered
+
+POOLS = ('a', 'b')
+POOL_VMS = 4
+SETTLE_ROUNDS = 120
+OPEN = frozenset((JobPhase.QUEUED, JobPhase.STARTED))
+
+
+class Daemon:
+    """One planner with what it has folded and read so far."""
+
+    def __init__(self, name):
+        self.name = name
+        self.state = State()
+        self.vms = ChangeTable()
+        self.tasks = ChangeTable()
+        self.number = 0
+        self.scribe = Scribe(name, '1')
+        self.planner = Planner(self.scribe)
+
+    def fold(self, blobs, until):
+        for offset in range(self.state.offset + 1, until + 1):
+            apply_blob(self.state, offset, blobs[offset - 1])
+
+    def read(self, changes, until):
+        for reading in changes[self.number : until]:
+            if isinstance(reading, VmReading):
+                self.vms[reading.vm_id] = reading
+            else:
+                self.tasks[reading.task_id] = reading
+        self.number = max(self.number, until)
+
+    def decide(self, now):
+        state = self.state
+        term = state.terms.get('planner')
+        if term is None or term.holder != self.name:
+            return []
+        view = FleetView(
+            offset=state.offset,
+            term=term.number,
+            reading=self.number,
+            vms=state.vms,
+            jobs=state.jobs,
+            waves=state.waves,
+            teams=state.teams,
+            pools=state.pools,
+            fleet=state.fleet,
+            vm_readings=self.vms,
+            task_readings=self.tasks,
+        )
+        return self.planner.decide(view, now, now)
+
+
+class World:
+    """The whole of it; each method is one step."""
+
+    def __init__(self, budget):
+        self.truth = State()
+        self.blobs = []
+        self.platform = FakePlatform(self)
+        self.scribe = Scribe('world', '1')
+        self.daemons = [Daemon(f'planner-{index}') for index in range(2)]
+        self.outbox = []
+        self.cancelled = set()
+        self.jobs = 0
+        self.serial = 0
+        self.publish(budget)
+        for index in range(POOL_VMS * len(POOLS)):
+            self.add_vm(POOLS[index // POOL_VMS], f'rack-{index // 2}')
+
+    def sign(self):
+        return self.scribe.sign(self.truth.offset, self.platform.now)
+
+    def append(self, record):
+        charged = self.count_away(record)
+        blob = encode_record(record)
+        self.blobs.append(blob)
+        outcome = apply_blob(self.truth, len(self.blobs), blob)
+        if outcome.accepted and charged is not None:
+            pool = self.truth.vms[record.vm_id].pool
+            limits = self.list_limits(pool)
+            ensure(charged < min(limits), 'budget', pool, charged, limits)
+        return outcome
+
+    def count_away(self, record):
+        planned = (
+            isinstance(record, VmCharged)
+            and record.reason is not ChargeReason.FAILURE
+        )
+        if not planned or record.vm_id not in self.truth.vms:
+            return None
+        pool = self.truth.vms[record.vm_id].pool
+        vms = self.truth.vms.values()
+        return sum(1 for vm in vms if vm.pool == pool and vm.charge)
+
+    def list_limits(self, pool):
+        return [
+            budget.max_unavailable
+            for team in self.truth.teams.values()
+            for budget in team.budgets
+            if budget.pool == pool
+        ]
+
+    def is_charged(self, vm_id):
+        entry = self.truth.vms.get(vm_id)
+        return entry is not None and entry.charge is not None
+
+    def check_begun(self, job_id, count):
+        spec = self.truth.jobs[job_id].spec
+        ensure(spec.idempotent or count == 1, 'at most once', job_id, count)
+
+    def publish(self, budget):
+        entry = self.truth.settings.get('/teams/team')
+        lines = '\n'.join(
+            f'  - pool: {pool}\n    max_unavailable: {budget}' for pool in POOLS
+        )
+        record = SettingPublished(
+            head=self.sign(),
+            path='/teams/team',
+            text=f'budgets:\n{lines}\n',
+            source='world',
+            expected_version=entry.version if entry else 0,
+        )
+        ensure(self.append(record).accepted, 'published', record)
+
+    def add_vm(self, pool, rack):
+        self.serial += 1
+        self.platform.add_vm(f'vm-{self.serial}', pool, rack)
+
+    def submit(self, pool, cores, *, idempotent, urgent):
+        self.jobs += 1
+        record = JobSubmitted(
+            head=self.sign(),
+            job_id=f'job-{self.jobs}',
+            team='team',
+            kind='kind',
+            pool=pool,
+            cores=cores,
+            memory_gb=1,
+            payload='',
+            urgent=urgent,
+            idempotent=idempotent,
+            deadline_seconds=1e6,
+            declared_seconds=1,
+        )
+        ensure(self.append(record).accepted, 'submitted', record)
+
+    def cancel(self, number):
+        job_id = f'job-{number}'
+        self.cancelled.add(job_id)
+        self.append(
+            JobsCancelled(head=self.sign(), team='team', job_ids=(job_id,))
+        )
+
+    def plan_wave(self, pool, at_once):
+        vms = self.truth.vms.values()
+        vm_ids = tuple(vm.vm_id for vm in vms if vm.pool == pool)
+        if vm_ids:
+            self.serial += 1
+            record = WavePlanned(
+                head=self.sign(),
+                wave_id=f'wave-{self.serial}',
+                pool=pool,
+                vm_ids=vm_ids,
+                at_once=at_once,
+            )
+            self.append(record)
+
+    def steer_wave(self, status):
+        for wave in list(self.truth.waves.values())[-2:]:
+            record = WaveSteered(
+                head=self.sign(),
+                wave_id=wave.wave_id,
+                expected_version=wave.version,
+                status=status,
+            )
+            self.append(record)
+
+    def take_term(self, daemon):
+        term = self.truth.terms.get('planner')
+        record = TermTaken(
+            head=self.sign(),
+            scope='planner',
+            expected_number=term.number if term else 0,
+            holder=daemon.name,
+        )
+        self.append(record)
+
+    def catch_up(self, daemon, blobs_behind=0, changes_behind=0):
+        daemon.fold(self.blobs, len(self.blobs) - blobs_behind)
+        changes = self.platform.changes
+        daemon.read(changes, len(changes) - changes_behind)
+
+    def decide(self, daemon):
+        self.outbox.extend(daemon.decide(self.platform.now))
+
+    def run_rounds(self, daemon, rounds):
+        """Let a planner see all and act at once; older acts stay late."""
+        late = self.outbox
+        self.outbox = []
+        for _ in range(rounds):
+            self.catch_up(daemon)
+            self.decide(daemon)
+            self.carry_out_all()
+            self.platform.pass_time(1)
+        self.outbox = late
+
+    def carry_out(self, index, *, keep):
+        step = self.outbox[index]
+        if not keep:
+            self.outbox.pop(index)
+        if isinstance(step, action.Commit):
+            self.append(step.record)
+            return
+        try:
+            self.platform.perform(step)
+        except PlatformError:
+            return
+
+    def carry_out_all(self):
+        while self.outbox:
+            self.carry_out(0, keep=False)
+
+    def end_task(self, index, phase):
+        running = self.platform.list_running()
+        if running:
+            self.platform.end_task(running[index % len(running)], phase)
+
+    def crash(self, index, phase):
+        vm_ids = list(self.platform.vms)
+        self.platform.crash(vm_ids[index % len(vm_ids)], phase)
+
+    def crash_rack(self, index):
+        for vm in list(self.platform.vms.values()):
+            if vm.rack == f'rack-{index}':
+                self.platform.crash(vm.vm_id, VmPhase.REBOOTING)
+
+    def replace_gone(self):
+        for pool in POOLS:
+            alive = [
+                vm
+                for vm in self.platform.vms.values()
+                if vm.pool == pool and vm.phase is not VmPhase.GONE
+            ]
+            for _ in range(POOL_VMS - len(alive)):
+                self.add_vm(pool, 'rack-9')
+
+    def check(self):
+        for number in range(1, self.jobs + 1):
+            job = self.truth.jobs.get(f'job-{number}')
+            ensure(job is not None, 'no accepted job is lost', number)
+            task_id = f'job-{number}.{job.attempt}'
+            if job.phase is JobPhase.SUCCEEDED:
+                done = task_id in self.platform.succeeded
+                ensure(done, 'a job that succeeded has run', job)
+            if job.phase is JobPhase.CANCELLED:
+                ensure(job.spec.job_id in self.cancelled, 'was cancelled', job)
+        for daemon in self.daemons:
+            if daemon.state.offset == self.truth.offset:
+                same = daemon.state.digest == self.truth.digest
+                ensure(same, 'digests are equal', daemon.name)
+
+    def settle(self):
+        """Heal everything; then nothing may hang."""
+        self.carry_out_all()
+        self.publish(2)
+        self.steer_wave(WaveStatus.RUNNING)
+        daemon = self.daemons[0]
+        self.take_term(daemon)
+        for _ in range(SETTLE_ROUNDS):
+            self.replace_gone()
+            self.catch_up(daemon)
+            self.decide(daemon)
+            self.carry_out_all()
+            if self.platform.now % 2:
+                self.end_task(0, TaskPhase.SUCCEEDED)
+            self.platform.pass_time(1)
+            self.check()
+            if self.is_settled():
+                return
+        ensure(False, 'everything comes to an end', *self.list_open())
+
+    def list_open(self):
+        jobs = [job for job in self.truth.jobs.values() if job.phase in OPEN]
+        vms = [vm for vm in self.truth.vms.values() if vm.charge]
+        waves = [
+            wave
+            for wave in self.truth.waves.values()
+            if wave.status in {WaveStatus.RUNNING, WaveStatus.PAUSED}
+        ]
+        return [*jobs, *vms, *waves]
+
+    def is_settled(self):
+        return not self.list_open()
--- /dev/null
+++ b/libs/capacity/tarragonlb/capacity/attempts.py
@@ -0,0 +1,128 @@
+"""Attempts of jobs: started, renewed, stopped, and seen to have ended.
+
+An attempt is tied to the boot of its VM at the start record.  The platform
+refuses its task after a restart, so a later boot shows that it has ended and
+can't begin any more.  A task that a drained VM never got is kept from ever
+starting before its job is queued again.
+"""
+
+import heapq
+from types import MappingProxyType
+
+from tarragonlb.capacity.action import Action, Commit, StartTask, StopTask
+from tarragonlb.capacity.view import Round, find_job_id, name_task
+from tarragonlb.model.entry import JobEntry, JobPhase
+from tarragonlb.model.fleet import (
+    TaskPhase,
+    TaskReading,
+    VmPhase,
+    VmReading,
+)
+from tarragonlb.model.job import JobEnded, JobOutcome
+
+RETRY_SECONDS = 1.0
+RENEWALS_A_LEASE = 3
+
+_OUTCOMES = MappingProxyType(
+    {
+        TaskPhase.SUCCEEDED: JobOutcome.SUCCEEDED,
+        TaskPhase.FAILED: JobOutcome.FAILED,
+        TaskPhase.STOPPED: JobOutcome.STOPPED,
+    }
+)
+
+
+class AttemptFollower:
+    """Knows when each started job has to be looked at again."""
+
+    __slots__ = ('_due', '_order')
+
+    def __init__(self) -> None:
+        """Start without any job."""
+        self._due: dict[str, float] = {}
+        self._order: list[tuple[float, str]] = []
+
+    def note(self, job_id: str, due: float) -> None:
+        """Look at a job at ``due``, or earlier if that was noted before."""
+        known = self._due.get(job_id)
+        if known is None or due < known:
+            self._due[job_id] = due
+            heapq.heappush(self._order, (due, job_id))
+
+    def follow(self, turn: Round) -> list[Action]:
+        """Return what the jobs that are due need."""
+        actions: list[Action] = []
+        while self._order and self._order[0][0] <= turn.now:
+            due, job_id = heapq.heappop(self._order)
+            if self._due.get(job_id) != due:
+                continue
+            del self._due[job_id]
+            job = turn.view.jobs.get(job_id)
+            if job and job.phase is JobPhase.STARTED:
+                actions.extend(follow_attempt(turn, job))
+                self._note_next(turn, job)
+        return actions
+
+    def _note_next(self, turn: Round, job: JobEntry) -> None:
+        task = turn.view.task_readings.get(name_task(job))
+        running = task is not None and task.phase is TaskPhase.RUNNING
+        lease = turn.view.fleet.job_lease_seconds
+        calm = running and not job.cancelled
+        pause = lease / RENEWALS_A_LEASE if calm else RETRY_SECONDS
+        self.note(job.spec.job_id, turn.now + pause)
+
+
+def note_tasks(follower: AttemptFollower, turn: Round) -> None:
+    """Look at the jobs whose tasks were reported anew."""
+    for task_id in turn.view.task_readings.take_changed():
+        follower.note(find_job_id(task_id), turn.now)
+
+
+def follow_attempt(turn: Round, job: JobEntry) -> list[Action]:
+    """Return what a started job needs: a start, a renewal, a stop, an end."""
+    task = turn.view.task_readings.get(name_task(job))
+    if task and task.phase in _OUTCOMES:
+        return [Commit(_end(turn, job, task))]
+    vm = turn.view.vm_readings.get(job.vm_id)
+    if vm is None:
+        return []
+    if vm.phase is VmPhase.GONE or vm.boot > job.boot:
+        return [Commit(_lose(turn, job, vm))]
+    never_got = task is None and vm.phase is VmPhase.DRAINED
+    if job.cancelled or never_got:
+        return [StopTask(job.vm_id, job.boot, name_task(job))]
+    start = StartTask(
+        job.vm_id,
+        job.boot,
+        name_task(job),
+        job.spec.payload,
+        turn.view.fleet.job_lease_seconds,
+    )
+    return [start]
+
+
+def _end(turn: Round, job: JobEntry, task: TaskReading) -> JobEnded:
+    outcome = _OUTCOMES[task.phase]
+    if outcome is JobOutcome.STOPPED and not task.began:
+        outcome = JobOutcome.NOT_BEGUN
+    return JobEnded(
+        head=turn.sign(),
+        job_id=job.spec.job_id,
+        attempt=job.attempt,
+        outcome=outcome,
+        output=task.output,
+    )
+
+
+def _lose(turn: Round, job: JobEntry, vm: VmReading) -> JobEnded:
+    gone = vm.phase is VmPhase.GONE
+    event = 'is gone' if gone else f'was restarted (boot {vm.boot})'
+    return JobEnded(
+        head=turn.sign(),
+        job_id=job.spec.job_id,
+        attempt=job.attempt,
+        outcome=JobOutcome.LOST,
+        output=f'attempt {job.attempt} may have run: {vm.vm_id} {event}',
+        boot=vm.boot,
+        gone=gone,
+    )
--- a/libs/capacity/tarragonlb/capacity/maintenance.py
+++ b/libs/capacity/tarragonlb/capacity/maintenance.py
@@ -1,122 +1,115 @@
-"""Maintenance waves: VMs are taken away, rebooted and brought back.
+"""Maintenance waves: which VM is taken away next, and when a wave ends.
 
-Each VM goes through charge, drain, reboot and release.  Which step is next
-follows from the fold and the latest reading alone, so any planner can go on
-where another one stopped.
+A VM is charged before it is drained.  VMs that are away for any reason, a
+failure or another wave, count against the wave and against every budget.
 """
 
-from tarragonlb.capacity.action import Action, Commit, DrainVm, RebootVm
-from tarragonlb.capacity.view import FleetView, is_usable, list_started
+from collections import Counter
+
+from tarragonlb.capacity.action import Action, Commit
+from tarragonlb.capacity.away import OPEN_STATUSES, list_pending, pass_over
+from tarragonlb.capacity.view import FleetView, Round, is_usable
 from tarragonlb.model.entry import VmEntry, WaveEntry
-from tarragonlb.model.fleet import VmPhase
-from tarragonlb.model.ownership import ChargeReason, VmCharged, VmReleased
-from tarragonlb.model.scribe import Scribe
+from tarragonlb.model.ownership import ChargeReason, VmCharged
 from tarragonlb.model.wave import WaveStatus, WaveSteered
 
 
-def advance_waves(view: FleetView, scribe: Scribe, now: float) -> list[Action]:
-    """Return the next step of every VM of every open wave."""
+class DomainLimits:
+    """How many VMs of a pool are away, by rack and zone."""
+
+    __slots__ = ('_racks', '_settings', '_zones')
+
+    def __init__(self, view: FleetView, pool: str) -> None:
+        """Count the VMs of a pool that are away now."""
+        away = [view.vms[vm_id] for vm_id in view.vms.list_charged(pool)]
+        self._settings = view.find_pool(pool)
+        self._racks = Counter(vm.rack for vm in away)
+        self._zones = Counter(vm.zone for vm in away)
+
+    def allows(self, entry: VmEntry) -> bool:
+        """Return whether a VM may be taken as well."""
+        if self._racks[entry.rack] >= self._settings.at_once_per_rack:
+            return False
+        return self._zones[entry.zone] < self._settings.at_once_per_zone
+
+    def take(self, entry: VmEntry) -> None:
+        """Count a VM that is taken."""
+        self._racks[entry.rack] += 1
+        self._zones[entry.zone] += 1
+
+
+def advance_waves(turn: Round) -> list[Action]:
+    """Return the next step of every open wave."""
     actions: list[Action] = []
-    for wave in view.waves.values():
-        if wave.status in {WaveStatus.RUNNING, WaveStatus.PAUSED}:
-            actions.extend(_advance_wave(view, wave, scribe, now))
+    for wave in turn.view.waves.values():
+        if wave.status in OPEN_STATUSES:
+            actions.extend(_advance_wave(turn, wave))
     return actions
 
 
-def _advance_wave(
-    view: FleetView, wave: WaveEntry, scribe: Scribe, now: float
-) -> list[Action]:
-    if len(wave.done) == len(wave.vm_ids):
-        return [Commit(_finish(view, wave, scribe, now))]
-    pending = [
-        view.vms[vm_id] for vm_id in wave.vm_ids if vm_id not in wave.done
-    ]
-    taken = [vm for vm in pending if _is_taken(vm, wave)]
-    waiting = [
-        vm for vm in pending if not vm.charge and is_usable(view, vm.vm_id)
+def count_room(view: FleetView, wave: WaveEntry) -> int:
+    """Return how many VMs more a wave may take away now."""
+    if wave.status is not WaveStatus.RUNNING:
+        return 0
+    budget = view.teams.find_budget(wave.pool)
+    limit = wave.at_once if budget is None else min(wave.at_once, budget)
+    return max(limit - view.vms.count_charged(wave.pool), 0)
+
+
+def _advance_wave(turn: Round, wave: WaveEntry) -> list[Action]:
+    pending = list_pending(wave)
+    if not pending:
+        return [Commit(_finish(turn, wave))]
+    lost = [vm_id for vm_id in pending if _has_left(turn.view, wave, vm_id)]
+    actions: list[Action] = [
+        Commit(pass_over(turn, wave.wave_id, vm_id, 'it left the pool'))
+        for vm_id in lost
     ]
-    actions: list[Action] = []
-    for vm in taken:
-        actions.extend(_advance_vm(view, vm, scribe, now))
-    room = max(_count_room(view, wave), 0)
-    actions.extend(
-        Commit(_charge(view, wave, vm, scribe, now)) for vm in waiting[:room]
-    )
+    room = count_room(turn.view, wave)
+    if room:
+        chosen = _choose(turn.view, wave, pending, room)
+        actions.extend(Commit(_charge(turn, wave, vm_id)) for vm_id in chosen)
     return actions
 
 
-def _is_taken(vm: VmEntry, wave: WaveEntry) -> bool:
-    return vm.charge is not None and vm.charge.wave_id == wave.wave_id
+def _has_left(view: FleetView, wave: WaveEntry, vm_id: str) -> bool:
+    entry = view.vms.get(vm_id)
+    return entry is None or entry.pool != wave.pool
 
 
-def _count_room(view: FleetView, wave: WaveEntry) -> int:
-    if wave.status is WaveStatus.PAUSED:
-        return 0
-    charged = sum(
-        1 for vm in view.vms.values() if vm.pool == wave.pool and vm.charge
-    )
-    limits = [
-        budget.max_unavailable
-        for team in view.teams.values()
-        for budget in team.budgets
-        if budget.pool == wave.pool
-    ]
-    return min([wave.at_once, *limits]) - charged
-
-
-def _advance_vm(
-    view: FleetView, entry: VmEntry, scribe: Scribe, now: float
-) -> list[Action]:
-    reading = view.vm_readings.get(entry.vm_id)
-    if reading is None or entry.charge is None:
-        return []
-    if reading.boot > entry.charge.boot:
-        if reading.phase is VmPhase.LIVE:
-            return [Commit(_release(view, entry, reading.boot, scribe, now))]
-        return []
-    if reading.phase is VmPhase.LIVE:
-        return [DrainVm(entry.vm_id, reading.boot)]
-    busy = any(job.vm_id == entry.vm_id for job in list_started(view))
-    if reading.phase is VmPhase.DRAINED and not busy:
-        return [RebootVm(entry.vm_id, reading.boot)]
-    return []
-
-
-def _charge(
-    view: FleetView,
-    wave: WaveEntry,
-    entry: VmEntry,
-    scribe: Scribe,
-    now: float,
-) -> VmCharged:
+def _choose(
+    view: FleetView, wave: WaveEntry, pending: list[str], room: int
+) -> list[str]:
+    """Return VMs to take, within the limits by rack and zone."""
+    limits = DomainLimits(view, wave.pool)
+    chosen: list[str] = []
+    for vm_id in pending:
+        if len(chosen) == room:
+            break
+        if _has_left(view, wave, vm_id) or not is_usable(view, vm_id):
+            continue
+        if limits.allows(view.vms[vm_id]):
+            limits.take(view.vms[vm_id])
+            chosen.append(vm_id)
+    return chosen
+
+
+def _charge(turn: Round, wave: WaveEntry, vm_id: str) -> VmCharged:
     return VmCharged(
-        head=scribe.sign(view.offset, now),
-        vm_id=entry.vm_id,
-        expected_version=entry.version,
+        head=turn.sign(),
+        vm_id=vm_id,
+        expected_version=turn.view.vms[vm_id].version,
         reason=ChargeReason.WAVE,
-        boot=view.vm_readings[entry.vm_id].boot,
+        boot=turn.view.vm_readings[vm_id].boot,
         wave_id=wave.wave_id,
-        term=view.term,
-    )
-
-
-def _release(
-    view: FleetView, entry: VmEntry, boot: int, scribe: Scribe, now: float
-) -> VmReleased:
-    return VmReleased(
-        head=scribe.sign(view.offset, now),
-        vm_id=entry.vm_id,
-        expected_version=entry.version,
-        boot=boot,
-        maintained=True,
+        term=turn.view.term,
+        reading=turn.view.reading,
     )
 
 
-def _finish(
-    view: FleetView, wave: WaveEntry, scribe: Scribe, now: float
-) -> WaveSteered:
+def _finish(turn: Round, wave: WaveEntry) -> WaveSteered:
     return WaveSteered(
-        head=scribe.sign(view.offset, now),
+        head=turn.sign(),
         wave_id=wave.wave_id,
         expected_version=wave.version,
         status=WaveStatus.FINISHED,
--- a/libs/capacity/tarragonlb/capacity/planner.py
+++ b/libs/capacity/tarragonlb/capacity/planner.py
@@ -1,21 +1,111 @@
-"""One round of all decisions on capacity."""
+"""One round of all decisions on capacity.
+
+The planner looks only at what changed since its last round, at what is due,
+and at what it decided before without having seen the effect.  An action that
+is lost is therefore decided again.
+"""
 
 from tarragonlb.capacity.action import Action
-from tarragonlb.capacity.adoption import follow_list
+from tarragonlb.capacity.adoption import (
+    find_uncharged,
+    follow_vm,
+    is_settled,
+)
+from tarragonlb.capacity.attempts import AttemptFollower, note_tasks
+from tarragonlb.capacity.away import DrainClock, return_vms
 from tarragonlb.capacity.maintenance import advance_waves
-from tarragonlb.capacity.placement import follow_tasks, place_jobs
-from tarragonlb.capacity.view import FleetView
+from tarragonlb.capacity.placement import place_jobs
+from tarragonlb.capacity.rooms import RoomBook
+from tarragonlb.capacity.view import FleetView, Round
+from tarragonlb.model.entry import JobPhase
 from tarragonlb.model.scribe import Scribe
 
 
-def decide_round(view: FleetView, scribe: Scribe, now: float) -> list[Action]:
-    """Return all actions that the view gives reason for.
+class Planner:
+    """Decides for one process; a new one starts with nothing remembered."""
+
+    __slots__ = (
+        '_clock',
+        '_follower',
+        '_home',
+        '_pools',
+        '_rooms',
+        '_scribe',
+        '_vms',
+    )
+
+    def __init__(self, scribe: Scribe) -> None:
+        """Sign records with ``scribe``."""
+        self._scribe = scribe
+        self._clock = DrainClock()
+        self._follower = AttemptFollower()
+        self._rooms = RoomBook()
+        self._home: dict[str, str] = {}
+        self._vms: dict[str, None] = {}
+        self._pools: dict[str, None] = {}
+
+    def decide(self, view: FleetView, now: float, wall: float) -> list[Action]:
+        """Return all actions that the view gives reason for.
+
+        ``now`` is monotonic and ``wall`` the wall-clock time, in seconds.
+        """
+        turn = Round(view, self._scribe, now, wall)
+        note_tasks(self._follower, turn)
+        self._note_vms(turn)
+        self._note_jobs(turn)
+        return [
+            *self._follow_vms(turn),
+            *return_vms(turn, self._clock),
+            *advance_waves(turn),
+            *self._follower.follow(turn),
+            *self._place(turn),
+        ]
+
+    def _note_vms(self, turn: Round) -> None:
+        view = turn.view
+        names = dict.fromkeys(view.vms.take_changed())
+        names.update(dict.fromkeys(view.vm_readings.take_changed()))
+        for vm_id in names:
+            self._vms[vm_id] = None
+            self._refresh(view, vm_id)
+            for job in view.jobs.list_started(vm_id):
+                self._follower.note(job.spec.job_id, turn.now)
+
+    def _note_jobs(self, turn: Round) -> None:
+        view = turn.view
+        for job_id in view.jobs.take_changed():
+            job = view.jobs.get(job_id)
+            left = self._home.pop(job_id, None)
+            if left:
+                self._refresh(view, left)
+            if job and job.phase is JobPhase.QUEUED:
+                self._pools[job.spec.pool] = None
+            elif job and job.phase is JobPhase.STARTED:
+                self._home[job_id] = job.vm_id
+                self._refresh(view, job.vm_id)
+                self._follower.note(job_id, turn.now)
+
+    def _refresh(self, view: FleetView, vm_id: str) -> None:
+        self._rooms.refresh(view, vm_id)
+        entry = view.vms.get(vm_id)
+        if entry:
+            self._pools[entry.pool] = None
+
+    def _follow_vms(self, turn: Round) -> list[Action]:
+        actions: list[Action] = []
+        held = find_uncharged(turn.view, self._vms)
+        for vm_id in list(self._vms):
+            if is_settled(turn.view, vm_id):
+                del self._vms[vm_id]
+            else:
+                actions.extend(follow_vm(turn, vm_id, held))
+        return actions
 
-    ``now`` is the wall-clock time in seconds, which records carry for people.
-    """
-    return [
-        *follow_list(view, scribe, now),
-        *advance_waves(view, scribe, now),
-        *follow_tasks(view, scribe, now),
-        *place_jobs(view, scribe, now),
-    ]
+    def _place(self, turn: Round) -> list[Action]:
+        actions: list[Action] = []
+        for pool in list(self._pools):
+            steps = place_jobs(turn, pool, self._rooms.list_rooms(pool))
+            if not steps:
+                del self._pools[pool]
+            actions.extend(steps)
+        return actions
--- /dev/null
+++ b/libs/capacity/tarragonlb/capacity/table.py
@@ -0,0 +1,195 @@
+"""Tables of the shared state that answer the planner's questions at once.
+
+Each is a mapping that keeps its indexes on every change, so that a question
+costs the same at any size of the fleet.  ``take_changed`` gives the names that
+were put since it was last asked: a planner looks at these and no others.
+
+>>> table = ChangeTable[int]()
+>>> table['a'] = 1
+>>> table.take_changed()
+['a']
+>>> table.take_changed()
+[]
+"""
+
+from collections.abc import Iterator, Mapping
+from typing import Generic, TypeVar
+
+from tarragonlb.model.entry import JobEntry, JobPhase, VmEntry
+from tarragonlb.settings.schema import TeamSettings
+
+Row = TypeVar('Row')
+
+
+class ChangeTable(Mapping[str, Row], Generic[Row]):
+    """A mapping that remembers which names have changed.
+
+    Rows are put one by one, also by ``update``, so no change passes by the
+    indexes.
+    """
+
+    __slots__ = ('_changed', '_rows')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._rows: dict[str, Row] = {}
+        self._changed: dict[str, None] = {}
+
+    def __getitem__(self, name: str) -> Row:
+        """Return the row of a name."""
+        return self._rows[name]
+
+    def __setitem__(self, name: str, row: Row) -> None:
+        """Put a row and keep the indexes."""
+        old = self._rows.get(name)
+        self._rows[name] = row
+        self._changed[name] = None
+        self._reindex(name, old, row)
+
+    def update(self, rows: Mapping[str, Row]) -> None:
+        """Put many rows."""
+        for name, row in rows.items():
+            self[name] = row
+
+    def drop(self, name: str) -> None:
+        """Take a row out and keep the indexes."""
+        old = self._rows.pop(name)
+        self._changed[name] = None
+        self._reindex(name, old, None)
+
+    def __iter__(self) -> Iterator[str]:
+        """Return the names in the order in which they came."""
+        return iter(self._rows)
+
+    def __len__(self) -> int:
+        """Return the number of rows."""
+        return len(self._rows)
+
+    def take_changed(self) -> list[str]:
+        """Return the names that changed since the last call."""
+        names = list(self._changed)
+        self._changed.clear()
+        return names
+
+    def _reindex(self, name: str, old: Row | None, new: Row | None) -> None:
+        """Keep the indexes of a table that has some."""
+
+
+class VmTable(ChangeTable[VmEntry]):
+    """VMs, by pool and by charge."""
+
+    __slots__ = ('_charged', '_pools')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__()
+        self._pools: dict[str, dict[str, None]] = {}
+        self._charged: dict[str, dict[str, None]] = {}
+
+    def list_pools(self) -> list[str]:
+        """Return the names of all pools that have VMs, sorted."""
+        return sorted(self._pools)
+
+    def list_pool(self, pool: str) -> list[str]:
+        """Return the VMs of a pool."""
+        return list(self._pools.get(pool, ()))
+
+    def list_charged(self, pool: str) -> list[str]:
+        """Return the VMs of a pool that count as unavailable."""
+        return list(self._charged.get(pool, ()))
+
+    def list_charged_pools(self) -> list[str]:
+        """Return the pools that have VMs away."""
+        return list(self._charged)
+
+    def count_pool(self, pool: str) -> int:
+        """Return the number of VMs of a pool."""
+        return len(self._pools.get(pool, ()))
+
+    def count_charged(self, pool: str) -> int:
+        """Return how many VMs of a pool count as unavailable."""
+        return len(self._charged.get(pool, ()))
+
+    def _reindex(
+        self, name: str, old: VmEntry | None, new: VmEntry | None
+    ) -> None:
+        if old:
+            _drop(self._pools, old.pool, name)
+            _drop(self._charged, old.pool, name)
+        if new:
+            self._pools.setdefault(new.pool, {})[name] = None
+        if new and new.charge:
+            self._charged.setdefault(new.pool, {})[name] = None
+
+
+class JobTable(ChangeTable[JobEntry]):
+    """Jobs, the queued ones by pool and the started ones by VM."""
+
+    __slots__ = ('_queued', '_started')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__()
+        self._queued: dict[str, dict[str, None]] = {}
+        self._started: dict[str, dict[str, None]] = {}
+
+    def list_queued(self, pool: str) -> list[JobEntry]:
+        """Return the jobs of a pool that wait for a start."""
+        return [self._rows[name] for name in self._queued.get(pool, ())]
+
+    def list_started(self, vm_id: str) -> list[JobEntry]:
+        """Return the jobs of a VM that have an attempt which may be live."""
+        return [self._rows[name] for name in self._started.get(vm_id, ())]
+
+    def is_busy(self, vm_id: str) -> bool:
+        """Return whether a VM has an attempt which may be live."""
+        return vm_id in self._started
+
+    def _reindex(
+        self, name: str, old: JobEntry | None, new: JobEntry | None
+    ) -> None:
+        if old:
+            _drop(self._queued, old.spec.pool, name)
+            _drop(self._started, old.vm_id, name)
+        if new and new.phase is JobPhase.QUEUED:
+            self._queued.setdefault(new.spec.pool, {})[name] = None
+        if new and new.phase is JobPhase.STARTED:
+            self._started.setdefault(new.vm_id, {})[name] = None
+
+
+class TeamTable(ChangeTable[TeamSettings]):
+    """Settings of teams, with the tightest budget of each pool."""
+
+    __slots__ = ('_limits',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__()
+        self._limits: dict[str, dict[str, int]] = {}
+
+    def find_budget(self, pool: str) -> int | None:
+        """Return the tightest budget that any team has on a pool.
+
+        The count is of VMs that may be unavailable at once; None means that
+        no team has a budget there.
+        """
+        return min(self._limits.get(pool, {}).values(), default=None)
+
+    def _reindex(
+        self, name: str, old: TeamSettings | None, new: TeamSettings | None
+    ) -> None:
+        for dropped in old.budgets if old else ():
+            self._limits.get(dropped.pool, {}).pop(name, None)
+        for budget in new.budgets if new else ():
+            limits = self._limits.setdefault(budget.pool, {})
+            known = limits.get(name, budget.max_unavailable)
+            limits[name] = min(known, budget.max_unavailable)
+
+
+def _drop(index: dict[str, dict[str, None]], key: str, name: str) -> None:
+    group = index.get(key)
+    if group is None:
+        return
+    group.pop(name, None)
+    if not group:
+        index.pop(key)
--- a/libs/daemon/tarragonlb/daemon/apifleet.py
+++ b/libs/daemon/tarragonlb/daemon/apifleet.py
@@ -100,15 +100,14 @@
         """Answer with all pools, their sizes and budgets."""
         self.identify(request).require_operator()
         state = self.journal.state
-        names = sorted({vm.pool for vm in state.vms.values()})
         pools = [
             PoolAnswer(
                 pool=name,
-                vms=sum(1 for vm in state.vms.values() if vm.pool == name),
+                vms=state.vms.count_pool(name),
                 unavailable=count_charged(state, name),
                 budget=find_budget(state, name),
             )
-            for name in names
+            for name in state.vms.list_pools()
         ]
         return answer_json(pools)
 
@@ -118,9 +117,7 @@
         identity.require_operator()
         order = await read_json(request, WaveRequest)
         state = self.journal.state
-        vm_ids = sorted(
-            vm.vm_id for vm in state.vms.values() if vm.pool == order.pool
-        )
+        vm_ids = sorted(state.vms.list_pool(order.pool))
         if not vm_ids:
             raise refuse_missing(f'pool {order.pool}')
         settings = state.pools.get(order.pool, PoolSettings())
--- a/libs/daemon/tarragonlb/daemon/apijobs.py
+++ b/libs/daemon/tarragonlb/daemon/apijobs.py
@@ -148,9 +148,9 @@
         )
 
     def _check_pool(self, order: JobRequest) -> None:
-        pools = {vm.pool for vm in self.journal.state.vms.values()}
+        pools = self.journal.state.vms.list_pools()
         if order.pool not in pools:
-            known = ', '.join(sorted(pools)) or 'none yet'
+            known = ', '.join(pools) or 'none yet'
             raise RefusedError(
                 f'pool: "{order.pool}" does not exist, known pools: {known}',
                 verdict=Verdict.NOT_RUN,
--- a/libs/daemon/tarragonlb/daemon/planning.py
+++ b/libs/daemon/tarragonlb/daemon/planning.py
@@ -8,7 +8,7 @@
 import trio
 
 from tarragonlb.capacity import action
-from tarragonlb.capacity.planner import decide_round
+from tarragonlb.capacity.planner import Planner
 from tarragonlb.capacity.view import FleetView
 from tarragonlb.daemon.clock import read_monotonic, read_wall
 from tarragonlb.daemon.journal import Journal
@@ -58,8 +58,8 @@
         '_fleet',
         '_journal',
         '_member',
+        '_planner',
         '_say',
-        '_scribe',
         '_terms',
         '_watch',
     )
@@ -76,7 +76,7 @@
         self._journal = journal
         self._watch = watch
         self._fleet = fleet
-        self._scribe = scribe
+        self._planner = Planner(scribe)
         self._member = member
         self._terms = TermWatch()
         self._say = Log('planner').say
@@ -115,6 +115,7 @@
         view = FleetView(
             offset=state.offset,
             term=state.terms[SCOPE].number,
+            reading=self._watch.number,
             vms=state.vms,
             jobs=state.jobs,
             waves=state.waves,
@@ -124,7 +125,7 @@
             vm_readings=self._watch.vms,
             task_readings=self._watch.tasks,
         )
-        return decide_round(view, self._scribe, read_wall())
+        return self._planner.decide(view, read_monotonic(), read_wall())
 
     async def _carry_out(self, actions: list[action.Action]) -> None:
         async with trio.open_nursery() as nursery:
--- a/libs/daemon/tarragonlb/daemon/watch.py
+++ b/libs/daemon/tarragonlb/daemon/watch.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from tarragonlb.capacity.table import ChangeTable
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.model.errors import PlatformError
 from tarragonlb.model.fleet import FleetReading, TaskReading, VmReading
@@ -20,8 +21,8 @@
         """Start without any reading."""
         self.number = 0
         self.last_read = float('-inf')
-        self.vms: dict[str, VmReading] = {}
-        self.tasks: dict[str, TaskReading] = {}
+        self.vms = ChangeTable[VmReading]()
+        self.tasks = ChangeTable[TaskReading]()
         self._fleet = fleet
         self._say = Log('watch').say
 
--- a/libs/journal/tarragonlb/journal/codec.py
+++ b/libs/journal/tarragonlb/journal/codec.py
@@ -26,6 +26,7 @@
             ownership.VmCharged,
             ownership.VmReleased,
             ownership.VmMoved,
+            ownership.VmRetired,
             job.JobSubmitted,
             job.JobStarted,
             job.JobEnded,
@@ -33,6 +34,7 @@
             job.JobsCancelled,
             wave.WavePlanned,
             wave.WaveSteered,
+            wave.VmPassedOver,
         )
     }
 )
--- a/libs/journal/tarragonlb/journal/jobfold.py
+++ b/libs/journal/tarragonlb/journal/jobfold.py
@@ -15,7 +15,7 @@
     JobSubmitted,
 )
 
-MAX_ATTEMPTS = 5
+MAX_FAILURES = 5
 
 
 def submit_job(state: State, entry: JobSubmitted, offset: int) -> Reason | None:
@@ -44,24 +44,39 @@
     vm = state.vms.get(entry.vm_id)
     if vm is None or vm.pool != job.spec.pool or vm.charge:
         return f'{entry.vm_id} is not available in pool {job.spec.pool}'
+    if entry.boot < vm.boot:
+        return f'{entry.vm_id} has been seen at boot {vm.boot} since'
     refusal = check_term(state, 'planner', entry.term)
     if refusal:
         return refusal
     state.jobs[entry.job_id] = replace(
-        job, phase=JobPhase.STARTED, attempt=entry.attempt, vm_id=entry.vm_id
+        job,
+        phase=JobPhase.STARTED,
+        attempt=entry.attempt,
+        vm_id=entry.vm_id,
+        boot=entry.boot,
     )
     return None
 
 
 def end_job(state: State, entry: JobEnded, offset: int) -> Reason | None:
-    """End the attempt that is running; a stopped one is queued again."""
+    """End the attempt that is running, or that was kept from running.
+
+    A job that may run again is queued; one that may have run and must not run
+    twice is shown to the operator as unknown.
+    """
     job = state.jobs.get(entry.job_id)
     if job is None or job.phase is not JobPhase.STARTED:
         return f'job {entry.job_id} is not running'
     if entry.attempt != job.attempt:
         return f'job {entry.job_id} is at attempt {job.attempt}'
+    lost = entry.outcome is JobOutcome.LOST
+    if lost and entry.boot <= job.boot and not entry.gone:
+        return f'{job.vm_id} was not restarted since attempt {job.attempt}'
+    failed = lost or entry.outcome is JobOutcome.FAILED
+    job = replace(job, failures=job.failures + failed, output=entry.output)
     state.jobs[entry.job_id] = replace(
-        job, phase=_choose_phase(job, entry.outcome), output=entry.output
+        job, phase=_choose_phase(job, entry.outcome)
     )
     return None
 
@@ -71,8 +86,8 @@
 ) -> Reason | None:
     """Show a job that can't go on to the operator, with the reason."""
     job = state.jobs.get(entry.job_id)
-    if job is None or job.phase not in {JobPhase.QUEUED, JobPhase.STARTED}:
-        return f'job {entry.job_id} has ended'
+    if job is None or job.phase is not JobPhase.QUEUED:
+        return f'job {entry.job_id} is not queued'
     state.jobs[entry.job_id] = replace(
         job, phase=JobPhase.SET_ASIDE, output=entry.reason
     )
@@ -106,10 +121,15 @@
         return JobPhase.SUCCEEDED
     if job.cancelled:
         return JobPhase.CANCELLED
-    may_repeat = job.spec.idempotent or outcome is JobOutcome.STOPPED
-    if may_repeat and job.attempt < MAX_ATTEMPTS:
+    if outcome is JobOutcome.NOT_BEGUN:
         return JobPhase.QUEUED
-    return JobPhase.FAILED
+    if job.spec.idempotent and job.failures < MAX_FAILURES:
+        return JobPhase.QUEUED
+    return JobPhase.FAILED if _has_failed(job, outcome) else JobPhase.UNKNOWN
+
+
+def _has_failed(job: JobEntry, outcome: JobOutcome) -> bool:
+    return job.spec.idempotent or outcome is JobOutcome.FAILED
 
 
 RULES: MappingProxyType[type, Rule] = MappingProxyType(
--- a/libs/journal/tarragonlb/journal/state.py
+++ b/libs/journal/tarragonlb/journal/state.py
@@ -5,15 +5,15 @@
 replaced whole; the mappings belong to the fold, readers only look.
 """
 
+from tarragonlb.capacity.table import JobTable, TeamTable, VmTable
 from tarragonlb.model.entry import (
     ClaimEntry,
-    JobEntry,
+    PoolMark,
     SettingEntry,
     TermEntry,
-    VmEntry,
     WaveEntry,
 )
-from tarragonlb.settings.schema import FleetSettings, PoolSettings, TeamSettings
+from tarragonlb.settings.schema import FleetSettings, PoolSettings
 
 
 class State:
@@ -26,6 +26,7 @@
         'history',
         'jobs',
         'keys',
+        'marks',
         'offset',
         'pools',
         'seen',
@@ -47,9 +48,10 @@
         self.settings_offset = 0
         self.fleet = FleetSettings()
         self.pools: dict[str, PoolSettings] = {}
-        self.teams: dict[str, TeamSettings] = {}
-        self.vms: dict[str, VmEntry] = {}
-        self.jobs: dict[str, JobEntry] = {}
+        self.teams = TeamTable()
+        self.vms = VmTable()
+        self.marks: dict[str, PoolMark] = {}
+        self.jobs = JobTable()
         self.keys: dict[tuple[str, str], str] = {}
         self.claims: dict[tuple[str, str], ClaimEntry] = {}
         self.waves: dict[str, WaveEntry] = {}
--- a/libs/journal/tarragonlb/journal/wavefold.py
+++ b/libs/journal/tarragonlb/journal/wavefold.py
@@ -3,10 +3,15 @@
 from dataclasses import replace
 from types import MappingProxyType
 
-from tarragonlb.journal.rule import Reason, Rule
+from tarragonlb.journal.rule import Reason, Rule, check_term
 from tarragonlb.journal.state import State
-from tarragonlb.model.entry import WaveEntry
-from tarragonlb.model.wave import WavePlanned, WaveStatus, WaveSteered
+from tarragonlb.model.entry import PassedVm, WaveEntry
+from tarragonlb.model.wave import (
+    VmPassedOver,
+    WavePlanned,
+    WaveStatus,
+    WaveSteered,
+)
 
 _ENDED = frozenset((WaveStatus.ABORTED, WaveStatus.FINISHED))
 
@@ -35,6 +40,24 @@
     return None
 
 
+def pass_vm_over(
+    state: State, entry: VmPassedOver, offset: int
+) -> Reason | None:
+    """Let a wave end without one of its VMs."""
+    wave = state.waves.get(entry.wave_id)
+    if wave is None or wave.status in _ENDED:
+        return f'wave {entry.wave_id} is not open'
+    settled = {*wave.done, *(passed.vm_id for passed in wave.passed)}
+    if entry.vm_id not in wave.vm_ids or entry.vm_id in settled:
+        return f'{entry.vm_id} is not due in wave {entry.wave_id}'
+    refusal = check_term(state, 'planner', entry.term)
+    if refusal:
+        return refusal
+    passed = PassedVm(vm_id=entry.vm_id, reason=entry.reason)
+    state.waves[wave.wave_id] = replace(wave, passed=(*wave.passed, passed))
+    return None
+
+
 def steer_wave(state: State, entry: WaveSteered, offset: int) -> Reason | None:
     """Pause, resume, abort or finish a wave that has not ended."""
     wave = state.waves.get(entry.wave_id)
@@ -52,5 +75,6 @@
     {
         WavePlanned: plan_wave,
         WaveSteered: steer_wave,
+        VmPassedOver: pass_vm_over,
     }
 )
--- a/libs/model/tarragonlb/model/entry.py
+++ b/libs/model/tarragonlb/model/entry.py
@@ -21,6 +21,7 @@
     FAILED = 'failed'
     CANCELLED = 'cancelled'
     SET_ASIDE = 'set-aside'
+    UNKNOWN = 'unknown'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,11 +45,17 @@
     boot: int
     wave_id: str
     offset: int
+    reading: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VmEntry:
-    """A VM with its one pool; ``version`` rises with each change."""
+    """A VM with its one pool; ``version`` rises with each change.
+
+    ``boot`` and ``reading`` are the highest boot count and list number that
+    a record has shown, ``offset`` is that of the adoption, and ``replaces``
+    names the gone VM that this one stands in for.
+    """
 
     vm_id: str
     pool: str
@@ -56,11 +63,26 @@
     rack: str
     version: int = 1
     charge: Charge | None = None
+    boot: int = 0
+    reading: int = 0
+    offset: int = 0
+    replaces: str = ''
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolMark:
+    """The latest list that an adoption or failure in a pool rested on."""
+
+    reading: int
+    offset: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobEntry:
-    """A job with its latest attempt."""
+    """A job with its latest attempt.
+
+    ``failures`` counts the attempts that failed or were lost.
+    """
 
     spec: JobSubmitted
     phase: JobPhase
@@ -69,11 +91,24 @@
     vm_id: str = ''
     output: str = ''
     cancelled: bool = False
+    boot: int = 0
+    failures: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PassedVm:
+    """A VM that a wave has passed over, and why."""
+
+    vm_id: str
+    reason: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WaveEntry:
-    """A maintenance wave and the VMs that it has brought back so far."""
+    """A maintenance wave and the VMs that it has brought back so far.
+
+    It ends when each of its VMs was brought back or passed over.
+    """
 
     wave_id: str
     pool: str
@@ -82,6 +117,7 @@
     status: WaveStatus
     version: int = 1
     done: tuple[str, ...] = ()
+    passed: tuple[PassedVm, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/model/tarragonlb/model/fleet.py
+++ b/libs/model/tarragonlb/model/fleet.py
@@ -51,12 +51,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TaskReading:
-    """One task of a worker, as last reported."""
+    """One task of a worker, as last reported.
+
+    ``began`` is False only where the platform vouches that the task was kept
+    from ever starting.
+    """
 
     task_id: str
     vm_id: str
     phase: TaskPhase
     output: str = ''
+    began: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/model/tarragonlb/model/job.py
+++ b/libs/model/tarragonlb/model/job.py
@@ -17,6 +17,8 @@
     SUCCEEDED = 'succeeded'
     FAILED = 'failed'
     STOPPED = 'stopped'
+    NOT_BEGUN = 'not-begun'
+    LOST = 'lost'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,23 +45,36 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobStarted(Record):
-    """An attempt of a job that is about to be handed to a worker."""
+    """An attempt of a job that is about to be handed to a worker.
+
+    ``boot`` is the boot count of the VM that the writer had read.  The
+    platform refuses the task once the VM was restarted, so an attempt can
+    begin under this boot or never.
+    """
 
     job_id: str
     attempt: int
     vm_id: str
     lease_seconds: float
     term: int
+    boot: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobEnded(Record):
-    """An attempt of a job that was seen to have ended."""
+    """An attempt of a job that was seen to have ended.
+
+    A lost attempt is shown by its VM: ``boot`` is a boot count later than
+    that of the start, or ``gone`` says that the platform listed the VM as
+    gone.
+    """
 
     job_id: str
     attempt: int
     outcome: JobOutcome
     output: str
+    boot: int = 0
+    gone: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/model/tarragonlb/model/ownership.py
+++ b/libs/model/tarragonlb/model/ownership.py
@@ -21,12 +21,31 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VmAdopted(Record):
-    """A VM that was seen for the first time, with the pool it joins."""
+    """A VM that was seen for the first time, with the pool it joins.
+
+    Here and below, ``reading`` is the number of the platform's list that the
+    writer had read: a higher number was taken later.
+    """
 
     vm_id: str
     pool: str
     zone: str
     rack: str
+    boot: int = 0
+    reading: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmRetired(Record):
+    """A VM that the platform lists as gone, with the one in its place.
+
+    The charge of the gone VM ends here.  ``replaced_by`` names a VM of the
+    same pool that was adopted after that charge and stands in for no other.
+    """
+
+    vm_id: str
+    expected_version: int
+    replaced_by: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +62,7 @@
     boot: int
     wave_id: str = ''
     term: int = 0
+    reading: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +73,7 @@
     expected_version: int
     boot: int
     maintained: bool = False
+    reading: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/model/tarragonlb/model/wave.py
+++ b/libs/model/tarragonlb/model/wave.py
@@ -25,6 +25,19 @@
     at_once: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmPassedOver(Record):
+    """A VM that a wave no longer waits for, with the reason.
+
+    Its charge, if it has one, stands until the VM is seen back.
+    """
+
+    wave_id: str
+    vm_id: str
+    reason: str
+    term: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WaveSteered(Record):
     """A change of the status of a wave."""
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -66,6 +66,8 @@
     """The document under ``/pools/NAME``."""
 
     at_once: Annotated[int, Meta(ge=1)] = 1
+    at_once_per_rack: Annotated[int, Meta(ge=1)] = 1_000
+    at_once_per_zone: Annotated[int, Meta(ge=1)] = 1_000
     drain_limit_seconds: Positive = 600
     spare: bool = False
 
--- a/libs/standin/tarragonlb/standin/fleetstore.py
+++ b/libs/standin/tarragonlb/standin/fleetstore.py
@@ -104,8 +104,10 @@
         task = self.tasks.pop(task_id, None)
         if task is None and self._knows(task_id):
             return
-        stopped = task or Task(vm_id, '', False, now, now)
-        self._note_task(task_id, stopped, TaskPhase.STOPPED, now)
+        if task is None:
+            self._note(_fence(vm_id, task_id), now)
+        else:
+            self._note_task(task_id, task, TaskPhase.STOPPED, now)
 
     def end_tasks(self, now: float) -> None:
         """End the tasks whose time or lease has passed."""
@@ -141,3 +143,10 @@
     def _note(self, subject: VmReading | TaskReading, now: float) -> None:
         self._number += 1
         self._changes.append(Change(self._number, now, subject))
+
+
+def _fence(vm_id: str, task_id: str) -> TaskReading:
+    """Return the reading of a task that was kept from ever starting."""
+    return TaskReading(
+        task_id=task_id, vm_id=vm_id, phase=TaskPhase.STOPPED, began=False
+    )
