Measure rounds of the planner and make an event cost the same at each size

Cause: a round copied all rooms of a pool for one job, and iterated over dicts that had shrunk but keep their old capacity. A round's own give-aways are now an overlay over the rooms, the list of unsettled VMs is rebuilt, and the follower names a task once.

What is left is the renewal of leases, 2,300 a second with 30 s leases at 23,000 running jobs: as calls of the platform these do not fit, see docs/design/capacity.md.

--- /dev/null
+++ b/bench/capacity_planner.py
@@ -0,0 +1,193 @@
+"""What a round of the planner costs, at three sizes of the fleet.
+
+Every VM runs one job.  An idle round has nothing new, an event round has one
+job submitted and one task ended.  A share is that of one core when a round is
+run every half second and leases are renewed on time.
+"""
+
+import functools
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tarragonlb.capacity.planner import Planner
+from tarragonlb.capacity.table import ChangeTable
+from tarragonlb.capacity.view import FleetView
+from tarragonlb.journal.state import State
+from tarragonlb.model.entry import JobEntry, JobPhase, VmEntry
+from tarragonlb.model.fleet import (
+    TaskPhase,
+    TaskReading,
+    VmPhase,
+    VmReading,
+)
+from tarragonlb.model.job import JobSubmitted
+from tarragonlb.model.scribe import Scribe
+
+POOLS = 72
+ZONES = 8
+VMS_A_RACK = 4
+CORES = 16
+MEMORY_GB = 64
+ROUND_SECONDS = 0.5
+ROUNDS = 60
+EVENTS = 40
+MICROSECONDS = 1_000_000
+MEBIBYTE = 1024 * 1024
+SCRIBE = Scribe('bench', '1')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlannerFigure:
+    """Microseconds of a round, share of a core, and memory."""
+
+    vms: int
+    first_round_microseconds: float
+    idle_round_microseconds: float
+    event_round_microseconds: float
+    steady_core_percent: float
+    planner_mebibytes: float
+
+
+class BenchFleet:
+    """A state and readings, filled without the log."""
+
+    __slots__ = ('state', 'tasks', 'vms')
+
+    def __init__(self, vms: int) -> None:
+        """Fill with so many VMs, each with one running job."""
+        self.state = State()
+        self.vms = ChangeTable[VmReading]()
+        self.tasks = ChangeTable[TaskReading]()
+        for index in range(vms):
+            self._add_vm(index)
+            self.add_job(index, JobPhase.STARTED, f'vm-{index}')
+            self.report(index, TaskPhase.RUNNING)
+
+    def view(self) -> FleetView:
+        """Return what a planner sees."""
+        state = self.state
+        return FleetView(
+            offset=state.offset,
+            term=1,
+            reading=1,
+            vms=state.vms,
+            jobs=state.jobs,
+            waves=state.waves,
+            teams=state.teams,
+            pools=state.pools,
+            fleet=state.fleet,
+            vm_readings=self.vms,
+            task_readings=self.tasks,
+        )
+
+    def add_job(self, index: int, phase: JobPhase, vm_id: str = '') -> None:
+        """Put a job."""
+        spec = JobSubmitted(
+            head=SCRIBE.sign(0, 0),
+            job_id=f'job-{index}',
+            team=f'team-{index % 380}',
+            kind='kind',
+            pool=f'pool-{index % POOLS}',
+            cores=4,
+            memory_gb=8,
+            payload='',
+            urgent=False,
+            idempotent=True,
+            deadline_seconds=1000,
+            declared_seconds=100,
+        )
+        self.state.jobs[spec.job_id] = JobEntry(
+            spec=spec,
+            phase=phase,
+            offset=index + 1,
+            attempt=1,
+            vm_id=vm_id,
+            boot=1,
+        )
+
+    def report(self, index: int, phase: TaskPhase) -> None:
+        """Put the reading of a job's task."""
+        task = TaskReading(
+            task_id=f'job-{index}.1', vm_id=f'vm-{index}', phase=phase
+        )
+        self.tasks[task.task_id] = task
+
+    def _add_vm(self, index: int) -> None:
+        reading = VmReading(
+            vm_id=f'vm-{index}',
+            pool=f'pool-{index % POOLS}',
+            zone=f'zone-{index % ZONES}',
+            rack=f'rack-{index // VMS_A_RACK}',
+            phase=VmPhase.LIVE,
+            boot=1,
+            cores=CORES,
+            memory_gb=MEMORY_GB,
+        )
+        self.vms[reading.vm_id] = reading
+        self.state.vms[reading.vm_id] = VmEntry(
+            vm_id=reading.vm_id,
+            pool=reading.pool,
+            zone=reading.zone,
+            rack=reading.rack,
+            boot=1,
+        )
+
+
+def measure_planner(vms: int) -> PlannerFigure:
+    """Run rounds over so many VMs and return their cost."""
+    fleet = BenchFleet(vms)
+    view = fleet.view()
+    planner = Planner(SCRIBE)
+    first = _time(lambda: planner.decide(view, 0, 0))
+    steady = sum(
+        _time(functools.partial(planner.decide, view, number / 2, 0))
+        for number in range(1, ROUNDS + 1)
+    )
+    now = ROUNDS * ROUND_SECONDS
+    idle_round = functools.partial(planner.decide, view, now, 0)
+    idle = min(_time(idle_round) for _ in range(EVENTS))
+    events = [
+        _measure_event(fleet, planner, vms + index, now)
+        for index in range(EVENTS)
+    ]
+    return PlannerFigure(
+        vms=vms,
+        first_round_microseconds=first * MICROSECONDS,
+        idle_round_microseconds=idle * MICROSECONDS,
+        event_round_microseconds=sorted(events)[EVENTS // 2] * MICROSECONDS,
+        steady_core_percent=100 * steady / (ROUNDS * ROUND_SECONDS),
+        planner_mebibytes=_measure_memory(view),
+    )
+
+
+def _measure_event(
+    fleet: BenchFleet, planner: Planner, index: int, now: float
+) -> float:
+    fleet.add_job(index, JobPhase.QUEUED)
+    fleet.report(index - EVENTS, TaskPhase.SUCCEEDED)
+    view = fleet.view()
+    seconds = _time(lambda: planner.decide(view, now, now))
+    fleet.add_job(index, JobPhase.SUCCEEDED)
+    planner.decide(view, now, now)
+    return seconds
+
+
+def _measure_memory(view: FleetView) -> float:
+    tracemalloc.start()
+    planner = Planner(SCRIBE)
+    for vm_id, reading in view.vm_readings.items():
+        view.vm_readings[vm_id] = reading
+    for job_id, job in view.jobs.items():
+        view.jobs[job_id] = job
+    planner.decide(view, 0, 0)
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return used / MEBIBYTE
+
+
+def _time(act: Callable[[], object]) -> float:
+    started = time.process_time()
+    act()
+    return time.process_time() - started
--- a/bench/run.py
+++ b/bench/run.py
@@ -7,6 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+from capacity_planner import measure_planner  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
 
 
@@ -14,6 +15,7 @@
     """Print one line a figure."""
     for size in SIZES:
         print(json.dumps({'fold': asdict(measure_fold(size))}))
+        print(json.dumps({'planner': asdict(measure_planner(size))}))
 
 
 if __name__ == '__main__':
--- a/libs/capacity/tarragonlb/capacity/attempts.py
+++ b/libs/capacity/tarragonlb/capacity/attempts.py
@@ -51,7 +51,7 @@
 
     def follow(self, turn: Round) -> list[Action]:
         """Return what the jobs that are due need."""
-        actions: list[Action] = []
+        actions: list[Action | None] = []
         while self._order and self._order[0][0] <= turn.now:
             due, job_id = heapq.heappop(self._order)
             if self._due.get(job_id) != due:
@@ -59,17 +59,18 @@
             del self._due[job_id]
             job = turn.view.jobs.get(job_id)
             if job and job.phase is JobPhase.STARTED:
-                actions.extend(follow_attempt(turn, job))
-                self._note_next(turn, job)
-        return actions
+                actions.append(self._follow_job(turn, job))
+        return [action for action in actions if action]
 
-    def _note_next(self, turn: Round, job: JobEntry) -> None:
-        task = turn.view.task_readings.get(name_task(job))
+    def _follow_job(self, turn: Round, job: JobEntry) -> Action | None:
+        task_id = name_task(job)
+        task = turn.view.task_readings.get(task_id)
         running = task is not None and task.phase is TaskPhase.RUNNING
         lease = turn.view.fleet.job_lease_seconds
         calm = running and not job.cancelled
         pause = lease / RENEWALS_A_LEASE if calm else RETRY_SECONDS
         self.note(job.spec.job_id, turn.now + pause)
+        return _follow_attempt(turn, job, task_id, task)
 
 
 def note_tasks(follower: AttemptFollower, turn: Round) -> None:
@@ -78,27 +79,21 @@
         follower.note(find_job_id(task_id), turn.now)
 
 
-def follow_attempt(turn: Round, job: JobEntry) -> list[Action]:
-    """Return what a started job needs: a start, a renewal, a stop, an end."""
-    task = turn.view.task_readings.get(name_task(job))
-    if task and task.phase in _OUTCOMES:
-        return [Commit(_end(turn, job, task))]
+def _follow_attempt(
+    turn: Round, job: JobEntry, task_id: str, task: TaskReading | None
+) -> Action | None:
+    if task and task.phase is not TaskPhase.RUNNING:
+        return Commit(_end(turn, job, task))
     vm = turn.view.vm_readings.get(job.vm_id)
     if vm is None:
-        return []
+        return None
     if vm.phase is VmPhase.GONE or vm.boot > job.boot:
-        return [Commit(_lose(turn, job, vm))]
+        return Commit(_lose(turn, job, vm))
     never_got = task is None and vm.phase is VmPhase.DRAINED
     if job.cancelled or never_got:
-        return [StopTask(job.vm_id, job.boot, name_task(job))]
-    start = StartTask(
-        job.vm_id,
-        job.boot,
-        name_task(job),
-        job.spec.payload,
-        turn.view.fleet.job_lease_seconds,
-    )
-    return [start]
+        return StopTask(job.vm_id, job.boot, task_id)
+    lease = turn.view.fleet.job_lease_seconds
+    return StartTask(job.vm_id, job.boot, task_id, job.spec.payload, lease)
 
 
 def _end(turn: Round, job: JobEntry, task: TaskReading) -> JobEnded:
--- a/libs/capacity/tarragonlb/capacity/placement.py
+++ b/libs/capacity/tarragonlb/capacity/placement.py
@@ -6,28 +6,14 @@
 comparison a job.
 """
 
-from dataclasses import dataclass
-
 from tarragonlb.capacity.action import Action, Commit
-from tarragonlb.capacity.rooms import Room, never_fits
+from tarragonlb.capacity.rooms import PoolRooms, Size, never_fits
 from tarragonlb.capacity.view import Round
 from tarragonlb.model.entry import JobEntry
-from tarragonlb.model.job import JobSetAside, JobStarted, JobSubmitted
-
-
-@dataclass(frozen=True, slots=True)
-class Size:
-    """What a job needs."""
-
-    cores: int
-    memory_gb: int
-
-    def is_within(self, spec: JobSubmitted) -> bool:
-        """Return whether a job needs at least this much."""
-        return self.cores <= spec.cores and self.memory_gb <= spec.memory_gb
+from tarragonlb.model.job import JobSetAside, JobStarted
 
 
-def place_jobs(turn: Round, pool: str, rooms: list[Room]) -> list[Action]:
+def place_jobs(turn: Round, pool: str, rooms: PoolRooms) -> list[Action]:
     """Return the starts of a pool's queued jobs, most pressing first."""
     queued = turn.view.jobs.list_queued(pool)
     queued.sort(key=_rank)
@@ -35,30 +21,30 @@
     actions: list[Action] = []
     for job in queued:
         if any(size.is_within(job.spec) for size in misfits):
-            room = None
-        else:
-            room = next((spot for spot in rooms if spot.fits(job.spec)), None)
-        if room:
-            room.take(job.spec)
-            actions.append(Commit(_start(turn, job, room)))
             continue
-        misfits.add(Size(job.spec.cores, job.spec.memory_gb))
-    actions.extend(_set_aside_misfits(turn, queued, misfits))
+        vm_id = rooms.take(job.spec)
+        if vm_id:
+            actions.append(Commit(_start(turn, job, vm_id)))
+        else:
+            misfits.add(Size(job.spec.cores, job.spec.memory_gb))
+    actions.extend(_set_aside_misfits(turn, pool, queued, misfits))
     return actions
 
 
 def _set_aside_misfits(
-    turn: Round, queued: list[JobEntry], misfits: set[Size]
+    turn: Round, pool: str, queued: list[JobEntry], misfits: set[Size]
 ) -> list[Action]:
-    never = {
-        (job.spec.cores, job.spec.memory_gb): never_fits(turn.view, job.spec)
+    waiting = [
+        job
         for job in queued
-        if Size(job.spec.cores, job.spec.memory_gb) in misfits
-    }
+        if any(size.is_within(job.spec) for size in misfits)
+    ]
+    sizes = {Size(job.spec.cores, job.spec.memory_gb) for job in waiting}
+    never = {size for size in sizes if never_fits(turn.view, pool, size)}
     return [
         Commit(_set_aside(turn, job))
-        for job in queued
-        if never.get((job.spec.cores, job.spec.memory_gb))
+        for job in waiting
+        if Size(job.spec.cores, job.spec.memory_gb) in never
     ]
 
 
@@ -67,15 +53,15 @@
     return (not job.spec.urgent, due, job.offset)
 
 
-def _start(turn: Round, job: JobEntry, room: Room) -> JobStarted:
+def _start(turn: Round, job: JobEntry, vm_id: str) -> JobStarted:
     return JobStarted(
         head=turn.sign(),
         job_id=job.spec.job_id,
         attempt=job.attempt + 1,
-        vm_id=room.vm_id,
+        vm_id=vm_id,
         lease_seconds=turn.view.fleet.job_lease_seconds,
         term=turn.view.term,
-        boot=turn.view.vm_readings[room.vm_id].boot,
+        boot=turn.view.vm_readings[vm_id].boot,
     )
 
 
--- a/libs/capacity/tarragonlb/capacity/planner.py
+++ b/libs/capacity/tarragonlb/capacity/planner.py
@@ -41,7 +41,7 @@
         self._follower = AttemptFollower()
         self._rooms = RoomBook()
         self._home: dict[str, str] = {}
-        self._vms: dict[str, None] = {}
+        self._vms: list[str] = []
         self._pools: dict[str, None] = {}
 
     def decide(self, view: FleetView, now: float, wall: float) -> list[Action]:
@@ -63,10 +63,13 @@
 
     def _note_vms(self, turn: Round) -> None:
         view = turn.view
-        names = dict.fromkeys(view.vms.take_changed())
-        names.update(dict.fromkeys(view.vm_readings.take_changed()))
-        for vm_id in names:
-            self._vms[vm_id] = None
+        changed = {
+            **dict.fromkeys(view.vms.take_changed()),
+            **dict.fromkeys(view.vm_readings.take_changed()),
+        }
+        if changed:
+            self._vms = list({**dict.fromkeys(self._vms), **changed})
+        for vm_id in changed:
             self._refresh(view, vm_id)
             for job in view.jobs.list_started(vm_id):
                 self._follower.note(job.spec.job_id, turn.now)
@@ -93,18 +96,18 @@
 
     def _follow_vms(self, turn: Round) -> list[Action]:
         actions: list[Action] = []
+        self._vms = [
+            vm_id for vm_id in self._vms if not is_settled(turn.view, vm_id)
+        ]
         held = find_uncharged(turn.view, self._vms)
-        for vm_id in list(self._vms):
-            if is_settled(turn.view, vm_id):
-                del self._vms[vm_id]
-            else:
-                actions.extend(follow_vm(turn, vm_id, held))
+        for vm_id in self._vms:
+            actions.extend(follow_vm(turn, vm_id, held))
         return actions
 
     def _place(self, turn: Round) -> list[Action]:
         actions: list[Action] = []
         for pool in list(self._pools):
-            steps = place_jobs(turn, pool, self._rooms.list_rooms(pool))
+            steps = place_jobs(turn, pool, self._rooms.open_pool(pool))
             if not steps:
                 del self._pools[pool]
             actions.extend(steps)
--- a/libs/capacity/tarragonlb/capacity/rooms.py
+++ b/libs/capacity/tarragonlb/capacity/rooms.py
@@ -1,11 +1,24 @@
 """What is free on each VM, kept up to date one VM at a time."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from tarragonlb.capacity.view import FleetView, is_usable
 from tarragonlb.model.job import JobSubmitted
 
 
+@dataclass(frozen=True, slots=True)
+class Size:
+    """What a job needs."""
+
+    cores: int
+    memory_gb: int
+
+    def is_within(self, spec: JobSubmitted) -> bool:
+        """Return whether a job needs at least this much."""
+        return self.cores <= spec.cores and self.memory_gb <= spec.memory_gb
+
+
 @dataclass(slots=True)
 class Room:
     """What is free on a VM: cores and gigabytes."""
@@ -24,6 +37,32 @@
         self.memory_gb -= spec.memory_gb
 
 
+class PoolRooms:
+    """Rooms of a pool with what one round has given away.
+
+    The book's own rooms stay as they are: what a round gives away counts only
+    once its records were read back.
+    """
+
+    __slots__ = ('_rooms', '_taken')
+
+    def __init__(self, rooms: Mapping[str, Room]) -> None:
+        """Start with nothing given away."""
+        self._rooms = rooms
+        self._taken: dict[str, Room] = {}
+
+    def take(self, spec: JobSubmitted) -> str | None:
+        """Give a job its share of the first VM that has room for it."""
+        for vm_id, free in self._rooms.items():
+            room = self._taken.get(vm_id, free)
+            if room.fits(spec):
+                room = replace(room)
+                room.take(spec)
+                self._taken[vm_id] = room
+                return vm_id
+        return None
+
+
 class RoomBook:
     """Rooms of the VMs that may take new work, by pool."""
 
@@ -47,10 +86,9 @@
         self._pool_of[vm_id] = pool
         self._rooms.setdefault(pool, {})[vm_id] = room
 
-    def list_rooms(self, pool: str) -> list[Room]:
-        """Return copies of the rooms of a pool that have any core free."""
-        rooms = self._rooms.get(pool, {}).values()
-        return [replace(room) for room in rooms if room.cores > 0]
+    def open_pool(self, pool: str) -> 'PoolRooms':
+        """Return the rooms of a pool for one round."""
+        return PoolRooms(self._rooms.get(pool, {}))
 
     def _drop(self, vm_id: str) -> None:
         pool = self._pool_of.pop(vm_id, None)
@@ -58,17 +96,17 @@
             self._rooms[pool].pop(vm_id)
 
 
-def never_fits(view: FleetView, spec: JobSubmitted) -> bool:
+def never_fits(view: FleetView, pool: str, size: Size) -> bool:
     """Return whether a job is larger than every VM of its pool.
 
     A pool of which nothing is listed says nothing about sizes.
     """
     listed = [
         view.vm_readings[vm_id]
-        for vm_id in view.vms.list_pool(spec.pool)
+        for vm_id in view.vms.list_pool(pool)
         if vm_id in view.vm_readings
     ]
     return bool(listed) and all(
-        reading.cores < spec.cores or reading.memory_gb < spec.memory_gb
+        reading.cores < size.cores or reading.memory_gb < size.memory_gb
         for reading in listed
     )
