--- a/libs/daemon/tarragonlb/daemon/journal.py
+++ b/libs/daemon/tarragonlb/daemon/journal.py
@@ -103,7 +103,9 @@
                 await settled.wait()
         finally:
             self._conclude(pending)
-            self._measure(record, started)
+            self.observe_commit(
+                type(record).__name__, read_monotonic() - started
+            )
         return _judge(pending)
 
     async def wait_for_change(self) -> None:
@@ -146,10 +148,6 @@
         self._waiting.pop(pending.record_id)
         self.replica.outbox.give_up(pending)
 
-    def _measure(self, record: Record, started: float) -> None:
-        seconds = read_monotonic() - started
-        self.observe_commit(type(record).__name__, seconds)
-
     def _announce(self, settled: list[Pending]) -> None:
         for pending in settled:
             waiting = self._waiting.get(pending.record_id)
--- a/libs/journal/tarragonlb/journal/state.py
+++ b/libs/journal/tarragonlb/journal/state.py
@@ -8,20 +8,26 @@
 a new field is carried as soon as it is annotated here.
 """
 
+from collections.abc import Mapping
 from typing import Any
 
+from tarragonlb.capacity.table import (
+    ChangeTable,
+    JobTable,
+    TeamTable,
+    VmTable,
+)
 from tarragonlb.model.burn import BurnEntry
 from tarragonlb.model.entry import (
     ClaimEntry,
-    JobEntry,
+    PoolMark,
     SettingEntry,
     TermEntry,
-    VmEntry,
     WaveEntry,
 )
 from tarragonlb.model.invariant import ensure
 from tarragonlb.model.snapshot import SnapshotEntry
-from tarragonlb.settings.schema import FleetSettings, PoolSettings, TeamSettings
+from tarragonlb.settings.schema import FleetSettings, PoolSettings
 
 
 class State:
@@ -35,6 +41,7 @@
         'history',
         'jobs',
         'keys',
+        'marks',
         'offset',
         'pools',
         'seen',
@@ -55,9 +62,10 @@
     settings_offset: int
     fleet: FleetSettings
     pools: dict[str, PoolSettings]
-    teams: dict[str, TeamSettings]
-    vms: dict[str, VmEntry]
-    jobs: dict[str, JobEntry]
+    teams: TeamTable
+    vms: VmTable
+    marks: dict[str, PoolMark]
+    jobs: JobTable
     keys: dict[tuple[str, str], str]
     claims: dict[tuple[str, str], ClaimEntry]
     waves: dict[str, WaveEntry]
@@ -75,9 +83,10 @@
         self.settings_offset = 0
         self.fleet = FleetSettings()
         self.pools = {}
-        self.teams = {}
-        self.vms = {}
-        self.jobs = {}
+        self.teams = TeamTable()
+        self.vms = VmTable()
+        self.marks = {}
+        self.jobs = JobTable()
         self.keys = {}
         self.claims = {}
         self.waves = {}
@@ -93,7 +102,7 @@
         """
         fields = {name: getattr(self, name) for name in self.__slots__}
         return {
-            name: dict(field) if isinstance(field, dict) else field
+            name: dict(field) if isinstance(field, Mapping) else field
             for name, field in fields.items()
         }
 
@@ -106,4 +115,8 @@
             later.offset,
         )
         for name, field in later.read_fields().items():
-            setattr(self, name, field)
+            present = getattr(self, name)
+            if isinstance(present, ChangeTable):
+                present.replace(field)
+            else:
+                setattr(self, name, field)
--- a/libs/standin/tarragonlb/standin/fleetstore.py
+++ b/libs/standin/tarragonlb/standin/fleetstore.py
@@ -122,8 +122,11 @@
         task = self.tasks.pop(task_id, None)
         if task is None and task_id in self._ended:
             return
-        stopped = task or Task(vm_id, '', False, now, now)
-        self._note_task(task_id, stopped, TaskPhase.STOPPED, now)
+        if task is None:
+            self._ended[task_id] = None
+            self._note(_fence(vm_id, task_id), now)
+        else:
+            self._note_task(task_id, task, TaskPhase.STOPPED, now)
 
     def end_tasks(self, now: float) -> None:
         """End the tasks whose time or lease has passed."""
@@ -168,3 +171,10 @@
     if isinstance(subject, VmReading):
         return f'vm {subject.vm_id}'
     return f'task {subject.task_id}'
+
+
+def _fence(vm_id: str, task_id: str) -> TaskReading:
+    """Return the reading of a task that was kept from ever starting."""
+    return TaskReading(
+        task_id=task_id, vm_id=vm_id, phase=TaskPhase.STOPPED, began=False
+    )
