Carry the feature level in the stream, so that two versions can run together

Cause: a daemon that meets a record of a newer version can't go on, and a new daemon wrote whatever it knew: one new daemon would halt all old ones.

Change: MemberAnnounced, MemberRetired and LevelRaised; a raise is void while a member is behind, and names it. Replica.submit refuses a kind above the level in force. Operators raise it with feature_level in /fleet.

Ruled out: skipping unknown kinds (states part), halting alone (one new daemon halts the others).

--- a/libs/daemon/features/journal.feature
+++ b/libs/daemon/features/journal.feature
@@ -20,3 +20,8 @@
     Given 3 daemons over one log
     When a record of an unknown kind is appended
     Then each of them refuses to commit and has read nothing lately
+
+  Scenario: A silent member is retired, and counted again when it is back
+    Given 3 daemons over one log
+    When one of them is cut off for an hour
+    Then it is no member meanwhile, and is one afterwards
--- a/libs/daemon/tarragonlb/daemon/journal.py
+++ b/libs/daemon/tarragonlb/daemon/journal.py
@@ -10,31 +10,26 @@
 import trio
 
 from tarragonlb.daemon.clock import read_monotonic, read_wall
+from tarragonlb.daemon.upkeep import Upkeep
 from tarragonlb.journal.fold import Outcome
 from tarragonlb.journal.log import Log as PlatformLog
 from tarragonlb.journal.outbox import Pending
 from tarragonlb.journal.replica import Replica
-from tarragonlb.journal.snapshotter import Snapshotter, make_records
 from tarragonlb.journal.state import State
 from tarragonlb.model.errors import (
     CommitUnknownError,
-    JournalError,
     PlatformError,
     RecordsExpiredError,
     RecordVoidError,
 )
 from tarragonlb.model.record import Head, Record
 from tarragonlb.model.scribe import Scribe
-from tarragonlb.model.snapshot import SnapshotOpened
 from tarragonlb.telemetry.log import Log
 
 BATCH_SECONDS = 0.01
 POLL_SECONDS = 5
 RETRY_SECONDS = 0.2
 COMMIT_TIMEOUT_SECONDS = 5
-SNAPSHOT_CHECK_SECONDS = 1
-CHUNK_SECONDS = 0.05
-PART_SECONDS = 0.01
 
 
 class Journal:
@@ -44,12 +39,11 @@
         '_changed',
         '_log',
         '_say',
-        '_scribe',
-        '_snapshotter',
         '_submitted',
         '_waiting',
         'last_read',
         'replica',
+        'scribe',
     )
 
     def __init__(self, log: PlatformLog, scribe: Scribe) -> None:
@@ -57,8 +51,7 @@
         self.replica = Replica()
         self.last_read = -math.inf
         self._log = log
-        self._scribe = scribe
-        self._snapshotter = Snapshotter(scribe.author)
+        self.scribe = scribe
         self._say = Log('journal').say
         self._waiting: dict[str, trio.Event] = {}
         self._changed = trio.Event()
@@ -74,11 +67,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._keep_reading)
             nursery.start_soon(self._keep_writing)
-            nursery.start_soon(self._keep_snapshots)
+            nursery.start_soon(Upkeep(self).run)
 
     def sign(self, author: str = '') -> Head:
         """Return the head of a new record on the present state."""
-        return self._scribe.sign(self.state.offset, read_wall(), author)
+        return self.scribe.sign(self.state.offset, read_wall(), author)
 
     async def commit(
         self, record: Record, timeout_seconds: float = COMMIT_TIMEOUT_SECONDS
@@ -160,33 +153,6 @@
                 await trio.sleep(RETRY_SECONDS)
             batch = self.replica.outbox.take_batch()
 
-    async def _keep_snapshots(self) -> None:
-        await self.wait_until_read()
-        while True:
-            await trio.sleep(SNAPSHOT_CHECK_SECONDS)
-            now = read_monotonic()
-            opened = self._snapshotter.plan(self.replica, now, self.sign)
-            if opened:
-                await self._write_snapshot(opened)
-            await self._encode_cut()
-
-    async def _write_snapshot(self, opened: SnapshotOpened) -> None:
-        try:
-            await self.commit(opened)
-            for record in make_records(self.replica, opened, self.sign):
-                await self.commit(record)
-                await trio.sleep(CHUNK_SECONDS)
-        except JournalError as error:
-            self._say('No snapshot was written.', reason=str(error))
-        else:
-            self._say('A snapshot was written.', offset=self.state.offset)
-
-    async def _encode_cut(self) -> None:
-        cut = self.replica.cut
-        while cut and not cut.ended:
-            cut.read_part()
-            await trio.sleep(PART_SECONDS)
-
 
 def _judge(pending: Pending) -> Outcome:
     if pending.outcome is None:
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/upkeep.py
@@ -0,0 +1,92 @@
+"""Keeps the stream in order: this member's announcements, and snapshots."""
+
+from typing import Protocol
+
+import trio
+
+from tarragonlb.daemon.clock import read_monotonic
+from tarragonlb.journal.fold import Outcome
+from tarragonlb.journal.membership import Membership
+from tarragonlb.journal.replica import Replica
+from tarragonlb.journal.snapshotter import Snapshotter, make_records
+from tarragonlb.model.errors import JournalError
+from tarragonlb.model.record import Head, Record
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.model.snapshot import SnapshotOpened
+from tarragonlb.telemetry.log import Log
+
+CHECK_SECONDS = 1
+CHUNK_SECONDS = 0.05
+PART_SECONDS = 0.01
+
+
+class Committer(Protocol):
+    """What the upkeep needs of the journal."""
+
+    replica: Replica
+    scribe: Scribe
+
+    async def commit(self, record: Record) -> Outcome:
+        """Append a record and wait until it is read back."""
+
+    def sign(self) -> Head:
+        """Return the head of a new record on the present state."""
+
+    async def wait_until_read(self) -> None:
+        """Wait until the end of the log was reached once."""
+
+
+class Upkeep:
+    """Writes what is due, one record after the other."""
+
+    __slots__ = ('_journal', '_membership', '_say', '_snapshotter')
+
+    def __init__(self, journal: Committer) -> None:
+        """Write as the member that the journal belongs to."""
+        scribe = journal.scribe
+        self._journal = journal
+        self._membership = Membership(scribe.author, scribe.incarnation)
+        self._snapshotter = Snapshotter(scribe.author)
+        self._say = Log('journal').say
+
+    async def run(self) -> None:
+        """Check every second until the journal halts."""
+        await self._journal.wait_until_read()
+        replica = self._journal.replica
+        while not replica.halted:
+            await self._announce()
+            now = read_monotonic()
+            opened = self._snapshotter.plan(replica, now, self._journal.sign)
+            if opened:
+                await self._write_snapshot(opened)
+            await self._encode_cut()
+            await trio.sleep(CHECK_SECONDS)
+
+    async def _announce(self) -> None:
+        journal = self._journal
+        now = read_monotonic()
+        record = self._membership.plan(journal.replica, now, journal.sign)
+        if record is None:
+            return
+        try:
+            await journal.commit(record)
+        except JournalError as error:
+            self._say('A record did not count.', reason=str(error))
+
+    async def _write_snapshot(self, opened: SnapshotOpened) -> None:
+        journal = self._journal
+        try:
+            await journal.commit(opened)
+            for record in make_records(journal.replica, opened, journal.sign):
+                await journal.commit(record)
+                await trio.sleep(CHUNK_SECONDS)
+        except JournalError as error:
+            self._say('No snapshot was written.', reason=str(error))
+        else:
+            self._say('A snapshot was written.', offset=opened.head.basis)
+
+    async def _encode_cut(self) -> None:
+        cut = self._journal.replica.cut
+        while cut and not cut.ended:
+            cut.read_part()
+            await trio.sleep(PART_SECONDS)
--- a/libs/journal/tarragonlb/journal/codec.py
+++ b/libs/journal/tarragonlb/journal/codec.py
@@ -5,12 +5,20 @@
 from that of daemons which know it.
 """
 
+from collections.abc import Mapping
 from types import MappingProxyType
 
 import cbor2
 import msgspec
 
-from tarragonlb.model import job, ownership, record, snapshot, wave
+from tarragonlb.model import (
+    job,
+    member,
+    ownership,
+    record,
+    snapshot,
+    wave,
+)
 from tarragonlb.model.errors import JournalError, UnknownRecordError
 
 MAX_RECORD_BYTES = 512 * 1024
@@ -36,6 +44,9 @@
             snapshot.SnapshotOpened,
             snapshot.SnapshotChunk,
             snapshot.SnapshotClosed,
+            member.MemberAnnounced,
+            member.MemberRetired,
+            member.LevelRaised,
         )
     }
 )
@@ -47,8 +58,10 @@
     return cbor2.dumps([type(entry).__name__, fields])
 
 
-def decode_record(blob: bytes) -> record.Record:
-    """Return the record that the bytes hold.
+def decode_record(
+    blob: bytes, kinds: Mapping[str, type] = RECORD_KINDS
+) -> record.Record:
+    """Return the record that the bytes hold, of one of these kinds.
 
     Raises ``UnknownRecordError`` for a kind of a newer version and
     ``JournalError`` for bytes that are no record at all.
@@ -57,7 +70,7 @@
         kind_name, fields = cbor2.loads(blob)
     except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise JournalError(f'not a record: {error}') from error
-    kind = RECORD_KINDS.get(kind_name) if isinstance(kind_name, str) else None
+    kind = kinds.get(kind_name) if isinstance(kind_name, str) else None
     if kind is None:
         raise UnknownRecordError(f'record kind {kind_name!r} is not known')
     try:
--- a/libs/journal/tarragonlb/journal/fold.py
+++ b/libs/journal/tarragonlb/journal/fold.py
@@ -11,14 +11,16 @@
 
 from tarragonlb.journal import (
     jobfold,
+    memberfold,
     settingfold,
     snapshotfold,
     vmfold,
     wavefold,
 )
-from tarragonlb.journal.codec import decode_record
+from tarragonlb.journal.codec import RECORD_KINDS, decode_record
 from tarragonlb.journal.rule import Reason, Rule
 from tarragonlb.journal.state import State
+from tarragonlb.journal.version import FIRST_LEVEL, Version
 from tarragonlb.model.errors import JournalError, UnknownRecordError
 from tarragonlb.model.invariant import ensure
 from tarragonlb.model.record import Record
@@ -33,9 +35,17 @@
         **jobfold.RULES,
         **wavefold.RULES,
         **snapshotfold.RULES,
+        **memberfold.RULES,
     }
 )
 
+CURRENT = Version(
+    level=FIRST_LEVEL,
+    kinds=RECORD_KINDS,
+    rules=_RULES,
+    levels=MappingProxyType({}),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
@@ -57,7 +67,9 @@
         return not self.reason
 
 
-def apply_blob(state: State, offset: int, blob: bytes) -> Outcome:
+def apply_blob(
+    state: State, offset: int, blob: bytes, version: Version = CURRENT
+) -> Outcome:
     """Fold the bytes that stand in the log at an offset.
 
     Bytes that are no record are void.  Raises ``UnknownRecordError`` for a
@@ -65,19 +77,21 @@
     """
     ensure(offset == state.offset + 1, 'offsets have no gap', offset)
     try:
-        entry = decode_record(blob)
+        entry = decode_record(blob, version.kinds)
     except UnknownRecordError:
         raise
     except JournalError as error:
         outcome = Outcome(offset, '', str(error))
     else:
-        outcome = _fold(state, entry, offset)
+        outcome = _fold(state, entry, offset, version)
     state.offset = offset
     state.digest = _chain(state.digest, blob, outcome)
     return outcome
 
 
-def _fold(state: State, entry: Record, offset: int) -> Outcome:
+def _fold(
+    state: State, entry: Record, offset: int, version: Version
+) -> Outcome:
     record_id = entry.head.record_id
     counted_at = state.seen.get(record_id)
     if counted_at:
@@ -86,7 +100,8 @@
     if entry.head.basis < offset - SEEN_WINDOW_RECORDS:
         reason = f'made too long ago, at offset {entry.head.basis}'
         return Outcome(offset, record_id, reason, entry)
-    refusal = _RULES[type(entry)](state, entry, offset)
+    rule = version.rules[type(entry)]
+    refusal = rule(state, entry, offset)
     _remember(state, record_id, offset)
     return Outcome(offset, record_id, refusal or '', entry)
 
--- a/libs/journal/tarragonlb/journal/replica.py
+++ b/libs/journal/tarragonlb/journal/replica.py
@@ -12,12 +12,13 @@
 
 from collections.abc import Sequence
 
-from tarragonlb.journal.fold import Outcome, apply_blob
+from tarragonlb.journal.fold import CURRENT, Outcome, apply_blob
 from tarragonlb.journal.log import LogEntry
 from tarragonlb.journal.outbox import Outbox, Pending
 from tarragonlb.journal.search import SnapshotSearch
-from tarragonlb.journal.snapshot import Cut
+from tarragonlb.journal.snapshot import Cut, find_shape
 from tarragonlb.journal.state import State
+from tarragonlb.journal.version import Version
 from tarragonlb.model.errors import InvariantError, JournalError
 from tarragonlb.model.invariant import ensure
 from tarragonlb.model.record import Record
@@ -41,10 +42,12 @@
         'halted',
         'outbox',
         'state',
+        'version',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, version: Version = CURRENT) -> None:
         """Start before the first record of the log."""
+        self.version = version
         self.state = State()
         self.outbox = Outbox()
         self.halted = ''
@@ -65,10 +68,17 @@
     def submit(self, record: Record) -> Pending:
         """Queue a record of this process.
 
-        Raises ``JournalError`` if the replica has halted.
+        Raises ``JournalError`` if the replica has halted, or if the level in
+        force does not allow records of this kind yet.
         """
         if self.halted:
             raise JournalError(self.halted)
+        needed = self.version.find_level(type(record))
+        if needed > self.state.stream.level:
+            raise JournalError(
+                f'{type(record).__name__} needs feature level {needed}, '
+                f'level {self.state.stream.level} is in force'
+            )
         return self.outbox.submit(record)
 
     def take(self, entries: Sequence[LogEntry]) -> list[Pending]:
@@ -98,7 +108,8 @@
         """Go on from a later state; return what can no longer be settled."""
         self.state.adopt(state)
         self._search = None
-        at_cut = state.snapshot.opened == state.offset
+        self._check_level()
+        at_cut = state.stream.snapshot.opened == state.offset
         self.cut = Cut(self.state) if at_cut else None
         return self.outbox.settle_skipped(self.state.seen)
 
@@ -113,13 +124,24 @@
         if entry.offset <= self.state.offset:
             return None
         try:
-            outcome = apply_blob(self.state, entry.offset, entry.blob)
+            outcome = apply_blob(
+                self.state, entry.offset, entry.blob, self.version
+            )
             self._follow_snapshot(outcome)
+            self._check_level()
         except (JournalError, InvariantError) as error:
             self.halted = f'stopped at offset {entry.offset}: {error}'
             return None
         return self.outbox.settle(outcome)
 
+    def _check_level(self) -> None:
+        level = self.state.stream.level
+        if level > self.version.level:
+            self.halted = (
+                f'feature level {level} is in force, '
+                f'this version can fold level {self.version.level}'
+            )
+
     def _follow_snapshot(self, outcome: Outcome) -> None:
         if not outcome.accepted:
             return
@@ -138,6 +160,8 @@
             'the same records were folded',
             closed.opened,
         )
+        if closed.shape != find_shape():
+            return
         ensure(
             cut.read_content() == closed.content,
             'the same records make the same state',
--- a/libs/journal/tarragonlb/journal/search.py
+++ b/libs/journal/tarragonlb/journal/search.py
@@ -10,7 +10,11 @@
 
 from tarragonlb.journal.codec import decode_record
 from tarragonlb.journal.log import LogEntry
-from tarragonlb.journal.snapshot import Cut, expand_part, restore_state
+from tarragonlb.journal.snapshot import (
+    digest_parts,
+    expand_part,
+    restore_state,
+)
 from tarragonlb.journal.state import State
 from tarragonlb.model.errors import JournalError
 from tarragonlb.model.record import Record
@@ -54,11 +58,14 @@
         if len(bodies) != record.chunks or record.opened + 1 < self._oldest:
             return None
         try:
-            state = restore_state(
-                expand_part(bodies[index]) for index in sorted(bodies)
-            )
+            state = self._read(record, bodies)
         except JournalError:
             return None
-        found = (state.offset, state.digest, Cut(state).read_content())
-        wanted = (record.opened, record.digest, record.content)
-        return state if found == wanted else None
+        found = (state.offset, state.digest)
+        return state if found == (record.opened, record.digest) else None
+
+    def _read(self, record: SnapshotClosed, bodies: dict[int, bytes]) -> State:
+        parts = [expand_part(bodies[index]) for index in sorted(bodies)]
+        if digest_parts(parts) != record.content:
+            raise JournalError('the content of the snapshot is damaged')
+        return restore_state(parts)
--- a/libs/journal/tarragonlb/journal/snapshot.py
+++ b/libs/journal/tarragonlb/journal/snapshot.py
@@ -7,6 +7,7 @@
 objects are left out; they are read again from the texts that are in force.
 """
 
+import functools
 import hashlib
 import io
 import typing
@@ -76,6 +77,22 @@
         return self._content.digest()
 
 
+@functools.cache
+def find_shape() -> str:
+    """Return a digest of the fields and entries that this version keeps."""
+    kinds = [_HINTS[name] for name in sorted(_HINTS.keys() - _READ_FROM_TEXT)]
+    shape = repr(msgspec.inspect.multi_type_info(kinds)).encode()
+    return hashlib.blake2b(shape, digest_size=CONTENT_DIGEST_BYTES).hexdigest()
+
+
+def digest_parts(parts: Iterable[bytes]) -> bytes:
+    """Return the digest of all rows of a snapshot."""
+    content = hashlib.blake2b(digest_size=CONTENT_DIGEST_BYTES)
+    for part in parts:
+        content.update(part)
+    return content.digest()
+
+
 def encode_parts(fields: dict[str, typing.Any]) -> Iterator[bytes]:
     """Yield the rows of a state, joined to parts of about a chunk."""
     part = io.BytesIO()
@@ -113,6 +130,8 @@
 def restore_state(parts: Iterable[bytes]) -> State:
     """Return the state that the parts of a snapshot hold.
 
+    Fields of a newer version are left out; the feature level in the state
+    says whether this version may go on from it.
     Raises ``JournalError`` where they don't hold a state of this version.
     """
     state = State()
@@ -145,7 +164,9 @@
 
 def _restore_row(state: State, row: list[typing.Any]) -> None:
     name = row[0]
-    kind = _HINTS[name]
+    kind = _HINTS.get(name)
+    if kind is None:
+        return
     if typing.get_origin(kind) is dict:
         key_kind, entry_kind = typing.get_args(kind)
         key = msgspec.convert(row[1], key_kind)
--- a/libs/journal/tarragonlb/journal/snapshotfold.py
+++ b/libs/journal/tarragonlb/journal/snapshotfold.py
@@ -21,12 +21,11 @@
     state: State, entry: SnapshotOpened, offset: int
 ) -> Reason | None:
     """Begin a snapshot; one that was left open before is given up."""
-    opened = state.snapshot.opened
+    opened = state.stream.snapshot.opened
     if entry.expected_opened != opened:
         return f'the latest snapshot was opened at offset {opened}'
-    state.snapshot = SnapshotEntry(
-        snapshot_id=entry.head.record_id, opened=offset
-    )
+    latest = SnapshotEntry(snapshot_id=entry.head.record_id, opened=offset)
+    state.stream = replace(state.stream, snapshot=latest)
     return None
 
 
@@ -37,7 +36,9 @@
     refusal = _check_open(state, entry.snapshot_id)
     if refusal:
         return refusal
-    state.snapshot = replace(state.snapshot, chunks=state.snapshot.chunks + 1)
+    latest = state.stream.snapshot
+    latest = replace(latest, chunks=latest.chunks + 1)
+    state.stream = replace(state.stream, snapshot=latest)
     return None
 
 
@@ -48,14 +49,16 @@
     refusal = _check_open(state, entry.snapshot_id)
     if refusal:
         return refusal
-    if entry.chunks != state.snapshot.chunks:
-        return f'{state.snapshot.chunks} of {entry.chunks} chunks were written'
-    state.snapshot = replace(state.snapshot, closed=offset)
+    latest = state.stream.snapshot
+    if entry.chunks != latest.chunks:
+        return f'{latest.chunks} of {entry.chunks} chunks were written'
+    latest = replace(latest, closed=offset)
+    state.stream = replace(state.stream, snapshot=latest)
     return None
 
 
 def _check_open(state: State, snapshot_id: str) -> Reason | None:
-    current = state.snapshot
+    current = state.stream.snapshot
     if current.snapshot_id != snapshot_id or current.closed:
         return f'snapshot {snapshot_id} is not open'
     return None
--- a/libs/journal/tarragonlb/journal/snapshotter.py
+++ b/libs/journal/tarragonlb/journal/snapshotter.py
@@ -6,11 +6,11 @@
 up by whoever opens the next one.
 """
 
-import zlib
 from collections.abc import Callable, Iterator
 
 from tarragonlb.journal.replica import Replica
-from tarragonlb.journal.snapshot import compress_part
+from tarragonlb.journal.snapshot import compress_part, find_shape
+from tarragonlb.journal.spread import choose_wait
 from tarragonlb.model.record import Head, Record
 from tarragonlb.model.snapshot import (
     SnapshotChunk,
@@ -20,8 +20,6 @@
 )
 
 STALLED_SECONDS = 60
-SPREAD_SECONDS = 30
-MAX_CHECKSUM = 0xFFFFFFFF
 
 
 class Snapshotter:
@@ -43,7 +41,7 @@
 
         ``now`` is in seconds of the monotonic clock.
         """
-        latest = replica.state.snapshot
+        latest = replica.state.stream.snapshot
         if latest != self._latest or self._seen_at == float('-inf'):
             self._latest = latest
             self._seen_at = now
@@ -52,7 +50,7 @@
             return None
         if self._due_since is None:
             self._due_since = now
-        if now < self._due_since + self._choose_wait():
+        if now < self._due_since + choose_wait(self._member):
             return None
         return SnapshotOpened(head=sign(), expected_opened=latest.opened)
 
@@ -66,10 +64,6 @@
         pace = replica.state.fleet.snapshot
         return records >= pace.records or idle_seconds >= pace.seconds
 
-    def _choose_wait(self) -> float:
-        share = zlib.crc32(self._member.encode()) / MAX_CHECKSUM
-        return share * SPREAD_SECONDS
-
 
 def make_records(
     replica: Replica, opened: SnapshotOpened, sign: Callable[[], Head]
@@ -80,7 +74,7 @@
     """
     cut = replica.cut
     snapshot_id = opened.head.record_id
-    if cut is None or replica.state.snapshot.snapshot_id != snapshot_id:
+    if cut is None or replica.state.stream.snapshot.snapshot_id != snapshot_id:
         return
     index = 0
     part = cut.read_part()
@@ -101,4 +95,5 @@
         chunks=index,
         digest=cut.digest,
         content=cut.read_content(),
+        shape=find_shape(),
     )
--- a/libs/journal/tarragonlb/journal/state.py
+++ b/libs/journal/tarragonlb/journal/state.py
@@ -19,7 +19,7 @@
     WaveEntry,
 )
 from tarragonlb.model.invariant import ensure
-from tarragonlb.model.snapshot import SnapshotEntry
+from tarragonlb.model.stream import StreamEntry
 from tarragonlb.settings.schema import FleetSettings, PoolSettings, TeamSettings
 
 
@@ -38,7 +38,7 @@
         'seen',
         'settings',
         'settings_offset',
-        'snapshot',
+        'stream',
         'teams',
         'terms',
         'vms',
@@ -60,7 +60,7 @@
     claims: dict[tuple[str, str], ClaimEntry]
     waves: dict[str, WaveEntry]
     terms: dict[str, TermEntry]
-    snapshot: SnapshotEntry
+    stream: StreamEntry
 
     def __init__(self) -> None:
         """Start before the first record of the log."""
@@ -79,7 +79,7 @@
         self.claims = {}
         self.waves = {}
         self.terms = {}
-        self.snapshot = SnapshotEntry()
+        self.stream = StreamEntry()
 
     def read_fields(self) -> dict[str, Any]:
         """Return every field by name, with mappings copied.
--- a/libs/model/tarragonlb/model/scribe.py
+++ b/libs/model/tarragonlb/model/scribe.py
@@ -23,6 +23,11 @@
         """Return the name of the process."""
         return self._author
 
+    @property
+    def incarnation(self) -> str:
+        """Return what tells this start of the process from others."""
+        return self._incarnation
+
     def sign(self, basis: int, now: float, author: str = '') -> Head:
         """Return the head of the next record.
 
--- a/libs/model/tarragonlb/model/snapshot.py
+++ b/libs/model/tarragonlb/model/snapshot.py
@@ -35,7 +35,8 @@
     """The end of a snapshot.
 
     ``digest`` is that of the records up to ``opened``, ``content`` that of
-    the rows of all chunks in their order.
+    the rows of all chunks in their order.  ``shape`` tells versions apart
+    whose rows differ although the records were the same.
     """
 
     snapshot_id: str
@@ -43,6 +44,7 @@
     chunks: int
     digest: bytes
     content: bytes
+    shape: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -97,6 +97,7 @@
 
     weights: WeightSettings = WeightSettings()
     snapshot: SnapshotSettings = SnapshotSettings()
+    feature_level: Annotated[int, Meta(ge=1)] = 1
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
     job_lease_seconds: Positive = 30
 
