--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -126,6 +126,7 @@
 
     weights: WeightSettings = WeightSettings()
     snapshot: SnapshotSettings = SnapshotSettings()
+    feature_level: Annotated[int, Meta(ge=1)] = 1
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
     api_requests_per_second: Positive = 50
     job_lease_seconds: Positive = 30
