--- a/libs/capacity/features/world.py
+++ b/libs/capacity/features/world.py
@@ -59,9 +59,14 @@
         term = state.terms.get('planner')
         if term is None or term.holder != self.name:
             return []
-        view = FleetView(
+        return self.planner.decide(self.view(), now, now)
+
+    def view(self):
+        state = self.state
+        term = state.terms.get('planner')
+        return FleetView(
             offset=state.offset,
-            term=term.number,
+            term=term.number if term else 0,
             reading=self.number,
             vms=state.vms,
             jobs=state.jobs,
@@ -72,7 +77,6 @@
             vm_readings=self.vms,
             task_readings=self.tasks,
         )
-        return self.planner.decide(view, now, now)
 
 
 class World:
--- a/libs/cli/tarragonlb/cli/wavecommands.py
+++ b/libs/cli/tarragonlb/cli/wavecommands.py
@@ -7,6 +7,27 @@
 application = cyclopts.App(name='wave', help='Run maintenance waves.')
 
 
+@application.command
+def plan(
+    pool: str,
+    *,
+    at_once: int | None = None,
+    session: Session = DEFAULT_SESSION,
+) -> None:
+    """Show what a wave over POOL would cost, without starting it.
+
+    Parameters
+    ----------
+    pool
+        The pool to maintain.
+    at_once
+        VMs away at once; the pool's settings decide if it is not given.
+
+    """
+    order = {'pool': pool, 'at_once': at_once}
+    session.show(session.connect().send('POST', '/v1/waves/plan', order))
+
+
 @application.command
 def start(
     pool: str,
--- a/libs/daemon/tarragonlb/daemon/apifleet.py
+++ b/libs/daemon/tarragonlb/daemon/apifleet.py
@@ -9,13 +9,23 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from tarragonlb.capacity.forecast import (
+    SECONDS_AN_HOUR,
+    WaveForecast,
+    forecast_wave,
+    order_vms,
+    price_wave,
+)
 from tarragonlb.daemon.apibase import (
     ApiPart,
     answer_json,
     read_json,
     refuse_missing,
 )
+from tarragonlb.daemon.clock import read_wall
+from tarragonlb.daemon.planning import make_view
 from tarragonlb.journal.vmfold import count_charged, find_budget
+from tarragonlb.model.entry import PassedVm
 from tarragonlb.model.wave import WavePlanned, WaveStatus, WaveSteered
 from tarragonlb.settings.schema import PoolSettings
 
@@ -58,6 +68,20 @@
     waves: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaveAnswer:
+    """What an operator sees of a wave."""
+
+    wave_id: str
+    pool: str
+    status: WaveStatus
+    version: int
+    at_once: int
+    done: tuple[str, ...]
+    passed: tuple[PassedVm, ...]
+    forecast: WaveForecast
+
+
 class FleetApi(ApiPart):
     """The part of the API that is about VMs and waves."""
 
@@ -70,6 +94,7 @@
             Route('/v1/vms', self.list_vms),
             Route('/v1/pools', self.list_pools),
             Route('/v1/waves', self.plan_wave, methods=['POST']),
+            Route('/v1/waves/plan', self.price_wave, methods=['POST']),
             Route('/v1/waves', self.list_waves, methods=['GET']),
             Route('/v1/waves/{wave_id}', self.show_wave, methods=['GET']),
             Route('/v1/waves/{wave_id}', self.steer_wave, methods=['PUT']),
@@ -111,13 +136,23 @@
         ]
         return answer_json(pools)
 
+    async def price_wave(self, request: Request) -> Response:
+        """Answer with what a wave would cost, without starting it."""
+        self.identify(request).require_operator()
+        order = await read_json(request, WaveRequest)
+        view = make_view(self.journal.state, self.watch)
+        if not view.vms.count_pool(order.pool):
+            raise refuse_missing(f'pool {order.pool}')
+        at_once = order.at_once or view.find_pool(order.pool).at_once
+        return answer_json(price_wave(view, order.pool, at_once))
+
     async def plan_wave(self, request: Request) -> Response:
         """Begin a wave over all VMs of a pool."""
         identity = self.identify(request)
         identity.require_operator()
         order = await read_json(request, WaveRequest)
         state = self.journal.state
-        vm_ids = sorted(state.vms.list_pool(order.pool))
+        vm_ids = order_vms(make_view(state, self.watch), order.pool)
         if not vm_ids:
             raise refuse_missing(f'pool {order.pool}')
         settings = state.pools.get(order.pool, PoolSettings())
@@ -127,6 +162,7 @@
             pool=order.pool,
             vm_ids=tuple(vm_ids),
             at_once=order.at_once or settings.at_once,
+            promised_seconds=settings.wave_hours * SECONDS_AN_HOUR,
         )
         await self.journal.commit(record)
         return answer_json(state.waves[record.wave_id])
@@ -143,7 +179,18 @@
         wave = self.journal.state.waves.get(wave_id)
         if wave is None:
             raise refuse_missing(f'wave {wave_id}')
-        return answer_json(wave)
+        view = make_view(self.journal.state, self.watch)
+        answer = WaveAnswer(
+            wave_id=wave_id,
+            pool=wave.pool,
+            status=wave.status,
+            version=wave.version,
+            at_once=wave.at_once,
+            done=wave.done,
+            passed=wave.passed,
+            forecast=forecast_wave(view, wave, read_wall()),
+        )
+        return answer_json(answer)
 
     async def steer_wave(self, request: Request) -> Response:
         """Pause, resume or abort a wave."""
--- a/libs/daemon/tarragonlb/daemon/planning.py
+++ b/libs/daemon/tarragonlb/daemon/planning.py
@@ -13,6 +13,7 @@
 from tarragonlb.daemon.clock import read_monotonic, read_wall
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.watch import FleetWatch
+from tarragonlb.journal.state import State
 from tarragonlb.model.entry import TermEntry
 from tarragonlb.model.errors import JournalError, PlatformError
 from tarragonlb.model.record import Record, TermTaken
@@ -51,6 +52,24 @@
         return now - self._seen_at >= limit
 
 
+def make_view(state: State, watch: FleetWatch) -> FleetView:
+    """Return what a planner of this process sees."""
+    term = state.terms.get(SCOPE)
+    return FleetView(
+        offset=state.offset,
+        term=term.number if term else 0,
+        reading=watch.number,
+        vms=state.vms,
+        jobs=state.jobs,
+        waves=state.waves,
+        teams=state.teams,
+        pools=state.pools,
+        fleet=state.fleet,
+        vm_readings=watch.vms,
+        task_readings=watch.tasks,
+    )
+
+
 class PlannerTask:
     """Runs rounds of decisions while it holds the term."""
 
@@ -111,20 +130,7 @@
         return now - oldest < FRESH_SECONDS + TERM_SECONDS
 
     def _decide(self) -> list[action.Action]:
-        state = self._journal.state
-        view = FleetView(
-            offset=state.offset,
-            term=state.terms[SCOPE].number,
-            reading=self._watch.number,
-            vms=state.vms,
-            jobs=state.jobs,
-            waves=state.waves,
-            teams=state.teams,
-            pools=state.pools,
-            fleet=state.fleet,
-            vm_readings=self._watch.vms,
-            task_readings=self._watch.tasks,
-        )
+        view = make_view(self._journal.state, self._watch)
         return self._planner.decide(view, read_monotonic(), read_wall())
 
     async def _carry_out(self, actions: list[action.Action]) -> None:
--- a/libs/journal/tarragonlb/journal/wavefold.py
+++ b/libs/journal/tarragonlb/journal/wavefold.py
@@ -28,14 +28,18 @@
         for vm_id in entry.vm_ids
         if vm_id not in state.vms or state.vms[vm_id].pool != entry.pool
     ]
-    if strangers or entry.at_once < 1:
+    if strangers:
         return f'not in pool {entry.pool}: {", ".join(strangers)}'
+    if entry.at_once < 1 or not entry.vm_ids:
+        return f'wave {entry.wave_id} takes no VM away'
     state.waves[entry.wave_id] = WaveEntry(
         wave_id=entry.wave_id,
         pool=entry.pool,
         vm_ids=entry.vm_ids,
         at_once=entry.at_once,
         status=WaveStatus.RUNNING,
+        started_at=entry.head.written_at,
+        promised_seconds=entry.promised_seconds,
     )
     return None
 
--- a/libs/model/tarragonlb/model/entry.py
+++ b/libs/model/tarragonlb/model/entry.py
@@ -118,6 +118,8 @@
     version: int = 1
     done: tuple[str, ...] = ()
     passed: tuple[PassedVm, ...] = ()
+    started_at: float = 0
+    promised_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/model/tarragonlb/model/wave.py
+++ b/libs/model/tarragonlb/model/wave.py
@@ -17,12 +17,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WavePlanned(Record):
-    """A maintenance wave over the VMs of a pool, in order."""
+    """A maintenance wave over the VMs of a pool, in order.
+
+    ``promised_seconds`` counts from the record; no decision rests on it.
+    """
 
     wave_id: str
     pool: str
     vm_ids: tuple[str, ...]
     at_once: int
+    promised_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -63,12 +63,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PoolSettings:
-    """The document under ``/pools/NAME``."""
+    """The document under ``/pools/NAME``.
+
+    ``return_seconds`` is how long a VM is expected to be away in a wave, and
+    ``wave_hours`` is within how many hours a wave is promised to end.
+    """
 
     at_once: Annotated[int, Meta(ge=1)] = 1
     at_once_per_rack: Annotated[int, Meta(ge=1)] = 1_000
     at_once_per_zone: Annotated[int, Meta(ge=1)] = 1_000
     drain_limit_seconds: Positive = 600
+    return_seconds: Positive = 300
+    wave_hours: Positive = 24
     spare: bool = False
 
 
