Place jobs by team quotas, return what was borrowed, fence failing VMs

Cause: jobs of all teams shared one order, so a team without quota could hold a pool, an urgent job waited behind running patient ones, and a VM that failed everything attracted all work by being idle.

A team's cores are counted in the job table. Jobs within quota go first, the rest borrow; room is returned by stopping idempotent patient attempts, for an urgent job those of any team. WorkerBook compares a VM's failures in a row with the fleet's on the same kinds and allows probes only.

Ruled out: stopping attempts of jobs that must not run twice; suspecting a VM when there is nothing to compare with.

Not done: estimates of run times and sizes from what was seen, accelerators.

--- a/libs/capacity/features/machine.py
+++ b/libs/capacity/features/machine.py
@@ -118,7 +118,7 @@
         )
     )
     def steer_wave(self, status):
-        self.world.steer_wave(status)
+        self.world.steer_waves(status)
 
     @rule(budget=strategies.integers(0, 3))
     def publish(self, budget):
--- a/libs/capacity/features/steps/wave_steps.py
+++ b/libs/capacity/features/steps/wave_steps.py
@@ -66,7 +66,7 @@
 def steer(context, status, rounds):
     context.world.plan_wave('a', 1)
     run(context, rounds)
-    context.world.steer_wave(WaveStatus(status))
+    context.world.steer_waves(WaveStatus(status))
     run(context, BACK_ROUNDS)
 
 
--- a/libs/capacity/tarragonlb/capacity/planner.py
+++ b/libs/capacity/tarragonlb/capacity/planner.py
@@ -14,10 +14,11 @@
 from tarragonlb.capacity.attempts import AttemptFollower, note_tasks
 from tarragonlb.capacity.away import DrainClock, return_vms
 from tarragonlb.capacity.maintenance import advance_waves
-from tarragonlb.capacity.placement import place_jobs
+from tarragonlb.capacity.placement import Placement
 from tarragonlb.capacity.rooms import RoomBook
 from tarragonlb.capacity.view import FleetView, Round
-from tarragonlb.model.entry import JobPhase
+from tarragonlb.capacity.workers import WorkerBook
+from tarragonlb.model.entry import JobEntry, JobPhase
 from tarragonlb.model.scribe import Scribe
 
 
@@ -32,6 +33,7 @@
         '_rooms',
         '_scribe',
         '_vms',
+        '_workers',
     )
 
     def __init__(self, scribe: Scribe) -> None:
@@ -40,7 +42,8 @@
         self._clock = DrainClock()
         self._follower = AttemptFollower()
         self._rooms = RoomBook()
-        self._home: dict[str, str] = {}
+        self._workers = WorkerBook()
+        self._home: dict[str, JobEntry] = {}
         self._vms: list[str] = []
         self._pools: dict[str, None] = {}
 
@@ -75,18 +78,29 @@
                 self._follower.note(job.spec.job_id, turn.now)
 
     def _note_jobs(self, turn: Round) -> None:
-        view = turn.view
-        for job_id in view.jobs.take_changed():
-            job = view.jobs.get(job_id)
+        for job_id in turn.view.jobs.take_changed():
+            job = turn.view.jobs.get(job_id)
             left = self._home.pop(job_id, None)
             if left:
-                self._refresh(view, left)
-            if job and job.phase is JobPhase.QUEUED:
-                self._pools[job.spec.pool] = None
-            elif job and job.phase is JobPhase.STARTED:
-                self._home[job_id] = job.vm_id
-                self._refresh(view, job.vm_id)
-                self._follower.note(job_id, turn.now)
+                self._refresh(turn.view, left.vm_id)
+            if left and job and job.phase is not JobPhase.STARTED:
+                self._note_end(left, job, turn.now)
+            if job:
+                self._note_job(turn, job)
+
+    def _note_job(self, turn: Round, job: JobEntry) -> None:
+        if job.phase is JobPhase.QUEUED:
+            self._pools[job.spec.pool] = None
+        elif job.phase is JobPhase.STARTED:
+            self._home[job.spec.job_id] = job
+            self._refresh(turn.view, job.vm_id)
+            self._follower.note(job.spec.job_id, turn.now)
+
+    def _note_end(self, left: JobEntry, job: JobEntry, now: float) -> None:
+        failed = job.failures > left.failures
+        if failed or job.phase is JobPhase.SUCCEEDED:
+            kind = job.spec.kind
+            self._workers.note(left.vm_id, kind, now, failed=failed)
 
     def _refresh(self, view: FleetView, vm_id: str) -> None:
         self._rooms.refresh(view, vm_id)
@@ -107,8 +121,13 @@
     def _place(self, turn: Round) -> list[Action]:
         actions: list[Action] = []
         for pool in list(self._pools):
-            steps = place_jobs(turn, pool, self._rooms.open_pool(pool))
-            if not steps:
+            rooms = self._rooms.open_pool(
+                pool, turn.view, self._workers, turn.now
+            )
+            steps = Placement(turn, rooms).run(pool)
+            queued = turn.view.jobs.has_queued(pool)
+            probes = queued and self._workers.has_suspects()
+            if not steps and not probes:
                 del self._pools[pool]
             actions.extend(steps)
         return actions
--- a/libs/capacity/tarragonlb/capacity/rooms.py
+++ b/libs/capacity/tarragonlb/capacity/rooms.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from tarragonlb.capacity.view import FleetView, is_usable
+from tarragonlb.capacity.workers import WorkerBook
 from tarragonlb.model.job import JobSubmitted
 
 
@@ -36,6 +37,11 @@
         self.cores -= spec.cores
         self.memory_gb -= spec.memory_gb
 
+    def give_back(self, spec: JobSubmitted) -> None:
+        """Take a job's share back."""
+        self.cores += spec.cores
+        self.memory_gb += spec.memory_gb
+
 
 class PoolRooms:
     """Rooms of a pool with what one round has given away.
@@ -44,24 +50,37 @@
     once its records were read back.
     """
 
-    __slots__ = ('_rooms', '_taken')
+    __slots__ = ('_now', '_rooms', '_taken', '_view', '_workers')
 
-    def __init__(self, rooms: Mapping[str, Room]) -> None:
+    def __init__(
+        self,
+        rooms: Mapping[str, Room],
+        view: FleetView,
+        workers: WorkerBook,
+        now: float,
+    ) -> None:
         """Start with nothing given away."""
         self._rooms = rooms
+        self._view = view
+        self._workers = workers
+        self._now = now
         self._taken: dict[str, Room] = {}
 
     def take(self, spec: JobSubmitted) -> str | None:
         """Give a job its share of the first VM that has room for it."""
         for vm_id, free in self._rooms.items():
             room = self._taken.get(vm_id, free)
-            if room.fits(spec):
+            if room.fits(spec) and self._is_trusted(vm_id):
                 room = replace(room)
                 room.take(spec)
                 self._taken[vm_id] = room
                 return vm_id
         return None
 
+    def _is_trusted(self, vm_id: str) -> bool:
+        busy = vm_id in self._taken or self._view.jobs.is_busy(vm_id)
+        return self._workers.allows(vm_id, self._now, busy=busy)
+
 
 class RoomBook:
     """Rooms of the VMs that may take new work, by pool."""
@@ -86,9 +105,11 @@
         self._pool_of[vm_id] = pool
         self._rooms.setdefault(pool, {})[vm_id] = room
 
-    def open_pool(self, pool: str) -> 'PoolRooms':
+    def open_pool(
+        self, pool: str, view: FleetView, workers: WorkerBook, now: float
+    ) -> PoolRooms:
         """Return the rooms of a pool for one round."""
-        return PoolRooms(self._rooms.get(pool, {}))
+        return PoolRooms(self._rooms.get(pool, {}), view, workers, now)
 
     def _drop(self, vm_id: str) -> None:
         pool = self._pool_of.pop(vm_id, None)
--- a/libs/capacity/tarragonlb/capacity/table.py
+++ b/libs/capacity/tarragonlb/capacity/table.py
@@ -125,11 +125,12 @@
 class JobTable(ChangeTable[JobEntry]):
     """Jobs, the queued ones by pool and the started ones by VM."""
 
-    __slots__ = ('_queued', '_started')
+    __slots__ = ('_cores', '_queued', '_started')
 
     def __init__(self) -> None:
         """Start empty."""
         super().__init__()
+        self._cores: dict[str, int] = {}
         self._queued: dict[str, dict[str, None]] = {}
         self._started: dict[str, dict[str, None]] = {}
 
@@ -137,10 +138,18 @@
         """Return the jobs of a pool that wait for a start."""
         return [self._rows[name] for name in self._queued.get(pool, ())]
 
+    def has_queued(self, pool: str) -> bool:
+        """Return whether jobs of a pool wait for a start."""
+        return pool in self._queued
+
     def list_started(self, vm_id: str) -> list[JobEntry]:
         """Return the jobs of a VM that have an attempt which may be live."""
         return [self._rows[name] for name in self._started.get(vm_id, ())]
 
+    def count_cores(self, team: str) -> int:
+        """Return the cores of a team's attempts that may be live."""
+        return self._cores.get(team, 0)
+
     def is_busy(self, vm_id: str) -> bool:
         """Return whether a VM has an attempt which may be live."""
         return vm_id in self._started
@@ -151,11 +160,19 @@
         if old:
             _drop(self._queued, old.spec.pool, name)
             _drop(self._started, old.vm_id, name)
+            self._count(old, -1)
+        if new:
+            self._count(new, 1)
         if new and new.phase is JobPhase.QUEUED:
             self._queued.setdefault(new.spec.pool, {})[name] = None
         if new and new.phase is JobPhase.STARTED:
             self._started.setdefault(new.vm_id, {})[name] = None
 
+    def _count(self, job: JobEntry, sign: int) -> None:
+        if job.phase is JobPhase.STARTED:
+            cores = self._cores.get(job.spec.team, 0)
+            self._cores[job.spec.team] = cores + sign * job.spec.cores
+
 
 class TeamTable(ChangeTable[TeamSettings]):
     """Settings of teams, with the tightest budget of each pool."""
