Correct run times from what was seen, and let leases grow with the fleet

Cause: jobs were ordered by deadline on declared run times, which are far off; and at 23,000 running jobs leases of 30 s meant 2,300 renewals a second, all at one moment after a planner's start. RunTimeBook keeps the ratio of seen to declared seconds by team and kind; the order is by latest start. Leases grow until renewals stay under max_renewals_per_second, and renewals are spread.

Ruled out: relying on a short lease for safety; attempts end by evidence.

--- a/bench/capacity_planner.py
+++ b/bench/capacity_planner.py
@@ -1,8 +1,8 @@
 """What a round of the planner costs, at three sizes of the fleet.
 
 Every VM runs one job.  An idle round has nothing new, an event round has one
-job submitted and one task ended.  A share is that of one core when a round is
-run every half second and leases are renewed on time.
+job submitted and one task ended.  The share of a core is that of deciding on
+the renewals of all leases; the calls of the platform aren't in it.
 """
 
 import functools
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from tarragonlb.capacity.attempts import RENEWALS_A_LEASE, choose_lease
 from tarragonlb.capacity.planner import Planner
 from tarragonlb.capacity.table import ChangeTable
 from tarragonlb.capacity.view import FleetView
@@ -30,8 +31,7 @@
 VMS_A_RACK = 4
 CORES = 16
 MEMORY_GB = 64
-ROUND_SECONDS = 0.5
-ROUNDS = 60
+PERIODS = 3
 EVENTS = 40
 MICROSECONDS = 1_000_000
 MEBIBYTE = 1024 * 1024
@@ -46,7 +46,8 @@
     first_round_microseconds: float
     idle_round_microseconds: float
     event_round_microseconds: float
-    steady_core_percent: float
+    renewal_core_percent: float
+    renewals_a_second: float
     planner_mebibytes: float
 
 
@@ -141,13 +142,12 @@
     view = fleet.view()
     planner = Planner(SCRIBE)
     first = _time(lambda: planner.decide(view, 0, 0))
+    period = choose_lease(view) / RENEWALS_A_LEASE
     steady = sum(
-        _time(functools.partial(planner.decide, view, number / 2, 0))
-        for number in range(1, ROUNDS + 1)
+        _time(functools.partial(planner.decide, view, period * step, 0))
+        for step in range(1, PERIODS + 1)
     )
-    now = ROUNDS * ROUND_SECONDS
-    idle_round = functools.partial(planner.decide, view, now, 0)
-    idle = min(_time(idle_round) for _ in range(EVENTS))
+    now = period * PERIODS
     events = [
         _measure_event(fleet, planner, vms + index, now)
         for index in range(EVENTS)
@@ -155,13 +155,19 @@
     return PlannerFigure(
         vms=vms,
         first_round_microseconds=first * MICROSECONDS,
-        idle_round_microseconds=idle * MICROSECONDS,
+        idle_round_microseconds=_measure_idle(planner, view, now),
         event_round_microseconds=sorted(events)[EVENTS // 2] * MICROSECONDS,
-        steady_core_percent=100 * steady / (ROUNDS * ROUND_SECONDS),
+        renewal_core_percent=100 * steady / now,
+        renewals_a_second=vms / period,
         planner_mebibytes=_measure_memory(view),
     )
 
 
+def _measure_idle(planner: Planner, view: FleetView, now: float) -> float:
+    idle_round = functools.partial(planner.decide, view, now, 0)
+    return min(_time(idle_round) for _ in range(EVENTS)) * MICROSECONDS
+
+
 def _measure_event(
     fleet: BenchFleet, planner: Planner, index: int, now: float
 ) -> float:
--- a/libs/capacity/features/jobs.feature
+++ b/libs/capacity/features/jobs.feature
@@ -36,6 +36,15 @@
     Then VM "vm-1" was given at most 4 attempts
     And at least 50 jobs have succeeded
 
+  Scenario: What was seen corrects a declared run time
+    Given jobs of team "one" run 40 times as long as declared
+    When a job of team "two" due in 400 s and one of team "one" due in 420 s wait
+    Then the one of team "one" starts first
+
+  Scenario: Leases grow with the jobs that run
+    Given 300 jobs are running
+    Then renewals stay under 5 a second
+
   Scenario: A job that is larger than any VM is set aside
     Given 1 patient jobs of team "one" with 9 cores
     When the planner runs for 2 rounds
--- a/libs/capacity/features/steps/job_steps.py
+++ b/libs/capacity/features/steps/job_steps.py
@@ -1,8 +1,11 @@
 from behave import given, then, when
 
-from tarragonlb.model.entry import JobPhase
-from tarragonlb.model.fleet import TaskPhase
+from tarragonlb.capacity.attempts import RENEWALS_A_LEASE, choose_lease
+from tarragonlb.model.entry import JobEntry, JobPhase
+from tarragonlb.model.fleet import TaskPhase, VmPhase
+from tarragonlb.model.job import JobSubmitted
 from tarragonlb.model.record import SettingPublished
+from tarragonlb.model.scribe import Scribe
 
 
 @given('team "{team}" has a quota of {cores:d} cores')
@@ -45,6 +48,78 @@
             platform.end_task(task, phase)
 
 
+@given('jobs of team "{team}" run {times:d} times as long as declared')
+def run_long(context, team, times):
+    submit(context, 1, 'patient', team, 1)
+    run_planner(context, 2)
+    context.world.platform.pass_time(1)
+    for _ in range(times):
+        run_planner(context, 1)
+    context.world.end_task(0, TaskPhase.SUCCEEDED)
+    run_planner(context, 3)
+
+
+@when(
+    'a job of team "{first}" due in {soon:d} s and one of team "{second}" '
+    'due in {late:d} s wait'
+)
+def submit_two(context, first, soon, second, late):
+    for team, seconds in ((first, soon), (second, late)):
+        context.world.submit(
+            'a',
+            4,
+            idempotent=True,
+            urgent=False,
+            team=team,
+            deadline_seconds=seconds,
+        )
+    for vm_id in ('vm-1', 'vm-2', 'vm-3'):
+        context.world.platform.set_phase(vm_id, VmPhase.LEAVING)
+
+
+@then('the one of team "{team}" starts first')
+def check_first(context, team):
+    run_planner(context, 4)
+    check_running(context, team, 1)
+    assert len(context.world.platform.list_running()) == 1
+
+
+@given('{count:d} jobs are running')
+def start_many(context, count):
+    for number in range(count):
+        job = JobEntry(
+            spec=spec(number),
+            phase=JobPhase.STARTED,
+            offset=number,
+            vm_id='vm-1',
+        )
+        context.daemon.state.jobs[f'job-{number}'] = job
+    context.started = count
+
+
+@then('renewals stay under {most:d} a second')
+def check_renewals(context, most):
+    lease = choose_lease(context.daemon.view())
+    assert RENEWALS_A_LEASE * context.started / lease <= most, lease
+
+
+def spec(number):
+    return JobSubmitted(
+        head=Scribe('test', '1').sign(0, 0),
+        job_id=f'job-{number}',
+        team='team',
+        kind='kind',
+        pool='a',
+        cores=1,
+        memory_gb=1,
+        payload='',
+        urgent=False,
+        idempotent=True,
+        deadline_seconds=1,
+        declared_seconds=1,
+    )
+
+
 @then('team "{team}" has {count:d} jobs running')
 def check_running(context, team, count):
     jobs = context.world.truth.jobs
--- a/libs/capacity/features/world.py
+++ b/libs/capacity/features/world.py
@@ -155,7 +155,16 @@
         self.serial += 1
         self.platform.add_vm(f'vm-{self.serial}', pool, rack)
 
-    def submit(self, pool, cores, *, idempotent, urgent, team='team'):
+    def submit(
+        self,
+        pool,
+        cores,
+        *,
+        idempotent,
+        urgent,
+        team='team',
+        deadline_seconds=1e6,
+    ):
         self.jobs += 1
         record = JobSubmitted(
             head=self.sign(),
@@ -168,7 +177,7 @@
             payload='',
             urgent=urgent,
             idempotent=idempotent,
-            deadline_seconds=1e6,
+            deadline_seconds=deadline_seconds,
             declared_seconds=1,
         )
         ensure(self.append(record).accepted, 'submitted', record)
--- a/libs/capacity/tarragonlb/capacity/attempts.py
+++ b/libs/capacity/tarragonlb/capacity/attempts.py
@@ -7,10 +7,11 @@
 """
 
 import heapq
+import zlib
 from types import MappingProxyType
 
 from tarragonlb.capacity.action import Action, Commit, StartTask, StopTask
-from tarragonlb.capacity.view import Round, find_job_id, name_task
+from tarragonlb.capacity.view import FleetView, Round, find_job_id, name_task
 from tarragonlb.model.entry import JobEntry, JobPhase
 from tarragonlb.model.fleet import (
     TaskPhase,
@@ -22,6 +23,7 @@
 
 RETRY_SECONDS = 1.0
 RENEWALS_A_LEASE = 3
+MAX_CHECKSUM = 2**32
 
 _OUTCOMES = MappingProxyType(
     {
@@ -35,12 +37,13 @@
 class AttemptFollower:
     """Knows when each started job has to be looked at again."""
 
-    __slots__ = ('_due', '_order')
+    __slots__ = ('_due', '_order', '_renewals')
 
     def __init__(self) -> None:
         """Start without any job."""
         self._due: dict[str, float] = {}
         self._order: list[tuple[float, str]] = []
+        self._renewals: dict[str, float] = {}
 
     def note(self, job_id: str, due: float) -> None:
         """Look at a job at ``due``, or earlier if that was noted before."""
@@ -60,17 +63,49 @@
             job = turn.view.jobs.get(job_id)
             if job and job.phase is JobPhase.STARTED:
                 actions.append(self._follow_job(turn, job))
+            else:
+                self._renewals.pop(job_id, None)
         return [action for action in actions if action]
 
     def _follow_job(self, turn: Round, job: JobEntry) -> Action | None:
         task_id = name_task(job)
         task = turn.view.task_readings.get(task_id)
-        running = task is not None and task.phase is TaskPhase.RUNNING
-        lease = turn.view.fleet.job_lease_seconds
-        calm = running and not job.cancelled
-        pause = lease / RENEWALS_A_LEASE if calm else RETRY_SECONDS
-        self.note(job.spec.job_id, turn.now + pause)
-        return _follow_attempt(turn, job, task_id, task)
+        action = _follow_attempt(turn, job, task_id, task)
+        if task is None or not isinstance(action, StartTask):
+            self.note(job.spec.job_id, turn.now + RETRY_SECONDS)
+            return action
+        return self._renew(turn, job.spec.job_id, action)
+
+    def _renew(
+        self, turn: Round, job_id: str, step: StartTask
+    ) -> Action | None:
+        """Return a renewal if it is due.
+
+        The first one that this process makes is put off by a share of the
+        pause that differs by job, so that renewals are spread.
+        """
+        pause = step.lease_seconds / RENEWALS_A_LEASE
+        due = self._renewals.get(job_id)
+        if due is None:
+            due = turn.now + pause * _spread(job_id)
+        is_due = due <= turn.now
+        if is_due:
+            due = turn.now + pause
+        self._renewals[job_id] = due
+        self.note(job_id, due)
+        return step if is_due else None
+
+
+def choose_lease(view: FleetView) -> float:
+    """Return the seconds of a lease.
+
+    It grows with the attempts to renew, so that renewals stay within the
+    calls a second that the settings allow.  No promise rests on its length:
+    attempts end by evidence.
+    """
+    limit = view.fleet.max_renewals_per_second
+    renewals = RENEWALS_A_LEASE * view.jobs.count_started()
+    return max(view.fleet.job_lease_seconds, renewals / limit)
 
 
 def note_tasks(follower: AttemptFollower, turn: Round) -> None:
@@ -79,6 +114,11 @@
         follower.note(find_job_id(task_id), turn.now)
 
 
+def _spread(job_id: str) -> float:
+    """Return a share from 0 to 1 that is the same for a job everywhere."""
+    return zlib.crc32(job_id.encode()) / MAX_CHECKSUM
+
+
 def _follow_attempt(
     turn: Round, job: JobEntry, task_id: str, task: TaskReading | None
 ) -> Action | None:
@@ -92,7 +132,7 @@
     never_got = task is None and vm.phase is VmPhase.DRAINED
     if job.cancelled or never_got:
         return StopTask(job.vm_id, job.boot, task_id)
-    lease = turn.view.fleet.job_lease_seconds
+    lease = choose_lease(turn.view)
     return StartTask(job.vm_id, job.boot, task_id, job.spec.payload, lease)
 
 
--- a/libs/capacity/tarragonlb/capacity/placement.py
+++ b/libs/capacity/tarragonlb/capacity/placement.py
@@ -1,14 +1,17 @@
 """Jobs: which queued one starts next, and on which VM.
 
-Urgent jobs go first, then those with the earliest deadline; jobs beyond their
-team's quota come after all others.  A job that is larger than every VM of its
-pool is set aside with the reason.  A size that found no room is not tried
-again in the same round, so a long queue costs one comparison a job.
+Urgent jobs go first, then those that have to start earliest to meet their
+deadline; jobs beyond their team's quota come after all others.  A job that is
+larger than every VM of its pool is set aside with the reason.  A size that
+found no room is not tried again in the same round, so a long queue costs one
+comparison a job.
 """
 
 from collections.abc import Iterable
 
 from tarragonlb.capacity.action import Action, Commit, StopTask
+from tarragonlb.capacity.attempts import choose_lease
+from tarragonlb.capacity.estimates import RunTimeBook
 from tarragonlb.capacity.quotas import QuotaBook, choose_stops
 from tarragonlb.capacity.rooms import PoolRooms, Size, never_fits
 from tarragonlb.capacity.view import Round, name_task
@@ -19,11 +22,21 @@
 class Placement:
     """Places the queued jobs of one pool in one round."""
 
-    __slots__ = ('_actions', '_misfits', '_quotas', '_rooms', '_turn')
+    __slots__ = (
+        '_actions',
+        '_misfits',
+        '_quotas',
+        '_rooms',
+        '_run_times',
+        '_turn',
+    )
 
-    def __init__(self, turn: Round, rooms: PoolRooms) -> None:
+    def __init__(
+        self, turn: Round, rooms: PoolRooms, run_times: RunTimeBook
+    ) -> None:
         """Place into the rooms of a pool."""
         self._turn = turn
+        self._run_times = run_times
         self._rooms = rooms
         self._quotas = QuotaBook(turn.view)
         self._misfits: set[Size] = set()
@@ -32,7 +45,7 @@
     def run(self, pool: str) -> list[Action]:
         """Return starts, stops of borrowers, and jobs set aside."""
         queued = self._turn.view.jobs.list_queued(pool)
-        queued.sort(key=_rank)
+        queued.sort(key=self._rank)
         beyond: list[JobEntry] = []
         waiting: list[JobEntry] = []
         for job in queued:
@@ -45,6 +58,14 @@
         self._actions.extend(self._set_aside(pool, waiting))
         return self._actions
 
+    def _rank(self, job: JobEntry) -> tuple[bool, float, int]:
+        spec = job.spec
+        seconds = self._run_times.estimate(
+            spec.team, spec.kind, declared=spec.declared_seconds
+        )
+        due = spec.head.written_at + spec.deadline_seconds
+        return (not spec.urgent, due - seconds, job.offset)
+
     def _start(self, job: JobEntry) -> bool:
         spec = job.spec
         if any(size.is_within(spec) for size in self._misfits):
@@ -79,18 +100,13 @@
         ]
 
 
-def _rank(job: JobEntry) -> tuple[bool, float, int]:
-    due = job.spec.head.written_at + job.spec.deadline_seconds
-    return (not job.spec.urgent, due, job.offset)
-
-
 def _start(turn: Round, job: JobEntry, vm_id: str) -> JobStarted:
     return JobStarted(
         head=turn.sign(),
         job_id=job.spec.job_id,
         attempt=job.attempt + 1,
         vm_id=vm_id,
-        lease_seconds=turn.view.fleet.job_lease_seconds,
+        lease_seconds=choose_lease(turn.view),
         term=turn.view.term,
         boot=turn.view.vm_readings[vm_id].boot,
     )
--- a/libs/capacity/tarragonlb/capacity/planner.py
+++ b/libs/capacity/tarragonlb/capacity/planner.py
@@ -5,6 +5,8 @@
 is lost is therefore decided again.
 """
 
+from dataclasses import dataclass
+
 from tarragonlb.capacity.action import Action
 from tarragonlb.capacity.adoption import (
     find_uncharged,
@@ -13,6 +15,7 @@
 )
 from tarragonlb.capacity.attempts import AttemptFollower, note_tasks
 from tarragonlb.capacity.away import DrainClock, return_vms
+from tarragonlb.capacity.estimates import RunTimeBook
 from tarragonlb.capacity.maintenance import advance_waves
 from tarragonlb.capacity.placement import Placement
 from tarragonlb.capacity.rooms import RoomBook
@@ -22,6 +25,14 @@
 from tarragonlb.model.scribe import Scribe
 
 
+@dataclass(frozen=True, slots=True)
+class StartedJob:
+    """A job as it was when its start was seen, and when that was."""
+
+    entry: JobEntry
+    since: float
+
+
 class Planner:
     """Decides for one process; a new one starts with nothing remembered."""
 
@@ -31,6 +42,7 @@
         '_home',
         '_pools',
         '_rooms',
+        '_run_times',
         '_scribe',
         '_vms',
         '_workers',
@@ -43,7 +55,8 @@
         self._follower = AttemptFollower()
         self._rooms = RoomBook()
         self._workers = WorkerBook()
-        self._home: dict[str, JobEntry] = {}
+        self._run_times = RunTimeBook()
+        self._home: dict[str, StartedJob] = {}
         self._vms: list[str] = []
         self._pools: dict[str, None] = {}
 
@@ -82,7 +95,7 @@
             job = turn.view.jobs.get(job_id)
             left = self._home.pop(job_id, None)
             if left:
-                self._refresh(turn.view, left.vm_id)
+                self._refresh(turn.view, left.entry.vm_id)
             if left and job and job.phase is not JobPhase.STARTED:
                 self._note_end(left, job, turn.now)
             if job:
@@ -92,15 +105,24 @@
         if job.phase is JobPhase.QUEUED:
             self._pools[job.spec.pool] = None
         elif job.phase is JobPhase.STARTED:
-            self._home[job.spec.job_id] = job
+            self._home[job.spec.job_id] = StartedJob(job, turn.now)
             self._refresh(turn.view, job.vm_id)
             self._follower.note(job.spec.job_id, turn.now)
 
-    def _note_end(self, left: JobEntry, job: JobEntry, now: float) -> None:
-        failed = job.failures > left.failures
-        if failed or job.phase is JobPhase.SUCCEEDED:
-            kind = job.spec.kind
-            self._workers.note(left.vm_id, kind, now, failed=failed)
+    def _note_end(self, left: StartedJob, job: JobEntry, now: float) -> None:
+        spec = job.spec
+        failed = job.failures > left.entry.failures
+        succeeded = job.phase is JobPhase.SUCCEEDED
+        if failed or succeeded:
+            vm_id = left.entry.vm_id
+            self._workers.note(vm_id, spec.kind, now, failed=failed)
+        if succeeded:
+            self._run_times.note(
+                spec.team,
+                spec.kind,
+                declared=spec.declared_seconds,
+                seen=now - left.since,
+            )
 
     def _refresh(self, view: FleetView, vm_id: str) -> None:
         self._rooms.refresh(view, vm_id)
@@ -124,7 +146,7 @@
             rooms = self._rooms.open_pool(
                 pool, turn.view, self._workers, turn.now
             )
-            steps = Placement(turn, rooms).run(pool)
+            steps = Placement(turn, rooms, self._run_times).run(pool)
             queued = turn.view.jobs.has_queued(pool)
             probes = queued and self._workers.has_suspects()
             if not steps and not probes:
--- a/libs/capacity/tarragonlb/capacity/table.py
+++ b/libs/capacity/tarragonlb/capacity/table.py
@@ -125,12 +125,13 @@
 class JobTable(ChangeTable[JobEntry]):
     """Jobs, the queued ones by pool and the started ones by VM."""
 
-    __slots__ = ('_cores', '_queued', '_started')
+    __slots__ = ('_cores', '_live', '_queued', '_started')
 
     def __init__(self) -> None:
         """Start empty."""
         super().__init__()
         self._cores: dict[str, int] = {}
+        self._live = 0
         self._queued: dict[str, dict[str, None]] = {}
         self._started: dict[str, dict[str, None]] = {}
 
@@ -150,6 +151,10 @@
         """Return the cores of a team's attempts that may be live."""
         return self._cores.get(team, 0)
 
+    def count_started(self) -> int:
+        """Return the number of attempts that may be live."""
+        return self._live
+
     def is_busy(self, vm_id: str) -> bool:
         """Return whether a VM has an attempt which may be live."""
         return vm_id in self._started
@@ -170,6 +175,7 @@
 
     def _count(self, job: JobEntry, sign: int) -> None:
         if job.phase is JobPhase.STARTED:
+            self._live += sign
             cores = self._cores.get(job.spec.team, 0)
             self._cores[job.spec.team] = cores + sign * job.spec.cores
 
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -89,11 +89,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
-    """The document under ``/fleet``."""
+    """The document under ``/fleet``.
+
+    Leases of jobs last at least ``job_lease_seconds``, and longer where many
+    jobs run, so that renewals stay under ``max_renewals_per_second``.
+    """
 
     weights: WeightSettings = WeightSettings()
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
     job_lease_seconds: Positive = 30
+    max_renewals_per_second: Positive = 5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
