--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -86,12 +86,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PoolSettings:
-    """The document under ``/pools/NAME``."""
+    """The document under ``/pools/NAME``.
+
+    ``return_seconds`` is how long a VM is expected to be away in a wave, and
+    ``wave_hours`` is within how many hours a wave is promised to end.
+    """
 
     at_once: Annotated[int, Meta(ge=1)] = 1
     at_once_per_rack: Annotated[int, Meta(ge=1)] = 1_000
     at_once_per_zone: Annotated[int, Meta(ge=1)] = 1_000
     drain_limit_seconds: Positive = 600
+    return_seconds: Positive = 300
+    wave_hours: Positive = 24
     spare: bool = False
 
 
@@ -122,6 +128,9 @@
 
     ``api_requests_per_second`` holds for each team and operator on each entry
     VM, and not for requests to services.
+
+    Leases of jobs last at least ``job_lease_seconds``, and longer where many
+    jobs run, so that renewals stay under ``max_renewals_per_second``.
     """
 
     weights: WeightSettings = WeightSettings()
@@ -130,3 +139,4 @@
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
     api_requests_per_second: Positive = 50
     job_lease_seconds: Positive = 30
+    max_renewals_per_second: Positive = 5
