Hold requests back after a pause until the list of VMs was read anew

A daemon that had read nothing yet answered 404 and 401 for settings that are in force. Ruled out: refusing to serve from an old list (a zone that is cut off from the platform has to serve on); waiting longer before a reboot (a pause has no bound). Change: PauseGuard ticks; after a late tick requests wait for a reading asked for since, at most 2 s. Until the state was read once every request is refused with not-run and Retry-After. Left: a request that was paused between the choice of its endpoint and its first byte is not held.

--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -1,5 +1,6 @@
 """The HTTP application of the daemon: callers, the API, and health."""
 
+import uuid
 from typing import Any
 
 import trio
@@ -13,9 +14,14 @@
 from tarragonlb.daemon.apijobs import JobApi
 from tarragonlb.daemon.apisettings import SettingsApi
 from tarragonlb.daemon.exchange import Receive, Send
-from tarragonlb.daemon.gateway import PREFIX, Gateway
+from tarragonlb.daemon.gateway import PREFIX, Gateway, send_refusal
+from tarragonlb.daemon.pause import PauseGuard
+from tarragonlb.model.errors import RefusedError
+from tarragonlb.model.verdict import Verdict
 
 STATUS_UNAVAILABLE = 503
+RETRY_AFTER_SECONDS = 1
+HEALTH_PATHS = frozenset(('/health', '/ready'))
 
 
 class Application:
@@ -25,14 +31,24 @@
     serves what it has and tells the platform's balancer to send nothing new.
     """
 
-    __slots__ = ('_api', '_gateway', '_idle', 'active', 'ready', 'stopping')
+    __slots__ = (
+        '_api',
+        '_gateway',
+        '_guard',
+        '_idle',
+        'active',
+        'ready',
+        'stopping',
+    )
 
     def __init__(
         self,
         gateway: Gateway,
         parts: tuple[JobApi, SettingsApi, FleetApi],
+        guard: PauseGuard,
     ) -> None:
         """Serve callers by the gateway and all else by the API."""
+        self._guard = guard
         self._gateway = gateway
         self._idle = trio.Event()
         self.active = 0
@@ -53,10 +69,7 @@
             return
         self.active += 1
         try:
-            if scope['path'].startswith(PREFIX):
-                await self._gateway.serve(scope, receive, send)
-            else:
-                await self._api(scope, receive, send)
+            await self._serve(scope, receive, send)
         finally:
             self.active -= 1
             if not self.active:
@@ -78,6 +91,21 @@
             return PlainTextResponse('ready\n')
         return PlainTextResponse('not ready\n', status_code=STATUS_UNAVAILABLE)
 
+    async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
+        if not self.ready and scope['path'] not in HEALTH_PATHS:
+            refusal = RefusedError(
+                'this entry VM has not read the shared state yet',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_UNAVAILABLE,
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+            await send_refusal(send, uuid.uuid4().hex, refusal)
+        elif scope['path'].startswith(PREFIX):
+            await self._guard.wait_until_fresh()
+            await self._gateway.serve(scope, receive, send)
+        else:
+            await self._api(scope, receive, send)
+
 
 async def _live(receive: Receive, send: Send) -> None:
     while True:
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/pause.py
@@ -0,0 +1,59 @@
+"""Keeps a process that was paused from acting on what it knew before.
+
+While a process is paused, endpoints may drain and reboot.  The guard ticks; a
+tick that comes late shows a pause, and from then on requests wait until the
+list of VMs has been read anew.  If the platform can't be reached they go on
+after a limit, with what the process knows.
+"""
+
+import math
+from collections.abc import Callable
+
+import trio
+
+from tarragonlb.daemon.clock import read_monotonic
+from tarragonlb.daemon.watch import FleetWatch
+from tarragonlb.telemetry.log import Log
+
+TICK_SECONDS = 0.25
+PAUSE_SECONDS = 1.5
+REFRESH_SECONDS = 2
+
+
+class PauseGuard:
+    """Holds requests back after a pause; ``update`` applies a new list."""
+
+    __slots__ = ('_resumed_at', '_say', '_ticked_at', '_update', '_watch')
+
+    def __init__(self, watch: FleetWatch, update: Callable[[], None]) -> None:
+        """Start as not paused."""
+        self._ticked_at = math.inf
+        self._resumed_at = -math.inf
+        self._update = update
+        self._watch = watch
+        self._say = Log('pause').say
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick(read_monotonic())
+            await trio.sleep(TICK_SECONDS)
+
+    def tick(self, now: float) -> None:
+        """Note that the process runs, and whether it was paused."""
+        if now - self._ticked_at > PAUSE_SECONDS:
+            self._say('The process was paused.', seconds=now - self._ticked_at)
+            self._resumed_at = now
+        self._ticked_at = now
+
+    async def wait_until_fresh(self) -> None:
+        """Wait until the list was read since the last pause, if any."""
+        self.tick(read_monotonic())
+        resumed_at = self._resumed_at
+        if resumed_at == -math.inf:
+            return
+        with trio.move_on_after(REFRESH_SECONDS):
+            await self._watch.wait_until_read(resumed_at)
+        self._update()
+        if self._resumed_at == resumed_at:
+            self._resumed_at = -math.inf
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -17,6 +17,7 @@
 from tarragonlb.daemon.dispatch import Dispatcher
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.pause import PauseGuard
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.watch import FleetWatch
@@ -35,6 +36,7 @@
 
     __slots__ = (
         '_application',
+        '_guard',
         '_journal',
         '_planner',
         '_pools',
@@ -57,6 +59,7 @@
         )
         dispatcher = Dispatcher(settings.zone, random.Random())
         self._pools = PoolTask(self._journal, self._watch, dispatcher)
+        self._guard = PauseGuard(self._watch, self._pools.update)
         access = AccessTable(settings, self._journal.state)
         gateway = Gateway(settings.name, access, self._journal, dispatcher)
         self._application = Application(
@@ -66,6 +69,7 @@
                 SettingsApi(settings.name, access, self._journal, self._watch),
                 FleetApi(settings.name, access, self._journal, self._watch),
             ),
+            self._guard,
         )
 
     async def run(self) -> None:
@@ -75,6 +79,7 @@
         async with trio.open_nursery() as nursery:
             for task in self._list_tasks():
                 nursery.start_soon(task)
+            nursery.start_soon(self._guard.run)
             nursery.start_soon(self._serve, stopped)
             await self._wait_for_stop()
             stopped.set()
