--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,49 @@
+"""Runs the trials of a feature side by side, each on processes of its own."""
+
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from tarragonlb.standin.disturbance import DISTURBANCES
+from tarragonlb.standin.installation import Documents
+from tarragonlb.standin.trial import Trial
+
+DATA = Path(__file__).parent / 'data'
+PARALLEL_TRIALS = 3
+DOCUMENTS = Documents(
+    team=(DATA / 'team.yaml').read_bytes(),
+    pool=(DATA / 'pool.yaml').read_bytes(),
+    fleet=(DATA / 'fleet.yaml').read_bytes(),
+)
+
+
+def run_trial(folder, fault):
+    """Run the trial of one fault and return its evidence."""
+    scratch = Path(folder) / fault.replace(' ', '-')
+    scratch.mkdir()
+    races = fault == 'racing operators'
+    return Trial(scratch, DISTURBANCES[fault], DOCUMENTS, races=races).run()
+
+
+def before_feature(context, feature):
+    context.documents = DOCUMENTS
+    if feature.name != 'Promises under failure':
+        return
+    chosen = {
+        scenario.steps[0].name
+        for scenario in feature.walk_scenarios()
+        if scenario.should_run(context.config)
+    }
+    context.scratch = tempfile.TemporaryDirectory()
+    context.workers = ThreadPoolExecutor(PARALLEL_TRIALS)
+    context.trials = {
+        fault: context.workers.submit(run_trial, context.scratch.name, fault)
+        for fault in DISTURBANCES
+        if f'the trial under "{fault}"' in chosen
+    }
+
+
+def after_feature(context, feature):
+    if feature.name == 'Promises under failure':
+        context.workers.shutdown()
+        context.scratch.cleanup()
--- a/libs/standin/tarragonlb/standin/cluster.py
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -4,6 +4,7 @@
 availability zone, each as a process of its own, and ends only those.
 """
 
+import os
 import signal
 import socket
 import subprocess
@@ -65,6 +66,11 @@
     return f'127.0.0.{ZONES.index(zone) + FIRST_ZONE_HOST}'
 
 
+def find_zone(entry: str) -> str:
+    """Return the zone of an entry VM."""
+    return entry.removeprefix('entry-')
+
+
 class Cluster:
     """Owns the processes of one installation below a folder."""
 
@@ -99,7 +105,7 @@
 
     def start_daemon(self, name: str) -> None:
         """Start the daemon of one entry VM."""
-        zone = name.removeprefix('entry-')
+        zone = find_zone(name)
         port = self.platform.partition(':')[2]
         settings = {
             'name': name,
@@ -128,10 +134,20 @@
         """Return the file that holds the log of a process."""
         return self._folder / f'{name}.log'
 
+    def list_racks(self, zone: str) -> tuple[str, ...]:
+        """Return the racks of a zone."""
+        racks = {vm.rack for vm in self.fleet.vms if vm.zone == zone}
+        return tuple(sorted(racks))
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self._processes[name].send_signal(number)
 
+    def pause(self, name: str) -> None:
+        """Pause one process and wait until it has stopped."""
+        self.send_signal(name, signal.SIGSTOP)
+        os.waitpid(self._processes[name].pid, os.WUNTRACED)
+
     def wait_end(self, name: str) -> int:
         """Wait until a process has ended and return its exit code."""
         return self._processes.pop(name).wait(STOP_SECONDS)
@@ -185,7 +201,7 @@
             response = httpcore.request(
                 'GET', f'http://{self.addresses[name]}/ready'
             )
-        except httpcore.ConnectError:
+        except (httpcore.NetworkError, httpcore.ProtocolError):
             return False
         return response.status == STATUS_OK
 
--- a/libs/standin/tarragonlb/standin/endpointapp.py
+++ b/libs/standin/tarragonlb/standin/endpointapp.py
@@ -16,7 +16,7 @@
 from starlette.routing import Route
 
 from tarragonlb.standin.fault import EndpointFaults, EndpointMode, FaultSwitch
-from tarragonlb.standin.lost import LostAnswer
+from tarragonlb.standin.lost import LostAnswer, TruncatedAnswer
 
 STATUS_ERROR = 500
 STATUS_UNAVAILABLE = 503
@@ -143,6 +143,8 @@
         self._note(mark, FINISHED)
         if self._switch.faults.mode is EndpointMode.MUTE:
             return await self._lose('')
+        if self._switch.faults.mode is EndpointMode.TRUNCATING:
+            return TruncatedAnswer()
         size = int(request.query_params.get('size', '0'))
         return JSONResponse(
             {
--- a/libs/standin/tarragonlb/standin/fault.py
+++ b/libs/standin/tarragonlb/standin/fault.py
@@ -17,13 +17,16 @@
 class Faults:
     """What goes wrong in the platform at present.
 
-    ``log_down`` refuses every call to the log, ``slow_seconds`` delays each
-    call, and ``lose_answers`` drops that many answers after an append or an
-    act took effect.  Calls that arrive at ``cut_hosts`` have no effect and no
-    answer.  VMs in ``gone_racks`` can't be seen or reached.
+    ``log_down`` refuses every call to the log, ``fleet_down`` every other
+    one, and ``acts_down`` those of them that change anything.
+    ``slow_seconds`` delays each call, and ``lose_answers`` drops that many
+    answers after an append or an act took effect.  Calls that arrive at
+    ``cut_hosts`` have no effect and no answer.  VMs in ``gone_racks`` can't
+    be seen or reached.
     """
 
     log_down: bool = False
+    acts_down: bool = False
     fleet_down: bool = False
     slow_seconds: float = 0
     lose_answers: int = 0
@@ -35,7 +38,8 @@
     """Say how an endpoint treats requests.
 
     A silent one accepts and neither runs nor answers, a mute one runs and
-    doesn't answer, a failing one answers with an error at once.
+    doesn't answer, a failing one answers with an error at once, and a
+    truncating one ends its connection in the middle of an answer.
     """
 
     HEALTHY = 'healthy'
@@ -43,6 +47,7 @@
     MUTE = 'mute'
     FAILING = 'failing'
     SLOW = 'slow'
+    TRUNCATING = 'truncating'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/standin/tarragonlb/standin/fleetacts.py
+++ b/libs/standin/tarragonlb/standin/fleetacts.py
@@ -4,7 +4,6 @@
 second reboot for the same boot count is refused meanwhile.
 """
 
-import time
 from dataclasses import replace
 from typing import Any
 
@@ -14,7 +13,7 @@
 from tarragonlb.model.fleet import VmPhase, VmReading
 from tarragonlb.standin.fault import Faults, FaultSwitch
 from tarragonlb.standin.fleetstore import FleetStore, Task
-from tarragonlb.standin.violation import DrainNote, Referee
+from tarragonlb.standin.violation import Referee
 
 REBOOT_SECONDS = 1.0
 DEFAULT_TASK_SECONDS = 0.2
@@ -93,11 +92,10 @@
         return NOTHING
 
     def _note_drain(self, vm: VmReading) -> None:
-        drain = DrainNote(vm.vm_id, vm.address, vm.boot, time.monotonic())
         members = frozenset(
             one.vm_id for one in self.fleet.vms.values() if one.pool == vm.pool
         )
-        self.referee.note_drain(vm.pool, members, drain)
+        self.referee.note_drain(vm.pool, members, vm.vm_id)
 
     def _reach_vm(self, body: Any) -> VmReading:
         vm = self.fleet.find_vm(body['vm_id'], body['boot'])
--- a/libs/standin/tarragonlb/standin/lost.py
+++ b/libs/standin/tarragonlb/standin/lost.py
@@ -1,4 +1,4 @@
-"""An answer that is lost: the connection ends before the answer does."""
+"""Answers that are lost or cut: the connection ends before the answer."""
 
 from typing import Any
 
@@ -24,3 +24,17 @@
             {'type': 'http.response.body', 'body': b'-', 'more_body': True}
         )
         raise LostAnswerError
+
+
+class TruncatedAnswer(Response):
+    """Sends a chunk of a body of unknown length and ends its connection."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Send a valid JSON document, so that only the framing is broken."""
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': []}
+        )
+        await send(
+            {'type': 'http.response.body', 'body': b'{}', 'more_body': True}
+        )
+        raise LostAnswerError
--- a/libs/standin/tarragonlb/standin/platformapp.py
+++ b/libs/standin/tarragonlb/standin/platformapp.py
@@ -112,6 +112,8 @@
     def _is_down(self, path: str) -> bool:
         if path.startswith('/log'):
             return self._switch.faults.log_down
+        if self._switch.faults.acts_down and path not in READ_PATHS:
+            return True
         return path.startswith('/fleet') and self._switch.faults.fleet_down
 
     async def _append(self, body: Any, now: float) -> object:
@@ -131,9 +133,7 @@
         return NOTHING
 
     async def _show_violations(self, body: Any, now: float) -> object:
-        vms = self._acts.fleet.vms.values()
-        boots = {vm.vm_id: vm.boot for vm in vms}
-        return msgspec.to_builtins(self._acts.referee.make_report(boots))
+        return msgspec.to_builtins(self._acts.referee.make_report())
 
 
 async def _perform(act: Act, body: Any) -> Response:
--- a/libs/standin/tarragonlb/standin/violation.py
+++ b/libs/standin/tarragonlb/standin/violation.py
@@ -11,12 +11,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainNote:
-    """A drain that took effect, and when on the monotonic clock."""
+class ActNote:
+    """An act on a VM that took effect, and when on the monotonic clock."""
 
     vm_id: str
-    address: str
-    boot: int
     at: float
 
 
@@ -26,40 +24,48 @@
 
     violations: tuple[str, ...]
     most_away: dict[str, int]
-    drains: tuple[DrainNote, ...]
-    reboots: dict[str, int]
+    drains: tuple[ActNote, ...]
+    reboots: tuple[ActNote, ...]
     tasks: tuple[str, ...]
 
 
 class Referee:
     """Collects acts that break a promise."""
 
-    __slots__ = ('_away', '_drains', '_most_away', '_tasks', '_violations')
+    __slots__ = (
+        '_away',
+        '_drains',
+        '_most_away',
+        '_reboots',
+        '_tasks',
+        '_violations',
+    )
 
     def __init__(self) -> None:
         """Start with nothing seen."""
         self._away: dict[str, float] = {}
-        self._drains: list[DrainNote] = []
+        self._drains: list[ActNote] = []
+        self._reboots: list[ActNote] = []
         self._most_away: dict[str, int] = {}
         self._tasks: list[str] = []
         self._violations: list[str] = []
 
-    def make_report(self, boots: dict[str, int]) -> Report:
-        """Return all that was seen; ``boots`` holds each VM's boot count."""
+    def make_report(self) -> Report:
+        """Return all that was seen."""
         return Report(
             violations=tuple(self._violations),
             most_away=dict(self._most_away),
             drains=tuple(self._drains),
-            reboots={vm_id: boot - 1 for vm_id, boot in boots.items()},
+            reboots=tuple(self._reboots),
             tasks=tuple(self._tasks),
         )
 
     def note_drain(
-        self, pool: str, members: frozenset[str], drain: DrainNote
+        self, pool: str, members: frozenset[str], vm_id: str
     ) -> None:
         """Note that one of the members of a pool is drained."""
-        self._away[drain.vm_id] = float('-inf')
-        self._drains.append(drain)
+        self._away[vm_id] = float('-inf')
+        self._drains.append(ActNote(vm_id, time.monotonic()))
         seen_by = time.monotonic() - NOTICE_SECONDS
         away = sum(
             1 for vm_id in members if self._away.get(vm_id, seen_by) < seen_by
@@ -76,6 +82,7 @@
 
     def note_reboot(self, vm_id: str, requests: int, busy: bool) -> None:
         """Note a reboot, with what it cut."""
+        self._reboots.append(ActNote(vm_id, time.monotonic()))
         if requests:
             self._violations.append(f'{vm_id}: reboot cut {requests} requests')
         if busy:
