--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -1,5 +1,6 @@
 """The HTTP application of the daemon: callers, the API, and health."""
 
+import uuid
 from collections.abc import Iterable
 from typing import Any, Protocol
 
@@ -11,10 +12,15 @@
 
 from tarragonlb.daemon.apierrors import ANSWERS
 from tarragonlb.daemon.exchange import Receive, Send
-from tarragonlb.daemon.gateway import PREFIX, Gateway
+from tarragonlb.daemon.gateway import PREFIX, Gateway, send_refusal
 from tarragonlb.daemon.metering import RequestMeter
+from tarragonlb.daemon.pause import PauseGuard
+from tarragonlb.model.errors import RefusedError
+from tarragonlb.model.verdict import Verdict
 
 STATUS_UNAVAILABLE = 503
+RETRY_AFTER_SECONDS = 1
+HEALTH_PATHS = frozenset(('/health', '/ready'))
 
 
 class ApiRoutes(Protocol):
@@ -34,6 +40,7 @@
     __slots__ = (
         '_api',
         '_gateway',
+        '_guard',
         '_idle',
         '_meter',
         'active',
@@ -47,8 +54,10 @@
         gateway: Gateway,
         meter: RequestMeter,
         parts: Iterable[ApiRoutes],
+        guard: PauseGuard,
     ) -> None:
         """Serve callers by the gateway and all else by the API."""
+        self._guard = guard
         self._gateway = gateway
         self._meter = meter
         self._idle = trio.Event()
@@ -72,11 +81,7 @@
             return
         self.active += 1
         try:
-            if scope['path'].startswith(PREFIX):
-                serve = self._gateway.serve
-                await self._meter.serve(serve, scope, receive, send)
-            else:
-                await self._api(scope, receive, send)
+            await self._serve(scope, receive, send)
         finally:
             self.active -= 1
             if not self.active:
@@ -98,6 +103,22 @@
             return PlainTextResponse('ready\n')
         return PlainTextResponse('not ready\n', status_code=STATUS_UNAVAILABLE)
 
+    async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
+        if not self.ready and scope['path'] not in HEALTH_PATHS:
+            refusal = RefusedError(
+                'this entry VM has not read the shared state yet',
+                verdict=Verdict.NOT_RUN,
+                status=STATUS_UNAVAILABLE,
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+            await send_refusal(send, uuid.uuid4().hex, refusal)
+        elif scope['path'].startswith(PREFIX):
+            await self._guard.wait_until_fresh()
+            serve = self._gateway.serve
+            await self._meter.serve(serve, scope, receive, send)
+        else:
+            await self._api(scope, receive, send)
+
 
 async def _live(receive: Receive, send: Send) -> None:
     while True:
