--- a/libs/cli/tarragonlb/cli/settingsfiles.py
+++ b/libs/cli/tarragonlb/cli/settingsfiles.py
@@ -11,7 +11,7 @@
 from tarragonlb.cli.client import EXIT_BAD_INPUT, CallError
 from tarragonlb.settings.check import read_document, read_settings
 from tarragonlb.settings.problem import Problem, SettingsError
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.settings.tree import SourceText, check_tree
 
 FLEET = 'fleet'
--- a/libs/daemon/tarragonlb/daemon/burntask.py
+++ b/libs/daemon/tarragonlb/daemon/burntask.py
@@ -15,8 +15,8 @@
 from tarragonlb.journal.state import State
 from tarragonlb.model.burn import BurnReported
 from tarragonlb.model.entry import VmEntry
-from tarragonlb.model.errors import CommitUnknownError, RecordVoidError
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.model.errors import CommitUnknownError, JournalError
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
 from tarragonlb.telemetry.meter import (
     SECONDS_PER_MINUTE,
@@ -101,8 +101,8 @@
                 await self._journal.commit(record)
             except CommitUnknownError:
                 self._say('The summary waits for the log.')
-            except RecordVoidError as error:
-                self._say('The summary did not count.', reason=error.reason)
+            except JournalError as error:
+                self._say('The summary did not count.', reason=str(error))
                 return
             else:
                 return
--- a/libs/daemon/tarragonlb/daemon/command.py
+++ b/libs/daemon/tarragonlb/daemon/command.py
@@ -10,7 +10,7 @@
 from tarragonlb.daemon.process import Process
 from tarragonlb.settings.check import read_settings
 from tarragonlb.settings.problem import SettingsError
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import start_logging
 from tarragonlb.telemetry.metrics import start_metrics
 
--- a/libs/daemon/tarragonlb/daemon/keydesk.py
+++ b/libs/daemon/tarragonlb/daemon/keydesk.py
@@ -12,7 +12,7 @@
     answer_question,
 )
 from tarragonlb.routing.ledger import Grant, KeyLedger, read_key
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 
 SECRET_BYTES = 32
 
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -25,7 +25,7 @@
 from tarragonlb.model.scribe import Scribe
 from tarragonlb.platform.client import PlatformClient
 from tarragonlb.platform.remote import RemoteFleet, RemoteLog
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
 
 KEEP_ALIVE_SECONDS = 30
--- a/tools/settingsreference.py
+++ b/tools/settingsreference.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from tarragonlb.settings import schema
+from tarragonlb.settings import schema, startup
 
 DOCUMENTS = (
     ('/fleet', schema.FleetSettings),
     ('/pools/NAME', schema.PoolSettings),
     ('/teams/NAME', schema.TeamSettings),
-    ('The start-up file of a daemon', schema.DaemonSettings),
+    ('The start-up file of a daemon', startup.DaemonSettings),
 )
 SETTINGS_HEAD = """# Settings
 
--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -13,11 +13,11 @@
 
 from tarragonlb.daemon.apidocument import write_document
 from tarragonlb.daemon.process import Process
-from tarragonlb.settings import schema
+from tarragonlb.settings import startup
 from tarragonlb.telemetry.metrics import METRICS
 
 DOCS = Path(__file__).parent.parent / 'docs'
-START = schema.DaemonSettings(
+START = startup.DaemonSettings(
     name='docs',
     zone='docs',
     listen='127.0.0.1:1',
