--- a/bench/burn_cost.py
+++ b/bench/burn_cost.py
@@ -4,6 +4,7 @@
 days, 24 hours and 12 spans of five minutes in the fold.
 """
 
+import random
 import time
 import tracemalloc
 from dataclasses import dataclass
@@ -17,6 +18,8 @@
     add_count,
 )
 from tarragonlb.journal.codec import encode_record
+from tarragonlb.journal.snapshot import Cut, compress_part
+from tarragonlb.journal.state import State
 from tarragonlb.model.burn import (
     MINUTES_PER_DAY,
     BurnEntry,
@@ -33,6 +36,9 @@
 REQUESTS_EACH = 100
 FIRST_MINUTE = 29_000_000
 LAST_MINUTE = FIRST_MINUTE + MAX_DAY_BUCKETS * MINUTES_PER_DAY
+SEED = 1
+MAX_COUNT = 100_000
+LATENCY_KEYS = range(-8, 4)
 MICROSECOND = 1e-6
 KILOBYTE = 1024
 MINUTES = (
@@ -58,6 +64,7 @@
     fold_service: float
     report_service: float
     entry_kilobytes: float
+    snapshot_kilobytes: int
 
 
 def measure_burn(services: int) -> BurnFigure:
@@ -67,7 +74,7 @@
     counts = meter.cut()
     size = len(encode_record(_make_record(counts)))
     started = time.perf_counter()
-    entries = _fold(counts)
+    entries = _fold(services)
     folding = time.perf_counter() - started
     return BurnFigure(
         services=services,
@@ -76,13 +83,14 @@
         period_minutes=choose_period(size, ENTRIES),
         fold_service=_scale(folding, services * len(MINUTES)),
         report_service=_scale(_report(entries), services),
-        entry_kilobytes=_measure_memory(counts),
+        entry_kilobytes=_measure_memory(services),
+        snapshot_kilobytes=_measure_snapshot(entries) // KILOBYTE,
     )
 
 
-def _measure_memory(counts: tuple[ServiceCount, ...]) -> float:
+def _measure_memory(services: int) -> float:
     tracemalloc.start()
-    entries = _fold(counts)
+    entries = _fold(services)
     kept = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return round(kept / len(entries) / KILOBYTE, 1)
@@ -113,19 +121,41 @@
     )
 
 
-def _fold(counts: tuple[ServiceCount, ...]) -> list[BurnEntry]:
-    entries = [BurnEntry(service=count.service) for count in counts]
+def _fold(services: int) -> dict[str, BurnEntry]:
+    numbers = random.Random(SEED)
+    names = [f'team-{number}/service' for number in range(services)]
+    entries = {name: BurnEntry(service=name) for name in names}
     for minute in MINUTES:
-        entries = [
-            add_count(entry, count, minute)
-            for entry, count in zip(entries, counts, strict=True)
-        ]
+        for name in names:
+            count = _draw_count(name, numbers)
+            entries[name] = add_count(entries[name], count, minute)
     return entries
 
 
-def _report(entries: list[BurnEntry]) -> float:
+def _draw_count(service: str, numbers: random.Random) -> ServiceCount:
+    latency = tuple((key, numbers.randrange(MAX_COUNT)) for key in LATENCY_KEYS)
+    return ServiceCount(
+        service=service,
+        good=numbers.randrange(MAX_COUNT),
+        slow=numbers.randrange(MAX_COUNT // 100),
+        bad=numbers.randrange(MAX_COUNT // 1000),
+        latency=latency,
+    )
+
+
+def _measure_snapshot(entries: dict[str, BurnEntry]) -> int:
+    state = State()
+    state.burn = entries
+    cut = Cut(state)
+    size = 0
+    while part := cut.read_part():
+        size += len(compress_part(part))
+    return size
+
+
+def _report(entries: dict[str, BurnEntry]) -> float:
     started = time.perf_counter()
-    for entry in entries:
+    for entry in entries.values():
         report_service(entry, OBJECTIVE, LAST_MINUTE)
     return time.perf_counter() - started
 
