Apply a whole tree of settings; call unused promises unused

Change: tarragonlb settings apply FOLDER checks the tree and publishes what differs, each document in place of the version that was looked at; what was done before a refusal is shown. A promise without a request has the status 'no request', and broken promises come first on the page. The row '900 bad 40 days ago' of the feature said kept although nothing was seen in the window; it says no request now.

--- a/libs/cli/features/online.feature
+++ b/libs/cli/features/online.feature
@@ -30,6 +30,23 @@
     When "settings history /pools/race --output json" is run
     Then it prints JSON with 1 items
 
+  Scenario: A whole tree is put in force, and only what differs
+    Given the file "pools/spare.yaml" with "at_once: 1"
+    And the file "teams/readers.yaml" with "services: {read: {pool: spare}}"
+    When "settings apply FOLDER" is run
+    Then it exits with 0
+    And it prints "/pools/spare new 1"
+    And it prints "/teams/readers new 1"
+    Given the file "pools/spare.yaml" with "at_once: 2"
+    When "settings apply FOLDER" is run
+    Then it exits with 0
+    And it prints "/pools/spare changed 2"
+    And it prints "/teams/readers unchanged 1"
+    Given the file "teams/readers.yaml" with "services: {read: {pool: other}}"
+    When "settings apply FOLDER" is run
+    Then it exits with 2
+    And it prints "readers.yaml:1: services.read.pool: no document describes /pools/other"
+
   Scenario: A token belongs to one team
     Given the file "a.yaml" with "tokens: [{token}]"
     When "settings set /teams/first FOLDER/a.yaml 0" is run
--- a/libs/cli/tarragonlb/cli/reportcommands.py
+++ b/libs/cli/tarragonlb/cli/reportcommands.py
@@ -80,8 +80,10 @@
 
 
 def _describe(budget: Budget) -> str:
-    seen = '-' if budget.seen is None else f'{budget.seen * PERCENT:.5g}%'
     promised = f'{budget.promised * PERCENT:.5g}%'
+    if budget.seen is None:
+        return f'{promised}, {budget.status.value}'
+    seen = f'{budget.seen * PERCENT:.5g}%'
     return f'{seen} of {promised}, {budget.status.value}'
 
 
--- a/libs/cli/tarragonlb/cli/settingscommands.py
+++ b/libs/cli/tarragonlb/cli/settingscommands.py
@@ -2,7 +2,7 @@
 
 import sys
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import cyclopts
@@ -10,12 +10,15 @@
 from tarragonlb.cli.client import read_fields, read_rows
 from tarragonlb.cli.explanation import explain_setting
 from tarragonlb.cli.output import OutputFormat
+from tarragonlb.cli.publication import apply_documents, publish
 from tarragonlb.cli.session import DEFAULT_SESSION, Session
 from tarragonlb.cli.settingsfiles import (
     check_folder,
     find_path,
+    list_documents,
     read_checked,
 )
+from tarragonlb.settings.tree import SourceText
 
 application = cyclopts.App(
     name='settings', help='Check, read and change settings.'
@@ -68,7 +71,7 @@
 
 
 @application.command(name='set')
-def publish(
+def set_document(
     path: str, file: Path, version: int, *, session: Session = DEFAULT_SESSION
 ) -> None:
     """Put a file in force under PATH.
@@ -84,17 +87,32 @@
 
     """
     text = read_checked(path, file)
-    headers = {
-        'if-match': str(version),
-        'tarragon-source': quote(str(file), safe='/ '),
-    }
-    target = _make_target('settings', path)
-    answer = session.connect().call('PUT', target, text.encode(), headers)
+    document = SourceText(path=path, source=str(file), text=text)
+    answer = publish(session.connect(), document, version)
     if session.output is OutputFormat.TEXT:
-        read_fields(answer).pop('text', None)
+        answer.pop('text', None)
     session.show(answer)
 
 
+@application.command(name='apply')
+def apply_folder(folder: Path, *, session: Session = DEFAULT_SESSION) -> None:
+    """Check a whole tree, and put in force what differs.
+
+    Parameters
+    ----------
+    folder
+        A folder with fleet.yaml, pools/ and teams/.
+
+    """
+    check_folder(folder)
+    documents = list_documents(folder)
+    rows: list[dict[str, Any]] = []
+    try:
+        rows.extend(apply_documents(session.connect(), documents))
+    finally:
+        session.show(rows)
+
+
 @application.command
 def history(path: str, *, session: Session = DEFAULT_SESSION) -> None:
     """Show the latest versions under PATH, oldest first."""
--- a/libs/telemetry/features/burn.feature
+++ b/libs/telemetry/features/burn.feature
@@ -35,7 +35,7 @@
       | 9   | 0    | kept    | 0.1  |
       | 10  | 0    | at risk | 0.0  |
       | 11  | 10   | broken  | -0.1 |
-      | 900 | 40   | kept    | 1.0  |
+      | 900 | 40   | no request | 1.0  |
 
   Scenario Outline: The forecast divides what is left by the rate
     Then <left> left at rate <rate> over 28 days lasts <days> days
--- a/libs/telemetry/tarragonlb/telemetry/burnrate.py
+++ b/libs/telemetry/tarragonlb/telemetry/burnrate.py
@@ -27,6 +27,7 @@
 class PromiseStatus(enum.StrEnum):
     """Say in a word how a promise stands."""
 
+    UNUSED = 'no request'
     KEPT = 'kept'
     AT_RISK = 'at risk'
     BROKEN = 'broken'
@@ -111,7 +112,9 @@
         left=left,
         rates=rates,
         days_left=days_left,
-        status=judge_promise(left, rates, days_left),
+        status=judge_promise(left, rates, days_left)
+        if tally.total
+        else PromiseStatus.UNUSED,
     )
 
 
--- a/libs/telemetry/tarragonlb/telemetry/page.py
+++ b/libs/telemetry/tarragonlb/telemetry/page.py
@@ -31,6 +31,7 @@
 """
 WORDS = MappingProxyType(
     {
+        PromiseStatus.UNUSED: 'not put to use',
         PromiseStatus.KEPT: 'kept',
         PromiseStatus.AT_RISK: 'kept, but soon broken if it goes on like this',
         PromiseStatus.BROKEN: 'broken',
@@ -38,6 +39,14 @@
 )
 
 
+ORDER = (
+    PromiseStatus.BROKEN,
+    PromiseStatus.AT_RISK,
+    PromiseStatus.KEPT,
+    PromiseStatus.UNUSED,
+)
+
+
 def write_page(reports: Sequence[ServiceReport], written: str) -> str:
     """Return the page; ``written`` says when and by whom, in words."""
     parts = [
@@ -46,7 +55,7 @@
         '</head><body><h1>Promises and what happened</h1>',
         f'<p>{html.escape(written)}</p>',
         _write_summary(reports),
-        *map(_write_service, reports),
+        *map(_write_service, sorted(reports, key=_rank)),
         '</body></html>',
     ]
     return '\n'.join(parts)
@@ -58,17 +67,27 @@
         for report in reports
         for budget in (report.availability, report.latency)
     ]
-    kept = statuses.count(PromiseStatus.KEPT)
+    used = len(statuses) - statuses.count(PromiseStatus.UNUSED)
     rows = '\n'.join(_write_row(report) for report in reports)
     return (
-        f'<p><strong>{kept} of {len(statuses)} promises are kept, '
+        f'<p><strong>{statuses.count(PromiseStatus.KEPT)} of {used} promises '
+        'are kept, '
         f'{statuses.count(PromiseStatus.AT_RISK)} are at risk, '
-        f'{statuses.count(PromiseStatus.BROKEN)} are broken.</strong></p>'
+        f'{statuses.count(PromiseStatus.BROKEN)} are broken.</strong> '
+        f'{len(statuses) - used} were not put to use.</p>'
         '<table><tr><th>Service</th><th>Requests</th><th>Answered</th>'
         f'<th>In time</th></tr>{rows}</table>'
     )
 
 
+def _rank(report: ServiceReport) -> int:
+    """Put services with broken promises first, unused ones last."""
+    return min(
+        ORDER.index(budget.status)
+        for budget in (report.availability, report.latency)
+    )
+
+
 def _write_row(report: ServiceReport) -> str:
     return (
         f'<tr><td>{html.escape(report.service)}</td>'
@@ -79,10 +98,12 @@
 
 def _write_cell(budget: Budget) -> str:
     style = budget.status.value.replace(' ', '-')
-    seen = 'no request' if budget.seen is None else _format_share(budget.seen)
+    promised = f'{_format_share(budget.promised)} promised'
+    if budget.seen is None:
+        return f'<td class="{style}">{promised}, {budget.status.value}</td>'
+    seen = _format_share(budget.seen)
     return (
-        f'<td class="{style}">{seen} of {_format_share(budget.promised)} '
-        f'promised: {budget.status.value}</td>'
+        f'<td class="{style}">{seen} of {promised}: {budget.status.value}</td>'
     )
 
 
