--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -5,9 +5,7 @@
 import uuid
 from collections.abc import Awaitable, Callable
 
-import hypercorn
 import trio
-from hypercorn.trio import serve
 from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable
@@ -22,6 +20,7 @@
 from tarragonlb.daemon.pause import PauseGuard
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
+from tarragonlb.daemon.server import serve_http
 from tarragonlb.daemon.watch import FleetWatch
 from tarragonlb.model.scribe import Scribe
 from tarragonlb.platform.client import PlatformClient
@@ -29,7 +28,6 @@
 from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
 
-KEEP_ALIVE_SECONDS = 30
 NOTICE_SECONDS = 1
 
 
@@ -91,8 +89,9 @@
         async with trio.open_nursery() as nursery:
             for task in self._list_tasks():
                 nursery.start_soon(task)
-            nursery.start_soon(self._guard.run)
-            nursery.start_soon(self._serve, stopped)
+            nursery.start_soon(
+                serve_http, self._application, self._settings, stopped
+            )
             await self._wait_for_stop()
             stopped.set()
             await self._finish_requests()
@@ -106,6 +105,7 @@
 
     def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         parts = (
+            self._guard,
             self._journal,
             self._watch,
             self._planner,
@@ -121,20 +121,6 @@
         self._application.ready = True
         self._say('The daemon is ready.', offset=self._journal.state.offset)
 
-    async def _serve(self, stopped: trio.Event) -> None:
-        config = hypercorn.Config()
-        config.bind = [self._settings.listen]
-        config.graceful_timeout = self._settings.stop_limit_seconds
-        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
-        config.accesslog = None
-        config.errorlog = None
-        await serve(
-            self._application,
-            config,
-            shutdown_trigger=stopped.wait,
-            mode='asgi',
-        )
-
     async def _wait_for_stop(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as caught:
             await anext(caught)
--- a/libs/daemon/tarragonlb/daemon/watch.py
+++ b/libs/daemon/tarragonlb/daemon/watch.py
@@ -50,7 +50,8 @@
         """Read changes until cancelled, in batches while there are many."""
         while True:
             self._asked_at = read_monotonic()
-            with trio.CancelScope() as self._asking:
+            self._asking = trio.CancelScope()
+            with self._asking:
                 await self._ask(self._asked_at)
                 await trio.sleep(PAUSE_SECONDS)
 
@@ -65,15 +66,6 @@
         while self.last_read < since:
             await self._merged.wait()
 
-    async def _ask(self, asked_at: float) -> None:
-        try:
-            reading = await self._fleet.read(self.number, self._wait_seconds)
-        except PlatformError as error:
-            self._say('The list can not be read.', error=str(error))
-        else:
-            self._wait_seconds = WAIT_SECONDS
-            self.merge(reading, asked_at)
-
     def merge(self, reading: FleetReading, now: float) -> None:
         """Take over what changed since the last reading, asked for ``now``."""
         self.last_read = now
@@ -85,3 +77,12 @@
         self._asked_at = float('-inf')
         self._asking = trio.CancelScope()
         self._wait_seconds = WAIT_SECONDS
+
+    async def _ask(self, asked_at: float) -> None:
+        try:
+            reading = await self._fleet.read(self.number, self._wait_seconds)
+        except PlatformError as error:
+            self._say('The list can not be read.', error=str(error))
+        else:
+            self._wait_seconds = WAIT_SECONDS
+            self.merge(reading, asked_at)
--- a/libs/standin/tarragonlb/standin/cluster.py
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -155,11 +155,6 @@
         """Return the process id of a running process."""
         return self._processes[name].pid
 
-    def list_racks(self, zone: str) -> tuple[str, ...]:
-        """Return the racks of a zone."""
-        racks = {vm.rack for vm in self.fleet.vms if vm.zone == zone}
-        return tuple(sorted(racks))
-
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self._processes[name].send_signal(number)
--- a/libs/standin/tarragonlb/standin/disturbance.py
+++ b/libs/standin/tarragonlb/standin/disturbance.py
@@ -6,6 +6,7 @@
 
 from tarragonlb.standin.cluster import Cluster, find_host, find_zone
 from tarragonlb.standin.fault import EndpointFaults, EndpointMode, Faults
+from tarragonlb.standin.fleetfile import list_racks
 
 SLOW_SECONDS = 1
 LOST_ANSWERS = 20
@@ -61,7 +62,7 @@
         zone = find_zone(victim)
         hosts = (find_host(zone),)
         others = tuple(host for host in cluster.fleet.hosts[1:])
-        racks = cluster.list_racks(zone)
+        racks = list_racks(cluster.fleet, zone)
         cluster.set_faults(Faults(cut_hosts=hosts, gone_racks=racks))
         for vm in cluster.fleet.vms:
             away = vm.zone != zone
@@ -97,7 +98,7 @@
 
     def begin(self, cluster: Cluster, victim: str) -> None:
         """Lose the rack of the victim's zone."""
-        racks = cluster.list_racks(find_zone(victim))
+        racks = list_racks(cluster.fleet, find_zone(victim))
         cluster.set_faults(Faults(gone_racks=racks))
 
     def end(self, cluster: Cluster, victim: str) -> None:
--- a/libs/standin/tarragonlb/standin/fleetfile.py
+++ b/libs/standin/tarragonlb/standin/fleetfile.py
@@ -84,3 +84,9 @@
         )
         for index in range(group.count)
     ]
+
+
+def list_racks(fleet: FleetFile, zone: str) -> tuple[str, ...]:
+    """Return the racks of a zone."""
+    racks = {vm.rack for vm in fleet.vms if vm.zone == zone}
+    return tuple(sorted(racks))
