Share endpoints by refusals, park refused requests, prove the front by a machine

Change: a twentieth off once a service time, a step that doubles a window and is small after a refusal, and parking: a refused request keeps its place and tries again after 20 ms to 1 s.

Shown failing with the mechanism off: broken attempts counted as never run, retries whatever the verdict, no expiry, limit not held; for endpoint choice: fast failures as low load, no success share, no cap, no probing, no slow start, no zones, refusals ignored, latency ignored, no budget.

--- /dev/null
+++ b/bench/request_soak.py
@@ -0,0 +1,48 @@
+"""Drives the routing front through random events over fixed seeds.
+
+    python bench/request_soak.py --seeds 20 --steps 2500
+
+The machine and its promises are in ``libs/routing/features``.  One JSON line a
+seed; a broken promise ends the run with the shortest stream that breaks it.
+"""
+
+import argparse
+import importlib
+import json
+import sys
+from pathlib import Path
+
+FEATURES = Path(__file__).parent.parent / 'libs' / 'routing' / 'features'
+STEPS_A_STREAM = 50
+
+
+def run_seed(seed: int, steps: int) -> int:
+    """Run at least so many events and return how many there were."""
+    sys.path.insert(0, str(FEATURES))
+    machine = importlib.import_module('front_machine')
+    done = 0
+    turn = 0
+    while done < steps:
+        streams = max(1, (steps - done) // STEPS_A_STREAM)
+        name = f'{seed}.{turn}'
+        done += machine.run_front_machine(name, streams, STEPS_A_STREAM)
+        turn += 1
+    return done
+
+
+def main() -> None:
+    """Run all seeds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=20)
+    parser.add_argument('--steps', type=int, default=2_500)
+    options = parser.parse_args()
+    total = 0
+    for seed in range(options.seeds):
+        events = run_seed(seed, options.steps)
+        total += events
+        print(json.dumps({'seed': seed, 'events': events}))
+    print(json.dumps({'seeds': options.seeds, 'events': total}))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/libs/routing/features/choice.feature
@@ -0,0 +1,43 @@
+Feature: Which endpoint gets a request
+
+  Scenario: An endpoint that fails everything at once attracts no extra work
+    Given 6 endpoints in zone "a" of which 1 fails at once
+    When 3000 requests are sent, 20 at a time
+    Then the failing one got fewer than 100 of them
+
+  Scenario: An endpoint that fails half of its requests gets less work
+    Given 6 endpoints in zone "a" of which 1 fails every second request
+    When 3000 requests are sent, 20 at a time
+    Then the failing one got fewer than 100 of them
+
+  Scenario: A fault of the entry VM ejects at most half of the endpoints
+    Given 6 endpoints in zone "a" of which 6 fail at once
+    When 3000 requests are sent, 20 at a time
+    Then at most 3 endpoints are ejected and requests are still sent
+
+  Scenario: An ejected endpoint is probed and then starts slowly
+    Given 2 endpoints in zone "a" of which 1 fails at once
+    When 300 requests are sent, 4 at a time
+    And the failing one recovers and its ejection ends
+    Then it gets 1 request until one succeeds, then 1, then 4, then 8
+
+  Scenario: The own availability zone goes first and overflows into others
+    Given 2 endpoints in zone "a" and 2 in zone "b"
+    When 20 requests are sent that do not end
+    Then 16 went to zone "a" and 4 to zone "b"
+
+  Scenario: An endpoint that has just refused is passed over for a moment
+    Given 2 endpoints in zone "a" and 2 in zone "b"
+    When both endpoints of zone "a" refuse a request
+    Then the next request goes to zone "b"
+    And a later one goes to zone "a" again
+
+  Scenario: A slow endpoint gets less work than fast ones
+    Given 6 endpoints in zone "a" of which 1 is ten times slower
+    When 3000 requests are sent, 20 at a time
+    Then the slow one got fewer than 50 of them
+
+  Scenario: Retries are a share of first attempts
+    Given a retry budget
+    When 1000 requests are sent and every attempt fails
+    Then at most 110 retries are granted
--- a/libs/routing/features/steps/admission_steps.py
+++ b/libs/routing/features/steps/admission_steps.py
@@ -147,7 +147,9 @@
 def check_spread(context):
     times = [answer.retry_after for answer in context.refused]
     assert len(times) > 50
-    gaps = [later - sooner for sooner, later in zip(times, times[1:])]
+    gaps = [
+        later - sooner for sooner, later in zip(times, times[1:], strict=False)
+    ]
     assert min(gaps) > 0.099, gaps
     assert min(times) >= 1
 
@@ -189,9 +191,9 @@
     context.sizes = []
     for turn in range(400):
         sent = context.limit.size
-        for _ in range(min(sent, 20)):
+        for _answer in range(min(sent, 20)):
             context.limit.grow(sent)
-        if sent > 20:
+        for _refusal in range(sent - 20):
             context.limit.shrink(turn, 1)
         context.sizes.append(sent)
 
--- /dev/null
+++ b/libs/routing/features/steps/choice_steps.py
@@ -0,0 +1,167 @@
+"""Steps for endpoint choice: endpoints in virtual time, drawn by a seed."""
+
+import heapq
+import itertools
+import random
+
+from behave import given, then, when
+
+from tarragonlb.routing.balancer import Balancer, Endpoint
+from tarragonlb.routing.load import Outcome
+from tarragonlb.routing.retry import RetryBudget
+
+SEED = 7
+SERVICE_SECONDS = 0.1
+FAST_SECONDS = 0.001
+
+
+def make(zone, index):
+    return Endpoint(
+        vm_id=f'{zone}-{index}', address='127.0.0.1:1', zone=zone, slots=8
+    )
+
+
+def start(context, endpoints):
+    context.balancer = Balancer('a', random.Random(SEED))
+    context.balancer.replace(endpoints, 0)
+    context.endpoints = endpoints
+    context.sent = {spot.vm_id: 0 for spot in endpoints}
+    context.now = 0.0
+    context.behave_as = {}
+
+
+@given('{count:d} endpoints in zone "a" of which {odd:d} fails at once')
+@given('{count:d} endpoints in zone "a" of which {odd:d} fail at once')
+def start_failing(context, count, odd):
+    start(context, [make('a', index) for index in range(count)])
+    for index in range(odd):
+        context.behave_as[f'a-{index}'] = lambda: (FAST_SECONDS, Outcome.FAILED)
+
+
+@given('6 endpoints in zone "a" of which 1 fails every second request')
+def start_flaky(context):
+    start(context, [make('a', index) for index in range(6)])
+    outcomes = itertools.cycle(
+        (
+            (FAST_SECONDS, Outcome.FAILED),
+            (SERVICE_SECONDS, Outcome.ANSWERED),
+        )
+    )
+    context.behave_as['a-0'] = lambda: next(outcomes)
+
+
+@given('6 endpoints in zone "a" of which 1 is ten times slower')
+def start_slow(context):
+    start(context, [make('a', index) for index in range(6)])
+    context.behave_as['a-0'] = lambda: (1.0, Outcome.ANSWERED)
+
+
+@given('2 endpoints in zone "a" and 2 in zone "b"')
+def start_zones(context):
+    start(context, [make(zone, index) for zone in 'ab' for index in range(2)])
+
+
+@when('{count:d} requests are sent, {at_once:d} at a time')
+def send(context, count, at_once):
+    ends = []
+    for number in range(count):
+        if number >= at_once:
+            finish_next(context, ends)
+        spot = context.balancer.choose(context.now)
+        assert spot is not None
+        context.balancer.begin(spot.vm_id)
+        context.sent[spot.vm_id] += 1
+        behave = context.behave_as.get(spot.vm_id)
+        seconds, outcome = (
+            behave() if behave else (SERVICE_SECONDS, Outcome.ANSWERED)
+        )
+        end = (context.now + seconds, number, spot.vm_id, seconds, outcome)
+        heapq.heappush(ends, end)
+    while ends:
+        finish_next(context, ends)
+
+
+def finish_next(context, ends):
+    context.now, _, vm_id, seconds, outcome = heapq.heappop(ends)
+    context.balancer.finish(vm_id, outcome, seconds, context.now)
+
+
+@then('the failing one got fewer than {limit:d} of them')
+@then('the slow one got fewer than {limit:d} of them')
+def check_few(context, limit):
+    assert context.sent['a-0'] < limit, context.sent
+
+
+@then('at most 3 endpoints are ejected and requests are still sent')
+def check_cap(context):
+    assert context.balancer.count_ejected(context.now) <= 3
+    assert context.balancer.choose(context.now) is not None
+
+
+@when('the failing one recovers and its ejection ends')
+def recover(context):
+    assert context.balancer.count_ejected(context.now) == 1
+    context.now += 60
+    assert context.balancer.count_ejected(context.now) == 0
+
+
+@then('it gets 1 request until one succeeds, then 1, then 4, then 8')
+def check_slow_start(context):
+    balancer = context.balancer
+    rooms = [balancer.count_slots(context.now) - 8]
+    balancer.begin('a-0')
+    balancer.finish('a-0', Outcome.ANSWERED, SERVICE_SECONDS, context.now)
+    for seconds in (0, 5, 5):
+        context.now += seconds
+        rooms.append(balancer.count_slots(context.now) - 8)
+    assert rooms == [1, 1, 4, 8], rooms
+
+
+@when('20 requests are sent that do not end')
+def hold(context):
+    for _ in range(20):
+        spot = context.balancer.choose(context.now)
+        context.balancer.begin(spot.vm_id)
+        context.sent[spot.vm_id] += 1
+
+
+@then('16 went to zone "a" and 4 to zone "b"')
+def check_zones(context):
+    near = context.sent['a-0'] + context.sent['a-1']
+    assert (near, sum(context.sent.values())) == (16, 20)
+
+
+@when('both endpoints of zone "a" refuse a request')
+def refuse(context):
+    for vm_id in ('a-0', 'a-1'):
+        context.balancer.begin(vm_id)
+        context.balancer.finish(vm_id, Outcome.BUSY, 0, context.now)
+
+
+@then('the next request goes to zone "{zone}"')
+def check_next(context, zone):
+    assert context.balancer.choose(context.now).zone == zone
+
+
+@then('a later one goes to zone "{zone}" again')
+def check_later(context, zone):
+    assert context.balancer.choose(context.now + 1).zone == zone
+
+
+@given('a retry budget')
+def start_budget(context):
+    context.budget = RetryBudget()
+
+
+@when('1000 requests are sent and every attempt fails')
+def fail_all(context):
+    context.granted = 0
+    for _ in range(1000):
+        context.budget.earn()
+        while context.budget.spend():
+            context.granted += 1
+
+
+@then('at most 110 retries are granted')
+def check_budget(context):
+    assert 100 <= context.granted <= 110, context.granted
--- a/libs/routing/tarragonlb/routing/front.py
+++ b/libs/routing/tarragonlb/routing/front.py
@@ -25,7 +25,7 @@
 )
 from tarragonlb.routing.journey import CROWDED, ENDS, RENEWABLE, Journey
 from tarragonlb.routing.load import FAILURES, Outcome
-from tarragonlb.routing.request import RequestInfo
+from tarragonlb.routing.parking import Parking
 from tarragonlb.routing.retry import RetryBudget
 
 REFRESH_SECONDS = 1.0
@@ -42,6 +42,7 @@
     __slots__ = (
         '_handlers',
         '_journeys',
+        '_parking',
         '_refresh_at',
         '_retries',
         'admission',
@@ -55,6 +56,7 @@
         self.admission = Admission()
         self.balancer = Balancer(zone, source)
         self._retries = retries
+        self._parking = Parking()
         self._journeys: dict[str, Journey] = {}
         self._refresh_at = float('inf')
         self._handlers: dict[type[Event], Handler] = {
@@ -80,7 +82,11 @@
 
     def find_next_wake(self) -> float:
         """Return when ``TimePassed`` is due at the latest."""
-        return min(self.admission.waiting.find_next_expiry(), self._refresh_at)
+        return min(
+            self.admission.waiting.find_next_expiry(),
+            self._parking.find_next(),
+            self._refresh_at,
+        )
 
     def _arrive(self, event: Arrived, now: float) -> Iterable[Action]:
         request = event.request
@@ -107,6 +113,9 @@
         endpoint = self._find_retry(journey, event, now)
         if endpoint:
             return [self._send(journey, endpoint, now)]
+        if event.outcome is Outcome.BUSY and event.replayable:
+            self._parking.park(event.request_id, journey.refusals, now)
+            return []
         self._finish(journey)
         return [self._refuse(journey, event.reason, now)]
 
@@ -135,9 +144,29 @@
         return []
 
     def _advance(self, now: float) -> Iterable[Action]:
+        actions: list[Action] = []
+        for request_id in self._parking.resume(now):
+            journey = self._journeys.get(request_id)
+            if journey:
+                actions.extend(self._resume(journey, now))
         if now >= self._refresh_at:
-            return self._refresh(now)
-        return self._carry_out(self.admission.advance(now), now)
+            return [*actions, *self._refresh(now)]
+        done = self.admission.advance(now)
+        return [*actions, *self._carry_out(done, now)]
+
+    def _resume(self, journey: Journey, now: float) -> list[Action]:
+        request = journey.request
+        if self.admission.is_late(request, now):
+            self._finish(journey)
+            return [self._refuse(journey, LATE_REASON, now)]
+        endpoint = self.balancer.choose(now)
+        if endpoint:
+            return [self._send(journey, endpoint, now)]
+        if self.balancer.count_declared():
+            self._parking.park(request.request_id, journey.refusals, now)
+            return []
+        self._finish(journey)
+        return [self._refuse(journey, 'no endpoint is available', now)]
 
     def _refresh(self, now: float) -> Iterable[Action]:
         slots = self.balancer.count_slots(now)
@@ -149,6 +178,8 @@
         self, journey: Journey, outcome: Outcome, now: float
     ) -> None:
         endpoint = journey.end(outcome)
+        if endpoint is None:
+            return
         seconds = now - journey.sent_at
         self.balancer.finish(endpoint.vm_id, outcome, seconds, now)
         if outcome is Outcome.ANSWERED:
@@ -178,28 +209,18 @@
 
     def _carry_out(self, done: Pass, now: float) -> list[Action]:
         actions: list[Action] = []
-        while done.started or done.given_up:
-            for late in done.given_up:
-                journey = self._journeys.pop(late.request_id)
-                actions.append(self._refuse(journey, LATE_REASON, now))
-            started = [self._start(request, now) for request in done.started]
-            actions.extend(started)
-            if not any(isinstance(action, Refuse) for action in started):
-                break
-            done = self.admission.advance(now)
+        for late in done.given_up:
+            journey = self._journeys.pop(late.request_id)
+            actions.append(self._refuse(journey, LATE_REASON, now))
+        for started in done.started:
+            journey = self._journeys[started.request_id]
+            actions.extend(self._resume(journey, now))
         return actions
 
-    def _start(self, request: RequestInfo, now: float) -> Action:
-        journey = self._journeys[request.request_id]
-        endpoint = self.balancer.choose(now)
-        if endpoint:
-            self._retries.earn()
-            return self._send(journey, endpoint, now)
-        self._finish(journey)
-        return self._refuse(journey, 'no endpoint is free', now)
-
     def _send(self, journey: Journey, endpoint: Endpoint, now: float) -> Send:
-        fresh = bool(journey.tried)
+        if not journey.tried:
+            self._retries.earn()
+        fresh = journey.needs_fresh
         journey.begin(endpoint, now)
         self.balancer.begin(endpoint.vm_id)
         silence = None
--- a/libs/routing/tarragonlb/routing/journey.py
+++ b/libs/routing/tarragonlb/routing/journey.py
@@ -19,12 +19,15 @@
 
     ``verdict`` is what is known of it.  While an attempt is on its way that is
     "may have run"; an endpoint that refused before it ran, or was never
-    reached, takes it back to what it was before.
+    reached, takes it back to what it was before.  ``needs_fresh`` says that an
+    attempt has failed, so that the next one takes a new connection.
     """
 
     __slots__ = (
         '_before',
         'endpoint',
+        'needs_fresh',
+        'refusals',
         'request',
         'sent_at',
         'tried',
@@ -37,6 +40,8 @@
         self.verdict = Verdict.NOT_RUN
         self.endpoint: Endpoint | None = None
         self.sent_at = 0.0
+        self.refusals = 0
+        self.needs_fresh = False
         self.tried: frozenset[str] = frozenset()
         self._before = Verdict.NOT_RUN
 
@@ -56,11 +61,12 @@
         self.sent_at = now
         self.tried |= {endpoint.vm_id}
 
-    def end(self, outcome: Outcome) -> Endpoint:
-        """Count the end of the attempt and return where it was."""
+    def end(self, outcome: Outcome) -> Endpoint | None:
+        """Count the end of the attempt and return where it was, if any."""
         endpoint = self.endpoint
-        assert endpoint is not None
         self.endpoint = None
+        self.refusals += outcome is Outcome.BUSY
+        self.needs_fresh |= outcome is not Outcome.BUSY
         if outcome in _NEVER_RAN:
             self.verdict = self._before
         return endpoint
--- a/libs/routing/tarragonlb/routing/limit.py
+++ b/libs/routing/tarragonlb/routing/limit.py
@@ -1,28 +1,33 @@
 """How many requests one entry VM may have at the endpoints of a pool.
 
 Several entry VMs share the slots of each endpoint and don't talk about it.
-Each starts from a part of the declared slots, adds a little for every full
-window of answers, and takes a tenth off when an endpoint refuses a request for
-want of a slot.  The declared slots are the upper bound, so that no behaviour
+Each starts from a part of the declared slots and takes a twentieth off when an
+endpoint refuses a request for want of a slot.  For every full window of answers
+it adds a step, which doubles from window to window and falls back to a small
+one at a refusal: full endpoints are then seldom asked for more, and free ones
+are found soon.  The declared slots are the upper bound, so that no behaviour
 goes beyond a setting; what endpoints really take is found below it.
 """
 
 INITIAL_SHARE = 0.25
-DECREASE_FACTOR = 0.9
+DECREASE_FACTOR = 0.95
 MIN_LIMIT = 1.0
 USED_SHARE = 0.8
+MIN_STEP = 0.05
+MAX_STEP = 2.0
 
 
 class ConcurrencyLimit:
     """A limit between 1 and the declared slots; 0 with no endpoint."""
 
-    __slots__ = ('_shrunk_at', '_size', 'declared')
+    __slots__ = ('_shrunk_at', '_size', '_step', 'declared')
 
     def __init__(self) -> None:
         """Start without any endpoint."""
         self.declared = 0
         self._size = 0.0
         self._shrunk_at = float('-inf')
+        self._step = MAX_STEP
 
     @property
     def size(self) -> int:
@@ -41,8 +46,11 @@
 
     def grow(self, active: int) -> None:
         """Count an answer that came while so many requests were active."""
-        if active >= self._size * USED_SHARE:
-            self._size = min(self.declared, self._size + 1 / self._size)
+        if not self._size or active < self._size * USED_SHARE:
+            return
+        window = max(self._size, 1)
+        self._size = min(self.declared, self._size + self._step / window)
+        self._step = min(MAX_STEP, self._step * (1 + 1 / window))
 
     def shrink(self, now: float, service_seconds: float) -> None:
         """Count a refusal for want of a slot, once a service time."""
@@ -51,3 +59,4 @@
         self._shrunk_at = now
         lowest = min(MIN_LIMIT, self.declared)
         self._size = max(lowest, self._size * DECREASE_FACTOR)
+        self._step = MIN_STEP
