--- /dev/null
+++ b/libs/daemon/features/scene.py
@@ -0,0 +1,62 @@
+"""One run of the dispatcher among fake endpoints and callers."""
+
+import random
+
+import trio
+import trio.testing
+from fake_network import FakeCaller, FakeNetwork
+
+from tarragonlb.daemon.connections import EndpointConnections
+from tarragonlb.daemon.dispatch import Dispatcher
+from tarragonlb.daemon.exchange import AnswerCutError, CallerGoneError
+from tarragonlb.model.errors import RefusedError
+from tarragonlb.routing.balancer import Endpoint
+
+TIMEOUT_SECONDS = 4
+PORT = 1000
+
+
+class Scene:
+    """One run of the dispatcher: what is done, and what has come of it."""
+
+    def __init__(self, manners):
+        self.manners = manners
+        self.network = None
+        self.dispatcher = None
+        self.callers = []
+        self.errors = []
+
+    def play(self, act):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(self.main, act, clock=clock)
+
+    async def main(self, act):
+        async with trio.open_nursery() as nursery:
+            self.network = FakeNetwork(nursery)
+            self.network.manners = {PORT: list(self.manners)}
+            connections = EndpointConnections(self.network)
+            self.dispatcher = Dispatcher('a', random.Random(1), connections)
+            nursery.start_soon(self.dispatcher.run)
+            endpoint = Endpoint(
+                vm_id='vm-1', address=f'127.0.0.1:{PORT}', zone='a', slots=8
+            )
+            self.dispatcher.update_pool('p', [endpoint])
+            await act(self)
+            nursery.cancel_scope.cancel()
+
+    def add(self, *, idempotent, **how):
+        caller = FakeCaller(
+            f'r{len(self.callers)}',
+            idempotent=idempotent,
+            timeout=TIMEOUT_SECONDS,
+            **how,
+        )
+        self.callers.append(caller)
+        return caller
+
+    async def serve(self, caller):
+        try:
+            await caller.exchange.open_body()
+            await self.dispatcher.serve(caller.exchange)
+        except (RefusedError, AnswerCutError, CallerGoneError) as error:
+            self.errors.append(error)
--- a/libs/daemon/tarragonlb/daemon/connections.py
+++ b/libs/daemon/tarragonlb/daemon/connections.py
@@ -6,6 +6,8 @@
 they get no new request, and the next one opens a connection of its own.
 """
 
+from typing import TypeAlias
+
 import httpcore
 import trio
 
@@ -15,6 +17,9 @@
 IDLE_CAP_SECONDS = 2
 
 
+Network: TypeAlias = httpcore.AsyncNetworkBackend
+
+
 class Lane:
     """The connections to one address.
 
@@ -24,11 +29,12 @@
 
     __slots__ = ('active', 'answered', 'connections')
 
-    def __init__(self) -> None:
+    def __init__(self, network: Network | None) -> None:
         """Start without any connection."""
         self.active = 0
         self.answered = False
         self.connections = httpcore.AsyncConnectionPool(
+            network_backend=network,
             max_connections=MAX_CONNECTIONS_PER_ENDPOINT,
             keepalive_expiry=IDLE_CAP_SECONDS,
         )
@@ -37,21 +43,24 @@
 class EndpointConnections:
     """Owns the connections to all endpoints."""
 
-    __slots__ = ('_fresh', '_lanes', '_retired')
+    __slots__ = ('_fresh', '_lanes', '_network', '_retired')
 
-    def __init__(self) -> None:
-        """Start without any connection."""
+    def __init__(self, network: Network | None = None) -> None:
+        """Start without any connection; ``network`` opens them."""
+        self._network = network
         self._lanes: dict[str, Lane] = {}
         self._retired: list[Lane] = []
         self._fresh = httpcore.AsyncConnectionPool(
-            max_connections=None, max_keepalive_connections=0
+            network_backend=network,
+            max_connections=None,
+            max_keepalive_connections=0,
         )
 
     def find_lane(self, endpoint: Endpoint) -> Lane:
         """Return the connections to an endpoint."""
         lane = self._lanes.get(endpoint.address)
         if lane is None:
-            lane = Lane()
+            lane = Lane(self._network)
             self._lanes[endpoint.address] = lane
         return lane
 
--- a/libs/daemon/tarragonlb/daemon/dispatch.py
+++ b/libs/daemon/tarragonlb/daemon/dispatch.py
@@ -14,7 +14,7 @@
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.connections import EndpointConnections
 from tarragonlb.daemon.exchange import Exchange
-from tarragonlb.model.errors import RefusedError
+from tarragonlb.model.errors import RefusedError, TarragonError
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.routing.action import Action, Refuse, Send
 from tarragonlb.routing.balancer import Endpoint
@@ -78,13 +78,18 @@
         '_zone',
     )
 
-    def __init__(self, zone: str, source: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        source: random.Random,
+        connections: EndpointConnections | None = None,
+    ) -> None:
         """Prefer endpoints of ``zone``; ``source`` draws candidates."""
         self._zone = zone
         self._random = source
         self._gates: dict[str, Gate] = {}
         self._retries = RetryBudget()
-        self._connections = EndpointConnections()
+        self._connections = connections or EndpointConnections()
         self._wake_at = float('inf')
         self._woken = trio.Event()
 
@@ -115,8 +120,30 @@
         """Get a request answered.
 
         Raises ``RefusedError`` with the verdict where there is no answer, and
-        ``AnswerCutError`` where the answer ended before it was whole.
+        ``AnswerCutError`` where the answer ended before it was whole.  When
+        the caller closes its connection, so does the attempt.
         """
+        failure: TarragonError | None = None
+        async with trio.open_nursery() as nursery:
+            scope = nursery.cancel_scope
+            nursery.start_soon(_cancel_when_gone, exchange, scope)
+            try:
+                await self._serve(exchange)
+            except TarragonError as error:
+                failure = error
+            scope.cancel()
+        if failure:
+            raise failure
+
+    def _open_gate(self, pool: str) -> Gate:
+        gate = self._gates.get(pool)
+        if gate is None:
+            front = RoutingFront(self._zone, self._random, self._retries)
+            gate = Gate(front)
+            self._gates[pool] = gate
+        return gate
+
+    async def _serve(self, exchange: Exchange) -> None:
         info = exchange.info
         gate = self._open_gate(info.pool)
         orders = gate.open_orders(info.request_id)
@@ -131,14 +158,6 @@
             self._tell(gate, CallerLeft(info.request_id))
             gate.close_orders(info.request_id)
 
-    def _open_gate(self, pool: str) -> Gate:
-        gate = self._gates.get(pool)
-        if gate is None:
-            front = RoutingFront(self._zone, self._random, self._retries)
-            gate = Gate(front)
-            self._gates[pool] = gate
-        return gate
-
     async def _follow(
         self,
         gate: Gate,
@@ -180,6 +199,13 @@
             await self._woken.wait()
 
 
+async def _cancel_when_gone(
+    exchange: Exchange, scope: trio.CancelScope
+) -> None:
+    await exchange.wait_until_gone()
+    scope.cancel()
+
+
 def _take_refusal(orders: trio.MemoryReceiveChannel[Action]) -> Refuse:
     while True:
         order = orders.receive_nowait()
--- a/libs/daemon/tarragonlb/daemon/gateway.py
+++ b/libs/daemon/tarragonlb/daemon/gateway.py
@@ -10,8 +10,6 @@
 from math import ceil
 from typing import Any
 
-import trio
-
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.dispatch import Dispatcher
@@ -27,7 +25,6 @@
     CommitUnknownError,
     RecordVoidError,
     RefusedError,
-    TarragonError,
 )
 from tarragonlb.model.record import KeyClaimed
 from tarragonlb.model.verdict import Verdict
@@ -97,21 +94,7 @@
         key = headers.get(b'idempotency-key', b'').decode('latin-1')
         if key and not info.idempotent:
             await self._claim(info, key)
-        await self._dispatch(exchange)
-
-    async def _dispatch(self, exchange: Exchange) -> None:
-        failure: TarragonError | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_when_gone, exchange, nursery.cancel_scope
-            )
-            try:
-                await self._dispatcher.serve(exchange)
-            except TarragonError as error:
-                failure = error
-            nursery.cancel_scope.cancel()
-        if failure:
-            raise failure
+        await self._dispatcher.serve(exchange)
 
     def _describe(
         self, request_id: str, path: str, headers: dict[bytes, bytes]
@@ -168,13 +151,6 @@
             ) from error
 
 
-async def _cancel_when_gone(
-    exchange: Exchange, scope: trio.CancelScope
-) -> None:
-    await exchange.wait_until_gone()
-    scope.cancel()
-
-
 async def send_refusal(
     send: Send, request_id: str, refusal: RefusedError
 ) -> None:
