Prove drains and lists that can't be read; try slow endpoints again

Cause: nothing showed that an endpoint leaves on the first sign, and a daemon cut off from the platform didn't say that its list was old.

A latency older than 5 s counts as half of the pool's, so that the endpoint is tried again. Orders wait in a queue instead of a memory channel, and a request that has ended tells nothing more.

--- a/libs/daemon/features/fake_network.py
+++ b/libs/daemon/features/fake_network.py
@@ -10,6 +10,7 @@
 
 MAX_BODY_BYTES = 1000
 PIECE = 4096
+SLOW_SECONDS = 20
 
 
 class MemoryStream(httpcore.AsyncNetworkStream):
@@ -51,6 +52,8 @@
         self.headers = []
         self.opened = 0
         self.lost = 0
+        self.by_port = {}
+        self.slow_port = None
         self.closed = trio.Event()
 
     async def connect_tcp(self, host, port, timeout=None, **kwargs):
@@ -62,6 +65,10 @@
         self.nursery.start_soon(self.serve, far, port, self.opened)
         return MemoryStream(near)
 
+    def slow_vm(self, ports):
+        """Return the VM that has been given a slow request."""
+        return next(vm for vm in ports if ports[vm] == self.slow_port)
+
     def lose_connections(self):
         """Let all connections of now be silent for good; new ones work."""
         self.lost = self.opened
@@ -71,6 +78,10 @@
         while await self.take_request(stream, connection):
             manners = self.manners[port]
             manner = manners.pop(0) if len(manners) > 1 else manners[0]
+            self.by_port[port] = self.by_port.get(port, 0) + 1
+            if manner == 'slow':
+                self.slow_port = port
+                await trio.sleep(SLOW_SECONDS)
             if number <= self.lost:
                 manner = 'silent'
             if not await self.answer(stream, connection, manner):
--- a/libs/daemon/tarragonlb/daemon/attempt.py
+++ b/libs/daemon/tarragonlb/daemon/attempt.py
@@ -89,13 +89,17 @@
 
     async def _request(self) -> httpcore.Response | None:
         silence = self._order.silence_seconds
-        limit = float('inf') if silence is None else silence
-        with trio.move_on_after(limit):
-            return await self._connections.request(
-                self._lane, self._make_request(), fresh=self._order.fresh
-            )
+        if silence is None:
+            return await self._send()
+        with trio.move_on_after(silence):
+            return await self._send()
         return None
 
+    async def _send(self) -> httpcore.Response:
+        return await self._connections.request(
+            self._lane, self._make_request(), fresh=self._order.fresh
+        )
+
     async def _pass_on(
         self, response: httpcore.Response
     ) -> tuple[Outcome, str]:
--- a/libs/daemon/tarragonlb/daemon/dispatch.py
+++ b/libs/daemon/tarragonlb/daemon/dispatch.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections import deque
 
 import trio
 
@@ -38,6 +39,38 @@
 CLEANUP_SECONDS = 5
 
 
+class Orders:
+    """The orders for one request, oldest first."""
+
+    __slots__ = ('_arrived', '_orders')
+
+    def __init__(self) -> None:
+        """Start without any order."""
+        self._orders: deque[Action] = deque()
+        self._arrived: trio.Event | None = None
+
+    def put(self, order: Action) -> None:
+        """Append an order and wake the task that waits for it."""
+        self._orders.append(order)
+        if self._arrived is not None:
+            self._arrived.set()
+
+    async def take(self) -> Action:
+        """Return the next order, as soon as there is one."""
+        if not self._orders:
+            self._arrived = trio.Event()
+            await self._arrived.wait()
+            self._arrived = None
+        return self._orders.popleft()
+
+    def take_refusal(self) -> Refuse:
+        """Return the refusal among the orders, which must be there."""
+        while True:
+            order = self._orders.popleft()
+            if isinstance(order, Refuse):
+                return order
+
+
 class Gate:
     """The way into one pool: its front, and the orders for each request."""
 
@@ -47,13 +80,13 @@
         """Start without any request."""
         self.front = front
         self.endpoints: list[Endpoint] = []
-        self._orders: dict[str, trio.MemorySendChannel[Action]] = {}
+        self._orders: dict[str, Orders] = {}
 
-    def open_orders(self, request_id: str) -> trio.MemoryReceiveChannel[Action]:
+    def open_orders(self, request_id: str) -> Orders:
         """Return where the orders for a request arrive."""
-        sender, receiver = trio.open_memory_channel[Action](2)
-        self._orders[request_id] = sender
-        return receiver
+        orders = Orders()
+        self._orders[request_id] = orders
+        return orders
 
     def close_orders(self, request_id: str) -> None:
         """Forget a request that has ended."""
@@ -62,11 +95,14 @@
     def tell(self, event: Event) -> None:
         """Tell the front what has happened and hand out its orders."""
         for action in self.front.handle(event, read_monotonic()):
-            self._orders[action.request.request_id].send_nowait(action)
+            self._orders[action.request.request_id].put(action)
 
 
 class Dispatcher:
-    """Owns the connections to endpoints and the gates of all pools."""
+    """Owns the connections to endpoints and the gates of all pools.
+
+    ``list_read_at`` is set while the endpoints come from an old list.
+    """
 
     __slots__ = (
         '_connections',
@@ -76,6 +112,7 @@
         '_wake_at',
         '_woken',
         '_zone',
+        'list_read_at',
     )
 
     def __init__(
@@ -92,6 +129,7 @@
         self._connections = connections or EndpointConnections()
         self._wake_at = float('inf')
         self._woken = trio.Event()
+        self.list_read_at: float | None = None
 
     async def run(self) -> None:
         """Wake the fronts when time alone decides something."""
@@ -135,6 +173,12 @@
         if failure:
             raise failure
 
+    def find_list_age(self, now: float) -> float | None:
+        """Return the age in seconds of an old list, or None."""
+        if self.list_read_at is None:
+            return None
+        return now - self.list_read_at
+
     def _open_gate(self, pool: str) -> Gate:
         gate = self._gates.get(pool)
         if gate is None:
@@ -144,6 +188,7 @@
         return gate
 
     async def _serve(self, exchange: Exchange) -> None:
+        exchange.list_age = self.find_list_age(read_monotonic())
         info = exchange.info
         gate = self._open_gate(info.pool)
         orders = gate.open_orders(info.request_id)
@@ -153,19 +198,21 @@
                 return
             self._tell(gate, DeadlinePassed(info.request_id))
             exchange.check_uncut('the deadline has passed')
-            raise _make_error(_take_refusal(orders), STATUS_TIMEOUT)
+            raise _make_error(orders.take_refusal(), STATUS_TIMEOUT)
         finally:
-            self._tell(gate, CallerLeft(info.request_id))
+            if info.request_id in gate.front.journeys:
+                self._tell(gate, CallerLeft(info.request_id))
             gate.close_orders(info.request_id)
 
     async def _follow(
         self,
         gate: Gate,
         exchange: Exchange,
-        orders: trio.MemoryReceiveChannel[Action],
+        orders: Orders,
     ) -> None:
         self._tell(gate, Arrived(exchange.info))
-        async for order in orders:
+        while True:
+            order = await orders.take()
             if isinstance(order, Refuse):
                 raise _make_error(order, STATUS_BAD_GATEWAY)
             ended = await self._attempt(exchange, order)
@@ -206,13 +253,6 @@
     scope.cancel()
 
 
-def _take_refusal(orders: trio.MemoryReceiveChannel[Action]) -> Refuse:
-    while True:
-        order = orders.receive_nowait()
-        if isinstance(order, Refuse):
-            return order
-
-
 def _make_error(order: Refuse, status: int) -> RefusedError:
     if order.verdict is Verdict.NOT_RUN:
         status = STATUS_UNAVAILABLE
--- a/libs/daemon/tarragonlb/daemon/exchange.py
+++ b/libs/daemon/tarragonlb/daemon/exchange.py
@@ -20,6 +20,7 @@
 
 STATUS_TOO_LARGE = 413
 VERDICT_HEADER = b'tarragon-verdict'
+LIST_AGE_HEADER = b'tarragon-list-age'
 _HOP_HEADERS = frozenset(
     (
         b'authorization',
@@ -67,6 +68,7 @@
         '_send',
         'finished',
         'info',
+        'list_age',
         'method',
         'replayable',
         'request_headers',
@@ -92,6 +94,7 @@
         self.replayable = False
         self.started = False
         self.finished = False
+        self.list_age: float | None = None
         self._body_read = trio.Event()
         self._declared_size = _find_size(scope['headers'])
         self._first: Any = None
@@ -150,6 +153,7 @@
         headers = drop_hop_headers(response.headers)
         headers.append((VERDICT_HEADER, Verdict.RAN.encode()))
         headers.append((b'tarragon-request', self.info.request_id.encode()))
+        headers.extend(tell_list_age(self.list_age))
         self.started = True
         await self._send(
             {
@@ -183,6 +187,13 @@
         )
 
 
+def tell_list_age(age: float | None) -> Headers:
+    """Return the header that says how old the list of endpoints is."""
+    if age is None:
+        return []
+    return [(LIST_AGE_HEADER, f'{age:.0f}'.encode())]
+
+
 def drop_hop_headers(headers: Headers) -> Headers:
     """Return the headers that are meant for the other end."""
     return [
--- a/libs/daemon/tarragonlb/daemon/gateway.py
+++ b/libs/daemon/tarragonlb/daemon/gateway.py
@@ -19,6 +19,7 @@
     Exchange,
     Receive,
     Send,
+    tell_list_age,
 )
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.model.errors import (
@@ -77,7 +78,8 @@
                 reason=refusal.reason,
                 verdict=refusal.verdict.value,
             )
-            await send_refusal(send, request_id, refusal)
+            age = self._dispatcher.find_list_age(read_monotonic())
+            await send_refusal(send, request_id, refusal, age)
         except AnswerCutError as error:
             self._say('Answer cut.', request_id=request_id, reason=str(error))
         except CallerGoneError as error:
@@ -152,7 +154,7 @@
 
 
 async def send_refusal(
-    send: Send, request_id: str, refusal: RefusedError
+    send: Send, request_id: str, refusal: RefusedError, list_age: float | None
 ) -> None:
     """Send a refusal as JSON, with its verdict in a header."""
     headers = [
@@ -160,6 +162,7 @@
         (b'tarragon-verdict', refusal.verdict.encode()),
         (b'tarragon-request', request_id.encode()),
     ]
+    headers.extend(tell_list_age(list_age))
     if refusal.retry_after is not None:
         seconds = max(1, ceil(refusal.retry_after))
         headers.append((b'retry-after', str(seconds).encode()))
--- a/libs/routing/features/choice.feature
+++ b/libs/routing/features/choice.feature
@@ -37,6 +37,11 @@
     When 3000 requests are sent, 20 at a time
     Then the slow one got fewer than 50 of them
 
+  Scenario: An endpoint that was slow once gets work again
+    Given 2 endpoints in zone "a" of which 1 is slow in its first request
+    When 600 requests are sent, 1 at a time
+    Then the one that was slow got at least 100 of them
+
   Scenario: Retries are a share of first attempts
     Given a retry budget
     When 1000 requests are sent and every attempt fails
--- a/libs/routing/features/steps/choice_steps.py
+++ b/libs/routing/features/steps/choice_steps.py
@@ -56,6 +56,19 @@
     context.behave_as['a-0'] = lambda: (1.0, Outcome.ANSWERED)
 
 
+@given('2 endpoints in zone "a" of which 1 is slow in its first request')
+def start_once_slow(context):
+    start(context, [make('a', index) for index in range(2)])
+    first = iter([(1.0, Outcome.ANSWERED)])
+    usual = (SERVICE_SECONDS, Outcome.ANSWERED)
+    context.behave_as['a-0'] = lambda: next(first, usual)
+
+
+@then('the one that was slow got at least 100 of them')
+def check_again(context):
+    assert context.sent['a-0'] >= 100, context.sent
+
+
 @given('2 endpoints in zone "a" and 2 in zone "b"')
 def start_zones(context):
     start(context, [make(zone, index) for zone in 'ab' for index in range(2)])
--- a/libs/routing/tarragonlb/routing/balancer.py
+++ b/libs/routing/tarragonlb/routing/balancer.py
@@ -39,10 +39,11 @@
     """Which endpoints have room for one request now.
 
     ``avoid`` holds the VMs that it has tried already.  ``take_busy`` admits
-    endpoints that have just refused a request.
+    endpoints that have just refused a request.  ``typical`` is the pool's
+    latency in seconds, for endpoints with none of their own.
     """
 
-    __slots__ = ('_avoid', '_loads', '_now', '_take_busy')
+    __slots__ = ('_avoid', '_loads', '_now', '_take_busy', 'typical')
 
     def __init__(
         self,
@@ -57,6 +58,7 @@
         self._now = now
         self._avoid = avoid
         self._take_busy = take_busy
+        self.typical = INITIAL_LATENCY_SECONDS
 
     def list_free(self, spots: Iterable[Endpoint]) -> list[Endpoint]:
         """Return those of the endpoints that have room."""
@@ -64,7 +66,8 @@
 
     def rate_cost(self, spot: Endpoint) -> float:
         """Return the expected cost of a request there; lower is better."""
-        return self._loads[spot.vm_id].rate_cost(spot.slots, self._now)
+        load = self._loads[spot.vm_id]
+        return load.rate_cost(spot.slots, self.typical, self._now)
 
     def _is_free(self, spot: Endpoint) -> bool:
         load = self._loads[spot.vm_id]
@@ -92,7 +95,7 @@
         """Prefer endpoints of ``zone``; ``source`` draws the candidates."""
         self._zone = zone
         self._random = source
-        self._latency = INITIAL_LATENCY_SECONDS
+        self._latency: float | None = None
         self._endpoints: dict[str, Endpoint] = {}
         self._near: list[Endpoint] = []
         self._far: list[Endpoint] = []
@@ -112,7 +115,7 @@
         }
         for vm_id in self._endpoints:
             if vm_id not in self._loads:
-                self._loads[vm_id] = Load(self._latency, since)
+                self._loads[vm_id] = Load(since)
         spots = list(self._endpoints.values())
         self._near = [spot for spot in spots if spot.zone == self._zone]
         self._far = [spot for spot in spots if spot.zone != self._zone]
@@ -140,6 +143,8 @@
 
         for take_busy in (False, True):
             room = Room(self._loads, now, avoid, take_busy=take_busy)
+            if self._latency is not None:
+                room.typical = self._latency
             for spots in (self._near, self._far):
                 found = self._draw(spots, room)
                 if found:
@@ -173,7 +178,7 @@
         load = self._loads[vm_id]
         if outcome is Outcome.ANSWERED:
             load.succeed(seconds, now)
-            self._latency += SMOOTHING * (seconds - self._latency)
+            self._learn_latency(seconds)
         elif outcome is Outcome.BUSY:
             load.refuse(now)
         elif outcome in FAILURES:
@@ -181,6 +186,10 @@
             if should_eject and self._may_eject(now):
                 load.eject(now)
 
+    def _learn_latency(self, seconds: float) -> None:
+        before = seconds if self._latency is None else self._latency
+        self._latency = before + SMOOTHING * (seconds - before)
+
     def _draw(self, spots: list[Endpoint], room: Room) -> Endpoint | None:
         for _ in range(MAX_DRAWS):
             drawn = room.list_free(self._sample(spots))
--- a/libs/routing/tarragonlb/routing/front.py
+++ b/libs/routing/tarragonlb/routing/front.py
@@ -37,11 +37,14 @@
 
 
 class RoutingFront:
-    """Decides on all requests to one pool."""
+    """Decides on all requests to one pool.
+
+    ``journeys`` holds the requests that have not ended, by their ids.
+    """
 
     __slots__ = (
         '_handlers',
-        '_journeys',
+        'journeys',
         '_parking',
         '_refresh_at',
         '_retries',
@@ -57,7 +60,7 @@
         self.balancer = Balancer(zone, source)
         self._retries = retries
         self._parking = Parking()
-        self._journeys: dict[str, Journey] = {}
+        self.journeys: dict[str, Journey] = {}
         self._refresh_at = float('inf')
         self._handlers: dict[type[Event], Handler] = {
             Arrived: self._arrive,
@@ -75,7 +78,7 @@
         actions.extend(self._advance(now))
         ensure(
             self.admission.places.active + self.admission.waiting.count()
-            == len(self._journeys),
+            == len(self.journeys),
             'each request that has not ended holds a place or waits',
         )
         return tuple(actions)
@@ -91,7 +94,7 @@
     def _arrive(self, event: Arrived, now: float) -> Iterable[Action]:
         request = event.request
         name = request.request_id
-        ensure(name not in self._journeys, 'a request arrives once', name)
+        ensure(name not in self.journeys, 'a request arrives once', name)
         answer = self.admission.offer(request, now)
         if answer.decision is Decision.REFUSED:
             return [
@@ -99,13 +102,13 @@
                     request, answer.reason, Verdict.NOT_RUN, answer.retry_after
                 )
             ]
-        self._journeys[name] = Journey(request)
+        self.journeys[name] = Journey(request)
         if answer.decision is Decision.QUEUED:
             return []
         return self._carry_out(Pass((request,)), now)
 
     def _end_attempt(self, event: AttemptEnded, now: float) -> Iterable[Action]:
-        journey = self._journeys[event.request_id]
+        journey = self.journeys[event.request_id]
         self._count_end(journey, event.outcome, now)
         if event.outcome in ENDS:
             self._finish(journey)
@@ -122,12 +125,12 @@
     def _drop(
         self, event: CallerLeft | DeadlinePassed, now: float
     ) -> Iterable[Action]:
-        journey = self._journeys.get(event.request_id)
+        journey = self.journeys.get(event.request_id)
         if journey is None:
             return []
         left = isinstance(event, CallerLeft)
         if self.admission.waiting.remove(journey.request):
-            self._journeys.pop(event.request_id)
+            self.journeys.pop(event.request_id)
         else:
             outcome = Outcome.ABANDONED if left else Outcome.TIMED_OUT
             self._count_end(journey, outcome, now)
@@ -146,7 +149,7 @@
     def _advance(self, now: float) -> Iterable[Action]:
         actions: list[Action] = []
         for request_id in self._parking.resume(now):
-            journey = self._journeys.get(request_id)
+            journey = self.journeys.get(request_id)
             if journey:
                 actions.extend(self._resume(journey, now))
         if now >= self._refresh_at:
@@ -190,7 +193,7 @@
             self._refresh_at = now
 
     def _finish(self, journey: Journey) -> None:
-        self._journeys.pop(journey.request.request_id)
+        self.journeys.pop(journey.request.request_id)
         self.admission.places.release(journey.request)
 
     def _find_retry(
@@ -210,10 +213,10 @@
     def _carry_out(self, done: Pass, now: float) -> list[Action]:
         actions: list[Action] = []
         for late in done.given_up:
-            journey = self._journeys.pop(late.request_id)
+            journey = self.journeys.pop(late.request_id)
             actions.append(self._refuse(journey, LATE_REASON, now))
         for started in done.started:
-            journey = self._journeys[started.request_id]
+            journey = self.journeys[started.request_id]
             actions.extend(self._resume(journey, now))
         return actions
 
--- a/libs/routing/tarragonlb/routing/load.py
+++ b/libs/routing/tarragonlb/routing/load.py
@@ -18,6 +18,8 @@
 MIN_RAMP = 0.1
 MIN_SUCCESS_SHARE = 0.1
 MIN_LATENCY_SECONDS = 0.001
+LATENCY_MEMORY_SECONDS = 5.0
+UNKNOWN_LATENCY_SHARE = 0.5
 MIN_BUSY_SECONDS = 0.02
 MAX_BUSY_SECONDS = 1.0
 SMOOTHING = 0.1
@@ -54,24 +56,26 @@
     __slots__ = (
         '_ejections',
         '_failures',
+        '_latency',
+        '_learned_at',
         '_refusals',
         '_success_share',
         'active',
         'busy_until',
         'ejected_until',
-        'latency',
         'probing',
         'trusted_since',
     )
 
-    def __init__(self, latency: float, trusted_since: float) -> None:
-        """Start idle; ``latency`` is that of the pool's other endpoints."""
+    def __init__(self, trusted_since: float) -> None:
+        """Start idle."""
         self.active = 0
-        self.latency = latency
         self.trusted_since = trusted_since
         self.ejected_until = float('-inf')
         self.busy_until = float('-inf')
         self.probing = False
+        self._latency = 0.0
+        self._learned_at = float('-inf')
         self._success_share = 1.0
         self._failures = 0
         self._refusals = 0
@@ -85,15 +89,26 @@
             return 1
         return ceil(slots * self._find_ramp(now))
 
-    def rate_cost(self, slots: int, now: float) -> float:
-        """Return the expected cost of one more request; lower is better."""
+    def rate_cost(self, slots: int, typical: float, now: float) -> float:
+        """Return the expected cost of one more request; lower is better.
+
+        An endpoint that has not answered lately is taken to be faster than is
+        ``typical``, in seconds, so that one that was slow is tried again.
+        """
+        is_known = now - self._learned_at < LATENCY_MEMORY_SECONDS
+        latency = typical * UNKNOWN_LATENCY_SHARE
+        if is_known:
+            latency = self._latency
         load = (self.active + 1) / slots
         trust = self._find_ramp(now) * self._success_share**2
-        return load * max(self.latency, MIN_LATENCY_SECONDS) / trust
+        return load * max(latency, MIN_LATENCY_SECONDS) / trust
 
     def succeed(self, seconds: float, now: float) -> None:
         """Count an answer."""
-        self.latency += SMOOTHING * (seconds - self.latency)
+        is_known = now - self._learned_at < LATENCY_MEMORY_SECONDS
+        weight = SMOOTHING if is_known else 1
+        self._latency += weight * (seconds - self._latency)
+        self._learned_at = now
         self._success_share += SMOOTHING * (1 - self._success_share)
         self._failures = 0
         self._refusals = 0
