--- /dev/null
+++ b/bench/request_servers.py
@@ -0,0 +1,154 @@
+"""The serving processes of the overhead benchmark.
+
+    python bench/request_servers.py endpoint|bare|gateway ENDPOINT-PORT
+
+Each prints the port that it serves on.
+"""
+
+import random
+import sys
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any, TypeAlias
+
+import httpcore
+import hypercorn
+import trio
+from hypercorn.trio import serve
+
+from tarragonlb.daemon.dispatch import Dispatcher
+from tarragonlb.daemon.exchange import Receive, Send, drop_hop_headers
+from tarragonlb.daemon.gateway import Gateway
+from tarragonlb.routing.balancer import Endpoint
+from tarragonlb.settings.schema import (
+    FleetSettings,
+    ServiceSettings,
+    TeamSettings,
+)
+
+PIECE_BYTES = 65_536
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello'
+END = b'\r\n\r\n'
+HOST = '127.0.0.1'
+
+Application: TypeAlias = Callable[[Any, Receive, Send], Awaitable[None]]
+
+
+async def serve_endpoint(port: int) -> None:
+    """Answer every request at once."""
+    listeners = await trio.open_tcp_listeners(port, host=HOST)
+    print(listeners[0].socket.getsockname()[1], flush=True)
+    await trio.serve_listeners(_answer, listeners)
+
+
+async def _answer(stream: trio.SocketStream) -> None:
+    while piece := await stream.receive_some(PIECE_BYTES):
+        for _ in range(piece.count(END)):
+            await stream.send_all(ANSWER)
+
+
+class Copier:
+    """An application that only copies."""
+
+    __slots__ = ('_connections', '_endpoint')
+
+    def __init__(self, endpoint: int) -> None:
+        """Copy to and from the port ``endpoint``."""
+        self._endpoint = endpoint
+        self._connections = httpcore.AsyncConnectionPool(max_connections=64)
+
+    async def serve(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Copy one request and its answer."""
+        await receive()
+        response = await self._connections.handle_async_request(
+            self._make_request(scope)
+        )
+        start = {
+            'type': 'http.response.start',
+            'status': response.status,
+            'headers': drop_hop_headers(response.headers),
+        }
+        await send(start)
+        async for chunk in response.aiter_stream():
+            piece = {'type': 'http.response.body', 'body': chunk}
+            await send({**piece, 'more_body': True})
+        await send({'type': 'http.response.body', 'body': b''})
+        await response.aclose()
+
+    def _make_request(self, scope: Any) -> httpcore.Request:
+        url = httpcore.URL(
+            scheme=b'http',
+            host=HOST,
+            port=self._endpoint,
+            target=scope['raw_path'],
+        )
+        headers = [(b'host', b'endpoint'), *drop_hop_headers(scope['headers'])]
+        return httpcore.Request('GET', url, headers=headers)
+
+
+class Lifespan:
+    """An application that also answers the start of the HTTP server."""
+
+    __slots__ = ('_serve',)
+
+    def __init__(self, serve_request: Application) -> None:
+        """Serve requests by another application."""
+        self._serve = serve_request
+
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Serve one connection event of the HTTP server."""
+        while scope['type'] == 'lifespan':
+            event = await receive()
+            await send({'type': f'{event["type"]}.complete'})
+        await self._serve(scope, receive, send)
+
+
+def make_bare(endpoint: int) -> Application:
+    """Return the application that only copies."""
+    return Copier(endpoint).serve
+
+
+def make_gateway(endpoint: int) -> Application:
+    """Return the gateway, with one team and one endpoint."""
+    dispatcher = Dispatcher('zone', random.Random(1))
+    spot = Endpoint(
+        vm_id='vm-1', address=f'{HOST}:{endpoint}', zone='zone', slots=64
+    )
+    dispatcher.update_pool('pool', [spot])
+    team = TeamSettings(services={'s': ServiceSettings(pool='pool')})
+    state = SimpleNamespace(teams={'t': team}, fleet=FleetSettings())
+    journal: Any = SimpleNamespace(state=state)
+    identity = SimpleNamespace(team='t')
+    access: Any = SimpleNamespace(identify=lambda header: identity)
+    return Gateway('entry', access, journal, dispatcher).serve
+
+
+async def serve_role(role: str, endpoint: int) -> None:
+    """Serve one of the two on a free port."""
+    makers = {'bare': make_bare, 'gateway': make_gateway}
+    listener = trio.socket.socket()
+    await listener.bind((HOST, 0))
+    listener.listen()
+    print(listener.getsockname()[1], flush=True)
+    config = hypercorn.Config()
+    config.bind = [f'fd://{listener.detach()}']
+    config.accesslog = None
+    config.errorlog = None
+    application = makers[role](endpoint)
+
+    await serve(
+        Lifespan(application), config, shutdown_trigger=trio.sleep_forever
+    )
+
+
+def main() -> None:
+    """Serve a role."""
+    role = sys.argv[1]
+    if role == 'endpoint':
+        trio.run(serve_endpoint, 0)
+    else:
+        trio.run(serve_role, role, int(sys.argv[2]))
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/run.py
+++ b/bench/run.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from fold_speed import SIZES, measure_fold  # noqa: E402
+from request_overhead import measure_overhead  # noqa: E402
 from request_overload import (  # noqa: E402
     OVERLOADS,
     POLICIES,
@@ -20,6 +21,7 @@
     """Print one line a figure."""
     for size in SIZES:
         print(json.dumps({'fold': asdict(measure_fold(size))}))
+    print(json.dumps({'overhead': asdict(measure_overhead())}))
     for policy in POLICIES:
         for overload in OVERLOADS:
             figure = asdict(measure_overload(policy, overload))
