--- a/libs/routing/features/front_machine.py
+++ b/libs/routing/features/front_machine.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
+    initialize,
     invariant,
     precondition,
     rule,
@@ -41,7 +42,7 @@
         zone=zone,
         slots=slots,
     )
-    for zone, index, slots in (('a', 0, 3), ('a', 1, 1), ('b', 2, 2))
+    for zone, index, slots in (('a', 0, 8), ('a', 1, 3), ('b', 2, 5))
 )
 LAST_STEP_SECONDS = 100.0
 ROUNDING = 1e-6
@@ -117,7 +118,7 @@
         team=strategies.sampled_from('xyz'),
         urgent=strategies.booleans(),
         idempotent=strategies.booleans(),
-        timeout=strategies.sampled_from((0.05, 0.3, 2.0, 30.0)),
+        timeout=strategies.sampled_from((2.0, 30.0, 0.3, 0.05)),
         count=strategies.integers(1, 6),
     )
     def arrive(self, team, urgent, idempotent, timeout, count):
@@ -138,12 +139,28 @@
                 self.unrepeatable.add(name)
             self.tell(Arrived(request))
 
+    @precondition(lambda self: self.flights)
+    @rule(count=strategies.integers(1, 6))
+    def answer(self, count):
+        for name in sorted(self.flights)[:count]:
+            self.flights.pop(name)
+            self.run_at_endpoint(name)
+            self.end(name)
+            self.tell(AttemptEnded(name, Outcome.ANSWERED))
+
+    @precondition(lambda self: self.flights)
+    @rule(count=strategies.integers(1, 8))
+    def refuse(self, count):
+        for name in sorted(self.flights)[:count]:
+            self.flights.pop(name)
+            self.tell(AttemptEnded(name, Outcome.BUSY, 'full'))
+
     @precondition(lambda self: self.flights)
     @rule(
         choice=strategies.integers(0, 1000),
         outcome=strategies.sampled_from(
             (
-                *([Outcome.ANSWERED] * 4),
+                Outcome.ANSWERED,
                 Outcome.FAILED,
                 Outcome.CUT,
                 Outcome.BUSY,
@@ -183,15 +200,25 @@
             self.end(name)
             self.tell(CallerLeft(name))
 
+    @initialize()
+    def list_endpoints(self):
+        self.list(ENDPOINTS)
+
     @rule(
-        endpoints=strategies.sets(strategies.sampled_from(ENDPOINTS)),
+        gone=strategies.sets(strategies.sampled_from(ENDPOINTS)),
+        likely=strategies.integers(0, 3),
     )
-    def change_endpoints(self, endpoints):
+    def change_endpoints(self, gone, likely):
+        if likely:
+            gone = set(sorted(gone, key=lambda spot: spot.vm_id)[:1])
+        self.list(set(ENDPOINTS) - gone)
+
+    def list(self, endpoints):
         self.listed = frozenset(spot.vm_id for spot in endpoints)
         ordered = sorted(endpoints, key=lambda spot: spot.vm_id)
         self.tell(EndpointsChanged(tuple(ordered)))
 
-    @rule(seconds=strategies.sampled_from((0.01, 0.1, 0.5, 2.0, 20.0)))
+    @rule(seconds=strategies.sampled_from((0.1, 0.01, 0.03, 0.5, 2.0, 20.0)))
     def pass_time(self, seconds):
         until = self.now + seconds
         while True:
