--- a/bench/run.py
+++ b/bench/run.py
@@ -2,8 +2,10 @@
 
 import json
 import sys
+from collections.abc import Iterator
 from dataclasses import asdict
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parent))
 
@@ -17,22 +19,40 @@
     SNAPSHOT_SIZES,
     measure_snapshot,
 )
+from request_overhead import measure_overhead  # noqa: E402
+from request_overload import (  # noqa: E402
+    OVERLOADS,
+    POLICIES,
+    RUNNER_KINDS,
+    measure_overload,
+)
 
 
-def main() -> None:
-    """Print one line a figure."""
+def list_figures() -> Iterator[tuple[str, Any]]:
+    """Measure everything in turn; yield names and figures."""
     for size in SIZES:
-        print(json.dumps({'fold': asdict(measure_fold(size))}))
-    for size in SIZES:
-        for daemon in measure_daemons(size):
-            print(json.dumps({'daemon': asdict(daemon)}))
-    for services in BURN_SIZES:
-        print(json.dumps({'burn': asdict(measure_burn(services))}))
-    for figure in measure_claims():
-        print(json.dumps({'claim': asdict(figure)}))
+        yield 'fold', measure_fold(size)
+        yield 'planner', measure_planner(size)
     for size in SNAPSHOT_SIZES:
-        print(json.dumps({'snapshot': asdict(measure_snapshot(size))}))
-        print(json.dumps({'planner': asdict(measure_planner(size))}))
+        yield 'snapshot', measure_snapshot(size)
+    for services in BURN_SIZES:
+        yield 'burn', measure_burn(services)
+    for size in SIZES:
+        yield from (('daemon', daemon) for daemon in measure_daemons(size))
+    yield from (('claim', claim) for claim in measure_claims())
+    yield 'overhead', measure_overhead()
+    for policy in POLICIES:
+        for overload in OVERLOADS:
+            yield 'overload', measure_overload(policy, overload)
+    for endpoints in RUNNER_KINDS:
+        figure = measure_overload('front', OVERLOADS[1], endpoints)
+        yield 'overload', figure
+
+
+def main() -> None:
+    """Print one line a figure."""
+    for name, figure in list_figures():
+        print(json.dumps({name: asdict(figure)}), flush=True)
 
 
 if __name__ == '__main__':
--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -111,7 +111,7 @@
                 status=STATUS_UNAVAILABLE,
                 retry_after=RETRY_AFTER_SECONDS,
             )
-            await send_refusal(send, uuid.uuid4().hex, refusal)
+            await send_refusal(send, uuid.uuid4().hex, refusal, None)
         elif scope['path'].startswith(PREFIX):
             await self._guard.wait_until_fresh()
             serve = self._gateway.serve
--- a/libs/daemon/tarragonlb/daemon/gateway.py
+++ b/libs/daemon/tarragonlb/daemon/gateway.py
@@ -10,8 +10,6 @@
 from math import ceil
 from typing import Any
 
-import trio
-
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.claims import Claims
 from tarragonlb.daemon.clock import read_monotonic
@@ -22,9 +20,10 @@
     Exchange,
     Receive,
     Send,
+    tell_list_age,
 )
 from tarragonlb.daemon.journal import Journal
-from tarragonlb.model.errors import RefusedError, TarragonError
+from tarragonlb.model.errors import RefusedError
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.routing.request import RequestInfo
 from tarragonlb.settings.schema import ServiceSettings, Urgency
@@ -72,7 +71,8 @@
                 reason=refusal.reason,
                 verdict=refusal.verdict.value,
             )
-            await send_refusal(send, request_id, refusal)
+            age = self._dispatcher.find_list_age(read_monotonic())
+            await send_refusal(send, request_id, refusal, age)
         except AnswerCutError as error:
             self._say('Answer cut.', request_id=request_id, reason=str(error))
         except CallerGoneError as error:
@@ -88,34 +88,20 @@
         await exchange.open_body()
         key = headers.get(b'idempotency-key', b'').decode('latin-1')
         if info.idempotent or not key:
-            await self._dispatch(exchange)
+            await self._dispatcher.serve(exchange)
         else:
             await self._serve_once(exchange, key)
 
     async def _serve_once(self, exchange: Exchange, key: str) -> None:
         claim = await self._claims.claim(exchange.info, key)
         try:
-            await self._dispatch(exchange)
+            await self._dispatcher.serve(exchange)
         except RefusedError as refusal:
             self._claims.conclude(claim, refusal.verdict)
             raise
         if exchange.finished:
             self._claims.conclude(claim, Verdict.RAN)
 
-    async def _dispatch(self, exchange: Exchange) -> None:
-        failure: TarragonError | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_when_gone, exchange, nursery.cancel_scope
-            )
-            try:
-                await self._dispatcher.serve(exchange)
-            except TarragonError as error:
-                failure = error
-            nursery.cancel_scope.cancel()
-        if failure:
-            raise failure
-
     def _describe(
         self, request_id: str, path: str, headers: dict[bytes, bytes]
     ) -> RequestInfo:
@@ -147,15 +133,8 @@
         return found
 
 
-async def _cancel_when_gone(
-    exchange: Exchange, scope: trio.CancelScope
-) -> None:
-    await exchange.wait_until_gone()
-    scope.cancel()
-
-
 async def send_refusal(
-    send: Send, request_id: str, refusal: RefusedError
+    send: Send, request_id: str, refusal: RefusedError, list_age: float | None
 ) -> None:
     """Send a refusal as JSON, with its verdict in a header."""
     headers = [
@@ -163,6 +142,7 @@
         (b'tarragon-verdict', refusal.verdict.encode()),
         (b'tarragon-request', request_id.encode()),
     ]
+    headers.extend(tell_list_age(list_age))
     if refusal.retry_after is not None:
         seconds = max(1, ceil(refusal.retry_after))
         headers.append((b'retry-after', str(seconds).encode()))
--- a/libs/daemon/tarragonlb/daemon/pause.py
+++ b/libs/daemon/tarragonlb/daemon/pause.py
@@ -25,7 +25,9 @@
 
     __slots__ = ('_resumed_at', '_say', '_ticked_at', '_update', '_watch')
 
-    def __init__(self, watch: FleetWatch, update: Callable[[], None]) -> None:
+    def __init__(
+        self, watch: FleetWatch, update: Callable[[float], None]
+    ) -> None:
         """Start as not paused."""
         self._ticked_at = math.inf
         self._resumed_at = -math.inf
@@ -54,6 +56,6 @@
             return
         with trio.move_on_after(REFRESH_SECONDS):
             await self._watch.wait_until_read(resumed_at)
-        self._update()
+        self._update(read_monotonic())
         if self._resumed_at == resumed_at:
             self._resumed_at = -math.inf
--- a/libs/routing/features/steps/admission_steps.py
+++ b/libs/routing/features/steps/admission_steps.py
@@ -190,9 +190,9 @@
     context.sizes = []
     for turn in range(400):
         sent = context.limit.size
-        for _ in range(min(sent, 20)):
+        for _answer in range(min(sent, 20)):
             context.limit.grow(sent)
-        if sent > 20:
+        for _refusal in range(sent - 20):
             context.limit.shrink(turn, 1)
         context.sizes.append(sent)
 
--- a/libs/routing/tarragonlb/routing/front.py
+++ b/libs/routing/tarragonlb/routing/front.py
@@ -25,7 +25,7 @@
 )
 from tarragonlb.routing.journey import CROWDED, ENDS, RENEWABLE, Journey
 from tarragonlb.routing.load import FAILURES, Outcome
-from tarragonlb.routing.request import RequestInfo
+from tarragonlb.routing.parking import Parking
 from tarragonlb.routing.retry import RetryBudget
 
 REFRESH_SECONDS = 1.0
@@ -37,11 +37,15 @@
 
 
 class RoutingFront:
-    """Decides on all requests to one pool."""
+    """Decides on all requests to one pool.
+
+    ``journeys`` holds the requests that have not ended, by their ids.
+    """
 
     __slots__ = (
         '_handlers',
-        '_journeys',
+        'journeys',
+        '_parking',
         '_refresh_at',
         '_retries',
         'admission',
@@ -55,7 +59,8 @@
         self.admission = Admission()
         self.balancer = Balancer(zone, source)
         self._retries = retries
-        self._journeys: dict[str, Journey] = {}
+        self._parking = Parking()
+        self.journeys: dict[str, Journey] = {}
         self._refresh_at = float('inf')
         self._handlers: dict[type[Event], Handler] = {
             Arrived: self._arrive,
@@ -73,19 +78,23 @@
         actions.extend(self._advance(now))
         ensure(
             self.admission.places.active + self.admission.waiting.count()
-            == len(self._journeys),
+            == len(self.journeys),
             'each request that has not ended holds a place or waits',
         )
         return tuple(actions)
 
     def find_next_wake(self) -> float:
         """Return when ``TimePassed`` is due at the latest."""
-        return min(self.admission.waiting.find_next_expiry(), self._refresh_at)
+        return min(
+            self.admission.waiting.find_next_expiry(),
+            self._parking.find_next(),
+            self._refresh_at,
+        )
 
     def _arrive(self, event: Arrived, now: float) -> Iterable[Action]:
         request = event.request
         name = request.request_id
-        ensure(name not in self._journeys, 'a request arrives once', name)
+        ensure(name not in self.journeys, 'a request arrives once', name)
         answer = self.admission.offer(request, now)
         if answer.decision is Decision.REFUSED:
             return [
@@ -93,13 +102,13 @@
                     request, answer.reason, Verdict.NOT_RUN, answer.retry_after
                 )
             ]
-        self._journeys[name] = Journey(request)
+        self.journeys[name] = Journey(request)
         if answer.decision is Decision.QUEUED:
             return []
         return self._carry_out(Pass((request,)), now)
 
     def _end_attempt(self, event: AttemptEnded, now: float) -> Iterable[Action]:
-        journey = self._journeys[event.request_id]
+        journey = self.journeys[event.request_id]
         self._count_end(journey, event.outcome, now)
         if event.outcome in ENDS:
             self._finish(journey)
@@ -107,18 +116,21 @@
         endpoint = self._find_retry(journey, event, now)
         if endpoint:
             return [self._send(journey, endpoint, now)]
+        if event.outcome is Outcome.BUSY and event.replayable:
+            self._parking.park(event.request_id, journey.refusals, now)
+            return []
         self._finish(journey)
         return [self._refuse(journey, event.reason, now)]
 
     def _drop(
         self, event: CallerLeft | DeadlinePassed, now: float
     ) -> Iterable[Action]:
-        journey = self._journeys.get(event.request_id)
+        journey = self.journeys.get(event.request_id)
         if journey is None:
             return []
         left = isinstance(event, CallerLeft)
         if self.admission.waiting.remove(journey.request):
-            self._journeys.pop(event.request_id)
+            self.journeys.pop(event.request_id)
         else:
             outcome = Outcome.ABANDONED if left else Outcome.TIMED_OUT
             self._count_end(journey, outcome, now)
@@ -135,9 +147,29 @@
         return []
 
     def _advance(self, now: float) -> Iterable[Action]:
+        actions: list[Action] = []
+        for request_id in self._parking.resume(now):
+            journey = self.journeys.get(request_id)
+            if journey:
+                actions.extend(self._resume(journey, now))
         if now >= self._refresh_at:
-            return self._refresh(now)
-        return self._carry_out(self.admission.advance(now), now)
+            return [*actions, *self._refresh(now)]
+        done = self.admission.advance(now)
+        return [*actions, *self._carry_out(done, now)]
+
+    def _resume(self, journey: Journey, now: float) -> list[Action]:
+        request = journey.request
+        if self.admission.is_late(request, now):
+            self._finish(journey)
+            return [self._refuse(journey, LATE_REASON, now)]
+        endpoint = self.balancer.choose(now)
+        if endpoint:
+            return [self._send(journey, endpoint, now)]
+        if self.balancer.count_declared():
+            self._parking.park(request.request_id, journey.refusals, now)
+            return []
+        self._finish(journey)
+        return [self._refuse(journey, 'no endpoint is available', now)]
 
     def _refresh(self, now: float) -> Iterable[Action]:
         slots = self.balancer.count_slots(now)
@@ -149,6 +181,8 @@
         self, journey: Journey, outcome: Outcome, now: float
     ) -> None:
         endpoint = journey.end(outcome)
+        if endpoint is None:
+            return
         seconds = now - journey.sent_at
         self.balancer.finish(endpoint.vm_id, outcome, seconds, now)
         if outcome is Outcome.ANSWERED:
@@ -159,7 +193,7 @@
             self._refresh_at = now
 
     def _finish(self, journey: Journey) -> None:
-        self._journeys.pop(journey.request.request_id)
+        self.journeys.pop(journey.request.request_id)
         self.admission.places.release(journey.request)
 
     def _find_retry(
@@ -178,28 +212,18 @@
 
     def _carry_out(self, done: Pass, now: float) -> list[Action]:
         actions: list[Action] = []
-        while done.started or done.given_up:
-            for late in done.given_up:
-                journey = self._journeys.pop(late.request_id)
-                actions.append(self._refuse(journey, LATE_REASON, now))
-            started = [self._start(request, now) for request in done.started]
-            actions.extend(started)
-            if not any(isinstance(action, Refuse) for action in started):
-                break
-            done = self.admission.advance(now)
+        for late in done.given_up:
+            journey = self.journeys.pop(late.request_id)
+            actions.append(self._refuse(journey, LATE_REASON, now))
+        for started in done.started:
+            journey = self.journeys[started.request_id]
+            actions.extend(self._resume(journey, now))
         return actions
 
-    def _start(self, request: RequestInfo, now: float) -> Action:
-        journey = self._journeys[request.request_id]
-        endpoint = self.balancer.choose(now)
-        if endpoint:
-            self._retries.earn()
-            return self._send(journey, endpoint, now)
-        self._finish(journey)
-        return self._refuse(journey, 'no endpoint is free', now)
-
     def _send(self, journey: Journey, endpoint: Endpoint, now: float) -> Send:
-        fresh = bool(journey.tried)
+        if not journey.tried:
+            self._retries.earn()
+        fresh = journey.needs_fresh
         journey.begin(endpoint, now)
         self.balancer.begin(endpoint.vm_id)
         silence = None
