--- a/bench/run.py
+++ b/bench/run.py
@@ -9,6 +9,7 @@
 
 from burn_cost import SIZES as BURN_SIZES  # noqa: E402
 from burn_cost import measure_burn  # noqa: E402
+from capacity_planner import measure_planner  # noqa: E402
 from claim_cost import measure_claims  # noqa: E402
 from daemon_cost import measure_daemons  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
@@ -31,6 +32,7 @@
         print(json.dumps({'claim': asdict(figure)}))
     for size in SNAPSHOT_SIZES:
         print(json.dumps({'snapshot': asdict(measure_snapshot(size))}))
+        print(json.dumps({'planner': asdict(measure_planner(size))}))
 
 
 if __name__ == '__main__':
--- a/libs/daemon/tarragonlb/daemon/journal.py
+++ b/libs/daemon/tarragonlb/daemon/journal.py
@@ -102,7 +102,10 @@
             with trio.move_on_after(timeout_seconds):
                 await settled.wait()
         finally:
-            self._conclude(pending, started)
+            self._conclude(pending)
+            self.observe_commit(
+                type(record).__name__, read_monotonic() - started
+            )
         return _judge(pending)
 
     async def wait_for_change(self) -> None:
@@ -141,11 +144,9 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def _conclude(self, pending: Pending, started: float) -> None:
+    def _conclude(self, pending: Pending) -> None:
         self._waiting.pop(pending.record_id)
         self.replica.outbox.give_up(pending)
-        seconds = read_monotonic() - started
-        self.observe_commit(type(pending.record).__name__, seconds)
 
     def _announce(self, settled: list[Pending]) -> None:
         for pending in settled:
--- a/libs/journal/tarragonlb/journal/codec.py
+++ b/libs/journal/tarragonlb/journal/codec.py
@@ -26,6 +26,7 @@
             ownership.VmCharged,
             ownership.VmReleased,
             ownership.VmMoved,
+            ownership.VmRetired,
             job.JobSubmitted,
             job.JobStarted,
             job.JobEnded,
@@ -37,6 +38,7 @@
             snapshot.SnapshotOpened,
             snapshot.SnapshotChunk,
             snapshot.SnapshotClosed,
+            wave.VmPassedOver,
         )
     }
 )
--- a/libs/journal/tarragonlb/journal/snapshot.py
+++ b/libs/journal/tarragonlb/journal/snapshot.py
@@ -27,6 +27,7 @@
 MAX_CHUNK_BYTES = 16 * 1024 * 1024
 CONTENT_DIGEST_BYTES = 16
 COMPRESSION_LEVEL = 6
+KEYED_ROW_PARTS = 3
 
 _HINTS = typing.get_type_hints(State)
 _READ_FROM_TEXT = frozenset(('fleet', 'pools', 'teams'))
@@ -146,14 +147,23 @@
 def _restore_row(state: State, row: list[typing.Any]) -> None:
     name = row[0]
     kind = _HINTS[name]
-    if typing.get_origin(kind) is dict:
-        key_kind, entry_kind = typing.get_args(kind)
+    if len(row) == KEYED_ROW_PARTS:
+        key_kind, entry_kind = _find_kinds(kind)
         key = msgspec.convert(row[1], key_kind)
         getattr(state, name)[key] = msgspec.convert(row[2], entry_kind)
     else:
         setattr(state, name, msgspec.convert(row[1], kind))
 
 
+def _find_kinds(kind: typing.Any) -> tuple[typing.Any, typing.Any]:
+    """Return the types of the keys and entries of a mapping."""
+    if typing.get_origin(kind) is dict:
+        key_kind, entry_kind = typing.get_args(kind)
+        return key_kind, entry_kind
+    table = kind.__orig_bases__[0]
+    return str, typing.get_args(table)[0]
+
+
 def _read_texts(state: State) -> None:
     for setting in state.settings.values():
         document = read_document(setting.text, setting.path)
