--- a/libs/daemon/tarragonlb/daemon/metering.py
+++ b/libs/daemon/tarragonlb/daemon/metering.py
@@ -11,6 +11,7 @@
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.exchange import VERDICT_HEADER, Receive, Send
+from tarragonlb.daemon.gateway import PREFIX
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.model.errors import RefusedError
 from tarragonlb.settings.schema import ServiceSettings
@@ -18,7 +19,6 @@
 from tarragonlb.telemetry.metrics import Instruments
 
 Serve: TypeAlias = Callable[[Any, Receive, Send], Awaitable[None]]
-CALL_PREFIX = '/call/'
 STATUS_TOO_MANY = 429
 STATUS_SERVER_ERRORS_FROM = 500
 UNKNOWN_SERVICE = 'unknown'
@@ -116,7 +116,7 @@
             team = self._access.identify(authorization).team
         except RefusedError:
             return UNKNOWN_SERVICE, None
-        name = scope['path'].removeprefix(CALL_PREFIX).partition('/')[0]
+        name = scope['path'].removeprefix(PREFIX).partition('/')[0]
         settings = self._journal.state.teams.get(team)
         found = settings.services.get(name) if settings else None
         return f'{team}/{name}' if found else UNKNOWN_SERVICE, found
