--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -19,6 +19,7 @@
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.keydesk import KeyDesk
 from tarragonlb.daemon.measurement import Measurement
+from tarragonlb.daemon.pause import PauseGuard
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.watch import FleetWatch
@@ -37,6 +38,7 @@
 
     __slots__ = (
         '_application',
+        '_guard',
         '_journal',
         '_claims',
         '_desk',
@@ -62,6 +64,7 @@
         )
         dispatcher = Dispatcher(settings.zone, random.Random())
         self._pools = PoolTask(self._journal, self._watch, dispatcher)
+        self._guard = PauseGuard(self._watch, self._pools.update)
         access = AccessTable(settings, self._journal.state)
         self._desk = KeyDesk(settings)
         self._claims = Claims(settings.name, self._journal, self._desk)
@@ -78,6 +81,7 @@
                 self._desk,
                 client.traffic,
             ),
+            self._guard,
         )
 
     async def run(self) -> None:
@@ -87,6 +91,7 @@
         async with trio.open_nursery() as nursery:
             for task in self._list_tasks():
                 nursery.start_soon(task)
+            nursery.start_soon(self._guard.run)
             nursery.start_soon(self._serve, stopped)
             await self._wait_for_stop()
             stopped.set()
--- a/libs/daemon/tarragonlb/daemon/watch.py
+++ b/libs/daemon/tarragonlb/daemon/watch.py
@@ -1,4 +1,8 @@
-"""Follows the platform's list of VMs and tasks."""
+"""Follows the platform's list of VMs and tasks.
+
+``last_read`` is when the latest reading was asked for, so that an answer that
+waited in a paused process doesn't count as fresh.
+"""
 
 import trio
 
@@ -16,7 +20,18 @@
 class FleetWatch:
     """Owns the merged readings; ``number`` is that of the latest one."""
 
-    __slots__ = ('_fleet', '_say', 'last_read', 'number', 'tasks', 'vms')
+    __slots__ = (
+        '_asked_at',
+        '_asking',
+        '_fleet',
+        '_merged',
+        '_say',
+        '_wait_seconds',
+        'last_read',
+        'number',
+        'tasks',
+        'vms',
+    )
 
     def __init__(self, fleet: Fleet) -> None:
         """Start without any reading."""
@@ -25,22 +40,48 @@
         self.vms = ChangeTable[VmReading]()
         self.tasks = ChangeTable[TaskReading]()
         self._fleet = fleet
+        self._merged = trio.Event()
+        self._asked_at = float('-inf')
+        self._asking = trio.CancelScope()
+        self._wait_seconds = WAIT_SECONDS
         self._say = Log('watch').say
 
     async def run(self) -> None:
         """Read changes until cancelled, in batches while there are many."""
         while True:
-            try:
-                reading = await self._fleet.read(self.number, WAIT_SECONDS)
-            except PlatformError as error:
-                self._say('The list can not be read.', error=str(error))
-            else:
-                self.merge(reading, read_monotonic())
-            await trio.sleep(PAUSE_SECONDS)
+            self._asked_at = read_monotonic()
+            with trio.CancelScope() as self._asking:
+                await self._ask(self._asked_at)
+                await trio.sleep(PAUSE_SECONDS)
+
+    async def wait_until_read(self, since: float) -> None:
+        """Wait for a reading that was asked for at or after a time.
+
+        A question that was asked before is given up for a new one.
+        """
+        if self._asked_at < since:
+            self._wait_seconds = 0
+            self._asking.cancel()
+        while self.last_read < since:
+            await self._merged.wait()
+
+    async def _ask(self, asked_at: float) -> None:
+        try:
+            reading = await self._fleet.read(self.number, self._wait_seconds)
+        except PlatformError as error:
+            self._say('The list can not be read.', error=str(error))
+        else:
+            self._wait_seconds = WAIT_SECONDS
+            self.merge(reading, asked_at)
 
     def merge(self, reading: FleetReading, now: float) -> None:
-        """Take over what changed since the last reading."""
+        """Take over what changed since the last reading, asked for ``now``."""
         self.last_read = now
         self.number = max(self.number, reading.number)
         self.vms.update({vm.vm_id: vm for vm in reading.vms})
         self.tasks.update({task.task_id: task for task in reading.tasks})
+        self._merged.set()
+        self._merged = trio.Event()
+        self._asked_at = float('-inf')
+        self._asking = trio.CancelScope()
+        self._wait_seconds = WAIT_SECONDS
--- a/libs/journal/tarragonlb/journal/codec.py
+++ b/libs/journal/tarragonlb/journal/codec.py
@@ -5,12 +5,21 @@
 from that of daemons which know it.
 """
 
+from collections.abc import Mapping
 from types import MappingProxyType
 
 import cbor2
 import msgspec
 
-from tarragonlb.model import burn, job, ownership, record, snapshot, wave
+from tarragonlb.model import (
+    burn,
+    job,
+    member,
+    ownership,
+    record,
+    snapshot,
+    wave,
+)
 from tarragonlb.model.errors import JournalError, UnknownRecordError
 
 MAX_RECORD_BYTES = 512 * 1024
@@ -39,6 +48,9 @@
             snapshot.SnapshotChunk,
             snapshot.SnapshotClosed,
             wave.VmPassedOver,
+            member.MemberAnnounced,
+            member.MemberRetired,
+            member.LevelRaised,
         )
     }
 )
@@ -50,8 +62,10 @@
     return cbor2.dumps([type(entry).__name__, fields])
 
 
-def decode_record(blob: bytes) -> record.Record:
-    """Return the record that the bytes hold.
+def decode_record(
+    blob: bytes, kinds: Mapping[str, type] = RECORD_KINDS
+) -> record.Record:
+    """Return the record that the bytes hold, of one of these kinds.
 
     Raises ``UnknownRecordError`` for a kind of a newer version and
     ``JournalError`` for bytes that are no record at all.
@@ -60,7 +74,7 @@
         kind_name, fields = cbor2.loads(blob)
     except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise JournalError(f'not a record: {error}') from error
-    kind = RECORD_KINDS.get(kind_name) if isinstance(kind_name, str) else None
+    kind = kinds.get(kind_name) if isinstance(kind_name, str) else None
     if kind is None:
         raise UnknownRecordError(f'record kind {kind_name!r} is not known')
     try:
--- a/libs/journal/tarragonlb/journal/state.py
+++ b/libs/journal/tarragonlb/journal/state.py
@@ -26,7 +26,7 @@
     WaveEntry,
 )
 from tarragonlb.model.invariant import ensure
-from tarragonlb.model.snapshot import SnapshotEntry
+from tarragonlb.model.stream import StreamEntry
 from tarragonlb.settings.schema import FleetSettings, PoolSettings
 
 
@@ -47,7 +47,7 @@
         'seen',
         'settings',
         'settings_offset',
-        'snapshot',
+        'stream',
         'teams',
         'terms',
         'vms',
@@ -71,7 +71,7 @@
     waves: dict[str, WaveEntry]
     terms: dict[str, TermEntry]
     burn: dict[str, BurnEntry]
-    snapshot: SnapshotEntry
+    stream: StreamEntry
 
     def __init__(self) -> None:
         """Start before the first record of the log."""
@@ -92,7 +92,7 @@
         self.waves = {}
         self.terms = {}
         self.burn = {}
-        self.snapshot = SnapshotEntry()
+        self.stream = StreamEntry()
 
     def read_fields(self) -> dict[str, Any]:
         """Return every field by name, with mappings copied.
