--- a/libs/daemon/tarragonlb/daemon/apioperations.py
+++ b/libs/daemon/tarragonlb/daemon/apioperations.py
@@ -7,10 +7,12 @@
 from types import MappingProxyType
 from typing import Any
 
+from tarragonlb.capacity.forecast import WaveCost
 from tarragonlb.daemon.apifleet import (
     PoolAnswer,
     StatusAnswer,
     SteerRequest,
+    WaveAnswer,
     WaveRequest,
 )
 from tarragonlb.daemon.apijobs import CancelRequest, JobAnswer, JobRequest
@@ -72,7 +74,8 @@
         'get /v1/pools': Operation(answer=list[PoolAnswer]),
         'post /v1/waves': Operation(body=WaveRequest, answer=WaveEntry),
         'get /v1/waves': Operation(answer=list[WaveEntry]),
-        'get /v1/waves/{wave_id}': Operation(answer=WaveEntry),
+        'post /v1/waves/plan': Operation(body=WaveRequest, answer=WaveCost),
+        'get /v1/waves/{wave_id}': Operation(answer=WaveAnswer),
         'put /v1/waves/{wave_id}': Operation(
             body=SteerRequest, answer=WaveEntry
         ),
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -8,7 +8,6 @@
 import hypercorn
 import trio
 from hypercorn.trio import serve
-from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable
 from tarragonlb.daemon.api import list_parts
@@ -34,20 +33,20 @@
 
 
 class Process:
-    """Owns the tasks of one daemon."""
+    """Owns the tasks of one daemon; ``application`` is what it serves."""
 
     __slots__ = (
-        '_application',
-        '_guard',
-        '_journal',
         '_claims',
         '_desk',
+        '_guard',
+        '_journal',
         '_measurement',
         '_planner',
         '_pools',
         '_say',
         '_settings',
         '_watch',
+        'application',
     )
 
     def __init__(self, settings: DaemonSettings) -> None:
@@ -70,7 +69,7 @@
         self._claims = Claims(settings.name, self._journal, self._desk)
         gateway = Gateway(access, self._journal, dispatcher, self._claims)
         self._measurement = Measurement(settings, access, self._journal)
-        self._application = Application(
+        self.application = Application(
             gateway,
             self._measurement.requests,
             list_parts(
@@ -100,10 +99,6 @@
             nursery.cancel_scope.cancel()
         self._say('The daemon has stopped.', name=self._settings.name)
 
-    def list_routes(self) -> list[Route]:
-        """Return the routes of the API, which the OpenAPI document lists."""
-        return self._application.routes
-
     def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         parts = (
             self._journal,
@@ -118,7 +113,7 @@
 
     async def _announce_ready(self) -> None:
         await self._journal.wait_until_read()
-        self._application.ready = True
+        self.application.ready = True
         self._say('The daemon is ready.', offset=self._journal.state.offset)
 
     async def _serve(self, stopped: trio.Event) -> None:
@@ -129,7 +124,7 @@
         config.accesslog = None
         config.errorlog = None
         await serve(
-            self._application,
+            self.application,
             config,
             shutdown_trigger=stopped.wait,
             mode='asgi',
@@ -138,16 +133,16 @@
     async def _wait_for_stop(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as caught:
             await anext(caught)
-        self._application.stopping = True
+        self.application.stopping = True
         self._say('The daemon was asked to stop.')
         await trio.sleep(NOTICE_SECONDS)
 
     async def _finish_requests(self) -> None:
         with trio.move_on_after(self._settings.stop_limit_seconds) as limit:
-            await self._application.wait_idle()
+            await self.application.wait_idle()
         if limit.cancelled_caught:
             self._say(
                 'The stop limit cuts requests.',
-                active=self._application.active,
+                active=self.application.active,
                 setting='stop_limit_seconds',
             )
--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -71,7 +71,7 @@
 
 def write_api() -> str:
     """Return the OpenAPI document."""
-    document = write_document(Process(START).list_routes())
+    document = write_document(Process(START).application.routes)
     return f'{json.dumps(document, indent=1, sort_keys=True)}\n'
 
 
