Let the daemons of an availability zone hear, check and start one another

Change: daemon/peers.py calls every peer over websockets (compression off, pings every 20 s on purpose) and sends member, incarnation, offset and digest every 4 s. A daemon halts if the live peers that differ are more than those that agree. At a start without the log it shows the latest state of its peers, and plans nothing until it has read the log. A halt now stops planning at once; before, it waited for the read in flight, up to 5 s.

Ruled out: heartbeats as records (18 a second, read by all), gossip over zones.

Not proved: a restart during an outage of the log may show an earlier state than the process before it (docs/design/peers.md).

--- /dev/null
+++ b/bench/journal_peers.py
@@ -0,0 +1,147 @@
+"""What the heartbeats of an availability zone cost a daemon."""
+
+import contextlib
+import functools
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from trio import SocketStream, lowlevel, open_nursery, run, sleep, testing
+
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.peers import PeerTask
+from tarragonlb.journal.fold import DIGEST_BYTES
+from tarragonlb.journal.log import Log, LogEntry
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.standin.cluster import find_port
+
+PEER_SIZES = (2, 5, 9)
+CLOCK_RATE = 10
+WARM_SECONDS = 10
+MEASURED_SECONDS = 60
+OFFSET = 10_000_000
+INCARNATION = '0123456789abcdef0123456789abcdef'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerFigure:
+    """Cost for one of so many daemons of an availability zone.
+
+    Bytes are those written to and read from its sockets; the headers of TCP
+    and IP come on top, once for each write and each read.
+    """
+
+    members: int
+    sent_bytes_a_second: float
+    received_bytes_a_second: float
+    writes_a_second: float
+    processor_share: float
+
+
+class EmptyLog(Log):
+    """A log without records."""
+
+    async def append(self, blobs: Sequence[bytes]) -> None:
+        """Take records and forget them."""
+        await lowlevel.checkpoint()
+
+    async def read(self, after: int, wait_seconds: float) -> list[LogEntry]:
+        """Return nothing after the time to wait."""
+        await sleep(wait_seconds)
+        return []
+
+
+class Counter:
+    """Counts what passes the sockets of this process."""
+
+    __slots__ = ('received', 'sent', 'writes')
+
+    def __init__(self) -> None:
+        """Start at nothing."""
+        self.reset()
+
+    def reset(self) -> None:
+        """Start at nothing again."""
+        self.sent = 0
+        self.received = 0
+        self.writes = 0
+
+    def list_patches(self) -> list[contextlib.AbstractContextManager[Any]]:
+        """Return what makes all sockets of this process count."""
+        counted = (('send_all', _send), ('receive_some', _receive))
+        return [
+            mock.patch.object(
+                SocketStream,
+                name,
+                functools.partialmethod(
+                    method, self, getattr(SocketStream, name)
+                ),
+            )
+            for name, method in counted
+        ]
+
+
+async def _send(
+    stream: SocketStream, counter: Counter, send: Any, blob: bytes
+) -> None:
+    counter.sent += len(blob)
+    counter.writes += 1
+    await send(stream, blob)
+
+
+async def _receive(
+    stream: SocketStream,
+    counter: Counter,
+    receive: Any,
+    max_bytes: int | None = None,
+) -> bytes:
+    blob = await receive(stream, max_bytes)
+    counter.received += len(blob)
+    return bytes(blob)
+
+
+def measure_peers(members: int) -> PeerFigure:
+    """Run so many daemons on loopback, without any record."""
+    counter = Counter()
+    clock = testing.MockClock(rate=CLOCK_RATE)
+    with contextlib.ExitStack() as stack:
+        for patch in counter.list_patches():
+            stack.enter_context(patch)
+        seconds = run(_run, members, counter, clock=clock)
+    total = members * MEASURED_SECONDS
+    return PeerFigure(
+        members=members,
+        sent_bytes_a_second=counter.sent / total,
+        received_bytes_a_second=counter.received / total,
+        writes_a_second=counter.writes / total,
+        processor_share=seconds / total,
+    )
+
+
+async def _run(members: int, counter: Counter) -> float:
+    addresses = [f'127.0.0.1:{find_port()}' for _ in range(members)]
+    async with open_nursery() as nursery:
+        for index, address in enumerate(addresses):
+            settings = DaemonSettings(
+                name=f'entry-kandy-{index}',
+                zone='kandy',
+                listen=address,
+                platform=address,
+                peer_listen=address,
+                peers=tuple(other for other in addresses if other != address),
+            )
+            journal = Journal(EmptyLog(), Scribe(settings.name, INCARNATION))
+            journal.replica.caught_up = True
+            journal.state.offset = OFFSET
+            journal.state.digest = bytes(DIGEST_BYTES)
+            nursery.start_soon(PeerTask(settings, journal).run)
+        await sleep(WARM_SECONDS)
+        counter.reset()
+        started = time.process_time()
+        await sleep(MEASURED_SECONDS)
+        seconds = time.process_time() - started
+        nursery.cancel_scope.cancel()
+    return seconds
--- a/bench/run.py
+++ b/bench/run.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from fold_speed import SIZES, measure_fold  # noqa: E402
+from journal_peers import PEER_SIZES, measure_peers  # noqa: E402
 from journal_snapshot import (  # noqa: E402
     SNAPSHOT_SIZES,
     measure_snapshot,
@@ -20,6 +21,8 @@
         print(json.dumps({'fold': asdict(measure_fold(size))}))
     for size in SNAPSHOT_SIZES:
         print(json.dumps({'snapshot': asdict(measure_snapshot(size))}))
+    for size in PEER_SIZES:
+        print(json.dumps({'peers': asdict(measure_peers(size))}))
 
 
 if __name__ == '__main__':
--- a/libs/daemon/tarragonlb/daemon/journal.py
+++ b/libs/daemon/tarragonlb/daemon/journal.py
@@ -93,13 +93,27 @@
             self.replica.outbox.give_up(pending)
         return _judge(pending)
 
+    def adopt(self, state: State) -> bool:
+        """Return whether the state of a peer is shown from now on."""
+        shown_before = self.replica.caught_up
+        self._announce(self.replica.adopt_from_peer(state))
+        self._wake()
+        return self.replica.caught_up and not shown_before
+
+    def halt(self, reason: str) -> None:
+        """Stop deciding for good; the last state stays in sight."""
+        self.replica.halt(reason)
+        self.last_read = -math.inf
+        self._say('The journal has halted.', reason=self.replica.halted)
+        self._wake()
+
     async def wait_for_change(self) -> None:
         """Wait until another record has been folded."""
         await self._changed.wait()
 
     async def wait_until_read(self) -> None:
-        """Wait until the end of the log was reached once."""
-        while self.last_read == -math.inf:
+        """Wait until the end of the log was reached, or a peer's state."""
+        while not self.replica.caught_up:
             await self._changed.wait()
 
     async def _keep_reading(self) -> None:
@@ -117,15 +131,20 @@
             else:
                 caught_up = self.replica.caught_up
                 wait_seconds = POLL_SECONDS if caught_up else 0
-        self.last_read = -math.inf
-        self._say('The journal has halted.', reason=self.replica.halted)
 
     async def _read(self, wait_seconds: float) -> None:
         after = self.replica.read_after
         entries = await self._log.read(after, wait_seconds)
+        if self.replica.halted:
+            return
         self._announce(self.replica.take(entries))
         if self.replica.caught_up and not self.replica.searching:
             self.last_read = read_monotonic()
+        if self.replica.halted:
+            self.halt(self.replica.halted)
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
--- /dev/null
+++ b/libs/daemon/tarragonlb/daemon/peers.py
@@ -0,0 +1,184 @@
+"""Talk with the daemons of the same availability zone, over websockets.
+
+Each daemon calls each of its peers and sends heartbeats there; it listens to
+those that call it.  A daemon that finds no log at its start asks the peers that
+it has called for their state.
+"""
+
+import trio
+from websockets.exceptions import WebSocketException
+from websockets.trio.client import ClientConnection, connect
+from websockets.trio.server import ServerConnection, serve
+
+from tarragonlb.daemon.clock import read_monotonic
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.journal import peer
+from tarragonlb.journal.state import State
+from tarragonlb.model.errors import JournalError
+from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.telemetry.log import Log
+
+HEARTBEAT_SECONDS = 4
+RETRY_SECONDS = 2
+OPEN_SECONDS = 2
+PING_SECONDS = 20
+LOG_PATIENCE_SECONDS = 3
+SNAPSHOT_TIMEOUT_SECONDS = 20
+MAX_MESSAGE_BYTES = 1024 * 1024
+MAX_SNAPSHOT_PARTS = 4096
+
+_FAILED = (
+    OSError,
+    WebSocketException,
+    JournalError,
+    trio.BrokenResourceError,
+    trio.TooSlowError,
+)
+
+
+class PeerTask:
+    """Owns the connections to and from the peers."""
+
+    __slots__ = ('_journal', '_say', '_settings', 'table')
+
+    def __init__(self, settings: DaemonSettings, journal: Journal) -> None:
+        """Talk about the state of a journal."""
+        self._settings = settings
+        self._journal = journal
+        self._say = Log('peers').say
+        self.table = peer.PeerTable()
+
+    async def run(self) -> None:
+        """Listen, call all peers, and watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._listen)
+            nursery.start_soon(self._start_without_log)
+            nursery.start_soon(self._keep_watch)
+            for address in self._settings.peers:
+                nursery.start_soon(self._keep_calling, address)
+
+    async def _listen(self) -> None:
+        host, _, port = self._settings.peer_listen.rpartition(':')
+        await serve(
+            self._answer,
+            int(port),
+            host=host,
+            compression=None,
+            ping_interval=None,
+            server_header=None,
+            max_size=MAX_MESSAGE_BYTES,
+        )
+
+    async def _answer(self, connection: ServerConnection) -> None:
+        try:
+            await self._hear(connection)
+        except _FAILED as error:
+            self._say('A peer was lost.', error=repr(error))
+
+    async def _hear(self, connection: ServerConnection) -> None:
+        while True:
+            with trio.fail_after(peer.SILENT_SECONDS):
+                message = peer.decode_message(await connection.recv())
+            if isinstance(message, peer.Heartbeat):
+                own = self._journal.replica.find_digest(message.offset)
+                self.table.hear(message, own, read_monotonic())
+            elif isinstance(message, peer.SnapshotAsked):
+                await self._send_state(connection)
+
+    async def _send_state(self, connection: ServerConnection) -> None:
+        if not self._journal.replica.caught_up:
+            raise JournalError('there is no state to send yet')
+        for message in peer.send_state(self._journal.replica):
+            await connection.send(peer.encode_message(message))
+
+    async def _keep_calling(self, address: str) -> None:
+        while True:
+            try:
+                async with _connect(address) as connection:
+                    await self._beat(connection)
+            except _FAILED:
+                await trio.sleep(RETRY_SECONDS)
+
+    async def _beat(self, connection: ClientConnection) -> None:
+        scribe = self._journal.scribe
+        while True:
+            state = self._journal.state
+            beat = peer.Heartbeat(
+                member=scribe.author,
+                incarnation=scribe.incarnation,
+                offset=state.offset,
+                digest=state.digest,
+            )
+            await connection.send(peer.encode_message(beat))
+            await trio.sleep(HEARTBEAT_SECONDS)
+
+    async def _keep_watch(self) -> None:
+        while True:
+            await trio.sleep(HEARTBEAT_SECONDS)
+            now = read_monotonic()
+            against = self.table.find_majority_against(now)
+            differing = self.table.list_differing(now)
+            if differing:
+                self._say('The digests differ.', peers=differing)
+            if against and not self._journal.replica.halted:
+                names = ', '.join(against)
+                self._journal.halt(f'the digests of {names} differ')
+
+    async def _start_without_log(self) -> None:
+        with trio.move_on_after(LOG_PATIENCE_SECONDS):
+            await self._journal.wait_until_read()
+        while not self._journal.replica.caught_up:
+            states = await self._ask_all()
+            if states:
+                self._adopt(states)
+            else:
+                await trio.sleep(RETRY_SECONDS)
+
+    async def _ask_all(self) -> list[State]:
+        states: list[State] = []
+        async with trio.open_nursery() as nursery:
+            for address in self._settings.peers:
+                nursery.start_soon(self._ask, address, states)
+        return states
+
+    async def _ask(self, address: str, states: list[State]) -> None:
+        try:
+            with trio.fail_after(SNAPSHOT_TIMEOUT_SECONDS):
+                async with _connect(address) as connection:
+                    states.append(await _fetch_state(connection))
+        except _FAILED as error:
+            self._say('A peer sent no state.', peer=address, error=repr(error))
+
+    def _adopt(self, states: list[State]) -> None:
+        latest = max(states, key=_find_offset)
+        if self._journal.adopt(latest):
+            self._say('The state of a peer is shown.', offset=latest.offset)
+
+
+def _find_offset(state: State) -> int:
+    return state.offset
+
+
+def _connect(address: str) -> connect:
+    return connect(
+        f'ws://{address}',
+        compression=None,
+        proxy=None,
+        user_agent_header=None,
+        open_timeout=OPEN_SECONDS,
+        ping_interval=PING_SECONDS,
+        ping_timeout=PING_SECONDS,
+        max_size=MAX_MESSAGE_BYTES,
+    )
+
+
+async def _fetch_state(connection: ClientConnection) -> State:
+    await connection.send(peer.encode_message(peer.SnapshotAsked()))
+    bodies: list[bytes] = []
+    while len(bodies) < MAX_SNAPSHOT_PARTS:
+        message = peer.decode_message(await connection.recv())
+        if isinstance(message, peer.SnapshotEnd):
+            return peer.receive_state(bodies, message)
+        if isinstance(message, peer.SnapshotPart):
+            bodies.append(message.body)
+    raise JournalError('the snapshot of the peer does not end')
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -17,6 +17,7 @@
 from tarragonlb.daemon.dispatch import Dispatcher
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.peers import PeerTask
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.watch import FleetWatch
@@ -36,6 +37,7 @@
     __slots__ = (
         '_application',
         '_journal',
+        '_peers',
         '_planner',
         '_pools',
         '_say',
@@ -51,6 +53,7 @@
         fleet = RemoteFleet(client)
         scribe = Scribe(settings.name, uuid.uuid4().hex)
         self._journal = Journal(RemoteLog(client), scribe)
+        self._peers = PeerTask(settings, self._journal)
         self._watch = FleetWatch(fleet)
         self._planner = PlannerTask(
             self._journal, self._watch, fleet, scribe, settings.name
@@ -82,14 +85,15 @@
             nursery.cancel_scope.cancel()
         self._say('The daemon has stopped.', name=self._settings.name)
 
-    def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
-        return (
+    def _list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
+        return [
             self._journal.run,
+            self._peers.run,
             self._watch.run,
             self._planner.run,
             self._pools.run,
             self._announce_ready,
-        )
+        ]
 
     async def _announce_ready(self) -> None:
         await self._journal.wait_until_read()
--- /dev/null
+++ b/libs/journal/features/steps/peer_steps.py
@@ -0,0 +1,115 @@
+"""Steps for what peers tell each other."""
+
+import cbor2
+import hypothesis
+from behave import given, then
+from hypothesis import strategies
+
+from tarragonlb.journal import peer
+from tarragonlb.journal.replica import Replica
+from tarragonlb.model.errors import JournalError
+
+SETTINGS = hypothesis.settings(
+    max_examples=300, derandomize=True, deadline=None, database=None
+)
+
+
+def make_beat(member, digest=b'same'):
+    return peer.Heartbeat(
+        member=member, incarnation='1', offset=7, digest=digest
+    )
+
+
+@given(
+    '{count:d} peers, of which {odd:d} has another digest at the same offset'
+)
+def tell_each_other(context, count, odd):
+    digests = [b'other' if index < odd else b'same' for index in range(count)]
+    context.tables = []
+    for own_index, own in enumerate(digests):
+        table = peer.PeerTable()
+        for index, digest in enumerate(digests):
+            if index != own_index:
+                table.hear(make_beat(f'peer-{index}', digest), own, 0)
+        context.tables.append(table)
+
+
+@then('{count:d} of them finds a majority against it')
+@then('{count:d} of them find a majority against them')
+def check_majority(context, count):
+    against = [table.find_majority_against(1) for table in context.tables]
+    assert sum(map(bool, against)) == count, against
+    assert all(table.list_differing(1) for table in context.tables)
+
+
+@given('a peer at an offset that is not remembered')
+def hear_unknown(context):
+    context.peers = peer.PeerTable()
+    context.peers.hear(make_beat('b'), None, 0)
+
+
+@then('it is live and does not differ')
+def check_not_compared(context):
+    assert context.peers.list_live(1) == ['b']
+    assert context.peers.list_differing(1) == []
+
+
+@given('a peer that was heard 15 seconds ago')
+def hear_long_ago(context):
+    context.peers = peer.PeerTable()
+    context.peers.hear(make_beat('b'), b'other', 0)
+
+
+@then('it is not live')
+def check_silent(context):
+    assert context.peers.list_live(14.9) == ['b']
+    assert context.peers.list_live(15) == []
+    assert context.peers.list_differing(15) == []
+
+
+@then('any bytes are a message or a clear error')
+def check_bytes(context):
+    trees = strategies.recursive(
+        strategies.none()
+        | strategies.integers()
+        | strategies.binary()
+        | strategies.sampled_from(('heartbeat', 'ask', 'part', 'end')),
+        lambda children: strategies.lists(children, max_size=5),
+    )
+    blobs = strategies.binary() | trees.map(cbor2.dumps)
+
+    @SETTINGS
+    @hypothesis.given(blobs)
+    def check(blob):
+        try:
+            message = peer.decode_message(blob)
+        except JournalError:
+            return
+        assert peer.decode_message(peer.encode_message(message)) == message
+
+    check()
+
+
+@then('a state whose bytes were changed on the way is refused')
+def check_changed(context):
+    replica = Replica()
+    replica.state.keys['team', 'key'] = 'job'
+    *parts, end = peer.send_state(replica)
+    bodies = [part.body for part in parts]
+    whole = peer.receive_state(bodies, end)
+    assert whole.keys == replica.state.keys
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.integers(0, len(bodies[0]) - 1), strategies.integers(1, 255)
+    )
+    def check(place, change):
+        body = bytearray(bodies[0])
+        body[place] ^= change
+        try:
+            state = peer.receive_state([bytes(body)], end)
+        except JournalError:
+            return
+        assert state.keys == replica.state.keys
+
+    check()
--- a/libs/journal/tarragonlb/journal/replica.py
+++ b/libs/journal/tarragonlb/journal/replica.py
@@ -24,6 +24,8 @@
 from tarragonlb.model.record import Record
 from tarragonlb.model.snapshot import SnapshotClosed, SnapshotOpened
 
+DIGEST_WINDOW_RECORDS = 1024
+
 
 class Replica:
     """Owns the state of one process.
@@ -36,6 +38,7 @@
     """
 
     __slots__ = (
+        '_digests',
         '_search',
         'caught_up',
         'cut',
@@ -54,6 +57,7 @@
         self.caught_up = False
         self.cut: Cut | None = None
         self._search: SnapshotSearch | None = None
+        self._digests: dict[int, bytes] = {}
 
     @property
     def read_after(self) -> int:
@@ -104,6 +108,28 @@
         """Search for a snapshot, as the next records are no longer kept."""
         self._search = SnapshotSearch(oldest)
 
+    def halt(self, reason: str) -> None:
+        """Stop for good; the first reason stays."""
+        self.halted = self.halted or reason
+
+    def find_digest(self, offset: int) -> bytes | None:
+        """Return the digest at an offset, None if it is not remembered."""
+        if offset == self.state.offset:
+            return self.state.digest
+        return self._digests.get(offset)
+
+    def adopt_from_peer(self, state: State) -> list[Pending]:
+        """Show the state of a peer, as the log can't be read.
+
+        The state is left as it is if it is later than that of the peer, or if
+        the end of the log was reached meanwhile.
+        """
+        if self.caught_up or state.offset < self.state.offset:
+            return []
+        settled = self.adopt(state)
+        self.caught_up = True
+        return settled
+
     def adopt(self, state: State) -> list[Pending]:
         """Go on from a later state; return what can no longer be settled."""
         self.state.adopt(state)
@@ -127,6 +153,7 @@
             outcome = apply_blob(
                 self.state, entry.offset, entry.blob, self.version
             )
+            self._remember_digest()
             self._follow_snapshot(outcome)
             self._check_level()
         except (JournalError, InvariantError) as error:
@@ -134,6 +161,11 @@
             return None
         return self.outbox.settle(outcome)
 
+    def _remember_digest(self) -> None:
+        offset = self.state.offset
+        self._digests[offset] = self.state.digest
+        self._digests.pop(offset - DIGEST_WINDOW_RECORDS, None)
+
     def _check_level(self) -> None:
         level = self.state.stream.level
         if level > self.version.level:
