--- /dev/null
+++ b/bench/journal_delay.py
@@ -0,0 +1,143 @@
+"""How long a change takes until it is in force on every daemon.
+
+The daemons run in one process over a log in memory, on a clock that jumps: the
+delay is what waiting, batching and distance cost.  Processor time is counted
+beside it.
+"""
+
+import itertools
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from trio import open_nursery, run, sleep, testing
+
+from tarragonlb.daemon.clock import read_monotonic
+from tarragonlb.daemon.journal import Journal
+from tarragonlb.journal.log import Log, LogEntry
+from tarragonlb.model.record import SettingPublished
+from tarragonlb.model.scribe import Scribe
+from tarragonlb.standin.logstore import LogStore
+
+SECONDS_A_DAY = 86_400
+CHANGES_A_DAY = (27_000, 2_700_000)
+DAEMONS = 8
+CHANGES = 1_000
+ONE_WAY_SECONDS = 0.003
+RETENTION = 1_000_000
+MILLISECONDS = 1_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DelayFigure:
+    """Milliseconds from the request to the last daemon that has the change."""
+
+    changes_a_day: int
+    daemons: int
+    median_milliseconds: float
+    p99_milliseconds: float
+    longest_milliseconds: float
+    records: int
+    bytes_read_a_change: float
+    processor_milliseconds_a_change: float
+
+
+class NearLog(Log):
+    """A log in memory, some distance away."""
+
+    __slots__ = ('_store', 'bytes_read')
+
+    def __init__(self, store: LogStore) -> None:
+        """Use a store that others use, too."""
+        self._store = store
+        self.bytes_read = 0
+
+    async def append(self, blobs: Sequence[bytes]) -> None:
+        """Append records."""
+        await sleep(ONE_WAY_SECONDS)
+        self._store.append(blobs)
+        await sleep(ONE_WAY_SECONDS)
+
+    async def read(self, after: int, wait_seconds: float) -> list[LogEntry]:
+        """Return the records behind an offset."""
+        await sleep(ONE_WAY_SECONDS)
+        rows = await self._store.read(after, wait_seconds)
+        await sleep(ONE_WAY_SECONDS)
+        self.bytes_read += sum(len(blob) for _, blob in rows)
+        return [LogEntry(offset, blob) for offset, blob in rows]
+
+
+class Trial:
+    """Some daemons, and when each change was asked for and in force."""
+
+    def __init__(self, interval_seconds: float) -> None:
+        """Make a change every so many seconds."""
+        self.store = LogStore(RETENTION)
+        self.logs = [NearLog(self.store) for _ in range(DAEMONS)]
+        self.journals = [
+            Journal(log, Scribe(f'entry-{index}', 'bench'))
+            for index, log in enumerate(self.logs)
+        ]
+        self.interval_seconds = interval_seconds
+        self.asked: list[float] = []
+        self.delays: list[float] = []
+
+    async def run(self) -> None:
+        """Make all changes and note each one's delay on each daemon."""
+        async with open_nursery() as nursery:
+            for journal in self.journals:
+                nursery.start_soon(journal.run)
+                await journal.wait_until_read()
+            async with open_nursery() as changes:
+                for journal in self.journals:
+                    changes.start_soon(self._watch, journal)
+                for index in range(CHANGES):
+                    changes.start_soon(self._change, index)
+                    await sleep(self.interval_seconds)
+            nursery.cancel_scope.cancel()
+
+    async def _change(self, index: int) -> None:
+        journal = self.journals[index % DAEMONS]
+        self.asked.append(read_monotonic())
+        record = SettingPublished(
+            head=journal.sign(),
+            path=f'/teams/team-{index}',
+            text='quota:\n  cores: 100\n',
+            source='bench.yaml',
+            expected_version=0,
+        )
+        await journal.commit(record)
+
+    async def _watch(self, journal: Journal) -> None:
+        count = 0
+        while count < CHANGES:
+            await journal.wait_for_change()
+            now = read_monotonic()
+            latest = reversed(journal.state.settings)
+            added = len(journal.state.settings) - count
+            for path in itertools.islice(latest, added):
+                index = int(path.rpartition('-')[2])
+                self.delays.append(now - self.asked[index])
+            count += added
+
+
+def measure_delay(changes_a_day: int) -> DelayFigure:
+    """Make changes at an even rate and return their delays."""
+    trial = Trial(SECONDS_A_DAY / changes_a_day)
+    started = time.process_time()
+    run(trial.run, clock=testing.MockClock(autojump_threshold=0))
+    seconds = time.process_time() - started
+    percentiles = statistics.quantiles(trial.delays, n=100)
+    return DelayFigure(
+        changes_a_day=changes_a_day,
+        daemons=DAEMONS,
+        median_milliseconds=percentiles[49] * MILLISECONDS,
+        p99_milliseconds=percentiles[98] * MILLISECONDS,
+        longest_milliseconds=max(trial.delays) * MILLISECONDS,
+        records=trial.store.end,
+        bytes_read_a_change=trial.logs[0].bytes_read / CHANGES,
+        processor_milliseconds_a_change=(
+            seconds / CHANGES / DAEMONS * MILLISECONDS
+        ),
+    )
