--- a/bench/run.py
+++ b/bench/run.py
@@ -1,26 +1,24 @@
 """Runs all benchmarks and prints their figures as JSON lines."""
 
 import json
-import sys
 from collections.abc import Iterator
 from dataclasses import asdict
-from pathlib import Path
 from typing import Any
 
-sys.path.insert(0, str(Path(__file__).parent))
-
-from burn_cost import SIZES as BURN_SIZES  # noqa: E402
-from burn_cost import measure_burn  # noqa: E402
-from capacity_planner import measure_planner  # noqa: E402
-from claim_cost import measure_claims  # noqa: E402
-from daemon_cost import measure_daemons  # noqa: E402
-from fold_speed import SIZES, measure_fold  # noqa: E402
-from journal_snapshot import (  # noqa: E402
+from burn_cost import SIZES as BURN_SIZES
+from burn_cost import measure_burn
+from capacity_planner import measure_planner
+from claim_cost import measure_claims
+from daemon_cost import measure_daemons
+from fold_speed import SIZES, measure_fold
+from journal_delay import CHANGES_A_DAY, measure_delay
+from journal_peers import PEER_SIZES, measure_peers
+from journal_snapshot import (
     SNAPSHOT_SIZES,
     measure_snapshot,
 )
-from request_overhead import measure_overhead  # noqa: E402
-from request_overload import (  # noqa: E402
+from request_overhead import measure_overhead
+from request_overload import (
     OVERLOADS,
     POLICIES,
     RUNNER_KINDS,
@@ -35,6 +33,10 @@
         yield 'planner', measure_planner(size)
     for size in SNAPSHOT_SIZES:
         yield 'snapshot', measure_snapshot(size)
+    for peers in PEER_SIZES:
+        yield 'peers', measure_peers(peers)
+    for rate in CHANGES_A_DAY:
+        yield 'delay', measure_delay(rate)
     for services in BURN_SIZES:
         yield 'burn', measure_burn(services)
     for size in SIZES:
--- a/libs/daemon/tarragonlb/daemon/keydesk.py
+++ b/libs/daemon/tarragonlb/daemon/keydesk.py
@@ -20,7 +20,7 @@
 class KeyDesk:
     """Issues keys, and asks whoever issued a key about it."""
 
-    __slots__ = ('_links', '_name', '_server', 'ledger')
+    __slots__ = ('_links', '_name', 'answer', 'ledger')
 
     def __init__(self, settings: DaemonSettings) -> None:
         """Issue under the peer address of the settings."""
@@ -28,15 +28,14 @@
         self.ledger = KeyLedger(
             self._name, uuid.uuid4().hex, secrets.token_bytes(SECRET_BYTES)
         )
-        self._server = KeyServer(settings.peer_listen, self.ledger)
+        self.answer = KeyServer(self.ledger).answer
         self._links = {
             name_issuer(address): KeyLink(address) for address in settings.peers
         }
 
     async def run(self) -> None:
-        """Answer others and keep links to them until cancelled."""
+        """Keep links to all other issuers until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._server.run)
             for link in self._links.values():
                 nursery.start_soon(link.run)
 
--- a/libs/daemon/tarragonlb/daemon/keylink.py
+++ b/libs/daemon/tarragonlb/daemon/keylink.py
@@ -13,7 +13,7 @@
 import trio
 from websockets.exceptions import WebSocketException
 from websockets.trio.client import ClientConnection, connect
-from websockets.trio.server import ServerConnection, serve
+from websockets.trio.server import ServerConnection
 
 from tarragonlb.routing.ledger import Grant, KeyLedger, read_key
 from tarragonlb.telemetry.log import Log
@@ -62,27 +62,15 @@
 class KeyServer:
     """Answers the questions of other entry VMs about this one's keys."""
 
-    __slots__ = ('_ledger', '_listen', '_say')
+    __slots__ = ('_ledger', '_say')
 
-    def __init__(self, listen: str, ledger: KeyLedger) -> None:
-        """Answer on ``listen``, an ``ip:port``, from a ledger."""
-        self._listen = listen
+    def __init__(self, ledger: KeyLedger) -> None:
+        """Answer from a ledger."""
         self._ledger = ledger
         self._say = Log('keys').say
 
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        host, _, port = self._listen.partition(':')
-        await serve(
-            self._answer_all,
-            int(port),
-            host=host,
-            compression=None,
-            max_size=MAX_MESSAGE_BYTES,
-            ping_interval=PING_SECONDS,
-        )
-
-    async def _answer_all(self, connection: ServerConnection) -> None:
+    async def answer(self, connection: ServerConnection) -> None:
+        """Answer all questions of one connection."""
         try:
             async for message in connection:
                 question = msgspec.convert(read_message(message), KeyQuestion)
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -17,13 +17,14 @@
 from tarragonlb.daemon.keydesk import KeyDesk
 from tarragonlb.daemon.measurement import Measurement
 from tarragonlb.daemon.pause import PauseGuard
+from tarragonlb.daemon.peers import PeerTask
+from tarragonlb.daemon.peerserver import PeerServer
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.server import serve_http
 from tarragonlb.daemon.watch import FleetWatch
 from tarragonlb.model.scribe import Scribe
-from tarragonlb.platform.client import PlatformClient
-from tarragonlb.platform.remote import RemoteFleet, RemoteLog
+from tarragonlb.platform.remote import RemotePlatform
 from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
 
@@ -39,6 +40,8 @@
         '_guard',
         '_journal',
         '_measurement',
+        '_peer_server',
+        '_peers',
         '_planner',
         '_pools',
         '_say',
@@ -51,19 +54,27 @@
         """Put the parts together; nothing runs yet."""
         self._settings = settings
         self._say = Log('process').say
-        client = PlatformClient(settings.platform)
-        fleet = RemoteFleet(client)
+        platform = RemotePlatform(settings.platform)
         scribe = Scribe(settings.name, uuid.uuid4().hex)
-        self._journal = Journal(RemoteLog(client), scribe)
-        self._watch = FleetWatch(fleet)
+        self._journal = Journal(platform.log, scribe)
+        self._peers = PeerTask(settings, self._journal)
+        self._watch = FleetWatch(platform.fleet)
         self._planner = PlannerTask(
-            self._journal, self._watch, fleet, scribe, settings.name
+            self._journal,
+            self._watch,
+            platform.fleet,
+            scribe,
+            settings.name,
         )
         dispatcher = Dispatcher(settings.zone, random.Random())
         self._pools = PoolTask(self._journal, self._watch, dispatcher)
         self._guard = PauseGuard(self._watch, self._pools.update)
         access = AccessTable(settings, self._journal.state)
         self._desk = KeyDesk(settings)
+        self._peer_server = PeerServer(
+            settings.peer_listen,
+            {'/state': self._peers.answer, '/keys': self._desk.answer},
+        )
         self._claims = Claims(settings.name, self._journal, self._desk)
         gateway = Gateway(access, self._journal, dispatcher, self._claims)
         self._measurement = Measurement(settings, access, self._journal)
@@ -76,7 +87,7 @@
                 self._journal,
                 self._watch,
                 self._desk,
-                client.traffic,
+                platform.traffic,
             ),
             self._guard,
         )
@@ -102,6 +113,8 @@
         parts = (
             self._guard,
             self._journal,
+            self._peer_server,
+            self._peers,
             self._watch,
             self._planner,
             self._pools,
--- a/libs/platform/tarragonlb/platform/remote.py
+++ b/libs/platform/tarragonlb/platform/remote.py
@@ -72,3 +72,16 @@
         """Stop a task on a worker."""
         order = {'vm_id': vm_id, 'boot': boot, 'task_id': task_id}
         await self._client.call('/fleet/stop_task', order)
+
+
+class RemotePlatform:
+    """The platform behind one address: its log, its fleet, the traffic."""
+
+    __slots__ = ('fleet', 'log', 'traffic')
+
+    def __init__(self, address: str) -> None:
+        """Prepare calls to ``address``, an ``ip:port``."""
+        client = PlatformClient(address)
+        self.log = RemoteLog(client)
+        self.fleet = RemoteFleet(client)
+        self.traffic = client.traffic
