Choose buffers and VMs away at once by the least weighted sum

Cause: nothing showed what a roll-out over all pools costs in the three measures. A pool needs its peak, its largest rack if asked, and the VMs away; what it lacks is borrowed from the spare pools. choose_plan finds the least weighted sum exactly, as pools are joined only by the number of spares; pool plan says it in words with the settings.

--- a/bench/run.py
+++ b/bench/run.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from capacity_planner import measure_planner  # noqa: E402
+from capacity_spares import measure_spares  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
 
 
@@ -16,6 +17,8 @@
     for size in SIZES:
         print(json.dumps({'fold': asdict(measure_fold(size))}))
         print(json.dumps({'planner': asdict(measure_planner(size))}))
+    for figure in measure_spares():
+        print(json.dumps({'spares': asdict(figure)}))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/libs/capacity/features/steps/spare_steps.py
@@ -0,0 +1,78 @@
+import itertools
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+
+from tarragonlb.capacity.spares import PoolNeed, choose_plan, list_choices
+from tarragonlb.settings.schema import WeightSettings
+
+
+@when('plans are made for any pools, spares and weights')
+def prepare(context):
+    small = strategies.integers(0, 5)
+    need = strategies.builds(
+        PoolNeed,
+        pool=strategies.just('a'),
+        vms=strategies.integers(1, 8),
+        room=strategies.integers(0, 3),
+        peak_vms=strategies.integers(0, 8),
+        largest_rack=strategies.integers(0, 2),
+        return_hours=strategies.just(0.5),
+    )
+    weight = strategies.sampled_from((0.5, 1, 5))
+    weights = strategies.builds(
+        WeightSettings,
+        buffer_cost=weight,
+        rollout_time=weight,
+        vm_moves=weight,
+    )
+    context.inputs = (strategies.lists(need, max_size=3), small, weights)
+
+
+@then('none of all possible choices weighs less')
+def check_optimum(context):
+    @hypothesis.settings(
+        max_examples=200, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(*context.inputs)
+    def check(needs, spares, weights):
+        plan = choose_plan(needs, spares, weights)
+        assert sum(choice.spares for choice in plan) <= spares
+        options = [list_choices(need, spares) for need in needs]
+        best = min(
+            weigh(combination, weights)
+            for combination in itertools.product(*options)
+            if sum(choice.spares for choice in combination) <= spares
+        )
+        assert abs(weigh(plan, weights) - best) <= 1e-6 * max(best, 1)
+
+    check()
+
+
+@given('a pool of {vms:d} VMs with a peak of {peak:d} and a spare')
+def start_pool(context, vms, peak):
+    context.need = PoolNeed(
+        pool='a',
+        vms=vms,
+        room=2,
+        peak_vms=peak,
+        largest_rack=0,
+        return_hours=0.5,
+    )
+
+
+@then('1 VM is away and 0 are borrowed if buffer cost weighs {weight:d}')
+def check_slow(context, weight):
+    plan = choose_plan([context.need], 1, WeightSettings(buffer_cost=weight))
+    assert (plan[0].at_once, plan[0].spares) == (1, 0), plan
+
+
+@then('2 VMs are away and 1 is borrowed if roll-out time weighs {weight:d}')
+def check_fast(context, weight):
+    plan = choose_plan([context.need], 1, WeightSettings(rollout_time=weight))
+    assert (plan[0].at_once, plan[0].spares) == (2, 1), plan
+
+
+def weigh(choices, weights):
+    return sum(choice.weigh(weights) for choice in choices)
--- /dev/null
+++ b/libs/capacity/tarragonlb/capacity/poolplan.py
@@ -0,0 +1,113 @@
+"""The plan for all pools, in words for a manager.
+
+It shows what a roll-out over every pool would cost in the three measures, and
+the settings that the choice rests on.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from tarragonlb.capacity.forecast import (
+    SECONDS_AN_HOUR,
+    find_limits,
+    order_vms,
+)
+from tarragonlb.capacity.spares import Choice, PoolNeed, choose_plan
+from tarragonlb.capacity.view import FleetView
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolPlan:
+    """What is best for one pool, and why."""
+
+    pool: str
+    vms: int
+    at_once: int
+    spares: int
+    rollout_hours: float
+    buffer_vm_hours: float
+    vm_moves: int
+    words: str
+    rests_on: tuple[str, ...]
+
+
+def plan_pools(view: FleetView) -> list[PoolPlan]:
+    """Return the best plan for all pools that aren't spare ones."""
+    pools = view.vms.list_pools()
+    working = [pool for pool in pools if not view.find_pool(pool).spare]
+    needs = [find_need(view, pool) for pool in working]
+    choices = choose_plan(needs, count_spares(view), view.fleet.weights)
+    return [
+        _describe(view, need, choice)
+        for need, choice in zip(needs, choices, strict=True)
+    ]
+
+
+def count_spares(view: FleetView) -> int:
+    """Return how many VMs the spare pools can do without."""
+    return sum(
+        max(count_surplus(view, pool), 0)
+        for pool in view.vms.list_pools()
+        if view.find_pool(pool).spare
+    )
+
+
+def count_surplus(view: FleetView, pool: str) -> int:
+    """Return the live VMs of a pool beyond its peak; negative if it lacks."""
+    live = view.vms.count_pool(pool) - view.vms.count_charged(pool)
+    return live - view.find_pool(pool).peak_vms
+
+
+def find_need(view: FleetView, pool: str) -> PoolNeed:
+    """Return what a pool needs during its maintenance."""
+    settings = view.find_pool(pool)
+    vm_ids = order_vms(view, pool)
+    limits = find_limits(view, pool, vm_ids, settings.at_once)
+    racks = Counter(view.vms[vm_id].rack for vm_id in vm_ids)
+    return PoolNeed(
+        pool=pool,
+        vms=len(vm_ids),
+        room=min(limits.values()),
+        peak_vms=settings.peak_vms,
+        largest_rack=max(racks.values(), default=0) * settings.survive_rack,
+        return_hours=settings.return_seconds / SECONDS_AN_HOUR,
+    )
+
+
+def _describe(view: FleetView, need: PoolNeed, choice: Choice) -> PoolPlan:
+    path = f'/pools/{need.pool}'
+    return PoolPlan(
+        pool=need.pool,
+        vms=need.vms,
+        at_once=choice.at_once,
+        spares=choice.spares,
+        rollout_hours=choice.rollout_hours,
+        buffer_vm_hours=choice.buffer_vm_hours,
+        vm_moves=choice.vm_moves,
+        words=_say(need, choice),
+        rests_on=(
+            '/fleet weights',
+            f'{path} peak_vms',
+            f'{path} survive_rack',
+            f'{path} at_once',
+        ),
+    )
+
+
+def _say(need: PoolNeed, choice: Choice) -> str:
+    if not choice.at_once:
+        return (
+            f'Pool {need.pool} can not be maintained without missing its peak '
+            f'of {need.peak_vms} VMs: there are too few spares, or a budget '
+            'allows no VM to be away.'
+        )
+    borrowed = 'No VM is borrowed.'
+    if choice.spares:
+        borrowed = (
+            f'{choice.spares} VMs are borrowed from the spare pools for that '
+            'time and given back.'
+        )
+    return (
+        f'Pool {need.pool} is maintained {choice.at_once} VMs at a time, in '
+        f'about {choice.rollout_hours:.1f} hours. {borrowed}'
+    )
--- a/libs/cli/tarragonlb/cli/command.py
+++ b/libs/cli/tarragonlb/cli/command.py
@@ -38,6 +38,12 @@
     session.get('/v1/pools')
 
 
+@pool_application.command(name='plan')
+def plan_pools(*, session: Session = DEFAULT_SESSION) -> None:
+    """Show what maintaining every pool would cost at best."""
+    session.get('/v1/pools/plan')
+
+
 @vm_application.command(name='list')
 def list_vms(*, session: Session = DEFAULT_SESSION) -> None:
     """List VMs with their pools and charges."""
--- a/libs/daemon/tarragonlb/daemon/apifleet.py
+++ b/libs/daemon/tarragonlb/daemon/apifleet.py
@@ -16,6 +16,7 @@
     order_vms,
     price_wave,
 )
+from tarragonlb.capacity.poolplan import plan_pools
 from tarragonlb.daemon.apibase import (
     ApiPart,
     answer_json,
@@ -94,6 +95,7 @@
             Route('/v1/vms', self.list_vms),
             Route('/v1/pools', self.list_pools),
             Route('/v1/waves', self.plan_wave, methods=['POST']),
+            Route('/v1/pools/plan', self.plan_pools),
             Route('/v1/waves/plan', self.price_wave, methods=['POST']),
             Route('/v1/waves', self.list_waves, methods=['GET']),
             Route('/v1/waves/{wave_id}', self.show_wave, methods=['GET']),
@@ -136,6 +138,12 @@
         ]
         return answer_json(pools)
 
+    async def plan_pools(self, request: Request) -> Response:
+        """Answer with the best plan for all pools and what it costs."""
+        self.identify(request).require_operator()
+        view = make_view(self.journal.state, self.watch)
+        return answer_json(plan_pools(view))
+
     async def price_wave(self, request: Request) -> Response:
         """Answer with what a wave would cost, without starting it."""
         self.identify(request).require_operator()
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -67,6 +67,8 @@
 
     ``return_seconds`` is how long a VM is expected to be away in a wave, and
     ``wave_hours`` is within how many hours a wave is promised to end.
+    ``peak_vms`` is how many VMs the pool's demand needs at its peak, and
+    ``survive_rack`` asks for as many more as its largest rack holds.
     """
 
     at_once: Annotated[int, Meta(ge=1)] = 1
@@ -75,6 +77,8 @@
     drain_limit_seconds: Positive = 600
     return_seconds: Positive = 300
     wave_hours: Positive = 24
+    peak_vms: Count = 0
+    survive_rack: bool = False
     spare: bool = False
 
 
