Count returns among the records that an adoption has to rest on

A planner whose fold was behind took the VM for charged; it had been released and was gone since. It adopted the VM in its place before the new charge, so nothing stood in for it. A release now moves the pool's mark as well.

--- a/libs/journal/tarragonlb/journal/poolfold.py
+++ b/libs/journal/tarragonlb/journal/poolfold.py
@@ -73,7 +73,8 @@
 
     A VM stands in for a gone one if it was adopted after the charge of that
     one.  So an adoption has to rest on the latest list that the pool's
-    records rest on, or on a later one and on all of those records.
+    records rest on, or on a later one and on all of those records: else its
+    writer may take a VM for charged that was released and is gone since.
     """
     mark = state.marks.get(entry.pool)
     if mark is None or entry.reading == mark.reading:
--- a/libs/journal/tarragonlb/journal/vmfold.py
+++ b/libs/journal/tarragonlb/journal/vmfold.py
@@ -79,6 +79,7 @@
     refusal = _refuse_release(vm.charge, entry)
     if refusal:
         return refusal
+    note_reading(state, vm.pool, entry.reading, offset)
     if entry.maintained:
         _note_maintained(state, vm.charge.wave_id, vm.vm_id)
     state.vms[vm.vm_id] = replace(
--- a/libs/model/tarragonlb/model/entry.py
+++ b/libs/model/tarragonlb/model/entry.py
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PoolMark:
-    """The latest list that an adoption or failure in a pool rested on."""
+    """The latest list that adoptions, failures and returns rested on."""
 
     reading: int
     offset: int
