Move VMs between spare pools and those that lack some

Cause: a pool that lacked VMs for its peak, wave or largest rack got none. A move is a charge with a target pool; drain, move and return are those of waves; VmMoved changes the pool and ends the charge at one offset, on evidence. Two periods of the settings keep bursts from sending VMs back and forth.

The stand-in moved a VM that wasn't drained before it refused to; mended. The harness took a fleet for settled before its VMs were adopted; it now asks that all are.

--- a/libs/capacity/features/fakeplatform.py
+++ b/libs/capacity/features/fakeplatform.py
@@ -50,6 +50,8 @@
             self.drain(step)
         elif isinstance(step, action.RebootVm):
             self.reboot(step)
+        elif isinstance(step, action.MoveVm):
+            self.move(step)
         elif isinstance(step, action.StartTask):
             self.start_task(step)
         elif isinstance(step, action.StopTask):
@@ -75,6 +77,11 @@
         ensure(not self.list_running(vm.vm_id), 'a reboot cuts no job', vm)
         self.put_vm(replace(vm, phase=VmPhase.REBOOTING, boot=vm.boot + 1))
 
+    def move(self, step):
+        vm = self.find(step)
+        self.reboot(step)
+        self.put_vm(replace(self.vms[vm.vm_id], pool=step.pool))
+
     def start_task(self, step):
         vm = self.find(step)
         self.leases[step.task_id] = self.now + LEASE_TICKS
--- a/libs/capacity/features/machine.py
+++ b/libs/capacity/features/machine.py
@@ -34,6 +34,7 @@
     @initialize(budget=strategies.integers(0, 2), known=strategies.booleans())
     def start(self, budget, known):
         self.world = World(budget)
+        self.world.publish_fleet()
         self.world.take_term(self.world.daemons[0])
         if not known:
             return
@@ -120,6 +121,11 @@
     def steer_wave(self, status):
         self.world.steer_waves(status)
 
+    @rule(peak=strategies.integers(0, 6), spare=strategies.booleans())
+    def publish_peak(self, peak, spare):
+        self.world.publish_pool('a', f'peak_vms: {peak}')
+        self.world.publish_pool('b', f'spare: {str(spare).lower()}')
+
     @rule(budget=strategies.integers(0, 3))
     def publish(self, budget):
         self.world.publish(budget)
--- /dev/null
+++ b/libs/capacity/features/moves.feature
@@ -0,0 +1,35 @@
+Feature: Moves between pools
+
+  Background:
+    Given a pool of 4 VMs on 2 racks with a budget of 3
+    And pool "b" is set to "spare: true"
+
+  Scenario: A pool that lacks a VM for long is given one
+    Given pool "a" is set to "peak_vms: 5"
+    When the planner runs for 80 rounds
+    Then pool "a" has 5 VMs and pool "b" has 3
+
+  Scenario: A burst moves nothing
+    Given pool "a" is set to "peak_vms: 5"
+    When the planner runs for 50 rounds
+    And pool "a" is set to "peak_vms: 4"
+    And the planner runs for 60 rounds
+    Then pool "a" has 4 VMs and pool "b" has 4
+    And 0 moves were begun
+
+  Scenario: A borrowed VM goes home when it is not needed any more
+    Given pool "a" is set to "peak_vms: 5"
+    When the planner runs for 80 rounds
+    And pool "a" is set to "peak_vms: 4"
+    And the planner runs for 500 rounds
+    Then pool "a" has 5 VMs and pool "b" has 3
+    When the planner runs for 150 rounds
+    Then pool "a" has 4 VMs and pool "b" has 4
+    And 2 moves were begun
+
+  Scenario: A move waits for the jobs of its VM
+    Given jobs fill pool "b"
+    And pool "a" is set to "peak_vms: 5"
+    When the planner runs for 100 rounds
+    Then pool "a" has 4 VMs and pool "b" has 4
+    And no job was cut
--- a/libs/capacity/features/world.py
+++ b/libs/capacity/features/world.py
@@ -90,7 +90,9 @@
         self.daemons = [Daemon(f'planner-{index}') for index in range(2)]
         self.outbox = []
         self.cancelled = set()
+        self.replaced = set()
         self.jobs = 0
+        self.moves = 0
         self.serial = 0
         self.publish(budget)
         for index in range(POOL_VMS * len(POOLS)):
@@ -107,6 +109,7 @@
         if outcome.accepted and charged is not None:
             pool = self.truth.vms[record.vm_id].pool
             limits = self.list_limits(pool)
+            self.moves += record.reason is ChargeReason.MOVE
             ensure(charged < min(limits), 'budget', pool, charged, limits)
         return outcome
 
@@ -151,6 +154,28 @@
         )
         ensure(self.append(record).accepted, 'published', record)
 
+    def publish_fleet(self):
+        """Let moves follow quickly on each other."""
+        record = SettingPublished(
+            head=self.sign(),
+            path='/fleet',
+            text='move_after_seconds: 2\nreturn_after_seconds: 4\n',
+            source='world',
+            expected_version=0,
+        )
+        ensure(self.append(record).accepted, 'published', record)
+
+    def publish_pool(self, pool, text):
+        entry = self.truth.settings.get(f'/pools/{pool}')
+        record = SettingPublished(
+            head=self.sign(),
+            path=f'/pools/{pool}',
+            text=text,
+            source='world',
+            expected_version=entry.version if entry else 0,
+        )
+        ensure(self.append(record).accepted, 'published', record)
+
     def add_vm(self, pool, rack):
         self.serial += 1
         self.platform.add_vm(f'vm-{self.serial}', pool, rack)
@@ -273,14 +298,10 @@
                 self.platform.crash(vm.vm_id, VmPhase.REBOOTING)
 
     def replace_gone(self):
-        for pool in POOLS:
-            alive = [
-                vm
-                for vm in self.platform.vms.values()
-                if vm.pool == pool and vm.phase is not VmPhase.GONE
-            ]
-            for _ in range(POOL_VMS - len(alive)):
-                self.add_vm(pool, 'rack-9')
+        for vm in list(self.platform.vms.values()):
+            if vm.phase is VmPhase.GONE and vm.vm_id not in self.replaced:
+                self.replaced.add(vm.vm_id)
+                self.add_vm(vm.pool, 'rack-9')
 
     def check(self):
         for number in range(1, self.jobs + 1):
@@ -314,9 +335,18 @@
             self.platform.pass_time(1)
             self.check()
             if self.is_settled():
+                self.check_pools()
                 return
         ensure(False, 'everything comes to an end', *self.list_open())
 
+    def check_pools(self):
+        """Once all is quiet, platform and fold agree on every pool."""
+        for vm in self.platform.vms.values():
+            entry = self.truth.vms.get(vm.vm_id)
+            if vm.phase is not VmPhase.GONE:
+                same = entry is not None and entry.pool == vm.pool
+                ensure(same, 'a VM has the pool that is listed', vm, entry)
+
     def list_open(self):
         jobs = [job for job in self.truth.jobs.values() if job.phase in OPEN]
         vms = [vm for vm in self.truth.vms.values() if vm.charge]
@@ -328,4 +358,9 @@
         return [*jobs, *vms, *waves]
 
     def is_settled(self):
-        return not self.list_open()
+        alive = {
+            vm.vm_id
+            for vm in self.platform.vms.values()
+            if vm.phase is not VmPhase.GONE
+        }
+        return not self.list_open() and alive <= set(self.truth.vms)
--- a/libs/capacity/tarragonlb/capacity/action.py
+++ b/libs/capacity/tarragonlb/capacity/action.py
@@ -29,6 +29,15 @@
     boot: int
 
 
+@dataclass(frozen=True, slots=True)
+class MoveVm:
+    """Put a VM that is charged and drained into another pool."""
+
+    vm_id: str
+    boot: int
+    pool: str
+
+
 @dataclass(frozen=True, slots=True)
 class StartTask:
     """Start a recorded attempt of a job, or renew its lease in seconds."""
@@ -49,4 +58,4 @@
     task_id: str
 
 
-Action: TypeAlias = Commit | DrainVm | RebootVm | StartTask | StopTask
+Action: TypeAlias = Commit | DrainVm | MoveVm | RebootVm | StartTask | StopTask
--- a/libs/capacity/tarragonlb/capacity/adoption.py
+++ b/libs/capacity/tarragonlb/capacity/adoption.py
@@ -110,7 +110,9 @@
     """Return the record that puts another VM in the place of a gone one."""
     vms = turn.view.vms
     since = entry.charge.offset if entry.charge else 0
-    for vm_id in vms.list_pool(entry.pool):
+    target = entry.charge.target if entry.charge else ''
+    candidates = (*vms.list_pool(entry.pool), *vms.list_pool(target))
+    for vm_id in candidates:
         other = vms[vm_id]
         if other.offset > since and not other.replaces:
             retired = VmRetired(
--- a/libs/capacity/tarragonlb/capacity/away.py
+++ b/libs/capacity/tarragonlb/capacity/away.py
@@ -1,4 +1,4 @@
-"""VMs that a wave has taken: drained, rebooted and brought back.
+"""VMs that a wave or a move has taken: drained, restarted, brought back.
 
 Which step is next follows from the fold and the latest reading alone, so any
 planner can go on where another one stopped.  A VM that was taken comes back
@@ -6,11 +6,18 @@
 still reboots it.
 """
 
-from tarragonlb.capacity.action import Action, Commit, DrainVm, RebootVm
+from tarragonlb.capacity.action import (
+    Action,
+    Commit,
+    DrainVm,
+    MoveVm,
+    RebootVm,
+)
 from tarragonlb.capacity.view import Round
 from tarragonlb.model.entry import Charge, VmEntry, WaveEntry
 from tarragonlb.model.fleet import VmPhase, VmReading
-from tarragonlb.model.ownership import ChargeReason, VmReleased
+from tarragonlb.model.ownership import ChargeReason, VmMoved, VmReleased
+from tarragonlb.model.record import Record
 from tarragonlb.model.wave import VmPassedOver, WaveStatus
 
 OPEN_STATUSES = frozenset((WaveStatus.RUNNING, WaveStatus.PAUSED))
@@ -38,7 +45,7 @@
 
 
 def return_vms(turn: Round, clock: DrainClock) -> list[Action]:
-    """Return the next step of every VM that a wave has taken."""
+    """Return the next step of every VM that a wave or move has taken."""
     vms = turn.view.vms
     away = [
         vms[vm_id]
@@ -49,7 +56,7 @@
     for entry in away:
         charge = entry.charge
         reading = turn.view.vm_readings.get(entry.vm_id)
-        if charge and reading and charge.reason is ChargeReason.WAVE:
+        if charge and reading and charge.reason is not ChargeReason.FAILURE:
             actions.extend(_advance_vm(turn, entry, charge, reading, clock))
     return actions
 
@@ -83,7 +90,7 @@
     if reading.boot > charge.boot:
         clock.forget(entry.vm_id, charge.boot)
         if reading.phase is VmPhase.LIVE:
-            return [Commit(_release(turn, entry, reading.boot))]
+            return [Commit(_bring_back(turn, entry, charge, reading))]
         return []
     if reading.boot < charge.boot:
         return []
@@ -93,6 +100,8 @@
         return _watch_drain(turn, entry, charge, clock)
     busy = turn.view.jobs.is_busy(entry.vm_id)
     if reading.phase is VmPhase.DRAINED and not busy:
+        if charge.reason is ChargeReason.MOVE:
+            return [MoveVm(entry.vm_id, charge.boot, charge.target)]
         return [RebootVm(entry.vm_id, charge.boot)]
     return []
 
@@ -114,12 +123,28 @@
     return [Commit(pass_over(turn, wave.wave_id, entry.vm_id, reason))]
 
 
-def _release(turn: Round, entry: VmEntry, boot: int) -> VmReleased:
+def _bring_back(
+    turn: Round, entry: VmEntry, charge: Charge, reading: VmReading
+) -> Record:
+    """Return the record that ends a charge.
+
+    A VM that was restarted before its move stays in its pool.
+    """
+    if charge.target and reading.pool == charge.target:
+        return VmMoved(
+            head=turn.sign(),
+            vm_id=entry.vm_id,
+            expected_version=entry.version,
+            pool=charge.target,
+            term=turn.view.term,
+            boot=reading.boot,
+            reading=turn.view.reading,
+        )
     return VmReleased(
         head=turn.sign(),
         vm_id=entry.vm_id,
         expected_version=entry.version,
-        boot=boot,
-        maintained=True,
+        boot=reading.boot,
+        maintained=charge.reason is ChargeReason.WAVE,
         reading=turn.view.reading,
     )
--- a/libs/capacity/tarragonlb/capacity/planner.py
+++ b/libs/capacity/tarragonlb/capacity/planner.py
@@ -17,6 +17,7 @@
 from tarragonlb.capacity.away import DrainClock, return_vms
 from tarragonlb.capacity.estimates import RunTimeBook
 from tarragonlb.capacity.maintenance import advance_waves
+from tarragonlb.capacity.moves import MoveClock, decide_moves
 from tarragonlb.capacity.placement import Placement
 from tarragonlb.capacity.rooms import RoomBook
 from tarragonlb.capacity.view import FleetView, Round
@@ -40,6 +41,7 @@
         '_clock',
         '_follower',
         '_home',
+        '_moves',
         '_pools',
         '_rooms',
         '_run_times',
@@ -52,6 +54,7 @@
         """Sign records with ``scribe``."""
         self._scribe = scribe
         self._clock = DrainClock()
+        self._moves = MoveClock()
         self._follower = AttemptFollower()
         self._rooms = RoomBook()
         self._workers = WorkerBook()
@@ -73,6 +76,7 @@
             *self._follow_vms(turn),
             *return_vms(turn, self._clock),
             *advance_waves(turn),
+            *decide_moves(turn, self._moves),
             *self._follower.follow(turn),
             *self._place(turn),
         ]
--- a/libs/daemon/tarragonlb/daemon/planning.py
+++ b/libs/daemon/tarragonlb/daemon/planning.py
@@ -163,6 +163,8 @@
                 await self._fleet.drain(vm_id, boot)
             case action.RebootVm(vm_id, boot):
                 await self._fleet.reboot(vm_id, boot)
+            case action.MoveVm(vm_id, boot, pool):
+                await self._fleet.move(vm_id, boot, pool)
             case action.StopTask(vm_id, boot, task_id):
                 await self._fleet.stop_task(vm_id, boot, task_id)
             case action.StartTask():
--- a/libs/journal/tarragonlb/journal/poolfold.py
+++ b/libs/journal/tarragonlb/journal/poolfold.py
@@ -28,6 +28,7 @@
         boot=entry.boot,
         reading=entry.reading,
         offset=offset,
+        home=entry.pool,
     )
     return None
 
@@ -40,7 +41,7 @@
     if vm.charge is None:
         return f'{entry.vm_id} has no charge'
     other = state.vms.get(entry.replaced_by)
-    if other is None or other.pool != vm.pool:
+    if other is None or other.pool not in {vm.pool, vm.charge.target}:
         return f'{entry.replaced_by} is not in pool {vm.pool}'
     if other.replaces or other.offset < vm.charge.offset:
         return f'{entry.replaced_by} does not stand in for {entry.vm_id}'
--- a/libs/journal/tarragonlb/journal/vmfold.py
+++ b/libs/journal/tarragonlb/journal/vmfold.py
@@ -58,6 +58,7 @@
         wave_id=entry.wave_id,
         offset=offset,
         reading=entry.reading,
+        target=entry.target,
     )
     state.vms[vm.vm_id] = replace(
         vm,
@@ -93,16 +94,26 @@
 
 
 def move_vm(state: State, entry: VmMoved, offset: int) -> Reason | None:
-    """Change the pool of a VM that is charged for the move."""
+    """Change the pool of a VM that was seen in the new one."""
     vm = state.vms.get(entry.vm_id)
     if vm is None or vm.version != entry.expected_version:
         return explain_version(entry.vm_id, vm, entry.expected_version)
     if vm.charge is None or vm.charge.reason is not ChargeReason.MOVE:
         return f'{entry.vm_id} is not charged for a move'
+    if vm.charge.target != entry.pool or entry.boot <= vm.charge.boot:
+        return f'{entry.vm_id} was not seen to have moved to {entry.pool}'
     refusal = check_term(state, 'planner', entry.term)
     if refusal:
         return refusal
-    state.vms[vm.vm_id] = replace(vm, version=vm.version + 1, pool=entry.pool)
+    note_reading(state, entry.pool, entry.reading, offset)
+    state.vms[vm.vm_id] = replace(
+        vm,
+        version=vm.version + 1,
+        pool=entry.pool,
+        charge=None,
+        boot=entry.boot,
+        reading=max(vm.reading, entry.reading),
+    )
     return None
 
 
@@ -123,6 +134,8 @@
     wave = state.waves.get(entry.wave_id)
     if entry.reason is ChargeReason.WAVE:
         refusal = _refuse_wave(wave, entry)
+    if entry.reason is ChargeReason.MOVE and entry.target in {'', pool}:
+        refusal = f'{entry.vm_id} has no other pool to move to'
     if refusal:
         return refusal
     charged = count_charged(state, pool)
--- a/libs/model/tarragonlb/model/entry.py
+++ b/libs/model/tarragonlb/model/entry.py
@@ -46,6 +46,7 @@
     wave_id: str
     offset: int
     reading: int = 0
+    target: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,7 +55,7 @@
 
     ``boot`` and ``reading`` are the highest boot count and list number that
     a record has shown, ``offset`` is that of the adoption, and ``replaces``
-    names the gone VM that this one stands in for.
+    names the gone VM that this one stands in for.  ``home`` is its first pool.
     """
 
     vm_id: str
@@ -67,6 +68,7 @@
     reading: int = 0
     offset: int = 0
     replaces: str = ''
+    home: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/model/tarragonlb/model/ownership.py
+++ b/libs/model/tarragonlb/model/ownership.py
@@ -53,7 +53,8 @@
     """A VM that counts as unavailable from here on.
 
     ``boot`` is the boot count that the writer had read.  ``term`` is the
-    planner's term; a failure is charged without one.
+    planner's term; a failure is charged without one.  ``target`` is the pool
+    that a move leads to.
     """
 
     vm_id: str
@@ -63,6 +64,7 @@
     wave_id: str = ''
     term: int = 0
     reading: int = 0
+    target: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,9 +80,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VmMoved(Record):
-    """A VM that changes its pool at this offset."""
+    """A VM that changes its pool, and ends its charge, at this offset.
+
+    It was seen live in its new pool at ``boot``, later than its charge.
+    """
 
     vm_id: str
     expected_version: int
     pool: str
     term: int
+    boot: int = 0
+    reading: int = 0
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -96,13 +96,17 @@
     """The document under ``/fleet``.
 
     Leases of jobs last at least ``job_lease_seconds``, and longer where many
-    jobs run, so that renewals stay under ``max_renewals_per_second``.
+    jobs run, so that renewals stay under ``max_renewals_per_second``.  A VM
+    is moved to a pool that has lacked one for ``move_after_seconds``, and
+    home after the pool could do without it for ``return_after_seconds``.
     """
 
     weights: WeightSettings = WeightSettings()
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
     job_lease_seconds: Positive = 30
     max_renewals_per_second: Positive = 5
+    move_after_seconds: Positive = 60
+    return_after_seconds: Positive = 600
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/standin/tarragonlb/standin/platformapp.py
+++ b/libs/standin/tarragonlb/standin/platformapp.py
@@ -127,9 +127,10 @@
         return NOTHING
 
     async def _move(self, body: Any, now: float) -> object:
-        vm = self._fleet.find_vm(body['vm_id'], body['boot'])
+        await self._reboot(body, now)
+        vm = self._fleet.vms[body['vm_id']]
         self._fleet.put_vm(replace(vm, pool=body['pool']), now)
-        return await self._reboot(body, now)
+        return NOTHING
 
     async def _start_task(self, body: Any, now: float) -> object:
         vm = self._fleet.find_vm(body['vm_id'], body['boot'])
