Round figures for people and show one pool's plan in full

Cause: tried on a running stand-in, pool plan cut its words to the width of a table and hours had sixteen digits; wave plan called VM hours away a buffer.

--- a/libs/capacity/tarragonlb/capacity/forecast.py
+++ b/libs/capacity/tarragonlb/capacity/forecast.py
@@ -15,13 +15,14 @@
 from tarragonlb.model.wave import WaveStatus
 
 SECONDS_AN_HOUR = 3600
+HOUR_DIGITS = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WaveCost:
     """The three measures of a wave, in words and figures.
 
-    ``buffer_vm_hours`` is the capacity that is away in total, and ``rests_on``
+    ``vm_hours_away`` is the capacity that is away in total, and ``rests_on``
     names the settings behind ``at_once`` and the times.
     """
 
@@ -29,7 +30,7 @@
     vms: int
     at_once: int
     rollout_hours: float
-    buffer_vm_hours: float
+    vm_hours_away: float
     vm_moves: int
     words: str
     rests_on: tuple[str, ...]
@@ -101,7 +102,7 @@
         vms=len(vm_ids),
         at_once=room,
         rollout_hours=hours,
-        buffer_vm_hours=len(vm_ids) * seconds / SECONDS_AN_HOUR,
+        vm_hours_away=round_hours(len(vm_ids) * seconds),
         vm_moves=0,
         words=_describe(pool, len(vm_ids), room, hours),
         rests_on=(*tightest, f'/pools/{pool} return_seconds'),
@@ -130,7 +131,7 @@
         left=len(pending),
         away=view.vms.count_charged(wave.pool),
         expected_hours_left=hours,
-        promised_hours_left=promised,
+        promised_hours_left=round(promised, HOUR_DIGITS),
         late_reason=reason,
     )
 
@@ -155,12 +156,17 @@
     return elapsed * room / settled
 
 
+def round_hours(seconds: float) -> float:
+    """Return hours as a person reads them."""
+    return round(seconds / SECONDS_AN_HOUR, HOUR_DIGITS)
+
+
 def _count_hours(vms: int, room: int, seconds: float) -> float:
     if not vms:
         return 0
     if room < 1:
         return math.inf
-    return math.ceil(vms / room) * seconds / SECONDS_AN_HOUR
+    return round_hours(math.ceil(vms / room) * seconds)
 
 
 def _describe(pool: str, vms: int, room: int, hours: float) -> str:
@@ -171,6 +177,6 @@
         )
     return (
         f'All {vms} VMs of pool {pool} are maintained in about {hours:.1f} '
-        f'hours, {room} at a time. Until then the pool does without {room} '
-        f'of its {vms} VMs. No VM changes its pool.'
+        f'hours, at most {room} at a time. Until then the pool does without '
+        f'{room} of its {vms} VMs. No VM changes its pool.'
     )
--- a/libs/capacity/tarragonlb/capacity/poolplan.py
+++ b/libs/capacity/tarragonlb/capacity/poolplan.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from tarragonlb.capacity.forecast import (
+    HOUR_DIGITS,
     SECONDS_AN_HOUR,
     find_limits,
     order_vms,
@@ -86,8 +87,8 @@
         vms=need.vms,
         at_once=choice.at_once,
         spares=choice.spares,
-        rollout_hours=choice.rollout_hours,
-        buffer_vm_hours=choice.buffer_vm_hours,
+        rollout_hours=round(choice.rollout_hours, HOUR_DIGITS),
+        buffer_vm_hours=round(choice.buffer_vm_hours, HOUR_DIGITS),
         vm_moves=choice.vm_moves,
         words=_say(need, choice),
         rests_on=(
@@ -109,10 +110,9 @@
     borrowed = 'No VM is borrowed.'
     if choice.spares:
         borrowed = (
-            f'{choice.spares} VMs are borrowed from the spare pools for that '
-            'time and given back.'
+            f'VMs borrowed from the spare pools for that time: {choice.spares}.'
         )
     return (
-        f'Pool {need.pool} is maintained {choice.at_once} VMs at a time, in '
-        f'about {choice.rollout_hours:.1f} hours. {borrowed}'
+        f'Pool {need.pool} is maintained in about {choice.rollout_hours:.1f} '
+        f'hours, at most {choice.at_once} VMs at a time. {borrowed}'
     )
--- a/libs/cli/tarragonlb/cli/command.py
+++ b/libs/cli/tarragonlb/cli/command.py
@@ -5,7 +5,7 @@
 import cyclopts
 
 from tarragonlb.cli import jobcommands, settingscommands, wavecommands
-from tarragonlb.cli.client import CallError
+from tarragonlb.cli.client import EXIT_REFUSED, CallError
 from tarragonlb.cli.session import DEFAULT_SESSION, Session
 
 application = cyclopts.App(
@@ -39,9 +39,24 @@
 
 
 @pool_application.command(name='plan')
-def plan_pools(*, session: Session = DEFAULT_SESSION) -> None:
-    """Show what maintaining every pool would cost at best."""
-    session.get('/v1/pools/plan')
+def plan_pools(pool: str = '', *, session: Session = DEFAULT_SESSION) -> None:
+    """Show what maintaining every pool would cost at best.
+
+    Parameters
+    ----------
+    pool
+        Show the plan of this pool in full.
+
+    """
+    plans = session.connect().call('GET', '/v1/pools/plan')
+    if not pool:
+        session.show(plans)
+        return
+    chosen = [plan for plan in plans if plan['pool'] == pool]
+    if not chosen:
+        message = f'pool {pool} does not exist or is a spare one'
+        raise CallError(message, EXIT_REFUSED)
+    session.show(chosen[0])
 
 
 @vm_application.command(name='list')
