--- a/bench/run.py
+++ b/bench/run.py
@@ -7,6 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+from capacity_jobs import measure_jobs  # noqa: E402
 from capacity_planner import measure_planner  # noqa: E402
 from capacity_spares import measure_spares  # noqa: E402
 from fold_speed import SIZES, measure_fold  # noqa: E402
@@ -19,6 +20,8 @@
         print(json.dumps({'planner': asdict(measure_planner(size))}))
     for figure in measure_spares():
         print(json.dumps({'spares': asdict(figure)}))
+    for case, vms in (('dharmavani', 6), ('bahla', 8)):
+        print(json.dumps({'jobs': asdict(measure_jobs(case, vms))}))
 
 
 if __name__ == '__main__':
--- a/libs/capacity/features/fakeplatform.py
+++ b/libs/capacity/features/fakeplatform.py
@@ -23,6 +23,7 @@
         self.vms = {}
         self.tasks = {}
         self.leases = {}
+        self.since = {}
         self.changes = []
         self.begun = {}
         self.succeeded = set()
@@ -98,6 +99,7 @@
         ensure(not live, 'one live attempt of a job', step, live)
         count = self.begun.get(job_id, 0) + 1
         self.begun[job_id] = count
+        self.since[step.task_id] = self.now
         self.judge.check_begun(job_id, count)
         self.put_task(
             TaskReading(
