Look for a gone VM's stand-in where the platform lists it

A VM that was gone during a move could take a stand-in from either of its two pools, and took the one that another gone VM needed. The platform puts the new VM into the pool in which it lists the gone one.

--- a/libs/capacity/tarragonlb/capacity/adoption.py
+++ b/libs/capacity/tarragonlb/capacity/adoption.py
@@ -62,7 +62,7 @@
         waits = not live or reading.pool in held
         return [] if waits else [Commit(_adopt(turn, reading))]
     if entry.charge and reading.phase is VmPhase.GONE:
-        return _retire(turn, entry)
+        return _retire(turn, reading, entry)
     if turn.view.reading <= entry.reading:
         return []
     if entry.charge is None:
@@ -106,13 +106,15 @@
     )
 
 
-def _retire(turn: Round, entry: VmEntry) -> list[Action]:
-    """Return the record that puts another VM in the place of a gone one."""
+def _retire(turn: Round, reading: VmReading, entry: VmEntry) -> list[Action]:
+    """Return the record that puts another VM in the place of a gone one.
+
+    The platform puts it into the pool in which it lists the gone one, which
+    is the new pool if that one was moved just before.
+    """
     vms = turn.view.vms
     since = entry.charge.offset if entry.charge else 0
-    target = entry.charge.target if entry.charge else ''
-    candidates = (*vms.list_pool(entry.pool), *vms.list_pool(target))
-    for vm_id in candidates:
+    for vm_id in vms.list_pool(reading.pool):
         other = vms[vm_id]
         if other.offset > since and not other.replaces:
             retired = VmRetired(
