--- a/libs/capacity/features/jobs.feature
+++ b/libs/capacity/features/jobs.feature
@@ -45,6 +45,14 @@
     Given 300 jobs are running
     Then renewals stay under 5 a second
 
+  Scenario: A job on a VM out of sight starts again only after its lease
+    Given 1 patient jobs of team "one" with 4 cores
+    When the planner runs for 3 rounds
+    And VM "vm-1" goes out of sight
+    And the planner runs for 60 rounds
+    Then the first job is at attempt 2
+    And team "one" has 1 jobs running
+
   Scenario: A job that is larger than any VM is set aside
     Given 1 patient jobs of team "one" with 9 cores
     When the planner runs for 2 rounds
--- a/libs/capacity/features/steps/job_steps.py
+++ b/libs/capacity/features/steps/job_steps.py
@@ -131,6 +131,17 @@
     assert len(running) == count, running
 
 
+@when('VM "{vm_id}" goes out of sight')
+def lose_sight(context, vm_id):
+    context.world.platform.set_phase(vm_id, VmPhase.GONE)
+
+
+@then('the first job is at attempt {attempt:d}')
+def check_attempt(context, attempt):
+    job = context.world.truth.jobs['job-1']
+    assert job.attempt == attempt, job
+
+
 @then('no job was lost')
 def check_lost(context):
     ended = {JobPhase.QUEUED, JobPhase.STARTED}
--- a/libs/capacity/tarragonlb/capacity/table.py
+++ b/libs/capacity/tarragonlb/capacity/table.py
@@ -52,6 +52,12 @@
         for name, row in rows.items():
             self[name] = row
 
+    def replace(self, rows: Mapping[str, Row]) -> None:
+        """Hold these rows and no others, in their order."""
+        for name in list(self._rows):
+            self.drop(name)
+        self.update(rows)
+
     def drop(self, name: str) -> None:
         """Take a row out and keep the indexes."""
         old = self._rows.pop(name)
--- a/libs/daemon/tarragonlb/daemon/apibase.py
+++ b/libs/daemon/tarragonlb/daemon/apibase.py
@@ -1,12 +1,15 @@
 """What all handlers of the API share."""
 
+import abc
 from typing import TypeVar
 
 import msgspec
 from starlette.requests import Request
 from starlette.responses import JSONResponse
+from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable, Identity
+from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.watch import FleetWatch
 from tarragonlb.model.errors import RefusedError
@@ -17,9 +20,10 @@
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
+READING_METHODS = frozenset(('GET', 'HEAD'))
 
 
-class ApiPart:
+class ApiPart(abc.ABC):
     """A group of handlers over the state of this process."""
 
     __slots__ = ('access', 'entry', 'journal', 'watch')
@@ -37,9 +41,22 @@
         self.journal = journal
         self.watch = watch
 
+    @abc.abstractmethod
+    def list_routes(self) -> list[Route]:
+        """Return the routes of this part."""
+
     def identify(self, request: Request) -> Identity:
-        """Return who sent a request."""
-        return self.access.identify(request.headers.get('authorization', ''))
+        """Return who sent a request.
+
+        Raises ``RefusedError`` for those who call too often, and for viewers
+        who want to change something.
+        """
+        authorization = request.headers.get('authorization', '')
+        identity = self.access.identify(authorization)
+        self.access.limit(identity, read_monotonic())
+        if request.method not in READING_METHODS:
+            identity.require_admin()
+        return identity
 
 
 async def read_body(request: Request) -> bytes:
@@ -63,12 +80,20 @@
         return msgspec.json.decode(body, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise RefusedError(
-            f'the body is not as expected: {error}',
+            _explain(str(error)),
             verdict=Verdict.NOT_RUN,
             status=STATUS_BAD_REQUEST,
         ) from error
 
 
+def _explain(message: str) -> str:
+    expected, separator, field = message.partition(' - at `$.')
+    if separator:
+        name = field.rstrip('`')
+        return f'{name}: {expected[:1].lower()}{expected[1:]}'
+    return f'the body is not as expected: {message}'
+
+
 def refuse_missing(what: str) -> RefusedError:
     """Return the refusal for something that doesn't exist."""
     return RefusedError(
--- a/libs/daemon/tarragonlb/daemon/apierrors.py
+++ b/libs/daemon/tarragonlb/daemon/apierrors.py
@@ -1,5 +1,8 @@
 """Errors of the API, as answers that say what went wrong and where."""
 
+import math
+
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import JSONResponse
 
@@ -22,7 +25,19 @@
     """Answer with what a refusal says."""
     if not isinstance(error, RefusedError):
         raise error
-    return _answer(error.status, error.verdict, str(error))
+    response = _answer(error.status, error.verdict, str(error))
+    if error.retry_after is not None:
+        seconds = max(1, math.ceil(error.retry_after))
+        response.headers['retry-after'] = str(seconds)
+    return response
+
+
+async def answer_route(request: Request, error: Exception) -> JSONResponse:
+    """Answer that no handler has this method and path."""
+    if not isinstance(error, HTTPException):
+        raise error
+    reason = f'{request.method} {request.url.path} does not exist'
+    return _answer(error.status_code, Verdict.NOT_RUN, reason)
 
 
 async def answer_void(request: Request, error: Exception) -> JSONResponse:
@@ -62,6 +77,7 @@
 
 
 ANSWERS = (
+    (HTTPException, answer_route),
     (RefusedError, answer_refused),
     (RecordVoidError, answer_void),
     (CommitUnknownError, answer_unknown),
--- a/libs/daemon/tarragonlb/daemon/application.py
+++ b/libs/daemon/tarragonlb/daemon/application.py
@@ -1,6 +1,7 @@
 """The HTTP application of the daemon: callers, the API, and health."""
 
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, Protocol
 
 import trio
 from starlette.applications import Starlette
@@ -9,15 +10,20 @@
 from starlette.routing import Route
 
 from tarragonlb.daemon.apierrors import ANSWERS
-from tarragonlb.daemon.apifleet import FleetApi
-from tarragonlb.daemon.apijobs import JobApi
-from tarragonlb.daemon.apisettings import SettingsApi
 from tarragonlb.daemon.exchange import Receive, Send
 from tarragonlb.daemon.gateway import PREFIX, Gateway
+from tarragonlb.daemon.metering import RequestMeter
 
 STATUS_UNAVAILABLE = 503
 
 
+class ApiRoutes(Protocol):
+    """A part of the API that has routes."""
+
+    def list_routes(self) -> list[Route]:
+        """Return the routes of this part."""
+
+
 class Application:
     """Sends each request to the gateway or to the API.
 
@@ -25,26 +31,39 @@
     serves what it has and tells the platform's balancer to send nothing new.
     """
 
-    __slots__ = ('_api', '_gateway', '_idle', 'active', 'ready', 'stopping')
+    __slots__ = (
+        '_api',
+        '_gateway',
+        '_idle',
+        '_meter',
+        'active',
+        'ready',
+        'routes',
+        'stopping',
+    )
 
     def __init__(
         self,
         gateway: Gateway,
-        parts: tuple[JobApi, SettingsApi, FleetApi],
+        meter: RequestMeter,
+        parts: Iterable[ApiRoutes],
     ) -> None:
         """Serve callers by the gateway and all else by the API."""
         self._gateway = gateway
+        self._meter = meter
         self._idle = trio.Event()
         self.active = 0
         self.ready = False
         self.stopping = False
-        routes = [
+        self.routes = [
             Route('/health', self.show_health),
             Route('/ready', self.show_ready),
         ]
         for part in parts:
-            routes.extend(part.list_routes())
-        self._api = Starlette(routes=routes, exception_handlers=dict(ANSWERS))
+            self.routes.extend(part.list_routes())
+        self._api = Starlette(
+            routes=self.routes, exception_handlers=dict(ANSWERS)
+        )
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one connection event of the HTTP server."""
@@ -54,7 +73,8 @@
         self.active += 1
         try:
             if scope['path'].startswith(PREFIX):
-                await self._gateway.serve(scope, receive, send)
+                serve = self._gateway.serve
+                await self._meter.serve(serve, scope, receive, send)
             else:
                 await self._api(scope, receive, send)
         finally:
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -8,22 +8,24 @@
 import hypercorn
 import trio
 from hypercorn.trio import serve
+from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable
-from tarragonlb.daemon.apifleet import FleetApi
-from tarragonlb.daemon.apijobs import JobApi
-from tarragonlb.daemon.apisettings import SettingsApi
+from tarragonlb.daemon.api import list_parts
 from tarragonlb.daemon.application import Application
+from tarragonlb.daemon.claims import Claims
 from tarragonlb.daemon.dispatch import Dispatcher
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.keydesk import KeyDesk
+from tarragonlb.daemon.measurement import Measurement
 from tarragonlb.daemon.planning import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.watch import FleetWatch
 from tarragonlb.model.scribe import Scribe
 from tarragonlb.platform.client import PlatformClient
 from tarragonlb.platform.remote import RemoteFleet, RemoteLog
-from tarragonlb.settings.schema import DaemonSettings
+from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
 
 KEEP_ALIVE_SECONDS = 30
@@ -36,6 +38,9 @@
     __slots__ = (
         '_application',
         '_journal',
+        '_claims',
+        '_desk',
+        '_measurement',
         '_planner',
         '_pools',
         '_say',
@@ -58,13 +63,20 @@
         dispatcher = Dispatcher(settings.zone, random.Random())
         self._pools = PoolTask(self._journal, self._watch, dispatcher)
         access = AccessTable(settings, self._journal.state)
-        gateway = Gateway(settings.name, access, self._journal, dispatcher)
+        self._desk = KeyDesk(settings)
+        self._claims = Claims(settings.name, self._journal, self._desk)
+        gateway = Gateway(access, self._journal, dispatcher, self._claims)
+        self._measurement = Measurement(settings, access, self._journal)
         self._application = Application(
             gateway,
-            (
-                JobApi(settings.name, access, self._journal, self._watch),
-                SettingsApi(settings.name, access, self._journal, self._watch),
-                FleetApi(settings.name, access, self._journal, self._watch),
+            self._measurement.requests,
+            list_parts(
+                settings.name,
+                access,
+                self._journal,
+                self._watch,
+                self._desk,
+                client.traffic,
             ),
         )
 
@@ -79,17 +91,25 @@
             await self._wait_for_stop()
             stopped.set()
             await self._finish_requests()
+            await self._measurement.burn.flush()
             nursery.cancel_scope.cancel()
         self._say('The daemon has stopped.', name=self._settings.name)
 
+    def list_routes(self) -> list[Route]:
+        """Return the routes of the API, which the OpenAPI document lists."""
+        return self._application.routes
+
     def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
-        return (
-            self._journal.run,
-            self._watch.run,
-            self._planner.run,
-            self._pools.run,
-            self._announce_ready,
+        parts = (
+            self._journal,
+            self._watch,
+            self._planner,
+            self._pools,
+            self._desk,
+            self._claims,
+            self._measurement.burn,
         )
+        return (self._announce_ready, *(part.run for part in parts))
 
     async def _announce_ready(self) -> None:
         await self._journal.wait_until_read()
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -12,9 +12,12 @@
 from msgspec import Meta
 
 Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
+MAX_WINDOW_DAYS = 35
+Share = Annotated[float, Meta(gt=0, lt=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=0)]
-Digest = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
+DIGEST_CHARACTERS = 64
+Digest = Annotated[str, Meta(pattern=f'^[0-9a-f]{{{DIGEST_CHARACTERS}}}$')]
 Address = Annotated[str, Meta(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')]
 
 
@@ -25,6 +28,21 @@
     PATIENT = 'patient'
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectiveSettings:
+    """What a team is promised of a service over the latest days.
+
+    ``availability`` is the share of requests that are answered and not
+    refused or failed, ``within_latency`` the share of these that are answered
+    within ``latency_seconds``.
+    """
+
+    availability: Share
+    latency_seconds: Positive
+    within_latency: Share = 0.95
+    window_days: Annotated[int, Meta(ge=1, le=MAX_WINDOW_DAYS)] = 28
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceSettings:
     """One service of a team; times are in seconds."""
@@ -34,6 +52,7 @@
     timeout_seconds: Positive = 4.5
     slots_per_endpoint: Annotated[int, Meta(ge=1)] = 8
     idempotent: bool = False
+    objective: ObjectiveSettings | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,8 +72,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TeamSettings:
-    """The document under ``/teams/NAME``."""
+    """The document under ``/teams/NAME``.
 
+    ``weight`` is the team's share of a full pool against other teams.
+    """
+
+    weight: Annotated[int, Meta(ge=1)] = 1
     tokens: tuple[Digest, ...] = ()
     services: dict[Name, ServiceSettings] = field(default_factory=dict)
     budgets: tuple[BudgetSettings, ...] = ()
@@ -91,41 +114,35 @@
     vm_moves: Positive = 1
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SnapshotSettings:
+    """How often the shared state is written into the log as a whole.
+
+    The limit that is reached first counts.  The log must keep records for at
+    least three times as long.
+    """
+
+    records: Annotated[int, Meta(ge=1)] = 16_384
+    seconds: Positive = 3600
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
     """The document under ``/fleet``.
 
-    Leases of jobs last at least ``job_lease_seconds``, and longer where many
-    jobs run, so that renewals stay under ``max_renewals_per_second``.  A VM
-    is moved to a pool that has lacked one for ``move_after_seconds``, and
-    home after the pool could do without it for ``return_after_seconds``.
+    ``api_requests_per_second`` holds for each team and operator on each entry
+    VM, and not for requests to services.  Leases of jobs last at least
+    ``job_lease_seconds``, and longer where many jobs run, so that renewals
+    stay under ``max_renewals_per_second``.  A VM is moved to a pool that has
+    lacked one for ``move_after_seconds``, and home after the pool could do
+    without it for ``return_after_seconds``.
     """
 
     weights: WeightSettings = WeightSettings()
+    snapshot: SnapshotSettings = SnapshotSettings()
     max_body_bytes: Annotated[int, Meta(ge=1)] = 8 * 1024 * 1024
+    api_requests_per_second: Positive = 50
     job_lease_seconds: Positive = 30
     max_renewals_per_second: Positive = 5
     move_after_seconds: Positive = 60
     return_after_seconds: Positive = 600
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OperatorSettings:
-    """One operator who may change settings, by the hash of a token."""
-
-    name: Name
-    token_sha256: Digest
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DaemonSettings:
-    """A daemon's start-up file."""
-
-    name: Name
-    zone: Name
-    listen: Address
-    peer_listen: Address
-    platform: Address
-    peers: tuple[Address, ...] = ()
-    operators: tuple[OperatorSettings, ...] = ()
-    stop_limit_seconds: Positive = 60
--- a/libs/standin/tarragonlb/standin/command.py
+++ b/libs/standin/tarragonlb/standin/command.py
@@ -11,7 +11,7 @@
 
 from tarragonlb.settings.check import read_settings
 from tarragonlb.standin.endpointapp import EndpointStandin
-from tarragonlb.standin.fleetfile import FleetFile, make_reading
+from tarragonlb.standin.fleetfile import FleetFile, list_readings
 from tarragonlb.standin.platformapp import PlatformStandin
 
 application = cyclopts.App(
@@ -42,13 +42,13 @@
 
 async def _serve_platform(fleet: FleetFile, listen: str) -> None:
     standin = PlatformStandin(
-        [make_reading(vm) for vm in fleet.vms],
+        list_readings(fleet),
         fleet.retention_records,
         fleet.lag_seconds,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(standin.run)
-        nursery.start_soon(_serve, standin.make_application(), listen)
+        nursery.start_soon(_serve, standin.make_application(), fleet, listen)
 
 
 async def _serve_endpoints(fleet: FleetFile) -> None:
@@ -57,12 +57,13 @@
             if vm.address:
                 standin = EndpointStandin(vm.vm_id, fleet.slots)
                 served = standin.make_application()
-                nursery.start_soon(_serve, served, vm.address)
+                nursery.start_soon(_serve, served, fleet, vm.address)
 
 
-async def _serve(served: Any, listen: str) -> None:
+async def _serve(served: Any, fleet: FleetFile, listen: str) -> None:
+    port = listen.partition(':')[2]
     config = hypercorn.Config()
-    config.bind = [listen]
+    config.bind = [f'{host}:{port}' for host in fleet.hosts]
     config.accesslog = None
     config.errorlog = None
     forever: Callable[..., Awaitable[None]] = trio.sleep_forever
