--- a/bench/journal_peers.py
+++ b/bench/journal_peers.py
@@ -135,6 +135,14 @@
     )
 
 
+def _make_journal(name: str) -> Journal:
+    journal = Journal(EmptyLog(), Scribe(name, INCARNATION))
+    journal.replica.caught_up = True
+    journal.state.offset = OFFSET
+    journal.state.digest = bytes(DIGEST_BYTES)
+    return journal
+
+
 async def _run(members: int, counter: Counter) -> float:
     addresses = [f'127.0.0.1:{find_port()}' for _ in range(members)]
     async with open_nursery() as nursery:
@@ -142,11 +150,7 @@
             settings = _make_settings(
                 f'entry-kandy-{index}', address, addresses
             )
-            journal = Journal(EmptyLog(), Scribe(settings.name, INCARNATION))
-            journal.replica.caught_up = True
-            journal.state.offset = OFFSET
-            journal.state.digest = bytes(DIGEST_BYTES)
-            peers = PeerTask(settings, journal)
+            peers = PeerTask(settings, _make_journal(settings.name))
             server = PeerServer(settings.peer_listen, {'/state': peers.answer})
             nursery.start_soon(server.run)
             nursery.start_soon(peers.run)
--- a/bench/run.py
+++ b/bench/run.py
@@ -1,5 +1,6 @@
 """Runs all benchmarks and prints their figures as JSON lines."""
 
+import itertools
 import json
 from collections.abc import Iterator
 from dataclasses import asdict
@@ -7,7 +8,9 @@
 
 from burn_cost import SIZES as BURN_SIZES
 from burn_cost import measure_burn
+from capacity_jobs import measure_jobs
 from capacity_planner import measure_planner
+from capacity_spares import measure_spares
 from claim_cost import measure_claims
 from daemon_cost import measure_daemons
 from fold_speed import SIZES, measure_fold
@@ -25,23 +28,36 @@
     measure_overload,
 )
 
+JOB_CASES = (('dharmavani', 6), ('bahla', 8))
 
-def list_figures() -> Iterator[tuple[str, Any]]:
-    """Measure everything in turn; yield names and figures."""
+
+def list_state_figures() -> Iterator[tuple[str, Any]]:
+    """Measure what shared state and its readers cost."""
     for size in SIZES:
         yield 'fold', measure_fold(size)
-        yield 'planner', measure_planner(size)
-    for size in SNAPSHOT_SIZES:
-        yield 'snapshot', measure_snapshot(size)
+    for rows in SNAPSHOT_SIZES:
+        yield 'snapshot', measure_snapshot(rows)
+    for services in BURN_SIZES:
+        yield 'burn', measure_burn(services)
     for peers in PEER_SIZES:
         yield 'peers', measure_peers(peers)
     for rate in CHANGES_A_DAY:
         yield 'delay', measure_delay(rate)
-    for services in BURN_SIZES:
-        yield 'burn', measure_burn(services)
+    yield from (('claim', claim) for claim in measure_claims())
+
+
+def list_capacity_figures() -> Iterator[tuple[str, Any]]:
+    """Measure decisions on capacity, and whole daemons."""
     for size in SIZES:
+        yield 'planner', measure_planner(size)
         yield from (('daemon', daemon) for daemon in measure_daemons(size))
-    yield from (('claim', claim) for claim in measure_claims())
+    yield from (('spares', spares) for spares in measure_spares())
+    for case, vms in JOB_CASES:
+        yield 'jobs', measure_jobs(case, vms)
+
+
+def list_request_figures() -> Iterator[tuple[str, Any]]:
+    """Measure the path of a request."""
     yield 'overhead', measure_overhead()
     for policy in POLICIES:
         for overload in OVERLOADS:
@@ -53,7 +69,10 @@
 
 def main() -> None:
     """Print one line a figure."""
-    for name, figure in list_figures():
+    figures = itertools.chain(
+        list_state_figures(), list_capacity_figures(), list_request_figures()
+    )
+    for name, figure in figures:
         print(json.dumps({name: asdict(figure)}), flush=True)
 
 
--- a/libs/capacity/features/fakeplatform.py
+++ b/libs/capacity/features/fakeplatform.py
@@ -23,6 +23,7 @@
         self.vms = {}
         self.tasks = {}
         self.leases = {}
+        self.since = {}
         self.changes = []
         self.begun = {}
         self.succeeded = set()
@@ -50,6 +51,8 @@
             self.drain(step)
         elif isinstance(step, action.RebootVm):
             self.reboot(step)
+        elif isinstance(step, action.MoveVm):
+            self.move(step)
         elif isinstance(step, action.StartTask):
             self.start_task(step)
         elif isinstance(step, action.StopTask):
@@ -75,6 +78,11 @@
         ensure(not self.list_running(vm.vm_id), 'a reboot cuts no job', vm)
         self.put_vm(replace(vm, phase=VmPhase.REBOOTING, boot=vm.boot + 1))
 
+    def move(self, step):
+        vm = self.find(step)
+        self.reboot(step)
+        self.put_vm(replace(self.vms[vm.vm_id], pool=step.pool))
+
     def start_task(self, step):
         vm = self.find(step)
         self.leases[step.task_id] = self.now + LEASE_TICKS
@@ -91,6 +99,7 @@
         ensure(not live, 'one live attempt of a job', step, live)
         count = self.begun.get(job_id, 0) + 1
         self.begun[job_id] = count
+        self.since[step.task_id] = self.now
         self.judge.check_begun(job_id, count)
         self.put_task(
             TaskReading(
--- a/libs/capacity/tarragonlb/capacity/attempts.py
+++ b/libs/capacity/tarragonlb/capacity/attempts.py
@@ -23,6 +23,7 @@
 
 RETRY_SECONDS = 1.0
 RENEWALS_A_LEASE = 3
+LEASE_DRIFT_SECONDS = 2.0
 MAX_CHECKSUM = 2**32
 
 _OUTCOMES = MappingProxyType(
@@ -37,13 +38,14 @@
 class AttemptFollower:
     """Knows when each started job has to be looked at again."""
 
-    __slots__ = ('_due', '_order', '_renewals')
+    __slots__ = ('_due', '_gone', '_order', '_renewals')
 
     def __init__(self) -> None:
         """Start without any job."""
         self._due: dict[str, float] = {}
         self._order: list[tuple[float, str]] = []
         self._renewals: dict[str, float] = {}
+        self._gone: dict[str, float] = {}
 
     def note(self, job_id: str, due: float) -> None:
         """Look at a job at ``due``, or earlier if that was noted before."""
@@ -65,17 +67,40 @@
                 actions.append(self._follow_job(turn, job))
             else:
                 self._renewals.pop(job_id, None)
+                self._gone.pop(job_id, None)
         return [action for action in actions if action]
 
     def _follow_job(self, turn: Round, job: JobEntry) -> Action | None:
         task_id = name_task(job)
         task = turn.view.task_readings.get(task_id)
         action = _follow_attempt(turn, job, task_id, task)
+        if self._may_outlive(turn, job, action):
+            action = None
         if task is None or not isinstance(action, StartTask):
             self.note(job.spec.job_id, turn.now + RETRY_SECONDS)
             return action
         return self._renew(turn, job.spec.job_id, action)
 
+    def _may_outlive(
+        self, turn: Round, job: JobEntry, action: Action | None
+    ) -> bool:
+        """Return whether an attempt may still run on a VM listed as gone.
+
+        A VM that is only out of sight runs on until the platform's own lease
+        has ended, counted on this process's clock from the first sight.
+        """
+        job_id = job.spec.job_id
+        vm = turn.view.vm_readings.get(job.vm_id)
+        gone = vm is not None and vm.phase is VmPhase.GONE
+        if not gone or vm is None or vm.boot > job.boot:
+            self._gone.pop(job_id, None)
+            return False
+        if not _is_lost(action):
+            return False
+        since = self._gone.setdefault(job_id, turn.now)
+        limit = choose_lease(turn.view) + LEASE_DRIFT_SECONDS
+        return turn.now - since < limit
+
     def _renew(
         self, turn: Round, job_id: str, step: StartTask
     ) -> Action | None:
@@ -114,6 +139,14 @@
         follower.note(find_job_id(task_id), turn.now)
 
 
+def _is_lost(action: Action | None) -> bool:
+    return (
+        isinstance(action, Commit)
+        and isinstance(action.record, JobEnded)
+        and action.record.outcome is JobOutcome.LOST
+    )
+
+
 def _spread(job_id: str) -> float:
     """Return a share from 0 to 1 that is the same for a job everywhere."""
     return zlib.crc32(job_id.encode()) / MAX_CHECKSUM
--- a/libs/journal/tarragonlb/journal/poolfold.py
+++ b/libs/journal/tarragonlb/journal/poolfold.py
@@ -28,6 +28,7 @@
         boot=entry.boot,
         reading=entry.reading,
         offset=offset,
+        home=entry.pool,
     )
     return None
 
@@ -40,7 +41,7 @@
     if vm.charge is None:
         return f'{entry.vm_id} has no charge'
     other = state.vms.get(entry.replaced_by)
-    if other is None or other.pool != vm.pool:
+    if other is None or other.pool not in {vm.pool, vm.charge.target}:
         return f'{entry.replaced_by} is not in pool {vm.pool}'
     if other.replaces or other.offset < vm.charge.offset:
         return f'{entry.replaced_by} does not stand in for {entry.vm_id}'
@@ -73,7 +74,8 @@
 
     A VM stands in for a gone one if it was adopted after the charge of that
     one.  So an adoption has to rest on the latest list that the pool's
-    records rest on, or on a later one and on all of those records.
+    records rest on, or on a later one and on all of those records: else its
+    writer may take a VM for charged that was released and is gone since.
     """
     mark = state.marks.get(entry.pool)
     if mark is None or entry.reading == mark.reading:
--- a/libs/settings/tarragonlb/settings/schema.py
+++ b/libs/settings/tarragonlb/settings/schema.py
@@ -90,6 +90,8 @@
 
     ``return_seconds`` is how long a VM is expected to be away in a wave, and
     ``wave_hours`` is within how many hours a wave is promised to end.
+    ``peak_vms`` is how many VMs the pool's demand needs at its peak, and
+    ``survive_rack`` asks for as many more as its largest rack holds.
     """
 
     at_once: Annotated[int, Meta(ge=1)] = 1
@@ -98,6 +100,8 @@
     drain_limit_seconds: Positive = 600
     return_seconds: Positive = 300
     wave_hours: Positive = 24
+    peak_vms: Count = 0
+    survive_rack: bool = False
     spare: bool = False
 
 
@@ -127,10 +131,11 @@
     """The document under ``/fleet``.
 
     ``api_requests_per_second`` holds for each team and operator on each entry
-    VM, and not for requests to services.
-
-    Leases of jobs last at least ``job_lease_seconds``, and longer where many
-    jobs run, so that renewals stay under ``max_renewals_per_second``.
+    VM, and not for requests to services.  Leases of jobs last at least
+    ``job_lease_seconds``, and longer where many jobs run, so that renewals
+    stay under ``max_renewals_per_second``.  A VM is moved to a pool that has
+    lacked one for ``move_after_seconds``, and home after the pool could do
+    without it for ``return_after_seconds``.
     """
 
     weights: WeightSettings = WeightSettings()
@@ -140,3 +145,5 @@
     api_requests_per_second: Positive = 50
     job_lease_seconds: Positive = 30
     max_renewals_per_second: Positive = 5
+    move_after_seconds: Positive = 60
+    return_after_seconds: Positive = 600
