--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -17,3 +17,8 @@
     Given an installation whose log keeps 400 records
     When 900 records more are appended and an entry VM is replaced
     Then the new daemon shows the settings of the team
+
+  Scenario: A daemon that starts during an outage of the log shows nothing old
+    Given an installation whose log keeps 400 records
+    When an entry VM is replaced while the log is down
+    Then it refuses to show settings that it can not know, and then shows them
--- a/libs/standin/tarragonlb/standin/disturbance.py
+++ b/libs/standin/tarragonlb/standin/disturbance.py
@@ -9,6 +9,7 @@
 
 SLOW_SECONDS = 1
 LOST_ANSWERS = 20
+FAULTY_ENDPOINTS = 3
 
 
 class Disturbance(abc.ABC):
@@ -106,7 +107,7 @@
 
 
 class EndpointFault(Disturbance):
-    """The last endpoint of the fleet misbehaves."""
+    """One endpoint of each zone misbehaves."""
 
     hold_seconds = 6
 
@@ -123,8 +124,8 @@
         self._set(cluster, EndpointFaults())
 
     def _set(self, cluster: Cluster, faults: EndpointFaults) -> None:
-        address = cluster.fleet.vms[-1].address or ''
-        cluster.set_endpoint_faults(address, faults)
+        for vm in cluster.fleet.vms[-FAULTY_ENDPOINTS:]:
+            cluster.set_endpoint_faults(vm.address or '', faults)
 
 
 class Calm(Disturbance):
--- a/libs/standin/tarragonlb/standin/load.py
+++ b/libs/standin/tarragonlb/standin/load.py
@@ -1,7 +1,8 @@
 """Callers that keep asking while faults happen, and note what they are told.
 
-Each try of a request has a mark of its own, by which the endpoints' journals
-say whether it ran.
+Callers of unrepeatable work lose patience early and ask again elsewhere with
+the same key, while the first try may still be on its way.  Each try has a
+mark of its own, by which the endpoints' journals say whether it ran.
 """
 
 import functools
@@ -12,11 +13,12 @@
 
 import httpcore
 
-from tarragonlb.standin.caller import Answer, Caller
+from tarragonlb.standin.caller import TIMEOUT_SECONDS, Answer, Caller
 
 PAUSE_SECONDS = 0.1
 CALL_SECONDS = 0.2
 ANSWER_BYTES = 20_000
+PATIENCE_SECONDS = 2
 STATUS_OK = 200
 STATUS_NONE = 0
 
@@ -110,7 +112,11 @@
         headers = {'idempotency-key': key} if key else {}
         try:
             answer = caller.call(
-                'POST', f'/call/{service}/x?{query}', mark.encode(), headers
+                'POST',
+                f'/call/{service}/x?{query}',
+                mark.encode(),
+                headers,
+                PATIENCE_SECONDS if key else TIMEOUT_SECONDS,
             )
         except (httpcore.NetworkError, httpcore.ProtocolError):
             told = Try(mark, key, entry, STATUS_NONE)
