--- a/features/environment.py
+++ b/features/environment.py
@@ -1,11 +1,14 @@
 """Runs the trials of a feature side by side, each on processes of its own."""
 
+import dataclasses
+import functools
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from tarragonlb.standin.cluster import Cluster, make_fleet
 from tarragonlb.standin.disturbance import DISTURBANCES
-from tarragonlb.standin.installation import Documents
+from tarragonlb.standin.installation import Documents, Installation
 from tarragonlb.standin.trial import Trial
 
 DATA = Path(__file__).parent / 'data'
@@ -25,8 +28,21 @@
     return Trial(scratch, DISTURBANCES[fault], DOCUMENTS, races=races).run()
 
 
+def start_installation(context, **changes):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    fleet = dataclasses.replace(make_fleet({'transcription': 6}), **changes)
+    context.cluster = Cluster(Path(folder.name), fleet)
+    context.add_cleanup(context.cluster.stop)
+    context.installation = Installation(context.cluster)
+    context.installation.start(DOCUMENTS)
+
+
+def before_scenario(context, scenario):
+    context.start = functools.partial(start_installation, context)
+
+
 def before_feature(context, feature):
-    context.documents = DOCUMENTS
     if feature.name != 'Promises under failure':
         return
     chosen = {
