Hold the ports of an installation while it lasts

Ruled out: the frozen daemon itself (its log shows 'Address already in use' at the start of another). Change: the probe stays bound and lets the server share the port.

--- a/libs/standin/tarragonlb/standin/cluster.py
+++ b/libs/standin/tarragonlb/standin/cluster.py
@@ -33,13 +33,20 @@
 STATUS_OK = 200
 FIRST_ZONE_HOST = 2
 ZONES = ('colombo', 'negombo', 'kandy')
+_holders: list[socket.socket] = []
 
 
 def find_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Return a port of the loopback address that nobody else gets.
+
+    The socket that holds it stays open and lets a server share the port, so
+    that no other connection takes it while the server is being restarted.
+    """
+    holder = socket.socket()
+    holder.bind(('127.0.0.1', 0))
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _holders.append(holder)
+    return int(holder.getsockname()[1])
 
 
 def make_fleet(pools: dict[str, int]) -> FleetFile:
