--- a/libs/capacity/features/moves.feature
+++ b/libs/capacity/features/moves.feature
@@ -33,3 +33,8 @@
     When the planner runs for 100 rounds
     Then pool "a" has 4 VMs and pool "b" has 4
     And no job was cut
+
+  Scenario: A spare pool keeps its last VM for its own jobs
+    Given pool "a" is set to "peak_vms: 9"
+    When the planner runs for 200 rounds
+    Then pool "a" has 7 VMs and pool "b" has 1
--- a/libs/capacity/tarragonlb/capacity/moves.py
+++ b/libs/capacity/tarragonlb/capacity/moves.py
@@ -103,11 +103,22 @@
     for source in sources:
         budget = view.teams.find_budget(source)
         room = budget is None or view.vms.count_charged(source) < budget
-        if room and count_surplus(view, source) > 0:
+        if room and _may_lend(view, source):
             return _find_usable(view, view.vms.list_pool(source))
     return None
 
 
+def _may_lend(view: FleetView, source: str) -> bool:
+    """Return whether a spare pool can do without a VM.
+
+    It keeps its last one, and all while jobs of its own wait.
+    """
+    live = view.vms.count_pool(source) - view.vms.count_charged(source)
+    if live <= 1 or view.jobs.has_queued(source):
+        return False
+    return count_surplus(view, source) > 0
+
+
 def _find_borrowed(view: FleetView, pool: str) -> VmEntry | None:
     budget = view.teams.find_budget(pool)
     if budget is not None and view.vms.count_charged(pool) >= budget:
