Keep small bodies, so that a refused or silent attempt can be sent again

Cause: hypercorn hands over the end of a body as a piece of its own, so every request with a body counted as still arriving and was never sent again: an endpoint that was full for a moment made it a refusal, and a silent attempt was given up although nothing could take its place (502 may-have-run).

Ruled out: the retry budget and the deadline; the front asked for neither.

Change: what has arrived of a body of up to 64 KB is kept, and each attempt begins with its first piece. A silent attempt of a request that can't be sent again is waited for.

--- a/libs/daemon/tarragonlb/daemon/attempt.py
+++ b/libs/daemon/tarragonlb/daemon/attempt.py
@@ -60,6 +60,11 @@
             replayable=self._exchange.replayable,
         )
 
+    @property
+    def replayable(self) -> bool:
+        """Return whether the request can be sent again."""
+        return self._exchange.replayable
+
     def give_up(self) -> None:
         """End the wait for the first byte of an answer."""
         self._silence.cancel()
--- a/libs/daemon/tarragonlb/daemon/dispatch.py
+++ b/libs/daemon/tarragonlb/daemon/dispatch.py
@@ -265,7 +265,9 @@
             if silence.due <= now
         ]
         for request_id, silence in due:
-            if silence.gate.front.can_renew(request_id, now):
+            front = silence.gate.front
+            replayable = silence.attempt.replayable
+            if replayable and front.can_renew(request_id, now):
                 silence.attempt.give_up()
                 self._silences.pop(request_id)
             else:
--- a/libs/daemon/tarragonlb/daemon/exchange.py
+++ b/libs/daemon/tarragonlb/daemon/exchange.py
@@ -1,7 +1,7 @@
 """One request and its answer, between a caller and an endpoint.
 
-The body is passed on as it arrives.  A body that came in one piece can be sent
-a second time; one that is still arriving can't.
+The body is passed on as it arrives.  What has arrived of a small one is kept,
+so that it can be sent a second time; of a large one nothing is kept.
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -19,6 +19,7 @@
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
 STATUS_TOO_LARGE = 413
+MAX_REPLAYED_BYTES = 64 * 1024
 VERDICT_HEADER = b'tarragon-verdict'
 LIST_AGE_HEADER = b'tarragon-list-age'
 _HOP_HEADERS = frozenset(
@@ -62,10 +63,11 @@
     __slots__ = (
         '_body_read',
         '_declared_size',
-        '_first',
         '_max_body',
+        '_pieces',
         '_receive',
         '_send',
+        '_size',
         'finished',
         'info',
         'list_age',
@@ -91,13 +93,14 @@
         path: bytes = scope['raw_path']
         self.target = b'?'.join((path, query)) if query else path
         self.request_headers = list_request_headers(scope['headers'])
-        self.replayable = False
+        self.replayable = True
         self.started = False
         self.finished = False
         self.list_age: float | None = None
         self._body_read = trio.Event()
         self._declared_size = _find_size(scope['headers'])
-        self._first: Any = None
+        self._pieces: list[bytes] = []
+        self._size = 0
         self._max_body = max_body
         self._receive = receive
         self._send = send
@@ -106,26 +109,24 @@
         """Read the first piece of the body; refuse one that is too large."""
         if self._declared_size > self._max_body:
             raise self._refuse_size(Verdict.NOT_RUN)
-        self._first = await self._take_piece()
-        self.replayable = not self._first.get('more_body', False)
-        if self.replayable:
-            self._body_read.set()
+        self._pieces = [await self._take_piece(Verdict.NOT_RUN)]
 
     async def read_body(self) -> AsyncIterator[bytes]:
-        """Yield the body of the request; refuse one that is too large."""
-        event = self._first
-        size = 0
+        """Yield the body of the request; refuse one that is too large.
+
+        Each call begins with the first piece, while the request is replayable.
+        """
+        index = 0
         while True:
-            chunk = event.get('body', b'')
-            size += len(chunk)
-            if size > self._max_body:
-                raise self._refuse_size(Verdict.MAY_HAVE_RUN)
-            if chunk:
-                yield chunk
-            if not event.get('more_body', False):
-                break
-            event = await self._take_piece()
-        self._body_read.set()
+            for piece in self._pieces[index:]:
+                index += 1
+                yield piece
+            if self._body_read.is_set():
+                return
+            piece = await self._take_piece(Verdict.MAY_HAVE_RUN)
+            if not self.replayable:
+                index = 0
+                yield piece
 
     async def wait_until_gone(self) -> None:
         """Return when the caller has closed its connection early.
@@ -173,11 +174,25 @@
         self.finished = True
         await self._send({'type': 'http.response.body', 'body': b''})
 
-    async def _take_piece(self) -> Any:
+    async def _take_piece(self, verdict: Verdict) -> bytes:
         event = await self._receive()
         if event['type'] == 'http.disconnect':
             raise CallerGoneError('the caller left within its request')
-        return event
+        piece: bytes = event.get('body', b'')
+        self._size += len(piece)
+        if self._size > self._max_body:
+            raise self._refuse_size(verdict)
+        if not event.get('more_body', False):
+            self._body_read.set()
+        self._keep(piece)
+        return piece
+
+    def _keep(self, piece: bytes) -> None:
+        if self._size > MAX_REPLAYED_BYTES:
+            self.replayable = False
+            self._pieces.clear()
+        elif piece:
+            self._pieces.append(piece)
 
     def _refuse_size(self, verdict: Verdict) -> RefusedError:
         return RefusedError(
--- a/libs/routing/tarragonlb/routing/front.py
+++ b/libs/routing/tarragonlb/routing/front.py
@@ -103,6 +103,8 @@
         elapsed = now - journey.sent_at
         if now + elapsed > journey.request.deadline:
             return False
+        if self.admission.is_late(journey.request, now):
+            return False
         return self.balancer.choose(now) is not None
 
     def _arrive(self, event: Arrived, now: float) -> Iterable[Action]:
