--- a/libs/daemon/features/steps/api_steps.py
+++ b/libs/daemon/features/steps/api_steps.py
@@ -40,7 +40,7 @@
             'name': name,
             'zone': name.removeprefix('entry-'),
             'listen': self.addresses[name],
-            'peer_listen': '127.0.0.1:9',
+            'peer_listen': self.peers[name],
             'platform': self.platform,
             'operators': [
                 {
