Drain no VM while failures use its place in the budget

Cause: a VM that was charged was drained whenever an act could be done, even if failures had used the budget since: 4 away with a budget of 2 (known red).

Ruled out: the fold's rule, which charges planned VMs within the budget.

Change: a drain waits while the charged VMs of the pool, with those that are seen not live and not charged yet, are more than the tightest budget.

Seen: features/recovery.feature before: 3 passed, 1 failed; after: 4 passed, 0 failed. libs/capacity/features: 23 passed, 0 failed.

--- a/libs/capacity/tarragonlb/capacity/away.py
+++ b/libs/capacity/tarragonlb/capacity/away.py
@@ -95,7 +95,7 @@
     if reading.boot < charge.boot:
         return []
     if reading.phase is VmPhase.LIVE:
-        return [DrainVm(entry.vm_id, charge.boot)]
+        return _drain(turn, entry, charge)
     if reading.phase is VmPhase.DRAINING:
         return _watch_drain(turn, entry, charge, clock)
     busy = turn.view.jobs.is_busy(entry.vm_id)
@@ -106,6 +106,28 @@
     return []
 
 
+def _drain(turn: Round, entry: VmEntry, charge: Charge) -> list[Action]:
+    """Drain a VM, unless failures have used its place in the budget since."""
+    budget = turn.view.teams.find_budget(entry.pool)
+    if budget is not None and _count_away(turn, entry.pool) > budget:
+        return []
+    return [DrainVm(entry.vm_id, charge.boot)]
+
+
+def _count_away(turn: Round, pool: str) -> int:
+    """Return the VMs that are charged, or not live and yet to be charged."""
+    vms = turn.view.vms
+    readings = turn.view.vm_readings
+    failed = [
+        vm_id
+        for vm_id in vms.list_pool(pool)
+        if vms[vm_id].charge is None
+        and vm_id in readings
+        and readings[vm_id].phase is not VmPhase.LIVE
+    ]
+    return vms.count_charged(pool) + len(failed)
+
+
 def _watch_drain(
     turn: Round, entry: VmEntry, charge: Charge, clock: DrainClock
 ) -> list[Action]:
