Add one command for the long randomised run of all machines

Cause: make soak named a file that did not exist.

Change: bench/soak.py runs the machines of state, routing and capacity one after another from one seed; they do not run joined in one world yet.

--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,48 @@
+"""The long randomised run of state, routing and capacity, one after another.
+
+    python bench/soak.py --seed 1 --steps 2000
+
+Each machine makes at least so many steps from the seed, with all invariants
+on; the same seed and steps give the same run.  The machines stand in the
+``features`` of their libraries.  They do not run joined in one world yet.
+"""
+
+import argparse
+import importlib
+import sys
+from pathlib import Path
+
+from capacity_soak import run_soak
+from request_soak import run_seed
+
+JOURNAL = Path(__file__).parent.parent / 'libs/journal/features/steps'
+STEPS_A_RUN = 200
+
+
+def run_journal(seed: int, steps: int) -> int:
+    """Run replicas over a log that fails, and return the steps made."""
+    sys.path.insert(0, str(JOURNAL))
+    world = importlib.import_module('replica_world')
+    runs = max(1, steps // STEPS_A_RUN)
+    world.run_machine(runs, STEPS_A_RUN, seed)
+    return runs * STEPS_A_RUN
+
+
+def main() -> None:
+    """Read the command line and run all machines."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--steps', type=int, default=2_000)
+    options = parser.parse_args()
+    machines = (
+        ('state', run_journal),
+        ('routing', run_seed),
+        ('capacity', run_soak),
+    )
+    for name, run in machines:
+        done = run(options.seed, options.steps)
+        print(f'{name}: {done} steps, no invariant broken', flush=True)
+
+
+if __name__ == '__main__':
+    main()
