Assert inside the fold that planned charges keep every budget

Cause: the budget was a rule of the fold, checked nowhere else in the program.

Change: after a planned charge the charged VMs are counted anew and compared with every budget of the pool; a breach stops the fold.

--- a/libs/journal/tarragonlb/journal/vmfold.py
+++ b/libs/journal/tarragonlb/journal/vmfold.py
@@ -12,6 +12,7 @@
 from tarragonlb.journal.rule import Reason, Rule, check_term
 from tarragonlb.journal.state import State
 from tarragonlb.model.entry import Charge, WaveEntry
+from tarragonlb.model.invariant import ensure
 from tarragonlb.model.ownership import (
     ChargeReason,
     VmAdopted,
@@ -67,9 +68,28 @@
         boot=entry.boot,
         reading=max(vm.reading, entry.reading),
     )
+    ensure(
+        not planned or _is_within_budget(state, vm.pool),
+        'a planned charge keeps every budget of its pool',
+        entry.vm_id,
+        vm.pool,
+    )
     return None
 
 
+def _is_within_budget(state: State, pool: str) -> bool:
+    charged = [
+        vm for vm in state.vms.list_charged(pool) if state.vms[vm].charge
+    ]
+    limits = [
+        budget.max_unavailable
+        for team in state.teams.values()
+        for budget in team.budgets
+        if budget.pool == pool
+    ]
+    return len(charged) <= min(limits, default=len(charged))
+
+
 def release_vm(state: State, entry: VmReleased, offset: int) -> Reason | None:
     """End a charge on evidence that the VM is back."""
     vm = state.vms.get(entry.vm_id)
