Forget jobs that ended, beyond the latest 10,000

Change: jobs that succeeded, failed or were cancelled are forgotten in the order of their ends, with their keys; all others stay.

--- /dev/null
+++ b/libs/journal/features/steps/job_steps.py
@@ -0,0 +1,67 @@
+"""Steps for jobs in the fold."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from tarragonlb.journal import jobfold
+from tarragonlb.journal.codec import encode_record
+from tarragonlb.journal.fold import apply_blob
+from tarragonlb.journal.state import State
+from tarragonlb.model.job import JobsCancelled, JobSubmitted
+from tarragonlb.model.scribe import Scribe
+
+
+@given('a fold that remembers {count:d} ended jobs')
+def limit(context, count):
+    patch = mock.patch.object(jobfold, 'MAX_ENDED_JOBS', count)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    context.state = State()
+    context.scribe = Scribe('test', '1')
+
+
+@when('{count:d} jobs come with keys, the first {ended:d} are cancelled')
+def submit(context, count, ended):
+    for index in range(1, count + 1):
+        job = JobSubmitted(
+            head=context.scribe.sign(0, 0),
+            job_id=str(index),
+            team='archive',
+            kind='index',
+            pool='p',
+            cores=1,
+            memory_gb=1,
+            payload='',
+            urgent=False,
+            idempotent=True,
+            deadline_seconds=60,
+            declared_seconds=1,
+            key=f'key-{index}',
+        )
+        fold(context, job)
+    for index in range(1, ended + 1):
+        cancelled = JobsCancelled(
+            head=context.scribe.sign(0, 0),
+            team='archive',
+            job_ids=(str(index),),
+        )
+        fold(context, cancelled)
+
+
+def fold(context, record):
+    offset = context.state.offset + 1
+    assert apply_blob(context.state, offset, encode_record(record)).accepted
+
+
+@then('the jobs "{names}" are known and their keys name them')
+def check_known(context, names):
+    known = names.split(', ')
+    assert list(context.state.jobs) == known
+    keys = {key: name for (_, key), name in context.state.keys.items()}
+    assert keys == {f'key-{name}': name for name in known}
+
+
+@then('the key of job 1 is free again')
+def check_free(context):
+    assert ('archive', 'key-1') not in context.state.keys
--- a/libs/journal/tarragonlb/journal/jobfold.py
+++ b/libs/journal/tarragonlb/journal/jobfold.py
@@ -16,6 +16,10 @@
 )
 
 MAX_FAILURES = 5
+MAX_ENDED_JOBS = 10_000
+FORGETTABLE = frozenset(
+    (JobPhase.SUCCEEDED, JobPhase.FAILED, JobPhase.CANCELLED)
+)
 
 
 def submit_job(state: State, entry: JobSubmitted, offset: int) -> Reason | None:
@@ -75,9 +79,7 @@
         return f'{job.vm_id} was not restarted since attempt {job.attempt}'
     failed = lost or entry.outcome is JobOutcome.FAILED
     job = replace(job, failures=job.failures + failed, output=entry.output)
-    state.jobs[entry.job_id] = replace(
-        job, phase=_choose_phase(job, entry.outcome)
-    )
+    _put(state, replace(job, phase=_choose_phase(job, entry.outcome)), offset)
     return None
 
 
@@ -104,10 +106,25 @@
         if job_id in state.jobs and state.jobs[job_id].spec.team == entry.team
     ]
     for job in jobs:
-        state.jobs[job.spec.job_id] = _cancel(job)
+        _put(state, _cancel(job), offset)
     return None if jobs else f'team {entry.team} has none of these jobs'
 
 
+def _put(state: State, job: JobEntry, offset: int) -> None:
+    """Put a job, and forget the one that ended first if there are too many."""
+    job_id = job.spec.job_id
+    state.jobs[job_id] = job
+    if job.phase not in FORGETTABLE or job_id in state.ended:
+        return
+    state.ended[job_id] = offset
+    if len(state.ended) > MAX_ENDED_JOBS:
+        oldest = next(iter(state.ended))
+        state.ended.pop(oldest)
+        spec = state.jobs[oldest].spec
+        state.keys.pop((spec.team, spec.key), None)
+        state.jobs.drop(oldest)
+
+
 def _cancel(job: JobEntry) -> JobEntry:
     if job.phase is JobPhase.QUEUED:
         return replace(job, phase=JobPhase.CANCELLED)
--- a/libs/journal/tarragonlb/journal/state.py
+++ b/libs/journal/tarragonlb/journal/state.py
@@ -37,6 +37,7 @@
         'burn',
         'claims',
         'digest',
+        'ended',
         'fleet',
         'history',
         'jobs',
@@ -66,6 +67,7 @@
     vms: VmTable
     marks: dict[str, PoolMark]
     jobs: JobTable
+    ended: dict[str, int]
     keys: dict[tuple[str, str], str]
     claims: dict[tuple[str, str], ClaimEntry]
     waves: dict[str, WaveEntry]
@@ -87,6 +89,7 @@
         self.vms = VmTable()
         self.marks = {}
         self.jobs = JobTable()
+        self.ended = {}
         self.keys = {}
         self.claims = {}
         self.waves = {}
