Build the planner's view in one place

Cause: the daemon, the random run and the bench each listed the fields that a planner sees; wave plan and wave start each built the same order.

--- a/bench/capacity_planner.py
+++ b/bench/capacity_planner.py
@@ -16,6 +16,7 @@
 from tarragonlb.capacity.planner import Planner
 from tarragonlb.capacity.table import ChangeTable
 from tarragonlb.capacity.view import FleetView
+from tarragonlb.journal.plannerview import make_view
 from tarragonlb.journal.state import State
 from tarragonlb.model.entry import JobEntry, JobPhase, VmEntry
 from tarragonlb.model.fleet import (
@@ -56,11 +57,12 @@
 class BenchFleet:
     """A state and readings, filled without the log."""
 
-    __slots__ = ('state', 'tasks', 'vms')
+    __slots__ = ('number', 'state', 'tasks', 'vms')
 
     def __init__(self, vms: int) -> None:
         """Fill with so many VMs, each with one running job."""
         self.state = State()
+        self.number = 1
         self.vms = ChangeTable[VmReading]()
         self.tasks = ChangeTable[TaskReading]()
         for index in range(POOLS):
@@ -74,20 +76,7 @@
 
     def view(self) -> FleetView:
         """Return what a planner sees."""
-        state = self.state
-        return FleetView(
-            offset=state.offset,
-            term=1,
-            reading=1,
-            vms=state.vms,
-            jobs=state.jobs,
-            waves=state.waves,
-            teams=state.teams,
-            pools=state.pools,
-            fleet=state.fleet,
-            vm_readings=self.vms,
-            task_readings=self.tasks,
-        )
+        return make_view(self.state, self)
 
     def add_job(self, index: int, phase: JobPhase, vm_id: str = '') -> None:
         """Put a job."""
--- a/libs/capacity/features/world.py
+++ b/libs/capacity/features/world.py
@@ -10,9 +10,9 @@
 from tarragonlb.capacity import action
 from tarragonlb.capacity.planner import Planner
 from tarragonlb.capacity.table import ChangeTable
-from tarragonlb.capacity.view import FleetView
 from tarragonlb.journal.codec import encode_record
 from tarragonlb.journal.fold import apply_blob
+from tarragonlb.journal.plannerview import make_view
 from tarragonlb.journal.state import State
 from tarragonlb.model.entry import JobPhase
 from tarragonlb.model.errors import PlatformError
@@ -62,21 +62,7 @@
         return self.planner.decide(self.view(), now, now)
 
     def view(self):
-        state = self.state
-        term = state.terms.get('planner')
-        return FleetView(
-            offset=state.offset,
-            term=term.number if term else 0,
-            reading=self.number,
-            vms=state.vms,
-            jobs=state.jobs,
-            waves=state.waves,
-            teams=state.teams,
-            pools=state.pools,
-            fleet=state.fleet,
-            vm_readings=self.vms,
-            task_readings=self.tasks,
-        )
+        return make_view(self.state, self)
 
 
 class World:
--- a/libs/cli/tarragonlb/cli/wavecommands.py
+++ b/libs/cli/tarragonlb/cli/wavecommands.py
@@ -24,8 +24,7 @@
         VMs away at once; the pool's settings decide if it is not given.
 
     """
-    order = {'pool': pool, 'at_once': at_once}
-    session.show(session.connect().send('POST', '/v1/waves/plan', order))
+    _order('/v1/waves/plan', pool, at_once, session)
 
 
 @application.command
@@ -45,8 +44,7 @@
         VMs away at once; the pool's settings decide if it is not given.
 
     """
-    order = {'pool': pool, 'at_once': at_once}
-    session.show(session.connect().send('POST', '/v1/waves', order))
+    _order('/v1/waves', pool, at_once, session)
 
 
 @application.command(name='list')
@@ -79,6 +77,11 @@
     _steer(wave_id, 'aborted', session)
 
 
+def _order(path: str, pool: str, at_once: int | None, session: Session) -> None:
+    order = {'pool': pool, 'at_once': at_once}
+    session.show(session.connect().send('POST', path, order))
+
+
 def _steer(wave_id: str, status: str, session: Session) -> None:
     order = {'status': status}
     session.show(session.connect().send('PUT', f'/v1/waves/{wave_id}', order))
--- a/libs/daemon/tarragonlb/daemon/apifleet.py
+++ b/libs/daemon/tarragonlb/daemon/apifleet.py
@@ -24,7 +24,7 @@
     refuse_missing,
 )
 from tarragonlb.daemon.clock import read_wall
-from tarragonlb.daemon.planning import make_view
+from tarragonlb.journal.plannerview import make_view
 from tarragonlb.journal.vmfold import count_charged, find_budget
 from tarragonlb.model.entry import PassedVm
 from tarragonlb.model.wave import WavePlanned, WaveStatus, WaveSteered
--- a/libs/daemon/tarragonlb/daemon/planning.py
+++ b/libs/daemon/tarragonlb/daemon/planning.py
@@ -9,11 +9,10 @@
 
 from tarragonlb.capacity import action
 from tarragonlb.capacity.planner import Planner
-from tarragonlb.capacity.view import FleetView
 from tarragonlb.daemon.clock import read_monotonic, read_wall
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.watch import FleetWatch
-from tarragonlb.journal.state import State
+from tarragonlb.journal.plannerview import SCOPE, make_view
 from tarragonlb.model.entry import TermEntry
 from tarragonlb.model.errors import JournalError, PlatformError
 from tarragonlb.model.record import Record, TermTaken
@@ -21,7 +20,6 @@
 from tarragonlb.platform.fleet import Fleet, TaskOrder
 from tarragonlb.telemetry.log import Log
 
-SCOPE = 'planner'
 ROUND_SECONDS = 0.5
 TERM_SECONDS = 6
 RENEW_SECONDS = 2
@@ -52,24 +50,6 @@
         return now - self._seen_at >= limit
 
 
-def make_view(state: State, watch: FleetWatch) -> FleetView:
-    """Return what a planner of this process sees."""
-    term = state.terms.get(SCOPE)
-    return FleetView(
-        offset=state.offset,
-        term=term.number if term else 0,
-        reading=watch.number,
-        vms=state.vms,
-        jobs=state.jobs,
-        waves=state.waves,
-        teams=state.teams,
-        pools=state.pools,
-        fleet=state.fleet,
-        vm_readings=watch.vms,
-        task_readings=watch.tasks,
-    )
-
-
 class PlannerTask:
     """Runs rounds of decisions while it holds the term."""
 
--- /dev/null
+++ b/libs/journal/tarragonlb/journal/plannerview.py
@@ -0,0 +1,36 @@
+"""What a planner sees: the fold, joined with the latest readings."""
+
+from typing import Protocol
+
+from tarragonlb.capacity.table import ChangeTable
+from tarragonlb.capacity.view import FleetView
+from tarragonlb.journal.state import State
+from tarragonlb.model.fleet import TaskReading, VmReading
+
+SCOPE = 'planner'
+
+
+class Readings(Protocol):
+    """The merged list of VMs and tasks, up to a reading's number."""
+
+    number: int
+    vms: ChangeTable[VmReading]
+    tasks: ChangeTable[TaskReading]
+
+
+def make_view(state: State, readings: Readings) -> FleetView:
+    """Return the view of a planner that holds the latest term."""
+    term = state.terms.get(SCOPE)
+    return FleetView(
+        offset=state.offset,
+        term=term.number if term else 0,
+        reading=readings.number,
+        vms=state.vms,
+        jobs=state.jobs,
+        waves=state.waves,
+        teams=state.teams,
+        pools=state.pools,
+        fleet=state.fleet,
+        vm_readings=readings.vms,
+        task_readings=readings.tasks,
+    )
