Admit callers of keys and traffic like all others of the API

Cause: /v1/keys and /v1/traffic had a way of their own and passed by the rate limit and the viewer role.

Change: one function admits callers, and all parts of the API use it.

Seen: the new row (a viewer asks for keys, 403) failed without the change (4 passed, 1 failed) and passes with it (5 passed, 0 failed).

--- a/libs/daemon/features/api.feature
+++ b/libs/daemon/features/api.feature
@@ -24,6 +24,7 @@
       | viewer   | PUT    | /v1/settings/fleet          | 403    |
       | viewer   | POST   | /v1/waves                   | 403    |
       | viewer   | POST   | /v1/jobs                    | 403    |
+      | viewer   | POST   | /v1/keys                    | 403    |
       | operator | GET    | /v1/settings/teams/archive  | 200    |
 
   Scenario: No body and no header makes the server fail
--- a/libs/daemon/tarragonlb/daemon/apibase.py
+++ b/libs/daemon/tarragonlb/daemon/apibase.py
@@ -46,17 +46,22 @@
         """Return the routes of this part."""
 
     def identify(self, request: Request) -> Identity:
-        """Return who sent a request.
-
-        Raises ``RefusedError`` for those who call too often, and for viewers
-        who want to change something.
-        """
-        authorization = request.headers.get('authorization', '')
-        identity = self.access.identify(authorization)
-        self.access.limit(identity, read_monotonic())
-        if request.method not in READING_METHODS:
-            identity.require_admin()
-        return identity
+        """Return who sent a request, as ``admit`` does."""
+        return admit(self.access, request)
+
+
+def admit(access: AccessTable, request: Request) -> Identity:
+    """Return who sent a request.
+
+    Raises ``RefusedError`` for those who are not known or call too often, and
+    for viewers who want to change something.
+    """
+    authorization = request.headers.get('authorization', '')
+    identity = access.identify(authorization)
+    access.limit(identity, read_monotonic())
+    if request.method not in READING_METHODS:
+        identity.require_admin()
+    return identity
 
 
 async def read_body(request: Request) -> bytes:
--- a/libs/daemon/tarragonlb/daemon/apikeys.py
+++ b/libs/daemon/tarragonlb/daemon/apikeys.py
@@ -9,7 +9,7 @@
 from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable
-from tarragonlb.daemon.apibase import answer_json, read_json
+from tarragonlb.daemon.apibase import admit, answer_json, read_json
 from tarragonlb.routing.ledger import MAX_ISSUED_AT_ONCE, KeyLedger
 
 
@@ -43,8 +43,7 @@
 
     async def issue(self, request: Request) -> Response:
         """Answer with new keys for the team."""
-        authorization = request.headers.get('authorization', '')
-        identity = self._access.identify(authorization)
+        identity = admit(self._access, request)
         order = await read_json(request, KeyRequest)
         keys = self._ledger.issue(identity.name, order.count)
         return answer_json(KeyBatch(keys=keys))
--- a/libs/daemon/tarragonlb/daemon/apitraffic.py
+++ b/libs/daemon/tarragonlb/daemon/apitraffic.py
@@ -7,7 +7,7 @@
 from starlette.routing import Route
 
 from tarragonlb.daemon.access import AccessTable
-from tarragonlb.daemon.apibase import answer_json
+from tarragonlb.daemon.apibase import admit, answer_json
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.platform.traffic import Traffic
 
@@ -37,8 +37,7 @@
 
     async def show(self, request: Request) -> Response:
         """Answer with the bytes so far."""
-        authorization = request.headers.get('authorization', '')
-        self._access.identify(authorization).require_operator()
+        admit(self._access, request).require_operator()
         answer = TrafficAnswer(
             sent=self._traffic.sent,
             received=self._traffic.received,
