Build the values of a settings text from the nodes already read

Cause: each text was scanned, composed, and then parsed once more for its values; the fold does this for every change on every daemon. The limit of a message between entry VMs stood in two modules, although one listener serves both ends now.

Change: the values are constructed from the composed nodes; peers.py takes the limit from peerserver.py. Behaviour is the same.

--- a/libs/daemon/tarragonlb/daemon/peers.py
+++ b/libs/daemon/tarragonlb/daemon/peers.py
@@ -12,6 +12,7 @@
 
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.daemon.peerserver import MAX_MESSAGE_BYTES
 from tarragonlb.journal import peer
 from tarragonlb.journal.state import State
 from tarragonlb.model.errors import JournalError
@@ -24,7 +25,6 @@
 PING_SECONDS = 20
 LOG_PATIENCE_SECONDS = 3
 SNAPSHOT_TIMEOUT_SECONDS = 20
-MAX_MESSAGE_BYTES = 1024 * 1024
 MAX_SNAPSHOT_PARTS = 4096
 
 _FAILED = (
--- a/libs/settings/tarragonlb/settings/document.py
+++ b/libs/settings/tarragonlb/settings/document.py
@@ -54,14 +54,16 @@
             line = token.start_mark.line + 1
             message = 'aliases and anchors are not allowed'
             raise SettingsError([Problem(source, line, '', message)])
-    node = yaml.compose(text, Loader=yaml.SafeLoader)
+    loader = yaml.SafeLoader(text)
+    node = loader.get_single_node()
     lines: dict[str, int] = {}
     problems: list[Problem] = []
     if node is not None:
         _collect_lines(node, '', lines, problems, source)
     if problems:
         raise SettingsError(problems)
-    return Document(source, yaml.safe_load(text), lines)
+    tree = None if node is None else loader.construct_document(node)
+    return Document(source, tree, lines)
 
 
 def _collect_lines(
