--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-CODE := libs features demo tools bench
+CODE := libs platform features demo tools bench
 SEED ?= 1
 STEPS ?= 2000
 
@@ -10,7 +10,7 @@
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml)
+$(STAMP): constraints.txt requirements.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
 	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt --requirement requirements.txt
@@ -26,7 +26,7 @@
 	$(BIN)/ruff format --check $(CODE)
 	$(BIN)/ruff check $(CODE)
 	$(BIN)/flake8 $(CODE)
-	$(BIN)/mypy libs demo tools bench
+	$(BIN)/mypy libs platform demo tools bench
 	$(BIN)/lint-imports
 	$(BIN)/python tools/check_tree.py
 	$(BIN)/python tools/write_docs.py --check
--- /dev/null
+++ b/libs/controller/tarragonlb/controller/handover.py
@@ -0,0 +1,68 @@
+"""Tells the fleet's owner which closing workers are empty."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import trio
+
+from tarragonlb.controller.ports import Store
+from tarragonlb.controller.results import Stored
+from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.scheduling.fleetboard import FleetBoard, write_empty
+from tarragonlb.scheduling.worker import WorkerState
+from tarragonlb.telemetry.log import Log
+
+LOG = Log('handover')
+
+
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """A VM that a wave waits for, and the worker that runs on it."""
+
+    vm_id: str
+    wave: int
+    worker_id: str
+
+
+class HandOver:
+    """Announces each empty worker once."""
+
+    __slots__ = ('_announced', '_settings', '_store')
+
+    def __init__(self, store: Store, settings: ControllerSettings) -> None:
+        """Announce through ``store``."""
+        self._store = store
+        self._settings = settings
+        self._announced: set[Closing] = set()
+
+    def list_new(
+        self, board: FleetBoard, workers: Mapping[str, WorkerState]
+    ) -> list[Closing]:
+        """Return the workers that have become empty."""
+        found = []
+        for worker_id, (vm_id, wave) in board.closing_workers.items():
+            closing = Closing(vm_id, wave, worker_id)
+            state = workers.get(worker_id)
+            if state is None or closing in self._announced:
+                continue
+            is_known = state.heard_at is not None and not state.is_silent
+            is_empty = not (state.attached or state.foreign)
+            if state.is_closing and is_known and is_empty:
+                self._announced.add(closing)
+                found.append(closing)
+        return found
+
+    async def announce(self, closing: Closing) -> None:
+        """Store that a worker is empty; repeat until it is stored."""
+        record = write_empty(closing.vm_id, closing.wave, closing.worker_id)
+        while True:
+            result = await self._store.append(FLEET_PARTITION, (record,), None)
+            if isinstance(result, Stored):
+                LOG.say(
+                    'A worker is empty for maintenance.',
+                    vm=closing.vm_id,
+                    worker=closing.worker_id,
+                    wave=closing.wave,
+                )
+                return
+            await trio.sleep(self._settings.store_retry_seconds)
--- /dev/null
+++ b/libs/controller/tarragonlb/controller/lease.py
@@ -0,0 +1,56 @@
+"""Leases granted to one worker, on its clock and on ours.
+
+The worker's clock may be 2% slow, so a lease may last longer on our clock than
+on the worker's.  While the worker does not answer, no later end is granted:
+an unanswered call may still be carried out.
+"""
+
+from tarragonlb.scheduling.settings import CLOCK_DRIFT
+
+MILLISECONDS = 1000
+
+
+class WorkerLease:
+    """The latest lease end granted to a worker, in its milliseconds.
+
+    >>> lease = WorkerLease()
+    >>> lease.note_answer(clock_ms=5000, heard_at=10.0)
+    >>> lease.extend(now=10.0, seconds=4.0)
+    9000
+    """
+
+    __slots__ = ('_clock_ms', '_granted_ms', '_heard_at')
+
+    def __init__(self) -> None:
+        """Begin without any answer, so nothing can be granted."""
+        self._clock_ms: int | None = None
+        self._heard_at = 0.0
+        self._granted_ms: int | None = None
+
+    @property
+    def granted_ms(self) -> int | None:
+        """Return the latest end granted in this life of the worker."""
+        return self._granted_ms
+
+    def note_answer(self, clock_ms: int, heard_at: float) -> None:
+        """Take over the worker's clock; one that ran back is a new life."""
+        if self._clock_ms is not None and clock_ms < self._clock_ms:
+            self._granted_ms = None
+        self._clock_ms = clock_ms
+        self._heard_at = heard_at
+
+    def extend(self, now: float, seconds: float) -> int | None:
+        """Grant a lease of ``seconds`` from ``now`` on and return its end."""
+        if self._clock_ms is None:
+            return None
+        clock_ms = self._clock_ms + (now - self._heard_at) * MILLISECONDS
+        until_ms = int(clock_ms + seconds * MILLISECONDS)
+        self._granted_ms = max(until_ms, self._granted_ms or 0)
+        return self._granted_ms
+
+    def bound_end(self) -> float:
+        """Return when everything granted is over, in our seconds."""
+        if self._clock_ms is None or self._granted_ms is None:
+            return 0.0
+        left = (self._granted_ms - self._clock_ms) / MILLISECONDS
+        return self._heard_at + left * CLOCK_DRIFT
--- /dev/null
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -0,0 +1,122 @@
+"""The jobs of one partition, kept up to date by a task of its own.
+
+Every daemon follows every partition that has a pool, slowly; the owner follows
+its own quickly and is told which jobs have changed.
+"""
+
+from collections import Counter
+
+import trio
+
+from tarragonlb.controller.follower import Follower
+from tarragonlb.controller.ports import Clock, Store, Topic
+from tarragonlb.controller.results import NotDone
+from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.scheduling.ledger import Ledger
+from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.telemetry.log import Log
+
+LOG = Log('partition')
+# Pending jobs may be shown as they were so many seconds ago.
+COUNT_SECONDS = 0.3
+
+
+class PartitionFeed:
+    """Follows one partition of the jobs' topic."""
+
+    __slots__ = (
+        '_clock',
+        '_counted_at',
+        '_counts',
+        '_follower',
+        '_settings',
+        '_subscriber',
+        '_wake',
+        'ledger',
+        'number',
+        'read_at',
+    )
+
+    def __init__(
+        self,
+        number: int,
+        store: Store,
+        settings: ControllerSettings,
+        clock: Clock,
+    ) -> None:
+        """Follow partition ``number``."""
+        self.number = number
+        self.ledger = Ledger()
+        self.read_at: float | None = None
+        self._settings = settings
+        self._clock = clock
+        self._follower = Follower(store, Topic.JOBS, number)
+        self._subscriber: trio.MemorySendChannel[list[str]] | None = None
+        self._wake = trio.Event()
+        self._counts: Counter[str] = Counter()
+        self._counted_at = -1.0
+
+    async def run(self) -> None:
+        """Follow the partition until cancelled."""
+        settings = self._settings
+        while True:
+            is_owner = self._subscriber is not None
+            wait = settings.read_wait_seconds if is_owner else 0
+            news = await self._follower.poll(wait)
+            if isinstance(news, NotDone):
+                LOG.say(
+                    'Reading the partition failed.',
+                    partition=self.number,
+                    reason=news.reason,
+                )
+                await trio.sleep(settings.store_retry_seconds)
+                continue
+            await self._apply(news.records)
+            if is_owner:
+                await trio.sleep(settings.owner_read_seconds)
+                continue
+            with trio.move_on_after(settings.follower_read_seconds):
+                await self._wake.wait()
+            self._wake = trio.Event()
+
+    async def refresh(self) -> bool:
+        """Read to the present end; return whether that was possible."""
+        records = await self._follower.catch_up()
+        if isinstance(records, NotDone):
+            return False
+        await self._apply(records)
+        return True
+
+    def apply_own(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Take over records of this process, which carry their offsets."""
+        self.ledger.apply(records)
+
+    def subscribe(self, subscriber: trio.MemorySendChannel[list[str]]) -> None:
+        """Follow quickly and tell which jobs change."""
+        self._subscriber = subscriber
+        self._wake.set()
+
+    def unsubscribe(self) -> None:
+        """Follow slowly again."""
+        self._subscriber = None
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many jobs of a queue wait for their first task."""
+        now = self._clock.read_steady()
+        if now - self._counted_at > COUNT_SECONDS:
+            self._counts = self.ledger.count_pending()
+            self._counted_at = now
+        return self._counts[queue]
+
+    async def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.read_at = self._clock.read_lease()
+        changed = self.ledger.apply(records)
+        for error in self.ledger.errors:
+            LOG.say(
+                'A record was ignored.',
+                partition=self.number,
+                reason=str(error),
+            )
+        self.ledger.errors.clear()
+        if changed and self._subscriber is not None:
+            await self._subscriber.send(changed)
--- /dev/null
+++ b/libs/controller/tarragonlb/controller/view.py
@@ -0,0 +1,42 @@
+"""What this process knows of the platform, and who wants to hear of changes.
+
+Feeds replace whole values here; nobody else writes.
+"""
+
+import trio
+
+from tarragonlb.controller.ports import Configuration
+from tarragonlb.scheduling.fleetboard import FleetBoard
+from tarragonlb.scheduling.wave import Wave
+from tarragonlb.scheduling.worker import Worker
+
+
+class View:
+    """The newest configuration, workers, waves and maintenance board."""
+
+    __slots__ = (
+        '_changed',
+        'board',
+        'configuration',
+        'contact_at',
+        'waves',
+        'workers',
+    )
+
+    def __init__(self) -> None:
+        """Begin knowing nothing."""
+        self.configuration: Configuration | None = None
+        self.workers: dict[str, Worker] = {}
+        self.waves: dict[int, Wave] = {}
+        self.board = FleetBoard()
+        self.contact_at: float | None = None
+        self._changed = trio.Event()
+
+    def announce(self) -> None:
+        """Wake everyone who waits for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_for_change(self) -> None:
+        """Return at the next change."""
+        await self._changed.wait()
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -0,0 +1,193 @@
+"""Places waiting tasks on workers.
+
+Steps are tried in the order of their queue's priority; within it permanent
+tasks go first, then jobs in the order of arrival.  A permanent task that fits
+nowhere reserves the emptiest worker, so that a stream of small tasks can't
+keep it out for ever.
+"""
+
+from tarragonlb.scheduling.job import Moment, Step, TaskKey
+from tarragonlb.scheduling.jobstate import JobState, StepState
+from tarragonlb.scheduling.orders import StartOrder
+from tarragonlb.scheduling.placement import (
+    PlacementPolicy,
+    is_candidate,
+    is_eligible,
+)
+from tarragonlb.scheduling.pool import PoolState
+from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.worker import WorkerState
+
+
+class ReadyStep:
+    """A step with waiting tasks whose prerequisites are done."""
+
+    __slots__ = ('job', 'number', 'occurrence', 'rank', 'state', 'step')
+
+    def __init__(
+        self, job: JobState, occurrence: int, number: int, priority: int
+    ) -> None:
+        """Rank the step among all others."""
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.state: StepState = job.occurrences[occurrence][number]
+        self.step: Step = job.job.spec.steps[number]
+        self.rank = (priority, not self.step.is_permanent, job.learned_at)
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Return what identifies the step's occurrence."""
+        return (self.job.job.job_id, self.occurrence, self.number)
+
+    def list_waiting(self) -> list[int]:
+        """Return the indexes of the tasks that wait."""
+        return [
+            index
+            for index, task in enumerate(self.state.tasks)
+            if task.phase is TaskPhase.WAITING
+        ]
+
+
+class Assigner:
+    """Chooses workers for all ready tasks of a partition."""
+
+    __slots__ = ('_policy', '_pool', '_reserved')
+
+    def __init__(self, pool: PoolState, policy: PlacementPolicy) -> None:
+        """Place tasks of ``pool`` by ``policy``."""
+        self._pool = pool
+        self._policy = policy
+        self._reserved: set[str] = set()
+
+    def place_ready(self, now: Moment) -> list[StartOrder]:
+        """Place what fits and return the orders to send once it is stored."""
+        self._reserved.clear()
+        orders: list[StartOrder] = []
+        for ready in sorted(self._list_ready(now), key=_rank):
+            orders.extend(self._place_step(ready, now.seconds))
+        return orders
+
+    def _list_ready(self, now: Moment) -> list[ReadyStep]:
+        found = []
+        # A scheduled occurrence must never start early by any clock.
+        wall_ms = now.wall_ms
+        for job in self._pool.jobs.values():
+            queue = self._pool.queues.get(job.job.queue)
+            if queue is None or not job.is_open:
+                continue
+            job.open_due_occurrences(wall_ms)
+            for occurrence, number, state in job.list_steps():
+                if not state.is_done and job.is_ready(occurrence, number):
+                    ready = ReadyStep(job, occurrence, number, queue.priority)
+                    found.append(ready)
+        return found
+
+    def _place_step(self, ready: ReadyStep, now: float) -> list[StartOrder]:
+        waiting = ready.list_waiting()
+        if ready.step.is_gang:
+            return self._place_gang(ready, waiting, now)
+        orders = []
+        for index in waiting:
+            order = self._place_task(ready, index, now)
+            if order is None:
+                break
+            orders.append(order)
+        return orders
+
+    def _place_gang(
+        self, ready: ReadyStep, waiting: list[int], now: float
+    ) -> list[StartOrder]:
+        tasks = ready.state.tasks
+        if len(waiting) < len(tasks):
+            return []
+        attempt = max(task.attempt for task in tasks) + 1
+        checkpoint = max(task.checkpoint for task in tasks)
+        orders = []
+        for index in waiting:
+            tasks[index].checkpoint = checkpoint
+            order = self._place_task(ready, index, now, attempt)
+            if order is None:
+                self._undo(ready, waiting)
+                return []
+            orders.append(order)
+        return orders
+
+    def _undo(self, ready: ReadyStep, waiting: list[int]) -> None:
+        for index in waiting:
+            task = ready.state.tasks[index]
+            if task.is_attached:
+                self._pool.release(TaskKey(*ready.key, index), task)
+
+    def _place_task(
+        self,
+        ready: ReadyStep,
+        index: int,
+        now: float,
+        attempt: int = 0,
+    ) -> StartOrder | None:
+        task = ready.state.tasks[index]
+        worker = self._policy.choose(
+            ready.step, task, self._list_candidates(ready, task, now)
+        )
+        if worker is None:
+            if ready.step.is_permanent:
+                self._reserve(ready)
+            return None
+        return self._attach(ready, index, worker, attempt, now)
+
+    def _attach(
+        self,
+        ready: ReadyStep,
+        index: int,
+        worker: WorkerState,
+        attempt: int,
+        now: float,
+    ) -> StartOrder:
+        key = TaskKey(*ready.key, index)
+        task = ready.state.tasks[index]
+        worker_id = worker.worker.worker_id
+        task.place(worker_id, attempt or task.attempt + 1, now)
+        worker.attach(key, task.attempt, ready.step)
+        ready.job.began = True
+        self._pool.changed.add(key.job_id)
+        return StartOrder(
+            key=key,
+            attempt=task.attempt,
+            worker_id=worker_id,
+            payload=ready.job.job.spec.payload,
+            checkpoint=task.checkpoint,
+            ticket=ready.state.tickets.get(worker_id, ('', 0.0))[0],
+        )
+
+    def _list_candidates(
+        self, ready: ReadyStep, task: TaskState, now: float
+    ) -> list[WorkerState]:
+        pool = ready.job.job.pool
+        return [
+            worker
+            for worker in self._pool.workers.values()
+            if worker.worker.pool == pool
+            and worker.worker.worker_id not in self._reserved
+            and is_candidate(worker, ready.step, ready.key, task, now)
+        ]
+
+    def _reserve(self, ready: ReadyStep) -> None:
+        eligible = [
+            worker
+            for worker in self._pool.workers.values()
+            if worker.worker.pool == ready.job.job.pool
+            and worker.worker.worker_id not in self._reserved
+            and is_eligible(worker, ready.step, ready.key)
+        ]
+        best = max(eligible, key=_measure_room, default=None)
+        if best is not None:
+            self._reserved.add(best.worker.worker_id)
+
+
+def _rank(ready: ReadyStep) -> tuple[int, bool, float]:
+    return ready.rank
+
+
+def _measure_room(worker: WorkerState) -> int:
+    return worker.free_cpu
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/jobstate.py
@@ -0,0 +1,136 @@
+"""What has become of one job: its tasks, and its outcome once it has one."""
+
+import enum
+from collections.abc import Iterator
+
+from tarragonlb.scheduling.job import Job, TaskKey
+from tarragonlb.scheduling.task import TaskPhase, TaskState
+
+
+class JobOutcome(enum.IntEnum):
+    """How a job stands."""
+
+    OPEN = 0
+    COMPLETED = 1
+    FAILED = 2
+    CANCELLED = 3
+
+
+class StepState:
+    """The tasks of one step of one occurrence."""
+
+    __slots__ = ('done', 'started', 'step', 'tasks', 'tickets')
+
+    def __init__(self, step_width: int) -> None:
+        """Begin with tasks that never ran."""
+        self.tasks = [TaskState() for _ in range(step_width)]
+        self.done = 0
+        self.started = False
+        # Worker id to (ticket, end of validity in seconds).
+        self.tickets: dict[str, tuple[str, float]] = {}
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether every task is done."""
+        return self.done >= len(self.tasks)
+
+
+class JobState:
+    """A job and its progress.
+
+    ``occurrences`` grows as occurrences come due; each is the list of its
+    steps.  ``learned_at`` is when this owner first saw the job.
+    """
+
+    __slots__ = (
+        'began',
+        'cancelled',
+        'finished_at',
+        'job',
+        'learned_at',
+        'occurrences',
+        'outcome',
+    )
+
+    def __init__(self, job: Job, now: float) -> None:
+        """Begin with no occurrence due."""
+        self.job = job
+        self.learned_at = now
+        self.outcome = JobOutcome.OPEN
+        self.cancelled = False
+        self.began = False
+        self.finished_at = 0.0
+        self.occurrences: list[list[StepState]] = []
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether tasks may still be started."""
+        return self.outcome is JobOutcome.OPEN and not self.cancelled
+
+    def open_due_occurrences(self, wall_ms: float) -> None:
+        """Add the occurrences that have come due."""
+        spec = self.job.spec
+        count = len(self.occurrences)
+        while count < spec.occurrence_count and spec.is_due(count, wall_ms):
+            self.open_occurrence()
+            count += 1
+
+    def open_occurrence(self) -> None:
+        """Add the next occurrence."""
+        steps = [StepState(step.width) for step in self.job.spec.steps]
+        self.occurrences.append(steps)
+
+    def find(self, key: TaskKey) -> TaskState | None:
+        """Return the state of a task, or None where there is no such task."""
+        if key.occurrence >= len(self.occurrences):
+            return None
+        steps = self.occurrences[key.occurrence]
+        if key.step >= len(steps):
+            return None
+        tasks = steps[key.step].tasks
+        return tasks[key.position] if key.position < len(tasks) else None
+
+    def step_of(self, key: TaskKey) -> StepState:
+        """Return the step that a task belongs to."""
+        return self.occurrences[key.occurrence][key.step]
+
+    def is_ready(self, occurrence: int, step: int) -> bool:
+        """Return whether everything that a step waits for is done."""
+        states = self.occurrences[occurrence]
+        waits_for = self.job.spec.steps[step].prerequisites
+        return all(states[number].is_done for number in waits_for)
+
+    def list_steps(self) -> Iterator[tuple[int, int, StepState]]:
+        """Yield every step with the numbers of occurrence and step."""
+        for occurrence, steps in enumerate(self.occurrences):
+            for number, state in enumerate(steps):
+                yield occurrence, number, state
+
+    def list_tasks(self) -> Iterator[tuple[TaskKey, TaskState]]:
+        """Yield every task that has come due."""
+        for occurrence, step, state in self.list_steps():
+            for index, task in enumerate(state.tasks):
+                yield TaskKey(self.job.job_id, occurrence, step, index), task
+
+    def finish_task(self, key: TaskKey, now: float) -> None:
+        """Note that a task, or the whole gang it belongs to, is done."""
+        state = self.step_of(key)
+        is_gang = self.job.spec.steps[key.step].is_gang
+        tasks = state.tasks if is_gang else [state.tasks[key.position]]
+        for task in tasks:
+            if task.phase is not TaskPhase.DONE:
+                task.finish()
+                state.done += 1
+        if self._is_done():
+            self.close(JobOutcome.COMPLETED, now)
+
+    def close(self, outcome: JobOutcome, now: float) -> None:
+        """Give the job its outcome; the first one stands."""
+        if self.outcome is JobOutcome.OPEN:
+            self.outcome = outcome
+            self.finished_at = now
+
+    def _is_done(self) -> bool:
+        if len(self.occurrences) < self.job.spec.occurrence_count:
+            return False
+        return all(state.is_done for _, _, state in self.list_steps())
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/ledger.py
@@ -0,0 +1,149 @@
+"""The jobs of one partition, folded from its records.
+
+Every daemon folds the partitions that it answers for.  For each key the record
+with the highest offset counts, so records may be applied in any order and more
+than once.  Values are decoded when they are needed.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+
+from tarragonlb.scheduling.job import Job
+from tarragonlb.scheduling.jobstate import JobOutcome, JobState
+from tarragonlb.scheduling.records import (
+    CANCELLATION,
+    KINDS,
+    PROGRESS,
+    SUBMISSION,
+    KeyedRecord,
+    Progress,
+    RecordError,
+    read_progress,
+    read_spec,
+    read_submission_head,
+    restore_tasks,
+)
+
+
+class LedgerEntry:
+    """The newest records of one job: value and offset by kind."""
+
+    __slots__ = ('_progress', '_values', 'job_id')
+
+    def __init__(self, job_id: str) -> None:
+        """Begin without any record."""
+        self.job_id = job_id
+        self._values: dict[str, tuple[int, bytes]] = {}
+        self._progress: Progress | None = None
+
+    def apply(self, kind: str, offset: int, value: bytes) -> None:
+        """Take a record over unless a newer one is known."""
+        known = self._values.get(kind)
+        if known is not None and known[0] >= offset:
+            return
+        self._values[kind] = (offset, value)
+        if kind == PROGRESS:
+            self._progress = None
+
+    @property
+    def is_submitted(self) -> bool:
+        """Return whether the job was accepted and not removed."""
+        return bool(self.read(SUBMISSION))
+
+    @property
+    def is_cancelled(self) -> bool:
+        """Return whether a client cancelled the job."""
+        return bool(self.read(CANCELLATION))
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether every record was removed."""
+        return not any(value for _, value in self._values.values())
+
+    def read(self, kind: str) -> bytes:
+        """Return the newest value of a kind, empty where there is none."""
+        return self._values.get(kind, (-1, b''))[1]
+
+    def read_progress(self) -> Progress | None:
+        """Return the newest progress, or None where no owner wrote any."""
+        value = self.read(PROGRESS)
+        if self._progress is None and value:
+            self._progress = read_progress(value)
+        return self._progress if value else None
+
+    def describe(self) -> str:
+        """Return the state of the job in one word."""
+        progress = self.read_progress()
+        if progress is not None and progress.outcome is not JobOutcome.OPEN:
+            return progress.outcome.name.lower()
+        if self.is_cancelled:
+            return JobOutcome.CANCELLED.name.lower()
+        began = progress is not None and progress.began
+        return 'running' if began else 'queued'
+
+    def build_state(self, now: float) -> JobState:
+        """Return the job as an owner keeps it."""
+        queue, pool, spec = read_submission_head(self.read(SUBMISSION))
+        job = Job(
+            job_id=self.job_id, queue=queue, pool=pool, spec=read_spec(spec)
+        )
+        state = JobState(job, now)
+        progress = self.read_progress()
+        if progress is not None:
+            restore_tasks(state, progress, now)
+        return state
+
+
+class Ledger:
+    """All jobs of one partition.
+
+    ``errors`` are records that could not be used, for the caller to log.
+    """
+
+    __slots__ = ('_entries', 'errors', 'next_offset')
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._entries: dict[str, LedgerEntry] = {}
+        self.errors: list[RecordError] = []
+        self.next_offset = 0
+
+    def apply(self, records: Iterable[KeyedRecord]) -> list[str]:
+        """Apply records and return the ids of the jobs they are about."""
+        changed = []
+        for record in records:
+            job_id, kind = record.key[:-1], record.key[-1:]
+            if kind not in KINDS or not job_id:
+                self.errors.append(RecordError(f'unknown key {record.key!r}'))
+                continue
+            entry = self._entries.get(job_id)
+            if entry is None:
+                entry = LedgerEntry(job_id)
+                self._entries[job_id] = entry
+            entry.apply(kind, record.offset, record.value)
+            if entry.is_empty:
+                self._entries.pop(job_id)
+            changed.append(job_id)
+        return changed
+
+    def find(self, job_id: str) -> LedgerEntry | None:
+        """Return an accepted job, or None where there is none."""
+        entry = self._entries.get(job_id)
+        if entry is None or not entry.is_submitted:
+            return None
+        return entry
+
+    def list_entries(self) -> Iterator[LedgerEntry]:
+        """Yield all accepted jobs."""
+        for entry in tuple(self._entries.values()):
+            if entry.is_submitted:
+                yield entry
+
+    def count_pending(self) -> Counter[str]:
+        """Return by queue how many jobs wait for their first task."""
+        counts: Counter[str] = Counter()
+        for entry in self.list_entries():
+            if entry.describe() == 'queued':
+                queue, _, _ = read_submission_head(entry.read(SUBMISSION))
+                counts[queue] += 1
+        return counts
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/placement.py
@@ -0,0 +1,87 @@
+"""Which worker gets a task.
+
+A placement policy sees the workers that could take the task and picks one.
+The pattern the default answers: bursts of small tasks on pools where some
+workers hold permanent tasks, with data that is slow to read from other racks.
+"""
+
+import abc
+from collections.abc import Iterable
+
+from tarragonlb.scheduling.job import Step
+from tarragonlb.scheduling.task import TaskState
+from tarragonlb.scheduling.worker import WorkerState
+
+
+def is_eligible(
+    worker: WorkerState, step: Step, step_key: tuple[str, int, int]
+) -> bool:
+    """Return whether a worker may run a step, once it has room."""
+    if not worker.is_usable() or not worker.worker.has_label(step):
+        return False
+    limit = step.max_per_worker
+    return not limit or worker.count_of(step_key) < limit
+
+
+def is_candidate(
+    worker: WorkerState,
+    step: Step,
+    step_key: tuple[str, int, int],
+    task: TaskState,
+    now: float,
+) -> bool:
+    """Return whether a worker may take this task of a step now."""
+    if not worker.has_room(step):
+        return False
+    is_retry = task.failures > 0 and not step.is_permanent
+    if not worker.accepts_on_probation(now, is_retry=is_retry):
+        return False
+    return is_eligible(worker, step, step_key)
+
+
+class PlacementPolicy(abc.ABC):
+    """Chooses among the workers that may take a task."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def choose(
+        self, step: Step, task: TaskState, candidates: Iterable[WorkerState]
+    ) -> WorkerState | None:
+        """Return the worker to use, or None to leave the task waiting."""
+
+
+class FirstFit(PlacementPolicy):
+    """The baseline: the first worker with room, whatever else is known."""
+
+    __slots__ = ()
+
+    def choose(
+        self, step: Step, task: TaskState, candidates: Iterable[WorkerState]
+    ) -> WorkerState | None:
+        """Return the first candidate."""
+        return next(iter(candidates), None)
+
+
+class SpreadNearData(PlacementPolicy):
+    """Prefers workers near the data, then the emptiest.
+
+    A worker where this task failed, or that is on probation, comes last.
+    """
+
+    __slots__ = ()
+
+    def choose(
+        self, step: Step, task: TaskState, candidates: Iterable[WorkerState]
+    ) -> WorkerState | None:
+        """Return the best candidate."""
+        return max(
+            candidates,
+            key=lambda worker: (
+                worker.worker.worker_id not in task.avoided,
+                not worker.failures,
+                worker.worker.is_near(step),
+                worker.free_cpu,
+            ),
+            default=None,
+        )
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/pool.py
@@ -0,0 +1,134 @@
+"""What the owner of a partition knows: its jobs, workers and queues.
+
+The owner's one task changes it; the other modules are steps of its decisions.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from tarragonlb.scheduling.job import TaskKey
+from tarragonlb.scheduling.jobstate import JobOutcome, JobState
+from tarragonlb.scheduling.queue import Queue
+from tarragonlb.scheduling.settings import SchedulingSettings
+from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.worker import Worker, WorkerState
+
+
+class PoolState:
+    """Jobs and workers of the pools of one partition.
+
+    ``changed`` are ids of jobs whose progress record is out of date.
+    """
+
+    __slots__ = (
+        '_taken_over_at',
+        'changed',
+        'jobs',
+        'queues',
+        'settings',
+        'workers',
+    )
+
+    def __init__(self, settings: SchedulingSettings, now: float) -> None:
+        """Begin at a takeover at ``now`` seconds."""
+        self.settings = settings
+        self.jobs: dict[str, JobState] = {}
+        self.workers: dict[str, WorkerState] = {}
+        self.queues: Mapping[str, Queue] = {}
+        self.changed: set[str] = set()
+        self._taken_over_at = now
+
+    @property
+    def former_leases_until(self) -> float:
+        """Return when the leases that former owners granted are over."""
+        settings = self.settings
+        return self._taken_over_at + settings.bound_lease()
+
+    def add_job(self, state: JobState) -> None:
+        """Take over a job, with the attempts its record says may run."""
+        job_id = state.job.job_id
+        if job_id in self.jobs:
+            return
+        self.jobs[job_id] = state
+        for key, task in state.list_tasks():
+            if task.is_attached:
+                worker = self.find_worker(task.worker_id, state.job.pool)
+                step = state.job.spec.steps[key.step]
+                worker.attach(key, task.attempt, step)
+
+    def cancel_job(self, job_id: str, now: float) -> None:
+        """Stop everything of a job for good."""
+        state = self.jobs.get(job_id)
+        if state is None or state.outcome is not JobOutcome.OPEN:
+            return
+        state.cancelled = True
+        self.close_job(state, JobOutcome.CANCELLED, now)
+
+    def close_job(
+        self, state: JobState, outcome: JobOutcome, now: float
+    ) -> None:
+        """Give a job its outcome and stop what still runs of it."""
+        state.close(outcome, now)
+        self.changed.add(state.job.job_id)
+        for _, task in state.list_tasks():
+            if task.is_attached:
+                task.begin_stop()
+
+    def update_workers(self, workers: Iterable[Worker]) -> None:
+        """Take over the directory: the workers of these pools."""
+        listed = {worker.worker_id: worker for worker in workers}
+        for worker_id, state in tuple(self.workers.items()):
+            state.is_listed = worker_id in listed
+            if not (state.is_listed or state.attached):
+                self.workers.pop(worker_id)
+        for worker_id, worker in listed.items():
+            known = self.workers.get(worker_id)
+            if known is None:
+                self.workers[worker_id] = WorkerState(
+                    worker, self.former_leases_until
+                )
+            else:
+                known.update(worker)
+
+    def find_worker(self, worker_id: str, pool: str) -> WorkerState:
+        """Return a worker, also one that the directory no longer lists."""
+        known = self.workers.get(worker_id)
+        if known is None:
+            known = WorkerState(
+                Worker(worker_id=worker_id, pool=pool),
+                self.former_leases_until,
+            )
+            known.is_listed = False
+            self.workers[worker_id] = known
+        return known
+
+    def find_attempt(
+        self, key: TaskKey, attempt: int, worker_id: str
+    ) -> TaskState | None:
+        """Return the task if this attempt of it is the current one."""
+        state = self.jobs.get(key.job_id)
+        task = None if state is None else state.find(key)
+        if task is None or task.attempt != attempt:
+            return None
+        is_current = task.is_attached and task.worker_id == worker_id
+        return task if is_current else None
+
+    def release(self, key: TaskKey, task: TaskState) -> None:
+        """Return a task to waiting, since its attempt is over."""
+        self._detach(key, task)
+        task.release()
+        self.changed.add(key.job_id)
+
+    def finish(self, key: TaskKey, now: float) -> None:
+        """Note that a task is done, for a gang all its tasks."""
+        state = self.jobs[key.job_id]
+        step = state.job.spec.steps[key.step]
+        for index, task in enumerate(state.step_of(key).tasks):
+            if index == key.position or step.is_gang:
+                self._detach(key._replace(position=index), task)
+        state.finish_task(key, now)
+        self.changed.add(key.job_id)
+
+    def _detach(self, key: TaskKey, task: TaskState) -> None:
+        worker = self.workers.get(task.worker_id)
+        if worker is not None and task.phase is not TaskPhase.WAITING:
+            worker.detach(key)
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -0,0 +1,201 @@
+"""Brings what is believed of attempts in line with what workers say.
+
+An attempt is over only when its worker says so, when the worker says that it
+was barred and does not list it, when the worker began a new life, or when its
+lease has surely run out.
+"""
+
+from tarragonlb.scheduling.job import TaskKey
+from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
+from tarragonlb.scheduling.pool import PoolState
+from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.worker import (
+    EndedAttempt,
+    RunningAttempt,
+    WorkerReport,
+    WorkerState,
+)
+
+ENDED_DONE = 'done'
+ENDED_FAILED = 'failed'
+
+
+class Reconciler:
+    """Applies reports and answers to the state of a partition."""
+
+    __slots__ = ('_pool',)
+
+    def __init__(self, pool: PoolState) -> None:
+        """Change ``pool``, which the caller owns."""
+        self._pool = pool
+
+    def apply_report(self, report: WorkerReport) -> None:
+        """Take over what a worker says runs and has ended there."""
+        worker = self._pool.workers.get(report.worker_id)
+        if worker is None:
+            return
+        if worker.born is not None and report.born != worker.born:
+            self.drop_life(worker)
+        worker.born = report.born
+        worker.heard_at = report.heard_at
+        worker.is_silent = False
+        for end in report.ended:
+            if end.number > worker.seen_end:
+                worker.seen_end = end.number
+                self._apply_end(worker, end, report.heard_at)
+        listed = self._apply_running(worker, report)
+        for key, attachment in tuple(worker.attached.items()):
+            if (key, attachment.attempt) not in listed:
+                self._apply_absence(worker, key, report)
+
+    def apply_start(
+        self, order: StartOrder, result: OrderResult, now: float
+    ) -> None:
+        """Take over what is known of a start order."""
+        task = self._pool.find_attempt(
+            order.key, order.attempt, order.worker_id
+        )
+        if task is None:
+            return
+        if result in {OrderResult.DONE, OrderResult.UNANSWERED}:
+            task.settled_at = now
+            return
+        self._pool.release(order.key, task)
+        if (
+            self._pool.jobs[order.key.job_id]
+            .job.spec.steps[order.key.step]
+            .is_gang
+        ):
+            self._stop_gang(order.key)
+
+    def apply_stop(
+        self, order: StopOrder, result: OrderResult, now: float
+    ) -> None:
+        """Take over what is known of a stop order."""
+        task = self._pool.find_attempt(
+            order.key, order.attempt, order.worker_id
+        )
+        if task is None or task.phase is not TaskPhase.STOPPING:
+            return
+        if result is OrderResult.DONE and task.barred_at is None:
+            task.barred_at = now
+        if result is OrderResult.OTHER_LIFE:
+            self._pool.release(order.key, task)
+
+    def note_silence(self, worker_id: str, lease_until: float) -> None:
+        """Stop using a worker until it answers again.
+
+        What this owner granted there ends at ``lease_until`` seconds.  Tasks
+        that allow copies are free to start elsewhere at once.
+        """
+        worker = self._pool.workers.get(worker_id)
+        if worker is None:
+            return
+        worker.lease_until = max(worker.lease_until, lease_until)
+        if worker.is_silent:
+            return
+        worker.is_silent = True
+        for key in tuple(worker.attached):
+            state = self._pool.jobs[key.job_id]
+            if state.job.spec.steps[key.step].allows_copies:
+                self._release_key(key)
+
+    def note_end_of_life(self, worker_id: str) -> None:
+        """Release everything of a worker that is known to have ended."""
+        worker = self._pool.workers.get(worker_id)
+        if worker is not None:
+            self.drop_life(worker)
+
+    def expire_leases(self, now: float) -> None:
+        """Release what ran on silent workers whose lease has run out."""
+        margin = self._pool.settings.lease_margin_seconds
+        for worker in self._pool.workers.values():
+            unheard = worker.is_silent or worker.heard_at is None
+            if unheard and now > worker.lease_until + margin:
+                self.drop_life(worker)
+
+    def drop_life(self, worker: WorkerState) -> None:
+        """Release everything that ran on a worker."""
+        worker.seen_end = 0
+        worker.born = None
+        worker.foreign.clear()
+        for key in tuple(worker.attached):
+            self._release_key(key)
+
+    def _apply_running(
+        self, worker: WorkerState, report: WorkerReport
+    ) -> set[tuple[TaskKey, int]]:
+        listed = set()
+        worker.foreign.clear()
+        for row in report.running:
+            listed.add((row.key, row.attempt))
+            task = self._pool.find_attempt(
+                row.key, row.attempt, worker.worker.worker_id
+            )
+            if task is None:
+                worker.foreign[row.key] = row.attempt
+            else:
+                self._show_running(row, task, report.heard_at)
+        return listed
+
+    def _show_running(
+        self, row: RunningAttempt, task: TaskState, now: float
+    ) -> None:
+        task.show_running(row.percent, row.checkpoint, now)
+        step = self._pool.jobs[row.key.job_id].job.spec.steps[row.key.step]
+        if step.latency_target_ms:
+            task.tail_ms = row.gauge
+
+    def _apply_end(
+        self, worker: WorkerState, end: EndedAttempt, now: float
+    ) -> None:
+        task = self._pool.find_attempt(
+            end.key, end.attempt, worker.worker.worker_id
+        )
+        if task is None:
+            return
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if end.how == ENDED_DONE:
+            worker.note_success()
+            self._pool.finish(end.key, now)
+            return
+        self._pool.release(end.key, task)
+        if end.how == ENDED_FAILED:
+            task.failures += 1
+            task.avoided.add(worker.worker.worker_id)
+            worker.note_failure(now)
+            self._fail_job(end.key, task, now)
+
+    def _fail_job(self, key: TaskKey, task: TaskState, now: float) -> None:
+        state = self._pool.jobs[key.job_id]
+        queue = self._pool.queues.get(state.job.queue)
+        if queue is None or state.job.spec.steps[key.step].is_permanent:
+            return
+        if task.failures >= queue.max_attempts:
+            self._pool.close_job(state, JobOutcome.FAILED, now)
+
+    def _apply_absence(
+        self, worker: WorkerState, key: TaskKey, report: WorkerReport
+    ) -> None:
+        task = self._pool.jobs[key.job_id].find(key)
+        if task is None or task.settled_at is None:
+            return
+        if report.sent_at <= task.settled_at:
+            return
+        if task.phase is not TaskPhase.STOPPING:
+            task.begin_stop()
+        elif task.barred_at is not None and report.sent_at > task.barred_at:
+            self._pool.release(key, task)
+
+    def _stop_gang(self, key: TaskKey) -> None:
+        state = self._pool.jobs[key.job_id]
+        for task in state.step_of(key).tasks:
+            if task.is_attached:
+                task.begin_stop()
+
+    def _release_key(self, key: TaskKey) -> None:
+        task = self._pool.jobs[key.job_id].find(key)
+        if task is not None:
+            self._pool.release(key, task)
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -0,0 +1,84 @@
+"""The decisions of a partition's owner, in rounds.
+
+Events come in at any time; ``decide`` then makes one round of them.  The
+caller stores what a round changed, sends its orders, and hands every answer
+back.
+
+>>> from tarragonlb.scheduling.placement import FirstFit
+>>> scheduler = Scheduler(settings, FirstFit(), now=0.0)   # doctest: +SKIP
+>>> scheduler.decide(Moment(1.0)).is_empty                 # doctest: +SKIP
+True
+"""
+
+from tarragonlb.scheduling.assignment import Assigner
+from tarragonlb.scheduling.job import Moment
+from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.orders import Round, StartOrder
+from tarragonlb.scheduling.pacing import Pacer
+from tarragonlb.scheduling.placement import PlacementPolicy
+from tarragonlb.scheduling.pool import PoolState
+from tarragonlb.scheduling.reconciliation import Reconciler
+from tarragonlb.scheduling.settings import SchedulingSettings
+from tarragonlb.scheduling.stopping import Stopper
+from tarragonlb.scheduling.task import TaskPhase
+
+
+class Scheduler:
+    """Decides for all pools of one partition, during one term."""
+
+    __slots__ = ('_assigner', '_stopper', 'pacer', 'pool', 'reconciler')
+
+    def __init__(
+        self, settings: SchedulingSettings, policy: PlacementPolicy, now: float
+    ) -> None:
+        """Begin a term at ``now`` seconds, without jobs and workers."""
+        self.pool = PoolState(settings, now)
+        self.reconciler = Reconciler(self.pool)
+        self.pacer = Pacer(self.pool)
+        self._assigner = Assigner(self.pool, policy)
+        self._stopper = Stopper(self.pool)
+
+    def decide(self, now: Moment) -> Round:
+        """Make one round of decisions."""
+        pool = self.pool
+        self.reconciler.expire_leases(now.seconds)
+        self._stopper.begin_moves(now.seconds)
+        self._stopper.begin_stalled(now.seconds)
+        removed = self._forget_finished(now.seconds)
+        starts = self._assigner.place_ready(now)
+        changed = tuple(
+            pool.jobs[job_id] for job_id in pool.changed if job_id in pool.jobs
+        )
+        pool.changed.clear()
+        return Round(
+            jobs=changed,
+            removed=removed,
+            starts=tuple(starts),
+            stops=tuple(self._stopper.list_orders(now.seconds)),
+            paces=tuple(self.pacer.decide(now.seconds)),
+            seen_ends={
+                worker_id: (worker.born, worker.seen_end)
+                for worker_id, worker in pool.workers.items()
+            },
+        )
+
+    def may_send(self, order: StartOrder) -> bool:
+        """Return whether a start that was stored is still wanted."""
+        task = self.pool.find_attempt(order.key, order.attempt, order.worker_id)
+        if task is None or task.phase is not TaskPhase.PLACED:
+            return False
+        worker = self.pool.workers.get(order.worker_id)
+        return worker is not None and not worker.worker.is_draining
+
+    def _forget_finished(self, now: float) -> tuple[str, ...]:
+        limit = now - self.pool.settings.status_seconds
+        old = [
+            job_id
+            for job_id, state in self.pool.jobs.items()
+            if state.outcome is not JobOutcome.OPEN
+            and state.finished_at < limit
+            and not any(task.is_attached for _, task in state.list_tasks())
+        ]
+        for job_id in old:
+            self.pool.jobs.pop(job_id)
+        return tuple(old)
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -0,0 +1,43 @@
+"""The settings of scheduling, handed over whole to whatever decides."""
+
+from dataclasses import dataclass
+
+CLOCK_DRIFT = 1.021
+"""Seconds of ours in a second of a worker's clock that is 2% slow."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SchedulingSettings:
+    """Limits that the platform states, and those of our own.
+
+    Those without a default come from the platform's settings file.
+    """
+
+    max_lease_seconds: float
+    stop_grace_seconds: float
+    remote_factor: float
+    early_seconds: float
+    pace_seconds: float
+    maintenance_seconds: float
+    order_lease_seconds: float
+    # Repeats a stop order whose effect was not seen; well above one report.
+    stop_repeat_seconds: float = 1.0
+    # On top of computed lease ends, for rounding and delays in links.
+    lease_margin_seconds: float = 0.3
+    # An attempt without progress for so long stands still; reports come at
+    # least every second.
+    stall_seconds: float = 2.5
+    # Finished jobs are shown for the time the platform asks, then forgotten.
+    status_seconds: float = 120.0
+    # A worker on probation gets one task at a time, until one succeeds.
+    probation_seconds: float = 10.0
+    # Tails above this share of their target slow scavengers down.
+    pacing_high_share: float = 0.8
+    # Tails below this share of their target let scavengers speed up.
+    pacing_low_share: float = 0.5
+    # Percentage points by which a scavenger speeds up at a time.
+    pacing_step_percent: int = 15
+
+    def bound_lease(self) -> float:
+        """Return after how many seconds any lease granted now is over."""
+        return self.max_lease_seconds * CLOCK_DRIFT
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/stopping.py
@@ -0,0 +1,134 @@
+"""Which attempts to stop: unwanted, stalled, or in the way of maintenance."""
+
+from tarragonlb.scheduling.job import TaskKey
+from tarragonlb.scheduling.jobstate import JobState
+from tarragonlb.scheduling.orders import StopOrder
+from tarragonlb.scheduling.placement import is_eligible
+from tarragonlb.scheduling.pool import PoolState
+from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.worker import WorkerState
+
+
+class Stopper:
+    """Decides on stops in a partition."""
+
+    __slots__ = ('_pool',)
+
+    def __init__(self, pool: PoolState) -> None:
+        """Stop attempts of ``pool``."""
+        self._pool = pool
+
+    def begin_moves(self, now: float) -> None:
+        """Begin to move tasks off workers that are closing or leaving.
+
+        Tasks of limited length may finish.  Permanent tasks move one at a
+        time, as their step's disruption budget allows.
+        """
+        for worker in self._pool.workers.values():
+            if not (worker.is_closing or worker.worker.is_draining):
+                continue
+            for key in tuple(worker.attached):
+                self._move_permanent(worker, key)
+
+    def begin_stalled(self, now: float) -> None:
+        """Stop attempts that make no progress."""
+        limit = self._pool.settings.stall_seconds
+        for worker in self._pool.workers.values():
+            if worker.is_silent or worker.heard_at is None:
+                continue
+            for key in tuple(worker.attached):
+                task = self._find(key)
+                if self._is_stalled(key, task, now - limit):
+                    task.begin_stop()
+                    task.avoided.add(worker.worker.worker_id)
+                    worker.note_failure(now)
+
+    def list_orders(self, now: float) -> list[StopOrder]:
+        """Return the stop orders that are due, repeats included."""
+        orders: list[StopOrder] = []
+        since = now - self._pool.settings.stop_repeat_seconds
+        for worker in self._pool.workers.values():
+            if worker.is_silent or worker.heard_at is None:
+                continue
+            orders.extend(self._list_attached(worker, since, now))
+            orders.extend(self._list_foreign(worker, since, now))
+        return orders
+
+    def _list_attached(
+        self, worker: WorkerState, since: float, now: float
+    ) -> list[StopOrder]:
+        orders = []
+        for key, attachment in worker.attached.items():
+            task = self._find(key)
+            if task.phase is not TaskPhase.STOPPING:
+                continue
+            if task.stop_sent_at is None or task.stop_sent_at < since:
+                task.stop_sent_at = now
+                orders.append(
+                    StopOrder(
+                        key=key,
+                        attempt=attachment.attempt,
+                        worker_id=worker.worker.worker_id,
+                    )
+                )
+        return orders
+
+    def _list_foreign(
+        self, worker: WorkerState, since: float, now: float
+    ) -> list[StopOrder]:
+        if not worker.foreign or worker.foreign_stop_at > since:
+            return []
+        worker.foreign_stop_at = now
+        return [
+            StopOrder(
+                key=key, attempt=attempt, worker_id=worker.worker.worker_id
+            )
+            for key, attempt in worker.foreign.items()
+        ]
+
+    def _is_stalled(
+        self, key: TaskKey, task: TaskState, progress_before: float
+    ) -> bool:
+        if task.phase is not TaskPhase.RUNNING:
+            return False
+        step = self._pool.jobs[key.job_id].job.spec.steps[key.step]
+        if step.is_gang or (step.is_permanent and task.is_at_work):
+            return False
+        return task.progress_at < progress_before
+
+    def _move_permanent(self, worker: WorkerState, key: TaskKey) -> None:
+        state = self._pool.jobs[key.job_id]
+        step = state.job.spec.steps[key.step]
+        task = self._find(key)
+        if task.phase is not TaskPhase.RUNNING or not step.is_permanent:
+            return
+        is_free = worker.worker.is_draining or self._may_disrupt(state, key)
+        if is_free and self._has_place(state, key):
+            task.begin_stop()
+
+    def _may_disrupt(self, state: JobState, key: TaskKey) -> bool:
+        budget = state.job.spec.steps[key.step].disruption_budget
+        if budget is None:
+            return True
+        away = sum(
+            1
+            for index, task in enumerate(state.step_of(key).tasks)
+            if index != key.position and not task.is_at_work
+        )
+        return away < budget
+
+    def _has_place(self, state: JobState, key: TaskKey) -> bool:
+        step = state.job.spec.steps[key.step]
+        step_key = (key.job_id, key.occurrence, key.step)
+        return any(
+            worker.worker.pool == state.job.pool
+            and is_eligible(worker, step, step_key)
+            and worker.has_room(step)
+            for worker in self._pool.workers.values()
+        )
+
+    def _find(self, key: TaskKey) -> TaskState:
+        task = self._pool.jobs[key.job_id].find(key)
+        if task is None:
+            raise KeyError(key)
+        return task
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -0,0 +1,125 @@
+"""The state of one task.
+
+    WAITING -> PLACED -> RUNNING -> DONE
+       ^         |          |
+       +---- STOPPING <-----+
+
+A task is PLACED once a worker is chosen and recorded, although the order may
+not have reached the worker.  From STOPPING it returns to WAITING only when the
+worker has shown that the attempt is over or barred.
+"""
+
+import enum
+
+
+class TaskPhase(enum.IntEnum):
+    """Where a task is between waiting and done."""
+
+    WAITING = 0
+    PLACED = 1
+    RUNNING = 2
+    STOPPING = 3
+    DONE = 4
+
+
+ATTACHED = frozenset((TaskPhase.PLACED, TaskPhase.RUNNING, TaskPhase.STOPPING))
+FULL_PERCENT = 100
+
+
+class TaskState:
+    """What is known of one task; times are seconds on the steady clock.
+
+    ``settled_at`` is when the start order was answered or given up on; a
+    report asked for later shows the attempt if it exists.  ``barred_at`` is
+    when the worker confirmed a stop: a report asked for later that doesn't
+    list the attempt proves that it is over.
+    """
+
+    __slots__ = (
+        'attempt',
+        'avoided',
+        'barred_at',
+        'checkpoint',
+        'failures',
+        'phase',
+        'placed_at',
+        'progress_at',
+        'progress_percent',
+        'settled_at',
+        'stop_sent_at',
+        'tail_ms',
+        'worker_id',
+    )
+
+    def __init__(self) -> None:
+        """Begin as a task that never ran."""
+        self.phase = TaskPhase.WAITING
+        self.attempt = 0
+        self.worker_id = ''
+        self.failures = 0
+        self.checkpoint = ''
+        self.avoided: set[str] = set()
+        self.placed_at = 0.0
+        self.settled_at: float | None = None
+        self.barred_at: float | None = None
+        self.stop_sent_at: float | None = None
+        self.progress_percent = 0
+        self.progress_at = 0.0
+        self.tail_ms = 0
+
+    @property
+    def is_attached(self) -> bool:
+        """Return whether the task may run on its worker."""
+        return self.phase in ATTACHED
+
+    @property
+    def is_at_work(self) -> bool:
+        """Return whether a permanent task serves its users."""
+        if self.phase is not TaskPhase.RUNNING:
+            return False
+        return self.progress_percent >= FULL_PERCENT
+
+    def place(self, worker_id: str, attempt: int, now: float) -> None:
+        """Attach the task to a worker under a new attempt number."""
+        self.phase = TaskPhase.PLACED
+        self.worker_id = worker_id
+        self.attempt = attempt
+        self.placed_at = now
+        self.settled_at = None
+        self._forget_orders()
+        self.progress_percent = 0
+        self.progress_at = now
+
+    def show_running(self, percent: int, checkpoint: str, now: float) -> None:
+        """Note a report that lists the attempt."""
+        if self.phase is TaskPhase.PLACED:
+            self.phase = TaskPhase.RUNNING
+            self.progress_at = now
+        if checkpoint:
+            self.checkpoint = checkpoint
+        if percent != self.progress_percent:
+            self.progress_percent = percent
+            self.progress_at = now
+
+    def begin_stop(self) -> None:
+        """Ask for the attempt to be stopped."""
+        if self.phase is not TaskPhase.STOPPING:
+            self.phase = TaskPhase.STOPPING
+            self._forget_orders()
+
+    def release(self) -> None:
+        """Return to waiting after the attempt is over."""
+        self.phase = TaskPhase.WAITING
+        self.worker_id = ''
+        self._forget_orders()
+
+    def finish(self) -> None:
+        """Note that the task is done for good."""
+        self.phase = TaskPhase.DONE
+        self.worker_id = ''
+        self.checkpoint = ''
+        self._forget_orders()
+
+    def _forget_orders(self) -> None:
+        self.barred_at = None
+        self.stop_sent_at = None
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -0,0 +1,205 @@
+"""Workers: what the platform lists, and what an owner knows of each.
+
+Capacity counts everything that may run on a worker: an attempt that was
+placed, one that is being stopped, and one that was found there unasked.
+"""
+
+from dataclasses import dataclass, field
+
+from tarragonlb.scheduling.job import Demand, Step, TaskKey
+
+# Wait before the first task for a worker that failed; doubles each time.
+FIRST_PROBE_SECONDS = 0.25
+# Keeps the longest wait at 8 s, less than the time in which a job is late.
+MAX_PROBE_DOUBLINGS = 5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Worker:
+    """One life of a VM in a pool, as its directory entry describes it."""
+
+    worker_id: str
+    pool: str
+    address: str = ''
+    zone: str = ''
+    is_draining: bool = False
+    labels: frozenset[str] = frozenset()
+    capacity: Demand = field(default_factory=Demand)
+
+    def is_near(self, step: Step) -> bool:
+        """Return whether the step's data lies on the worker's rack."""
+        return not step.data_rack or step.data_rack in self.labels
+
+    def has_label(self, step: Step) -> bool:
+        """Return whether the worker has the label that a step requires."""
+        return not step.required_label or step.required_label in self.labels
+
+
+@dataclass(frozen=True, slots=True)
+class Attachment:
+    """An attempt that occupies a worker."""
+
+    attempt: int
+    demand: Demand
+    started_step: tuple[str, int, int]
+
+
+class WorkerState:
+    """What an owner knows of a worker; times are seconds, steady clock."""
+
+    __slots__ = (
+        'attached',
+        'born',
+        'failures',
+        'foreign',
+        'foreign_stop_at',
+        'free_cpu',
+        'free_gpus',
+        'free_memory',
+        'heard_at',
+        'is_closing',
+        'is_listed',
+        'is_silent',
+        'lease_until',
+        'probe_at',
+        'seen_end',
+        'worker',
+    )
+
+    def __init__(self, worker: Worker, lease_until: float) -> None:
+        """Begin with a worker that has not answered yet.
+
+        ``lease_until`` is when everything that a former owner may have
+        started there is surely over.
+        """
+        self.worker = worker
+        self.attached: dict[TaskKey, Attachment] = {}
+        self.foreign: dict[TaskKey, int] = {}
+        self.foreign_stop_at = 0.0
+        self.born: int | None = None
+        self.heard_at: float | None = None
+        self.is_listed = True
+        self.is_silent = False
+        self.is_closing = False
+        self.lease_until = lease_until
+        self.probe_at = 0.0
+        self.failures = 0
+        self.seen_end = 0
+        self.free_cpu = worker.capacity.cpu_millicores
+        self.free_memory = worker.capacity.memory_mb
+        self.free_gpus = worker.capacity.gpus
+
+    def update(self, worker: Worker) -> None:
+        """Take over a changed directory entry."""
+        before = self.worker.capacity
+        after = worker.capacity
+        self.free_cpu += after.cpu_millicores - before.cpu_millicores
+        self.free_memory += after.memory_mb - before.memory_mb
+        self.free_gpus += after.gpus - before.gpus
+        self.worker = worker
+        self.is_listed = True
+
+    def attach(self, key: TaskKey, attempt: int, step: Step) -> None:
+        """Occupy room for an attempt."""
+        demand = step.demand
+        if step.scavenges:
+            demand = Demand(0, demand.memory_mb, demand.gpus)
+        step_key = (key.job_id, key.occurrence, key.step)
+        self.attached[key] = Attachment(attempt, demand, step_key)
+        self._occupy(demand, 1)
+
+    def detach(self, key: TaskKey) -> None:
+        """Free the room of an attempt that is over."""
+        attachment = self.attached.pop(key, None)
+        if attachment is not None:
+            self._occupy(attachment.demand, -1)
+
+    def has_room(self, step: Step) -> bool:
+        """Return whether one more task of the step fits."""
+        demand = step.demand
+        if demand.memory_mb > self.free_memory or demand.gpus > self.free_gpus:
+            return False
+        return step.scavenges or demand.cpu_millicores <= self.free_cpu
+
+    def count_of(self, step_key: tuple[str, int, int]) -> int:
+        """Return how many tasks of a step's occurrence are attached."""
+        return sum(
+            1
+            for attachment in self.attached.values()
+            if attachment.started_step == step_key
+        )
+
+    def is_usable(self) -> bool:
+        """Return whether new tasks may be placed here at all."""
+        if self.worker.is_draining or self.is_closing or not self.is_listed:
+            return False
+        return self.heard_at is not None and not (
+            self.is_silent or self.foreign
+        )
+
+    def note_failure(self, now: float) -> None:
+        """Put the worker on probation, longer with each failure in a row."""
+        self.failures += 1
+        doublings = min(self.failures, MAX_PROBE_DOUBLINGS)
+        self.probe_at = now + FIRST_PROBE_SECONDS * 2**doublings
+
+    def note_success(self) -> None:
+        """End the probation."""
+        self.failures = 0
+
+    def accepts_on_probation(self, now: float, *, is_retry: bool) -> bool:
+        """Return whether its record allows one more task.
+
+        A worker that failed its last tasks gets one at a time, and none that
+        has failed before.
+        """
+        if not self.failures:
+            return True
+        return not (self.attached or is_retry) and now >= self.probe_at
+
+    def _occupy(self, demand: Demand, sign: int) -> None:
+        self.free_cpu -= sign * demand.cpu_millicores
+        self.free_memory -= sign * demand.memory_mb
+        self.free_gpus -= sign * demand.gpus
+
+
+@dataclass(frozen=True, slots=True)
+class RunningAttempt:
+    """A line of a worker's report: an attempt that runs.
+
+    ``percent`` is progress, or readiness for a permanent task.  ``gauge`` is
+    the tail latency in milliseconds of a task that serves, and the
+    millicores in use of any other.
+    """
+
+    key: TaskKey
+    attempt: int
+    checkpoint: str
+    percent: int
+    gauge: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """A line of a worker's report: an attempt that ended, by its number."""
+
+    number: int
+    key: TaskKey
+    attempt: int
+    how: str
+    checkpoint: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerReport:
+    """What a worker said of itself.
+
+    ``sent_at`` is when it was asked; what it lists is at least as new.
+    """
+
+    worker_id: str
+    sent_at: float
+    heard_at: float
+    born: int
+    running: tuple[RunningAttempt, ...] = ()
+    ended: tuple[EndedAttempt, ...] = field(default=())
