--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -40,6 +40,7 @@
 from tarragonlb.scheduling.placement import SpreadNearData
 from tarragonlb.scheduling.records import RecordError
 from tarragonlb.scheduling.scheduler import Scheduler
+from tarragonlb.scheduling.worker import WorkerReport
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('owner')
@@ -206,6 +207,8 @@
             link = self._links.get(worker_id)
             if link is not None:
                 link.allow_forgetting(born, number)
+        if decided.starts:
+            self._log_starts(decided)
         for start in decided.starts:
             self._give(start)
         if self._scheduler.pool.changed:
@@ -222,6 +225,7 @@
         match event:
             case Reported():
                 reconciler.apply_report(event.report)
+                self._log_ends(event.report)
             case JobsChanged():
                 for job_id in event.job_ids:
                     self._take_job(job_id, now)
@@ -310,6 +314,35 @@
         for closing in self._hand_over.list_new(self._view.board, workers):
             self._nursery.start_soon(self._hand_over.announce, closing)
 
+    def _log_starts(self, decided: Round) -> None:
+        workers = self._scheduler.pool.workers
+        used = {start.worker_id for start in decided.starts}
+        LOG.say(
+            'Tasks start.',
+            starts=[
+                (str(start.key), start.attempt, start.worker_id)
+                for start in decided.starts
+            ],
+            free_millicores={
+                worker_id: workers[worker_id].free_cpu
+                for worker_id in used
+                if worker_id in workers
+            },
+            **self._name(),
+        )
+
+    def _log_ends(self, report: WorkerReport) -> None:
+        if report.ended:
+            LOG.say(
+                'Tasks ended.',
+                worker=report.worker_id,
+                ends=[
+                    (str(end.key), end.attempt, end.how)
+                    for end in report.ended
+                ],
+                **self._name(),
+            )
+
     def _name(self) -> dict[str, int]:
         return {
             'partition': self._holding.partition,
--- a/libs/scheduling/tarragonlb/scheduling/job.py
+++ b/libs/scheduling/tarragonlb/scheduling/job.py
@@ -90,6 +90,10 @@
     step: int
     position: int
 
+    def __str__(self) -> str:
+        """Return the key as it stands in logs and on the wire."""
+        return f'{self.job_id}.{self.occurrence}.{self.step}.{self.position}'
+
 
 @dataclass(frozen=True, slots=True)
 class Moment:
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -160,7 +160,7 @@
             vm for vm in left if vm.power is VmPower.UP and vm not in closing
         ]
         limits = self._limit_pools(left, now)
-        chosen = []
+        chosen: list[Vm] = []
         room = self.wave.cap + CLOSING_AHEAD - len(closing)
         for vm in sorted(waiting, key=_order_vm):
             if len(chosen) >= room:
