Lend VMs between pools whose peaks alternate, through the standby pool

Ruled out: store and order latency (first starts within 60 ms while a pool has room). Change: pool owners show their load, the fleet owner moves idle VMs to pools that lack workers, or to standby; permanent tasks share workers so that others can leave.

--- a/libs/controller/tarragonlb/controller/fleet.py
+++ b/libs/controller/tarragonlb/controller/fleet.py
@@ -11,16 +11,20 @@
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.controller.view import View
 from tarragonlb.scheduling.fleetboard import (
+    Closing,
     write_close,
     write_reopen,
     write_through,
 )
+from tarragonlb.scheduling.lending import Lender, VmMove
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.records import KeyedRecord
-from tarragonlb.scheduling.wave import Vm, WaveCoordinator, WaveRound
+from tarragonlb.scheduling.wave import Vm, Wave, WaveCoordinator
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('fleet')
+# Numbers closings of all terms apart.
+CLOSINGS_A_TERM = 1_000_000
 
 
 class FleetOwner:
@@ -29,9 +33,11 @@
     __slots__ = (
         '_board',
         '_clock',
+        '_closings',
         '_coordinators',
         '_done',
         '_holding',
+        '_lender',
         '_may_act',
         '_number',
         '_settings',
@@ -63,6 +69,8 @@
         self._done: set[int] = set()
         self._shown: set[int] = set()
         self._number = 0
+        self._closings = 0
+        self._lender = Lender()
 
     async def run(self, may_act: Callable[[], bool]) -> None:
         """Own maintenance until the term ends."""
@@ -86,38 +94,58 @@
             await trio.sleep(self._settings.vm_list_seconds)
 
     async def _step(self) -> bool:
-        waves = [
-            wave
-            for number, wave in self._view.waves.items()
-            if number not in self._done
-        ]
-        if not (waves and self._may_act()):
+        configuration = self._view.configuration
+        if configuration is None or not self._may_act():
             return True
         read_at = self._clock.read_steady()
         vms = await self._vms.list_vms()
         if isinstance(vms, NotDone):
             LOG.say('Listing VMs failed.', reason=vms.reason)
             return True
-        await self._board.refresh()
-        for wave in waves:
-            coordinator = self._coordinators.setdefault(
-                wave.number,
-                WaveCoordinator(wave, self._clock.read_steady()),
-            )
-            if not await self._advance(coordinator, vms, read_at):
+        if not await self._board.refresh():
+            return True
+        standby = configuration.standby_pools
+        for wave in tuple(self._view.waves.values()):
+            if wave.number in self._done:
+                continue
+            coordinator = self._find_coordinator(wave)
+            if not await self._advance(coordinator, vms, read_at, standby):
                 return False
-        return True
+        return await self._lend(vms, standby)
+
+    def _find_coordinator(self, wave: Wave) -> WaveCoordinator:
+        known = self._coordinators.get(wave.number)
+        if known is None:
+            known = WaveCoordinator(
+                wave,
+                self._settings.scheduling.maintenance_seconds,
+                self._clock.read_steady(),
+            )
+            self._coordinators[wave.number] = known
+        return known
 
     async def _advance(
-        self, coordinator: WaveCoordinator, vms: tuple[Vm, ...], read_at: float
+        self,
+        coordinator: WaveCoordinator,
+        vms: tuple[Vm, ...],
+        read_at: float,
+        standby: frozenset[str],
     ) -> bool:
         number = coordinator.wave.number
         if number not in self._shown:
             await self._show(number, is_complete=False)
         decided = coordinator.decide(
-            vms, read_at, self._view.board, self._clock.read_steady()
+            vms,
+            read_at,
+            self._view.board,
+            standby,
+            self._clock.read_steady(),
         )
-        if not await self._write(number, decided):
+        records = self._write_closings(decided.close, number)
+        for vm_id in decided.through:
+            records.append(write_through(vm_id, number))
+            records.append(write_reopen(vm_id))
+        if not await self._write(records):
             return False
         for vm in decided.maintain:
             await self._maintain(coordinator, vm)
@@ -125,14 +153,36 @@
             await self._show(number, is_complete=True)
         return True
 
-    async def _write(self, wave: int, decided: WaveRound) -> bool:
-        records: list[KeyedRecord] = []
-        for vm_id in decided.through:
-            records.append(write_through(vm_id, wave))
-            records.append(write_reopen(vm_id))
-        records.extend(
-            write_close(vm.vm_id, wave, vm.worker_id) for vm in decided.close
+    async def _lend(self, vms: tuple[Vm, ...], standby: frozenset[str]) -> bool:
+        board = self._view.board
+        busy = {
+            vm_id for vm_id, closing in board.closing.items() if closing.wave
+        }
+        for coordinator in self._coordinators.values():
+            busy.update(coordinator.ordered)
+        decided = self._lender.decide(
+            vms, board, standby, frozenset(busy), self._clock.read_steady()
         )
+        records = self._write_closings(decided.close, 0)
+        records.extend(write_reopen(vm.vm_id) for vm in decided.reopen)
+        if not await self._write(records):
+            return False
+        for move in decided.moves:
+            await self._move(move)
+        return True
+
+    def _write_closings(
+        self, vms: tuple[Vm, ...], wave: int
+    ) -> list[KeyedRecord]:
+        records = []
+        for vm in vms:
+            self._closings += 1
+            number = self._holding.term * CLOSINGS_A_TERM + self._closings
+            closing = Closing(vm.vm_id, vm.worker_id, wave, number)
+            records.append(write_close(closing))
+        return records
+
+    async def _write(self, records: list[KeyedRecord]) -> bool:
         if not records:
             return True
         writer = Writer(self._holding.term, self._number)
@@ -145,7 +195,8 @@
                 LOG.say('A term of the fleet ended.', reason=result.reason)
                 return False
             if isinstance(result, Stored):
-                return await self._board.refresh()
+                await self._board.refresh()
+                return True
             await trio.sleep(self._settings.store_retry_seconds)
 
     async def _maintain(self, coordinator: WaveCoordinator, vm: Vm) -> None:
@@ -159,13 +210,33 @@
         LOG.say(
             'Maintenance of a VM was ordered.',
             vm=vm.vm_id,
+            pool=vm.pool,
             worker=vm.worker_id,
             wave=wave,
             result=result.value,
         )
-        if result is OrderResult.REFUSED:
+        if result is OrderResult.DONE:
+            coordinator.note_begun(vm, self._clock.read_steady())
+        elif result is OrderResult.REFUSED:
             coordinator.note_refused(vm)
 
+    async def _move(self, move: VmMove) -> None:
+        vm = move.vm
+        if not self._may_act():
+            return
+        self._lender.note_asked(vm, self._clock.read_steady())
+        result = await self._vms.move(
+            vm, move.pool, self._settings.name, self._holding.term
+        )
+        LOG.say(
+            'A move of a VM was ordered.',
+            vm=vm.vm_id,
+            worker=vm.worker_id,
+            pool=vm.pool,
+            target=move.pool,
+            result=result.value,
+        )
+
     async def _show(self, wave: int, *, is_complete: bool) -> None:
         result = await self._store.show_wave(wave, is_complete=is_complete)
         if not isinstance(result, Stored):
--- a/libs/controller/tarragonlb/controller/handover.py
+++ b/libs/controller/tarragonlb/controller/handover.py
@@ -1,29 +1,23 @@
 """Tells the fleet's owner which closing workers are empty."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import trio
 
 from tarragonlb.controller.ports import Store
 from tarragonlb.controller.results import Stored
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
-from tarragonlb.scheduling.fleetboard import FleetBoard, write_empty
+from tarragonlb.scheduling.fleetboard import (
+    Closing,
+    FleetBoard,
+    write_empty,
+)
 from tarragonlb.scheduling.worker import WorkerState
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('handover')
 
 
-@dataclass(frozen=True, slots=True)
-class Closing:
-    """A VM that a wave waits for, and the worker that runs on it."""
-
-    vm_id: str
-    wave: int
-    worker_id: str
-
-
 class HandOver:
     """Announces each empty worker once."""
 
@@ -40,8 +34,7 @@
     ) -> list[Closing]:
         """Return the workers that have become empty."""
         found = []
-        for worker_id, (vm_id, wave) in board.closing_workers.items():
-            closing = Closing(vm_id, wave, worker_id)
+        for worker_id, closing in board.closing_workers.items():
             state = workers.get(worker_id)
             if state is None or closing in self._announced:
                 continue
@@ -54,12 +47,12 @@
 
     async def announce(self, closing: Closing) -> None:
         """Store that a worker is empty; repeat until it is stored."""
-        record = write_empty(closing.vm_id, closing.wave, closing.worker_id)
+        record = write_empty(closing)
         while True:
             result = await self._store.append(FLEET_PARTITION, (record,), None)
             if isinstance(result, Stored):
                 LOG.say(
-                    'A worker is empty for maintenance.',
+                    'A closing worker is empty.',
                     vm=closing.vm_id,
                     worker=closing.worker_id,
                     wave=closing.wave,
--- /dev/null
+++ b/libs/controller/tarragonlb/controller/loadshow.py
@@ -0,0 +1,48 @@
+"""Tells the fleet's owner how much the pools of a partition ask for."""
+
+import trio
+
+from tarragonlb.controller.ports import Store
+from tarragonlb.controller.results import Stored
+from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.scheduling.demand import measure_load
+from tarragonlb.scheduling.fleetboard import PoolLoad, write_load
+from tarragonlb.scheduling.pool import PoolState
+from tarragonlb.scheduling.records import KeyedRecord
+
+# The fleet's owner decides a few times a second.
+SHOW_SECONDS = 0.2
+
+
+class LoadShow:
+    """Writes the loads that have changed, a few times a second at most."""
+
+    __slots__ = ('_settings', '_shown', '_shown_at', '_store')
+
+    def __init__(self, store: Store, settings: ControllerSettings) -> None:
+        """Write through ``store``."""
+        self._store = store
+        self._settings = settings
+        self._shown: dict[str, PoolLoad] = {}
+        self._shown_at = 0.0
+
+    def list_changed(self, pool: PoolState, now: float) -> list[KeyedRecord]:
+        """Return the records of loads that differ from those shown."""
+        if now - self._shown_at < SHOW_SECONDS:
+            return []
+        self._shown_at = now
+        found = []
+        names = {worker.worker.pool for worker in pool.workers.values()}
+        for name in sorted(names):
+            load = measure_load(pool, name)
+            if load is not None and load != self._shown.get(name):
+                self._shown[name] = load
+                found.append(write_load(name, load))
+        return found
+
+    async def announce(self, record: KeyedRecord) -> None:
+        """Store a load; a lost one is followed by the next."""
+        result = await self._store.append(FLEET_PARTITION, (record,), None)
+        if not isinstance(result, Stored):
+            self._shown.clear()
+            await trio.sleep(self._settings.store_retry_seconds)
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -23,6 +23,7 @@
 )
 from tarragonlb.controller.handover import HandOver
 from tarragonlb.controller.link import WorkerLink
+from tarragonlb.controller.loadshow import LoadShow
 from tarragonlb.controller.membership import Holding
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.ports import Clock, Store, Workers
@@ -63,6 +64,7 @@
         '_inbox',
         '_is_storing',
         '_links',
+        '_loads',
         '_may_grant',
         '_next_round_at',
         '_nursery',
@@ -93,6 +95,7 @@
         self._clock = clock
         self._storage = RoundStorage(holding, store, feed, settings)
         self._hand_over = HandOver(store, settings)
+        self._loads = LoadShow(store, settings)
         self._inbox, self._receive = trio.open_memory_channel[Event](INBOX_SIZE)
         self._links: dict[str, WorkerLink] = {}
         self._is_storing = False
@@ -189,6 +192,8 @@
         for pace in decided.paces:
             self._give(pace)
         self._hand_over_empty()
+        for record in self._loads.list_changed(self._scheduler.pool, now):
+            self._nursery.start_soon(self._loads.announce, record)
         if decided.jobs or decided.removed:
             self._is_storing = True
             self._nursery.start_soon(self._store, decided)
@@ -337,8 +342,7 @@
                 'Tasks ended.',
                 worker=report.worker_id,
                 ends=[
-                    (str(end.key), end.attempt, end.how)
-                    for end in report.ended
+                    (str(end.key), end.attempt, end.how) for end in report.ended
                 ],
                 **self._name(),
             )
--- a/libs/controller/tarragonlb/controller/ports.py
+++ b/libs/controller/tarragonlb/controller/ports.py
@@ -53,6 +53,7 @@
     version: int
     queues: QueueTable
     max_body_bytes: int
+    standby_pools: frozenset[str] = frozenset()
 
 
 class Store(abc.ABC):
@@ -179,6 +180,12 @@
     ) -> OrderResult:
         """Have a VM maintained now; REFUSED if it is busy or not listed."""
 
+    @abc.abstractmethod
+    async def move(
+        self, vm: Vm, pool: str, holder: str, term: int
+    ) -> OrderResult:
+        """Move a VM to another pool now."""
+
 
 class Clock(Protocol):
     """The clocks of a process, in seconds."""
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -40,7 +40,7 @@
     # How long the operators' topic is waited for in one call.
     operator_wait_seconds: float = 10.0
     # An owner needs entries of draining workers well within the drain time.
-    worker_read_seconds: float = 0.35
+    worker_read_seconds: float = 0.25
     # How long a worker may wait for an end before it answers a look.
     look_wait_seconds: float = 0.8
     # A worker that ends many tasks a second is looked at not more often.
@@ -54,7 +54,7 @@
     # How long a client's job is offered to the store before it is refused.
     submit_seconds: float = 1.2
     # Between two listings of VMs during a wave.
-    vm_list_seconds: float = 0.4
+    vm_list_seconds: float = 0.25
     # Without contact to the store for so long a daemon takes no new clients.
     contact_seconds: float = 2.5
 
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -0,0 +1,116 @@
+"""How many workers the jobs of a pool could use now.
+
+The pattern it answers: a pool asks for several times its mean for some
+seconds, then for almost nothing, while the peaks of other pools come in
+between.
+"""
+
+import math
+from collections.abc import Iterable
+
+from tarragonlb.scheduling.fleetboard import PoolLoad
+from tarragonlb.scheduling.job import Demand
+from tarragonlb.scheduling.jobstate import JobState
+from tarragonlb.scheduling.pool import PoolState
+from tarragonlb.scheduling.task import TaskPhase
+from tarragonlb.scheduling.worker import WorkerState
+
+# Tasks behind unfinished steps come soon, but not now.
+BLOCKED_SHARE = 0.4
+# A peak grows for a second or two while moves take as long, so more is asked
+# for than what waits now.
+GROWTH = 1.5
+# Room is cut up by tasks of different sizes.
+USABLE_SHARE = 0.9
+# Kept beside what permanent tasks need: one of theirs may have to move.
+SPARE_WORKERS = 1
+MIN_WORKERS = 2
+# Idle workers named in one record; more are never taken in one round.
+MAX_IDLE = 8
+
+
+class _Room:
+    """A sum of demands."""
+
+    __slots__ = ('cpu', 'memory')
+
+    def __init__(self) -> None:
+        self.cpu = 0.0
+        self.memory = 0.0
+
+    def add(self, demand: Demand, times: float, *, scavenges: bool) -> None:
+        self.memory += demand.memory_mb * times
+        if not scavenges:
+            self.cpu += demand.cpu_millicores * times
+
+
+def measure_load(pool: PoolState, name: str) -> PoolLoad | None:
+    """Return the load of the pool ``name``, None while it has no worker."""
+    workers = [
+        worker
+        for worker in pool.workers.values()
+        if worker.worker.pool == name and worker.is_listed
+    ]
+    if not workers:
+        return None
+    jobs = [state for state in pool.jobs.values() if state.job.pool == name]
+    room = _Room()
+    floor = MIN_WORKERS
+    for state in jobs:
+        if state.is_open:
+            _add_job(state, room)
+            floor = max(floor, _count_apart(state) + SPARE_WORKERS)
+    wanted = max(floor, _count_workers(room, workers))
+    return PoolLoad(wanted, floor, _list_idle(workers))
+
+
+def _add_job(state: JobState, room: _Room) -> None:
+    for occurrence, number, step_state in state.list_steps():
+        if step_state.is_done:
+            continue
+        step = state.job.spec.steps[number]
+        is_ready = state.is_ready(occurrence, number)
+        left = sum(
+            1 for task in step_state.tasks if task.phase is not TaskPhase.DONE
+        )
+        share = GROWTH if is_ready else BLOCKED_SHARE
+        if step.is_permanent:
+            share = 1
+        room.add(step.demand, left * share, scavenges=step.scavenges)
+
+
+def _count_apart(state: JobState) -> int:
+    return max(
+        (
+            math.ceil(step.width / step.max_per_worker)
+            for step in state.job.spec.steps
+            if step.is_permanent and step.max_per_worker
+        ),
+        default=0,
+    )
+
+
+def _count_workers(room: _Room, workers: list[WorkerState]) -> int:
+    count = len(workers)
+    cpu = sum(worker.worker.capacity.cpu_millicores for worker in workers)
+    memory = sum(worker.worker.capacity.memory_mb for worker in workers)
+    shares = [
+        wanted * count / (have * USABLE_SHARE)
+        for wanted, have in ((room.cpu, cpu), (room.memory, memory))
+        if have
+    ]
+    return math.ceil(max(shares, default=0))
+
+
+def _list_idle(workers: Iterable[WorkerState]) -> tuple[str, ...]:
+    usable = [
+        worker
+        for worker in workers
+        if worker.is_usable() and not worker.count_permanent()
+    ]
+    usable.sort(key=_measure_use)
+    return tuple(worker.worker.worker_id for worker in usable[:MAX_IDLE])
+
+
+def _measure_use(worker: WorkerState) -> int:
+    return worker.worker.capacity.cpu_millicores - worker.free_cpu
--- a/libs/scheduling/tarragonlb/scheduling/fleetboard.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetboard.py
@@ -1,28 +1,67 @@
-"""Records about VM maintenance, folded into what every owner must know.
+"""Records about VMs, folded into what every owner must know.
 
-The fleet owner writes that a VM closes; the owner of its pool empties the
-worker and writes that it is empty; the fleet owner has it maintained and
-writes that it is through.  All of it lies in one partition.
+The owner of a pool writes how much its jobs ask for.  The fleet owner writes
+that a VM closes; the pool's owner empties the worker and writes that it is
+empty; the fleet owner then moves the VM or has it maintained.  All of it lies
+in one partition.
 
-    close/VM       wave, worker     the worker takes no new tasks
-    empty/VM       wave, worker     nothing runs there any more
-    through/WAVE/VM                 the VM had its maintenance
+    load/POOL           what the pool's jobs ask for
+    close/VM            the VM's worker takes no new tasks
+    empty/VM            nothing runs there any more, for one closing
+    through/WAVE/VM     the VM had its maintenance
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
 
 import cbor2
 
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
 
+LOAD = 'load'
 CLOSE = 'close'
 EMPTY = 'empty'
 THROUGH = 'through'
 
 
-def write_close(vm_id: str, wave: int, worker_id: str) -> KeyedRecord:
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """A worker that is being emptied.
+
+    ``wave`` is 0 where the VM is to be moved.  ``number`` tells closings of
+    one worker apart, so that an old answer is not taken for a new one.
+    """
+
+    vm_id: str
+    worker_id: str
+    wave: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """What the jobs of a pool ask for.
+
+    ``wanted_workers`` is how many workers they could use now, ``floor`` how
+    many its permanent tasks need; ``idle`` are workers that are quickly
+    emptied, the emptiest first.
+    """
+
+    wanted_workers: int
+    floor: int
+    idle: tuple[str, ...] = ()
+
+
+def write_load(pool: str, load: PoolLoad) -> KeyedRecord:
+    """Return the record of a pool's load."""
+    content = [load.wanted_workers, load.floor, list(load.idle)]
+    return KeyedRecord(f'{LOAD}/{pool}', cbor2.dumps(content))
+
+
+def write_close(closing: Closing) -> KeyedRecord:
     """Return the record that closes a VM's worker for new tasks."""
-    return KeyedRecord(f'{CLOSE}/{vm_id}', cbor2.dumps([wave, worker_id]))
+    return KeyedRecord(f'{CLOSE}/{closing.vm_id}', _write_closing(closing))
 
 
 def write_reopen(vm_id: str) -> KeyedRecord:
@@ -30,9 +69,9 @@
     return KeyedRecord(f'{CLOSE}/{vm_id}', b'')
 
 
-def write_empty(vm_id: str, wave: int, worker_id: str) -> KeyedRecord:
+def write_empty(closing: Closing) -> KeyedRecord:
     """Return the record by which a pool's owner hands an empty VM over."""
-    return KeyedRecord(f'{EMPTY}/{vm_id}', cbor2.dumps([wave, worker_id]))
+    return KeyedRecord(f'{EMPTY}/{closing.vm_id}', _write_closing(closing))
 
 
 def write_through(vm_id: str, wave: int) -> KeyedRecord:
@@ -41,18 +80,23 @@
 
 
 class FleetBoard:
-    """The fold of the maintenance records.
+    """The fold of the records about VMs."""
 
-    ``closing`` and ``empty`` map a VM to wave and worker.
-    """
-
-    __slots__ = ('_offsets', 'closing', 'empty', 'errors', 'through')
+    __slots__ = (
+        '_offsets',
+        'closing',
+        'empty',
+        'errors',
+        'loads',
+        'through',
+    )
 
     def __init__(self) -> None:
         """Begin without any record."""
         self._offsets: dict[str, int] = {}
-        self.closing: dict[str, tuple[int, str]] = {}
-        self.empty: dict[str, tuple[int, str]] = {}
+        self.closing: dict[str, Closing] = {}
+        self.empty: dict[str, Closing] = {}
+        self.loads: dict[str, PoolLoad] = {}
         self.through: set[tuple[int, str]] = set()
         self.errors: list[RecordError] = []
 
@@ -68,24 +112,44 @@
                 self.errors.append(RecordError(f'{record.key}: {error}'))
 
     @property
-    def closing_workers(self) -> dict[str, tuple[str, int]]:
-        """Return closing workers, each with its VM and wave."""
-        return {
-            worker_id: (vm_id, wave)
-            for vm_id, (wave, worker_id) in self.closing.items()
-        }
+    def closing_workers(self) -> dict[str, Closing]:
+        """Return the closings by worker."""
+        return {closing.worker_id: closing for closing in self.closing.values()}
+
+    def is_empty(self, vm_id: str, worker_id: str) -> bool:
+        """Return whether a closing worker was handed over empty."""
+        closing = self.closing.get(vm_id)
+        if closing is None or closing.worker_id != worker_id:
+            return False
+        return self.empty.get(vm_id) == closing
 
     def _apply(self, record: KeyedRecord) -> None:
-        kind, _, rest = record.key.partition('/')
-        if kind == THROUGH:
-            wave, _, vm_id = rest.partition('/')
-            self.through.add((int(wave), vm_id))
-            return
-        boards = {CLOSE: self.closing, EMPTY: self.empty}
-        if kind not in boards:
-            raise RecordError('unknown kind')
-        if not record.value:
-            boards[kind].pop(rest, None)
-            return
-        number, worker_id = cbor2.loads(record.value)
-        boards[kind][rest] = (int(number), str(worker_id))
+        kind, _, name = record.key.partition('/')
+        match kind:
+            case 'through':
+                wave, _, vm_id = name.partition('/')
+                self.through.add((int(wave), vm_id))
+            case 'close':
+                _replace(self.closing, name, record.value)
+            case 'empty':
+                _replace(self.empty, name, record.value)
+            case 'load':
+                wanted, floor, idle = cbor2.loads(record.value)
+                self.loads[name] = PoolLoad(
+                    int(wanted), int(floor), tuple(idle)
+                )
+            case _:
+                raise RecordError('unknown kind')
+
+
+def _write_closing(closing: Closing) -> bytes:
+    return cbor2.dumps([closing.worker_id, closing.wave, closing.number])
+
+
+def _replace(board: dict[str, Closing], vm_id: str, value: bytes) -> None:
+    if not value:
+        board.pop(vm_id, None)
+        return
+    row: list[Any] = cbor2.loads(value)
+    worker_id, wave, number = row
+    board[vm_id] = Closing(vm_id, str(worker_id), int(wave), int(number))
--- a/libs/scheduling/tarragonlb/scheduling/placement.py
+++ b/libs/scheduling/tarragonlb/scheduling/placement.py
@@ -67,6 +67,8 @@
     """Prefers workers near the data, then the emptiest.
 
     A worker where this task failed, or that is on probation, comes last.
+    Permanent tasks share workers as far as they may, so that other workers
+    can leave the pool.
     """
 
     __slots__ = ()
@@ -81,6 +83,7 @@
                 worker.worker.worker_id not in task.avoided,
                 not worker.failures,
                 worker.worker.is_near(step),
+                worker.count_permanent() if step.is_permanent else 0,
                 worker.free_cpu,
             ),
             default=None,
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -64,26 +64,48 @@
     complete: bool = False
 
 
+class _Order:
+    """A maintenance order: when it was sent, and when it surely began."""
+
+    __slots__ = ('begun_at', 'sent_at', 'worker_id')
+
+    def __init__(self, worker_id: str) -> None:
+        self.worker_id = worker_id
+        self.sent_at = 0.0
+        self.begun_at: float | None = None
+
+
 class WaveCoordinator:
     """Decides for one wave, during one term of the fleet's owner."""
 
-    __slots__ = ('_began_at', '_ordered', 'wave')
+    __slots__ = ('_began_at', '_maintenance_seconds', '_ordered', 'wave')
 
-    def __init__(self, wave: Wave, now: float) -> None:
+    def __init__(
+        self, wave: Wave, maintenance_seconds: float, now: float
+    ) -> None:
         """Begin at ``now`` seconds."""
         self.wave = wave
         self._began_at = now
-        self._ordered: dict[str, tuple[float, str]] = {}
+        self._maintenance_seconds = maintenance_seconds
+        self._ordered: dict[str, _Order] = {}
 
     @property
-    def is_waiting(self) -> bool:
-        """Return whether a VM is down for its maintenance."""
-        return bool(self._ordered)
+    def ordered(self) -> frozenset[str]:
+        """Return the VMs that are down for their maintenance."""
+        return frozenset(self._ordered)
 
     def decide(
-        self, vms: Iterable[Vm], read_at: float, board: FleetBoard, now: float
+        self,
+        vms: Iterable[Vm],
+        read_at: float,
+        board: FleetBoard,
+        standby: frozenset[str],
+        now: float,
     ) -> WaveRound:
-        """Decide on a listing that was asked for at ``read_at`` seconds."""
+        """Decide on a listing that was asked for at ``read_at`` seconds.
+
+        Nothing runs on VMs of ``standby`` pools, so they are not emptied.
+        """
         wave = self.wave
         listed = {vm.vm_id: vm for vm in vms if vm.vm_id in wave.vm_ids}
         through = self._find_through(listed, read_at)
@@ -94,15 +116,25 @@
         }.union(through)
         left = [vm for vm in listed.values() if vm.vm_id not in ended]
         return WaveRound(
-            close=self._choose_closing(left, board, now),
-            maintain=self._choose_maintained(left, board, now),
+            close=self._choose_closing(left, board, standby, now),
+            maintain=self._choose_maintained(left, board, standby, now),
             through=through,
             complete=not left,
         )
 
     def note_ordered(self, vm: Vm, now: float) -> None:
         """Count a VM as down, since its maintenance may begin."""
-        self._ordered[vm.vm_id] = (now, vm.worker_id)
+        known = self._ordered.get(vm.vm_id)
+        if known is None:
+            known = _Order(vm.worker_id)
+            self._ordered[vm.vm_id] = known
+        known.sent_at = now
+
+    def note_begun(self, vm: Vm, now: float) -> None:
+        """Note that the platform confirmed an order."""
+        known = self._ordered[vm.vm_id]
+        if known.begun_at is None:
+            known.begun_at = now
 
     def note_refused(self, vm: Vm) -> None:
         """Forget an order that the platform did not carry out."""
@@ -111,21 +143,33 @@
     def _find_through(
         self, listed: Mapping[str, Vm], read_at: float
     ) -> tuple[str, ...]:
-        found = []
-        for vm_id, (ordered_at, worker_id) in self._ordered.items():
-            vm = listed.get(vm_id)
-            is_gone = vm is None
-            is_back = (
-                vm is not None
-                and vm.power is VmPower.UP
-                and vm.worker_id != worker_id
-            )
-            if read_at > ordered_at and (is_gone or is_back):
-                found.append(vm_id)
-        return tuple(found)
+        return tuple(
+            vm_id
+            for vm_id, order in self._ordered.items()
+            if order.sent_at < read_at
+            and self._is_through(order, listed.get(vm_id), read_at)
+        )
+
+    def _is_through(
+        self, order: '_Order', vm: Vm | None, read_at: float
+    ) -> bool:
+        if vm is None:
+            return True
+        if vm.power is not VmPower.UP:
+            return False
+        if order.begun_at is None:
+            return False
+        # In a standby pool no worker shows that the VM is back.
+        has_new_worker = vm.worker_id != order.worker_id
+        waited = read_at - order.begun_at
+        return has_new_worker or waited > self._maintenance_seconds
 
     def _choose_maintained(
-        self, left: list[Vm], board: FleetBoard, now: float
+        self,
+        left: list[Vm],
+        board: FleetBoard,
+        standby: frozenset[str],
+        now: float,
     ) -> tuple[Vm, ...]:
         down = {
             vm.vm_id for vm in left if vm.power is VmPower.IN_MAINTENANCE
@@ -135,24 +179,27 @@
         for vm in left:
             ordered = self._ordered.get(vm.vm_id)
             if ordered is not None:
-                if self._needs_repeat(vm, ordered[0], now):
+                if self._needs_repeat(vm, ordered, now):
                     chosen.append(vm)
                 continue
-            if len(chosen) < free and self._is_empty(vm, board):
+            is_empty = vm.pool in standby or board.is_empty(
+                vm.vm_id, vm.worker_id
+            )
+            if len(chosen) < free and is_empty and vm.power is VmPower.UP:
                 chosen.append(vm)
         return tuple(chosen)
 
-    def _needs_repeat(self, vm: Vm, ordered_at: float, now: float) -> bool:
-        is_due = now - ordered_at > ORDER_REPEAT_SECONDS
-        return vm.power is VmPower.UP and is_due
-
-    def _is_empty(self, vm: Vm, board: FleetBoard) -> bool:
-        handed_over = board.empty.get(vm.vm_id)
-        is_up = vm.power is VmPower.UP
-        return is_up and handed_over == (self.wave.number, vm.worker_id)
+    def _needs_repeat(self, vm: Vm, order: '_Order', now: float) -> bool:
+        is_due = now - order.sent_at > ORDER_REPEAT_SECONDS
+        is_open = order.begun_at is None
+        return vm.power is VmPower.UP and is_due and is_open
 
     def _choose_closing(
-        self, left: list[Vm], board: FleetBoard, now: float
+        self,
+        left: list[Vm],
+        board: FleetBoard,
+        standby: frozenset[str],
+        now: float,
     ) -> tuple[Vm, ...]:
         closing = self._list_closing(left, board)
         by_pool = Counter(vm.pool for vm in closing)
@@ -162,7 +209,7 @@
         limits = self._limit_pools(left, now)
         chosen: list[Vm] = []
         room = self.wave.cap + CLOSING_AHEAD - len(closing)
-        for vm in sorted(waiting, key=_order_vm):
+        for vm in _order_by_load(waiting, board):
             if len(chosen) >= room:
                 break
             if by_pool[vm.pool] < limits[vm.pool]:
@@ -174,8 +221,7 @@
         return [
             vm
             for vm in left
-            if board.closing.get(vm.vm_id) == (self.wave.number, vm.worker_id)
-            or vm.vm_id in self._ordered
+            if vm.vm_id in board.closing or vm.vm_id in self._ordered
         ]
 
     def _limit_pools(self, left: list[Vm], now: float) -> dict[str, int]:
@@ -187,5 +233,10 @@
         }
 
 
-def _order_vm(vm: Vm) -> str:
-    return vm.vm_id
+def _order_by_load(vms: list[Vm], board: FleetBoard) -> list[Vm]:
+    counts = Counter(vm.pool for vm in vms)
+    lacks = {
+        pool: load.wanted_workers - counts[pool]
+        for pool, load in board.loads.items()
+    }
+    return sorted(vms, key=lambda vm: (lacks.get(vm.pool, 0), vm.vm_id))
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -42,6 +42,7 @@
     attempt: int
     demand: Demand
     started_step: tuple[str, int, int]
+    is_permanent: bool
 
 
 class WorkerState:
@@ -105,7 +106,9 @@
         if step.scavenges:
             demand = Demand(0, demand.memory_mb, demand.gpus)
         step_key = (key.job_id, key.occurrence, key.step)
-        self.attached[key] = Attachment(attempt, demand, step_key)
+        self.attached[key] = Attachment(
+            attempt, demand, step_key, step.is_permanent
+        )
         self._occupy(demand, 1)
 
     def detach(self, key: TaskKey) -> None:
@@ -129,6 +132,14 @@
             if attachment.started_step == step_key
         )
 
+    def count_permanent(self) -> int:
+        """Return how many permanent tasks are attached."""
+        return sum(
+            1
+            for attachment in self.attached.values()
+            if attachment.is_permanent
+        )
+
     def is_usable(self) -> bool:
         """Return whether new tasks may be placed here at all."""
         if self.worker.is_draining or self.is_closing or not self.is_listed:
