--- a/libs/controller/tarragonlb/controller/fleet.py
+++ b/libs/controller/tarragonlb/controller/fleet.py
@@ -40,6 +40,7 @@
         '_lender',
         '_may_act',
         '_number',
+        '_nursery',
         '_settings',
         '_shown',
         '_store',
@@ -88,10 +89,12 @@
         # Orders of a former owner may be under way for one turn.
         await trio.sleep(self._settings.holder_turn_seconds)
         LOG.say('A term of the fleet began.', term=self._holding.term)
-        is_held = True
-        while is_held:
-            is_held = await self._step()
-            await trio.sleep(self._settings.vm_list_seconds)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            is_held = True
+            while is_held:
+                is_held = await self._step()
+                await trio.sleep(self._settings.vm_list_seconds)
 
     async def _step(self) -> bool:
         configuration = self._view.configuration
@@ -148,7 +151,8 @@
         if not await self._write(records):
             return False
         for vm in decided.maintain:
-            await self._maintain(coordinator, vm)
+            coordinator.note_ordered(vm, self._clock.read_steady())
+            self._nursery.start_soon(self._maintain, coordinator, vm)
         if decided.complete:
             await self._show(number, is_complete=True)
         return True
@@ -168,7 +172,8 @@
         if not await self._write(records):
             return False
         for move in decided.moves:
-            await self._move(move)
+            self._lender.note_asked(move.vm, self._clock.read_steady())
+            self._nursery.start_soon(self._move, move)
         return True
 
     def _write_closings(
@@ -203,7 +208,6 @@
         wave = coordinator.wave.number
         if not self._may_act():
             return
-        coordinator.note_ordered(vm, self._clock.read_steady())
         result = await self._vms.maintain(
             vm, wave, self._settings.name, self._holding.term
         )
@@ -224,7 +228,6 @@
         vm = move.vm
         if not self._may_act():
             return
-        self._lender.note_asked(vm, self._clock.read_steady())
         result = await self._vms.move(
             vm, move.pool, self._settings.name, self._holding.term
         )
--- a/libs/controller/tarragonlb/controller/link.py
+++ b/libs/controller/tarragonlb/controller/link.py
@@ -31,6 +31,8 @@
 LOG = Log('worker')
 # A worker has room for a few hundred tasks; more orders are not waiting.
 MAX_WAITING_ORDERS = 2000
+# One answer may be lost; a second one in a row shows that more is wrong.
+FAILURES_OF_SILENCE = 2
 
 Order = StartOrder | StopOrder | PaceOrder
 
@@ -106,31 +108,32 @@
     async def _look_always(self) -> None:
         settings = self._settings
         born: int | None = None
-        is_silent = True
+        failures = FAILURES_OF_SILENCE
         while True:
-            answer = await self._look(born, is_silent=is_silent)
+            answer = await self._look(born, failures)
             if isinstance(answer, LookAnswer):
                 born = answer.report.born
-                is_silent = False
+                failures = 0
                 await self._inbox.send(Reported(answer.report))
                 await trio.sleep(settings.look_pause_seconds)
                 continue
-            is_silent = True
-            await self._report_failure(answer)
-            await trio.sleep(settings.look_retry_seconds)
+            failures += 1
+            if failures >= FAILURES_OF_SILENCE:
+                await self._report_failure(answer)
+                await trio.sleep(settings.look_retry_seconds)
 
     async def _look(
-        self, born: int | None, *, is_silent: bool
+        self, born: int | None, failures: int
     ) -> LookAnswer | OrderResult:
         settings = self._settings
-        until_ms = self._lease.granted_ms if is_silent else self._extend()
+        until_ms = self._lease.granted_ms if failures else self._extend()
         seen_born, seen_end = self._seen
         question = Look(
             worker=self.worker,
             term=self._term,
             seen_end=seen_end if seen_born == born else 0,
             lease_until_ms=until_ms if self._may_grant() else None,
-            wait_seconds=0 if is_silent else settings.look_wait_seconds,
+            wait_seconds=0 if failures else settings.look_wait_seconds,
         )
         answer = await self._workers.look(question)
         if isinstance(answer, LookAnswer):
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -187,6 +187,7 @@
             return
         wall_ms = self._clock.read_wall() * MILLISECONDS
         decided = self._scheduler.decide(Moment(now, wall_ms))
+        self._log_notes()
         for stop in decided.stops:
             self._give(stop)
         for pace in decided.paces:
@@ -336,6 +337,19 @@
             **self._name(),
         )
 
+    def _log_notes(self) -> None:
+        notes = self._scheduler.pool.notes
+        if notes:
+            LOG.say(
+                'Tasks wait again.',
+                tasks=[
+                    (str(note.key), note.attempt, note.worker_id, note.reason)
+                    for note in notes
+                ],
+                **self._name(),
+            )
+            notes.clear()
+
     def _log_ends(self, report: WorkerReport) -> None:
         if report.ended:
             LOG.say(
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -48,7 +48,7 @@
     # Pause before a worker that did not answer is asked again.
     look_retry_seconds: float = 0.25
     # Orders to one worker that are under way at a time.
-    order_senders: int = 2
+    order_senders: int = 6
     # Between attempts at the store that had no effect.
     store_retry_seconds: float = 0.1
     # How long a client's job is offered to the store before it is refused.
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -117,7 +117,9 @@
         for index in waiting:
             task = ready.state.tasks[index]
             if task.is_attached:
-                self._pool.release(TaskKey(*ready.key, index), task)
+                self._pool.release(
+                    TaskKey(*ready.key, index), task, 'the gang has no room'
+                )
 
     def _place_task(
         self,
--- a/libs/scheduling/tarragonlb/scheduling/lending.py
+++ b/libs/scheduling/tarragonlb/scheduling/lending.py
@@ -66,7 +66,7 @@
         reopened = fleet.choose_reopened(lacks)
         moves = [
             move
-            for move in fleet.choose_moves(lacks)
+            for move in fleet.choose_moves(kept, lacks)
             if self._may_ask(move.vm, now)
         ]
         return LendingRound(
@@ -89,6 +89,7 @@
         while history[0][0] < now - CALM_SECONDS:
             history.popleft()
         return PoolNeed(
+            floor=load.floor,
             now=load.wanted_workers,
             lately=max(wanted for _, wanted in history),
             idle=load.idle,
@@ -97,8 +98,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PoolNeed:
-    """Workers a pool needs now, needed at most lately, and idle ones."""
+    """Workers a pool needs: always, now, at most lately; and idle ones."""
 
+    floor: int
     now: int
     lately: int
     idle: tuple[str, ...]
@@ -145,14 +147,17 @@
                 chosen.append(vm)
         return chosen
 
-    def choose_moves(self, lacks: Counter[str]) -> list[VmMove]:
+    def choose_moves(
+        self, needs: Mapping[str, PoolNeed], lacks: Counter[str]
+    ) -> list[VmMove]:
         """Send free VMs to pools that lack workers, others to standby."""
         moves = []
         for vm in self._list_free():
-            pool = self._choose_target(vm, lacks)
+            pool = self._choose_target(vm, needs, lacks)
             if pool and pool != vm.pool:
                 moves.append(VmMove(vm, pool))
                 lacks[pool] -= 1
+                self._counts[pool] += 1
         return moves
 
     def choose_closed(
@@ -174,10 +179,20 @@
                     lacking -= 1
         return chosen
 
-    def _choose_target(self, vm: Vm, lacks: Counter[str]) -> str:
+    def _choose_target(
+        self, vm: Vm, needs: Mapping[str, PoolNeed], lacks: Counter[str]
+    ) -> str:
         wanting = [pool for pool, count in lacks.items() if count > 0]
         if wanting:
-            return max(wanting, key=lambda pool: lacks[pool])
+            # Permanent tasks go first; then the pool that is shortest in
+            # proportion.
+            return max(
+                wanting,
+                key=lambda pool: (
+                    needs[pool].floor > self._counts[pool],
+                    lacks[pool] / needs[pool].now,
+                ),
+            )
         if vm.pool in self._standby:
             return ''
         return min(self._standby, default='')
--- a/libs/scheduling/tarragonlb/scheduling/pool.py
+++ b/libs/scheduling/tarragonlb/scheduling/pool.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
@@ -13,16 +14,28 @@
 from tarragonlb.scheduling.worker import Worker, WorkerState
 
 
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Why an attempt counts as over, for the log."""
+
+    reason: str
+    key: TaskKey
+    attempt: int
+    worker_id: str
+
+
 class PoolState:
     """Jobs and workers of the pools of one partition.
 
-    ``changed`` are ids of jobs whose progress record is out of date.
+    ``changed`` are ids of jobs whose progress record is out of date; ``notes``
+    wait to be logged.
     """
 
     __slots__ = (
         '_taken_over_at',
         'changed',
         'jobs',
+        'notes',
         'queues',
         'settings',
         'workers',
@@ -35,6 +48,7 @@
         self.workers: dict[str, WorkerState] = {}
         self.queues: Mapping[str, Queue] = {}
         self.changed: set[str] = set()
+        self.notes: list[Note] = []
         self._taken_over_at = now
 
     @property
@@ -112,8 +126,9 @@
         is_current = task.is_attached and task.worker_id == worker_id
         return task if is_current else None
 
-    def release(self, key: TaskKey, task: TaskState) -> None:
+    def release(self, key: TaskKey, task: TaskState, reason: str) -> None:
         """Return a task to waiting, since its attempt is over."""
+        self.notes.append(Note(reason, key, task.attempt, task.worker_id))
         self._detach(key, task)
         task.release()
         self.changed.add(key.job_id)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -36,7 +36,7 @@
         if worker is None:
             return
         if worker.born is not None and report.born != worker.born:
-            self.drop_life(worker)
+            self.drop_life(worker, 'the worker was born anew')
         worker.born = report.born
         worker.heard_at = report.heard_at
         worker.is_silent = False
@@ -61,12 +61,9 @@
         if result in {OrderResult.DONE, OrderResult.UNANSWERED}:
             task.settled_at = now
             return
-        self._pool.release(order.key, task)
-        if (
-            self._pool.jobs[order.key.job_id]
-            .job.spec.steps[order.key.step]
-            .is_gang
-        ):
+        self._pool.release(order.key, task, 'the start was refused')
+        spec = self._pool.jobs[order.key.job_id].job.spec
+        if spec.steps[order.key.step].is_gang:
             self._stop_gang(order.key)
 
     def apply_stop(
@@ -81,7 +78,7 @@
         if result is OrderResult.DONE and task.barred_at is None:
             task.barred_at = now
         if result is OrderResult.OTHER_LIFE:
-            self._pool.release(order.key, task)
+            self._pool.release(order.key, task, 'the worker has ended')
 
     def note_silence(self, worker_id: str, lease_until: float) -> None:
         """Stop using a worker until it answers again.
@@ -99,13 +96,13 @@
         for key in tuple(worker.attached):
             state = self._pool.jobs[key.job_id]
             if state.job.spec.steps[key.step].allows_copies:
-                self._release_key(key)
+                self._release_key(key, 'the worker is silent')
 
     def note_end_of_life(self, worker_id: str) -> None:
         """Release everything of a worker that is known to have ended."""
         worker = self._pool.workers.get(worker_id)
         if worker is not None:
-            self.drop_life(worker)
+            self.drop_life(worker, 'another worker has its address')
 
     def expire_leases(self, now: float) -> None:
         """Release what ran on silent workers whose lease has run out."""
@@ -113,15 +110,15 @@
         for worker in self._pool.workers.values():
             unheard = worker.is_silent or worker.heard_at is None
             if unheard and now > worker.lease_until + margin:
-                self.drop_life(worker)
+                self.drop_life(worker, 'the lease has run out')
 
-    def drop_life(self, worker: WorkerState) -> None:
+    def drop_life(self, worker: WorkerState, reason: str) -> None:
         """Release everything that ran on a worker."""
         worker.seen_end = 0
         worker.born = None
         worker.foreign.clear()
         for key in tuple(worker.attached):
-            self._release_key(key)
+            self._release_key(key, reason)
 
     def _apply_running(
         self, worker: WorkerState, report: WorkerReport
@@ -150,23 +147,39 @@
     def _apply_end(
         self, worker: WorkerState, end: EndedAttempt, now: float
     ) -> None:
-        task = self._pool.find_attempt(
-            end.key, end.attempt, worker.worker.worker_id
-        )
-        if task is None:
+        state = self._pool.jobs.get(end.key.job_id)
+        task = None if state is None else state.find(end.key)
+        if task is None or not 0 < end.attempt <= task.attempt:
             return
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
         if end.how == ENDED_DONE:
             worker.note_success()
-            self._pool.finish(end.key, now)
+            self._finish(end, task, now)
             return
-        self._pool.release(end.key, task)
         if end.how == ENDED_FAILED:
-            task.failures += 1
+            task.failed_attempts.add(end.attempt)
             task.avoided.add(worker.worker.worker_id)
             worker.note_failure(now)
-            self._fail_job(end.key, task, now)
+        current = self._pool.find_attempt(
+            end.key, end.attempt, worker.worker.worker_id
+        )
+        if current is not None:
+            task.checkpoint = end.checkpoint or task.checkpoint
+            self._pool.release(end.key, task, f'the attempt {end.how}')
+        self._fail_job(end.key, task, now)
+
+    def _finish(self, end: EndedAttempt, task: TaskState, now: float) -> None:
+        """Finish a task by the first of its attempts that is done.
+
+        A later attempt that runs elsewhere keeps its worker from being used
+        until it was stopped there.
+        """
+        if task.phase is TaskPhase.DONE:
+            return
+        if task.is_attached and task.attempt != end.attempt:
+            other = self._pool.workers.get(task.worker_id)
+            if other is not None:
+                other.foreign[end.key] = task.attempt
+        self._pool.finish(end.key, now)
 
     def _fail_job(self, key: TaskKey, task: TaskState, now: float) -> None:
         state = self._pool.jobs[key.job_id]
@@ -187,7 +200,7 @@
         if task.phase is not TaskPhase.STOPPING:
             task.begin_stop()
         elif task.barred_at is not None and report.sent_at > task.barred_at:
-            self._pool.release(key, task)
+            self._pool.release(key, task, 'the attempt was barred')
 
     def _stop_gang(self, key: TaskKey) -> None:
         state = self._pool.jobs[key.job_id]
@@ -195,7 +208,7 @@
             if task.is_attached:
                 task.begin_stop()
 
-    def _release_key(self, key: TaskKey) -> None:
+    def _release_key(self, key: TaskKey, reason: str) -> None:
         task = self._pool.jobs[key.job_id].find(key)
         if task is not None:
-            self._pool.release(key, task)
+            self._pool.release(key, task, reason)
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -146,21 +146,21 @@
         key.position,
         int(task.phase),
         task.attempt,
-        task.failures,
+        sorted(task.failed_attempts),
         task.worker_id,
         task.checkpoint,
     ]
 
 
 def _restore_task(state: JobState, row: tuple[Any, ...], now: float) -> None:
-    occurrence, step, index, phase, attempt, failures, worker_id, saved = row
+    occurrence, step, index, phase, attempt, failed, worker_id, saved = row
     key = TaskKey(state.job.job_id, occurrence, step, index)
     task = state.find(key)
     if task is None:
         raise RecordError(f'progress names task {key}, which does not exist')
     task.phase = TaskPhase(phase)
     task.attempt = attempt
-    task.failures = failures
+    task.failed_attempts.update(failed)
     task.worker_id = worker_id
     task.checkpoint = saved
     if task.is_attached:
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -40,7 +40,7 @@
         'avoided',
         'barred_at',
         'checkpoint',
-        'failures',
+        'failed_attempts',
         'phase',
         'placed_at',
         'progress_at',
@@ -56,7 +56,7 @@
         self.phase = TaskPhase.WAITING
         self.attempt = 0
         self.worker_id = ''
-        self.failures = 0
+        self.failed_attempts: set[int] = set()
         self.checkpoint = ''
         self.avoided: set[str] = set()
         self.placed_at = 0.0
@@ -67,6 +67,11 @@
         self.progress_at = 0.0
         self.tail_ms = 0
 
+    @property
+    def failures(self) -> int:
+        """Return how many attempts failed."""
+        return len(self.failed_attempts)
+
     @property
     def is_attached(self) -> bool:
         """Return whether the task may run on its worker."""
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -132,8 +132,8 @@
 
     def note_begun(self, vm: Vm, now: float) -> None:
         """Note that the platform confirmed an order."""
-        known = self._ordered[vm.vm_id]
-        if known.begun_at is None:
+        known = self._ordered.get(vm.vm_id)
+        if known is not None and known.begun_at is None:
             known.begun_at = now
 
     def note_refused(self, vm: Vm) -> None:
