Test tasks on workers that fail, and free tasks of lost workers sooner

Change: members are given up after 1.6 s; leases are 3.5 s while the store answers and the longest allowed while it doesn't.

--- a/libs/controller/tarragonlb/controller/link.py
+++ b/libs/controller/tarragonlb/controller/link.py
@@ -44,7 +44,7 @@
         '_clock',
         '_inbox',
         '_lease',
-        '_may_grant',
+        '_lease_seconds',
         '_orders',
         '_seen',
         '_settings',
@@ -80,12 +80,12 @@
     async def run(
         self,
         inbox: trio.MemorySendChannel[Event],
-        may_grant: Callable[[], bool],
+        lease_seconds: Callable[[], float],
         wants_order: Callable[[StartOrder], bool],
     ) -> None:
         """Speak to the worker until the scope is cancelled."""
         self._inbox = inbox
-        self._may_grant = may_grant
+        self._lease_seconds = lease_seconds
         self._wants_order = wants_order
         with self.scope:
             async with trio.open_nursery() as nursery:
@@ -126,13 +126,13 @@
         self, born: int | None, failures: int
     ) -> LookAnswer | OrderResult:
         settings = self._settings
-        until_ms = self._lease.granted_ms if failures else self._extend()
+        until_ms = self._grant(failures)
         seen_born, seen_end = self._seen
         question = Look(
             worker=self.worker,
             term=self._term,
             seen_end=seen_end if seen_born == born else 0,
-            lease_until_ms=until_ms if self._may_grant() else None,
+            lease_until_ms=until_ms,
             wait_seconds=0 if failures else settings.look_wait_seconds,
         )
         answer = await self._workers.look(question)
@@ -140,13 +140,13 @@
             self._lease.note_answer(answer.clock_ms, answer.report.heard_at)
         return answer
 
-    def _extend(self) -> int | None:
-        if not self._may_grant():
+    def _grant(self, failures: int) -> int | None:
+        seconds = self._lease_seconds()
+        if not seconds:
             return None
-        return self._lease.extend(
-            self._clock.read_steady(),
-            self._settings.scheduling.order_lease_seconds,
-        )
+        if failures:
+            return self._lease.granted_ms
+        return self._lease.extend(self._clock.read_steady(), seconds)
 
     async def _report_failure(self, result: OrderResult) -> None:
         worker_id = self.worker.worker_id
@@ -176,7 +176,7 @@
 
     async def _start(self, order: StartOrder) -> OrderResult:
         until_ms = self._lease.granted_ms
-        if until_ms is None or not self._may_grant():
+        if until_ms is None or not self._lease_seconds():
             return OrderResult.REFUSED
         if not self._wants_order(order):
             return OrderResult.REFUSED
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -63,9 +63,9 @@
         '_holding',
         '_inbox',
         '_is_storing',
+        '_lease_seconds',
         '_links',
         '_loads',
-        '_may_grant',
         '_next_round_at',
         '_nursery',
         '_receive',
@@ -104,12 +104,13 @@
             settings.scheduling, SpreadNearData(), clock.read_steady()
         )
 
-    async def run(self, may_grant: Callable[[], bool]) -> None:
+    async def run(self, lease_seconds: Callable[[], float]) -> None:
         """Own the partition until the term ends.
 
-        ``may_grant`` says whether the place in the group is still good.
+        ``lease_seconds`` says for how long leases may be granted now, 0 once
+        the place in the group may be gone.
         """
-        self._may_grant = may_grant
+        self._lease_seconds = lease_seconds
         # Subscribed before anything is read, so that no change is missed.
         send, changes = trio.open_memory_channel[list[str]](INBOX_SIZE)
         self._feed.subscribe(send)
@@ -309,7 +310,7 @@
                 self._nursery.start_soon(
                     link.run,
                     self._inbox,
-                    self._may_grant,
+                    self._lease_seconds,
                     self._scheduler.may_send,
                 )
             elif link is not None:
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -220,7 +220,22 @@
             self._settings,
             self._clock,
         )
-        await owner.run(self._is_seat_valid)
+        await owner.run(self._choose_lease)
+
+    def _choose_lease(self) -> float:
+        """Return how long leases may be granted now, in seconds.
+
+        Short leases free tasks of unreachable workers soon.  While the store
+        does not answer, the longest ones ride out its outage.
+        """
+        now = self._clock.read_lease()
+        if not self._membership.is_valid(now):
+            return 0
+        settings = self._settings
+        contact_at = self.view.contact_at or 0
+        if now - contact_at > settings.doubt_seconds:
+            return settings.scheduling.max_lease_seconds
+        return settings.scheduling.order_lease_seconds
 
     def _is_seat_valid(self) -> bool:
         return self._membership.is_valid(self._clock.read_lease())
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -24,9 +24,11 @@
     scheduling: SchedulingSettings
     # A member that has not been heard of for so long loses its partitions.
     # Shorter takes over sooner; longer rides through outages of the store.
-    member_ttl_seconds: float = 3.0
+    member_ttl_seconds: float = 1.6
     # Four chances to be heard within one TTL.
-    join_seconds: float = 0.7
+    join_seconds: float = 0.4
+    # A store that has not answered for two joins may stay away for seconds.
+    doubt_seconds: float = 0.9
     # Decisions are at least so far apart, so that one append carries many.
     round_seconds: float = 0.02
     # Without events a round is made at least so often.
--- /dev/null
+++ b/libs/scheduling/features/fakeworkers.py
@@ -0,0 +1,161 @@
+"""Workers in virtual time, as the platform's rules describe them."""
+
+from dataclasses import dataclass, field
+
+from tarragonlb.scheduling.job import Demand
+from tarragonlb.scheduling.orders import OrderResult
+from tarragonlb.scheduling.worker import (
+    EndedAttempt,
+    RunningAttempt,
+    Worker,
+    WorkerReport,
+)
+
+MAX_LEASE = 6.0
+STOP_SECONDS = 0.2
+
+
+@dataclass
+class FakeRun:
+    attempt: int
+    step: object
+    ends_at: float
+    how: str
+    stops_at: float | None = None
+
+
+@dataclass
+class FakeWorker:
+    """One VM: its present life, what runs there, and what ended there."""
+
+    worker_id: str
+    rate: float = 1.0
+    born: int = 1
+    fence: int = 0
+    lease_until: float = 0.0
+    is_up: bool = True
+    is_reachable: bool = True
+    fails_all: bool = False
+    stands_still: bool = False
+    runs: dict = field(default_factory=dict)
+    ended: list = field(default_factory=list)
+    barred: dict = field(default_factory=dict)
+    number: int = 0
+    now: float = 0.0
+    lapsed_at: float = -1.0
+    ended_at: dict = field(default_factory=dict)
+    noted: set = field(default_factory=set)
+    capacity: Demand = field(default_factory=lambda: Demand(4000, 8000, 0))
+
+    @property
+    def entry(self):
+        return Worker(
+            worker_id=self.worker_id,
+            pool='p',
+            address='x:1',
+            zone='z',
+            labels=frozenset(('a', 'r1')),
+            capacity=self.capacity,
+        )
+
+    def clock_ms(self, now):
+        return int(now * self.rate * 1000)
+
+    def advance(self, now, log):
+        if not self.is_up:
+            return
+        self.now = now
+        if now * self.rate > self.lease_until:
+            self.lapsed_at = now
+            for key in tuple(self.runs):
+                self._end(key, 'lapsed', log)
+        for key, run in tuple(self.runs.items()):
+            if run.stops_at is not None and now >= run.stops_at:
+                self._end(key, 'stopped', log)
+            elif now >= run.ends_at and not self.stands_still:
+                self._end(key, run.how, log)
+
+    def start(self, order, step, seconds, how, term, until_ms, now):
+        if term < self.fence:
+            return OrderResult.FENCED
+        self.fence = term
+        run = self.runs.get(order.key)
+        if run is not None and run.attempt == order.attempt:
+            return OrderResult.DONE
+        if self.barred.get(order.key, 0) >= order.attempt or run is not None:
+            return OrderResult.REFUSED
+        if until_ms <= self.clock_ms(now):
+            return OrderResult.REFUSED
+        self._hold(until_ms, now)
+        if self.fails_all:
+            how, seconds = 'failed', 0.1
+        self.runs[order.key] = FakeRun(order.attempt, step, now + seconds, how)
+        return OrderResult.DONE
+
+    def stop(self, order, term, now):
+        if term < self.fence:
+            return OrderResult.FENCED
+        self.fence = term
+        run = self.runs.get(order.key)
+        if run is not None and run.attempt == order.attempt:
+            if run.stops_at is None:
+                run.stops_at = now + STOP_SECONDS
+        else:
+            known = self.barred.get(order.key, 0)
+            self.barred[order.key] = max(known, order.attempt)
+        return OrderResult.DONE
+
+    def look(self, term, seen, until_ms, now):
+        if term < self.fence:
+            return None
+        self.fence = term
+        for row in self.ended:
+            is_whole = self.ended_at[row.number] > self.lapsed_at
+            if row.number <= seen and row.how == 'done' and is_whole:
+                self.noted.add(row.key)
+        self.ended = [row for row in self.ended if row.number > seen]
+        if until_ms is not None:
+            self._hold(until_ms, now)
+        return WorkerReport(
+            worker_id=self.worker_id,
+            sent_at=now,
+            heard_at=now,
+            born=self.born,
+            running=tuple(
+                RunningAttempt(key, run.attempt, '', self._percent(run, now), 0)
+                for key, run in self.runs.items()
+            ),
+            ended=tuple(self.ended),
+        )
+
+    def crash(self, log):
+        for key in tuple(self.runs):
+            self.runs.pop(key)
+            log.append((self.worker_id, key, 'gone'))
+        self.is_up = False
+
+    def restart(self):
+        self.is_up = True
+        self.born += 1
+        self.fence = 0
+        self.ended = []
+        self.barred = {}
+        self.number = 0
+        self.lease_until = 0.0
+
+    def _percent(self, run, now):
+        return int(now * 10) if not self.stands_still else 1
+
+    def _hold(self, until_ms, now):
+        longest = now * self.rate + MAX_LEASE
+        until = min(until_ms / 1000, longest)
+        self.lease_until = max(self.lease_until, until)
+
+    def _end(self, key, how, log):
+        run = self.runs.pop(key)
+        self.number += 1
+        self.ended_at[self.number] = self.now
+        self.ended.append(EndedAttempt(self.number, key, run.attempt, how, ''))
+        known = self.barred.get(key, 0)
+        self.barred[key] = max(known, run.attempt)
+        log.append((self.worker_id, key, how))
--- /dev/null
+++ b/libs/scheduling/features/steps/task_steps.py
@@ -0,0 +1,213 @@
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+from hypothesis import HealthCheck, seed, settings
+from hypothesis import given as given_any
+from hypothesis import strategies as st
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from fleetworld import FleetWorld, make_step  # noqa: E402
+
+LONG_ENOUGH_SECONDS = 60
+EXAMPLES = 120
+LONG_SHARE = 0.4
+FAULTS = (
+    'kill',
+    'freeze',
+    'cut',
+    'cut',
+    'cut and kill',
+    'crash',
+    'store',
+    'fail',
+    'still',
+    'cancel',
+)
+
+
+@given('a fleet of {count:d} workers')
+def start(context, count):
+    context.world = FleetWorld(seed=1, workers=count)
+
+
+@given('a job of {first:d} tasks followed by {second:d} tasks')
+def submit_two(context, first, second):
+    submit(context, make_step(first), make_step(second, prerequisites=(0,)))
+
+
+@given('a job of {count:d} tasks')
+def submit_one(context, count):
+    submit(context, make_step(count))
+
+
+@given('a job of {count:d} long tasks')
+def submit_long(context, count):
+    submit(context, make_step(count, cpu=1500))
+
+
+@given('a job of {count:d} tasks that allow copies')
+def submit_copies(context, count):
+    submit(context, make_step(count, allows_copies=True))
+
+
+def submit(context, *steps):
+    context.job = context.world.submit(steps)
+
+
+@given('worker "{name}" fails everything')
+def fail_all(context, name):
+    find(context.world, name).fails_all = True
+
+
+@given('worker "{name}" stands still')
+def stand_still(context, name):
+    find(context.world, name).stands_still = True
+
+
+@when('{seconds:g} seconds pass')
+def wait(context, seconds):
+    context.world.run(seconds)
+
+
+@when('worker "{name}" falls out of reach')
+def cut(context, name):
+    worker = find(context.world, name)
+    worker.is_reachable = False
+    context.cut_keys = set(worker.runs)
+    context.before = dict(context.world.starts)
+
+
+@when('the owner is killed')
+def kill(context):
+    context.world.kill_owner()
+
+
+@when('the job is cancelled')
+def cancel(context):
+    context.world.cancel(context.job)
+
+
+@when('the store is down for {seconds:g} seconds')
+def stop_store(context, seconds):
+    context.world.is_store_up = False
+    context.world.run(seconds)
+    context.world.is_store_up = True
+
+
+@when('fleets fail at random')
+def fail_at_random(context):
+    context.left = []
+    script = st.lists(
+        st.tuples(st.integers(0, 250), st.sampled_from(FAULTS)), max_size=12
+    )
+
+    @settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @seed(7)
+    @given_any(st.integers(0, 10_000), script)
+    def run(number, faults):
+        context.left.extend(run_script(number, faults))
+
+    run()
+
+
+def run_script(number, faults):
+    """Run one fleet through its faults; return the jobs left open."""
+    world = FleetWorld(number, long_share=LONG_SHARE)
+    by_tick = {}
+    for tick, fault in faults:
+        by_tick.setdefault(tick, []).append(fault)
+    for tick in range(300):
+        if tick % 25 == 0 and tick < 250:
+            copies = tick % 50 == 0
+            world.submit(
+                [
+                    make_step(5, allows_copies=copies),
+                    make_step(3, prerequisites=(0,)),
+                ]
+            )
+        for fault in by_tick.get(tick, ()):
+            strike(world, fault, tick)
+        world.step()
+    for worker in world.workers:
+        heal(worker)
+    world.is_store_up = True
+    world.run(LONG_ENOUGH_SECONDS)
+    return [(number, faults, job_id) for job_id in world.list_open()]
+
+
+def strike(world, fault, tick):
+    worker = world.workers[tick % len(world.workers)]
+    match fault:
+        case 'kill' if world.owner:
+            world.kill_owner()
+        case 'freeze' if world.owner:
+            world.freeze_owner(4.0)
+        case 'cut':
+            worker.is_reachable = not worker.is_reachable
+        case 'cut and kill' if world.owner:
+            worker.is_reachable = False
+            world.kill_owner()
+        case 'crash':
+            if worker.is_up:
+                worker.crash(world.log)
+            else:
+                worker.restart()
+        case 'store':
+            world.is_store_up = not world.is_store_up
+        case 'fail':
+            worker.fails_all = not worker.fails_all
+        case 'still':
+            worker.stands_still = not worker.stands_still
+        case 'cancel' if world.list_open():
+            world.cancel(world.list_open()[0])
+
+
+def heal(worker):
+    worker.is_reachable = True
+    worker.fails_all = False
+    worker.stands_still = False
+    if not worker.is_up:
+        worker.restart()
+
+
+def find(world, name):
+    return next(w for w in world.workers if w.worker_id == name)
+
+
+@then('the job is completed')
+def check_completed(context):
+    assert context.world.describe(context.job) == 'completed'
+
+
+@then('no task of "{name}" has started elsewhere')
+def check_not_elsewhere(context, name):
+    for key in context.cut_keys:
+        assert context.world.starts[key] == context.before[key], key
+
+
+@then('no task was started more than {count:d} times')
+def check_starts(context, count):
+    assert max(context.world.starts.values()) <= count
+
+
+@then('worker "{name}" has failed at most {count:d} tasks')
+def check_failures(context, name, count):
+    assert find(context.world, name).number <= count
+
+
+@then('the job is cancelled for good and nothing of it runs')
+def check_cancelled(context):
+    assert context.world.describe(context.job) == 'cancelled'
+    assert not any(worker.runs for worker in context.world.workers)
+
+
+@then('every job has come to an end')
+def check_all_ended(context):
+    assert not context.left, context.left[0]
--- /dev/null
+++ b/libs/scheduling/features/tasks.feature
@@ -0,0 +1,70 @@
+Feature: Tasks of jobs on workers that fail
+
+  Scenario: A job of two steps runs in order and completes
+    Given a fleet of 4 workers
+    And a job of 6 tasks followed by 4 tasks
+    When 10 seconds pass
+    Then the job is completed
+
+  Scenario: A task is not started twice while its worker is out of reach
+    Given a fleet of 4 workers
+    And a job of 8 long tasks
+    When 0.5 seconds pass
+    And worker "w1" falls out of reach
+    And 2 seconds pass
+    Then no task of "w1" has started elsewhere
+    When 12 seconds pass
+    Then the job is completed
+
+  Scenario: A step that allows copies does not wait for a silent worker
+    Given a fleet of 4 workers
+    And a job of 8 tasks that allow copies
+    When 0.3 seconds pass
+    And worker "w1" falls out of reach
+    And 3 seconds pass
+    Then the job is completed
+
+  Scenario: Tasks run on when their owner is killed
+    Given a fleet of 4 workers
+    And a job of 8 long tasks
+    When 0.6 seconds pass
+    And the owner is killed
+    And 12 seconds pass
+    Then the job is completed
+    And no task was started more than 2 times
+
+  Scenario: A worker that fails everything gets one task at a time
+    Given a fleet of 4 workers
+    And worker "w1" fails everything
+    And a job of 40 tasks
+    When 20 seconds pass
+    Then the job is completed
+    And worker "w1" has failed at most 14 tasks
+
+  Scenario: Attempts that stand still are stopped and start elsewhere
+    Given a fleet of 4 workers
+    And worker "w1" stands still
+    And a job of 8 tasks
+    When 12 seconds pass
+    Then the job is completed
+
+  Scenario: A cancelled job is stopped everywhere
+    Given a fleet of 4 workers
+    And a job of 8 long tasks
+    When 0.6 seconds pass
+    And the job is cancelled
+    And 2 seconds pass
+    Then the job is cancelled for good and nothing of it runs
+
+  Scenario: Work goes on through an outage of the store
+    Given a fleet of 4 workers
+    And a job of 8 long tasks
+    When 0.6 seconds pass
+    And the store is down for 4 seconds
+    And 8 seconds pass
+    Then the job is completed
+    And no task was started more than 1 times
+
+  Scenario: No promise is broken in fleets that fail at random
+    When fleets fail at random
+    Then every job has come to an end
--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -19,7 +19,9 @@
     early_seconds: float
     pace_seconds: float
     maintenance_seconds: float
-    order_lease_seconds: float
+    # Longer than a member's TTL, a takeover and a look together, so that what
+    # runs survives its owner; shorter leases free tasks of lost workers sooner.
+    order_lease_seconds: float = 3.5
     # Repeats a stop order whose effect was not seen; well above one report.
     stop_repeat_seconds: float = 1.0
     # On top of computed lease ends, for rounding and delays in links.
