Mend linter findings in the sink, the fake platform and check_tree

No behaviour changes: an iterator in place of an endless loop, a bounded wait in the fake store, a type annotation. telemetry 21, controller 9 scenarios pass.

--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -36,6 +36,7 @@
 PARTITIONS = 4
 CALL_SECONDS = 0.005
 TASK_SECONDS = 1.0
+POLL_SECONDS = 0.01
 QUEUE = Queue(
     name='q', host='h', path_prefix='/q/', pool='pool', max_attempts=3
 )
@@ -97,9 +98,10 @@
         key = (topic, partition)
         if offset < self.firsts[key]:
             return Trimmed(self.firsts[key])
-        end = trio.current_time() + wait_seconds
-        while len(self.logs[key]) <= offset and trio.current_time() < end:
-            await trio.sleep(0.01)
+        for _ in range(int(wait_seconds / POLL_SECONDS)):
+            if len(self.logs[key]) > offset:
+                break
+            await trio.sleep(POLL_SECONDS)
         log = self.logs[key]
         records = tuple(
             KeyedRecord(record.key, record.value, number)
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -197,7 +197,8 @@
 
 
 @when(
-    'a job of {tasks:d} tasks is handed to one daemon and asked for at the other'
+    'a job of {tasks:d} tasks is handed to one daemon and asked for at the '
+    'other'
 )
 def submit_and_ask(context, tasks):
     async def act(story):
--- a/libs/telemetry/tarragonlb/telemetry/sink.py
+++ b/libs/telemetry/tarragonlb/telemetry/sink.py
@@ -40,21 +40,11 @@
         """Write lines with ``write``, which may block its own thread."""
         self._write = write
         self._now = now
-        self._queue: queue.Queue[bytes] = queue.Queue(QUEUE_LINES)
+        self._queue: queue.Queue[bytes | None] = queue.Queue(QUEUE_LINES)
         self._budget: Counter[str] = Counter()
         self._left_out: Counter[str] = Counter()
         self._since = now()
 
-    def start(self) -> None:
-        """Begin to write."""
-        threading.Thread(target=self._work, daemon=True).start()
-
-    def drain(self, seconds: float) -> None:
-        """Wait until all lines are written, at most ``seconds``."""
-        end = self._now() + seconds
-        while self._queue.unfinished_tasks and self._now() < end:
-            time.sleep(DRAIN_STEP_SECONDS)
-
     def __call__(self, message: dict[str, Any]) -> None:
         """Take a message, or count it as left out."""
         now = self._now()
@@ -67,6 +57,16 @@
         if self._budget[kind] > LINES_A_SECOND or not self._put(message):
             self._left_out[kind] += 1
 
+    def start(self) -> None:
+        """Begin to write."""
+        threading.Thread(target=self._work, daemon=True).start()
+
+    def drain(self, seconds: float) -> None:
+        """Wait until all lines are written, at most ``seconds``."""
+        end = self._now() + seconds
+        while self._queue.unfinished_tasks and self._now() < end:
+            time.sleep(DRAIN_STEP_SECONDS)
+
     def _summarize(self) -> None:
         if not self._left_out:
             return
@@ -80,14 +80,14 @@
             for name, content in message.items()
             if name not in IDLE_FIELDS
         }
-        line = msgspec.json.encode(told, enc_hook=str) + b'\n'
+        encoded = msgspec.json.encode(told, enc_hook=str)
         try:
-            self._queue.put_nowait(line)
+            self._queue.put_nowait(b'%s\n' % encoded)
         except queue.Full:
             return False
         return True
 
     def _work(self) -> None:
-        while True:
-            self._write(self._queue.get())
+        for line in iter(self._queue.get, None):
+            self._write(line)
             self._queue.task_done()
--- a/tools/check_tree.py
+++ b/tools/check_tree.py
@@ -59,7 +59,7 @@
 
 def find_wire_names(paths: list[Path]) -> list[str]:
     """Return a line for each name of the wire outside the adapter."""
-    found = []
+    found: list[str] = []
     for path in paths:
         if path == Path(__file__) or path.is_relative_to(ADAPTER):
             continue
