--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -250,15 +250,15 @@
                 reconciler.note_end_of_life(event.worker_id)
 
     def _apply_answer(self, event: events.Answered, now: float) -> None:
-        reconciler = self._scheduler.reconciler
+        answers = self._scheduler.answers
         order, result = event.order, event.result
         if isinstance(order, StartOrder):
-            reconciler.apply_start(order, result, now)
+            answers.apply_start(order, result, now)
         elif isinstance(order, PaceOrder):
             if result is not OrderResult.DONE:
                 self._scheduler.pacer.note_refused(order)
         else:
-            reconciler.apply_stop(order, result, now)
+            answers.apply_stop(order, result, now)
 
     def _take_job(self, job_id: str, now: float) -> None:
         entry = self._feed.ledger.find(job_id)
--- a/libs/scheduling/features/fleetworld.py
+++ b/libs/scheduling/features/fleetworld.py
@@ -262,11 +262,11 @@
         return result
 
     def _answer(self, owner, order, result):
-        reconciler = owner.scheduler.reconciler
+        answers = owner.scheduler.answers
         if hasattr(order, 'payload'):
-            reconciler.apply_start(order, result, self.now)
+            answers.apply_start(order, result, self.now)
         else:
-            reconciler.apply_stop(order, result, self.now)
+            answers.apply_stop(order, result, self.now)
 
     def _lost(self):
         return self.random.random() < LOST_SHARE
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -7,7 +7,6 @@
 
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
-from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
 from tarragonlb.scheduling.pool import PoolState
 from tarragonlb.scheduling.task import TaskPhase, TaskState
 from tarragonlb.scheduling.worker import (
@@ -50,50 +49,6 @@
             if (key, attachment.attempt) not in listed:
                 self._apply_absence(worker, key, report)
 
-    def apply_start(
-        self, order: StartOrder, result: OrderResult, now: float
-    ) -> None:
-        """Take over what is known of a start order."""
-        task = self._pool.find_attempt(
-            order.key, order.attempt, order.worker_id
-        )
-        if task is None:
-            return
-        if result in {OrderResult.DONE, OrderResult.UNANSWERED}:
-            task.settled_at = now
-            return
-        self._pool.release(order.key, task, 'the start was refused')
-        task.not_before = now + self._pool.settings.refusal_seconds
-        if self._pool.find_step(order.key).is_gang:
-            self._stop_gang(order.key)
-
-    def apply_stop(
-        self, order: StopOrder, result: OrderResult, now: float
-    ) -> None:
-        """Take over what is known of a stop order."""
-        task = self._pool.find_attempt(
-            order.key, order.attempt, order.worker_id
-        )
-        if task is None:
-            self._bar_leftover(order, result, now)
-            return
-        if task.phase is not TaskPhase.STOPPING:
-            return
-        if result is OrderResult.DONE and task.barred_at is None:
-            task.barred_at = now
-        if result is OrderResult.OTHER_LIFE:
-            self._pool.release(order.key, task, 'the worker has ended')
-
-    def _bar_leftover(
-        self, order: StopOrder, result: OrderResult, now: float
-    ) -> None:
-        worker = self._pool.workers.get(order.worker_id)
-        leftover = None if worker is None else worker.leftovers.get(order.key)
-        if leftover is None or leftover.attempt != order.attempt:
-            return
-        if result is OrderResult.DONE and leftover.barred_at is None:
-            leftover.barred_at = now
-
     def note_silence(self, worker_id: str, lease_until: float) -> None:
         """Stop using a worker until it answers again.
 
@@ -229,12 +184,6 @@
         elif task.barred_at is not None and report.sent_at > task.barred_at:
             self._pool.release(key, task, 'the attempt was barred')
 
-    def _stop_gang(self, key: TaskKey) -> None:
-        state = self._pool.jobs[key.job_id]
-        for task in state.step_of(key).tasks:
-            if task.is_attached:
-                task.begin_stop()
-
     def _release_key(self, key: TaskKey, reason: str) -> None:
         task = self._pool.jobs[key.job_id].find(key)
         if task is not None:
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 True
 """
 
+from tarragonlb.scheduling.answers import AnswerBook
 from tarragonlb.scheduling.assignment import Assigner
 from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.jobstate import JobOutcome
@@ -26,7 +27,14 @@
 class Scheduler:
     """Decides for all pools of one partition, during one term."""
 
-    __slots__ = ('_assigner', '_stopper', 'pacer', 'pool', 'reconciler')
+    __slots__ = (
+        '_assigner',
+        '_stopper',
+        'answers',
+        'pacer',
+        'pool',
+        'reconciler',
+    )
 
     def __init__(
         self, settings: SchedulingSettings, policy: PlacementPolicy, now: float
@@ -34,6 +42,7 @@
         """Begin a term at ``now`` seconds, without jobs and workers."""
         self.pool = PoolState(settings, now)
         self.reconciler = Reconciler(self.pool)
+        self.answers = AnswerBook(self.pool)
         self.pacer = Pacer(self.pool)
         self._assigner = Assigner(self.pool, policy)
         self._stopper = Stopper(self.pool)
