Follow a job through the logs of several daemons

Cause: a job touches the daemon that accepts it, the owners of its pool and its workers; on-call had to search each log by hand.

--- a/libs/cli/tarragonlb/cli/jobcommands.py
+++ b/libs/cli/tarragonlb/cli/jobcommands.py
@@ -1,10 +1,18 @@
 """Commands on jobs."""
 
+import json
+import sys
 from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated
 
 import cyclopts
 
 from tarragonlb.cli.session import DEFAULT_SESSION, Session
+from tarragonlb.telemetry.trace import TraceEvent, trace_job
+
+EXIT_NOTHING_FOUND = 1
+EXIT_BAD_FILE = 2
 
 application = cyclopts.App(name='job', help='Submit and follow jobs.')
 
@@ -87,3 +95,44 @@
     """Cancel jobs by one change."""
     order = {'job_ids': job_ids}
     session.show(session.connect().send('POST', '/v1/jobs/cancel', order))
+
+
+@application.command
+def trace(
+    job_id: str,
+    *files: Path,
+    as_json: Annotated[bool, cyclopts.Parameter(name='--json')] = False,
+) -> None:
+    """Follow a job through the logs of several daemons.
+
+    Parameters
+    ----------
+    job_id
+        The id that the job was handed in under.
+    files
+        Logs, one or more daemons a file.
+    as_json
+        Write one JSON object a line.
+
+    """
+    try:
+        sources = [
+            (path.name, path.read_text(errors='replace').splitlines())
+            for path in files
+        ]
+    except OSError as error:
+        sys.stderr.write(f'tarragonlb: {error}\n')
+        sys.exit(EXIT_BAD_FILE)
+    events = trace_job(job_id, sources)
+    for event in events:
+        sys.stdout.write(_show_event(event, as_json=as_json))
+    if not events:
+        sys.stderr.write(f'tarragonlb: no line names job {job_id}\n')
+        sys.exit(EXIT_NOTHING_FOUND)
+
+
+def _show_event(event: TraceEvent, *, as_json: bool) -> str:
+    if as_json:
+        return f'{json.dumps(asdict(event))}\n'
+    details = ' '.join(f'{name}={told}' for name, told in event.details.items())
+    return f'{event.seconds:.3f} {event.source:20} {event.sentence} {details}\n'
--- a/libs/telemetry/features/steps/sink_steps.py
+++ b/libs/telemetry/features/steps/sink_steps.py
@@ -10,15 +10,19 @@
 
 
 def open_sink(context, goes_on):
-    context.lines = []
+    # Bound here: the thread of an earlier scenario must not write into this
+    # scenario's lines.
+    lines = []
+    gate = threading.Event()
+    context.lines = lines
     context.now = 0.0
-    context.goes_on = threading.Event()
+    context.goes_on = gate
     if goes_on:
-        context.goes_on.set()
+        gate.set()
 
     def write(line):
-        context.goes_on.wait()
-        context.lines.append(json.loads(line))
+        gate.wait()
+        lines.append(json.loads(line))
 
     context.write = write
     context.sink = LineSink(write, now=lambda: context.now)
--- /dev/null
+++ b/libs/telemetry/features/trace.feature
@@ -0,0 +1,14 @@
+Feature: A job is followed through the logs of several daemons
+
+  Scenario: Lines of two daemons become one timeline of the job
+    Given the log of "one" says at 5 s that tasks "ab.0.0.0 cd.0.0.0" start
+    And the log of "two" says at 3 s that job "ab" was handed in
+    And the log of "two" holds a line that is no JSON and names "ab"
+    When job "ab" is traced
+    Then the timeline is "two 3 desk: A job was handed in., one 5 owner: Tasks start."
+    And the last event names only the task "ab.0.0.0"
+
+  Scenario: Lines of a bench carry its time and the VM's name
+    Given a line " -1.5000 edge-1 " before "desk: A job was handed in." of job "ab"
+    When job "ab" is traced
+    Then the timeline is "edge-1 -1.5 desk: A job was handed in."
