--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -10,6 +10,12 @@
 from tarragonlb.scheduling.orders import Round
 from tarragonlb.scheduling.pool import Note
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
+from tarragonlb.telemetry.fleetmetrics import (
+    FLEET_METER,
+    TASK_ENDS,
+    TASK_RETURNS,
+    TASK_STARTS,
+)
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('owner')
@@ -28,6 +34,7 @@
         self, decided: Round, workers: Mapping[str, WorkerState]
     ) -> None:
         """Log which tasks start where, and the room left on each worker."""
+        FLEET_METER.count(TASK_STARTS, number=len(decided.starts))
         used = {start.worker_id for start in decided.starts}
         LOG.say(
             'Tasks start.',
@@ -47,6 +54,8 @@
         """Log why attempts count as over, and forget the notes."""
         if not notes:
             return
+        for note in notes:
+            FLEET_METER.count(TASK_RETURNS, note.reason)
         LOG.say(
             'Tasks wait again.',
             tasks=[
@@ -61,6 +70,8 @@
         """Log which attempts a worker says have ended."""
         if not report.ended:
             return
+        for end in report.ended:
+            FLEET_METER.count(TASK_ENDS, end.how)
         LOG.say(
             'Tasks ended.',
             worker=report.worker_id,
--- a/libs/controller/tarragonlb/controller/desk.py
+++ b/libs/controller/tarragonlb/controller/desk.py
@@ -24,6 +24,7 @@
     write_cancellation,
     write_submission,
 )
+from tarragonlb.telemetry.fleetmetrics import FLEET_METER, HAND_INS
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('desk')
@@ -74,6 +75,7 @@
             return Receipt(Verdict.RAN)
         partition = self._settings.find_partition(job.pool)
         receipt = await self._append(partition, write_submission(job))
+        FLEET_METER.count(HAND_INS, 'submit', receipt.verdict.value)
         LOG.say(
             'A job was handed in.',
             job=job.job_id,
@@ -94,6 +96,7 @@
         if found[1].is_cancelled:
             return Receipt(Verdict.RAN)
         receipt = await self._append(found[0], write_cancellation(job_id))
+        FLEET_METER.count(HAND_INS, 'cancel', receipt.verdict.value)
         LOG.say(
             'A job was cancelled.', job=job_id, verdict=receipt.verdict.value
         )
--- a/libs/controller/tarragonlb/controller/fleet.py
+++ b/libs/controller/tarragonlb/controller/fleet.py
@@ -22,6 +22,7 @@
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.records import KeyedRecord
 from tarragonlb.scheduling.wave import Vm, Wave, WaveCoordinator
+from tarragonlb.telemetry.fleetmetrics import FLEET_METER, VM_ORDERS
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('fleet')
@@ -229,6 +230,7 @@
         result = await self._vms.maintain(
             vm, wave, self._settings.name, self._holding.term
         )
+        FLEET_METER.count(VM_ORDERS, 'maintain', result.value)
         LOG.say(
             'Maintenance of a VM was ordered.',
             vm=vm.vm_id,
@@ -249,6 +251,7 @@
         result = await self._vms.move(
             vm, move.pool, self._settings.name, self._holding.term
         )
+        FLEET_METER.count(VM_ORDERS, 'move', result.value)
         LOG.say(
             'A move of a VM was ordered.',
             vm=vm.vm_id,
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -32,6 +32,7 @@
 from tarragonlb.scheduling.placement import SpreadNearData
 from tarragonlb.scheduling.records import RecordError
 from tarragonlb.scheduling.scheduler import Scheduler
+from tarragonlb.telemetry.fleetmetrics import FLEET_METER, ROUND_SECONDS
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('owner')
@@ -188,6 +189,8 @@
             return
         wall_ms = self._clock.read_wall() * MILLISECONDS
         decided = self._scheduler.decide(Moment(now, wall_ms))
+        took = self._clock.read_steady() - now
+        FLEET_METER.record(ROUND_SECONDS, took)
         self._decisions.log_notes(self._scheduler.pool.notes)
         for stop in decided.stops:
             self._give(stop)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -25,6 +25,7 @@
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.controller.view import View
+from tarragonlb.telemetry.fleetmetrics import FLEET_METER, TERMS
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('process')
@@ -172,6 +173,7 @@
             if is_served and holding not in self._owners:
                 scope, ended = trio.CancelScope(), trio.Event()
                 self._owners[holding] = (scope, ended)
+                FLEET_METER.count(TERMS, 'begun')
                 nursery.start_soon(self._own, holding, scope, ended)
 
     async def _end_owners(self, held: frozenset[Holding]) -> None:
@@ -193,6 +195,7 @@
 
     def _forget_owner(self, holding: Holding, ended: trio.Event) -> None:
         self._owners.pop(holding, None)
+        FLEET_METER.count(TERMS, 'ended')
         ended.set()
         LOG.say(
             'A partition is not held any more.',
--- /dev/null
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -0,0 +1,113 @@
+"""Metrics of the tasks that schedule jobs on a fleet of workers.
+
+One object counts for the whole process; its instruments begin to count once
+``start_metrics`` was called, and cost next to nothing before.
+"""
+
+from opentelemetry.metrics import get_meter
+
+from tarragonlb.telemetry.metrics import METER_NAME, Metric
+
+HAND_INS = Metric(
+    'tarragonlb.jobs.requests',
+    'counter',
+    '{request}',
+    ('action', 'verdict'),
+    'Jobs that clients handed in or cancelled, by what they were told.',
+)
+TASK_STARTS = Metric(
+    'tarragonlb.tasks.starts',
+    'counter',
+    '{attempt}',
+    (),
+    'Attempts that were placed on a worker.',
+)
+TASK_ENDS = Metric(
+    'tarragonlb.tasks.ends',
+    'counter',
+    '{attempt}',
+    ('how',),
+    'Ends that workers listed; one is listed until it is acknowledged.',
+)
+TASK_RETURNS = Metric(
+    'tarragonlb.tasks.returns',
+    'counter',
+    '{attempt}',
+    ('reason',),
+    'Tasks that wait again, by the reason that their attempt is over.',
+)
+VM_ORDERS = Metric(
+    'tarragonlb.vms.orders',
+    'counter',
+    '{order}',
+    ('action', 'result'),
+    'VMs that were to be moved or maintained.',
+)
+TERMS = Metric(
+    'tarragonlb.terms',
+    'counter',
+    '{term}',
+    ('change',),
+    'Partitions that this daemon began or ceased to own.',
+)
+STORE_SECONDS = Metric(
+    'tarragonlb.store.call.duration',
+    'histogram',
+    's',
+    ('call', 'result'),
+    'Calls to the store, from sending to the answer or the time-out.',
+)
+ROUND_SECONDS = Metric(
+    'tarragonlb.round.duration',
+    'histogram',
+    's',
+    (),
+    'One round of scheduling decisions, without storing it.',
+)
+FLEET_METRICS = (
+    HAND_INS,
+    TASK_STARTS,
+    TASK_ENDS,
+    TASK_RETURNS,
+    VM_ORDERS,
+    TERMS,
+    STORE_SECONDS,
+    ROUND_SECONDS,
+)
+
+
+class FleetMeter:
+    """Counts what the metrics of this module describe."""
+
+    __slots__ = ('_counters', '_histograms')
+
+    def __init__(self) -> None:
+        """Make all instruments."""
+        meter = get_meter(METER_NAME)
+        self._counters = {
+            metric.name: meter.create_counter(
+                metric.name, metric.unit, metric.description
+            )
+            for metric in FLEET_METRICS
+            if metric.kind == 'counter'
+        }
+        self._histograms = {
+            metric.name: meter.create_histogram(
+                metric.name, metric.unit, metric.description
+            )
+            for metric in FLEET_METRICS
+            if metric.kind == 'histogram'
+        }
+
+    def count(self, metric: Metric, *labels: str, number: int = 1) -> None:
+        """Add to a counter; ``labels`` stand in the order of the metric."""
+        attributes = dict(zip(metric.attributes, labels, strict=True))
+        self._counters[metric.name].add(number, attributes)
+
+    def record(self, metric: Metric, seconds: float, *labels: str) -> None:
+        """Add a duration to a histogram."""
+        attributes = dict(zip(metric.attributes, labels, strict=True))
+        self._histograms[metric.name].record(seconds, attributes)
+
+
+FLEET_METER = FleetMeter()
--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -14,6 +14,7 @@
 from tarragonlb.daemon.apidocument import write_document
 from tarragonlb.daemon.process import Process
 from tarragonlb.settings import startup
+from tarragonlb.telemetry.fleetmetrics import FLEET_METRICS
 from tarragonlb.telemetry.metrics import METRICS
 
 DOCS = Path(__file__).parent.parent / 'docs'
@@ -49,7 +50,7 @@
     rows = [
         f'| `{metric.name}` | {metric.kind} | `{metric.unit}` | '
         f'{", ".join(metric.attributes)} | {metric.description} |\n'
-        for metric in METRICS
+        for metric in (*METRICS, *FLEET_METRICS)
     ]
     return METRICS_HEAD + ''.join(rows)
 
