Notice within 1.3 s that the operators' connection went silent

The operators' topic was read with a wait of 10 s, so a connection that went silent hid a configuration for up to 11 s; bounds are 2 s. Ruled out: reading after the history was dropped (the follower starts again from the newest records; controller.feature). Change: reads of that topic wait 0.5 s and time out 0.8 s later. The scenario with a silent connection failed before (version 1 in force) and passes now.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -65,3 +65,10 @@
     When a lease of 4 s is granted at 11 s
     Then the lease ends at 10000 ms of the worker
     And it is over by 15.105 s
+
+  Scenario: A configuration comes into force although the connection went silent
+    Given 1 daemons and 2 workers
+    When the read of the operators' topic that is under way goes silent
+    And the operators publish version 2
+    And 1.9 seconds pass
+    Then version 2 is in force
--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -37,6 +37,8 @@
 CALL_SECONDS = 0.005
 TASK_SECONDS = 1.0
 POLL_SECONDS = 0.01
+# As long as the adapter waits beyond the time that a read may take.
+TIMEOUT_SECONDS = 0.8
 QUEUE = Queue(
     name='q', host='h', path_prefix='/q/', pool='pool', max_attempts=3
 )
@@ -62,6 +64,7 @@
         self.mode = 'up'
         self.firsts = defaultdict(int)
         self.waves = {}
+        self.silenced = defaultdict(object)
 
     async def append(self, partition, records, writer):
         await trio.sleep(CALL_SECONDS)
@@ -98,10 +101,17 @@
         key = (topic, partition)
         if offset < self.firsts[key]:
             return Trimmed(self.firsts[key])
+        silenced = self.silenced[topic]
         for _ in range(int(wait_seconds / POLL_SECONDS)):
-            if len(self.logs[key]) > offset:
+            if (
+                len(self.logs[key]) > offset
+                and silenced is self.silenced[topic]
+            ):
                 break
             await trio.sleep(POLL_SECONDS)
+        if silenced is not self.silenced[topic]:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return NotDone('no answer')
         log = self.logs[key]
         records = tuple(
             KeyedRecord(record.key, record.value, number)
@@ -110,6 +120,10 @@
         )
         return Batch(records, len(log), len(log))
 
+    def silence_reads(self, topic):
+        """Let reads that are under way end by their time-out only."""
+        self.silenced[topic] = object()
+
     async def read_newest(self, topic, partition):
         await trio.sleep(CALL_SECONDS)
         if self.mode == 'refuse':
@@ -150,11 +164,8 @@
 
 
 class FakeDocuments(Documents):
-    def __init__(self):
-        self.configuration = Configuration(1, QueueTable([QUEUE]), 1000)
-
     def read_operator(self, record):
-        return self.configuration
+        return Configuration(int(record.value), QueueTable([QUEUE]), 1000)
 
     def read_worker(self, record):
         if not record.value:
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -71,7 +71,7 @@
         self.store = FakeStore()
         self.platform_workers = FakeWorkers()
         log = self.store.logs
-        log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'x'))
+        log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'1'))
         for number in range(self.workers):
             log[Topic.WORKERS, 0].append(KeyedRecord(f'w{number}', b'x'))
         self.jobs = []
@@ -211,6 +211,34 @@
     context.story.acts.append(act)
 
 
+@when("the read of the operators' topic that is under way goes silent")
+def silence_read(context):
+    async def act(story):
+        story.store.silence_reads(Topic.OPERATORS)
+
+    context.story.acts.append(act)
+
+
+@when('the operators publish version {version:d}')
+def publish(context, version):
+    async def act(story):
+        log = story.store.logs[Topic.OPERATORS, 0]
+        log.append(KeyedRecord('config', str(version).encode()))
+
+    context.story.acts.append(act)
+
+
+@then('version {version:d} is in force')
+def check_version(context, version):
+    async def act(story):
+        for controller in story.controllers.values():
+            story.version = controller.view.configuration.version
+
+    context.story.acts.append(act)
+    context.story.play()
+    assert context.story.version == version, context.story.version
+
+
 def ask_all(context):
     async def act(story):
         story.states = [
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -39,8 +39,10 @@
     follower_read_seconds: float = 1.0
     # How long a read waits for records.
     read_wait_seconds: float = 0.5
-    # How long the operators' topic is waited for in one call.
-    operator_wait_seconds: float = 10.0
+    # How long the operators' topic is waited for in one call.  Together with
+    # its time-out well under the time in which a configuration must apply,
+    # since a connection may have gone silent.
+    operator_wait_seconds: float = 0.5
     # An owner needs entries of draining workers well within the drain time.
     worker_read_seconds: float = 0.25
     # How long a worker may wait for an end before it answers a look.
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -22,6 +22,8 @@
 GROWTH = 1.5
 # Room is cut up by tasks of different sizes.
 USABLE_SHARE = 0.9
+# Kept beside what permanent tasks need: one of theirs may have to move.
+SPARE_WORKERS = 1
 MIN_WORKERS = 2
 # Idle workers named in one record; more are never taken in one round.
 MAX_IDLE = 8
@@ -57,7 +59,7 @@
     for state in jobs:
         if state.is_open:
             _add_job(state, room)
-            floor = max(floor, _count_apart(state))
+            floor = max(floor, _count_apart(state) + SPARE_WORKERS)
     wanted = max(floor, _count_workers(room, workers))
     return PoolLoad(wanted, floor, _list_idle(workers))
 
