Play random fleets in make soak

Cause: the model run of owners, store and workers stood in a test only. Change: its scripts are a module of their own, played by bench/soak.py as well.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,4 +1,4 @@
-"""The long randomised run of state, routing and capacity, one after another.
+"""The long randomised run of state, routing, capacity and tasks, in turn.
 
     python bench/soak.py --seed 1 --steps 2000
 
@@ -16,6 +16,7 @@
 from request_soak import run_seed
 
 JOURNAL = Path(__file__).parent.parent / 'libs/journal/features/steps'
+SCHEDULING = Path(__file__).parent.parent / 'libs/scheduling/features'
 STEPS_A_RUN = 200
 
 
@@ -28,6 +29,14 @@
     return runs * STEPS_A_RUN
 
 
+def run_tasks(seed: int, steps: int) -> int:
+    """Run owners, a store and workers that fail; return the steps made."""
+    sys.path.insert(0, str(SCHEDULING))
+    script = importlib.import_module('fleetscript')
+    done: int = script.run_scripts(seed, steps)
+    return done
+
+
 def main() -> None:
     """Read the command line and run all machines."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -38,6 +47,7 @@
         ('state', run_journal),
         ('routing', run_seed),
         ('capacity', run_soak),
+        ('tasks', run_tasks),
     )
     for name, run in machines:
         done = run(options.seed, options.steps)
