Log each end once, and say why a job was refused

Cause: writing docs/OPERATIONS.md showed that ends were logged until they were acknowledged, usually twice, and that a refusal did not hold its reason.

--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -66,15 +66,26 @@
         )
         notes.clear()
 
-    def log_ends(self, report: WorkerReport) -> None:
-        """Log which attempts a worker says have ended."""
-        if not report.ended:
+    def log_ends(
+        self, report: WorkerReport, workers: Mapping[str, WorkerState]
+    ) -> None:
+        """Log which attempts a worker says have ended, each end once.
+
+        Called before the report is applied: ends up to the last seen one were
+        listed before and not acknowledged yet.
+        """
+        worker = workers.get(report.worker_id)
+        seen = 0
+        if worker is not None and worker.born == report.born:
+            seen = worker.seen_end
+        ended = [end for end in report.ended if end.number > seen]
+        if not ended:
             return
-        for end in report.ended:
+        for end in ended:
             FLEET_METER.count(TASK_ENDS, end.how)
         LOG.say(
             'Tasks ended.',
             worker=report.worker_id,
-            ends=[(str(end.key), end.attempt, end.how) for end in report.ended],
+            ends=[(str(end.key), end.attempt, end.how) for end in ended],
             **self._name,
         )
--- a/libs/controller/tarragonlb/controller/desk.py
+++ b/libs/controller/tarragonlb/controller/desk.py
@@ -39,11 +39,12 @@
     """What a client is told.
 
     RAN: stored.  NOT_RUN: refused, come back after ``retry_after`` seconds.
-    MAY_HAVE_RUN: nobody can say.
+    MAY_HAVE_RUN: nobody can say.  ``reason`` is what the store did last.
     """
 
     verdict: Verdict
     retry_after: int = 0
+    reason: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +84,7 @@
             pool=job.pool,
             partition=partition,
             verdict=receipt.verdict.value,
+            reason=receipt.reason,
         )
         return receipt
 
@@ -137,12 +139,14 @@
 
     async def _append(self, partition: int, record: KeyedRecord) -> Receipt:
         verdict = Verdict.NOT_RUN
+        reason = ''
         give_up_at = self._clock.read_steady() + self._settings.submit_seconds
         for attempt in itertools.count(1):
             result = await self._store.append(partition, (record,), None)
             if isinstance(result, Stored):
                 self._apply(partition, record, result.first)
                 return Receipt(Verdict.RAN)
+            reason = result.reason
             if not isinstance(result, NotDone):
                 verdict = Verdict.MAY_HAVE_RUN
             is_over = self._clock.read_steady() >= give_up_at
@@ -150,7 +154,7 @@
             if is_over or is_refused:
                 break
             await trio.sleep(self._settings.store_retry_seconds)
-        return Receipt(verdict, RETRY_AFTER_SECONDS)
+        return Receipt(verdict, RETRY_AFTER_SECONDS, reason)
 
     def _apply(self, partition: int, record: KeyedRecord, first: int) -> None:
         feed = self._feeds.get(partition)
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -236,8 +236,10 @@
         reconciler = self._scheduler.reconciler
         match event:
             case events.Reported():
+                self._decisions.log_ends(
+                    event.report, self._scheduler.pool.workers
+                )
                 reconciler.apply_report(event.report)
-                self._decisions.log_ends(event.report)
             case events.JobsChanged():
                 for job_id in event.job_ids:
                     self._take_job(job_id, now)
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -27,7 +27,7 @@
     'counter',
     '{attempt}',
     ('how',),
-    'Ends that workers listed; one is listed until it is acknowledged.',
+    'Attempts that workers listed as ended.',
 )
 TASK_RETURNS = Metric(
     'tarragonlb.tasks.returns',
