Leave no trace of a gang that found no room

Cause: a test of single decisions showed that a gang without room took a new attempt number, a log line and a record in the store in every round, 50 times a second.

--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -97,25 +97,33 @@
         tasks = ready.state.tasks
         if len(waiting) < len(tasks):
             return []
-        attempt = max(task.attempt for task in tasks) + 1
+        attempts = [task.attempt for task in tasks]
         checkpoint = max(task.checkpoint for task in tasks)
+        was_changed = ready.job.job.job_id in self._pool.changed
+        had_begun = ready.job.began
         orders = []
         for index in waiting:
             tasks[index].checkpoint = checkpoint
-            order = self._place_task(ready, index, now, attempt)
+            order = self._place_task(ready, index, now, max(attempts) + 1)
             if order is None:
-                self._undo(ready, waiting)
+                self._undo(ready, attempts, was_changed=was_changed)
+                ready.job.began = had_begun
                 return []
             orders.append(order)
         return orders
 
-    def _undo(self, ready: ReadyStep, waiting: list[int]) -> None:
-        for index in waiting:
-            task = ready.state.tasks[index]
+    def _undo(
+        self, ready: ReadyStep, attempts: list[int], *, was_changed: bool
+    ) -> None:
+        """Take a gang back that found no room, as if it was never tried."""
+        for index, task in enumerate(ready.state.tasks):
             if task.is_attached:
-                self._pool.release(
-                    TaskKey(*ready.key, index), task, 'the gang has no room'
-                )
+                worker = self._pool.workers[task.worker_id]
+                worker.detach(TaskKey(*ready.key, index))
+                task.release()
+                task.attempt = attempts[index]
+        if not was_changed:
+            self._pool.changed.discard(ready.job.job.job_id)
 
     def _place_task(
         self,
