Keep a worker whose entry lapsed while something may begin there

Cause: found by reading: a worker that the directory no longer lists was forgotten with what was left behind on it, and came back as one with all its room; entries lapse while the store is away. Change: it is kept until the attempt is barred or over. Figures: the new scenario of decisions.feature fails without the change (a task starts on w0) and passes with it.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -99,3 +99,14 @@
     Then the pool wants 4 workers, with a floor of 4
     When a job with steps "30x1000" arrives
     Then the pool wants 13 workers, with a floor of 4
+
+  Scenario: A worker whose entry lapses keeps what was left behind on it
+    Given workers "w0 w1" with 4000 millicores
+    And a job with steps "2x3000 copies"
+    When a round is decided
+    And the worker "w0" falls silent
+    And the entry of worker "w0" lapses and comes back
+    And it is heard of again, without the attempt
+    And a job with steps "2x3000" arrives
+    And a round is decided
+    Then no task starts on "w0"
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -40,7 +40,7 @@
     r'(?P<width>\d+)x(?P<cpu>\d+)(?: after (?P<after>\d+))?'
     r'(?P<permanent> permanent)?(?: at most (?P<most>\d+))?(?P<gang> gang)?'
     r'(?: budget (?P<budget>\d+))?(?: target (?P<target>\d+))?'
-    r'(?P<scavenges> scavenges)?'
+    r'(?P<scavenges> scavenges)?(?P<copies> copies)?'
 )
 
 
@@ -58,6 +58,7 @@
         disruption_budget=int(budget) if budget else None,
         latency_target_ms=int(found['target'] or 0),
         scavenges=bool(found['scavenges']),
+        allows_copies=bool(found['copies']),
     )
 
 
@@ -206,6 +207,25 @@
         )
 
 
+@when('the worker "{name}" falls silent')
+def fall_silent(context, name):
+    context.scheduler.reconciler.note_silence(name, context.now + 4)
+
+
+@when('the entry of worker "{name}" lapses and comes back')
+def lapse(context, name):
+    entry = context.listed.pop(name)
+    context.scheduler.pool.update_workers(context.listed.values())
+    context.listed[name] = entry
+    context.scheduler.pool.update_workers(context.listed.values())
+    context.lapsed = name
+
+
+@when('it is heard of again, without the attempt')
+def hear_again(context):
+    report(context, context.lapsed)
+
+
 @when('the permanent tasks are at work')
 def work(context):
     settle_starts(context)
@@ -248,6 +268,12 @@
     assert queues == {queue}, queues
 
 
+@then('no task starts on "{name}"')
+def check_not_on(context, name):
+    used = {order.worker_id for order in context.round.starts}
+    assert name not in used, context.round.starts
+
+
 @then('only permanent tasks start')
 def check_permanent(context):
     pool = context.scheduler.pool
--- a/libs/scheduling/tarragonlb/scheduling/pool.py
+++ b/libs/scheduling/tarragonlb/scheduling/pool.py
@@ -92,7 +92,8 @@
         listed = {worker.worker_id: worker for worker in workers}
         for worker_id, state in tuple(self.workers.items()):
             state.is_listed = worker_id in listed
-            if not (state.is_listed or state.attached):
+            is_in_use = state.attached or state.leftovers
+            if not (state.is_listed or is_in_use):
                 self.workers.pop(worker_id)
         for worker_id, worker in listed.items():
             known = self.workers.get(worker_id)
