Never hold a term again that has ended

Cause: found by reading: a partition dealt again in the same generation after its term was ended would begin to number its appends anew under the same epoch; the store would answer them with the results of older ones. Change: such a partition is not held; the member leaves the group and joins anew, which makes a new generation.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -60,6 +60,14 @@
     And it is dealt partitions "2 3" in generation 9
     Then it holds partition 2 in term 9 and partition 3 in term 8
 
+  Scenario: A term that has ended is never held again
+    Given a member that is dealt partitions "1 2" in generation 5
+    When a later owner ends the term of partition 2
+    And it is dealt partitions "1 2" in generation 5
+    Then it holds only partition 1 and has to leave the group
+    When it is dealt partitions "1 2" in generation 7
+    Then it holds partition 1 in term 5 and partition 2 in term 7
+
   Scenario: Leases are bounded by a clock that may be slow
     Given a worker that answered at 10 s with its clock at 5000 ms
     When a lease of 4 s is granted at 11 s
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -315,6 +315,13 @@
     assert {Holding(one, first), Holding(two, second)} <= held, held
 
 
+@then('it holds only partition {partition:d} and has to leave the group')
+def check_leaves(context, partition):
+    held = context.membership.list_holdings()
+    assert {holding.partition for holding in held} == {partition}, held
+    assert context.membership.must_leave
+
+
 @given('a worker that answered at {at:g} s with its clock at {clock:d} ms')
 def answer(context, at, clock):
     context.lease = WorkerLease()
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -159,6 +159,9 @@
             before = membership.generation
             membership.take_seat(seat, sent_at)
             await self._update_owners(nursery)
+            if membership.must_leave:
+                LOG.say('Leaving the group, to get a new term.')
+                await self._platform.store.leave(self._member)
             if membership.generation == before:
                 await trio.sleep(self._settings.join_seconds)
 
