Let owners end by themselves while others are being ended

The loop waited for one owner to end, and looked up another that had ended meanwhile. Change: scopes and events are taken before the first wait.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -80,3 +80,8 @@
     And the operators publish version 2
     And 1.9 seconds pass
     Then version 2 is in force
+
+  Scenario: An owner may end by itself while another one is being ended
+    Given 1 daemons and 2 workers
+    When two owners end at the same time and all are to be ended
+    Then the daemon goes on
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -235,6 +235,34 @@
     assert context.story.version == version, context.story.version
 
 
+@when('two owners end at the same time and all are to be ended')
+def end_together(context):
+    async def act(story):
+        controller = next(iter(story.controllers.values()))
+        owners = controller._owners
+        owners.clear()
+        first, second = Holding(1, 1), Holding(2, 1)
+        for holding in (first, second):
+            owners[holding] = (trio.CancelScope(), trio.Event())
+
+        async def end_both():
+            await trio.sleep(0.1)
+            for holding in (first, second):
+                _, ended = owners.pop(holding)
+                ended.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end_both)
+            await controller._end_owners(frozenset())
+
+    context.story.acts.append(act)
+
+
+@then('the daemon goes on')
+def check_goes_on(context):
+    context.story.play()
+
+
 def ask_all(context):
     async def act(story):
         story.states = [
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -180,11 +180,15 @@
                 nursery.start_soon(self._own, holding, scope, ended)
 
     async def _end_owners(self, held: frozenset[Holding]) -> None:
-        for holding in tuple(self._owners):
-            if holding not in held:
-                scope, ended = self._owners[holding]
-                scope.cancel()
-                await ended.wait()
+        # Owners may end by themselves while one is waited for.
+        ending = [
+            owner
+            for holding, owner in self._owners.items()
+            if holding not in held
+        ]
+        for scope, ended in ending:
+            scope.cancel()
+            await ended.wait()
 
     async def _own(
         self, holding: Holding, scope: trio.CancelScope, ended: trio.Event
