--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -30,6 +30,13 @@
     And a job of 1 tasks is handed in
     Then the answer is "not-run" within 0.5 seconds
 
+  Scenario: A daemon that has lost the store refuses clients at once
+    Given 1 daemons and 2 workers
+    When the store does "hang"
+    And 3 seconds pass
+    And a job of 1 tasks is handed in
+    Then the answer is "not-run" within 0.5 seconds
+
   Scenario: After an answer was lost the client never hears "not run"
     Given 1 daemons and 2 workers
     When the store does "lose"
--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -67,6 +67,9 @@
         self.silenced = defaultdict(object)
 
     async def append(self, partition, records, writer):
+        if self.mode == 'hang':
+            await trio.sleep(TIMEOUT_SECONDS)
+            return Uncertain('no answer')
         await trio.sleep(CALL_SECONDS)
         if self.mode == 'refuse':
             return NotDone('busy')
