Write under a term in one place, and order stops in one place

Cause: read as a newcomer: fencing a partition and appending until it is stored stood in the pool owner's storage and again in the fleet owner; two lists of due stop orders were the same loop; the lender asked for a closing three ways; a pause after a lost load record did nothing. Change: TermWriter serves both owners, one function orders stops, one question tells a lent VM. Behaviour stays, but that repeated appends of the fleet owner are logged now, as those of pools were.

--- a/libs/controller/tarragonlb/controller/fleet.py
+++ b/libs/controller/tarragonlb/controller/fleet.py
@@ -6,9 +6,10 @@
 
 from tarragonlb.controller.feeds import BoardFeed
 from tarragonlb.controller.membership import Holding
-from tarragonlb.controller.ports import Clock, Store, Vms, Writer
+from tarragonlb.controller.ports import Clock, Store, Vms
 from tarragonlb.controller.results import Deposed, NotDone, Stored
-from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.controller.termwriter import TermWriter
 from tarragonlb.controller.view import View
 from tarragonlb.scheduling.fleetboard import (
     Closing,
@@ -43,13 +44,13 @@
         '_holding',
         '_lender',
         '_may_act',
-        '_number',
         '_nursery',
         '_settings',
         '_shown',
         '_store',
         '_view',
         '_vms',
+        '_writer',
     )
 
     def __init__(
@@ -73,23 +74,17 @@
         self._coordinators: dict[int, WaveCoordinator] = {}
         self._done: set[int] = set()
         self._shown: set[int] = set()
-        self._number = 0
+        self._writer = TermWriter(holding, store, settings)
         self._closings = 0
         self._lender = Lender()
 
     async def run(self, may_act: Callable[[], bool]) -> None:
         """Own maintenance until the term ends."""
         self._may_act = may_act
-        while True:
-            fenced = await self._store.fence(
-                FLEET_PARTITION, self._holding.term
-            )
-            if isinstance(fenced, Deposed):
-                LOG.say('A term did not begin.', reason=fenced.reason)
-                return
-            if isinstance(fenced, Stored) and await self._board.refresh():
-                break
-            await trio.sleep(self._settings.store_retry_seconds)
+        reason = await self._writer.fence(self._board.refresh)
+        if reason:
+            LOG.say('A term did not begin.', reason=reason)
+            return
         LOG.say('A term of the fleet began.', term=self._holding.term)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
@@ -209,19 +204,12 @@
     async def _write(self, records: list[KeyedRecord]) -> bool:
         if not records:
             return True
-        writer = Writer(self._holding.term, self._number)
-        self._number += 1
-        while True:
-            result = await self._store.append(
-                FLEET_PARTITION, tuple(records), writer
-            )
-            if isinstance(result, Deposed):
-                LOG.say('A term of the fleet ended.', reason=result.reason)
-                return False
-            if isinstance(result, Stored):
-                await self._board.refresh()
-                return True
-            await trio.sleep(self._settings.store_retry_seconds)
+        result = await self._writer.append(tuple(records))
+        if isinstance(result, Deposed):
+            LOG.say('A term of the fleet ended.', reason=result.reason)
+            return False
+        await self._board.refresh()
+        return True
 
     async def _maintain(self, coordinator: WaveCoordinator, vm: Vm) -> None:
         wave = coordinator.wave.number
--- a/libs/controller/tarragonlb/controller/loadshow.py
+++ b/libs/controller/tarragonlb/controller/loadshow.py
@@ -1,10 +1,8 @@
 """Tells the fleet's owner how much the pools of a partition ask for."""
 
-import trio
-
 from tarragonlb.controller.ports import Store
 from tarragonlb.controller.results import Stored
-from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.controller.settings import FLEET_PARTITION
 from tarragonlb.scheduling.demand import measure_load
 from tarragonlb.scheduling.fleetboard import PoolLoad, write_load
 from tarragonlb.scheduling.pool import PoolState
@@ -17,12 +15,11 @@
 class LoadShow:
     """Writes the loads that have changed, a few times a second at most."""
 
-    __slots__ = ('_settings', '_shown', '_shown_at', '_store')
+    __slots__ = ('_shown', '_shown_at', '_store')
 
-    def __init__(self, store: Store, settings: ControllerSettings) -> None:
+    def __init__(self, store: Store) -> None:
         """Write through ``store``."""
         self._store = store
-        self._settings = settings
         self._shown: dict[str, PoolLoad] = {}
         self._shown_at = 0.0
 
@@ -45,4 +42,3 @@
         result = await self._store.append(FLEET_PARTITION, (record,), None)
         if not isinstance(result, Stored):
             self._shown.clear()
-            await trio.sleep(self._settings.store_retry_seconds)
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -87,7 +87,7 @@
         self._clock = clock
         self._storage = RoundStorage(holding, store, feed, settings)
         self._hand_over = HandOver(store, settings)
-        self._loads = LoadShow(store, settings)
+        self._loads = LoadShow(store)
         self._inbox, self._receive = trio.open_memory_channel[events.Event](
             INBOX_SIZE
         )
--- a/libs/scheduling/tarragonlb/scheduling/lending.py
+++ b/libs/scheduling/tarragonlb/scheduling/lending.py
@@ -210,21 +210,19 @@
         return ready
 
     def _is_handed_over(self, vm: Vm) -> bool:
-        closing = self._board.closing.get(vm.vm_id)
-        if closing is None or closing.wave:
+        return self._is_lent(vm) and self._board.is_empty(
+            vm.vm_id, vm.worker_id
+        )
+
+    def _is_lent(self, vm: Vm) -> bool:
+        if not self._is_closing(vm) or vm.power is not VmPower.UP:
             return False
-        return self._board.is_empty(vm.vm_id, vm.worker_id)
+        return not self._board.closing[vm.vm_id].wave
 
     def _is_closing(self, vm: Vm) -> bool:
         closing = self._board.closing.get(vm.vm_id)
         return closing is not None and closing.worker_id == vm.worker_id
 
-    def _is_lent(self, vm: Vm) -> bool:
-        closing = self._board.closing.get(vm.vm_id)
-        if closing is None or closing.wave:
-            return False
-        return closing.worker_id == vm.worker_id and vm.power is VmPower.UP
-
     def _may_close(self, vm: Vm) -> bool:
         is_up = vm.power is VmPower.UP
         is_free = vm.vm_id not in self._busy and not self._is_closing(vm)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -22,7 +22,7 @@
 
 
 class Reconciler:
-    """Applies reports and answers to the state of a partition."""
+    """Applies reports, silence and ends of leases to a partition."""
 
     __slots__ = ('_pool',)
 
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -51,7 +51,7 @@
         """Make one round of decisions."""
         pool = self.pool
         self.reconciler.expire_leases(now.seconds)
-        self._stopper.begin_moves(now.seconds)
+        self._stopper.begin_moves()
         self._stopper.begin_stalled(now.seconds)
         removed = self._forget_finished(now.seconds)
         starts = self._assigner.place_ready(now)
--- a/libs/scheduling/tarragonlb/scheduling/stopping.py
+++ b/libs/scheduling/tarragonlb/scheduling/stopping.py
@@ -1,12 +1,14 @@
 """Which attempts to stop: unwanted, stalled, or in the way of maintenance."""
 
+from collections.abc import Iterable
+
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.orders import StopOrder
 from tarragonlb.scheduling.placement import is_eligible
 from tarragonlb.scheduling.pool import PoolState
 from tarragonlb.scheduling.task import TaskPhase, TaskState
-from tarragonlb.scheduling.worker import WorkerState
+from tarragonlb.scheduling.worker import Leftover, WorkerState
 
 
 class Stopper:
@@ -18,7 +20,7 @@
         """Stop attempts of ``pool``."""
         self._pool = pool
 
-    def begin_moves(self, now: float) -> None:
+    def begin_moves(self) -> None:
         """Begin to move tasks off workers that are closing or leaving.
 
         Tasks of limited length may finish.  Permanent tasks move one at a
@@ -51,27 +53,19 @@
             if worker.is_silent or worker.heard_at is None:
                 continue
             orders.extend(self._list_attached(worker, since, now))
-            orders.extend(_list_leftovers(worker, since, now))
+            leftovers = worker.leftovers.items()
+            orders.extend(_order_due(worker, leftovers, since, now))
         return orders
 
     def _list_attached(
         self, worker: WorkerState, since: float, now: float
     ) -> list[StopOrder]:
-        orders = []
-        for key, attachment in worker.attached.items():
-            task = self._find(key)
-            if task.phase is not TaskPhase.STOPPING:
-                continue
-            if task.stop_sent_at is None or task.stop_sent_at < since:
-                task.stop_sent_at = now
-                orders.append(
-                    StopOrder(
-                        key=key,
-                        attempt=attachment.attempt,
-                        worker_id=worker.worker.worker_id,
-                    )
-                )
-        return orders
+        stopping = [
+            (key, self._find(key))
+            for key in worker.attached
+            if self._find(key).phase is TaskPhase.STOPPING
+        ]
+        return _order_due(worker, stopping, since, now)
 
     def _is_stalled(
         self, key: TaskKey, task: TaskState, progress_before: float
@@ -121,17 +115,21 @@
         return task
 
 
-def _list_leftovers(
-    worker: WorkerState, since: float, now: float
+def _order_due(
+    worker: WorkerState,
+    unwanted: Iterable[tuple[TaskKey, TaskState | Leftover]],
+    since: float,
+    now: float,
 ) -> list[StopOrder]:
+    """Return orders for what was not told to stop after ``since``."""
     orders = []
-    for key, leftover in worker.leftovers.items():
-        if leftover.stop_sent_at is None or leftover.stop_sent_at < since:
-            leftover.stop_sent_at = now
+    for key, attempt in unwanted:
+        if attempt.stop_sent_at is None or attempt.stop_sent_at < since:
+            attempt.stop_sent_at = now
             orders.append(
                 StopOrder(
                     key=key,
-                    attempt=leftover.attempt,
+                    attempt=attempt.attempt,
                     worker_id=worker.worker.worker_id,
                 )
             )
