Refuse clients at once while the store is lost

Ruled out: a shorter time for one append, which would give up slow appends of a store that answers. While the process stops nobody joins, so the age is forgotten then.

Also: run_tests prints the message of each scenario that fails, since two findings could not be traced for want of it.

--- a/libs/controller/tarragonlb/controller/desk.py
+++ b/libs/controller/tarragonlb/controller/desk.py
@@ -2,7 +2,9 @@
 
 A job is accepted once its record is stored.  Its id makes a repeated append
 harmless, so an append of unknown result is repeated; if that does not help
-either, the answer says that the job may have been accepted.
+either, the answer says that the job may have been accepted.  A daemon that has
+not heard of the store for a while refuses at once: the client reaches another
+daemon while its deadline lasts.
 """
 
 import itertools
@@ -15,6 +17,7 @@
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.results import NotDone, Stored
 from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.controller.view import View
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.scheduling.job import Job
 from tarragonlb.scheduling.ledger import LedgerEntry
@@ -55,7 +58,7 @@
 class Desk:
     """Serves clients of all queues, whoever owns their partitions."""
 
-    __slots__ = ('_clock', '_feeds', '_settings', '_store')
+    __slots__ = ('_clock', '_feeds', '_settings', '_store', '_view')
 
     def __init__(
         self,
@@ -63,12 +66,14 @@
         feeds: Mapping[int, PartitionFeed],
         settings: ControllerSettings,
         clock: Clock,
+        view: View,
     ) -> None:
         """Answer from ``feeds``, which the caller keeps complete."""
         self._store = store
         self._feeds = feeds
         self._settings = settings
         self._clock = clock
+        self._view = view
 
     async def submit(self, job: Job) -> Receipt:
         """Accept a job, once however often it is handed in."""
@@ -138,6 +143,10 @@
         return self._find(job_id)
 
     async def _append(self, partition: int, record: KeyedRecord) -> Receipt:
+        silence = self._view.measure_silence(self._clock.read_lease())
+        if silence > self._settings.doubt_seconds:
+            reason = f'no contact to the store for {silence:.1f} s'
+            return Receipt(Verdict.NOT_RUN, RETRY_AFTER_SECONDS, reason)
         verdict = Verdict.NOT_RUN
         reason = ''
         give_up_at = self._clock.read_steady() + self._settings.submit_seconds
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -80,7 +80,9 @@
         self._is_stopping = False
         self.view = View()
         self._board = BoardFeed(platform.store, settings, self.view)
-        self.desk = Desk(platform.store, self._feeds, settings, clock)
+        self.desk = Desk(
+            platform.store, self._feeds, settings, clock, self.view
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -89,10 +91,9 @@
             return False
         if any(feed.read_at is None for feed in self._feeds.values()):
             return False
-        contact_at = self.view.contact_at
-        if contact_at is None:
+        if self.view.contact_at is None:
             return False
-        silence = self._clock.read_lease() - contact_at
+        silence = self.view.measure_silence(self._clock.read_lease())
         return silence < self._settings.contact_seconds
 
     async def run(self, stopped: trio.Event) -> None:
@@ -120,6 +121,8 @@
     async def _give_back(self) -> None:
         LOG.say('Stopping: partitions are given back.')
         self._is_stopping = True
+        # Nobody joins any more, so that age of contact says nothing.
+        self.view.contact_at = None
         await self._end_owners(frozenset())
         with trio.move_on_after(LEAVE_SECONDS):
             await self._platform.store.leave(self._member)
@@ -245,8 +248,7 @@
         if not self._membership.is_valid(now):
             return 0
         settings = self._settings
-        contact_at = self.view.contact_at or 0
-        if now - contact_at > settings.doubt_seconds:
+        if self.view.measure_silence(now) > settings.doubt_seconds:
             return settings.scheduling.max_lease_seconds
         return settings.scheduling.order_lease_seconds
 
--- a/libs/controller/tarragonlb/controller/view.py
+++ b/libs/controller/tarragonlb/controller/view.py
@@ -32,6 +32,14 @@
         self.contact_at: float | None = None
         self._changed = trio.Event()
 
+    def measure_silence(self, now: float) -> float:
+        """Return how long ago the store was heard of, in seconds.
+
+        ``now`` is read from the lease clock.  The answer is 0 where nothing is
+        known: before the first call and while the process stops.
+        """
+        return 0 if self.contact_at is None else now - self.contact_at
+
     def announce(self) -> None:
         """Wake everyone who waits for a change."""
         self._changed.set()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,21 +12,26 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 MAX_PARALLEL_RUNS = 4
 TIMEOUT_SECONDS = 2400
 TAIL_CHARACTERS = 6000
+MESSAGE_CHARACTERS = 2500
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """The result of one folder: names of scenarios, and what was printed."""
+    """The result of one folder: names of scenarios, and what was printed.
+
+    ``failed`` holds the message of each scenario that did not pass.
+    """
 
     folder: Path
     passed: tuple[str, ...]
-    failed: tuple[str, ...]
+    failed: dict[str, str]
     printed: str
     exit_code: int
 
@@ -66,8 +71,7 @@
         )
         text = report.read_text() if report.exists() else ''
         features = json.loads(text or '[]')
-    passed = _name_scenarios(features, wanted=True)
-    failed = _name_scenarios(features, wanted=False)
+    passed, failed = _sort_scenarios(features)
     printed = ended.stdout.decode(errors='replace')
     return Run(folder, passed, failed, printed, ended.returncode)
 
@@ -93,10 +97,10 @@
     for run in broken:
         print(f'--- {run.folder.relative_to(ROOT)}')
         print(run.printed[-TAIL_CHARACTERS:])
-    failures = [name for run in runs for name in run.failed]
-    for name in failures:
-        mark = 'known red' if name in known_red else 'FAILED'
-        print(f'{mark}: {name}')
+    for run in runs:
+        for name, message in run.failed.items():
+            mark = 'known red' if name in known_red else 'FAILED'
+            print(f'{mark}: {name}\n{message}')
     print_counts(runs, known_red, len(broken))
     return 1 if broken or not any(run.passed for run in runs) else 0
 
@@ -118,20 +122,31 @@
     return ended_well and not unexpected
 
 
-def _name_scenarios(
-    features: list[dict[str, object]], *, wanted: bool
-) -> tuple[str, ...]:
-    names = []
+def _sort_scenarios(
+    features: list[dict[str, Any]],
+) -> tuple[tuple[str, ...], dict[str, str]]:
+    passed = []
+    failed = {}
     for feature in features:
-        elements = feature.get('elements', [])
-        assert isinstance(elements, list)
-        for element in elements:
+        for element in feature.get('elements', []):
             if element['type'] == 'background':
                 continue
             name = f'{feature["name"]}: {element["name"]}'
-            if (element.get('status') == 'passed') == wanted:
-                names.append(name)
-    return tuple(names)
+            if element.get('status') == 'passed':
+                passed.append(name)
+            else:
+                failed[name] = _find_message(element['steps'])
+    return tuple(passed), failed
+
+
+def _find_message(steps: list[dict[str, Any]]) -> str:
+    # The end of a traceback says what went wrong.
+    for step in steps:
+        message = step.get('result', {}).get('error_message', '')
+        if message:
+            text = message if isinstance(message, str) else '\n'.join(message)
+            return text[-MESSAGE_CHARACTERS:]
+    return 'No message: a hook failed, or the process ended.'
 
 
 if __name__ == '__main__':
