Carry a wave on from one owner to the next, slow VMs first

Ruled out by printing the inputs of each round: the cap (2 to 4 of 9 places used), VMs that were down, the limits themselves. Change: a closing counts for the worker it names; the begin of a maintenance is stored, so that a later owner goes on and maintains no VM twice; VMs that hold permanent tasks are emptied first; VMs that wait for maintenance in standby are lent last. New log lines for closings and stops, with reasons, and a counter of stops. Four scenarios, each seen failing with its mechanism off or before it was written.

--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from tarragonlb.controller.membership import Holding
-from tarragonlb.scheduling.orders import Round
+from tarragonlb.scheduling.orders import Round, StopOrder
 from tarragonlb.scheduling.pool import Note
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
 from tarragonlb.telemetry.fleetmetrics import (
@@ -15,6 +15,7 @@
     TASK_ENDS,
     TASK_RETURNS,
     TASK_STARTS,
+    TASK_STOPS,
 )
 from tarragonlb.telemetry.log import Log
 
@@ -50,6 +51,26 @@
             **self._name,
         )
 
+    def log_stops(self, stops: tuple[StopOrder, ...]) -> None:
+        """Log which attempts are told to stop, repeats included."""
+        if not stops:
+            return
+        for stop in stops:
+            FLEET_METER.count(TASK_STOPS, stop.reason.name.lower())
+        LOG.say(
+            'Tasks are told to stop.',
+            stops=[
+                (
+                    str(stop.key),
+                    stop.attempt,
+                    stop.worker_id,
+                    stop.reason.value,
+                )
+                for stop in stops
+            ],
+            **self._name,
+        )
+
     def log_notes(self, notes: list[Note]) -> None:
         """Log why attempts count as over, and forget the notes."""
         if not notes:
--- a/libs/controller/tarragonlb/controller/fleet.py
+++ b/libs/controller/tarragonlb/controller/fleet.py
@@ -8,12 +8,14 @@
 from tarragonlb.controller.membership import Holding
 from tarragonlb.controller.ports import Clock, Store, Vms
 from tarragonlb.controller.results import Deposed, NotDone, Stored
-from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.controller.termwriter import TermWriter
 from tarragonlb.controller.view import View
-from tarragonlb.scheduling.fleetboard import (
+from tarragonlb.scheduling.fleetboard import FleetBoard
+from tarragonlb.scheduling.fleetrecords import (
     Closing,
     VmOrder,
+    write_begun,
     write_close,
     write_order,
     write_reopen,
@@ -148,6 +150,7 @@
         for vm_id in decided.through:
             records.append(write_through(vm_id, number))
             records.append(write_reopen(vm_id))
+        _log_closings(decided.close, number, self._view.board)
         if not await self._write(records):
             return False
         for vm in maintained:
@@ -160,17 +163,33 @@
     async def _lend(self, vms: tuple[Vm, ...], standby: frozenset[str]) -> bool:
         board = self._view.board
         busy = set(self._list_taken())
-        busy.update(
-            vm_id for vm_id, closing in board.closing.items() if closing.wave
-        )
-        for coordinator in self._coordinators.values():
+        busy.update(vm.vm_id for vm in vms if _is_taken_by_wave(vm, board))
+        pending: set[str] = set()
+        for number, coordinator in self._coordinators.items():
             busy.update(coordinator.ordered)
+            pending.update(
+                vm_id
+                for vm_id in coordinator.wave.vm_ids
+                if (number, vm_id) not in board.through
+            )
         decided = self._lender.decide(
-            vms, board, standby, frozenset(busy), self._clock.read_steady()
+            vms,
+            board,
+            standby,
+            frozenset(busy),
+            frozenset(pending),
+            self._clock.read_steady(),
         )
         records = self._write_closings(decided.close, 0)
         records.extend(write_reopen(vm.vm_id) for vm in decided.reopen)
         records.extend(self._write_orders(m.vm for m in decided.moves))
+        _log_closings(decided.close, 0, board)
+        if decided.reopen:
+            LOG.say(
+                'Workers stay after all.',
+                vms=[vm.vm_id for vm in decided.reopen],
+                wanted=_list_wanted(board),
+            )
         if not await self._write(records):
             return False
         for move in decided.moves:
@@ -229,9 +248,22 @@
         )
         if result is OrderResult.DONE:
             coordinator.note_begun(vm, self._clock.read_steady())
+            await self._note_begun(vm, wave)
         elif result is OrderResult.REFUSED:
             coordinator.note_refused(vm)
 
+    async def _note_begun(self, vm: Vm, wave: int) -> None:
+        """Tell later owners, so that the VM is not maintained again."""
+        record = write_begun(vm.vm_id, wave, vm.worker_id)
+        result = await self._store.append(FLEET_PARTITION, (record,), None)
+        if not isinstance(result, Stored):
+            LOG.say(
+                'The begin of maintenance was not stored.',
+                vm=vm.vm_id,
+                wave=wave,
+                reason=result.reason,
+            )
+
     async def _move(self, move: VmMove) -> None:
         vm = move.vm
         if not self._may_act():
@@ -257,3 +289,22 @@
         if is_complete:
             self._done.add(wave)
             LOG.say('A maintenance wave is complete.', wave=wave)
+
+
+def _is_taken_by_wave(vm: Vm, board: FleetBoard) -> bool:
+    closing = board.find_closing(vm.vm_id, vm.worker_id)
+    return closing is not None and bool(closing.wave)
+
+
+def _log_closings(vms: tuple[Vm, ...], wave: int, board: FleetBoard) -> None:
+    if vms:
+        LOG.say(
+            'Workers are to be emptied.',
+            vms=[(vm.vm_id, vm.pool) for vm in vms],
+            wave=wave,
+            wanted=_list_wanted(board),
+        )
+
+
+def _list_wanted(board: FleetBoard) -> dict[str, int]:
+    return {pool: load.wanted_workers for pool, load in board.loads.items()}
--- a/libs/controller/tarragonlb/controller/handover.py
+++ b/libs/controller/tarragonlb/controller/handover.py
@@ -7,9 +7,9 @@
 from tarragonlb.controller.ports import Store
 from tarragonlb.controller.results import Stored
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
-from tarragonlb.scheduling.fleetboard import (
+from tarragonlb.scheduling.fleetboard import FleetBoard
+from tarragonlb.scheduling.fleetrecords import (
     Closing,
-    FleetBoard,
     write_empty,
 )
 from tarragonlb.scheduling.worker import WorkerState
--- a/libs/controller/tarragonlb/controller/loadshow.py
+++ b/libs/controller/tarragonlb/controller/loadshow.py
@@ -4,7 +4,10 @@
 from tarragonlb.controller.results import Stored
 from tarragonlb.controller.settings import FLEET_PARTITION
 from tarragonlb.scheduling.demand import measure_load
-from tarragonlb.scheduling.fleetboard import PoolLoad, write_load
+from tarragonlb.scheduling.fleetrecords import (
+    PoolLoad,
+    write_load,
+)
 from tarragonlb.scheduling.pool import PoolState
 from tarragonlb.scheduling.records import KeyedRecord
 
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -192,6 +192,7 @@
         took = self._clock.read_steady() - now
         FLEET_METER.record(ROUND_SECONDS, took)
         self._decisions.log_notes(self._scheduler.pool.notes)
+        self._decisions.log_stops(decided.stops)
         for stop in decided.stops:
             self._give(stop)
         for pace in decided.paces:
--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -59,6 +59,38 @@
     Then at most 2 VMs were down at a time
     And every VM of the wave had its maintenance
 
+  Scenario: A wave is carried on by one owner after the other
+    Given VMs "8 of a, 6 of off"
+    And a wave of "a0 a1 a2 a3 a4 a5 off0 off1 off2" within 24 seconds, 3 at once
+    And the owner changes every 3 seconds
+    When the wave runs for 40 seconds with workers that are emptied in 1 second
+    Then at most 3 VMs were down at a time
+    And every VM of the wave had its maintenance
+    And no VM had it twice
+    And the wave was complete within 24 seconds
+
+  Scenario: A closing that outlived its worker does not hold up the wave
+    Given VMs "3 of a, 0 of off"
+    And a wave of "a0 a1" within 20 seconds, 1 at once
+    And "a0" was closed for the wave when it had another worker
+    When the wave runs for 30 seconds with workers that are emptied in 1 second
+    Then every VM of the wave had its maintenance
+    And the wave was complete within 20 seconds
+
+  Scenario: VMs that are slow to empty begin first
+    Given VMs "6 of a, 0 of off"
+    And pool "a" wants 3 workers, has a floor of 3, and "a4 a5" hold permanent tasks
+    And a wave of "a0 a1 a2 a3 a4 a5" within 24 seconds, 2 at once
+    When the wave is decided on
+    Then the first VM to be closed is "a4"
+
+  Scenario: VMs that wait for their maintenance in the standby pool stay there
+    Given VMs "2 of a, 4 of off"
+    And a wave of "off0 off1" within 24 seconds, 1 at once
+    And pool "a" wants 4 workers and has a floor of 2
+    When the lender decides
+    Then the VMs "off2 off3" move
+
   Scenario: A new owner leaves VMs alone that the former one has just ordered
     Given VMs "2 of a, 2 of off"
     And the owner of term 5 ordered something for "a0" at 10 s and "a1" at 2 s
--- a/libs/scheduling/features/steps/fleet_steps.py
+++ b/libs/scheduling/features/steps/fleet_steps.py
@@ -1,12 +1,14 @@
 import random
+from collections import Counter
 
 from behave import given, step, then, when
 
-from tarragonlb.scheduling.fleetboard import (
+from tarragonlb.scheduling.fleetboard import FleetBoard
+from tarragonlb.scheduling.fleetrecords import (
     Closing,
-    FleetBoard,
     PoolLoad,
     VmOrder,
+    write_begun,
     write_close,
     write_empty,
     write_load,
@@ -38,6 +40,8 @@
     context.now = 0.0
     context.lender = Lender()
     context.is_lossy = False
+    context.owner_seconds = float('inf')
+    context.pending = frozenset()
     context.vms = {}
     context.number = 0
     for part in text.split(', '):
@@ -64,6 +68,20 @@
     publish(context, write_load(pool, PoolLoad(wanted, floor, workers)))
 
 
+@given(
+    'pool "{pool}" wants {wanted:d} workers, has a floor of {floor:d}, '
+    'and "{holding}" hold permanent tasks'
+)
+def set_holding_load(context, pool, wanted, floor, holding):
+    workers = tuple(f'i-{vm_id}' for vm_id in holding.split())
+    publish(context, write_load(pool, PoolLoad(wanted, floor, (), workers)))
+
+
+@given('the owner changes every {seconds:d} seconds')
+def change_owners(context, seconds):
+    context.owner_seconds = seconds
+
+
 @given('the VM "{vm_id}" is closed for lending')
 def close_vm(context, vm_id):
     context.number += 1
@@ -72,6 +90,11 @@
     )
 
 
+@given('"{vm_id}" was closed for the wave when it had another worker')
+def close_former(context, vm_id):
+    publish(context, write_close(Closing(vm_id, 'former', 1, 999)))
+
+
 @given('a wave of "{vm_ids}" within {seconds:d} seconds, {cap:d} at once')
 def order_wave(context, vm_ids, seconds, cap):
     wave = Wave(
@@ -81,6 +104,7 @@
         cap=cap,
     )
     context.coordinator = WaveCoordinator(wave, MAINTENANCE_SECONDS, 0.0)
+    context.pending = frozenset(wave.vm_ids)
 
 
 @given('half of the orders get no answer')
@@ -91,7 +115,12 @@
 @when('the lender decides')
 def decide(context):
     context.decided = context.lender.decide(
-        context.vms.values(), context.board, STANDBY, frozenset(), context.now
+        context.vms.values(),
+        context.board,
+        STANDBY,
+        frozenset(),
+        context.pending,
+        context.now,
     )
     for vm in context.decided.close:
         close_vm(context, vm.vm_id)
@@ -116,7 +145,8 @@
     chance = random.Random(3)
     down = {}
     empty_at = {}
-    context.had = set()
+    context.had = Counter()
+    owner_until = context.owner_seconds
     context.most_down = 0
     context.complete_at = None
     while context.now < seconds:
@@ -131,13 +161,12 @@
             if context.now >= at and vm_id in context.board.closing:
                 publish(context, write_empty(context.board.closing[vm_id]))
                 empty_at.pop(vm_id)
-        decided = context.coordinator.decide(
-            context.vms.values(),
-            context.now,
-            context.board,
-            STANDBY,
-            context.now,
-        )
+        if context.now >= owner_until:
+            owner_until += context.owner_seconds
+            context.coordinator = WaveCoordinator(
+                context.coordinator.wave, MAINTENANCE_SECONDS, context.now
+            )
+        decided = decide_wave(context)
         for vm in decided.close:
             context.number += 1
             closing = Closing(vm.vm_id, vm.worker_id, 1, context.number)
@@ -147,19 +176,52 @@
             publish(context, write_through(vm_id, 1), write_reopen(vm_id))
         for vm in decided.maintain:
             context.coordinator.note_ordered(vm, context.now)
-            if vm.vm_id not in context.had:
-                context.had.add(vm.vm_id)
+            if vm.vm_id not in down:
+                context.had[vm.vm_id] += 1
                 down[vm.vm_id] = context.now + MAINTENANCE_SECONDS
                 context.vms[vm.vm_id] = replace(
                     vm, VmPower.IN_MAINTENANCE, vm.worker_id
                 )
             if not context.is_lossy or chance.random() < 0.5:
                 context.coordinator.note_begun(vm, context.now)
+                publish(context, write_begun(vm.vm_id, 1, vm.worker_id))
         context.most_down = max(context.most_down, len(down))
         if decided.complete and context.complete_at is None:
             context.complete_at = context.now
 
 
+def decide_wave(context):
+    return context.coordinator.decide(
+        context.vms.values(),
+        context.now,
+        context.board,
+        STANDBY,
+        context.now,
+    )
+
+
+@when('the wave is decided on')
+def decide_once(context):
+    context.decided = decide_wave(context)
+
+
+@then('the first VM to be closed is "{vm_id}"')
+def check_first(context, vm_id):
+    closed = [vm.vm_id for vm in context.decided.close]
+    assert closed[0] == vm_id, closed
+
+
+@then('the VMs "{vm_ids}" move')
+def check_moved(context, vm_ids):
+    moved = sorted(move.vm.vm_id for move in context.decided.moves)
+    assert moved == vm_ids.split(), moved
+
+
+@then('no VM had it twice')
+def check_once(context):
+    assert set(context.had.values()) == {1}, context.had
+
+
 def replace(vm, power, worker_id):
     return Vm(vm_id=vm.vm_id, pool=vm.pool, power=power, worker_id=worker_id)
 
@@ -197,7 +259,7 @@
 
 @then('every VM of the wave had its maintenance')
 def check_wave(context):
-    assert context.had == set(context.coordinator.wave.vm_ids)
+    assert set(context.had) == set(context.coordinator.wave.vm_ids)
     assert context.complete_at is not None
 
 
--- a/libs/scheduling/tarragonlb/scheduling/answers.py
+++ b/libs/scheduling/tarragonlb/scheduling/answers.py
@@ -7,7 +7,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
 from tarragonlb.scheduling.pool import PoolState
-from tarragonlb.scheduling.task import TaskPhase
+from tarragonlb.scheduling.task import StopReason, TaskPhase
 
 
 class AnswerBook:
@@ -67,4 +67,4 @@
         state = self._pool.jobs[key.job_id]
         for task in state.step_of(key).tasks:
             if task.is_attached:
-                task.begin_stop()
+                task.begin_stop(StopReason.GANG_BROKEN)
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -8,7 +8,9 @@
 import math
 from collections.abc import Iterable
 
-from tarragonlb.scheduling.fleetboard import PoolLoad
+from tarragonlb.scheduling.fleetrecords import (
+    PoolLoad,
+)
 from tarragonlb.scheduling.job import Demand
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.pool import PoolState
@@ -61,7 +63,12 @@
             _add_job(state, room)
             floor = max(floor, _count_apart(state) + SPARE_WORKERS)
     wanted = max(floor, _count_workers(room, workers))
-    return PoolLoad(wanted, floor, _list_idle(workers))
+    holding = tuple(
+        worker.worker.worker_id
+        for worker in workers
+        if worker.count_permanent()
+    )
+    return PoolLoad(wanted, floor, _list_idle(workers), holding)
 
 
 def _add_job(state: JobState, room: _Room) -> None:
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
@@ -0,0 +1,115 @@
+"""The records about VMs that owners write for one another.
+
+The owner of a pool writes how much its jobs ask for.  The fleet owner writes
+that a VM closes; the pool's owner empties the worker and writes that it is
+empty; the fleet owner then moves the VM or has it maintained.  All of it lies
+in one partition.
+
+    load/POOL           what the pool's jobs ask for
+    close/VM            the VM's worker takes no new tasks
+    empty/VM            nothing runs there any more, for one closing
+    order/VM            an order for the VM is about to be sent
+    begun/WAVE/VM       the platform said that the VM's maintenance begins
+    through/WAVE/VM     the VM had its maintenance
+"""
+
+from dataclasses import dataclass
+
+import cbor2
+
+from tarragonlb.scheduling.records import KeyedRecord
+
+LOAD = 'load'
+CLOSE = 'close'
+EMPTY = 'empty'
+ORDER = 'order'
+BEGUN = 'begun'
+THROUGH = 'through'
+
+
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """A worker that is being emptied.
+
+    ``wave`` is 0 where the VM is to be moved.  ``number`` tells closings of
+    one worker apart, so that an old answer is not taken for a new one.
+    """
+
+    vm_id: str
+    worker_id: str
+    wave: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """What the jobs of a pool ask for.
+
+    ``wanted_workers`` is how many workers they could use now, ``floor`` how
+    many its permanent tasks need; ``idle`` are workers that are quickly
+    emptied, the emptiest first; ``holding`` are those with permanent tasks,
+    which move one after the other.
+    """
+
+    wanted_workers: int
+    floor: int
+    idle: tuple[str, ...] = ()
+    holding: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VmOrder:
+    """The latest order for a VM: whose, and at what time of day."""
+
+    term: int
+    wall_ms: float
+
+
+def write_load(pool: str, load: PoolLoad) -> KeyedRecord:
+    """Return the record of a pool's load."""
+    content = [
+        load.wanted_workers,
+        load.floor,
+        list(load.idle),
+        list(load.holding),
+    ]
+    return KeyedRecord(f'{LOAD}/{pool}', cbor2.dumps(content))
+
+
+def write_close(closing: Closing) -> KeyedRecord:
+    """Return the record that closes a VM's worker for new tasks."""
+    return KeyedRecord(f'{CLOSE}/{closing.vm_id}', _write_closing(closing))
+
+
+def write_reopen(vm_id: str) -> KeyedRecord:
+    """Return the record that ends a VM's closing."""
+    return KeyedRecord(f'{CLOSE}/{vm_id}', b'')
+
+
+def write_empty(closing: Closing) -> KeyedRecord:
+    """Return the record by which a pool's owner hands an empty VM over."""
+    return KeyedRecord(f'{EMPTY}/{closing.vm_id}', _write_closing(closing))
+
+
+def write_order(vm_id: str, order: VmOrder) -> KeyedRecord:
+    """Return the record that precedes an order for a VM."""
+    return KeyedRecord(
+        f'{ORDER}/{vm_id}', cbor2.dumps([order.term, order.wall_ms])
+    )
+
+
+def write_begun(vm_id: str, wave: int, worker_id: str) -> KeyedRecord:
+    """Return the record that the maintenance of a VM begins.
+
+    ``worker_id`` is the worker that it ends.
+    """
+    return KeyedRecord(f'{BEGUN}/{wave}/{vm_id}', cbor2.dumps(worker_id))
+
+
+def write_through(vm_id: str, wave: int) -> KeyedRecord:
+    """Return the record that a VM had its maintenance in a wave."""
+    return KeyedRecord(f'{THROUGH}/{wave}/{vm_id}', cbor2.dumps(1))
+
+
+def _write_closing(closing: Closing) -> bytes:
+    return cbor2.dumps([closing.worker_id, closing.wave, closing.number])
--- a/libs/scheduling/tarragonlb/scheduling/lending.py
+++ b/libs/scheduling/tarragonlb/scheduling/lending.py
@@ -10,7 +10,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from tarragonlb.scheduling.fleetboard import FleetBoard, PoolLoad
+from tarragonlb.scheduling.fleetboard import FleetBoard
+from tarragonlb.scheduling.fleetrecords import (
+    PoolLoad,
+)
 from tarragonlb.scheduling.wave import Vm, VmPower
 
 # A pool gives workers away once it did not need them for so long.  Peaks last
@@ -53,10 +56,15 @@
         board: FleetBoard,
         standby: frozenset[str],
         busy: frozenset[str],
+        pending: frozenset[str],
         now: float,
     ) -> LendingRound:
-        """Decide on a listing; ``busy`` are VMs that a wave has taken."""
-        fleet = _Fleet(tuple(vms), board, standby, busy)
+        """Decide on a listing.
+
+        ``busy`` are VMs that a wave has taken; ``pending`` are those that wait
+        for their maintenance, and are lent last: it costs least in standby.
+        """
+        fleet = _Fleet(tuple(vms), board, standby, busy, pending)
         kept = {
             pool: self._keep(pool, load, now)
             for pool, load in board.loads.items()
@@ -109,7 +117,14 @@
 class _Fleet:
     """A listing of VMs beside the board."""
 
-    __slots__ = ('_board', '_busy', '_counts', '_standby', '_vms')
+    __slots__ = (
+        '_board',
+        '_busy',
+        '_counts',
+        '_pending',
+        '_standby',
+        '_vms',
+    )
 
     def __init__(
         self,
@@ -117,7 +132,9 @@
         board: FleetBoard,
         standby: frozenset[str],
         busy: frozenset[str],
+        pending: frozenset[str],
     ) -> None:
+        self._pending = pending
         self._vms = vms
         self._board = board
         self._standby = standby
@@ -206,7 +223,13 @@
             and (vm.pool in self._standby or self._is_handed_over(vm))
         ]
         # Emptied VMs cost money where they are; those in standby don't.
-        ready.sort(key=lambda vm: (vm.pool in self._standby, vm.vm_id))
+        ready.sort(
+            key=lambda vm: (
+                vm.pool in self._standby,
+                vm.vm_id in self._pending,
+                vm.vm_id,
+            )
+        )
         return ready
 
     def _is_handed_over(self, vm: Vm) -> bool:
@@ -215,13 +238,13 @@
         )
 
     def _is_lent(self, vm: Vm) -> bool:
-        if not self._is_closing(vm) or vm.power is not VmPower.UP:
+        closing = self._board.find_closing(vm.vm_id, vm.worker_id)
+        if closing is None or vm.power is not VmPower.UP:
             return False
-        return not self._board.closing[vm.vm_id].wave
+        return not closing.wave
 
     def _is_closing(self, vm: Vm) -> bool:
-        closing = self._board.closing.get(vm.vm_id)
-        return closing is not None and closing.worker_id == vm.worker_id
+        return self._board.find_closing(vm.vm_id, vm.worker_id) is not None
 
     def _may_close(self, vm: Vm) -> bool:
         is_up = vm.power is VmPower.UP
--- a/libs/scheduling/tarragonlb/scheduling/orders.py
+++ b/libs/scheduling/tarragonlb/scheduling/orders.py
@@ -5,6 +5,7 @@
 
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobState
+from tarragonlb.scheduling.task import StopReason
 
 
 class OrderResult(enum.Enum):
@@ -41,6 +42,7 @@
     key: TaskKey
     attempt: int
     worker_id: str
+    reason: StopReason = StopReason.NONE
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/scheduling/tarragonlb/scheduling/pool.py
+++ b/libs/scheduling/tarragonlb/scheduling/pool.py
@@ -10,7 +10,7 @@
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.settings import SchedulingSettings
-from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.worker import Worker, WorkerState
 
 
@@ -85,7 +85,7 @@
         self.changed.add(state.job.job_id)
         for _, task in state.list_tasks():
             if task.is_attached:
-                task.begin_stop()
+                task.begin_stop(StopReason.JOB_OVER)
 
     def update_workers(self, workers: Iterable[Worker]) -> None:
         """Take over the directory: the workers of these pools."""
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -8,7 +8,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.pool import PoolState
-from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.worker import (
     EndedAttempt,
     Leftover,
@@ -180,7 +180,7 @@
         if report.sent_at <= task.settled_at:
             return
         if task.phase is not TaskPhase.STOPPING:
-            task.begin_stop()
+            task.begin_stop(StopReason.NOT_LISTED)
         elif task.barred_at is not None and report.sent_at > task.barred_at:
             self._pool.release(key, task, 'the attempt was barred')
 
--- a/libs/scheduling/tarragonlb/scheduling/stopping.py
+++ b/libs/scheduling/tarragonlb/scheduling/stopping.py
@@ -7,7 +7,7 @@
 from tarragonlb.scheduling.orders import StopOrder
 from tarragonlb.scheduling.placement import is_eligible
 from tarragonlb.scheduling.pool import PoolState
-from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.worker import Leftover, WorkerState
 
 
@@ -41,7 +41,7 @@
             for key in tuple(worker.attached):
                 task = self._find(key)
                 if self._is_stalled(key, task, now - limit):
-                    task.begin_stop()
+                    task.begin_stop(StopReason.STALLED)
                     task.avoided.add(worker.worker.worker_id)
                     worker.note_failure(now)
 
@@ -85,7 +85,7 @@
             return
         is_free = worker.worker.is_draining or self._may_disrupt(state, key)
         if is_free and self._has_place(state, key):
-            task.begin_stop()
+            task.begin_stop(StopReason.MOVE)
 
     def _may_disrupt(self, state: JobState, key: TaskKey) -> bool:
         budget = state.job.spec.steps[key.step].disruption_budget
@@ -131,6 +131,7 @@
                     key=key,
                     attempt=attempt.attempt,
                     worker_id=worker.worker.worker_id,
+                    reason=attempt.stop_reason,
                 )
             )
     return orders
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -22,6 +22,18 @@
     DONE = 4
 
 
+class StopReason(enum.Enum):
+    """Why an attempt is to stop, as the log says it."""
+
+    NONE = ''
+    JOB_OVER = 'the job is over'
+    MOVE = 'the worker is being emptied'
+    STALLED = 'no progress was made'
+    NOT_LISTED = 'the worker does not list it'
+    GANG_BROKEN = 'another task of the gang could not start'
+    UNWANTED = 'no task wants this attempt'
+
+
 ATTACHED = frozenset((TaskPhase.PLACED, TaskPhase.RUNNING, TaskPhase.STOPPING))
 FULL_PERCENT = 100
 
@@ -47,6 +59,7 @@
         'progress_at',
         'progress_percent',
         'settled_at',
+        'stop_reason',
         'stop_sent_at',
         'tail_ms',
         'worker_id',
@@ -64,6 +77,7 @@
         self.settled_at: float | None = None
         self.barred_at: float | None = None
         self.stop_sent_at: float | None = None
+        self.stop_reason = StopReason.NONE
         self.progress_percent = 0
         self.progress_at = 0.0
         self.tail_ms = 0
@@ -106,10 +120,11 @@
             self.progress_percent = percent
             self.progress_at = now
 
-    def begin_stop(self) -> None:
-        """Ask for the attempt to be stopped."""
+    def begin_stop(self, reason: StopReason) -> None:
+        """Ask for the attempt to be stopped; the first reason stands."""
         if self.phase is not TaskPhase.STOPPING:
             self.phase = TaskPhase.STOPPING
+            self.stop_reason = reason
             self._forget_orders()
 
     def release(self) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -107,6 +107,8 @@
         Nothing runs on VMs of ``standby`` pools, so they are not emptied.
         """
         wave = self.wave
+        self._take_over(board, now)
+        vms = tuple(vms)
         listed = {vm.vm_id: vm for vm in vms if vm.vm_id in wave.vm_ids}
         through = self._find_through(listed, read_at)
         for vm_id in through:
@@ -116,7 +118,7 @@
         }.union(through)
         left = [vm for vm in listed.values() if vm.vm_id not in ended]
         return WaveRound(
-            close=self._choose_closing(left, board, standby, now),
+            close=self._choose_closing(left, _Urgency(vms, board), now),
             maintain=self._choose_maintained(left, board, standby, now),
             through=through,
             complete=not left,
@@ -140,6 +142,17 @@
         """Forget an order that the platform did not carry out."""
         self._ordered.pop(vm.vm_id, None)
 
+    def _take_over(self, board: FleetBoard, now: float) -> None:
+        """Go on with what a former owner has begun."""
+        number = self.wave.number
+        for (wave, vm_id), worker_id in board.begun.items():
+            is_open = wave == number and (wave, vm_id) not in board.through
+            if is_open and vm_id not in self._ordered:
+                order = _Order(worker_id)
+                order.sent_at = now
+                order.begun_at = now
+                self._ordered[vm_id] = order
+
     def _find_through(
         self, listed: Mapping[str, Vm], read_at: float
     ) -> tuple[str, ...]:
@@ -197,11 +210,10 @@
     def _choose_closing(
         self,
         left: list[Vm],
-        board: FleetBoard,
-        standby: frozenset[str],
+        urgency: '_Urgency',
         now: float,
     ) -> tuple[Vm, ...]:
-        closing = self._list_closing(left, board)
+        closing = self._list_closing(left, urgency.board)
         by_pool = Counter(vm.pool for vm in closing)
         waiting = [
             vm for vm in left if vm.power is VmPower.UP and vm not in closing
@@ -209,7 +221,7 @@
         limits = self._limit_pools(left, now)
         chosen: list[Vm] = []
         room = self.wave.cap + CLOSING_AHEAD - len(closing)
-        for vm in _order_by_load(waiting, board):
+        for vm in sorted(waiting, key=urgency.rank):
             if len(chosen) >= room:
                 break
             if by_pool[vm.pool] < limits[vm.pool]:
@@ -221,7 +233,8 @@
         return [
             vm
             for vm in left
-            if vm.vm_id in board.closing or vm.vm_id in self._ordered
+            if board.find_closing(vm.vm_id, vm.worker_id)
+            or vm.vm_id in self._ordered
         ]
 
     def _limit_pools(self, left: list[Vm], now: float) -> dict[str, int]:
@@ -233,10 +246,29 @@
         }
 
 
-def _order_by_load(vms: list[Vm], board: FleetBoard) -> list[Vm]:
-    counts = Counter(vm.pool for vm in vms)
-    lacks = {
-        pool: load.wanted_workers - counts[pool]
-        for pool, load in board.loads.items()
-    }
-    return sorted(vms, key=lambda vm: (lacks.get(vm.pool, 0), vm.vm_id))
+class _Urgency:
+    """Which VMs to empty first.
+
+    Permanent tasks move one at a time, so VMs that hold some need longest.
+    Among the others those of pools with VMs to spare are missed least.
+    """
+
+    __slots__ = ('_holding', '_spare', 'board')
+
+    def __init__(self, vms: Iterable[Vm], board: FleetBoard) -> None:
+        self.board = board
+        self._spare = Counter(vm.pool for vm in vms)
+        for pool, load in board.loads.items():
+            self._spare[pool] -= load.wanted_workers
+        self._holding = {
+            worker_id
+            for load in board.loads.values()
+            for worker_id in load.holding
+        }
+
+    def rank(self, vm: Vm) -> tuple[bool, int, str]:
+        return (
+            vm.worker_id not in self._holding,
+            -self._spare[vm.pool],
+            vm.vm_id,
+        )
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from tarragonlb.scheduling.job import Demand, Step, TaskKey
+from tarragonlb.scheduling.task import StopReason
 
 # Wait before the first task for a worker that failed; doubles each time.
 FIRST_PROBE_SECONDS = 0.25
@@ -54,6 +55,7 @@
     """
 
     __slots__ = ('attempt', 'barred_at', 'stop_sent_at', 'was_listed')
+    stop_reason = StopReason.UNWANTED
 
     def __init__(self, attempt: int) -> None:
         """Begin with an attempt that no report has shown."""
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -22,6 +22,13 @@
     (),
     'Attempts that were placed on a worker.',
 )
+TASK_STOPS = Metric(
+    'tarragonlb.tasks.stops',
+    'counter',
+    '{order}',
+    ('reason',),
+    'Orders to stop an attempt, by reason; repeats count.',
+)
 TASK_ENDS = Metric(
     'tarragonlb.tasks.ends',
     'counter',
@@ -67,6 +74,7 @@
 FLEET_METRICS = (
     HAND_INS,
     TASK_STARTS,
+    TASK_STOPS,
     TASK_ENDS,
     TASK_RETURNS,
     VM_ORDERS,
