--- a/libs/scheduling/tarragonlb/scheduling/lending.py
+++ b/libs/scheduling/tarragonlb/scheduling/lending.py
@@ -16,9 +16,9 @@
 )
 from tarragonlb.scheduling.wave import Vm, VmPower
 
-# A pool gives workers away once it did not need them for so long.  Peaks last
-# some seconds, and a move back takes 1.5 s.
-CALM_SECONDS = 2.0
+# A pool gives workers away once it did not need them for so long: less than the
+# 1.5 s of a move back, since a closing can be taken back until the move.
+CALM_SECONDS = 1.0
 # A move without effect is asked for again after the time it needs.
 MOVE_REPEAT_SECONDS = 3.0
 
