Let jobs that can still meet their objective go first

Ruled out: more VMs, all that were reachable were in the pool. Change: by queue priority, then permanent tasks, then the step that must start soonest for its job's objective (stretch times the longest chain, plus the constant part); jobs that will miss it wait behind those that can meet it, for 20 s at most. A job's record holds when it was handed in, so that a takeover does not make all jobs look new; a jump of the time of day costs order only.

--- a/libs/controller/tarragonlb/controller/clock.py
+++ b/libs/controller/tarragonlb/controller/clock.py
@@ -7,6 +7,9 @@
 
 import time
 
+from tarragonlb.controller.ports import Clock
+from tarragonlb.scheduling.job import MILLISECONDS, Moment
+
 # A difference below this is an adjustment, not a jump.
 JUMP_SECONDS = 0.5
 # Jumps that were seen lasted some seconds and were then undone.
@@ -44,3 +47,8 @@
             self._offset = offset
             self._jumped_at = None
         return now + self._offset
+
+
+def read_moment(clock: Clock) -> Moment:
+    """Return the present by both clocks that decisions are made on."""
+    return Moment(clock.read_steady(), clock.read_wall() * MILLISECONDS)
--- a/libs/controller/tarragonlb/controller/desk.py
+++ b/libs/controller/tarragonlb/controller/desk.py
@@ -9,7 +9,7 @@
 
 import itertools
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -19,7 +19,7 @@
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.view import View
 from tarragonlb.model.verdict import Verdict
-from tarragonlb.scheduling.job import Job
+from tarragonlb.scheduling.job import MILLISECONDS, Job
 from tarragonlb.scheduling.ledger import LedgerEntry
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.records import (
@@ -80,7 +80,9 @@
         if self._find(job.job_id) is not None:
             return Receipt(Verdict.RAN)
         partition = self._settings.find_partition(job.pool)
-        receipt = await self._append(partition, write_submission(job))
+        wall_ms = self._clock.read_wall() * MILLISECONDS
+        record = write_submission(replace(job, handed_in_ms=wall_ms))
+        receipt = await self._append(partition, record)
         FLEET_METER.count(HAND_INS, 'submit', receipt.verdict.value)
         LOG.say(
             'A job was handed in.',
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -11,6 +11,7 @@
 import trio
 
 from tarragonlb.controller import events
+from tarragonlb.controller.clock import read_moment
 from tarragonlb.controller.decisionlog import DecisionLog
 from tarragonlb.controller.handover import HandOver
 from tarragonlb.controller.link import WorkerLink
@@ -21,7 +22,6 @@
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.storage import RoundStorage
 from tarragonlb.controller.view import View
-from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.orders import (
     OrderResult,
     PaceOrder,
@@ -187,8 +187,7 @@
         self._next_round_at = now + self._settings.idle_round_seconds
         if self._is_storing:
             return
-        wall_ms = self._clock.read_wall() * MILLISECONDS
-        decided = self._scheduler.decide(Moment(now, wall_ms))
+        decided = self._scheduler.decide(read_moment(self._clock))
         took = self._clock.read_steady() - now
         FLEET_METER.record(ROUND_SECONDS, took)
         self._decisions.log_notes(self._scheduler.pool.notes)
@@ -273,7 +272,7 @@
         pool = self._scheduler.pool
         if job_id not in pool.jobs:
             try:
-                pool.add_job(entry.build_state(now))
+                pool.add_job(entry.build_state(read_moment(self._clock)))
             except RecordError as error:
                 LOG.say('A job was ignored.', job=job_id, reason=str(error))
                 return
--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -16,6 +16,22 @@
     When a round is decided
     Then only tasks of queue "urgent" start
 
+  Scenario: At the height of a peak jobs that can be in time go first
+    Given workers "w0" with 1000 millicores
+    And a job of queue "timely" with steps "1x1000 lasting 1"
+    When a round is decided
+    And a job of queue "timely" arrives with steps "1x1000 lasting 1"
+    And 3 seconds go by
+    And a job of queue "timely" arrives with steps "1x1000 lasting 1"
+    And one running task ends "done"
+    And a round is decided
+    Then the job that starts is number 2
+    When 20 seconds go by
+    And a job of queue "timely" arrives with steps "1x1000 lasting 1"
+    And one running task ends "done"
+    And a round is decided
+    Then the job that starts is number 1
+
   Scenario: A permanent task that fits nowhere keeps a worker for itself
     Given workers "w0" with 2000 millicores
     And a job with steps "4x1000"
--- a/libs/scheduling/features/fleetworld.py
+++ b/libs/scheduling/features/fleetworld.py
@@ -53,7 +53,7 @@
         pool.queues = {'q': QUEUE}
         pool.update_workers(worker.entry for worker in world.workers)
         for entry in world.ledger.list_entries():
-            pool.add_job(entry.build_state(world.now))
+            pool.add_job(entry.build_state(Moment(world.now)))
 
 
 class FleetWorld:
@@ -157,7 +157,7 @@
         pool.update_workers(w.entry for w in self.workers)
         for entry in self.ledger.list_entries():
             if is_current and entry.job_id not in pool.jobs:
-                pool.add_job(entry.build_state(self.now))
+                pool.add_job(entry.build_state(Moment(self.now)))
             if entry.is_cancelled:
                 pool.cancel_job(entry.job_id, self.now)
         if owner.pending is None:
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -29,14 +29,17 @@
         pool='p',
         priority=priority,
         max_attempts=2,
+        stretch=1.5,
+        objective_seconds=0.6,
     )
-    for name, priority in (('urgent', 0), ('patient', 1))
+    for name, priority in (('urgent', 0), ('timely', 0), ('patient', 1))
 }
 STEP = re.compile(
     r'(?P<width>\d+)x(?P<cpu>\d+)(?: after (?P<after>\d+))?'
     r'(?P<permanent> permanent)?(?: at most (?P<most>\d+))?(?P<gang> gang)?'
     r'(?: budget (?P<budget>\d+))?(?: target (?P<target>\d+))?'
     r'(?P<scavenges> scavenges)?(?P<copies> copies)?'
+    r'(?: lasting (?P<seconds>[\d.]+))?'
 )
 
 
@@ -55,6 +58,7 @@
         latency_target_ms=int(found['target'] or 0),
         scavenges=bool(found['scavenges']),
         allows_copies=bool(found['copies']),
+        estimate_seconds=float(found['seconds'] or 0),
     )
 
 
@@ -117,7 +121,7 @@
             **times,
         ),
     )
-    pool.add_job(JobState(job, context.now))
+    pool.add_job(JobState(job, Moment(context.now)))
     if not times:
         pool.jobs[job.job_id].open_due_occurrences(0)
 
@@ -129,6 +133,7 @@
 
 
 @given('a job of queue "{queue}" with steps "{steps}"')
+@when('a job of queue "{queue}" arrives with steps "{steps}"')
 def add_to_queue(context, queue, steps):
     add_job(context, queue, steps)
 
@@ -148,6 +153,19 @@
     )
 
 
+@when('{seconds:d} seconds go by')
+def let_time_go(context, seconds):
+    context.now += seconds
+    for name in context.listed:
+        report(context, name)
+
+
+@then('the job that starts is number {number:d}')
+def check_job(context, number):
+    started = [start.key.job_id for start in context.round.starts]
+    assert started == [f'{number:016x}'], started
+
+
 @when('a round is decided')
 def decide(context):
     context.now += 0.1
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -1,7 +1,10 @@
 """Places waiting tasks on workers.
 
 Steps are tried in the order of their queue's priority; within it permanent
-tasks go first, then jobs in the order of arrival.  A permanent task that fits
+tasks go first, then the steps that must start soonest for their job to meet its
+objective.  Jobs that will miss it wait behind those that can still meet it, but
+not for ever: at the height of a peak each pool is asked for more than it has,
+and in the order of arrival everyone would be late.  A permanent task that fits
 nowhere reserves the emptiest worker, so that a stream of small tasks can't
 keep it out for ever.
 """
@@ -15,9 +18,15 @@
     is_eligible,
 )
 from tarragonlb.scheduling.pool import PoolState
+from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.task import TaskPhase, TaskState
 from tarragonlb.scheduling.worker import WorkerState
 
+# From placing a task to its start, and from its end to the report.
+OVERHEAD_SECONDS = 0.2
+# A job that is late waits behind others at most so long; peaks are shorter.
+MAX_DEFERRAL_SECONDS = 20.0
+
 
 class ReadyStep:
     """A step with waiting tasks whose prerequisites are done."""
@@ -25,7 +34,12 @@
     __slots__ = ('job', 'number', 'occurrence', 'rank', 'state', 'step')
 
     def __init__(
-        self, job: JobState, occurrence: int, number: int, priority: int
+        self,
+        job: JobState,
+        occurrence: int,
+        number: int,
+        queue: Queue,
+        now: Moment,
     ) -> None:
         """Rank the step among all others."""
         self.job = job
@@ -33,7 +47,17 @@
         self.number = number
         self.state: StepState = job.occurrences[occurrence][number]
         self.step: Step = job.job.spec.steps[number]
-        self.rank = (priority, not self.step.is_permanent, job.learned_at)
+        begin = job.find_begin(occurrence, now)
+        # When the step must start for the job to meet its objective.
+        objective = queue.stretch * max(job.chains) + queue.objective_seconds
+        latest = begin + objective - job.chains[number] - OVERHEAD_SECONDS
+        is_deferred = latest < now.seconds < begin + MAX_DEFERRAL_SECONDS
+        self.rank = (
+            queue.priority,
+            not self.step.is_permanent,
+            is_deferred,
+            begin if is_deferred else latest,
+        )
 
     @property
     def key(self) -> tuple[str, int, int]:
@@ -76,7 +100,7 @@
                 # No occurrence starts early by the time of day that is kept
                 # free of short jumps.
                 job.open_due_occurrences(now.wall_ms)
-                found.extend(_list_ready_steps(job, queue.priority))
+                found.extend(_list_ready_steps(job, queue, now))
         return found
 
     def _place_step(self, ready: ReadyStep, now: float) -> list[StartOrder]:
@@ -191,15 +215,17 @@
             self._reserved.add(best.worker.worker_id)
 
 
-def _list_ready_steps(job: JobState, priority: int) -> list[ReadyStep]:
+def _list_ready_steps(
+    job: JobState, queue: Queue, now: Moment
+) -> list[ReadyStep]:
     return [
-        ReadyStep(job, occurrence, number, priority)
+        ReadyStep(job, occurrence, number, queue, now)
         for occurrence, number, state in job.list_steps()
         if not state.is_done and job.is_ready(occurrence, number)
     ]
 
 
-def _rank(ready: ReadyStep) -> tuple[int, bool, float]:
+def _rank(ready: ReadyStep) -> tuple[int, bool, bool, float]:
     return ready.rank
 
 
--- a/libs/scheduling/tarragonlb/scheduling/job.py
+++ b/libs/scheduling/tarragonlb/scheduling/job.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field
+from graphlib import TopologicalSorter
 from typing import NamedTuple
 
 MILLISECONDS = 1000.0
@@ -65,6 +66,29 @@
         """Return how often the steps run, at least once."""
         return max(self.repetitions, 1)
 
+    def measure_chains(self) -> tuple[float, ...]:
+        """Return for each step the seconds from its start to the end.
+
+        That is the longest chain of estimates that begins with the step.
+
+        >>> first, then = Step(width=1, estimate_seconds=2), Step(
+        ...     width=1, estimate_seconds=3, prerequisites=(0,))
+        >>> JobSpec(payload='', steps=(first, then)).measure_chains()
+        (5, 3)
+        """
+        followers: dict[int, set[int]] = {
+            number: set() for number in range(len(self.steps))
+        }
+        for number, step in enumerate(self.steps):
+            for earlier in step.prerequisites:
+                followers[earlier].add(number)
+        chains: dict[int, float] = {}
+        for number in TopologicalSorter(followers).static_order():
+            after = (chains[follower] for follower in followers[number])
+            own = self.steps[number].estimate_seconds
+            chains[number] = own + max(after, default=0)
+        return tuple(chains[number] for number in sorted(chains))
+
     def is_due(self, occurrence: int, wall_ms: float) -> bool:
         """Return whether an occurrence may start at a time of day."""
         if not self.repetitions:
@@ -74,12 +98,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Job:
-    """An accepted job, the queue it came through and the pool it runs on."""
+    """An accepted job, the queue it came through and the pool it runs on.
+
+    ``handed_in_ms`` is the time of day of the daemon that took it, in Unix
+    milliseconds; 0 where that is not known.
+    """
 
     job_id: str
     queue: str
     pool: str
     spec: JobSpec
+    handed_in_ms: float = 0
 
 
 class TaskKey(NamedTuple):
--- a/libs/scheduling/tarragonlb/scheduling/jobstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobstate.py
@@ -3,7 +3,7 @@
 import enum
 from collections.abc import Iterator
 
-from tarragonlb.scheduling.job import Job, TaskKey
+from tarragonlb.scheduling.job import MILLISECONDS, Job, Moment, TaskKey
 from tarragonlb.scheduling.task import TaskPhase, TaskState
 
 
@@ -38,23 +38,28 @@
     """A job and its progress.
 
     ``occurrences`` grows as occurrences come due; each is the list of its
-    steps.  ``learned_at`` is when this owner first saw the job.
+    steps.  ``asked_at`` is when the client handed the job in, in seconds on
+    this owner's clock, as far as the daemons' times of day agree.  ``chains``
+    are the seconds from each step's start to the end of the job.
     """
 
     __slots__ = (
+        'asked_at',
         'began',
         'cancelled',
+        'chains',
         'finished_at',
         'job',
-        'learned_at',
         'occurrences',
         'outcome',
     )
 
-    def __init__(self, job: Job, now: float) -> None:
+    def __init__(self, job: Job, now: Moment) -> None:
         """Begin with no occurrence due."""
         self.job = job
-        self.learned_at = now
+        age_ms = now.wall_ms - job.handed_in_ms if job.handed_in_ms else 0
+        self.asked_at = now.seconds - max(age_ms, 0) / MILLISECONDS
+        self.chains = job.spec.measure_chains()
         self.outcome = JobOutcome.OPEN
         self.cancelled = False
         self.began = False
@@ -79,6 +84,14 @@
         steps = [StepState(step.width) for step in self.job.spec.steps]
         self.occurrences.append(steps)
 
+    def find_begin(self, occurrence: int, now: Moment) -> float:
+        """Return from when on an occurrence is waited for, in seconds."""
+        spec = self.job.spec
+        if not spec.repetitions:
+            return self.asked_at
+        due_ms = spec.first_due_ms + occurrence * spec.interval_ms
+        return now.seconds - (now.wall_ms - due_ms) / MILLISECONDS
+
     def find(self, key: TaskKey) -> TaskState | None:
         """Return the state of a task, or None where there is no such task."""
         if key.occurrence >= len(self.occurrences):
--- a/libs/scheduling/tarragonlb/scheduling/ledger.py
+++ b/libs/scheduling/tarragonlb/scheduling/ledger.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
-from tarragonlb.scheduling.job import Job
+from tarragonlb.scheduling.job import Job, Moment
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.progress import (
     Progress,
@@ -83,16 +83,20 @@
         began = progress is not None and progress.began
         return 'running' if began else 'queued'
 
-    def build_state(self, now: float) -> JobState:
+    def build_state(self, now: Moment) -> JobState:
         """Return the job as an owner keeps it."""
-        queue, pool, spec = read_submission_head(self.read(SUBMISSION))
+        head = read_submission_head(self.read(SUBMISSION))
         job = Job(
-            job_id=self.job_id, queue=queue, pool=pool, spec=read_spec(spec)
+            job_id=self.job_id,
+            queue=head.queue,
+            pool=head.pool,
+            spec=read_spec(head.spec),
+            handed_in_ms=head.handed_in_ms,
         )
         state = JobState(job, now)
         progress = self.read_progress()
         if progress is not None:
-            restore_tasks(state, progress, now)
+            restore_tasks(state, progress, now.seconds)
         return state
 
 
@@ -146,6 +150,6 @@
         counts: Counter[str] = Counter()
         for entry in self.list_entries():
             if entry.describe() == 'queued':
-                queue, _, _ = read_submission_head(entry.read(SUBMISSION))
-                counts[queue] += 1
+                head = read_submission_head(entry.read(SUBMISSION))
+                counts[head.queue] += 1
         return counts
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -18,6 +18,7 @@
 CANCELLATION = 'c'
 PROGRESS = 'p'
 KINDS = frozenset((SUBMISSION, CANCELLATION, PROGRESS))
+SUBMISSION_FIELDS = ('queue', 'pool', 'spec', 'handed_in_ms')
 CANCELLED_VALUE = cbor2.dumps([])
 
 
@@ -41,8 +42,8 @@
     """Return the record by which a job is accepted."""
     spec = msgspec.to_builtins(job.spec)
     spec['steps'] = [_drop_defaults(step) for step in spec['steps']]
-    content = cbor2.dumps([job.queue, job.pool, cbor2.dumps(spec)])
-    return KeyedRecord(job.job_id + SUBMISSION, content)
+    content = [job.queue, job.pool, cbor2.dumps(spec), job.handed_in_ms]
+    return KeyedRecord(job.job_id + SUBMISSION, cbor2.dumps(content))
 
 
 def write_cancellation(job_id: str) -> KeyedRecord:
@@ -55,17 +56,25 @@
     return [KeyedRecord(job_id + kind, b'') for kind in sorted(KINDS)]
 
 
-def read_submission_head(value: bytes) -> tuple[str, str, bytes]:
-    """Return queue, pool and the encoded specification."""
+@dataclass(frozen=True, slots=True)
+class SubmissionHead:
+    """What a submission says beside the specification, which is encoded."""
+
+    queue: str
+    pool: str
+    spec: bytes
+    handed_in_ms: float
+
+
+def read_submission_head(value: bytes) -> SubmissionHead:
+    """Return what a submission holds, the specification still encoded."""
     content = load_value(value)
-    if not isinstance(content, list) or len(content) != 3:
-        raise RecordError('a submission holds queue, pool and specification')
-    queue, pool, spec = content
-    if not (isinstance(queue, str) and isinstance(pool, str)):
-        raise RecordError('queue and pool of a submission are text')
-    if not isinstance(spec, bytes):
-        raise RecordError('the specification of a submission is bytes')
-    return queue, pool, spec
+    try:
+        return msgspec.convert(
+            dict(zip(SUBMISSION_FIELDS, content, strict=True)), SubmissionHead
+        )
+    except (msgspec.ValidationError, TypeError, ValueError) as error:
+        raise RecordError(f'submission: {error}') from error
 
 
 def read_spec(encoded: bytes) -> JobSpec:
