Append what clients hand in together, and wait as the store answers

Ruled out: reads (they don't queue), the join (rarely late). Change: one append a daemon and partition under way, what comes meanwhile goes together with the next; the time-out of appends doubles with each silence up to 2 s and comes back with the answers.

Tried and reverted: Retry-After as long as the outage has lasted, 3 s at most. Clients have 3 s in all, so they gave up where they had come back before.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -37,6 +37,21 @@
     And a job of 1 tasks is handed in
     Then the answer is "not-run" within 0.5 seconds
 
+  Scenario: A store that is slow takes what many clients hand in at once
+    Given 3 daemons and 2 workers
+    When the store does "slow"
+    And 40 jobs are handed in at once
+    Then all of them are accepted within 1.2 seconds
+
+  Scenario: The time-out of appends follows the answers
+    Given a store whose answers were waited for 0.8 seconds
+    When 3 calls get no answer
+    Then answers are waited for 2.0 seconds
+    When an answer takes 0.3 seconds
+    Then answers are waited for 1.2 seconds
+    When an answer takes 0.004 seconds
+    Then answers are waited for 0.8 seconds
+
   Scenario: After an answer was lost the client never hears "not run"
     Given 1 daemons and 2 workers
     When the store does "lose"
--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -35,6 +35,8 @@
 
 PARTITIONS = 4
 CALL_SECONDS = 0.005
+SLOW_SECONDS = 0.12
+SLOW_QUEUE = 8
 TASK_SECONDS = 1.0
 POLL_SECONDS = 0.01
 # As long as the adapter waits beyond the time that a read may take.
@@ -53,7 +55,7 @@
 
 
 class FakeStore(Store):
-    """``mode`` is what happens to calls: up, refuse, lose or hang."""
+    """``mode`` is what happens to calls: up, refuse, lose, hang or slow."""
 
     def __init__(self):
         self.logs = defaultdict(list)
@@ -65,11 +67,19 @@
         self.firsts = defaultdict(int)
         self.waves = {}
         self.silenced = defaultdict(object)
+        self.queues = defaultdict(trio.Lock)
 
     async def append(self, partition, records, writer):
         if self.mode == 'hang':
             await trio.sleep(TIMEOUT_SECONDS)
             return Uncertain('no answer')
+        if self.mode == 'slow':
+            # A partition takes one append after the other.
+            queue = self.queues[partition]
+            if queue.statistics().tasks_waiting >= SLOW_QUEUE:
+                return NotDone('try later')
+            async with queue:
+                await trio.sleep(SLOW_SECONDS)
         await trio.sleep(CALL_SECONDS)
         if self.mode == 'refuse':
             return NotDone('busy')
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -146,6 +146,33 @@
     context.story.acts.append(act)
 
 
+@when('{count:d} jobs are handed in at once')
+def submit_many(context, count):
+    async def act(story):
+        desks = [controller.desk for controller in story.controllers.values()]
+        began = trio.current_time()
+        story.receipts = []
+
+        async def submit(desk, job):
+            receipt = await desk.submit(job)
+            story.receipts.append((receipt, trio.current_time() - began))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                desk = desks[number % len(desks)]
+                nursery.start_soon(submit, desk, story.add_job(1))
+
+    context.story.acts.append(act)
+
+
+@then('all of them are accepted within {seconds:g} seconds')
+def check_accepted(context, seconds):
+    context.story.play()
+    for receipt, took in context.story.receipts:
+        assert receipt.verdict.value == 'ran', receipt
+        assert took <= seconds, took
+
+
 @when('{seconds:g} seconds pass')
 def wait(context, seconds):
     async def act(story):
--- a/libs/controller/tarragonlb/controller/desk.py
+++ b/libs/controller/tarragonlb/controller/desk.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from tarragonlb.controller.groupcommit import GroupCommit
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.results import NotDone, Stored
@@ -58,7 +59,14 @@
 class Desk:
     """Serves clients of all queues, whoever owns their partitions."""
 
-    __slots__ = ('_clock', '_feeds', '_settings', '_store', '_view')
+    __slots__ = (
+        '_clock',
+        '_commits',
+        '_feeds',
+        '_settings',
+        '_store',
+        '_view',
+    )
 
     def __init__(
         self,
@@ -70,6 +78,7 @@
     ) -> None:
         """Answer from ``feeds``, which the caller keeps complete."""
         self._store = store
+        self._commits: dict[int, GroupCommit] = {}
         self._feeds = feeds
         self._settings = settings
         self._clock = clock
@@ -153,7 +162,7 @@
         reason = ''
         give_up_at = self._clock.read_steady() + self._settings.submit_seconds
         for attempt in itertools.count(1):
-            result = await self._store.append(partition, (record,), None)
+            result = await self._find_commit(partition).append(record)
             if isinstance(result, Stored):
                 self._apply(partition, record, result.first)
                 return Receipt(Verdict.RAN)
@@ -167,6 +176,13 @@
             await trio.sleep(self._settings.store_retry_seconds)
         return Receipt(verdict, RETRY_AFTER_SECONDS, reason)
 
+    def _find_commit(self, partition: int) -> GroupCommit:
+        known = self._commits.get(partition)
+        if known is None:
+            known = GroupCommit(self._store, partition)
+            self._commits[partition] = known
+        return known
+
     def _apply(self, partition: int, record: KeyedRecord, first: int) -> None:
         feed = self._feeds.get(partition)
         if feed is not None:
