Lend by the trend of a pool's load

Cause: a move takes 2 s until the worker is used, and peaks grow for 3 to 4 s, so VMs came for the load of two seconds ago; half as much again of every load was asked for instead, also of loads that fall. Change: a factor of 1.25, and the growth over the last second carried on for 1.5 s.

--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -36,6 +36,25 @@
     And the lender decides
     Then the VMs "a0 a1 a2 a3" are closed
 
+  Scenario: A pool whose load grows gets workers for what comes next
+    Given VMs "4 of a, 20 of off"
+    And pool "a" wants 2 workers and has a floor of 2
+    When the lender decides
+    And pool "a" wants 6 workers and has a floor of 2
+    And the clock goes on by 1 s
+    And the lender decides
+    Then 8 VMs of "off" move to "a"
+
+  Scenario: A pool whose load falls gets none
+    Given VMs "4 of a, 20 of off"
+    And pool "a" wants 6 workers and has a floor of 2
+    When the lender decides
+    Then 2 VMs of "off" move to "a"
+    When pool "a" wants 4 workers and has a floor of 2
+    And the clock goes on by 1 s
+    And the lender decides
+    Then 0 VMs of "off" move to "a"
+
   Scenario: A closing is taken back when the peak returns
     Given VMs "4 of a, 0 of off"
     And the VM "a1" is closed for lending
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -19,9 +19,8 @@
 
 # Tasks behind unfinished steps come soon, but not now.
 BLOCKED_SHARE = 0.4
-# A peak grows for a second or two while moves take as long, so more is asked
-# for than what waits now.
-GROWTH = 1.5
+# Jobs go on coming while those of now are worked off.
+GROWTH = 1.25
 # Room is cut up by tasks of different sizes.
 USABLE_SHARE = 0.9
 # Kept beside what permanent tasks need: one of theirs may have to move.
--- a/libs/scheduling/tarragonlb/scheduling/lending.py
+++ b/libs/scheduling/tarragonlb/scheduling/lending.py
@@ -6,6 +6,7 @@
 closed and emptied first.
 """
 
+import math
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -19,6 +20,9 @@
 # A pool gives workers away once it did not need them for so long: less than the
 # 1.5 s of a move back, since a closing can be taken back until the move.
 CALM_SECONDS = 1.0
+# A load that has grown over the last second is taken to grow on for so long: a
+# move takes 1.5 s, and the new worker is seen some tenths later.
+LEAD_SECONDS = 1.5
 # A move without effect is asked for again after the time it needs.
 MOVE_REPEAT_SECONDS = 3.0
 
@@ -96,10 +100,13 @@
         history.append((now, load.wanted_workers))
         while history[0][0] < now - CALM_SECONDS:
             history.popleft()
+        seen = [wanted for _, wanted in history]
+        growth = (load.wanted_workers - min(seen)) / CALM_SECONDS
+        expected = load.wanted_workers + math.ceil(growth * LEAD_SECONDS)
         return PoolNeed(
             floor=load.floor,
-            now=load.wanted_workers,
-            lately=max(wanted for _, wanted in history),
+            now=expected,
+            lately=max(*seen, expected),
             idle=load.idle,
         )
 
