Expect the load of 30 tasks with the factor that holds now

Its exact figure follows from the formula: (30 x 1000 x 1.25 + 1500) / (4000 x 0.9) is 10.8, so 11 workers instead of 13. As strict as before.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -122,7 +122,7 @@
     And a job with steps "3x500 permanent at most 1"
     Then the pool wants 4 workers, with a floor of 4
     When a job with steps "30x1000" arrives
-    Then the pool wants 13 workers, with a floor of 4
+    Then the pool wants 11 workers, with a floor of 4
 
   Scenario: A worker whose entry lapses keeps what was left behind on it
     Given workers "w0 w1" with 4000 millicores
