--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -107,3 +107,11 @@
     Given 1 daemons and 2 workers
     When two owners end at the same time and all are to be ended
     Then the daemon goes on
+
+  Scenario: A dependency that is away fills two lines, not two hundred
+    Given 1 daemons and 2 workers
+    When the store does "refuse"
+    And 5 seconds pass
+    And the store does "up"
+    And 2 seconds pass
+    Then the log says once that "group of owners" was lost and once that it is back
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from tarragonlb.controller.dependency import Dependency
 from tarragonlb.controller.follower import Follower, News
 from tarragonlb.controller.ports import (
     Configuration,
@@ -23,7 +24,13 @@
 class DocumentFeed(abc.ABC):
     """Follows a topic and writes what is decoded into the view."""
 
-    __slots__ = ('_documents', '_follower', '_settings', '_view')
+    __slots__ = (
+        '_dependency',
+        '_documents',
+        '_follower',
+        '_settings',
+        '_view',
+    )
 
     def __init__(
         self,
@@ -33,7 +40,9 @@
         view: View,
     ) -> None:
         """Write what is read into ``view``."""
-        self._follower = Follower(store, self.get_topic(), 0)
+        topic = self.get_topic()
+        self._follower = Follower(store, topic, 0)
+        self._dependency = Dependency(f'documents of {topic.value}')
         self._documents = documents
         self._settings = settings
         self._view = view
@@ -43,13 +52,10 @@
         while True:
             news = await self._follower.poll(self.get_wait_seconds())
             if isinstance(news, NotDone):
-                LOG.say(
-                    'Reading documents failed.',
-                    topic=self.get_topic().value,
-                    reason=news.reason,
-                )
+                self._dependency.note_failure(news.reason, trio.current_time())
                 await trio.sleep(self._settings.store_retry_seconds)
                 continue
+            self._dependency.note_answer(trio.current_time())
             self.take(news)
             await trio.sleep(self.get_pause_seconds())
 
@@ -151,13 +157,14 @@
 class BoardFeed:
     """Follows the maintenance records of the fleet's partition."""
 
-    __slots__ = ('_follower', '_settings', '_view')
+    __slots__ = ('_dependency', '_follower', '_settings', '_view')
 
     def __init__(
         self, store: Store, settings: ControllerSettings, view: View
     ) -> None:
         """Write what is read into ``view``."""
         self._follower = Follower(store, Topic.JOBS, FLEET_PARTITION)
+        self._dependency = Dependency('records on VMs')
         self._settings = settings
         self._view = view
 
@@ -171,8 +178,9 @@
         """Read what is new; return whether that was possible."""
         news = await self._follower.poll(0)
         if isinstance(news, NotDone):
-            LOG.say('Reading maintenance failed.', reason=news.reason)
+            self._dependency.note_failure(news.reason, trio.current_time())
             return False
+        self._dependency.note_answer(trio.current_time())
         board = self._view.board
         board.apply(news.records)
         for error in board.errors:
--- a/libs/controller/tarragonlb/controller/fleet.py
+++ b/libs/controller/tarragonlb/controller/fleet.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from tarragonlb.controller.dependency import Dependency
 from tarragonlb.controller.feeds import BoardFeed
 from tarragonlb.controller.membership import Holding
 from tarragonlb.controller.ports import Clock, Store, Vms
@@ -42,6 +43,7 @@
         '_clock',
         '_closings',
         '_coordinators',
+        '_dependency',
         '_done',
         '_holding',
         '_lender',
@@ -79,6 +81,7 @@
         self._writer = TermWriter(holding, store, settings)
         self._closings = 0
         self._lender = Lender()
+        self._dependency = Dependency('list of VMs')
 
     async def run(self, may_act: Callable[[], bool]) -> None:
         """Own maintenance until the term ends."""
@@ -102,8 +105,9 @@
         read_at = self._clock.read_steady()
         vms = await self._vms.list_vms()
         if isinstance(vms, NotDone):
-            LOG.say('Listing VMs failed.', reason=vms.reason)
+            self._dependency.note_failure(vms.reason, read_at)
             return True
+        self._dependency.note_answer(read_at)
         if not await self._board.refresh():
             return True
         standby = configuration.standby_pools
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from tarragonlb.controller.dependency import Dependency
 from tarragonlb.controller.follower import Follower
 from tarragonlb.controller.ports import Clock, Store, Topic
 from tarragonlb.controller.results import NotDone
@@ -28,6 +29,7 @@
         '_clock',
         '_counted_at',
         '_counts',
+        '_dependency',
         '_follower',
         '_settings',
         '_subscriber',
@@ -51,6 +53,7 @@
         self._settings = settings
         self._clock = clock
         self._follower = Follower(store, Topic.JOBS, number)
+        self._dependency = Dependency(f'records of partition {number}')
         self._subscriber: trio.MemorySendChannel[list[str]] | None = None
         self._wake = trio.Event()
         self._counts: Counter[str] = Counter()
@@ -64,13 +67,10 @@
             wait = settings.read_wait_seconds if is_owner else 0
             news = await self._follower.poll(wait)
             if isinstance(news, NotDone):
-                LOG.say(
-                    'Reading the partition failed.',
-                    partition=self.number,
-                    reason=news.reason,
-                )
+                self._dependency.note_failure(news.reason, trio.current_time())
                 await trio.sleep(settings.store_retry_seconds)
                 continue
+            self._dependency.note_answer(trio.current_time())
             await self._apply(news.records)
             if is_owner:
                 await trio.sleep(settings.owner_read_seconds)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from tarragonlb.controller.dependency import Dependency
 from tarragonlb.controller.desk import Desk
 from tarragonlb.controller.feeds import BoardFeed, OperatorFeed, WorkerFeed
 from tarragonlb.controller.fleet import FleetOwner
@@ -52,6 +53,7 @@
         '_board',
         '_clock',
         '_feeds',
+        '_group',
         '_is_stopping',
         '_member',
         '_membership',
@@ -78,6 +80,7 @@
         self._owners: dict[Holding, tuple[trio.CancelScope, trio.Event]] = {}
         self._membership = Membership(settings.member_ttl_seconds)
         self._is_stopping = False
+        self._group = Dependency('group of owners')
         self.view = View()
         self._board = BoardFeed(platform.store, settings, self.view)
         self.desk = Desk(
@@ -155,9 +158,10 @@
                 membership.generation,
             )
             if isinstance(seat, NotDone):
-                LOG.say('Joining the group failed.', reason=seat.reason)
+                self._group.note_failure(seat.reason, trio.current_time())
                 await trio.sleep(self._settings.store_retry_seconds)
                 continue
+            self._group.note_answer(trio.current_time())
             self.view.contact_at = sent_at
             before = membership.generation
             membership.take_seat(seat, sent_at)
