--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -62,6 +62,21 @@
     Then 3 tasks start
     And all starts have attempt 1
 
+  Scenario Outline: After failures the only worker is tried again soon
+    Given workers "w0" with 8000 millicores
+    And a job with steps "1x500 permanent"
+    When a round is decided
+    And <count> jobs of queue "timely" arrive with steps "1x500"
+    And a round is decided
+    And all tasks that are not permanent end "failed"
+    And 2.9 seconds go by, a round every 0.1 seconds
+    Then tasks have started
+
+    Examples:
+      | count |
+      | 1     |
+      | 6     |
+
   Scenario: Small tasks leave workers free to be lent
     Given workers "w0 w1 w2 w3" with 4000 millicores
     And a job with steps "4x1000"
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -203,6 +203,40 @@
             return
 
 
+@when('all tasks that are not permanent end "{how}"')
+def end_all_batch(context, how):
+    settle_starts(context)
+    for name, worker in context.scheduler.pool.workers.items():
+        keys = [
+            key
+            for key, attachment in worker.attached.items()
+            if not attachment.is_permanent
+        ]
+        end(context, name, keys, how)
+
+
+@when('{count:d} jobs of queue "{queue}" arrive with steps "{steps}"')
+def add_many(context, count, queue, steps):
+    for _ in range(count):
+        add_job(context, queue, steps)
+
+
+@when('{seconds:g} seconds go by, a round every 0.1 seconds')
+def make_rounds(context, seconds):
+    context.started = 0
+    end_at = context.now + seconds
+    while context.now < end_at:
+        decide(context)
+        context.started += len(context.round.starts)
+        for name in context.listed:
+            report(context, name)
+
+
+@then('tasks have started')
+def check_some_started(context):
+    assert context.started
+
+
 def end(context, name, keys, how):
     ends = []
     worker = context.scheduler.pool.workers[name]
--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -30,8 +30,6 @@
     stall_seconds: float = 2.5
     # Finished jobs are shown for the time the platform asks, then forgotten.
     status_seconds: float = 120.0
-    # A worker on probation gets one task at a time, until one succeeds.
-    probation_seconds: float = 10.0
     # Tails above this share of their target slow scavengers down.
     pacing_high_share: float = 0.8
     # Tails below this share of their target let scavengers speed up.
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -11,8 +11,11 @@
 
 # Wait before the first task for a worker that failed; doubles each time.
 FIRST_PROBE_SECONDS = 0.25
-# Keeps the longest wait at 8 s, less than the time in which a job is late.
-MAX_PROBE_DOUBLINGS = 5
+# Keeps the longest wait at 2 s.  Where all workers of a pool have failed, the
+# fault may be the jobs', and work must go on within 3 s.
+MAX_PROBE_DOUBLINGS = 3
+# A task that has failed before leaves the first attempts to others for so long.
+RETRY_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -187,12 +190,14 @@
     def accepts_on_probation(self, now: float, *, is_retry: bool) -> bool:
         """Return whether its record allows one more task.
 
-        A worker that failed its last tasks gets one at a time, and none that
-        has failed before.
+        A worker that failed its last tasks gets one at a time, beside the
+        permanent ones that it has.
         """
         if not self.failures:
             return True
-        return not (self.attached or is_retry) and now >= self.probe_at
+        is_busy = len(self.attached) > self.count_permanent()
+        wait = RETRY_SECONDS if is_retry else 0
+        return not is_busy and now >= self.probe_at + wait
 
     def _occupy(self, demand: Demand, sign: int) -> None:
         self.free_cpu -= sign * demand.cpu_millicores
