--- a/libs/scheduling/features/steps/task_steps.py
+++ b/libs/scheduling/features/steps/task_steps.py
@@ -76,6 +76,19 @@
     assert context.cut_keys, name
 
 
+@when('the owner is killed every {seconds:g} seconds, {count:d} times')
+def kill_often(context, seconds, count):
+    for _ in range(count):
+        context.world.kill_owner()
+        context.world.run(seconds)
+
+
+@then('every task of "{name}" has started elsewhere')
+def check_elsewhere(context, name):
+    for key in context.cut_keys:
+        assert context.world.starts[key] > context.before[key], key
+
+
 @when('the owner is killed')
 def kill(context):
     context.world.kill_owner()
--- a/libs/scheduling/features/tasks.feature
+++ b/libs/scheduling/features/tasks.feature
@@ -25,6 +25,15 @@
     When 3 seconds pass
     Then the job is completed
 
+  Scenario: Tasks of a lost worker start elsewhere although owners change
+    Given a fleet of 4 workers on a network that loses nothing
+    And a job of 8 tasks
+    When 0.6 seconds pass
+    And worker "w1" falls out of reach
+    Then "w1" held tasks when it was cut
+    When the owner is killed every 3 seconds, 4 times
+    Then every task of "w1" has started elsewhere
+
   Scenario: Tasks run on when their owner is killed
     Given a fleet of 4 workers
     And a job of 8 long tasks
