--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -41,7 +41,6 @@
 SETTLE_SECONDS = 3.0
 SETTINGS = ControllerSettings(
     name='vm',
-    zone='z',
     partitions=PARTITIONS,
     grace_seconds=6.0,
     holder_turn_seconds=3.0,
--- a/libs/controller/tarragonlb/controller/desk.py
+++ b/libs/controller/tarragonlb/controller/desk.py
@@ -186,5 +186,4 @@
     def _apply(self, partition: int, record: KeyedRecord, first: int) -> None:
         feed = self._feeds.get(partition)
         if feed is not None:
-            stored = KeyedRecord(record.key, record.value, first)
-            feed.apply_own((stored,))
+            feed.apply_own((record,), first)
--- a/libs/controller/tarragonlb/controller/fleet.py
+++ b/libs/controller/tarragonlb/controller/fleet.py
@@ -22,6 +22,7 @@
     write_reopen,
     write_through,
 )
+from tarragonlb.scheduling.job import MILLISECONDS
 from tarragonlb.scheduling.lending import Lender, VmMove
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.records import KeyedRecord
@@ -32,7 +33,6 @@
 LOG = Log('fleet')
 # Numbers closings of all terms apart.
 CLOSINGS_A_TERM = 1_000_000
-MILLISECONDS = 1000
 
 
 class FleetOwner:
--- a/libs/controller/tarragonlb/controller/lease.py
+++ b/libs/controller/tarragonlb/controller/lease.py
@@ -5,10 +5,9 @@
 an unanswered call may still be carried out.
 """
 
+from tarragonlb.scheduling.job import MILLISECONDS
 from tarragonlb.scheduling.settings import CLOCK_DRIFT
 
-MILLISECONDS = 1000
-
 
 class WorkerLease:
     """The latest lease end granted to a worker, in its milliseconds.
--- a/libs/controller/tarragonlb/controller/owner.py
+++ b/libs/controller/tarragonlb/controller/owner.py
@@ -37,7 +37,6 @@
 
 LOG = Log('owner')
 INBOX_SIZE = 1000
-MILLISECONDS = 1000
 
 
 class TermEndedError(Exception):
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 
 import trio
 
@@ -87,9 +88,12 @@
         await self._apply(records)
         return True
 
-    def apply_own(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Take over records of this process, which carry their offsets."""
-        self.ledger.apply(records)
+    def apply_own(self, records: Iterable[KeyedRecord], first: int) -> None:
+        """Take over records of this process, stored from ``first`` on."""
+        self.ledger.apply(
+            KeyedRecord(record.key, record.value, offset)
+            for offset, record in enumerate(records, first)
+        )
 
     def subscribe(self, subscriber: trio.MemorySendChannel[list[str]]) -> None:
         """Follow quickly and tell which jobs change."""
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -11,13 +11,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ControllerSettings:
-    """Where a process stands, and the limits it keeps.
+    """The limits a process keeps, and how it is named.
 
     Those without a default come from the platform's settings file.
     """
 
     name: str
-    zone: str
     partitions: int
     grace_seconds: float
     holder_turn_seconds: float
--- a/libs/controller/tarragonlb/controller/storage.py
+++ b/libs/controller/tarragonlb/controller/storage.py
@@ -8,7 +8,7 @@
 from tarragonlb.controller.termwriter import TermWriter
 from tarragonlb.scheduling.orders import Round
 from tarragonlb.scheduling.progress import write_progress
-from tarragonlb.scheduling.records import KeyedRecord, write_removal
+from tarragonlb.scheduling.records import write_removal
 
 
 class RoundStorage:
@@ -43,12 +43,5 @@
         result = await self._writer.append(tuple(records))
         if isinstance(result, Deposed):
             return result.reason
-        self._apply(records, result.first)
+        self._feed.apply_own(records, result.first)
         return ''
-
-    def _apply(self, records: list[KeyedRecord], first: int) -> None:
-        stored = tuple(
-            KeyedRecord(record.key, record.value, first + index)
-            for index, record in enumerate(records)
-        )
-        self._feed.apply_own(stored)
--- a/libs/daemon/tarragonlb/daemon/command.py
+++ b/libs/daemon/tarragonlb/daemon/command.py
@@ -14,8 +14,6 @@
 from tarragonlb.telemetry.log import start_logging
 from tarragonlb.telemetry.metrics import start_metrics
 
-# The last log lines get this long to be read.
-DRAIN_SECONDS = 0.2
 EXIT_BAD_SETTINGS = 2
 
 application = cyclopts.App(
@@ -46,7 +44,7 @@
     try:
         trio.run(Process(start).run)
     finally:
-        sink.drain(DRAIN_SECONDS)
+        sink.drain()
 
 
 def main() -> None:
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -187,7 +187,6 @@
             worker_id=worker_id,
             payload=ready.job.job.spec.payload,
             checkpoint=task.checkpoint,
-            ticket=ready.state.tickets.get(worker_id, ('', 0.0))[0],
         )
 
     def _list_candidates(
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -8,9 +8,7 @@
 import math
 from collections.abc import Iterable
 
-from tarragonlb.scheduling.fleetrecords import (
-    PoolLoad,
-)
+from tarragonlb.scheduling.fleetrecords import PoolLoad
 from tarragonlb.scheduling.job import Demand
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.pool import PoolState
--- a/libs/scheduling/tarragonlb/scheduling/jobstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobstate.py
@@ -19,14 +19,12 @@
 class StepState:
     """The tasks of one step of one occurrence."""
 
-    __slots__ = ('done', 'tasks', 'tickets')
+    __slots__ = ('done', 'tasks')
 
     def __init__(self, step_width: int) -> None:
         """Begin with tasks that never ran."""
         self.tasks = [TaskState() for _ in range(step_width)]
         self.done = 0
-        # Worker id to (ticket, end of validity in seconds).
-        self.tickets: dict[str, tuple[str, float]] = {}
 
     @property
     def is_done(self) -> bool:
--- a/libs/scheduling/tarragonlb/scheduling/ledger.py
+++ b/libs/scheduling/tarragonlb/scheduling/ledger.py
@@ -106,13 +106,12 @@
     ``errors`` are records that could not be used, for the caller to log.
     """
 
-    __slots__ = ('_entries', 'errors', 'next_offset')
+    __slots__ = ('_entries', 'errors')
 
     def __init__(self) -> None:
         """Begin empty."""
         self._entries: dict[str, LedgerEntry] = {}
         self.errors: list[RecordError] = []
-        self.next_offset = 0
 
     def apply(self, records: Iterable[KeyedRecord]) -> list[str]:
         """Apply records and return the ids of the jobs they are about."""
--- a/libs/scheduling/tarragonlb/scheduling/orders.py
+++ b/libs/scheduling/tarragonlb/scheduling/orders.py
@@ -32,7 +32,6 @@
     worker_id: str
     payload: str
     checkpoint: str = ''
-    ticket: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,15 +68,3 @@
     stops: tuple[StopOrder, ...] = ()
     paces: tuple[PaceOrder, ...] = ()
     seen_ends: dict[str, tuple[int | None, int]] = field(default_factory=dict)
-
-    @property
-    def is_empty(self) -> bool:
-        """Return whether there is nothing to store and nothing to send."""
-        decided = (
-            self.jobs,
-            self.removed,
-            self.starts,
-            self.stops,
-            self.paces,
-        )
-        return not any(decided)
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -6,8 +6,8 @@
 
 >>> from tarragonlb.scheduling.placement import FirstFit
 >>> scheduler = Scheduler(settings, FirstFit(), now=0.0)   # doctest: +SKIP
->>> scheduler.decide(Moment(1.0)).is_empty                 # doctest: +SKIP
-True
+>>> scheduler.decide(Moment(1.0)).starts                   # doctest: +SKIP
+()
 """
 
 from tarragonlb.scheduling.answers import AnswerBook
--- a/libs/telemetry/tarragonlb/telemetry/sink.py
+++ b/libs/telemetry/tarragonlb/telemetry/sink.py
@@ -22,6 +22,8 @@
 # Lines of one kind a second; an owner at its peak writes about 150.
 LINES_A_SECOND = 400
 SUMMARY_SECONDS = 1.0
+# The last lines get this long to be read when the process ends.
+DRAIN_SECONDS = 0.2
 # Between two looks at the queue while the process ends.
 DRAIN_STEP_SECONDS = 0.01
 # Fields of the library that say nothing here, where no actions are nested.
@@ -61,9 +63,9 @@
         """Begin to write."""
         threading.Thread(target=self._work, daemon=True).start()
 
-    def drain(self, seconds: float) -> None:
-        """Wait until all lines are written, at most ``seconds``."""
-        end = self._now() + seconds
+    def drain(self) -> None:
+        """Wait until all lines are written, at most ``DRAIN_SECONDS``."""
+        end = self._now() + DRAIN_SECONDS
         while self._queue.unfinished_tasks and self._now() < end:
             time.sleep(DRAIN_STEP_SECONDS)
 
