Keep what a refresh has read when a later read fails

A daemon that refreshed a partition read until its end and applied all records afterwards. The reader's offset had moved on by then, so when a later read of the same refresh failed, or the refresh was cancelled, the records already read were never applied: a job accepted by another daemon stayed unknown here, was not started by this owner, and asking for it was answered as if it did not exist. A refresh runs at each takeover and at each query for an unknown job.

Each read is now applied before the next one.

The new scenario failed on the old code in both cases (the feed knew one of two jobs); libs/controller/features passes, 18 scenarios.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -115,3 +115,15 @@
     And the store is in mode "up"
     And 2 seconds pass
     Then the log reports once that "group of owners" is unavailable and once that it recovered
+
+  # Guards against jobs that one daemon never sees: what a refresh had read was
+  # dropped when a later read of the same refresh failed or was cancelled.
+  Scenario Outline: A refresh that is broken off loses no records
+    Given a feed of the pool's partition that has read a job
+    When another job is stored and the second read of a refresh <fault>
+    Then the feed knows both jobs after the next refresh
+
+    Examples: faults
+      | fault        |
+      | fails        |
+      | is cancelled |
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -86,11 +86,13 @@
 
     async def refresh(self) -> bool:
         """Read to the partition's end; return whether the store answered."""
-        records = await self._reader.catch_up()
-        if isinstance(records, NotDone):
-            return False
-        await self._apply(records)
-        return True
+        while True:
+            update = await self._reader.poll(0)
+            if isinstance(update, NotDone):
+                return False
+            await self._apply(update.records)
+            if not (update.is_snapshot or update.records):
+                return True
 
     def apply_stored(self, records: Iterable[KeyedRecord], first: int) -> None:
         """Apply records that this process stored at offset ``first``."""
