Let the wait for a silent worker's leases outlive its owner

Callers saw permanent tasks of a lost worker stay away for as long as owners changed (LOST): each owner counted the longest lease, 6.1 s, from its own takeover, so with a change every 3 s it never ran out.

An owner now stores, for each silent worker with attempts, for how long its leases may still last: a duration on monotonic clocks, at most one write a second for a partition, and one more when the partition is handed over. The next owner counts the bound from when it read it. While a worker has a stored bound nobody extends a lease there; the bound is removed first, by an append under the owner's term. So a fenced owner can't extend a lease behind it, and calls under way don't matter, as their expiry is absolute on the worker's clock and part of the bound. No bound is written while the store is suspect.

With the gate on leases taken out, or the removal not stored, "No lease is extended behind a stored bound" fails with a task that runs twice.

The simulation got status requests that arrive seconds late, drawn from a random sequence of their own so that the old scripts stay the same, and handovers as a fault.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -24,6 +24,31 @@
     And 3 seconds pass
     Then the remaining daemon reports its job as completed
 
+  # Guards against tasks of a lost worker that wait anew after each change of
+  # the owner.
+  Scenario: The next owner waits only for the rest of a silent worker's leases
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And the worker that runs them becomes unreachable
+    And 3 seconds pass
+    And the owner of the pool is asked to stop
+    And 4 seconds pass
+    Then the remaining daemon reports its job as completed
+    And no lease bound is left in the store
+
+  Scenario: A worker that answers again keeps its tasks
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And the worker that runs them becomes unreachable
+    And 2.6 seconds pass
+    And the worker becomes reachable
+    And 3 seconds pass
+    Then the job is completed
+    And every task was started once
+    And no lease bound is left in the store
+
   Scenario: A request that the store rejects fails fast as not run
     Given 1 daemons and 2 workers
     When the store is in mode "refuse"
--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -204,11 +204,15 @@
         self.ended = defaultdict(list)
         self.fences = defaultdict(int)
         self.starts = []
+        self.unreachable = set()
         self.last_end_numbers = defaultdict(int)
 
     async def poll_status(self, request):
         worker_id = request.worker.worker_id
         started_at = trio.current_time()
+        if worker_id in self.unreachable:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return OrderResult.UNANSWERED
         if request.term < self.fences[worker_id]:
             return OrderResult.FENCED
         self.fences[worker_id] = request.term
@@ -219,6 +223,9 @@
                 break
             await trio.sleep(0.02)
             self._advance(worker_id)
+        if worker_id in self.unreachable:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return OrderResult.UNANSWERED
         await trio.sleep(CALL_SECONDS)
         now = trio.current_time()
         report = WorkerReport(
@@ -239,6 +246,9 @@
         return StatusReply(report, int(now * 1000))
 
     async def start(self, worker, order, term, lease_until_ms):
+        if worker.worker_id in self.unreachable:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return OrderResult.UNANSWERED
         await trio.sleep(CALL_SECONDS)
         if term < self.fences[worker.worker_id]:
             return OrderResult.FENCED
--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.scheduling.leasebound import BoundChanges
 from tarragonlb.scheduling.orders import SchedulingDecision, StopOrder
 from tarragonlb.scheduling.partitionstate import ReleasedAttempt
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
@@ -72,6 +73,18 @@
             **self._fields,
         )
 
+    def log_bounds(self, changes: BoundChanges) -> None:
+        """Log the lease bounds that are stored, in seconds by worker."""
+        if changes.stored:
+            LOG.emit(
+                'Storing lease bounds of silent workers.',
+                bounds={
+                    worker_id: round(seconds, 2)
+                    for worker_id, seconds in changes.stored.items()
+                },
+                **self._fields,
+            )
+
     def log_released(self, released: list[ReleasedAttempt]) -> None:
         """Log why attempts count as ended, and clear the list."""
         if not released:
--- a/libs/controller/tarragonlb/controller/decisionstorage.py
+++ b/libs/controller/tarragonlb/controller/decisionstorage.py
@@ -6,6 +6,7 @@
 from tarragonlb.controller.results import Fenced
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.termwriter import TermWriter
+from tarragonlb.scheduling.leasebound import build_bound_records
 from tarragonlb.scheduling.orders import SchedulingDecision
 from tarragonlb.scheduling.progress import build_progress_record
 from tarragonlb.scheduling.records import build_removal_records
@@ -42,6 +43,7 @@
         ]
         for job_id in decision.removed:
             records.extend(build_removal_records(job_id))
+        records.extend(build_bound_records(decision.bound_changes, self._term))
         result = await self._writer.append(tuple(records))
         if isinstance(result, Fenced):
             return result.reason
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -10,11 +10,12 @@
 import trio
 
 from tarragonlb.controller.dependencylog import DependencyLog
-from tarragonlb.controller.partitionreader import PartitionReader
+from tarragonlb.controller.partitionreader import PartitionReader, RecordUpdate
 from tarragonlb.controller.ports import Clock, Store, Topic
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.jobindex import JobIndex
+from tarragonlb.scheduling.leasebound import LeaseBoundIndex
 from tarragonlb.scheduling.records import KeyedRecord
 from tarragonlb.telemetry.log import Log
 
@@ -37,6 +38,7 @@
         '_wake',
         'job_index',
         'last_read_at',
+        'lease_bounds',
         'partition',
     )
 
@@ -50,6 +52,7 @@
         """Prepare to poll ``partition``."""
         self.partition = partition
         self.job_index = JobIndex()
+        self.lease_bounds = LeaseBoundIndex()
         self.last_read_at: float | None = None
         self._settings = settings
         self._clock = clock
@@ -76,7 +79,7 @@
                 await trio.sleep(settings.store_retry_seconds)
                 continue
             self._dependency_log.record_success(trio.current_time())
-            await self._apply(update.records)
+            await self._apply(update)
             if is_owner:
                 await trio.sleep(settings.owner_read_interval_seconds)
                 continue
@@ -90,15 +93,19 @@
             update = await self._reader.poll(0)
             if isinstance(update, NotDone):
                 return False
-            await self._apply(update.records)
+            await self._apply(update)
             if not (update.is_snapshot or update.records):
                 return True
 
     def apply_stored(self, records: Iterable[KeyedRecord], first: int) -> None:
         """Apply records that this process stored at offset ``first``."""
-        self.job_index.apply(
-            KeyedRecord(record.key, record.value, offset)
-            for offset, record in enumerate(records, first)
+        self._index(
+            RecordUpdate(
+                tuple(
+                    KeyedRecord(record.key, record.value, offset)
+                    for offset, record in enumerate(records, first)
+                )
+            )
         )
 
     def subscribe(self, subscriber: trio.MemorySendChannel[list[str]]) -> None:
@@ -118,15 +125,27 @@
             self._counted_at = now
         return self._counts[queue]
 
-    async def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
+    def _index(self, update: RecordUpdate) -> list[str]:
+        now = self._clock.read_monotonic()
+        if update.snapshot_end is None:
+            others = self.lease_bounds.apply(update.records, now)
+        else:
+            others = self.lease_bounds.apply_snapshot(
+                update.records, update.snapshot_end, now
+            )
+        return self.job_index.apply(others)
+
+    async def _apply(self, update: RecordUpdate) -> None:
         self.last_read_at = self._clock.read_boottime()
-        changed = self.job_index.apply(records)
-        for error in self.job_index.errors:
+        changed = self._index(update)
+        errors = (*self.job_index.errors, *self.lease_bounds.errors)
+        for error in errors:
             LOG.emit(
                 'Invalid record ignored.',
                 partition=self.partition,
                 reason=str(error),
             )
         self.job_index.errors.clear()
+        self.lease_bounds.errors.clear()
         if changed and self._subscriber is not None:
             await self._subscriber.send(changed)
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -5,7 +5,7 @@
 reader starts over with a new snapshot.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tarragonlb.controller.ports import Store, Topic
 from tarragonlb.controller.results import Batch, NotDone, Trimmed
@@ -16,11 +16,17 @@
 class RecordUpdate:
     """The records of one read, oldest first.
 
-    In a snapshot (``is_snapshot``), keys that are not listed don't exist.
+    In a snapshot, which is complete up to the offset ``snapshot_end``, keys
+    that are not listed don't exist.
     """
 
     records: tuple[KeyedRecord, ...]
-    is_snapshot: bool
+    snapshot_end: int | None = None
+
+    @property
+    def is_snapshot(self) -> bool:
+        """Return whether these are the newest records of all keys."""
+        return self.snapshot_end is not None
 
 
 class PartitionReader:
@@ -49,18 +55,18 @@
         )
         if isinstance(batch, Trimmed):
             return await self._read_newest()
-        return self._advance(batch, is_snapshot=False)
+        if isinstance(batch, NotDone):
+            return batch
+        return self._advance(batch)
 
     async def _read_newest(self) -> RecordUpdate | NotDone:
         batch = await self._store.read_newest(self._topic, self._partition)
         if isinstance(batch, Trimmed):
             return NotDone('unexpected: newest records were trimmed')
-        return self._advance(batch, is_snapshot=True)
-
-    def _advance(
-        self, batch: Batch | NotDone, *, is_snapshot: bool
-    ) -> RecordUpdate | NotDone:
         if isinstance(batch, NotDone):
             return batch
+        return replace(self._advance(batch), snapshot_end=batch.next_offset)
+
+    def _advance(self, batch: Batch) -> RecordUpdate:
         self.next_offset = max(self.next_offset or 0, batch.next_offset)
-        return RecordUpdate(batch.records, is_snapshot)
+        return RecordUpdate(batch.records)
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -16,6 +16,7 @@
 from tarragonlb.controller.decisionlog import DecisionLog
 from tarragonlb.controller.decisionstorage import DecisionStorage
 from tarragonlb.controller.drainreporter import DrainReporter
+from tarragonlb.controller.leasehandover import LeaseHandover
 from tarragonlb.controller.loadpublisher import LoadPublisher
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.partition import PartitionFeed
@@ -55,6 +56,7 @@
         '_inbox',
         '_inbox_receiver',
         '_is_storing',
+        '_lease_handover',
         '_lease_seconds',
         '_load_publisher',
         '_next_round_at',
@@ -98,6 +100,9 @@
         self._scheduler = Scheduler(
             settings.scheduling, PackNearData(), clock.read_monotonic()
         )
+        self._lease_handover = LeaseHandover(
+            self._scheduler, self._storage, self._decision_log
+        )
 
     async def run(self, lease_seconds: Callable[[], float]) -> None:
         """Own the partition until the term ends.
@@ -109,11 +114,13 @@
         # Subscribe before reading anything, so that no change is missed.
         subscriber, changes = trio.open_memory_channel[list[str]](INBOX_SIZE)
         self._feed.subscribe(subscriber)
+        is_fenced = False
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 await self._run_term(changes)
         except* TermEndedError as group:
+            is_fenced = True
             reasons = [str(error) for error in group.exceptions]
             LOG.emit(
                 'Term ended.',
@@ -123,6 +130,10 @@
             )
         finally:
             self._feed.unsubscribe()
+            if not is_fenced:
+                await self._lease_handover.store_last_bounds(
+                    self._inbox_receiver, self._clock.read_monotonic()
+                )
 
     async def _run_term(
         self, changes: trio.MemoryReceiveChannel[list[str]]
@@ -138,6 +149,7 @@
     def _load_state(self) -> None:
         now = self._clock.read_monotonic()
         partition_state = self._scheduler.state
+        partition_state.inherit_bounds(self._feed.lease_bounds.bounds)
         self._apply_view()
         for records in self._feed.job_index.list_jobs():
             self._update_job(records.job_id, now)
@@ -192,7 +204,13 @@
         self._next_round_at = now + self._settings.max_round_interval_seconds
         if self._is_storing:
             return
-        decision = self._scheduler.decide(read_moment(self._clock))
+        contact_age = self._view.compute_contact_age(
+            self._clock.read_boottime()
+        )
+        decision = self._scheduler.decide(
+            read_moment(self._clock),
+            is_store_suspect=contact_age > self._settings.store_suspect_seconds,
+        )
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
         self._decision_log.log_released(self._scheduler.state.released_attempts)
@@ -206,7 +224,8 @@
             self._scheduler.state, now
         ):
             self._nursery.start_soon(self._load_publisher.publish, record)
-        if decision.jobs or decision.removed:
+        self._decision_log.log_bounds(decision.bound_changes)
+        if decision.has_records:
             self._is_storing = True
             self._nursery.start_soon(self._store_decision, decision)
         else:
@@ -220,6 +239,7 @@
 
     def _finish_round(self, decision: SchedulingDecision) -> None:
         self._is_storing = False
+        self._scheduler.bound_keeper.note_stored(decision.bound_changes)
         for worker_id, (incarnation, number) in decision.end_acks.items():
             session = self._sessions.get(worker_id)
             if session is not None:
@@ -332,7 +352,9 @@
                 self._nursery.start_soon(
                     session.run,
                     self._inbox,
-                    self._lease_seconds,
+                    self._lease_handover.limit_leases(
+                        worker_id, self._lease_seconds
+                    ),
                     self._scheduler.is_still_wanted,
                 )
             elif session is not None:
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -139,6 +139,10 @@
         settings = self._settings
         until_ms = self._extend_lease(failures)
         acknowledged_incarnation, acknowledged_end = self._acknowledged
+        wait_seconds = 0.0 if failures else settings.poll_wait_seconds
+        if until_ms is None:
+            # Leases may be extended again at any moment.
+            wait_seconds = min(wait_seconds, settings.poll_retry_seconds)
         request = StatusRequest(
             worker=self.worker,
             term=self._term,
@@ -146,7 +150,7 @@
             if acknowledged_incarnation == incarnation
             else 0,
             lease_until_ms=until_ms,
-            wait_seconds=0 if failures else settings.poll_wait_seconds,
+            wait_seconds=wait_seconds,
         )
         reply = await self._workers.poll_status(request)
         if isinstance(reply, StatusReply):
--- a/libs/scheduling/features/faultscripts.py
+++ b/libs/scheduling/features/faultscripts.py
@@ -14,6 +14,7 @@
 FAULTS = (
     'kill',
     'freeze',
+    'hand over',
     'cut',
     'cut',
     'cut and kill',
@@ -75,6 +76,8 @@
             fleet.kill_owner()
         case 'freeze' if fleet.owner:
             fleet.freeze_owner(4.0)
+        case 'hand over' if fleet.owner:
+            fleet.hand_over()
         case 'cut':
             worker.is_reachable = not worker.is_reachable
         case 'cut and kill' if fleet.owner:
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -5,58 +5,38 @@
 After every step the simulation checks invariants on what the workers did.
 """
 
+import math
 import random
 from collections import Counter
 
 from fakeworkers import FakeWorker
+from simulatedowner import MEMBER_TTL_SECONDS, SimulatedOwner
 
 from tarragonlb.scheduling.job import Demand, Job, JobSpec, Moment, Step
 from tarragonlb.scheduling.jobindex import JobIndex
 from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.leasebound import (
+    LeaseBoundIndex,
+    build_bound_records,
+)
 from tarragonlb.scheduling.orders import OrderResult
-from tarragonlb.scheduling.placement import PackNearData
+from tarragonlb.scheduling.partitionstate import InheritedBound
 from tarragonlb.scheduling.progress import build_progress_record
-from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.records import (
     KeyedRecord,
     build_cancellation_record,
     build_submission_record,
 )
-from tarragonlb.scheduling.scheduler import Scheduler
-from tarragonlb.scheduling.settings import (
-    CLOCK_DRIFT_FACTOR,
-    SchedulingSettings,
-)
+from tarragonlb.scheduling.settings import CLOCK_DRIFT_FACTOR
 
 TICK_SECONDS = 0.1
-MEMBER_TTL_SECONDS = 1.6
 LEASE_SECONDS = 3.5
+STORE_SUSPECT_SECONDS = 0.9
+FOLLOWER_LAG_SECONDS = 1.0
+TAKEOVER_SECONDS = 0.2
 LOSS_PROBABILITY = 0.08
 DELAY_PROBABILITY = 0.04
 MAX_DELAY_SECONDS = 8.0
-QUEUE = Queue(name='q', host='h', path_prefix='/q/', pool='p', max_attempts=50)
-SETTINGS = SchedulingSettings(
-    max_lease_seconds=6.0,
-    maintenance_seconds=2.0,
-)
-
-
-class Owner:
-    def __init__(self, fleet, term):
-        self.term = term
-        self.valid_until = fleet.now + MEMBER_TTL_SECONDS
-        self.frozen_until = 0.0
-        self.scheduler = Scheduler(SETTINGS, PackNearData(), fleet.now)
-        self.granted = {}
-        self.clocks = {}
-        self.end_acks = {}
-        self.failures = Counter()
-        self.pending = None
-        state = self.scheduler.state
-        state.queues = {'q': QUEUE}
-        state.update_workers(worker.entry for worker in fleet.workers)
-        for entry in fleet.job_index.list_jobs():
-            state.add_job(entry.build_state(Moment(fleet.now)))
 
 
 class FleetSimulation:
@@ -66,12 +46,15 @@
         self.is_reliable = is_reliable
         self.long_share = long_share
         self.random = random.Random(seed)
+        self.late_random = random.Random(seed)
         self.now = 0.0
         self.workers = [
             FakeWorker(f'w{n}', rate=self.random.choice([0.98, 1.0]))
             for n in range(workers)
         ]
         self.job_index = JobIndex()
+        self.bound_index = LeaseBoundIndex()
+        self.bound_writes = []
         self.offset = 0
         self.is_store_up = True
         self.term = 1
@@ -81,7 +64,7 @@
         self.start_counts = Counter()
         self.specs = {}
         self.cancelled = {}
-        self.owner = Owner(self, self.term)
+        self.owner = SimulatedOwner(self, self.term)
         self.former_owners = []
 
     # Actions of clients.
@@ -104,11 +87,24 @@
 
     def append(self, records):
         for record in records:
-            self.job_index.apply(
-                [KeyedRecord(record.key, record.value, self.offset)]
-            )
+            stored = KeyedRecord(record.key, record.value, self.offset)
+            others = self.bound_index.apply([stored], self.now)
+            self.job_index.apply(others)
             self.offset += 1
 
+    def list_bounds(self):
+        """Return the lease bounds as a daemon knows them that takes over.
+
+        It has read them as a follower, or reads them now.
+        """
+        return {
+            worker_id: InheritedBound(
+                bound.remaining_seconds,
+                min(bound.read_at + FOLLOWER_LAG_SECONDS, self.now),
+            )
+            for worker_id, bound in self.bound_index.bounds.items()
+        }
+
     # Faults.
 
     def kill_owner(self):
@@ -119,6 +115,13 @@
         self.former_owners.append(self.owner)
         self.replace_owner(self.now + MEMBER_TTL_SECONDS)
 
+    def hand_over(self):
+        if self.is_store_up:
+            keeper = self.owner.scheduler.bound_keeper
+            changes = keeper.decide_last(self.now)
+            self.append(build_bound_records(changes, self.owner.term))
+        self.replace_owner(self.now + TAKEOVER_SECONDS)
+
     def replace_owner(self, at):
         """End the current term; the next owner starts at ``at`` seconds."""
         self.owner = None
@@ -127,7 +130,7 @@
     def _begin_term(self):
         if self.owner is None:
             self.term += 1
-            self.owner = Owner(self, self.term)
+            self.owner = SimulatedOwner(self, self.term)
 
     # Time.
 
@@ -156,6 +159,7 @@
         is_current = owner is self.owner
         if is_current and self.is_store_up:
             owner.valid_until = self.now + MEMBER_TTL_SECONDS
+            owner.contact_at = self.now
         for worker in self.workers:
             self._check_status(owner, worker)
         state = owner.scheduler.state
@@ -166,15 +170,25 @@
             if entry.is_cancelled:
                 state.cancel_job(entry.job_id, self.now)
         if owner.pending is None:
-            owner.pending = owner.scheduler.decide(Moment(self.now))
+            contact_age = self.now - owner.contact_at
+            owner.pending = owner.scheduler.decide(
+                Moment(self.now),
+                is_store_suspect=contact_age > STORE_SUSPECT_SECONDS,
+            )
             for stop in owner.pending.stops:
                 self._send_order(owner, stop, 'stop')
         if not (self.is_store_up and is_current):
             return
         decided, owner.pending = owner.pending, None
+        bound_records = build_bound_records(decided.bound_changes, owner.term)
         self.append(
-            [build_progress_record(j, owner.term) for j in decided.jobs]
+            [
+                *(build_progress_record(j, owner.term) for j in decided.jobs),
+                *bound_records,
+            ]
         )
+        self.bound_writes.extend([self.now] * bool(bound_records))
+        owner.scheduler.bound_keeper.note_stored(decided.bound_changes)
         for worker_id, seen in decided.end_acks.items():
             owner.end_acks[worker_id] = seen
         for start in decided.starts:
@@ -188,16 +202,23 @@
         can_grant = self.now < owner.valid_until
         until = granted
         failures = owner.failures[worker.worker_id]
-        if can_grant and not failures and worker.worker_id in owner.clocks:
+        may_extend = owner.scheduler.may_extend_lease(worker.worker_id)
+        is_known = worker.worker_id in owner.clocks
+        if can_grant and may_extend and not failures and is_known:
             clock, received_at = owner.clocks[worker.worker_id]
             until = int(clock + (self.now - received_at + LEASE_SECONDS) * 1000)
             owner.granted[worker.worker_id] = max(until, granted or 0)
         incarnation, number = owner.end_acks.get(worker.worker_id, (None, 0))
         seen = number if incarnation == worker.incarnation else 0
         report = None
-        if worker.is_up and worker.is_reachable and not self._is_lost():
+        if not can_grant:
+            until = None
+        is_late = self.late_random.random() < DELAY_PROBABILITY
+        if is_late and not self.is_reliable:
+            self._delay_status_check(owner, worker, seen, until)
+        elif worker.is_up and worker.is_reachable and not self._is_lost():
             report = worker.answer_status_check(
-                owner.term, seen, until if can_grant else None, self.now
+                owner.term, seen, until, self.now
             )
             if self._is_lost():
                 report = None
@@ -214,6 +235,16 @@
         owner.clocks[worker.worker_id] = (clock, self.now)
         owner.scheduler.reconciler.apply_report(report)
 
+    def _delay_status_check(self, owner, worker, seen, until):
+        incarnation = worker.incarnation
+
+        def deliver():
+            if worker.is_up and worker.incarnation == incarnation:
+                worker.answer_status_check(owner.term, seen, until, self.now)
+
+        delay = self.late_random.uniform(0.5, MAX_DELAY_SECONDS)
+        self.delayed_calls.append((self.now + delay, deliver))
+
     def _bound_lease_end(self, owner, worker_id):
         granted = owner.granted.get(worker_id)
         if granted is None:
@@ -260,6 +291,8 @@
         step = self.specs[key.job_id].steps[key.step]
         is_long = self.random.random() < self.long_share
         seconds = self.random.uniform(0.2, 8.0 if is_long else 1.5)
+        if step.is_permanent:
+            seconds = math.inf
         outcome = 'failed' if self.random.random() < 0.02 else 'done'
         before = worker.runs.get(key)
         result = worker.start(
--- a/libs/scheduling/features/steps/task_steps.py
+++ b/libs/scheduling/features/steps/task_steps.py
@@ -1,7 +1,9 @@
+import functools
+import math
 import sys
 from pathlib import Path
 
-from behave import given, then, when
+from behave import given, step, then, when
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import given as given_examples
 from hypothesis import strategies as st
@@ -12,6 +14,11 @@
 from fleetsimulation import FleetSimulation, make_step  # noqa: E402
 
 EXAMPLES = 120
+# A permanent task counts as lost from 6 s after the end of its last run, if it
+# does not run for 3 s.
+REPLACEMENT_SECONDS = 9.0
+# Longer than a member's TTL, so that the owner comes back after its successor.
+MEMBERSHIP_LOSS_SECONDS = 2.0
 
 
 @given('a fleet of {count:d} workers')
@@ -48,6 +55,11 @@
     context.job = context.fleet.submit(steps)
 
 
+@given('a job of {count:d} permanent tasks')
+def submit_permanent(context, count):
+    submit(context, make_step(count, is_permanent=True))
+
+
 @given('worker "{name}" fails all tasks')
 def fail_all(context, name):
     find_worker(context.fleet, name).fails_all = True
@@ -63,7 +75,7 @@
     context.fleet.run(seconds)
 
 
-@when('worker "{name}" becomes unreachable')
+@step('worker "{name}" becomes unreachable')
 def make_unreachable(context, name):
     worker = find_worker(context.fleet, name)
     worker.is_reachable = False
@@ -83,6 +95,59 @@
         context.fleet.run(seconds)
 
 
+@when(
+    'the owner {changes} every {seconds:g} seconds until "{name}" is replaced'
+)
+def change_repeatedly(context, changes, seconds, name):
+    fleet = context.fleet
+    worker = find_worker(fleet, name)
+    change = {
+        'hands over': fleet.hand_over,
+        'is killed': fleet.kill_owner,
+        'loses its membership': functools.partial(
+            fleet.freeze_owner, MEMBERSHIP_LOSS_SECONDS
+        ),
+    }[changes]
+    change_at = fleet.now
+    context.work_ended_at = math.inf
+    while fleet.now < context.work_ended_at + REPLACEMENT_SECONDS:
+        if fleet.now >= change_at and fleet.owner is not None:
+            change()
+            change_at += seconds
+        fleet.step()
+        if not worker.runs:
+            context.work_ended_at = min(context.work_ended_at, fleet.now)
+        if all(has_restarted(context, key) for key in context.unreachable_keys):
+            break
+
+
+def has_restarted(context, key):
+    return context.fleet.start_counts[key] > context.counts_before[key]
+
+
+@when('"{name}" is reachable for {seconds:g} second with the store {mode}')
+def reach(context, name, seconds, mode):
+    worker = find_worker(context.fleet, name)
+    context.fleet.is_store_up = mode == 'up'
+    worker.is_reachable = True
+    context.fleet.run(seconds)
+    worker.is_reachable = False
+    context.fleet.is_store_up = True
+
+
+@then('no lease bound is stored')
+def check_no_bound(context):
+    assert not context.fleet.bound_writes, context.fleet.bound_writes
+
+
+@then('a lease bound of "{name}" was stored at most {count:d} times')
+def check_bound_writes(context, name, count):
+    assert 0 < len(context.fleet.bound_writes) <= count, (
+        context.fleet.bound_writes
+    )
+    assert set(context.fleet.list_bounds()) == {name}
+
+
 @then('every task of "{name}" has started elsewhere')
 def check_elsewhere(context, name):
     for key in context.unreachable_keys:
--- a/libs/scheduling/features/tasks.feature
+++ b/libs/scheduling/features/tasks.feature
@@ -34,6 +34,55 @@
     When the owner is killed every 3 seconds, 4 times
     Then every task of "w1" has started elsewhere
 
+  # Guards against permanent tasks that stay away for as long as owners change
+  # faster than the longest lease runs out.
+  Scenario Outline: Permanent tasks of a lost worker are at work again in time although the owner <changes> every <seconds> s
+    Given a fleet of 4 workers on a network that loses nothing
+    And a job of 8 permanent tasks
+    When 2 seconds pass
+    And worker "w1" becomes unreachable
+    Then "w1" had tasks when it became unreachable
+    When the owner <changes> every <seconds> seconds until "w1" is replaced
+    Then every task of "w1" has started elsewhere
+
+    Examples: changes of the owner
+      | changes              | seconds |
+      | hands over           | 1       |
+      | hands over           | 3       |
+      | is killed            | 3       |
+      | loses its membership | 2.5     |
+      | loses its membership | 3       |
+
+  # Guards against a task that runs twice: an owner extends a lease behind the
+  # bound on which its successor relies.
+  Scenario Outline: No lease is extended behind a stored bound, with the store <mode>
+    Given a fleet of 4 workers on a network that loses nothing
+    And a job of 8 permanent tasks
+    When 2 seconds pass
+    And worker "w1" becomes unreachable
+    Then "w1" had tasks when it became unreachable
+    When 1.2 seconds pass
+    And "w1" is reachable for 1 second with the store <mode>
+    And the owner is killed
+    And 12 seconds pass
+    Then every task of "w1" has started elsewhere
+
+    Examples: modes of the store
+      | mode |
+      | up   |
+      | down |
+
+  Scenario: Lease bounds are written rarely, and only for workers with attempts
+    Given a fleet of 4 workers on a network that loses nothing
+    And worker "w2" becomes unreachable
+    When 5 seconds pass
+    Then no lease bound is stored
+    Given a job of 8 permanent tasks
+    When 2 seconds pass
+    And worker "w1" becomes unreachable
+    And 3 seconds pass
+    Then a lease bound of "w1" was stored at most 3 times
+
   Scenario: Tasks keep running when their owner is killed
     Given a fleet of 4 workers
     And a job of 8 long tasks
--- a/libs/scheduling/tarragonlb/scheduling/orders.py
+++ b/libs/scheduling/tarragonlb/scheduling/orders.py
@@ -5,6 +5,7 @@
 
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobState
+from tarragonlb.scheduling.leasebound import NO_BOUND_CHANGES, BoundChanges
 from tarragonlb.scheduling.task import StopReason
 
 
@@ -63,7 +64,7 @@
     sent, and before the ends in ``end_acks`` are acknowledged to the workers.
     ``end_acks`` maps a worker id to the worker's incarnation and the number of
     the last end that was applied.  ``removed`` are the ids of finished jobs
-    whose records are to be removed.
+    whose records are to be removed.  ``bound_changes`` are stored with them.
     """
 
     jobs: tuple[JobState, ...] = ()
@@ -71,4 +72,11 @@
     starts: tuple[StartOrder, ...] = ()
     stops: tuple[StopOrder, ...] = ()
     paces: tuple[PaceOrder, ...] = ()
+    bound_changes: BoundChanges = NO_BOUND_CHANGES
     end_acks: dict[str, tuple[int | None, int]] = field(default_factory=dict)
+
+    @property
+    def has_records(self) -> bool:
+        """Return whether the decision changes anything in the store."""
+        has_bounds = not self.bound_changes.is_empty
+        return bool(self.jobs or self.removed or has_bounds)
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -25,20 +25,40 @@
     worker_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedBound:
+    """How long leases that former owners granted on a worker may still last.
+
+    No more than ``remaining_seconds`` from ``read_at``, when this process read
+    the bound.
+    """
+
+    remaining_seconds: float
+    read_at: float
+
+    @property
+    def lease_end(self) -> float:
+        """Return when the leases have certainly run out."""
+        return self.read_at + self.remaining_seconds
+
+
 class PartitionState:
     """The jobs and workers of the pools of one partition.
 
     ``changed_jobs`` are the ids of jobs whose progress record is out of date.
-    ``released_attempts`` are still to be logged.
+    ``released_attempts`` are still to be logged.  ``stored_bounds`` maps the
+    workers whose lease bound is stored, or being stored, to its seconds.
     """
 
     __slots__ = (
-        '_taken_over_at',
+        '_inherited_bounds',
         'changed_jobs',
         'jobs',
         'queues',
         'released_attempts',
         'settings',
+        'stored_bounds',
+        'taken_over_at',
         'workers',
     )
 
@@ -50,13 +70,27 @@
         self.queues: Mapping[str, Queue] = {}
         self.changed_jobs: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
-        self._taken_over_at = now
-
-    @property
-    def former_leases_end(self) -> float:
-        """Return when all leases granted by former owners have run out."""
-        settings = self.settings
-        return self._taken_over_at + settings.compute_longest_lease()
+        self.taken_over_at = now
+        self.stored_bounds: dict[str, float] = {}
+        self._inherited_bounds: Mapping[str, InheritedBound] = {}
+
+    def inherit_bounds(self, bounds: Mapping[str, InheritedBound]) -> None:
+        """Use the stored lease bounds, before any job or worker is added.
+
+        They must have been read to the end after all former owners were fenced.
+        """
+        self._inherited_bounds = dict(bounds)
+        self.stored_bounds = {
+            worker_id: bound.remaining_seconds
+            for worker_id, bound in bounds.items()
+        }
+
+    def find_former_lease_end(self, worker_id: str) -> float:
+        """Return when all leases of former owners on a worker have run out."""
+        longest = self.settings.compute_longest_lease()
+        latest = self.taken_over_at + longest
+        bound = self._inherited_bounds.get(worker_id)
+        return latest if bound is None else min(latest, bound.lease_end)
 
     def add_job(self, state: JobState) -> None:
         """Add a job and attach the attempts that its record says may run."""
@@ -100,7 +134,7 @@
             known = self.workers.get(worker_id)
             if known is None:
                 self.workers[worker_id] = WorkerState(
-                    worker, self.former_leases_end
+                    worker, self.find_former_lease_end(worker_id)
                 )
             else:
                 known.update(worker)
@@ -111,7 +145,7 @@
         if known is None:
             known = WorkerState(
                 Worker(worker_id=worker_id, pool=pool),
-                self.former_leases_end,
+                self.find_former_lease_end(worker_id),
             )
             known.is_listed = False
             self.workers[worker_id] = known
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from tarragonlb.scheduling.assignment import Assigner
 from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.leasebound import LeaseBoundKeeper
 from tarragonlb.scheduling.orders import SchedulingDecision, StartOrder
 from tarragonlb.scheduling.ordertracker import OrderTracker
 from tarragonlb.scheduling.pacing import Pacer
@@ -30,6 +31,7 @@
     __slots__ = (
         '_assigner',
         '_stop_planner',
+        'bound_keeper',
         'order_tracker',
         'pacer',
         'reconciler',
@@ -44,11 +46,17 @@
         self.reconciler = Reconciler(self.state)
         self.order_tracker = OrderTracker(self.state)
         self.pacer = Pacer(self.state)
+        self.bound_keeper = LeaseBoundKeeper(self.state)
         self._assigner = Assigner(self.state, policy)
         self._stop_planner = StopPlanner(self.state)
 
-    def decide(self, now: Moment) -> SchedulingDecision:
-        """Run one scheduling round."""
+    def decide(
+        self, now: Moment, *, is_store_suspect: bool = False
+    ) -> SchedulingDecision:
+        """Run one scheduling round.
+
+        ``is_store_suspect`` means that the store may be unavailable.
+        """
         state = self.state
         self.reconciler.expire_leases(now.seconds)
         self._stop_planner.evict_permanent_tasks()
@@ -67,12 +75,19 @@
             starts=tuple(starts),
             stops=tuple(self._stop_planner.list_orders(now.seconds)),
             paces=tuple(self.pacer.decide(now.seconds)),
+            bound_changes=self.bound_keeper.decide(
+                now.seconds, is_store_suspect=is_store_suspect
+            ),
             end_acks={
                 worker_id: (worker.incarnation, worker.last_end_number)
                 for worker_id, worker in state.workers.items()
             },
         )
 
+    def may_extend_lease(self, worker_id: str) -> bool:
+        """Return whether leases on a worker may be extended now."""
+        return worker_id not in self.state.stored_bounds
+
     def is_still_wanted(self, order: StartOrder) -> bool:
         """Return whether a stored start order should still be sent."""
         task = self.state.find_attempt(
--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -27,6 +27,17 @@
     refusal_backoff_seconds: float = 0.3
     # Added to computed lease ends, for rounding and delays in the network.
     lease_margin_seconds: float = 0.3
+    # The lease bound of a worker is stored after this much silence.  Lost
+    # replies are not worth a write, after which leases can't be extended until
+    # the next one.
+    min_silence_seconds: float = 1.0
+    # The same for a worker that has not answered since the takeover, which has
+    # no lease from this owner.
+    min_takeover_silence_seconds: float = 0.3
+    # Minimum time between writes of lease bounds to one partition.
+    bound_interval_seconds: float = 1.0
+    # A stored bound is replaced once it has shrunk by this much.
+    min_bound_gain_seconds: float = 0.2
     # An attempt without progress for this time is stalled; reports come at
     # least every second.
     stall_timeout_seconds: float = 2.5
