Log the state of each owned partition once a second

An owner now writes one line a second: workers that have not answered or no more, the age of the oldest report, tasks by phase, permanent tasks not at work with what keeps each worker from taking them, the delay of rounds and the share of a processor. Two histograms show the delay and the age of reports.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -115,3 +115,11 @@
     And the store is in mode "up"
     And 2 seconds pass
     Then the log reports once that "group of owners" is unavailable and once that it recovered
+
+  # Overload, silent workers and stuck tasks could not be told apart.
+  Scenario: An owner logs the state of its partition once a second
+    Given 1 daemons and 2 workers
+    When a job of 2 tasks is submitted
+    And 5 seconds pass
+    Then the log has 4 to 8 lines on the state of the partition
+    And each of them counts 2 workers and 0 silent ones
--- a/libs/controller/features/steps/dependency_steps.py
+++ b/libs/controller/features/steps/dependency_steps.py
@@ -22,3 +22,27 @@
         'dependency: Dependency unavailable.',
         'dependency: Dependency available again.',
     ], sentences
+
+
+@then('the log has {least:d} to {most:d} lines on the state of the partition')
+def collect_states(context, least, most):
+    lines = []
+    eliot.add_destinations(lines.append)
+    # Eliot passes messages logged earlier to the first destination.
+    lines.clear()
+    try:
+        context.simulation.run()
+    finally:
+        eliot.remove_destination(lines.append)
+    context.states = [
+        line
+        for line in lines
+        if line.get('sentence') == 'owner: State of the partition.'
+    ]
+    assert least <= len(context.states) <= most, len(context.states)
+
+
+@then('each of them counts {workers:d} workers and {silent:d} silent ones')
+def check_states(context, workers, silent):
+    counts = {(line['workers'], line['silent']) for line in context.states}
+    assert counts == {(workers, silent)}, counts
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -18,6 +18,7 @@
 from tarragonlb.controller.drainreporter import DrainReporter
 from tarragonlb.controller.loadpublisher import LoadPublisher
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.ownerreport import OwnerReport
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import Clock, Store, WorkerApi
@@ -60,6 +61,7 @@
         '_next_round_at',
         '_nursery',
         '_owned',
+        '_report',
         '_scheduler',
         '_sessions',
         '_settings',
@@ -93,6 +95,7 @@
         ](INBOX_SIZE)
         self._sessions: dict[str, WorkerSession] = {}
         self._decision_log = DecisionLog(owned)
+        self._report = OwnerReport(owned, clock.read_monotonic())
         self._is_storing = False
         self._next_round_at = 0.0
         self._scheduler = Scheduler(
@@ -162,6 +165,7 @@
 
     async def _run_rounds(self) -> None:
         settings = self._settings
+        self._next_round_at = self._clock.read_monotonic()
         while True:
             now = self._clock.read_monotonic()
             wait_seconds = max(self._next_round_at - now, 0)
@@ -178,6 +182,11 @@
             self._handle_queued_events()
             if self._clock.read_monotonic() >= self._next_round_at:
                 self._run_round()
+            self._report.emit_if_due(
+                self._scheduler.state,
+                self._inbox_receiver.statistics().current_buffer_used,
+                self._clock.read_monotonic(),
+            )
 
     def _handle_queued_events(self) -> None:
         while True:
@@ -189,12 +198,14 @@
 
     def _run_round(self) -> None:
         now = self._clock.read_monotonic()
+        delay = now - self._next_round_at
         self._next_round_at = now + self._settings.max_round_interval_seconds
         if self._is_storing:
             return
         decision = self._scheduler.decide(read_moment(self._clock))
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
+        self._report.note_round(delay, elapsed)
         self._decision_log.log_released(self._scheduler.state.released_attempts)
         self._decision_log.log_stops(decision.stops)
         for stop in decision.stops:
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -71,6 +71,20 @@
     (),
     'One round of scheduling decisions, without storing it.',
 )
+ROUND_DELAY_SECONDS = Metric(
+    'tarragonlb.round.delay',
+    'histogram',
+    's',
+    (),
+    'How much later than planned a round of scheduling decisions started.',
+)
+REPORT_AGE_SECONDS = Metric(
+    'tarragonlb.report.age',
+    'histogram',
+    's',
+    (),
+    'Age of the oldest report of a reachable worker, once a second.',
+)
 FLEET_METRICS = (
     JOB_REQUESTS,
     TASK_STARTS,
@@ -81,6 +95,8 @@
     TERMS,
     STORE_SECONDS,
     ROUND_SECONDS,
+    ROUND_DELAY_SECONDS,
+    REPORT_AGE_SECONDS,
 )
 
 
