Let scheduling rounds without changes cost next to nothing

Callers saw jobs late at every peak while the owner of the pool had no processor time left.

Rounds now look at the pools whose jobs or workers have changed, and at those with backoffs or due times every 0.1 s. A pool's workers are kept in the order of free CPU; a step is skipped once one that needs no more has found no room; the first clean worker in that order ends the search. Stops and paces visit only workers that have some or have reported, stalled attempts are looked for five times a second, finished jobs once.

--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -319,9 +319,9 @@
             == self._owned.partition
         ]
         partition_state.update_workers(partition_workers)
-        drain_requests = view.fleet_state.drain_requests_by_worker
-        for worker_id, state in partition_state.workers.items():
-            state.is_drain_requested = worker_id in drain_requests
+        partition_state.apply_drain_requests(
+            view.fleet_state.drain_requests_by_worker
+        )
         self._update_sessions()
 
     def _update_sessions(self) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -7,8 +7,15 @@
 asked of each pool than it has, and in order of arrival every job would be
 late.  A permanent task that fits on no worker reserves the one with the most
 free CPU, so that a stream of small tasks cannot starve it.
+
+A round looks only at pools whose jobs or workers have changed since the last
+one.  Backoffs and due times pass without such an event, so pools that have any
+are looked at again after a short time.
 """
 
+from collections.abc import Container, Iterator
+
+from tarragonlb.scheduling.candidates import PoolCandidates
 from tarragonlb.scheduling.job import Moment, Step, TaskKey
 from tarragonlb.scheduling.jobstate import JobState, StepState
 from tarragonlb.scheduling.orders import StartOrder
@@ -22,6 +29,10 @@
 from tarragonlb.scheduling.task import TaskPhase, TaskState
 from tarragonlb.scheduling.worker import WorkerState
 
+# Time between two rounds that look at all pools.
+FULL_PASS_INTERVAL_SECONDS = 1.0
+# Time after which a pool with backoffs or due times is looked at again.
+RETRY_SECONDS = 0.1
 # Delay from placing a task to its start, plus from its end to the report.
 PLACEMENT_OVERHEAD_SECONDS = 0.2
 # Longest time for which a late job is deferred; peaks are shorter.
@@ -91,7 +102,15 @@
 class Assigner:
     """Chooses workers for the ready tasks of a partition."""
 
-    __slots__ = ('_partition', '_policy', '_reserved')
+    __slots__ = (
+        '_candidates',
+        '_next_full_pass_at',
+        '_partition',
+        '_policy',
+        '_queues',
+        '_reserved',
+        '_retry_at',
+    )
 
     def __init__(
         self, partition: PartitionState, policy: PlacementPolicy
@@ -100,28 +119,73 @@
         self._partition = partition
         self._policy = policy
         self._reserved: set[str] = set()
+        self._candidates: dict[str, PoolCandidates] = {}
+        self._queues = partition.queues
+        self._next_full_pass_at = 0.0
+        self._retry_at: dict[str, float] = {}
 
     def place_ready(self, now: Moment) -> list[StartOrder]:
         """Place the tasks that fit; return the orders to send once stored."""
+        pools = self._choose_pools(now.seconds)
+        if pools is not None and not pools:
+            return []
         self._reserved.clear()
+        self._candidates.clear()
+        self._partition.changed_pools.clear()
         orders: list[StartOrder] = []
-        for ready in sorted(self._list_ready(now), key=_get_rank):
+        for ready in sorted(self._list_ready(now, pools), key=_get_rank):
             orders.extend(self._place_step(ready, now.seconds))
         return orders
 
-    def _list_ready(self, now: Moment) -> list[ReadyStep]:
+    def _choose_pools(self, now: float) -> set[str] | None:
+        """Return the pools to look at in this round, None for all pools."""
+        partition = self._partition
+        are_queues_new = partition.queues is not self._queues
+        if are_queues_new or now >= self._next_full_pass_at:
+            self._queues = partition.queues
+            self._next_full_pass_at = now + FULL_PASS_INTERVAL_SECONDS
+            self._retry_at.clear()
+            return None
+        due = [pool for pool, at in self._retry_at.items() if now >= at]
+        for pool in due:
+            self._retry_at.pop(pool)
+        return partition.changed_pools.union(due)
+
+    def _retry_later(self, pool: str, now: float) -> None:
+        self._retry_at.setdefault(pool, now + RETRY_SECONDS)
+
+    def _list_ready(
+        self, now: Moment, pools: Container[str] | None
+    ) -> list[ReadyStep]:
         found: list[ReadyStep] = []
-        for job_state in self._partition.jobs.values():
+        for job_state in self._partition.open_jobs.values():
+            if pools is not None and job_state.job.pool not in pools:
+                continue
             queue = self._partition.queues.get(job_state.job.queue)
-            if queue is not None and job_state.is_open:
+            if queue is not None:
                 # No occurrence starts early by ``wall_ms``, a wall clock
                 # without short jumps.
                 job_state.add_due_occurrences(now.wall_ms)
+                if job_state.has_occurrences_to_come:
+                    self._retry_later(job_state.job.pool, now.seconds)
                 found.extend(_list_ready_steps(job_state, queue, now))
         return found
 
+    def _get_candidates(self, pool: str) -> PoolCandidates:
+        candidates = self._candidates.get(pool)
+        if candidates is None:
+            candidates = PoolCandidates(
+                worker
+                for worker in self._partition.workers.values()
+                if worker.entry.pool == pool
+            )
+            self._candidates[pool] = candidates
+        return candidates
+
     def _place_step(self, ready: ReadyStep, now: float) -> list[StartOrder]:
         waiting = ready.list_waiting(now)
+        if len(waiting) < ready.step_state.count_waiting():
+            self._retry_later(ready.job_state.job.pool, now)
         if ready.step.is_gang:
             return self._place_gang(ready, waiting, now)
         orders = []
@@ -161,6 +225,9 @@
             if task.is_attached:
                 worker = self._partition.workers[task.worker_id]
                 worker.detach(TaskKey(*ready.key, index))
+                self._get_candidates(
+                    ready.job_state.job.pool
+                ).move_after_change(worker)
                 task.release()
                 task.attempt = attempts[index]
         if not was_changed:
@@ -174,9 +241,13 @@
         attempt: int = 0,
     ) -> StartOrder | None:
         task = ready.step_state.tasks[index]
-        worker = self._policy.choose(
-            ready.step, task, self._list_candidates(ready, task, now)
-        )
+        worker = None
+        if not self._get_candidates(ready.job_state.job.pool).is_full(
+            ready.step
+        ):
+            worker = self._policy.choose(
+                ready.step, task, self._list_candidates(ready, task, now)
+            )
         if worker is None:
             if ready.step.is_permanent:
                 self._reserve(ready)
@@ -195,7 +266,8 @@
         task = ready.step_state.tasks[index]
         worker_id = worker.entry.worker_id
         task.place(worker_id, attempt or task.attempt + 1, now)
-        worker.attach(key, task.attempt, ready.step)
+        worker.attach(key, task, ready.step)
+        self._get_candidates(ready.job_state.job.pool).move_after_change(worker)
         ready.job_state.began = True
         self._partition.changed_jobs.add(key.job_id)
         return StartOrder(
@@ -208,15 +280,16 @@
 
     def _list_candidates(
         self, ready: ReadyStep, task: TaskState, now: float
-    ) -> list[WorkerState]:
-        pool = ready.job_state.job.pool
-        return [
-            worker
-            for worker in self._partition.workers.values()
-            if worker.entry.pool == pool
-            and worker.entry.worker_id not in self._reserved
-            and is_candidate(worker, ready.step, ready.key, task, now)
-        ]
+    ) -> Iterator[WorkerState]:
+        candidates = self._get_candidates(ready.job_state.job.pool)
+        for worker in candidates.list_fitting(ready.step):
+            if worker.failures:
+                self._retry_later(worker.entry.pool, now)
+            is_free = worker.entry.worker_id not in self._reserved
+            if is_free and is_candidate(
+                worker, ready.step, ready.key, task, now
+            ):
+                yield worker
 
     def _reserve(self, ready: ReadyStep) -> None:
         eligible = [
@@ -237,7 +310,9 @@
     return [
         ReadyStep(job_state, occurrence, number, queue, now)
         for occurrence, number, state in job_state.list_steps()
-        if not state.is_done and job_state.is_ready(occurrence, number)
+        if not state.is_done
+        and state.count_waiting()
+        and job_state.is_ready(occurrence, number)
     ]
 
 
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -52,16 +52,17 @@
     if not workers:
         return None
     jobs = [
-        state for state in partition.jobs.values() if state.job.pool == pool
+        state
+        for state in partition.open_jobs.values()
+        if state.job.pool == pool
     ]
     total = _DemandSum()
     min_workers = MIN_WORKERS
     for state in jobs:
-        if state.is_open:
-            _add_job_demand(state, total)
-            min_workers = max(
-                min_workers, _count_spread_workers(state) + SPARE_WORKERS
-            )
+        _add_job_demand(state, total)
+        min_workers = max(
+            min_workers, _count_spread_workers(state) + SPARE_WORKERS
+        )
     wanted = max(min_workers, _count_demanded_workers(total, workers))
     with_permanent_tasks = tuple(
         worker.entry.worker_id for worker in workers if worker.count_permanent()
--- a/libs/scheduling/tarragonlb/scheduling/health.py
+++ b/libs/scheduling/tarragonlb/scheduling/health.py
@@ -65,8 +65,7 @@
     ]
     phases = Counter(
         task.phase.name.lower()
-        for state in partition.jobs.values()
-        if state.is_open
+        for state in partition.open_jobs.values()
         for _, task in state.list_tasks()
     )
     idle = tuple(_list_idle_permanent(partition))
@@ -88,9 +87,7 @@
 def _list_idle_permanent(
     partition: PartitionState,
 ) -> Iterator[tuple[TaskKey, TaskState]]:
-    for state in partition.jobs.values():
-        if not state.is_open:
-            continue
+    for state in partition.open_jobs.values():
         for occurrence, number, step_state in state.list_steps():
             if state.job.spec.steps[number].is_permanent:
                 yield from _list_idle(
--- a/libs/scheduling/tarragonlb/scheduling/jobstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobstate.py
@@ -31,6 +31,10 @@
         """Return whether every task is done."""
         return self.done >= len(self.tasks)
 
+    def count_waiting(self) -> int:
+        """Return how many tasks wait for a worker."""
+        return [task.phase for task in self.tasks].count(TaskPhase.WAITING)
+
 
 class JobState:
     """A job and its progress.
@@ -70,6 +74,11 @@
         """Return whether tasks of the job may still be started."""
         return self.outcome is JobOutcome.OPEN and not self.cancelled
 
+    @property
+    def has_occurrences_to_come(self) -> bool:
+        """Return whether occurrences are not due yet."""
+        return len(self.occurrences) < self.job.spec.occurrence_count
+
     def add_due_occurrences(self, wall_ms: float) -> None:
         """Add the occurrences that have come due."""
         spec = self.job.spec
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -68,4 +68,4 @@
         state = self._partition.jobs[key.job_id]
         for task in state.get_step(key).tasks:
             if task.is_attached:
-                task.begin_stop(StopReason.GANG_BROKEN)
+                self._partition.begin_stop(task, StopReason.GANG_BROKEN)
--- a/libs/scheduling/tarragonlb/scheduling/pacing.py
+++ b/libs/scheduling/tarragonlb/scheduling/pacing.py
@@ -18,24 +18,21 @@
     A pace is the percentage of full speed; an attempt starts at 100.
     """
 
-    __slots__ = ('_decided_at', '_paces', '_partition')
+    __slots__ = ('_paces', '_partition')
 
     def __init__(self, partition: PartitionState) -> None:
         """Pace the scavenging attempts of ``partition``."""
         self._partition = partition
         self._paces: dict[tuple[TaskKey, int], int] = {}
-        self._decided_at: dict[str, float] = {}
 
-    def decide(self, now: float) -> list[PaceOrder]:
+    def decide(self) -> list[PaceOrder]:
         """Return the paces to change; decide once for each new report."""
         orders: list[PaceOrder] = []
-        for worker_id, worker in self._partition.workers.items():
-            last_report_at = worker.last_report_at
-            if last_report_at is None or worker.is_silent:
-                continue
-            if self._decided_at.get(worker_id, -1.0) < last_report_at:
-                self._decided_at[worker_id] = last_report_at
+        for worker_id in self._partition.reported_workers:
+            worker = self._partition.workers.get(worker_id)
+            if worker is not None and not worker.is_silent:
                 orders.extend(self._pace_worker(worker))
+        self._partition.reported_workers.clear()
         return orders
 
     def note_refused(self, order: PaceOrder) -> None:
@@ -43,7 +40,7 @@
         self._paces.pop((order.key, order.attempt), None)
 
     def _pace_worker(self, worker: WorkerState) -> list[PaceOrder]:
-        scavengers = self._list_scavengers(worker)
+        scavengers = _list_scavengers(worker)
         if not scavengers:
             return []
         latency_ratio = self._measure_latency_ratio(worker)
@@ -75,22 +72,18 @@
 
     def _measure_latency_ratio(self, worker: WorkerState) -> float:
         latency_ratio = 0.0
-        for key in worker.attached:
-            state = self._partition.jobs[key.job_id]
-            target_ms = state.job.spec.steps[key.step].latency_target_ms
-            task = state.find(key)
-            if target_ms and task is not None and task.is_serving:
+        for attachment in worker.attached.values():
+            target_ms = attachment.step.latency_target_ms
+            task = attachment.task
+            if target_ms and task.is_serving:
                 latency_ratio = max(latency_ratio, task.tail_ms / target_ms)
         return latency_ratio
 
-    def _list_scavengers(
-        self, worker: WorkerState
-    ) -> list[tuple[TaskKey, int]]:
-        found = []
-        for key, attachment in worker.attached.items():
-            state = self._partition.jobs[key.job_id]
-            task = state.find(key)
-            is_running = task is not None and task.phase is TaskPhase.RUNNING
-            if is_running and state.job.spec.steps[key.step].scavenges:
-                found.append((key, attachment.attempt))
-        return found
+
+def _list_scavengers(worker: WorkerState) -> list[tuple[TaskKey, int]]:
+    return [
+        (key, attachment.attempt)
+        for key, attachment in worker.attached.items()
+        if attachment.step.scavenges
+        and attachment.task.phase is TaskPhase.RUNNING
+    ]
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -4,7 +4,7 @@
 package.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 
 from tarragonlb.scheduling.job import Step, TaskKey
@@ -29,16 +29,25 @@
     """The jobs and workers of the pools of one partition.
 
     ``changed_jobs`` are the ids of jobs whose progress record is out of date.
-    ``released_attempts`` are still to be logged.
+    ``released_attempts`` are still to be logged.  ``open_jobs`` are the jobs
+    of which tasks may still be started; ``jobs`` also holds finished ones for
+    as long as their state can be queried.  ``changed_pools`` are pools whose
+    jobs or workers have changed since tasks were last placed there.
+    ``reported_workers`` have reported since they were last paced, and
+    ``stopping_workers`` may have attempts that are to be stopped.
     """
 
     __slots__ = (
         '_taken_over_at',
         'changed_jobs',
+        'changed_pools',
         'jobs',
+        'open_jobs',
         'queues',
         'released_attempts',
+        'reported_workers',
         'settings',
+        'stopping_workers',
         'workers',
     )
 
@@ -46,10 +55,14 @@
         """Start without jobs, after a takeover at ``now`` seconds."""
         self.settings = settings
         self.jobs: dict[str, JobState] = {}
+        self.open_jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.queues: Mapping[str, Queue] = {}
         self.changed_jobs: set[str] = set()
+        self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
+        self.reported_workers: set[str] = set()
+        self.stopping_workers: set[str] = set()
         self._taken_over_at = now
 
     @property
@@ -64,11 +77,14 @@
         if job_id in self.jobs:
             return
         self.jobs[job_id] = state
+        if state.is_open:
+            self.open_jobs[job_id] = state
+        self.changed_pools.add(state.job.pool)
         for key, task in state.list_tasks():
             if task.is_attached:
                 worker = self.find_worker(task.worker_id, state.job.pool)
-                step = state.job.spec.steps[key.step]
-                worker.attach(key, task.attempt, step)
+                worker.attach(key, task, state.job.spec.steps[key.step])
+                self.stopping_workers.add(task.worker_id)
 
     def cancel_job(self, job_id: str, now: float) -> None:
         """Cancel a job and stop all its attempts."""
@@ -83,10 +99,15 @@
     ) -> None:
         """Set the outcome of a job and stop its attempts."""
         state.close(outcome, now)
-        self.changed_jobs.add(state.job.job_id)
+        self._note_changed(state)
         for _, task in state.list_tasks():
             if task.is_attached:
-                task.begin_stop(StopReason.JOB_OVER)
+                self.begin_stop(task, StopReason.JOB_OVER)
+
+    def begin_stop(self, task: TaskState, reason: StopReason) -> None:
+        """Have the attempt of an attached task stopped."""
+        task.begin_stop(reason)
+        self.stopping_workers.add(task.worker_id)
 
     def update_workers(self, workers: Iterable[Worker]) -> None:
         """Apply the worker directory: all listed workers of these pools."""
@@ -102,8 +123,17 @@
                 self.workers[worker_id] = WorkerState(
                     worker, self.former_leases_end
                 )
-            else:
+            elif known.entry != worker:
                 known.update(worker)
+                self.changed_pools.add(worker.pool)
+
+    def apply_drain_requests(self, worker_ids: Container[str]) -> None:
+        """Drain the requested workers, and use all others again."""
+        for worker_id, worker in self.workers.items():
+            is_requested = worker_id in worker_ids
+            if worker.is_drain_requested and not is_requested:
+                self.changed_pools.add(worker.entry.pool)
+            worker.is_drain_requested = is_requested
 
     def find_worker(self, worker_id: str, pool: str) -> WorkerState:
         """Return a worker; add one that the directory does not list."""
@@ -140,7 +170,7 @@
         )
         self._detach(key, task)
         task.release()
-        self.changed_jobs.add(key.job_id)
+        self._note_changed(self.jobs[key.job_id])
 
     def finish(self, key: TaskKey, now: float) -> None:
         """Mark a task, or all tasks of its gang, as done."""
@@ -150,9 +180,16 @@
             if index == key.position or step.is_gang:
                 self._detach(key._replace(position=index), task)
         state.finish_task(key, now)
-        self.changed_jobs.add(key.job_id)
+        self._note_changed(state)
 
     def _detach(self, key: TaskKey, task: TaskState) -> None:
         worker = self.workers.get(task.worker_id)
         if worker is not None and task.phase is not TaskPhase.WAITING:
             worker.detach(key)
+            self.changed_pools.add(worker.entry.pool)
+
+    def _note_changed(self, state: JobState) -> None:
+        self.changed_jobs.add(state.job.job_id)
+        self.changed_pools.add(state.job.pool)
+        if not state.is_open:
+            self.open_jobs.pop(state.job.job_id, None)
--- a/libs/scheduling/tarragonlb/scheduling/placement.py
+++ b/libs/scheduling/tarragonlb/scheduling/placement.py
@@ -49,7 +49,10 @@
     def choose(
         self, step: Step, task: TaskState, candidates: Iterable[WorkerState]
     ) -> WorkerState | None:
-        """Return the worker to use, or None to leave the task waiting."""
+        """Return the worker to use, or None to leave the task waiting.
+
+        ``candidates`` come with the least free CPU first.
+        """
 
 
 class FirstFit(PlacementPolicy):
@@ -78,6 +81,13 @@
         self, step: Step, task: TaskState, candidates: Iterable[WorkerState]
     ) -> WorkerState | None:
         """Return the best candidate."""
+        if not step.is_permanent:
+            seen = []
+            for worker in candidates:
+                if _is_first_choice(worker, step, task):
+                    return worker
+                seen.append(worker)
+            candidates = seen
         return max(
             candidates,
             key=lambda worker: (
@@ -89,3 +99,9 @@
             ),
             default=None,
         )
+
+
+def _is_first_choice(worker: WorkerState, step: Step, task: TaskState) -> bool:
+    if worker.failures or worker.entry.worker_id in task.avoided:
+        return False
+    return worker.entry.has_local_data(step)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -40,8 +40,10 @@
             and report.incarnation != worker.incarnation
         ):
             self.end_incarnation(worker, 'the worker was born anew')
+        was_usable = worker.is_usable() and not worker.failures
         worker.incarnation = report.incarnation
         worker.last_report_at = report.received_at
+        self._partition.reported_workers.add(report.worker_id)
         worker.is_silent = False
         for end in report.ended:
             if end.number > worker.last_end_number:
@@ -51,6 +53,8 @@
         for key, attachment in tuple(worker.attached.items()):
             if (key, attachment.attempt) not in listed:
                 self._handle_unlisted(worker, key, report)
+        if not was_usable and worker.is_usable():
+            self._partition.changed_pools.add(worker.entry.pool)
 
     def note_silence(self, worker_id: str, lease_until: float) -> None:
         """Stop using a worker until it answers again.
@@ -116,6 +120,7 @@
         if known is None or known.attempt != row.attempt:
             known = OrphanedAttempt(row.attempt)
             worker.orphans[row.key] = known
+            self._partition.stopping_workers.add(worker.entry.worker_id)
         known.was_listed = True
 
     def _update_running(
@@ -167,6 +172,7 @@
     def _orphan_attempt(self, worker: WorkerState, key: TaskKey) -> None:
         attempt = worker.attached[key].attempt
         worker.orphans[key] = OrphanedAttempt(attempt)
+        self._partition.stopping_workers.add(worker.entry.worker_id)
 
     def _fail_job_if_exhausted(
         self, key: TaskKey, task: TaskState, now: float
@@ -187,7 +193,7 @@
         if report.requested_at <= task.settled_at:
             return
         if task.phase is not TaskPhase.STOPPING:
-            task.begin_stop(StopReason.NOT_LISTED)
+            self._partition.begin_stop(task, StopReason.NOT_LISTED)
         elif (
             task.barred_at is not None and report.requested_at > task.barred_at
         ):
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -23,12 +23,16 @@
 from tarragonlb.scheduling.stopping import StopPlanner
 from tarragonlb.scheduling.task import TaskPhase
 
+# Finished jobs are looked through this often, since most rounds remove none.
+CLEANUP_INTERVAL_SECONDS = 1.0
+
 
 class Scheduler:
     """Schedules all pools of one partition, during one term."""
 
     __slots__ = (
         '_assigner',
+        '_next_cleanup_at',
         '_stop_planner',
         'order_tracker',
         'pacer',
@@ -46,6 +50,7 @@
         self.pacer = Pacer(self.state)
         self._assigner = Assigner(self.state, policy)
         self._stop_planner = StopPlanner(self.state)
+        self._next_cleanup_at = now
 
     def decide(self, now: Moment) -> SchedulingDecision:
         """Run one scheduling round."""
@@ -66,7 +71,7 @@
             removed=removed,
             starts=tuple(starts),
             stops=tuple(self._stop_planner.list_orders(now.seconds)),
-            paces=tuple(self.pacer.decide(now.seconds)),
+            paces=tuple(self.pacer.decide()),
             end_acks={
                 worker_id: (worker.incarnation, worker.last_end_number)
                 for worker_id, worker in state.workers.items()
@@ -84,6 +89,9 @@
         return worker is not None and not worker.entry.is_draining
 
     def _forget_finished(self, now: float) -> tuple[str, ...]:
+        if now < self._next_cleanup_at:
+            return ()
+        self._next_cleanup_at = now + CLEANUP_INTERVAL_SECONDS
         limit = now - self.state.settings.status_retention_seconds
         old = [
             job_id
--- a/libs/scheduling/tarragonlb/scheduling/stopping.py
+++ b/libs/scheduling/tarragonlb/scheduling/stopping.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from tarragonlb.scheduling.job import TaskKey
+from tarragonlb.scheduling.job import Step, TaskKey
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.orders import StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
@@ -10,15 +10,19 @@
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.worker import OrphanedAttempt, WorkerState
 
+# Time between two searches for stalled attempts, which last much longer.
+STALL_CHECK_INTERVAL_SECONDS = 0.2
+
 
 class StopPlanner:
     """Decides which attempts of a partition are stopped."""
 
-    __slots__ = ('_partition',)
+    __slots__ = ('_next_stall_check_at', '_partition')
 
     def __init__(self, partition: PartitionState) -> None:
         """Update ``partition``, which the caller owns."""
         self._partition = partition
+        self._next_stall_check_at = 0.0
 
     def evict_permanent_tasks(self) -> None:
         """Start to evict permanent tasks from workers that are being drained.
@@ -31,54 +35,53 @@
         for worker in self._partition.workers.values():
             if not (worker.is_drain_requested or worker.entry.is_draining):
                 continue
-            for key in tuple(worker.attached):
-                self._evict_permanent(worker, key)
+            for key, attachment in tuple(worker.attached.items()):
+                if attachment.step.is_permanent:
+                    self._evict_permanent(worker, key)
 
     def stop_stalled(self, now: float) -> None:
         """Start to stop attempts that make no progress."""
+        if now < self._next_stall_check_at:
+            return
+        self._next_stall_check_at = now + STALL_CHECK_INTERVAL_SECONDS
         timeout = self._partition.settings.stall_timeout_seconds
         for worker in self._partition.workers.values():
             if worker.is_silent or worker.last_report_at is None:
                 continue
-            for key in tuple(worker.attached):
-                task = self._find(key)
-                if self._is_stalled(key, task, now - timeout):
-                    task.begin_stop(StopReason.STALLED)
-                    task.avoided.add(worker.entry.worker_id)
-                    worker.note_failure(now)
+            stalled = [
+                attachment.task
+                for attachment in worker.attached.values()
+                if attachment.task.progress_at < now - timeout
+                and _can_stall(attachment.step, attachment.task)
+            ]
+            for task in stalled:
+                self._partition.begin_stop(task, StopReason.STALLED)
+                task.avoided.add(worker.entry.worker_id)
+                worker.note_failure(now)
 
     def list_orders(self, now: float) -> list[StopOrder]:
         """Return the stop orders that are due, including repeated ones."""
         orders: list[StopOrder] = []
         since = now - self._partition.settings.stop_retry_seconds
-        for worker in self._partition.workers.values():
+        stopping_workers = self._partition.stopping_workers
+        for worker_id in tuple(stopping_workers):
+            worker = self._partition.workers.get(worker_id)
+            if worker is None:
+                stopping_workers.discard(worker_id)
+                continue
             if worker.is_silent or worker.last_report_at is None:
                 continue
-            orders.extend(self._list_stopping(worker, since, now))
-            orphans = worker.orphans.items()
-            orders.extend(_build_due_orders(worker, orphans, since, now))
+            attempts: list[tuple[TaskKey, TaskState | OrphanedAttempt]] = [
+                (key, attachment.task)
+                for key, attachment in worker.attached.items()
+                if attachment.task.phase is TaskPhase.STOPPING
+            ]
+            attempts.extend(worker.orphans.items())
+            orders.extend(_build_due_orders(worker, attempts, since, now))
+            if not attempts:
+                stopping_workers.discard(worker_id)
         return orders
 
-    def _list_stopping(
-        self, worker: WorkerState, since: float, now: float
-    ) -> list[StopOrder]:
-        stopping = [
-            (key, self._find(key))
-            for key in worker.attached
-            if self._find(key).phase is TaskPhase.STOPPING
-        ]
-        return _build_due_orders(worker, stopping, since, now)
-
-    def _is_stalled(
-        self, key: TaskKey, task: TaskState, progress_before: float
-    ) -> bool:
-        if task.phase is not TaskPhase.RUNNING:
-            return False
-        step = self._partition.find_step(key)
-        if step.is_gang or (step.is_permanent and task.is_serving):
-            return False
-        return task.progress_at < progress_before
-
     def _evict_permanent(self, worker: WorkerState, key: TaskKey) -> None:
         state = self._partition.jobs[key.job_id]
         step = self._partition.find_step(key)
@@ -87,7 +90,7 @@
             return
         is_allowed = worker.entry.is_draining or self._can_disrupt(state, key)
         if is_allowed and self._has_other_worker(state, key):
-            task.begin_stop(StopReason.MOVE)
+            self._partition.begin_stop(task, StopReason.MOVE)
 
     def _can_disrupt(self, state: JobState, key: TaskKey) -> bool:
         budget = state.job.spec.steps[key.step].disruption_budget
@@ -117,6 +120,12 @@
         return task
 
 
+def _can_stall(step: Step, task: TaskState) -> bool:
+    if task.phase is not TaskPhase.RUNNING or step.is_gang:
+        return False
+    return not (step.is_permanent and task.is_serving)
+
+
 def _build_due_orders(
     worker: WorkerState,
     attempts: Iterable[tuple[TaskKey, TaskState | OrphanedAttempt]],
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -5,10 +5,11 @@
 orphaned attempt gets no tasks at all.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from tarragonlb.scheduling.job import Demand, Step, TaskKey
-from tarragonlb.scheduling.task import StopReason
+from tarragonlb.scheduling.task import StopReason, TaskState
 
 # Backoff of a worker after a failed task; doubled for each failure in a row.
 PROBE_BACKOFF_SECONDS = 0.25
@@ -43,12 +44,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Attachment:
-    """An attempt that occupies capacity of a worker."""
+    """An attempt of ``task`` that occupies capacity of a worker."""
 
     attempt: int
     demand: Demand
     step_key: tuple[str, int, int]
-    is_permanent: bool
+    step: Step
+    task: TaskState
+
+    @property
+    def is_permanent(self) -> bool:
+        """Return whether the attempt is of a permanent task."""
+        return self.step.is_permanent
 
 
 class OrphanedAttempt:
@@ -82,6 +89,8 @@
     """The state of a worker; times are seconds on the monotonic clock."""
 
     __slots__ = (
+        '_permanent_count',
+        '_step_counts',
         'attached',
         'entry',
         'failures',
@@ -107,6 +116,8 @@
         """
         self.entry = worker
         self.attached: dict[TaskKey, Attachment] = {}
+        self._step_counts: Counter[tuple[str, int, int]] = Counter()
+        self._permanent_count = 0
         self.orphans: dict[TaskKey, OrphanedAttempt] = {}
         self.incarnation: int | None = None
         self.last_report_at: float | None = None
@@ -131,21 +142,27 @@
         self.entry = worker
         self.is_listed = True
 
-    def attach(self, key: TaskKey, attempt: int, step: Step) -> None:
-        """Occupy capacity for an attempt."""
+    def attach(self, key: TaskKey, task: TaskState, step: Step) -> None:
+        """Occupy capacity for the present attempt of a task."""
         demand = step.demand
         if step.scavenges:
             demand = Demand(0, demand.memory_mb, demand.gpus)
         step_key = (key.job_id, key.occurrence, key.step)
         self.attached[key] = Attachment(
-            attempt, demand, step_key, step.is_permanent
+            task.attempt, demand, step_key, step, task
         )
+        self._step_counts[step_key] += 1
+        self._permanent_count += step.is_permanent
         self._occupy(demand, 1)
 
     def detach(self, key: TaskKey) -> None:
         """Free the capacity of an attempt that is over."""
         attachment = self.attached.pop(key, None)
         if attachment is not None:
+            self._step_counts[attachment.step_key] -= 1
+            if not self._step_counts[attachment.step_key]:
+                self._step_counts.pop(attachment.step_key)
+            self._permanent_count -= attachment.step.is_permanent
             self._occupy(attachment.demand, -1)
 
     def can_fit(self, step: Step) -> bool:
@@ -157,19 +174,11 @@
 
     def count_step_tasks(self, step_key: tuple[str, int, int]) -> int:
         """Count the attached tasks of one occurrence of a step."""
-        return sum(
-            1
-            for attachment in self.attached.values()
-            if attachment.step_key == step_key
-        )
+        return self._step_counts.get(step_key, 0)
 
     def count_permanent(self) -> int:
         """Count the attached permanent tasks."""
-        return sum(
-            1
-            for attachment in self.attached.values()
-            if attachment.is_permanent
-        )
+        return self._permanent_count
 
     def is_usable(self) -> bool:
         """Return whether tasks may be placed here, apart from free capacity."""
