Keep what overlapping and abandoned reads have read

Callers got 410 for jobs that had been accepted (rule LOST), and counted them as failed.

Cause: a query for an unknown job read to the end of the partition and applied the records only then, but the position had moved with the first read. Another query in between started behind those records, found nothing and answered "no such job". And a client that hung up cancelled the query between its two reads: then the daemon never saw these records.

Each read is now applied before control passes to another task.

Both tests failed before. Ruled out: the race does not come from the store, whose reads are linearizable.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -67,6 +67,19 @@
     Then the other daemon knows the job
     And it does not know a job that was never submitted
 
+  # Guards against 410 for an accepted job while another query reads its record.
+  Scenario: Queries that overlap find the same jobs
+    Given a daemon whose reads at the end of a partition take 0.5 s
+    When two queries for a job that it has not read come 0.1 s apart
+    Then both report the job as queued
+
+  # Guards against 410 for an accepted job whose record a client that hung up
+  # had caused to be read.
+  Scenario: A query that is abandoned loses no records
+    Given a daemon whose reads at the end of a partition take 0.5 s
+    When a query for a job that it has not read is abandoned after 0.1 s
+    Then a later query reports the job as queued
+
   Scenario: Records that expired unread are replaced by the newest records
     Given 1 daemons and 2 workers
     When the records of the pool expire
--- /dev/null
+++ b/libs/controller/features/steps/query_steps.py
@@ -0,0 +1,90 @@
+import trio
+import trio.testing
+from behave import given, then, when
+from controller_steps import SETTINGS
+from fakeplatform import QUEUE, FakeClock, FakeStore
+
+from tarragonlb.controller.jobservice import JobService
+from tarragonlb.controller.partition import PartitionFeed
+from tarragonlb.controller.platformview import PlatformView
+from tarragonlb.controller.ports import Topic
+from tarragonlb.scheduling.job import Demand, Job, JobSpec, Step
+from tarragonlb.scheduling.records import build_submission_record
+
+JOB = Job(
+    job_id='a' * 16,
+    queue=QUEUE.name,
+    pool=QUEUE.pool,
+    spec=JobSpec(payload='x', steps=(Step(width=1, demand=Demand(1, 1)),)),
+)
+PARTITION = SETTINGS.find_partition(QUEUE.pool)
+
+
+class StoreWithSlowReadsAtEnd(FakeStore):
+    """Each read that finds no record takes longer than the next one."""
+
+    def __init__(self, delays):
+        super().__init__()
+        self.delays = list(delays)
+
+    async def read(self, topic, partition, offset, wait_seconds):
+        batch = await super().read(topic, partition, offset, wait_seconds)
+        if not batch.records and self.delays:
+            await trio.sleep(self.delays.pop(0))
+        return batch
+
+
+@given('a daemon whose reads at the end of a partition take {seconds:g} s')
+def create_daemon(context, seconds):
+    context.delay_seconds = seconds
+
+
+async def start_service(context, queries):
+    store = StoreWithSlowReadsAtEnd([context.delay_seconds])
+    store.logs[Topic.JOBS, PARTITION].append(build_submission_record(JOB))
+    feed = PartitionFeed(PARTITION, store, SETTINGS, FakeClock())
+    service = JobService(
+        store, {PARTITION: feed}, SETTINGS, FakeClock(), PlatformView()
+    )
+    context.states = []
+
+    async def query():
+        context.states.append(await service.describe(QUEUE, JOB.job_id))
+
+    await queries(query)
+
+
+def run_queries(context, queries):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(start_service, context, queries, clock=clock)
+
+
+@when('two queries for a job that it has not read come {gap:g} s apart')
+def query_twice(context, gap):
+    async def queries(query):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(query)
+            await trio.sleep(gap)
+            nursery.start_soon(query)
+
+    run_queries(context, queries)
+
+
+@when('a query for a job that it has not read is abandoned after {after:g} s')
+def abandon_query(context, after):
+    async def queries(query):
+        with trio.move_on_after(after):
+            await query()
+        await query()
+
+    run_queries(context, queries)
+
+
+@then('both report the job as queued')
+def check_states(context):
+    assert context.states == ['queued', 'queued'], context.states
+
+
+@then('a later query reports the job as queued')
+def check_later(context):
+    assert context.states == ['queued'], context.states
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -24,7 +24,12 @@
 
 
 class PartitionReader:
-    """Reads one partition; two reads may run concurrently."""
+    """Reads one partition; two reads may run concurrently.
+
+    A read starts at the end of the last one that was answered.  Its records
+    have to be applied before control passes to another task: until then other
+    reads skip them, and would not find what is already stored.
+    """
 
     __slots__ = ('_partition', '_store', '_topic', 'next_offset')
 
@@ -50,17 +55,6 @@
             return await self._read_newest()
         return self._advance(batch, is_snapshot=False)
 
-    async def catch_up(self) -> tuple[KeyedRecord, ...] | NotDone:
-        """Read until the partition's end; return all records read."""
-        found: list[KeyedRecord] = []
-        while True:
-            update = await self.poll(0)
-            if isinstance(update, NotDone):
-                return update
-            found.extend(update.records)
-            if not (update.is_snapshot or update.records):
-                return tuple(found)
-
     async def _read_newest(self) -> RecordUpdate | NotDone:
         batch = await self._store.read_newest(self._topic, self._partition)
         if isinstance(batch, Trimmed):
