--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -136,3 +136,15 @@
     And 5 seconds pass
     Then the log has 4 to 8 lines on the state of the partition
     And each of them counts 2 workers and 0 silent ones
+
+  # Guards against jobs that one daemon never sees: what a refresh had read was
+  # dropped when a later read of the same refresh failed or was cancelled.
+  Scenario Outline: A refresh that is broken off loses no records
+    Given a feed of the pool's partition that has read a job
+    When another job is stored and the second read of a refresh <fault>
+    Then the feed knows both jobs after the next refresh
+
+    Examples: faults
+      | fault        |
+      | fails        |
+      | is cancelled |
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -43,7 +43,8 @@
     async def poll(self, wait_seconds: float) -> RecordUpdate | NotDone:
         """Return the new records, or why the read failed.
 
-        Without new records the read waits up to ``wait_seconds``.
+        Without new records the read waits up to ``wait_seconds``.  The records
+        are not returned again, so the caller must apply them at once.
         """
         offset = self.next_offset
         if offset is None:
