Assign pools to partitions by load, and keep the assignment

Callers saw rejected and lost jobs at the peaks: several large pools met in one partition by the hash of their names, so one processor did the scheduling for all of them while most partitions were empty.

The fleet owner now assigns each new pool to the partition with the least load and stores that in the fleet partition under its term; all daemons follow these records already. An assignment never changes, so it outlives configurations, takeovers and power losses. Until a pool has a partition, its jobs are rejected at once as not run.

Jobs that a former version stored under the hash of a pool's name stay readable, but their pool may now be assigned to another partition.

The steps' simulation moves to a module of its own, to be shared.

--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -1,6 +1,7 @@
 """In-memory platform: implements the interfaces of the controller's ports."""
 
 from collections import defaultdict
+from dataclasses import replace
 
 import trio
 
@@ -183,7 +184,13 @@
 
 class FakeDocumentDecoder(DocumentDecoder):
     def decode_operator_record(self, record):
-        return Configuration(int(record.value), QueueTable([QUEUE]), 1000)
+        version, *pools = record.value.decode().split()
+        queues = [QUEUE]
+        queues.extend(
+            replace(QUEUE, name=pool, path_prefix=f'/{pool}/', pool=pool)
+            for pool in pools
+        )
+        return Configuration(int(version), QueueTable(queues), 1000)
 
     def decode_worker_record(self, record):
         if not record.value:
--- /dev/null
+++ b/libs/controller/features/simulation.py
@@ -0,0 +1,103 @@
+"""Runs several controllers on one in-memory platform in virtual time."""
+
+import trio
+import trio.testing
+from fakeplatform import (
+    PARTITIONS,
+    FakeClock,
+    FakeDocumentDecoder,
+    FakeStore,
+    FakeVmApi,
+    FakeWorkerApi,
+)
+
+from tarragonlb.controller.ports import Topic
+from tarragonlb.controller.process import Controller, Platform
+from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.scheduling.job import Demand, Job, JobSpec, Step
+from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.scheduling.settings import SchedulingSettings
+
+SETTLE_SECONDS = 3.0
+SETTINGS = ControllerSettings(
+    name='vm',
+    partitions=PARTITIONS,
+    grace_seconds=6.0,
+    holder_lease_seconds=3.0,
+    scheduling=SchedulingSettings(
+        max_lease_seconds=6.0,
+        maintenance_seconds=2.0,
+    ),
+)
+
+
+class Simulation:
+    """Collects actions; each run carries out all of them in virtual time."""
+
+    def __init__(self, daemons, workers):
+        self.daemons = daemons
+        self.workers = workers
+        self.actions = []
+
+    def run(self):
+        trio.run(self._run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def _run(self):
+        self.store = FakeStore()
+        self.worker_api = FakeWorkerApi()
+        log = self.store.logs
+        log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'1'))
+        for number in range(self.workers):
+            log[Topic.WORKERS, 0].append(KeyedRecord(f'w{number}', b'x'))
+        self.jobs = []
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self.controllers = {}
+            self.scopes = {}
+            self.stops = {}
+            for number in range(self.daemons):
+                self._start(nursery, f'd{number}')
+            await trio.sleep(SETTLE_SECONDS)
+            for action in self.actions:
+                await action(self)
+            nursery.cancel_scope.cancel()
+
+    def _start(self, nursery, name):
+        platform = Platform(
+            self.store, FakeDocumentDecoder(), self.worker_api, FakeVmApi()
+        )
+        controller = Controller(platform, SETTINGS, name, FakeClock())
+        scope = trio.CancelScope()
+        stopped = trio.Event()
+
+        async def run():
+            with scope:
+                await controller.run(stopped)
+
+        nursery.start_soon(run)
+        self.controllers[name] = controller
+        self.scopes[name] = scope
+        self.stops[name] = stopped
+
+    def find_owner(self):
+        partition = self.find_partition('pool')
+        for name, controller in self.controllers.items():
+            if any(h.partition == partition for h in controller._owners):
+                return name
+        raise AssertionError('no daemon owns the pool')
+
+    def find_partition(self, pool):
+        controller = next(iter(self.controllers.values()))
+        return controller.view.find_partition(pool)
+
+    def add_job(self, tasks, queue='q', pool='pool'):
+        job_id = f'{len(self.jobs):016x}'
+        step = Step(width=tasks, demand=Demand(500, 100, 0))
+        job = Job(
+            job_id=job_id,
+            queue=queue,
+            pool=pool,
+            spec=JobSpec(payload='x', steps=(step,)),
+        )
+        self.jobs.append(job_id)
+        return job
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -2,20 +2,12 @@
 from pathlib import Path
 
 import trio
-import trio.testing
 from behave import given, then, when
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from fakeplatform import (  # noqa: E402
-    PARTITIONS,
-    QUEUE,
-    FakeClock,
-    FakeDocumentDecoder,
-    FakeStore,
-    FakeVmApi,
-    FakeWorkerApi,
-)
+from fakeplatform import QUEUE  # noqa: E402
+from simulation import Simulation  # noqa: E402
 
 from tarragonlb.controller.lease import WorkerLease  # noqa: E402
 from tarragonlb.controller.membership import (  # noqa: E402
@@ -23,99 +15,8 @@
     OwnedPartition,
 )
 from tarragonlb.controller.ports import Topic  # noqa: E402
-from tarragonlb.controller.process import (  # noqa: E402
-    Controller,
-    Platform,
-)
 from tarragonlb.controller.results import Assignment  # noqa: E402
-from tarragonlb.controller.settings import ControllerSettings  # noqa: E402
-from tarragonlb.scheduling.job import (  # noqa: E402
-    Demand,
-    Job,
-    JobSpec,
-    Step,
-)
 from tarragonlb.scheduling.records import KeyedRecord  # noqa: E402
-from tarragonlb.scheduling.settings import SchedulingSettings  # noqa: E402
-
-SETTLE_SECONDS = 3.0
-SETTINGS = ControllerSettings(
-    name='vm',
-    partitions=PARTITIONS,
-    grace_seconds=6.0,
-    holder_lease_seconds=3.0,
-    scheduling=SchedulingSettings(
-        max_lease_seconds=6.0,
-        maintenance_seconds=2.0,
-    ),
-)
-
-
-class Simulation:
-    """Collects actions; each run carries out all of them in virtual time."""
-
-    def __init__(self, daemons, workers):
-        self.daemons = daemons
-        self.workers = workers
-        self.actions = []
-
-    def run(self):
-        trio.run(self._run, clock=trio.testing.MockClock(autojump_threshold=0))
-
-    async def _run(self):
-        self.store = FakeStore()
-        self.worker_api = FakeWorkerApi()
-        log = self.store.logs
-        log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'1'))
-        for number in range(self.workers):
-            log[Topic.WORKERS, 0].append(KeyedRecord(f'w{number}', b'x'))
-        self.jobs = []
-        async with trio.open_nursery() as nursery:
-            self.controllers = {}
-            self.scopes = {}
-            self.stops = {}
-            for number in range(self.daemons):
-                self._start(nursery, f'd{number}')
-            await trio.sleep(SETTLE_SECONDS)
-            for action in self.actions:
-                await action(self)
-            nursery.cancel_scope.cancel()
-
-    def _start(self, nursery, name):
-        platform = Platform(
-            self.store, FakeDocumentDecoder(), self.worker_api, FakeVmApi()
-        )
-        controller = Controller(platform, SETTINGS, name, FakeClock())
-        scope = trio.CancelScope()
-        stopped = trio.Event()
-
-        async def run():
-            with scope:
-                await controller.run(stopped)
-
-        nursery.start_soon(run)
-        self.controllers[name] = controller
-        self.scopes[name] = scope
-        self.stops[name] = stopped
-
-    def find_owner(self):
-        partition = SETTINGS.find_partition('pool')
-        for name, controller in self.controllers.items():
-            if any(h.partition == partition for h in controller._owners):
-                return name
-        raise AssertionError('no daemon owns the pool')
-
-    def add_job(self, tasks):
-        job_id = f'{len(self.jobs):016x}'
-        step = Step(width=tasks, demand=Demand(500, 100, 0))
-        job = Job(
-            job_id=job_id,
-            queue='q',
-            pool='pool',
-            spec=JobSpec(payload='x', steps=(step,)),
-        )
-        self.jobs.append(job_id)
-        return job
 
 
 @given('{daemons:d} daemons and {workers:d} workers')
@@ -213,7 +114,7 @@
 @when('the records of the pool expire')
 def expire_records(context):
     async def action(sim):
-        key = (Topic.JOBS, SETTINGS.find_partition('pool'))
+        key = (Topic.JOBS, sim.find_partition('pool'))
         sim.store.logs[key].extend([KeyedRecord('x' * 16 + 'c', b'')] * 5)
         sim.store.firsts[key] = len(sim.store.logs[key])
 
--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -8,7 +8,7 @@
 from tarragonlb.controller.feeds import FleetStateFeed
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.platformview import PlatformView
-from tarragonlb.controller.ports import Clock, Store, VmApi
+from tarragonlb.controller.ports import Clock, Configuration, Store, VmApi
 from tarragonlb.controller.results import Fenced, NotDone, Stored
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.controller.termwriter import TermWriter
@@ -19,11 +19,13 @@
     build_maintenance_begun_record,
     build_maintenance_done_record,
     build_order_record,
+    build_pool_record,
     build_reopen_record,
 )
 from tarragonlb.scheduling.fleetstate import FleetState
 from tarragonlb.scheduling.job import MS_PER_SECOND
 from tarragonlb.scheduling.orders import OrderResult
+from tarragonlb.scheduling.poolassignment import assign_pools, weigh_pools
 from tarragonlb.scheduling.rebalancing import PoolRebalancer, VmMove
 from tarragonlb.scheduling.records import KeyedRecord
 from tarragonlb.scheduling.wave import Vm, Wave, WaveCoordinator
@@ -109,10 +111,12 @@
         vms = await self._vms.list_vms()
         if isinstance(vms, NotDone):
             self._dependency_log.record_failure(vms.reason, read_at)
-            return True
+            return await self._assign_pools(configuration, ())
         self._dependency_log.record_success(read_at)
         if not await self._fleet_state_feed.refresh():
             return True
+        if not await self._assign_pools(configuration, vms):
+            return False
         standby = configuration.standby_pools
         for wave in tuple(self._view.waves.values()):
             if wave.number in self._completed_waves:
@@ -124,6 +128,22 @@
                 return False
         return await self._rebalance(vms, standby)
 
+    async def _assign_pools(
+        self, configuration: Configuration, vms: tuple[Vm, ...]
+    ) -> bool:
+        fleet_state = self._view.fleet_state
+        assigned = assign_pools(
+            configuration.queues.list_pools(),
+            fleet_state.partitions,
+            weigh_pools(vms, fleet_state.loads),
+            self._settings.pool_partitions,
+        )
+        if assigned:
+            LOG.emit('Pools assigned to partitions.', partitions=assigned)
+        return await self._store_records(
+            [build_pool_record(*row) for row in assigned.items()]
+        )
+
     def _get_coordinator(self, wave: Wave) -> WaveCoordinator:
         coordinator = self._coordinators.get(wave.number)
         if coordinator is None:
--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -91,7 +91,11 @@
         """Accept a job; submitting the same job again has no effect."""
         if self._find_job(job.job_id) is not None:
             return RequestOutcome(Verdict.RAN)
-        partition = self._settings.find_partition(job.pool)
+        partition = self._view.find_partition(job.pool)
+        if partition is None:
+            return RequestOutcome(
+                Verdict.NOT_RUN, RETRY_AFTER_SECONDS, 'pool has no partition'
+            )
         wall_ms = self._clock.read_wall() * MS_PER_SECOND
         record = build_submission_record(replace(job, handed_in_ms=wall_ms))
         outcome = await self._append(partition, record)
@@ -138,10 +142,13 @@
 
     def count_pending(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not started a task yet."""
-        partition = self._settings.find_partition(queue.pool)
-        feed = self._feeds.get(partition)
+        feed = self._find_feed(queue.pool)
         return 0 if feed is None else feed.count_pending(queue.name)
 
+    def _find_feed(self, pool: str) -> PartitionFeed | None:
+        partition = self._view.find_partition(pool)
+        return None if partition is None else self._feeds.get(partition)
+
     def _find_job(self, job_id: str) -> tuple[int, JobRecords] | None:
         for partition, feed in self._feeds.items():
             records = feed.job_index.find(job_id)
@@ -155,7 +162,7 @@
         found = self._find_job(job_id)
         if found is not None:
             return found
-        feed = self._feeds.get(self._settings.find_partition(queue.pool))
+        feed = self._find_feed(queue.pool)
         if feed is None or not await feed.refresh():
             return StoreUnavailable()
         return self._find_job(job_id)
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -40,6 +40,10 @@
         """
         return 0 if self.last_contact_at is None else now - self.last_contact_at
 
+    def find_partition(self, pool: str) -> int | None:
+        """Return the partition of a pool's jobs, None if not yet assigned."""
+        return self.fleet_state.partitions.get(pool)
+
     def notify(self) -> None:
         """Wake all tasks that wait for a change."""
         self._changed.set()
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -304,8 +304,7 @@
         partition_workers = [
             worker
             for worker in view.workers.values()
-            if self._settings.find_partition(worker.pool)
-            == self._owned.partition
+            if view.find_partition(worker.pool) == self._owned.partition
         ]
         partition_state.update_workers(partition_workers)
         drain_requests = view.fleet_state.drain_requests_by_worker
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -137,14 +137,12 @@
 
     async def _follow_pools(self, nursery: trio.Nursery) -> None:
         while True:
-            configuration = self.view.configuration
-            if configuration is not None:
-                for pool in configuration.queues.list_pools():
-                    self._follow_partition(pool, nursery)
+            # Also of pools that are no longer configured but may have jobs.
+            for partition in set(self.view.fleet_state.partitions.values()):
+                self._follow_partition(partition, nursery)
             await self.view.wait_for_change()
 
-    def _follow_partition(self, pool: str, nursery: trio.Nursery) -> None:
-        partition = self._settings.find_partition(pool)
+    def _follow_partition(self, partition: int, nursery: trio.Nursery) -> None:
         if partition in self._feeds:
             return
         feed = PartitionFeed(
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -1,6 +1,5 @@
 """The settings of the controller."""
 
-import zlib
 from dataclasses import dataclass
 
 from tarragonlb.scheduling.settings import SchedulingSettings
@@ -69,7 +68,7 @@
     # gets no new clients.
     store_unready_seconds: float = 2.5
 
-    def find_partition(self, pool: str) -> int:
-        """Return the partition of a pool's jobs."""
-        pool_partitions = self.partitions - 1
-        return zlib.crc32(pool.encode()) % pool_partitions + FLEET_PARTITION + 1
+    @property
+    def pool_partitions(self) -> range:
+        """Return the partitions that pools may be assigned to."""
+        return range(FLEET_PARTITION + 1, self.partitions)
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -27,6 +27,7 @@
         'maintenance_begun',
         'maintenance_done',
         'orders',
+        'partitions',
     )
 
     def __init__(self) -> None:
@@ -39,6 +40,8 @@
         # The worker that ran on a VM before its maintenance, by wave and VM.
         self.maintenance_begun: dict[tuple[int, str], str] = {}
         self.maintenance_done: set[tuple[int, str]] = set()
+        # The partition of each pool's jobs.
+        self.partitions: dict[str, int] = {}
         self.errors: list[RecordError] = []
 
     def apply(self, records: Iterable[KeyedRecord]) -> None:
@@ -106,6 +109,8 @@
                 self.orders[name] = VmOrder(int(term), float(wall_ms))
             case 'load':
                 self.loads[name] = _decode_load(record.value)
+            case 'pool':
+                self.partitions[name] = int(cbor2.loads(record.value))
             case _:
                 raise RecordError('unknown kind')
 
