--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -316,8 +316,7 @@
         partition_workers = [
             worker
             for worker in view.workers.values()
-            if self._settings.find_partition(worker.pool)
-            == self._owned.partition
+            if view.find_partition(worker.pool) == self._owned.partition
         ]
         partition_state.update_workers(partition_workers)
         partition_state.apply_drain_requests(
