Let orders wait at a gate, so that polls that extend leases pass by

Cause: every session sends up to six orders at once, so 60 workers bring 360 calls that share one processor with the polls; each call's timeout of 0.4 s runs while it waits for that processor.

Change: all sessions of a daemon share a gate. 16 orders are under way at once; an order that is unanswered for 0.1 s no longer counts, so unreachable workers do not block the others. Whether a start is still wanted and leases may be granted is decided after the gate, so no order is sent for an owner that no longer waits for it.

--- /dev/null
+++ b/libs/controller/features/busyworkers.py
@@ -0,0 +1,69 @@
+"""Workers whose calls share the processor of the daemon that calls them."""
+
+from collections import defaultdict
+
+import trio
+from fakeplatform import FakeWorkerApi
+
+from tarragonlb.controller.ports import StatusReply
+from tarragonlb.scheduling.orders import OrderResult
+
+# The adapter's timeout for a call, in addition to a poll's wait.
+TIMEOUT_SECONDS = 0.4
+MS_PER_SECOND = 1000
+
+
+class BusyWorkerApi(FakeWorkerApi):
+    """Every call first uses some processor time, one call after the other.
+
+    Tasks lapse once the lease that was granted to their worker has run out.
+    """
+
+    def __init__(self, call_seconds):
+        super().__init__()
+        self.call_seconds = call_seconds
+        self.processor = trio.Lock()
+        self.lease_until = defaultdict(float)
+        self.failures = defaultdict(int)
+        self.silent = set()
+        self.lapsed = []
+        self.polls = 0
+
+    async def poll_status(self, request):
+        worker_id = request.worker.worker_id
+        self.polls += 1
+        with trio.move_on_after(TIMEOUT_SECONDS + request.wait_seconds):
+            await self._compute()
+            if request.lease_until_ms is not None:
+                self._extend(worker_id, request.lease_until_ms)
+            reply = await super().poll_status(request)
+            if isinstance(reply, StatusReply):
+                self.failures[worker_id] = 0
+            return reply
+        self.failures[worker_id] += 1
+        if self.failures[worker_id] > 1:
+            self.silent.add(worker_id)
+        return OrderResult.UNANSWERED
+
+    async def start(self, worker, order, term, lease_until_ms):
+        with trio.move_on_after(TIMEOUT_SECONDS):
+            await self._compute()
+            self._extend(worker.worker_id, lease_until_ms)
+            return await super().start(worker, order, term, lease_until_ms)
+        return OrderResult.UNANSWERED
+
+    async def _compute(self):
+        async with self.processor:
+            await trio.sleep(self.call_seconds)
+
+    def _extend(self, worker_id, until_ms):
+        self.lease_until[worker_id] = max(
+            self.lease_until[worker_id], until_ms / MS_PER_SECOND
+        )
+
+    def _advance(self, worker_id):
+        if trio.current_time() > self.lease_until[worker_id]:
+            for key, (attempt, _) in self.runs.pop(worker_id, {}).items():
+                self.lapsed.append(key)
+                self._end(worker_id, key, attempt, 'lapsed')
+        super()._advance(worker_id)
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -54,9 +54,10 @@
 class Simulation:
     """Collects actions; each run carries out all of them in virtual time."""
 
-    def __init__(self, daemons, workers):
+    def __init__(self, daemons, workers, create_worker_api=FakeWorkerApi):
         self.daemons = daemons
         self.workers = workers
+        self.create_worker_api = create_worker_api
         self.actions = []
 
     def run(self):
@@ -64,7 +65,7 @@
 
     async def _run(self):
         self.store = FakeStore()
-        self.worker_api = FakeWorkerApi()
+        self.worker_api = self.create_worker_api()
         log = self.store.logs
         log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'1'))
         for number in range(self.workers):
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -18,9 +18,10 @@
 from tarragonlb.controller.drainreporter import DrainReporter
 from tarragonlb.controller.loadpublisher import LoadPublisher
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.ordergate import WorkerAccess
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
-from tarragonlb.controller.ports import Clock, Store, WorkerApi
+from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.workersession import WorkerSession
 from tarragonlb.scheduling.orders import (
@@ -73,7 +74,7 @@
         owned: OwnedPartition,
         feed: PartitionFeed,
         store: Store,
-        workers: WorkerApi,
+        workers: WorkerAccess,
         view: PlatformView,
         settings: ControllerSettings,
         clock: Clock,
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -15,6 +15,7 @@
 from tarragonlb.controller.fleetowner import FleetOwner
 from tarragonlb.controller.jobservice import JobService
 from tarragonlb.controller.membership import Membership, OwnedPartition
+from tarragonlb.controller.ordergate import OrderGate, WorkerAccess
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.poolowner import PoolOwner
@@ -61,6 +62,7 @@
         '_owners',
         '_platform',
         '_settings',
+        '_workers',
         'job_service',
         'view',
     )
@@ -83,6 +85,12 @@
         ] = {}
         self._membership = Membership(settings.member_ttl_seconds)
         self._is_stopping = False
+        self._workers = WorkerAccess(
+            platform.workers,
+            OrderGate(
+                settings.max_orders_under_way, settings.order_hold_seconds
+            ),
+        )
         self._group_log = DependencyLog('group of owners')
         self.view = PlatformView()
         self._fleet_state_feed = FleetStateFeed(
@@ -244,7 +252,7 @@
             owned,
             self._feeds[owned.partition],
             platform.store,
-            platform.workers,
+            self._workers,
             self.view,
             self._settings,
             self._clock,
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -59,6 +59,11 @@
     poll_retry_seconds: float = 0.25
     # Maximum number of concurrent orders to one worker.
     order_senders: int = 6
+    # Maximum number of concurrent orders of a daemon to all of its workers.
+    # Each is answered within a few ms, so this many keep a processor busy.
+    max_orders_under_way: int = 16
+    # An order that is unanswered for this long no longer counts as one of them.
+    order_hold_seconds: float = 0.1
     # Pause before a call to the store that had no effect is retried.
     store_retry_seconds: float = 0.1
     # How long storing a client's job is retried before the job is rejected.
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -18,11 +18,11 @@
     WorkerSilent,
 )
 from tarragonlb.controller.lease import WorkerLease
+from tarragonlb.controller.ordergate import WorkerAccess
 from tarragonlb.controller.ports import (
     Clock,
     StatusReply,
     StatusRequest,
-    WorkerApi,
 )
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.orders import (
@@ -66,7 +66,7 @@
         self,
         worker: Worker,
         term: int,
-        workers: WorkerApi,
+        workers: WorkerAccess,
         settings: ControllerSettings,
         clock: Clock,
     ) -> None:
@@ -148,7 +148,7 @@
             lease_until_ms=until_ms,
             wait_seconds=0 if failures else settings.poll_wait_seconds,
         )
-        reply = await self._workers.poll_status(request)
+        reply = await self._workers.api.poll_status(request)
         if isinstance(reply, StatusReply):
             self._lease.record_reply(reply.clock_ms, reply.report.received_at)
         return reply
@@ -173,26 +173,25 @@
 
     async def _send_orders(self) -> None:
         async for order in self._order_receiver:
-            if isinstance(order, StartOrder):
-                result = await self._start(order)
-            elif isinstance(order, StopOrder):
-                result = await self._workers.stop(
-                    self.worker, order, self._term
-                )
-            else:
-                result = await self._workers.pace(
-                    self.worker, order, self._term
-                )
+            async with self._workers.gate.enter():
+                result = await self._send_order(order)
             if result is OrderResult.FENCED:
                 await self._inbox.send(TermEnded('a worker saw a later owner'))
             await self._inbox.send(OrderAnswered(order, result))
 
+    async def _send_order(self, order: Order) -> OrderResult:
+        if isinstance(order, StartOrder):
+            return await self._start(order)
+        if isinstance(order, StopOrder):
+            return await self._workers.api.stop(self.worker, order, self._term)
+        return await self._workers.api.pace(self.worker, order, self._term)
+
     async def _start(self, order: StartOrder) -> OrderResult:
         until_ms = self._lease.granted_until_ms
         if until_ms is None or not self._lease_seconds():
             return OrderResult.REFUSED
         if not self._is_still_wanted(order):
             return OrderResult.REFUSED
-        return await self._workers.start(
+        return await self._workers.api.start(
             self.worker, order, self._term, until_ms
         )
