Add the own delay of the event loop to the timeouts of calls

Cause: opening a connection through httpcore's pool takes several passes of the event loop, each under one timeout of 0.4 to 0.6 s. With 0.1 s a pass the call ended as not sent, although the worker was there.

Change: LoopLag measures by how much the loop is behind; a call's timeout grows by the lag seen during it, by 0.8 s at most, so that two calls fit into a lease.

--- /dev/null
+++ b/libs/controller/tarragonlb/controller/looplag.py
@@ -0,0 +1,69 @@
+"""Tells the own delay of a process from the silence of those that it calls.
+
+When the event loop is behind, a response that has arrived waits in its socket
+while the timeout of the call runs.  A probe that sleeps for a fixed time and
+looks how late it is woken measures that delay, and calls wait longer by it.
+"""
+
+import trio
+
+PROBE_SECONDS = 0.05
+# The scheduler of the operating system wakes a process this late at times.
+TOLERANCE_SECONDS = 0.002
+# Two calls that are extended by this much still end within one lease.
+MAX_EXTENSION_SECONDS = 0.8
+
+
+class LoopLag:
+    """Sums up by how much the event loop was behind.
+
+    >>> lag = LoopLag()
+    >>> lag.expect(10.0)
+    >>> round(lag.read_total(10.5), 3)
+    0.498
+    """
+
+    __slots__ = ('_due_at', '_total_seconds')
+
+    def __init__(self) -> None:
+        """Start without lag."""
+        self._total_seconds = 0.0
+        self._due_at = float('inf')
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            self.expect(trio.current_time() + PROBE_SECONDS)
+            await trio.sleep_until(self._due_at)
+            self._total_seconds = self.read_total(trio.current_time())
+
+    def expect(self, due_at: float) -> None:
+        """Expect the probe to be woken at ``due_at`` seconds."""
+        self._due_at = due_at
+
+    def read_total(self, now: float) -> float:
+        """Return the total lag in seconds, the current delay included."""
+        delay = now - self._due_at - TOLERANCE_SECONDS
+        return self._total_seconds + max(delay, 0)
+
+
+class CallTimeout:
+    """When a call counts as unanswered: its timeout plus the lag since."""
+
+    __slots__ = ('_ends_at', '_lag', '_lag_before', '_seconds')
+
+    def __init__(self, seconds: float, lag: LoopLag, now: float) -> None:
+        """Begin a call that may take ``seconds``."""
+        self._seconds = seconds
+        self._lag = lag
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Allow the full time again, since a part of the response came."""
+        self._lag_before = self._lag.read_total(now)
+        self._ends_at = now + self._seconds
+
+    def compute_deadline(self, now: float) -> float:
+        """Return the end of the wait, as far as is known at ``now``."""
+        seen = self._lag.read_total(now) - self._lag_before
+        return self._ends_at + min(seen, MAX_EXTENSION_SECONDS)
