--- a/libs/controller/features/steps/partition_steps.py
+++ b/libs/controller/features/steps/partition_steps.py
@@ -7,8 +7,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from controller_steps import SETTINGS  # noqa: E402
 from fakeplatform import FakeClock, FakeStore  # noqa: E402
+from simulation import SETTINGS  # noqa: E402
 
 from tarragonlb.controller.partition import PartitionFeed  # noqa: E402
 from tarragonlb.controller.ports import Topic  # noqa: E402
--- a/libs/controller/features/steps/query_steps.py
+++ b/libs/controller/features/steps/query_steps.py
@@ -1,8 +1,8 @@
 import trio
 import trio.testing
 from behave import given, then, when
-from controller_steps import SETTINGS
 from fakeplatform import QUEUE, FakeClock, FakeStore
+from simulation import SETTINGS
 
 from tarragonlb.controller.jobservice import JobService
 from tarragonlb.controller.partition import PartitionFeed
@@ -17,7 +17,7 @@
     pool=QUEUE.pool,
     spec=JobSpec(payload='x', steps=(Step(width=1, demand=Demand(1, 1)),)),
 )
-PARTITION = SETTINGS.find_partition(QUEUE.pool)
+PARTITION = 1
 
 
 class StoreWithSlowReadsAtEnd(FakeStore):
@@ -43,9 +43,9 @@
     store = StoreWithSlowReadsAtEnd([context.delay_seconds])
     store.logs[Topic.JOBS, PARTITION].append(build_submission_record(JOB))
     feed = PartitionFeed(PARTITION, store, SETTINGS, FakeClock())
-    service = JobService(
-        store, {PARTITION: feed}, SETTINGS, FakeClock(), PlatformView()
-    )
+    view = PlatformView()
+    view.fleet_state.partitions[QUEUE.pool] = PARTITION
+    service = JobService(store, {PARTITION: feed}, SETTINGS, FakeClock(), view)
     context.states = []
 
     async def query():
