Lose no records when a read of a partition is interrupted

PartitionReader.catch_up collected the records of several reads. When a later read failed, or the client on whose behalf it read disconnected, the collected records were dropped although the reader was past them. In the same way an owner missed a new job if the cancellation came while it was being notified.

Records are now applied after each read, without a checkpoint between the read and their use. The three scenarios of reading.feature failed before.

--- /dev/null
+++ b/libs/controller/features/reading.feature
@@ -0,0 +1,19 @@
+Feature: Reading the records of a partition
+
+  Scenario: A read that fails half-way loses no records
+    Given a partition with a job
+    When the partition is read and the store fails after 1 reads
+    And the partition is read again
+    Then the job is known
+
+  Scenario: A read that is cancelled half-way loses no records
+    Given a partition with a job
+    When the partition is read and cancelled after 1 reads
+    And the partition is read again
+    Then the job is known
+
+  Scenario: The owner is told of a new job although the reader is cancelled
+    Given a partition with a job
+    And an owner that is slow to take note of changes
+    When the partition is read and cancelled after 1 reads
+    Then the owner is told of the job
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -76,7 +76,7 @@
                 await trio.sleep(settings.store_retry_seconds)
                 continue
             self._dependency_log.record_success(trio.current_time())
-            await self._apply(update.records)
+            self._apply(update.records)
             if is_owner:
                 await trio.sleep(settings.owner_read_interval_seconds)
                 continue
@@ -86,11 +86,13 @@
 
     async def refresh(self) -> bool:
         """Read to the partition's end; return whether the store answered."""
-        records = await self._reader.catch_up()
-        if isinstance(records, NotDone):
-            return False
-        await self._apply(records)
-        return True
+        while True:
+            update = await self._reader.poll(0)
+            if isinstance(update, NotDone):
+                return False
+            self._apply(update.records)
+            if not (update.is_snapshot or update.records):
+                return True
 
     def apply_stored(self, records: Iterable[KeyedRecord], first: int) -> None:
         """Apply records that this process stored at offset ``first``."""
@@ -100,7 +102,10 @@
         )
 
     def subscribe(self, subscriber: trio.MemorySendChannel[list[str]]) -> None:
-        """Poll at the owner's rate and send the ids of changed jobs."""
+        """Poll at the owner's rate and send the ids of changed jobs.
+
+        The channel's buffer must not be limited.
+        """
         self._subscriber = subscriber
         self._wake.set()
 
@@ -116,7 +121,9 @@
             self._counted_at = now
         return self._counts[queue]
 
-    async def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
+    # Not asynchronous: the reader is past these records, so they would be lost
+    # if this was cancelled.
+    def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
         self.last_read_at = self._clock.read_boottime()
         changed = self.job_index.apply(records)
         for error in self.job_index.errors:
@@ -127,4 +134,4 @@
             )
         self.job_index.errors.clear()
         if changed and self._subscriber is not None:
-            await self._subscriber.send(changed)
+            self._subscriber.send_nowait(changed)
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -38,7 +38,9 @@
     async def poll(self, wait_seconds: float) -> RecordUpdate | NotDone:
         """Return the new records, or why the read failed.
 
-        Without new records the read waits up to ``wait_seconds``.
+        Without new records the read waits up to ``wait_seconds``.  The next
+        read continues after these records, so the caller must use them before
+        it awaits anything.
         """
         offset = self.next_offset
         if offset is None:
@@ -50,17 +52,6 @@
             return await self._read_newest()
         return self._advance(batch, is_snapshot=False)
 
-    async def catch_up(self) -> tuple[KeyedRecord, ...] | NotDone:
-        """Read until the partition's end; return all records read."""
-        found: list[KeyedRecord] = []
-        while True:
-            update = await self.poll(0)
-            if isinstance(update, NotDone):
-                return update
-            found.extend(update.records)
-            if not (update.is_snapshot or update.records):
-                return tuple(found)
-
     async def _read_newest(self) -> RecordUpdate | NotDone:
         batch = await self._store.read_newest(self._topic, self._partition)
         if isinstance(batch, Trimmed):
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -7,6 +7,7 @@
 extended even if the store does not answer.
 """
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -107,7 +108,7 @@
         """
         self._lease_seconds = lease_seconds
         # Subscribe before reading anything, so that no change is missed.
-        subscriber, changes = trio.open_memory_channel[list[str]](INBOX_SIZE)
+        subscriber, changes = trio.open_memory_channel[list[str]](math.inf)
         self._feed.subscribe(subscriber)
         try:
             async with trio.open_nursery() as nursery:
