Let the daemons with most capacity left own the partitions

Each served partition now has a group of its own with a single member. Owners publish a sign of life twice a second. When one is released or silent, a daemon waits before it bids, the longer the less processor capacity it has for each partition that it would own then; the group of the store decides. Daemons that own nothing make no calls for it, and their contact with the store is that of the feed that they read anyway. Owners keep their partitions through an outage of the store.

--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -1,6 +1,6 @@
 """In-memory platform: implements the interfaces of the controller's ports."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import replace
 
 import trio
@@ -67,8 +67,11 @@
         self.logs = defaultdict(list)
         self.epochs = defaultdict(int)
         self.append_offsets = {}
-        self.members = {}
-        self.generation = 0
+        self.groups = defaultdict(dict)
+        self.holders = defaultdict(dict)
+        self.cut_members = set()
+        self.generations = defaultdict(int)
+        self.calls = Counter()
         self.mode = 'up'
         self.firsts = defaultdict(int)
         self.waves = {}
@@ -155,27 +158,52 @@
         kept = tuple(r for r in newest.values() if r.value)
         return Batch(kept, len(log), len(log))
 
-    async def join(self, member, ttl_seconds, generation):
+    async def join(self, partition, member, ttl_seconds, generation):
+        self.calls['join'] += 1
         await trio.sleep(CALL_SECONDS)
-        if self.mode != 'up':
+        if self.mode != 'up' or member in self.cut_members:
             return NotDone('busy')
-        now = trio.current_time()
-        before = frozenset(self.members)
-        self.members = {
-            name: until for name, until in self.members.items() if until > now
-        }
-        self.members[member] = now + ttl_seconds
-        if frozenset(self.members) != before:
-            self.generation += 1
-        names = sorted(self.members)
+        members = self.groups[partition]
+        self._expire_members(partition)
+        if member not in members:
+            self.generations[partition] += 1
+        members[member] = trio.current_time() + ttl_seconds
+        self._deal(member, members, self.holders[partition])
         mine = frozenset(
-            p for p in range(PARTITIONS) if names[p % len(names)] == member
+            dealt
+            for dealt, holder in self.holders[partition].items()
+            if holder == member
         )
-        return Assignment(self.generation, mine)
+        return Assignment(self.generations[partition], mine)
+
+    def _deal(self, member, members, holders):
+        """Give a joining member what is its own and nobody else holds."""
+        names = sorted(members)
+        for dealt in range(PARTITIONS):
+            holder = holders.get(dealt)
+            if holder == member or holder not in members:
+                is_mine = names[dealt % len(names)] == member
+                holders[dealt] = member if is_mine else None
+
+    async def leave(self, partition, member):
+        if self.groups[partition].pop(member, None) is not None:
+            self.generations[partition] += 1
+
+    async def list_owners(self, partition):
+        self.calls['list_owners'] += 1
+        await trio.sleep(CALL_SECONDS)
+        if self.mode != 'up':
+            return NotDone('busy')
+        self._expire_members(partition)
+        return frozenset(self.groups[partition])
 
-    async def leave(self, member):
-        self.members.pop(member, None)
-        self.generation += 1
+    def _expire_members(self, partition):
+        now = trio.current_time()
+        members = self.groups[partition]
+        for name, until in tuple(members.items()):
+            if until <= now:
+                members.pop(name)
+                self.generations[partition] += 1
 
     async def publish_wave_status(self, wave, *, is_complete):
         self.waves[wave] = is_complete
--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -26,3 +26,53 @@
     When 2 seconds pass
     And a job of pool "pool-0" is submitted
     Then the job was accepted
+
+  Scenario: Partitions are owned by the daemons with most capacity left
+    Given daemons with "0.5 0.5 0.5 2 2 0.5" cores and 2 workers
+    When the operators publish version 2 with the pools "pool-0 pool-1"
+    And 3 seconds pass
+    Then 4 partitions are owned, 2 by each daemon with 2 cores
+
+  Scenario: A killed owner is replaced soon by the strongest idle daemon
+    Given daemons with "2 0.5 0.5 1 0.5" cores and 2 workers
+    When a job of 6 tasks is submitted
+    And the owner of the pool is killed
+    And 2.7 seconds pass
+    Then every partition is owned by the daemon with 1 cores or one that owns nothing else
+    When 3 seconds pass
+    Then the job is completed
+    And every task was started once
+
+  Scenario: A partition that its owner releases is owned again at once
+    Given daemons with "2 1 1" cores and 2 workers
+    When the owner of the pool is asked to stop
+    And 0.9 seconds pass
+    Then 2 partitions are owned
+
+  Scenario: An owner whose renewals fail is replaced, in a later term
+    Given daemons with "2 1 1" cores and 2 workers
+    When a job of 6 tasks is submitted
+    And the renewals of the owner of the pool fail for 4 seconds
+    And 3 seconds pass
+    Then 2 partitions are owned
+    And another daemon owns the pool, in a later term
+    And the job is completed
+    And every task was started once
+
+  Scenario: Owners keep their partitions through an outage of the store
+    Given daemons with "2 1 1" cores and 2 workers
+    When the store is in mode "refuse" for 4 seconds
+    And 3 seconds pass
+    Then no partition has changed hands
+
+  Scenario: Of two daemons that join a group at once only one stays
+    Given 1 daemons and 2 workers
+    When another daemon joins the groups of all partitions
+    And 3 seconds pass
+    Then the other daemon has left all groups
+    And no partition has changed hands
+
+  Scenario: Daemons that own nothing don't ask who owns what
+    Given daemons with "2 1 1 1 1 1 1 1 1 1" cores and 2 workers
+    When the calls of 10 seconds are counted
+    Then there were at most 60 joins and 0 listings of owners
--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -1,5 +1,7 @@
 """Runs several controllers on one in-memory platform in virtual time."""
 
+from dataclasses import replace
+
 import trio
 import trio.testing
 from fakeplatform import (
@@ -34,8 +36,8 @@
 class Simulation:
     """Collects actions; each run carries out all of them in virtual time."""
 
-    def __init__(self, daemons, workers):
-        self.daemons = daemons
+    def __init__(self, daemons, workers, cores=None):
+        self.cores = cores or [SETTINGS.processor_cores] * daemons
         self.workers = workers
         self.actions = []
 
@@ -55,18 +57,19 @@
             self.controllers = {}
             self.scopes = {}
             self.stops = {}
-            for number in range(self.daemons):
-                self._start(nursery, f'd{number}')
+            for number, cores in enumerate(self.cores):
+                self._start(nursery, f'd{number}', cores)
             await trio.sleep(SETTLE_SECONDS)
             for action in self.actions:
                 await action(self)
             nursery.cancel_scope.cancel()
 
-    def _start(self, nursery, name):
+    def _start(self, nursery, name, cores=SETTINGS.processor_cores):
         platform = Platform(
             self.store, FakeDocumentDecoder(), self.worker_api, FakeVmApi()
         )
-        controller = Controller(platform, SETTINGS, name, FakeClock())
+        settings = replace(SETTINGS, processor_cores=cores)
+        controller = Controller(platform, settings, name, FakeClock())
         scope = trio.CancelScope()
         stopped = trio.Event()
 
@@ -81,11 +84,18 @@
 
     def find_owner(self):
         partition = self.find_partition('pool')
-        for name, controller in self.controllers.items():
-            if any(h.partition == partition for h in controller._owners):
+        for name, owned in self.list_owners():
+            if owned.partition == partition:
                 return name
         raise AssertionError('no daemon owns the pool')
 
+    def list_owners(self):
+        return [
+            (name, owned)
+            for name, controller in self.controllers.items()
+            for owned in controller._owners
+        ]
+
     def find_partition(self, pool):
         controller = next(iter(self.controllers.values()))
         return controller.view.find_partition(pool)
--- a/libs/controller/features/steps/ownership_steps.py
+++ b/libs/controller/features/steps/ownership_steps.py
@@ -1,8 +1,19 @@
+import sys
+from collections import Counter
+from pathlib import Path
+
 import trio
-from behave import then, when
+from behave import given, then, when
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from fakeplatform import FakeClock  # noqa: E402
+from simulation import SETTINGS, Simulation  # noqa: E402
 
-from tarragonlb.controller.ports import Topic
-from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.controller.dependencylog import DependencyLog  # noqa: E402
+from tarragonlb.controller.partitionlease import PartitionLease  # noqa: E402
+from tarragonlb.controller.ports import Topic  # noqa: E402
+from tarragonlb.scheduling.records import KeyedRecord  # noqa: E402
 
 
 @when('the operators publish version {version:d} with the pools "{names}"')
@@ -73,6 +84,134 @@
     context.simulation.run()
 
 
+@given('daemons with "{cores}" cores and {workers:d} workers')
+def begin_with_cores(context, cores, workers):
+    numbers = [float(number) for number in cores.split()]
+    context.simulation = Simulation(len(numbers), workers, numbers)
+
+
+@then('{count:d} partitions are owned, {each:d} by each daemon with 2 cores')
+def check_strong_owners(context, count, each):
+    owners = list_final_owners(context)
+    assert len(owners) == count, owners
+    counts = Counter(name for name, _ in owners)
+    assert counts == {'d3': each, 'd4': each}, owners
+
+
+@then(
+    'every partition is owned by the daemon with 1 cores or one that owns '
+    'nothing else'
+)
+def check_idle_owners(context):
+    owners = list_final_owners(context)
+    assert len(owners) == 2, owners
+    assert 'd3' in {name for name, _ in owners}, owners
+    others = Counter(name for name, _ in owners if name != 'd3')
+    assert all(count == 1 for count in others.values()), owners
+
+
+@then('{count:d} partitions are owned')
+def check_owned(context, count):
+    owners = list_final_owners(context)
+    assert len({owned.partition for _, owned in owners}) == count, owners
+    assert len(owners) == count, owners
+
+
+@when('the renewals of the owner of the pool fail for {seconds:g} seconds')
+def cut_owner(context, seconds):
+    async def action(sim):
+        name = sim.find_owner()
+        sim.former_owners = sim.list_owners()
+        sim.store.cut_members.add(name)
+        await trio.sleep(seconds)
+        sim.store.cut_members.clear()
+
+    context.simulation.actions.append(action)
+
+
+@then('another daemon owns the pool, in a later term')
+def check_later_term(context):
+    sim = context.simulation
+    for name, owned in sim.former_owners:
+        later = [
+            (other, successor)
+            for other, successor in sim.final_owners
+            if successor.partition == owned.partition
+        ]
+        assert later[0][0] != name, (sim.former_owners, later)
+        assert later[0][1].term > owned.term, (sim.former_owners, later)
+
+
+@when('the store is in mode "{mode}" for {seconds:g} seconds')
+def set_mode_for(context, mode, seconds):
+    async def action(sim):
+        sim.former_owners = sim.list_owners()
+        sim.store.mode = mode
+        await trio.sleep(seconds)
+        sim.store.mode = 'up'
+
+    context.simulation.actions.append(action)
+
+
+@then('no partition has changed hands')
+def check_same_owners(context):
+    owners = list_final_owners(context)
+    assert owners, 'nothing is owned'
+    assert set(owners) == set(context.simulation.former_owners), owners
+
+
+@when('another daemon joins the groups of all partitions')
+def join_groups(context):
+    async def action(sim):
+        sim.former_owners = sim.list_owners()
+        for _, owned in sim.former_owners:
+            lease = PartitionLease(
+                owned.partition,
+                'intruder',
+                sim.store,
+                SETTINGS,
+                FakeClock(),
+                DependencyLog('group of the intruder'),
+            )
+            assert not await lease.claim()
+
+    context.simulation.actions.append(action)
+
+
+@then('the other daemon has left all groups')
+def check_left(context):
+    context.simulation.run()
+    groups = context.simulation.store.groups
+    assert groups
+    assert all('intruder' not in members for members in groups.values())
+
+
+@when('the calls of {seconds:g} seconds are counted')
+def count_calls(context, seconds):
+    async def action(sim):
+        sim.store.calls.clear()
+        await trio.sleep(seconds)
+
+    context.simulation.actions.append(action)
+
+
+@then('there were at most {joins:d} joins and {listings:d} listings of owners')
+def check_calls(context, joins, listings):
+    context.simulation.run()
+    calls = context.simulation.store.calls
+    assert 0 < calls['join'] <= joins, calls
+    assert calls['list_owners'] <= listings, calls
+
+
+def list_final_owners(context):
+    async def action(sim):
+        sim.final_owners = sim.list_owners()
+
+    context.simulation.actions.append(action)
+    context.simulation.run()
+    return context.simulation.final_owners
+
+
 def find_partitions(sim):
     controller = next(iter(sim.controllers.values()))
     return controller.view.fleet_state.partitions
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -11,6 +11,7 @@
 from tarragonlb.controller.partitionreader import PartitionReader, RecordUpdate
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import (
+    Clock,
     Configuration,
     DocumentDecoder,
     Store,
@@ -18,6 +19,7 @@
 )
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.scheduling.ownershiprecords import is_owner_record
 from tarragonlb.scheduling.wave import Wave
 from tarragonlb.telemetry.log import Log
 
@@ -162,12 +164,17 @@
 class FleetStateFeed:
     """Reads the records on drains, orders and loads in the fleet partition."""
 
-    __slots__ = ('_dependency_log', '_reader', '_settings', '_view')
+    __slots__ = ('_clock', '_dependency_log', '_reader', '_settings', '_view')
 
     def __init__(
-        self, store: Store, settings: ControllerSettings, view: PlatformView
+        self,
+        store: Store,
+        settings: ControllerSettings,
+        view: PlatformView,
+        clock: Clock,
     ) -> None:
         """Read from ``store`` and update ``view``."""
+        self._clock = clock
         self._reader = PartitionReader(store, Topic.JOBS, FLEET_PARTITION)
         self._dependency_log = DependencyLog('records on VMs')
         self._settings = settings
@@ -181,6 +188,7 @@
 
     async def refresh(self) -> bool:
         """Read new records; return whether the store answered."""
+        sent_at = self._clock.read_boottime()
         update = await self._reader.poll(0)
         if isinstance(update, NotDone):
             self._dependency_log.record_failure(
@@ -188,11 +196,13 @@
             )
             return False
         self._dependency_log.record_success(trio.current_time())
+        self._view.last_read_at = sent_at
         fleet_state = self._view.fleet_state
         fleet_state.apply(update.records)
         for error in fleet_state.errors:
             LOG.emit('Invalid record ignored.', reason=str(error))
         fleet_state.errors.clear()
-        if update.records:
+        # Statuses of owners arrive all the time, and only bids use them.
+        if not all(is_owner_record(record) for record in update.records):
             self._view.notify()
         return True
--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -19,12 +19,12 @@
     build_maintenance_begun_record,
     build_maintenance_done_record,
     build_order_record,
-    build_pool_record,
     build_reopen_record,
 )
 from tarragonlb.scheduling.fleetstate import FleetState
 from tarragonlb.scheduling.job import MS_PER_SECOND
 from tarragonlb.scheduling.orders import OrderResult
+from tarragonlb.scheduling.ownershiprecords import build_pool_record
 from tarragonlb.scheduling.poolassignment import assign_pools, weigh_pools
 from tarragonlb.scheduling.rebalancing import PoolRebalancer, VmMove
 from tarragonlb.scheduling.records import KeyedRecord
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -18,7 +18,8 @@
         '_changed',
         'configuration',
         'fleet_state',
-        'last_contact_at',
+        'last_read_at',
+        'renewed_at',
         'waves',
         'workers',
     )
@@ -29,16 +30,21 @@
         self.workers: dict[str, Worker] = {}
         self.waves: dict[int, Wave] = {}
         self.fleet_state = FleetState()
-        self.last_contact_at: float | None = None
+        # When the last successful read of the fleet partition was sent, and
+        # the last renewal of each owned partition, on the boot-time clock.
+        self.last_read_at: float | None = None
+        self.renewed_at: dict[int, float] = {}
         self._changed = trio.Event()
 
     def compute_contact_age(self, now: float) -> float:
         """Return the time since the last contact with the store in seconds.
 
-        ``now`` is read from the boot-time clock.  The result is 0 if the last
-        contact is unknown: before the first call and while the process stops.
+        ``now`` is read from the boot-time clock.  The result is 0 before the
+        first read.  An owner that can read but not renew has lost contact.
         """
-        return 0 if self.last_contact_at is None else now - self.last_contact_at
+        if self.last_read_at is None:
+            return 0
+        return now - min((self.last_read_at, *self.renewed_at.values()))
 
     def find_partition(self, pool: str) -> int | None:
         """Return the partition of a pool's jobs, None if not yet assigned."""
--- a/libs/controller/tarragonlb/controller/ports.py
+++ b/libs/controller/tarragonlb/controller/ports.py
@@ -90,13 +90,20 @@
 
     @abc.abstractmethod
     async def join(
-        self, member: str, ttl_seconds: float, generation: int
+        self, partition: int, member: str, ttl_seconds: float, generation: int
     ) -> JoinResult:
-        """Join the group of owners or renew the membership."""
+        """Join the group of a partition's owner or renew the membership.
+
+        All partitions of the jobs topic are divided among the group's members.
+        """
+
+    @abc.abstractmethod
+    async def leave(self, partition: int, member: str) -> None:
+        """Leave the group of a partition's owner."""
 
     @abc.abstractmethod
-    async def leave(self, member: str) -> None:
-        """Leave the group and release all partitions."""
+    async def list_owners(self, partition: int) -> frozenset[str] | NotDone:
+        """Return the members of the group of a partition's owner."""
 
     @abc.abstractmethod
     async def publish_wave_status(
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -7,14 +7,15 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
-from tarragonlb.controller.dependencylog import DependencyLog
 from tarragonlb.controller.feeds import FleetStateFeed, OperatorFeed, WorkerFeed
 from tarragonlb.controller.fleetowner import FleetOwner
 from tarragonlb.controller.jobservice import JobService
-from tarragonlb.controller.membership import Membership, OwnedPartition
+from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.ownership import Ownership
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.poolowner import PoolOwner
@@ -25,14 +26,11 @@
     VmApi,
     WorkerApi,
 )
-from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, TERMS
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('process')
-# Timeout of the one call that leaves the group when the daemon stops.
-LEAVE_TIMEOUT_SECONDS = 0.5
 # The part of the grace period that is reserved for closing connections.
 STOP_MARGIN_SECONDS = 1.5
 
@@ -54,11 +52,9 @@
         '_clock',
         '_feeds',
         '_fleet_state_feed',
-        '_group_log',
         '_is_stopping',
-        '_member',
-        '_membership',
         '_owners',
+        '_ownership',
         '_platform',
         '_settings',
         'job_service',
@@ -75,18 +71,18 @@
         """Prepare to run as ``member``, a name unique to this process."""
         self._platform = platform
         self._settings = settings
-        self._member = member
         self._clock = clock
         self._feeds: dict[int, PartitionFeed] = {}
         self._owners: dict[
             OwnedPartition, tuple[trio.CancelScope, trio.Event]
         ] = {}
-        self._membership = Membership(settings.member_ttl_seconds)
         self._is_stopping = False
-        self._group_log = DependencyLog('group of owners')
         self.view = PlatformView()
         self._fleet_state_feed = FleetStateFeed(
-            platform.store, settings, self.view
+            platform.store, settings, self.view, clock
+        )
+        self._ownership = Ownership(
+            member, platform.store, settings, clock, self.view
         )
         self.job_service = JobService(
             platform.store, self._feeds, settings, clock, self.view
@@ -99,7 +95,7 @@
             return False
         if any(feed.last_read_at is None for feed in self._feeds.values()):
             return False
-        if self.view.last_contact_at is None:
+        if self.view.last_read_at is None:
             return False
         contact_age = self.view.compute_contact_age(self._clock.read_boottime())
         return contact_age < self._settings.store_unready_seconds
@@ -119,7 +115,11 @@
             nursery.start_soon(self._fleet_state_feed.run)
             nursery.start_soon(self._follow_pools, nursery)
             async with trio.open_nursery() as owners:
-                owners.start_soon(self._maintain_membership, owners)
+                owners.start_soon(
+                    self._ownership.run,
+                    self._list_served_partitions,
+                    partial(self._update_owner, owners),
+                )
                 await stopped.wait()
                 await self._release_partitions()
                 owners.cancel_scope.cancel()
@@ -129,11 +129,9 @@
     async def _release_partitions(self) -> None:
         LOG.emit('Stopping: releasing all partitions.')
         self._is_stopping = True
-        # No more joins are sent, so the age of the last contact is irrelevant.
-        self.view.last_contact_at = None
+        self._ownership.stop()
         await self._stop_owners(frozenset())
-        with trio.move_on_after(LEAVE_TIMEOUT_SECONDS):
-            await self._platform.store.leave(self._member)
+        await self._ownership.release()
 
     async def _follow_pools(self, nursery: trio.Nursery) -> None:
         while True:
@@ -151,45 +149,26 @@
         self._feeds[partition] = feed
         nursery.start_soon(feed.run)
 
-    async def _maintain_membership(self, nursery: trio.Nursery) -> None:
-        membership = self._membership
-        while not self._is_stopping:
-            sent_at = self._clock.read_boottime()
-            assignment = await self._platform.store.join(
-                self._member,
-                self._settings.member_ttl_seconds,
-                membership.generation,
-            )
-            if isinstance(assignment, NotDone):
-                self._group_log.record_failure(
-                    assignment.reason, trio.current_time()
-                )
-                await trio.sleep(self._settings.store_retry_seconds)
-                continue
-            self._group_log.record_success(trio.current_time())
-            self.view.last_contact_at = sent_at
-            last_generation = membership.generation
-            membership.apply_assignment(assignment, sent_at)
-            await self._update_owners(nursery)
-            if membership.must_rejoin:
-                LOG.emit('Leaving the group to rejoin in a new term.')
-                await self._platform.store.leave(self._member)
-            if membership.generation == last_generation:
-                await trio.sleep(self._settings.join_interval_seconds)
+    def _list_served_partitions(self) -> tuple[int, ...]:
+        return (FLEET_PARTITION, *self._feeds)
 
-    async def _update_owners(self, nursery: trio.Nursery) -> None:
-        owned_partitions = self._membership.list_owned_partitions()
-        await self._stop_owners(owned_partitions)
-        for owned in owned_partitions:
-            is_served = (
-                owned.partition in self._feeds
-                or owned.partition == FLEET_PARTITION
+    async def _update_owner(
+        self, nursery: trio.Nursery, partition: int
+    ) -> None:
+        owned = self._ownership.find_owned(partition)
+        await self._stop_owners(
+            frozenset(
+                other
+                for other in self._owners
+                if other.partition != partition or other == owned
             )
-            if is_served and owned not in self._owners:
-                scope, ended = trio.CancelScope(), trio.Event()
-                self._owners[owned] = (scope, ended)
-                FLEET_METER.count(TERMS, 'begun')
-                nursery.start_soon(self._supervise_owner, owned, scope, ended)
+        )
+        if owned is None or owned in self._owners:
+            return
+        scope, ended = trio.CancelScope(), trio.Event()
+        self._owners[owned] = (scope, ended)
+        FLEET_METER.count(TERMS, 'begun')
+        nursery.start_soon(self._supervise_owner, owned, scope, ended)
 
     async def _stop_owners(
         self, owned_partitions: frozenset[OwnedPartition]
@@ -210,7 +189,7 @@
         try:
             with scope:
                 await self._run_owner(owned)
-                self._membership.end_term(owned)
+                self._ownership.end_term(owned)
         finally:
             self._remove_owner(owned, ended)
 
@@ -236,7 +215,7 @@
                 self._settings,
                 self._clock,
             )
-            await fleet.run(self._is_membership_valid)
+            await fleet.run(partial(self._ownership.is_valid, FLEET_PARTITION))
             return
         owner = PoolOwner(
             owned,
@@ -247,22 +226,19 @@
             self._settings,
             self._clock,
         )
-        await owner.run(self._choose_lease_seconds)
+        await owner.run(partial(self._choose_lease_seconds, owned.partition))
 
-    def _choose_lease_seconds(self) -> float:
+    def _choose_lease_seconds(self, partition: int) -> float:
         """Return how long leases may be granted now, in seconds.
 
         With short leases, tasks of unreachable workers can soon be restarted
         elsewhere.  While the store does not answer, leases are as long as
         possible so that tasks survive its outage.
         """
-        now = self._clock.read_boottime()
-        if not self._membership.is_valid(now):
+        if not self._ownership.is_valid(partition):
             return 0
         settings = self._settings
-        if self.view.compute_contact_age(now) > settings.store_suspect_seconds:
+        age = self._clock.read_boottime() - self.view.renewed_at[partition]
+        if age > settings.store_suspect_seconds:
             return settings.scheduling.max_lease_seconds
         return settings.scheduling.order_lease_seconds
-
-    def _is_membership_valid(self) -> bool:
-        return self._membership.is_valid(self._clock.read_boottime())
--- /dev/null
+++ b/libs/scheduling/features/owners.feature
@@ -0,0 +1,55 @@
+Feature: Bids for the ownership of partitions
+
+  Scenario Outline: The delay falls with the capacity left for one partition
+    Then the delay of <cores> cores that own <owned> partitions is from <least> to <most> s if the strongest have 2
+
+    Examples:
+      | cores | owned | least | most |
+      | 2     | 0     | 0.15  | 0.23 |
+      | 1     | 0     | 0.30  | 0.45 |
+      | 2     | 1     | 0.30  | 0.45 |
+      | 0.5   | 0     | 0.60  | 0.90 |
+      | 0.1   | 5     | 0.70  | 1.05 |
+      | 0     | 0     | 0.70  | 1.05 |
+
+  Scenario: A silent owner's partition is due, the released one sooner
+    Given owners of partitions "1 2" are heard at 0 s
+    When the owner of partition 2 releases it at 0.2 s
+    Then no partition is due at 0.25 s
+    And partition 2 is due at 0.5 s
+    When partition 2 turns out to be taken at 0.7 s
+    Then no partition is due at 0.9 s
+    And partition 2 is due at 1.0 s
+    When the owner of partition 2 is heard at 1.1 s
+    Then no partition is due at 1.5 s
+    And partition 1 is due at 1.9 s
+
+  Scenario: A partition that never had an owner is due
+    Given owners of partitions "1" are heard at 0 s
+    And partition 3 gets its first pool at 0 s
+    Then no partition is due at 0.2 s
+    And partition 3 is due at 0.4 s
+
+  Scenario: Without contact with the store no owner counts as silent
+    Given owners of partitions "1" are heard at 0 s
+    When the store has not been read at 3 s
+    Then no partition is due at 4.6 s
+    And partition 1 is due at 4.9 s
+
+  Scenario: Checks of a partition that stays taken become rare
+    Given owners of partitions "1" are heard at 0 s
+    Then 60 seconds later partition 1 was checked at most 22 times
+
+  Scenario: Only a vacant group is joined, or one whose owner is long gone
+    Given owners of partitions "1 2" are heard at 0 s
+    Then a group with members "" may be joined at 2 s
+    And a group with members "me" may be joined at 2 s
+    And a group with members "other" may not be joined at 2 s
+    And a group with members "other" may not be joined at 7 s
+    When the owner of partition 2 is heard at 6.9 s
+    Then a group with members "other" may be joined at 7 s
+
+  Scenario: A late status of an earlier term is ignored
+    Given a fleet state with a status of term 7 of partition 1
+    When a status of term 6 of partition 1 arrives
+    Then the owner of partition 1 is that of term 7
--- a/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
@@ -11,7 +11,6 @@
     order/VM            an order for the VM is about to be sent
     begun/WAVE/VM       the platform confirmed that the maintenance begins
     through/WAVE/VM     the VM's maintenance is done
-    pool/POOL           the partition of the pool's jobs
 """
 
 from dataclasses import dataclass
@@ -26,7 +25,6 @@
 ORDER = 'order'
 BEGUN = 'begun'
 THROUGH = 'through'
-POOL = 'pool'
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,10 +115,5 @@
     return KeyedRecord(f'{THROUGH}/{wave}/{vm_id}', cbor2.dumps(1))
 
 
-def build_pool_record(pool: str, partition: int) -> KeyedRecord:
-    """Return the record that assigns a pool to a partition."""
-    return KeyedRecord(f'{POOL}/{pool}', cbor2.dumps(partition))
-
-
 def _encode_drain(request: DrainRequest) -> bytes:
     return cbor2.dumps([request.worker_id, request.wave, request.number])
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -11,7 +11,15 @@
 
 import cbor2
 
-from tarragonlb.scheduling.fleetrecords import DrainRequest, PoolLoad, VmOrder
+from tarragonlb.scheduling.fleetrecords import (
+    DrainRequest,
+    PoolLoad,
+    VmOrder,
+)
+from tarragonlb.scheduling.ownershiprecords import (
+    OwnerStatus,
+    decode_owner_status,
+)
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
 
 
@@ -27,6 +35,7 @@
         'maintenance_begun',
         'maintenance_done',
         'orders',
+        'owner_statuses',
         'partitions',
     )
 
@@ -42,6 +51,8 @@
         self.maintenance_done: set[tuple[int, str]] = set()
         # The partition of each pool's jobs.
         self.partitions: dict[str, int] = {}
+        # The newest status of each partition's owner.
+        self.owner_statuses: dict[int, OwnerStatus] = {}
         self.errors: list[RecordError] = []
 
     def apply(self, records: Iterable[KeyedRecord]) -> None:
@@ -109,8 +120,8 @@
                 self.orders[name] = VmOrder(int(term), float(wall_ms))
             case 'load':
                 self.loads[name] = _decode_load(record.value)
-            case 'pool':
-                self.partitions[name] = int(cbor2.loads(record.value))
+            case 'pool' | 'owner':
+                self._apply_ownership(kind, name, record.value)
             case _:
                 raise RecordError('unknown kind')
 
@@ -122,6 +133,15 @@
         else:
             self.maintenance_done.add(key)
 
+    def _apply_ownership(self, kind: str, name: str, value: bytes) -> None:
+        if kind == 'pool':
+            self.partitions[name] = int(cbor2.loads(value))
+            return
+        status = decode_owner_status(int(name), value)
+        known = self.owner_statuses.get(status.partition)
+        if known is None or known.term <= status.term:
+            self.owner_statuses[status.partition] = status
+
 
 def _decode_load(value: bytes) -> PoolLoad:
     wanted, minimum, candidates, permanent = cbor2.loads(value)
