--- a/libs/controller/features/steps/overload_steps.py
+++ b/libs/controller/features/steps/overload_steps.py
@@ -12,7 +12,7 @@
 )
 def create_busy(context, ms, workers):
     context.simulation = Simulation(
-        1, workers, lambda: BusyWorkerApi(ms / 1000)
+        1, workers, create_worker_api=lambda: BusyWorkerApi(ms / 1000)
     )
 
 
