Let the pause between polls follow the load of the daemon

Cause: each end of a task ends a poll, and the next one was sent 15 ms later whatever the load; a worker also answers at once while it lists ends that are not acknowledged yet.

Change: a daemon's sessions share a budget of polls (a tenth of a core). Pauses are short until it is used up and grow to 0.1 s then; a worker that listed ends is polled again when they are acknowledged, 0.1 s later at most; a worker whose lease has little left is not kept waiting. A worker gets three orders at once instead of six, which keeps fewer connections open, and an order counts at the gate for 0.2 s: with 0.1 s a slow daemon admitted more than it could send.

--- a/libs/controller/features/busyworkers.py
+++ b/libs/controller/features/busyworkers.py
@@ -1,5 +1,6 @@
 """Workers whose calls share the processor of the daemon that calls them."""
 
+import random
 from collections import defaultdict
 
 import trio
@@ -16,7 +17,8 @@
 class BusyWorkerApi(FakeWorkerApi):
     """Every call first uses some processor time, one call after the other.
 
-    Tasks lapse once the lease that was granted to their worker has run out.
+    Tasks take 0.5 to 1.5 s and lapse once the lease that was granted to their
+    worker has run out.
     """
 
     def __init__(self, call_seconds):
@@ -27,11 +29,14 @@
         self.failures = defaultdict(int)
         self.silent = set()
         self.lapsed = []
-        self.polls = 0
+        self.busy_polls = 0
+        self.random = random.Random(1)
+        self.ended_at = {}
+        self.report_delays = []
 
     async def poll_status(self, request):
         worker_id = request.worker.worker_id
-        self.polls += 1
+        self.busy_polls += bool(self.starts)
         with trio.move_on_after(TIMEOUT_SECONDS + request.wait_seconds):
             await self._compute()
             if request.lease_until_ms is not None:
@@ -39,6 +44,7 @@
             reply = await super().poll_status(request)
             if isinstance(reply, StatusReply):
                 self.failures[worker_id] = 0
+                self._note_delays(worker_id, reply.report)
             return reply
         self.failures[worker_id] += 1
         if self.failures[worker_id] > 1:
@@ -49,21 +55,38 @@
         with trio.move_on_after(TIMEOUT_SECONDS):
             await self._compute()
             self._extend(worker.worker_id, lease_until_ms)
-            return await super().start(worker, order, term, lease_until_ms)
+            result = await super().start(worker, order, term, lease_until_ms)
+            if result is OrderResult.DONE:
+                ends_at = trio.current_time() + self.random.uniform(0.5, 1.5)
+                self.runs[worker.worker_id][order.key] = order.attempt, ends_at
+            return result
         return OrderResult.UNANSWERED
 
     async def _compute(self):
         async with self.processor:
             await trio.sleep(self.call_seconds)
 
+    def _note_delays(self, worker_id, report):
+        for end in report.ended:
+            ended_at = self.ended_at.pop((worker_id, end.number), None)
+            if ended_at is not None:
+                delay = report.received_at - ended_at
+                self.report_delays.append(delay)
+
     def _extend(self, worker_id, until_ms):
         self.lease_until[worker_id] = max(
             self.lease_until[worker_id], until_ms / MS_PER_SECOND
         )
 
     def _advance(self, worker_id):
-        if trio.current_time() > self.lease_until[worker_id]:
+        now = trio.current_time()
+        if now > self.lease_until[worker_id]:
             for key, (attempt, _) in self.runs.pop(worker_id, {}).items():
                 self.lapsed.append(key)
                 self._end(worker_id, key, attempt, 'lapsed')
+        number = self.last_end_numbers[worker_id]
+        for _, ends_at in self.runs[worker_id].values():
+            if now >= ends_at:
+                number += 1
+                self.ended_at[worker_id, number] = ends_at
         super()._advance(worker_id)
--- a/libs/controller/features/overload.feature
+++ b/libs/controller/features/overload.feature
@@ -1,13 +1,45 @@
 Feature: A daemon that has less processor time than work
 
   # The own delay of an owner must not look like silence of its workers.
-  Scenario: Workers of an overloaded owner keep their leases
-    Given a daemon that spends 3 ms of processor time on each call to its 60 workers
-    When a job of 2400 tasks is submitted
+  Scenario Outline: Workers of an overloaded owner keep their leases
+    Given a daemon that spends <cost> ms of processor time on each call to its <workers> workers
+    When a job of 3600 tasks is submitted
     And 6 seconds pass
     Then no worker counted as silent and no lease lapsed
 
+    Examples:
+      | cost | workers |
+      | 4    | 60      |
+      | 3    | 100     |
+
   Scenario: Orders wait for each other, but not for unreachable workers
     Given a gate for 2 orders that hold it for 0.1 s at most
     When orders that take 0.02 0.4 0.02 0.4 0.02 s arrive together
     Then they are sent after 0 0 0.02 0.04 0.1 s
+
+  # Each end of a task ends a poll, so a busy pool was polled without limit.
+  Scenario: A busy pool is polled no more often than its ends have to be seen
+    Given a daemon that spends 0.5 ms of processor time on each call to its 60 workers
+    When a job of 3600 tasks is submitted
+    And 6 seconds pass
+    Then at most 400 polls a second were sent, and 90% of the ends were reported within 0.1 s
+
+  Scenario Outline: Pauses between polls follow the load
+    Given a budget of <share> of a core for polls that cost 0.5 ms each
+    When <replies> workers with <lease> s left of their leases reply at once
+    Then the next polls are sent after <first> to <last> s
+
+    Examples:
+      | share | replies | lease | first | last  |
+      | 0.1   | 1       | 3     | 0.015 | 0.015 |
+      | 0.1   | 3       | 3     | 0.015 | 0.015 |
+      | 0.1   | 11      | 3     | 0.015 | 0.05  |
+      | 0.1   | 60      | 3     | 0.015 | 0.1   |
+      | 0.5   | 60      | 3     | 0.015 | 0.059 |
+      | 0.1   | 60      | 1     | 0.015 | 0.015 |
+
+  Scenario: A budget that was exceeded is free again after the longest pause
+    Given a budget of 0.1 of a core for polls that cost 0.5 ms each
+    When 500 workers with 3 s left of their leases reply at once
+    And 0.1 s later 1 workers with 3 s left of their leases reply at once
+    Then the next polls are sent after 0.015 to 0.015 s
--- a/libs/controller/features/steps/overload_steps.py
+++ b/libs/controller/features/steps/overload_steps.py
@@ -1,9 +1,16 @@
+from dataclasses import replace
+
 import trio
+import trio.testing
 from behave import given, then, when
 from busyworkers import BusyWorkerApi
-from controller_steps import Simulation
+from controller_steps import SETTINGS, Simulation
 
 from tarragonlb.controller.ordergate import OrderGate
+from tarragonlb.controller.pollbudget import PollBudget
+
+# Tasks run for this long in each scenario.
+BUSY_SECONDS = 6.0
 
 
 @given(
@@ -54,3 +61,54 @@
 def check_entered(context, times):
     expected = [float(at) for at in times.split()]
     assert context.entered == expected, context.entered
+
+
+@then(
+    'at most {count:d} polls a second were sent, and {percent:d}% of the ends '
+    'were reported within {seconds:g} s'
+)
+def check_polls(context, count, percent, seconds):
+    simulation = context.simulation
+    simulation.run()
+    worker_api = simulation.worker_api
+    polls_per_second = worker_api.busy_polls / BUSY_SECONDS
+    assert polls_per_second <= count, polls_per_second
+    delays = sorted(worker_api.report_delays)
+    assert len(delays) > 2000, len(delays)
+    delay = delays[len(delays) * percent // 100]
+    assert delay <= seconds, delay
+
+
+@given('a budget of {share:g} of a core for polls that cost {ms:g} ms each')
+def create_budget(context, share, ms):
+    context.now = 100.0
+    context.poll_budget = PollBudget(
+        replace(
+            SETTINGS,
+            poll_processor_share=share,
+            poll_processor_seconds=ms / 1000,
+        )
+    )
+
+
+@when('{count:d} workers with {lease:g} s left of their leases reply at once')
+def reply_at_once(context, count, lease):
+    context.planned = [
+        context.poll_budget.plan(context.now, lease) for _ in range(count)
+    ]
+
+
+@when(
+    '{delay:g} s later {count:d} workers with {lease:g} s left of their '
+    'leases reply at once'
+)
+def reply_later(context, delay, count, lease):
+    context.now += delay
+    reply_at_once(context, count, lease)
+
+
+@then('the next polls are sent after {first:g} to {last:g} s')
+def check_planned(context, first, last):
+    delays = [at - context.now for at in context.planned]
+    assert abs(min(delays) - first) < 1e-6, min(delays)
+    assert abs(max(delays) - last) < 1e-6, max(delays)
--- a/libs/controller/tarragonlb/controller/lease.py
+++ b/libs/controller/tarragonlb/controller/lease.py
@@ -53,3 +53,10 @@
             return 0.0
         remaining = (self._granted_until_ms - self._clock_ms) / MS_PER_SECOND
         return self._received_at + remaining * CLOCK_DRIFT_FACTOR
+
+    def compute_remaining(self, now: float) -> float:
+        """Return the seconds left of the lease, on the worker's clock."""
+        if self._clock_ms is None or self._granted_until_ms is None:
+            return 0.0
+        clock_ms = self._clock_ms + (now - self._received_at) * MS_PER_SECOND
+        return (self._granted_until_ms - clock_ms) / MS_PER_SECOND
--- a/libs/controller/tarragonlb/controller/ordergate.py
+++ b/libs/controller/tarragonlb/controller/ordergate.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from tarragonlb.controller.pollbudget import PollBudget
 from tarragonlb.controller.ports import WorkerApi
 
 
@@ -60,7 +61,8 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerAccess:
-    """How all owners of a process call workers: orders pass ``gate``."""
+    """How all owners of a process call workers, and what they share."""
 
     api: WorkerApi
     gate: OrderGate
+    poll_budget: PollBudget
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -18,6 +18,7 @@
 from tarragonlb.controller.ordergate import OrderGate, WorkerAccess
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
+from tarragonlb.controller.pollbudget import PollBudget
 from tarragonlb.controller.poolowner import PoolOwner
 from tarragonlb.controller.ports import (
     Clock,
@@ -90,6 +91,7 @@
             OrderGate(
                 settings.max_orders_under_way, settings.order_hold_seconds
             ),
+            PollBudget(settings),
         )
         self._group_log = DependencyLog('group of owners')
         self.view = PlatformView()
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -52,18 +52,26 @@
     # How long a worker may wait for an attempt to end before it replies to a
     # poll.
     poll_wait_seconds: float = 0.8
-    # Pause between polls, which limits their rate for a worker on which many
-    # tasks end each second.
+    # Shortest pause between two polls of a worker.
     poll_pause_seconds: float = 0.015
+    # Longest pause; the end of a task is reported this much later at most.
+    max_poll_pause_seconds: float = 0.1
+    # Share of one core that a daemon spends on polls before pauses grow.
+    poll_processor_share: float = 0.1
+    # Processor time of a poll, with the handling of its report.
+    poll_processor_seconds: float = 0.0004
+    # A worker whose lease has less left is polled after the shortest pause.
+    urgent_lease_seconds: float = 1.5
     # Pause before a worker that did not answer is polled again.
     poll_retry_seconds: float = 0.25
-    # Maximum number of concurrent orders to one worker.
-    order_senders: int = 6
+    # Maximum number of concurrent orders to one worker; each may keep a
+    # connection open.
+    order_senders: int = 3
     # Maximum number of concurrent orders of a daemon to all of its workers.
     # Each is answered within a few ms, so this many keep a processor busy.
     max_orders_under_way: int = 16
     # An order that is unanswered for this long no longer counts as one of them.
-    order_hold_seconds: float = 0.1
+    order_hold_seconds: float = 0.2
     # Pause before a call to the store that had no effect is retried.
     store_retry_seconds: float = 0.1
     # How long storing a client's job is retried before the job is rejected.
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -31,7 +31,7 @@
     StartOrder,
     StopOrder,
 )
-from tarragonlb.scheduling.worker import Worker
+from tarragonlb.scheduling.worker import Worker, WorkerReport
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('worker')
@@ -48,6 +48,7 @@
 
     __slots__ = (
         '_acknowledged',
+        '_acknowledgement',
         '_clock',
         '_inbox',
         '_is_still_wanted',
@@ -79,6 +80,7 @@
         self._clock = clock
         self._lease = WorkerLease()
         self._acknowledged: tuple[int | None, int] = (None, 0)
+        self._acknowledgement = trio.Event()
         self._order_sender, self._order_receiver = trio.open_memory_channel[
             Order
         ](MAX_QUEUED_ORDERS)
@@ -107,6 +109,7 @@
     def acknowledge_ends(self, incarnation: int | None, number: int) -> None:
         """Acknowledge the ends of an incarnation up to ``number``."""
         self._acknowledged = (incarnation, number)
+        self._acknowledgement.set()
 
     def enqueue(self, order: Order) -> bool:
         """Queue an order; return False if the queue is full."""
@@ -126,13 +129,34 @@
                 incarnation = reply.report.incarnation
                 failures = 0
                 await self._inbox.send(ReportReceived(reply.report))
-                await trio.sleep(settings.poll_pause_seconds)
+                await self._pause(reply.report)
                 continue
             failures += 1
             if failures >= SILENT_AFTER_FAILURES:
                 await self._report_failure(reply)
                 await trio.sleep(settings.poll_retry_seconds)
 
+    async def _pause(self, report: WorkerReport) -> None:
+        """Wait before the next poll.
+
+        The worker answers at once while it lists ends that are not
+        acknowledged, so acknowledgements are awaited.
+        """
+        now = self._clock.read_monotonic()
+        lease_seconds = self._lease.compute_remaining(now)
+        poll_at = self._workers.poll_budget.plan(now, lease_seconds)
+        is_urgent = lease_seconds < self._settings.urgent_lease_seconds
+        if report.ended and not is_urgent:
+            with trio.move_on_after(self._settings.max_poll_pause_seconds):
+                await self._wait_for_acknowledgement(report)
+        await trio.sleep(max(poll_at - self._clock.read_monotonic(), 0))
+
+    async def _wait_for_acknowledgement(self, report: WorkerReport) -> None:
+        last_end = (report.incarnation, report.ended[-1].number)
+        while self._acknowledged != last_end:
+            self._acknowledgement = trio.Event()
+            await self._acknowledgement.wait()
+
     async def _poll(
         self, incarnation: int | None, failures: int
     ) -> StatusReply | OrderResult:
