--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -19,6 +19,7 @@
 from tarragonlb.controller.ownership import Ownership
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
+from tarragonlb.controller.pollbudget import PollBudget
 from tarragonlb.controller.poolowner import PoolOwner
 from tarragonlb.controller.ports import (
     Clock,
@@ -84,6 +85,7 @@
             OrderGate(
                 settings.max_orders_under_way, settings.order_hold_seconds
             ),
+            PollBudget(settings),
         )
         self.view = PlatformView()
         self._fleet_state_feed = FleetStateFeed(
