--- a/libs/controller/features/steps/bound_steps.py
+++ b/libs/controller/features/steps/bound_steps.py
@@ -1,5 +1,4 @@
 from behave import then, when
-from controller_steps import SETTINGS
 
 from tarragonlb.controller.ports import Topic
 
@@ -25,7 +24,7 @@
 @then('no lease bound is left in the store')
 def check_no_bounds(context):
     simulation = context.simulation
-    log = simulation.store.logs[Topic.JOBS, SETTINGS.find_partition('pool')]
+    log = simulation.store.logs[Topic.JOBS, simulation.find_partition('pool')]
     newest = {record.key: record.value for record in log}
     bounds = {key: v for key, v in newest.items() if key.endswith('l')}
     assert bounds, 'no bound was ever stored'
--- /dev/null
+++ b/libs/controller/features/steps/overload_steps.py
@@ -0,0 +1,114 @@
+from dataclasses import replace
+
+import trio
+import trio.testing
+from behave import given, then, when
+from busyworkers import BusyWorkerApi
+from simulation import SETTINGS, Simulation
+
+from tarragonlb.controller.ordergate import OrderGate
+from tarragonlb.controller.pollbudget import PollBudget
+
+# Tasks run for this long in each scenario.
+BUSY_SECONDS = 6.0
+
+
+@given(
+    'a daemon that spends {ms:g} ms of processor time on each call to its '
+    '{workers:d} workers'
+)
+def create_busy(context, ms, workers):
+    context.simulation = Simulation(
+        1, workers, create_worker_api=lambda: BusyWorkerApi(ms / 1000)
+    )
+
+
+@then('no worker counted as silent and no lease lapsed')
+def check_leases(context):
+    context.simulation.run()
+    worker_api = context.simulation.worker_api
+    assert len(worker_api.starts) > 500, len(worker_api.starts)
+    assert not worker_api.silent, worker_api.silent
+    assert not worker_api.lapsed, worker_api.lapsed
+
+
+@given('a gate for {limit:d} orders that hold it for {seconds:g} s at most')
+def create_gate(context, limit, seconds):
+    context.gate = OrderGate(limit, seconds)
+
+
+@when('orders that take {times} s arrive together')
+def send_orders(context, times):
+    entered = []
+
+    async def send(number, seconds):
+        async with context.gate.enter():
+            entered.append((number, round(trio.current_time(), 3)))
+            await trio.sleep(seconds)
+
+    async def send_all():
+        async with trio.open_nursery() as nursery:
+            for number, seconds in enumerate(times.split()):
+                nursery.start_soon(send, number, float(seconds))
+                await trio.testing.wait_all_tasks_blocked()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(send_all, clock=clock)
+    context.entered = [at for _, at in sorted(entered)]
+
+
+@then('they are sent after {times} s')
+def check_entered(context, times):
+    expected = [float(at) for at in times.split()]
+    assert context.entered == expected, context.entered
+
+
+@then(
+    'at most {count:d} polls a second were sent, and {percent:d}% of the ends '
+    'were reported within {seconds:g} s'
+)
+def check_polls(context, count, percent, seconds):
+    simulation = context.simulation
+    simulation.run()
+    worker_api = simulation.worker_api
+    polls_per_second = worker_api.busy_polls / BUSY_SECONDS
+    assert polls_per_second <= count, polls_per_second
+    delays = sorted(worker_api.report_delays)
+    assert len(delays) > 2000, len(delays)
+    delay = delays[len(delays) * percent // 100]
+    assert delay <= seconds, delay
+
+
+@given('a budget of {share:g} of a core for polls that cost {ms:g} ms each')
+def create_budget(context, share, ms):
+    context.now = 100.0
+    context.poll_budget = PollBudget(
+        replace(
+            SETTINGS,
+            poll_processor_share=share,
+            poll_processor_seconds=ms / 1000,
+        )
+    )
+
+
+@when('{count:d} workers with {lease:g} s left of their leases reply at once')
+def reply_at_once(context, count, lease):
+    context.planned = [
+        context.poll_budget.plan(context.now, lease) for _ in range(count)
+    ]
+
+
+@when(
+    '{delay:g} s later {count:d} workers with {lease:g} s left of their '
+    'leases reply at once'
+)
+def reply_later(context, delay, count, lease):
+    context.now += delay
+    reply_at_once(context, count, lease)
+
+
+@then('the next polls are sent after {first:g} to {last:g} s')
+def check_planned(context, first, last):
+    delays = [at - context.now for at in context.planned]
+    assert abs(min(delays) - first) < 1e-6, min(delays)
+    assert abs(max(delays) - last) < 1e-6, max(delays)
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -79,7 +79,7 @@
                 await trio.sleep(settings.store_retry_seconds)
                 continue
             self._dependency_log.record_success(trio.current_time())
-            await self._apply(update)
+            self._apply(update)
             if is_owner:
                 await trio.sleep(settings.owner_read_interval_seconds)
                 continue
@@ -93,7 +93,9 @@
             update = await self._reader.poll(0)
             if isinstance(update, NotDone):
                 return False
-            await self._apply(update)
+            # Concurrent reads continue where this one ended, so the index must
+            # hold its records before the next call to the store.
+            self._apply(update)
             if not (update.is_snapshot or update.records):
                 return True
 
@@ -109,7 +111,11 @@
         )
 
     def subscribe(self, subscriber: trio.MemorySendChannel[list[str]]) -> None:
-        """Poll at the owner's rate and send the ids of changed jobs."""
+        """Poll at the owner's rate and send the ids of changed jobs.
+
+        The channel has to be unbounded: waiting for space could be cancelled
+        together with a client's query, and the change would get lost.
+        """
         self._subscriber = subscriber
         self._wake.set()
 
@@ -135,7 +141,7 @@
             )
         return self.job_index.apply(others)
 
-    async def _apply(self, update: RecordUpdate) -> None:
+    def _apply(self, update: RecordUpdate) -> None:
         self.last_read_at = self._clock.read_boottime()
         changed = self._index(update)
         errors = (*self.job_index.errors, *self.lease_bounds.errors)
@@ -148,4 +154,4 @@
         self.job_index.errors.clear()
         self.lease_bounds.errors.clear()
         if changed and self._subscriber is not None:
-            await self._subscriber.send(changed)
+            self._subscriber.send_nowait(changed)
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -30,7 +30,12 @@
 
 
 class PartitionReader:
-    """Reads one partition; two reads may run concurrently."""
+    """Reads one partition; two reads may run concurrently.
+
+    A read starts at the end of the last one that was answered.  Its records
+    have to be applied before control passes to another task: until then other
+    reads skip them, and would not find what is already stored.
+    """
 
     __slots__ = ('_partition', '_store', '_topic', 'next_offset')
 
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -18,11 +18,11 @@
     WorkerSilent,
 )
 from tarragonlb.controller.lease import WorkerLease
+from tarragonlb.controller.ordergate import WorkerAccess
 from tarragonlb.controller.ports import (
     Clock,
     StatusReply,
     StatusRequest,
-    WorkerApi,
 )
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.orders import (
@@ -31,7 +31,7 @@
     StartOrder,
     StopOrder,
 )
-from tarragonlb.scheduling.worker import Worker
+from tarragonlb.scheduling.worker import Worker, WorkerReport
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('worker')
@@ -48,6 +48,7 @@
 
     __slots__ = (
         '_acknowledged',
+        '_acknowledgement',
         '_clock',
         '_inbox',
         '_is_still_wanted',
@@ -66,7 +67,7 @@
         self,
         worker: Worker,
         term: int,
-        workers: WorkerApi,
+        workers: WorkerAccess,
         settings: ControllerSettings,
         clock: Clock,
     ) -> None:
@@ -79,6 +80,7 @@
         self._clock = clock
         self._lease = WorkerLease()
         self._acknowledged: tuple[int | None, int] = (None, 0)
+        self._acknowledgement = trio.Event()
         self._order_sender, self._order_receiver = trio.open_memory_channel[
             Order
         ](MAX_QUEUED_ORDERS)
@@ -107,6 +109,7 @@
     def acknowledge_ends(self, incarnation: int | None, number: int) -> None:
         """Acknowledge the ends of an incarnation up to ``number``."""
         self._acknowledged = (incarnation, number)
+        self._acknowledgement.set()
 
     def enqueue(self, order: Order) -> bool:
         """Queue an order; return False if the queue is full."""
@@ -126,13 +129,34 @@
                 incarnation = reply.report.incarnation
                 failures = 0
                 await self._inbox.send(ReportReceived(reply.report))
-                await trio.sleep(settings.poll_pause_seconds)
+                await self._pause(reply.report)
                 continue
             failures += 1
             if failures >= SILENT_AFTER_FAILURES:
                 await self._report_failure(reply)
                 await trio.sleep(settings.poll_retry_seconds)
 
+    async def _pause(self, report: WorkerReport) -> None:
+        """Wait before the next poll.
+
+        The worker answers at once while it lists ends that are not
+        acknowledged, so acknowledgements are awaited.
+        """
+        now = self._clock.read_monotonic()
+        lease_seconds = self._lease.compute_remaining(now)
+        poll_at = self._workers.poll_budget.plan(now, lease_seconds)
+        is_urgent = lease_seconds < self._settings.urgent_lease_seconds
+        if report.ended and not is_urgent:
+            with trio.move_on_after(self._settings.max_poll_pause_seconds):
+                await self._wait_for_acknowledgement(report)
+        await trio.sleep(max(poll_at - self._clock.read_monotonic(), 0))
+
+    async def _wait_for_acknowledgement(self, report: WorkerReport) -> None:
+        last_end = (report.incarnation, report.ended[-1].number)
+        while self._acknowledged != last_end:
+            self._acknowledgement = trio.Event()
+            await self._acknowledgement.wait()
+
     async def _poll(
         self, incarnation: int | None, failures: int
     ) -> StatusReply | OrderResult:
@@ -152,7 +176,7 @@
             lease_until_ms=until_ms,
             wait_seconds=wait_seconds,
         )
-        reply = await self._workers.poll_status(request)
+        reply = await self._workers.api.poll_status(request)
         if isinstance(reply, StatusReply):
             self._lease.record_reply(reply.clock_ms, reply.report.received_at)
         return reply
@@ -177,26 +201,25 @@
 
     async def _send_orders(self) -> None:
         async for order in self._order_receiver:
-            if isinstance(order, StartOrder):
-                result = await self._start(order)
-            elif isinstance(order, StopOrder):
-                result = await self._workers.stop(
-                    self.worker, order, self._term
-                )
-            else:
-                result = await self._workers.pace(
-                    self.worker, order, self._term
-                )
+            async with self._workers.gate.enter():
+                result = await self._send_order(order)
             if result is OrderResult.FENCED:
                 await self._inbox.send(TermEnded('a worker saw a later owner'))
             await self._inbox.send(OrderAnswered(order, result))
 
+    async def _send_order(self, order: Order) -> OrderResult:
+        if isinstance(order, StartOrder):
+            return await self._start(order)
+        if isinstance(order, StopOrder):
+            return await self._workers.api.stop(self.worker, order, self._term)
+        return await self._workers.api.pace(self.worker, order, self._term)
+
     async def _start(self, order: StartOrder) -> OrderResult:
         until_ms = self._lease.granted_until_ms
         if until_ms is None or not self._lease_seconds():
             return OrderResult.REFUSED
         if not self._is_still_wanted(order):
             return OrderResult.REFUSED
-        return await self._workers.start(
+        return await self._workers.api.start(
             self.worker, order, self._term, until_ms
         )
--- a/libs/scheduling/tarragonlb/scheduling/leasebound.py
+++ b/libs/scheduling/tarragonlb/scheduling/leasebound.py
@@ -33,6 +33,8 @@
 from tarragonlb.scheduling.worker import WorkerState
 
 LEASE_BOUND = 'l'
+# Silent workers are searched this often, since most rounds find none.
+SCAN_INTERVAL_SECONDS = 0.1
 
 
 class BoundContent(msgspec.Struct, array_like=True, frozen=True):
@@ -134,12 +136,12 @@
 class LeaseBoundKeeper:
     """Decides which bounds an owner stores and removes."""
 
-    __slots__ = ('_decided_at', '_partition')
+    __slots__ = ('_next_scan_at', '_partition')
 
     def __init__(self, partition: PartitionState) -> None:
         """Keep the bounds of the workers of ``partition``."""
         self._partition = partition
-        self._decided_at = -math.inf
+        self._next_scan_at = -math.inf
 
     def decide(self, now: float, *, is_store_suspect: bool) -> BoundChanges:
         """Return the changes to store; the caller then calls ``note_stored``.
@@ -155,15 +157,16 @@
             if _is_obsolete(partition.workers.get(worker_id))
         )
         interval = partition.settings.bound_interval_seconds
-        if is_store_suspect or now < self._decided_at + interval:
+        if is_store_suspect or now < self._next_scan_at:
             return BoundChanges({}, removed)
+        self._next_scan_at = now + SCAN_INTERVAL_SECONDS
         stored = {
             worker_id: seconds
             for worker_id, seconds in self._list_lower_bounds(now)
             if self._is_long_silent(partition.workers[worker_id], now)
         }
         if stored:
-            self._decided_at = now
+            self._next_scan_at = now + interval
             partition.stored_bounds.update(stored)
         return BoundChanges(stored, removed)
 
