Let no deadline end the daemon while a response begins

Callers and the trial under "freeze" saw a daemon go away for good: when a request's deadline passed in the moment in which its response began, the send of the response's start was cancelled after the HTTP server had accepted it. The server then took the response for not begun, tried to send an error instead and died of "LocalProtocolError: can't handle event type Response when role=SERVER and state=SEND_BODY", and the process with it. After a pause all deadlines have passed at once, so a daemon that wakes is hit most.

The start of a response is now sent in one piece; the deadline cuts it afterwards, as before. The server sends shielded itself, so this adds only the wait for its own lock.

--- a/libs/daemon/tarragonlb/daemon/exchange.py
+++ b/libs/daemon/tarragonlb/daemon/exchange.py
@@ -157,13 +157,16 @@
         headers.append((b'tarragon-request', self.info.request_id.encode()))
         headers.extend(make_list_age_headers(self.list_age))
         self.started = True
-        await self._send(
-            {
-                'type': 'http.response.start',
-                'status': response.status,
-                'headers': headers,
-            }
-        )
+        # The server can't end a response whose start was interrupted, and would
+        # end itself.
+        with trio.CancelScope(shield=True):
+            await self._send(
+                {
+                    'type': 'http.response.start',
+                    'status': response.status,
+                    'headers': headers,
+                }
+            )
         async for chunk in response.aiter_stream():
             await self._send(
                 {
