Count a wave's time from when a process first read it

Callers saw waves late and maintenance that never counted as done: each new owner of the fleet counted the wave's time limit, and the maintenance of VMs in standby, anew from its own takeover, the same cause as with leases of silent workers. Every daemon follows these records, so an owner now counts from when its process first read them, on the monotonic clock: what it has not seen only makes the wait longer.

Both scenarios failed before (owners that change every second: a wave of 20 s took 36.25 s, and four VMs in standby were not maintained in 40 s) and pass.

--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -30,6 +30,7 @@
     """Polls a topic, decodes its records and updates the view."""
 
     __slots__ = (
+        '_clock',
         '_dependency_log',
         '_documents',
         '_reader',
@@ -43,8 +44,10 @@
         documents: DocumentDecoder,
         settings: ControllerSettings,
         view: PlatformView,
+        clock: Clock,
     ) -> None:
         """Read from ``store``, decode with ``documents``, update ``view``."""
+        self._clock = clock
         topic = self.get_topic()
         self._reader = PartitionReader(store, topic, 0)
         self._dependency_log = DependencyLog(f'documents of {topic.value}')
@@ -107,7 +110,7 @@
             if isinstance(document, Configuration):
                 self._apply_configuration(document)
             elif isinstance(document, Wave):
-                self._view.waves[document.number] = document
+                self._view.add_wave(document, self._clock.read_monotonic())
                 LOG.emit(
                     'Maintenance wave requested.',
                     wave=document.number,
@@ -198,7 +201,7 @@
         self._dependency_log.record_success(trio.current_time())
         self._view.last_read_at = sent_at
         fleet_state = self._view.fleet_state
-        fleet_state.apply(update.records)
+        fleet_state.apply(update.records, self._clock.read_monotonic())
         for error in fleet_state.errors:
             LOG.emit('Invalid record ignored.', reason=str(error))
         fleet_state.errors.clear()
--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -150,7 +150,7 @@
             coordinator = WaveCoordinator(
                 wave,
                 self._settings.scheduling.maintenance_seconds,
-                self._clock.read_monotonic(),
+                self._view.wave_read_at[wave.number],
             )
             self._coordinators[wave.number] = coordinator
         return coordinator
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -20,6 +20,7 @@
         'fleet_state',
         'last_read_at',
         'renewed_at',
+        'wave_read_at',
         'waves',
         'workers',
     )
@@ -29,6 +30,8 @@
         self.configuration: Configuration | None = None
         self.workers: dict[str, Worker] = {}
         self.waves: dict[int, Wave] = {}
+        # When this process first read each wave, on the monotonic clock.
+        self.wave_read_at: dict[int, float] = {}
         self.fleet_state = FleetState()
         # When the last successful read of the fleet partition was sent, and
         # the last renewal of each owned partition, on the boot-time clock.
@@ -50,6 +53,11 @@
         """Return the partition of a pool's jobs, None if not yet assigned."""
         return self.fleet_state.partitions.get(pool)
 
+    def add_wave(self, wave: Wave, now: float) -> None:
+        """Add or replace a wave that was read at ``now`` seconds."""
+        self.waves[wave.number] = wave
+        self.wave_read_at.setdefault(wave.number, now)
+
     def notify(self) -> None:
         """Wake all tasks that wait for a change."""
         self._changed.set()
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -114,10 +114,18 @@
         """Run until ``stopped`` is set, then shut down gracefully."""
         platform, settings = self._platform, self._settings
         operators = OperatorFeed(
-            platform.store, platform.documents, settings, self.view
+            platform.store,
+            platform.documents,
+            settings,
+            self.view,
+            self._clock,
         )
         workers = WorkerFeed(
-            platform.store, platform.documents, settings, self.view
+            platform.store,
+            platform.documents,
+            settings,
+            self.view,
+            self._clock,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(operators.run)
--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -88,6 +88,28 @@
     And no VM was maintained twice
     And the wave was complete within 24 seconds
 
+  # Guards against maintenance that never counts as done, since each owner counts
+  # its duration anew.
+  Scenario: VMs in standby are maintained although owners change faster
+    Given VMs "2 of a, 6 of off"
+    And a wave of "off0 off1 off2 off3" within 24 seconds, 2 at once
+    And the owner changes every 1 seconds
+    When the wave runs for 40 seconds with workers that drain in 1 second
+    Then at most 2 VMs were down at a time
+    And every VM of the wave was maintained
+    And no VM was maintained twice
+    And the wave was complete within 24 seconds
+
+  # Guards against a wave that is late, since each owner counts its time anew.
+  Scenario: A wave keeps to its time although owners change
+    Given VMs "12 of a"
+    And a wave of "a0 a1 a2 a3 a4 a5 a6 a7 a8 a9 a10 a11" within 20 seconds, 6 at once
+    And the owner changes every 1 seconds
+    When the wave runs for 60 seconds with workers that drain in 4 second
+    Then at most 6 VMs were down at a time
+    And every VM of the wave was maintained
+    And the wave was complete within 20 seconds
+
   Scenario: A drain request for a former worker does not delay the wave
     Given VMs "3 of a, 0 of off"
     And a wave of "a0 a1" within 20 seconds, 1 at once
--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -345,7 +345,7 @@
 
     def _publish(self, record):
         stored = KeyedRecord(record.key, record.value, next(self.offsets))
-        self.fleet_state.apply([stored])
+        self.fleet_state.apply([stored], self.now)
 
     # Queries.
 
--- a/libs/scheduling/features/steps/fleet_steps.py
+++ b/libs/scheduling/features/steps/fleet_steps.py
@@ -28,7 +28,8 @@
 def publish(context, *records):
     for record in records:
         context.fleet_state.apply(
-            [KeyedRecord(record.key, record.value, context.offset)]
+            [KeyedRecord(record.key, record.value, context.offset)],
+            context.now,
         )
         context.offset += 1
 
@@ -110,7 +111,10 @@
         within_seconds=seconds,
         cap=cap,
     )
-    context.coordinator = WaveCoordinator(wave, MAINTENANCE_SECONDS, 0.0)
+    context.wave_read_at = context.now
+    context.coordinator = WaveCoordinator(
+        wave, MAINTENANCE_SECONDS, context.wave_read_at
+    )
     context.pending = frozenset(wave.vm_ids)
 
 
@@ -179,7 +183,9 @@
         if context.now >= owner_until:
             owner_until += context.owner_seconds
             context.coordinator = WaveCoordinator(
-                context.coordinator.wave, MAINTENANCE_SECONDS, context.now
+                context.coordinator.wave,
+                MAINTENANCE_SECONDS,
+                context.wave_read_at,
             )
         decided = run_wave_round(context)
         for vm in decided.drain:
--- a/libs/scheduling/features/steps/owner_steps.py
+++ b/libs/scheduling/features/steps/owner_steps.py
@@ -134,7 +134,9 @@
 def add_status(context, term):
     record = build_owner_record(build_status(1, 1, term=term))
     offset = 10 - term
-    context.fleet_state.apply([KeyedRecord(record.key, record.value, offset)])
+    context.fleet_state.apply(
+        [KeyedRecord(record.key, record.value, offset)], 0.0
+    )
     assert not context.fleet_state.errors
 
 
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -1,7 +1,7 @@
 """The state of the fleet's VMs, built from the records about them.
 
 >>> fleet_state = FleetState()
->>> fleet_state.apply([KeyedRecord('through/1/m-1', b'\xf5', 0)])
+>>> fleet_state.apply([KeyedRecord('through/1/m-1', b'\xf5', 0)], now=0.0)
 >>> fleet_state.maintenance_done
 {(1, 'm-1')}
 """
@@ -33,6 +33,7 @@
         'errors',
         'loads',
         'maintenance_begun',
+        'maintenance_begun_at',
         'maintenance_done',
         'orders',
         'owner_statuses',
@@ -48,6 +49,8 @@
         self.orders: dict[str, VmOrder] = {}
         # The worker that ran on a VM before its maintenance, by wave and VM.
         self.maintenance_begun: dict[tuple[int, str], str] = {}
+        # When this process first read that a maintenance has begun.
+        self.maintenance_begun_at: dict[tuple[int, str], float] = {}
         self.maintenance_done: set[tuple[int, str]] = set()
         # The partition of each pool's jobs.
         self.partitions: dict[str, int] = {}
@@ -55,8 +58,11 @@
         self.owner_statuses: dict[int, OwnerStatus] = {}
         self.errors: list[RecordError] = []
 
-    def apply(self, records: Iterable[KeyedRecord]) -> None:
-        """Apply records; for each key the one with the highest offset wins."""
+    def apply(self, records: Iterable[KeyedRecord], now: float) -> None:
+        """Apply records that were read at ``now`` seconds.
+
+        For each key the one with the highest offset wins.
+        """
         for record in records:
             if self._offsets.get(record.key, -1) >= record.offset:
                 continue
@@ -65,6 +71,8 @@
                 self._apply(record)
             except (ValueError, TypeError) as error:
                 self.errors.append(RecordError(f'{record.key}: {error}'))
+        for key in self.maintenance_begun:
+            self.maintenance_begun_at.setdefault(key, now)
 
     @property
     def drain_requests_by_worker(self) -> dict[str, DrainRequest]:
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -91,14 +91,14 @@
 class WaveCoordinator:
     """Coordinates one wave, during one term of the fleet's owner."""
 
-    __slots__ = ('_maintenance_seconds', '_ordered', '_started_at', 'wave')
+    __slots__ = ('_maintenance_seconds', '_ordered', '_read_at', 'wave')
 
     def __init__(
-        self, wave: Wave, maintenance_seconds: float, now: float
+        self, wave: Wave, maintenance_seconds: float, read_at: float
     ) -> None:
-        """Start to coordinate ``wave`` at ``now`` seconds."""
+        """Coordinate ``wave``, first read by this process at ``read_at``."""
         self.wave = wave
-        self._started_at = now
+        self._read_at = read_at
         self._maintenance_seconds = maintenance_seconds
         self._ordered: dict[str, _MaintenanceOrder] = {}
 
@@ -165,15 +165,15 @@
     def _resume_orders(self, fleet_state: FleetState, now: float) -> None:
         """Adopt the maintenance that a former owner has begun."""
         number = self.wave.number
-        for (wave, vm_id), worker_id in fleet_state.maintenance_begun.items():
+        for key, worker_id in fleet_state.maintenance_begun.items():
+            wave, vm_id = key
             is_unfinished = (
-                wave == number
-                and (wave, vm_id) not in fleet_state.maintenance_done
+                wave == number and key not in fleet_state.maintenance_done
             )
             if is_unfinished and vm_id not in self._ordered:
                 order = _MaintenanceOrder(worker_id)
                 order.sent_at = now
-                order.begun_at = now
+                order.begun_at = fleet_state.maintenance_begun_at[key]
                 self._ordered[vm_id] = order
 
     def _find_maintained(
@@ -268,7 +268,7 @@
         ]
 
     def _limit_drains(self, remaining: list[Vm], now: float) -> dict[str, int]:
-        time_left = self._started_at + self.wave.within_seconds - now
+        time_left = self._read_at + self.wave.within_seconds - now
         cycles = max(time_left / TYPICAL_CYCLE_SECONDS, 1)
         counts = Counter(vm.pool for vm in remaining)
         return {
