End a read of a partition at the end it had when it began

An owner that takes over reads its partition until a read returns no record. During a peak clients store a job every few milliseconds, so a daemon that was short of processor time could read on for as long as the peak lasts; its workers were polled by nobody meanwhile. A read tells where the partition ends, and all that was stored before it was sent is known once that offset is reached. A query for an unknown job takes one read less, too.

reading.feature, 'Reading to the end ends although records keep coming', failed before (not ended after 2 s of virtual time).

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -17,3 +17,10 @@
     And an owner that is slow to take note of changes
     When the partition is read and cancelled after 1 reads
     Then the owner is told of the job
+
+  # A takeover during a peak read on for as long as clients submitted jobs.
+  Scenario: Reading to the end ends although records keep coming
+    Given a partition with a job
+    And a new job is stored during each read
+    When the partition is read for 2 seconds at most
+    Then it has been read to the end of the time when the read began
--- a/libs/controller/features/steps/reading_steps.py
+++ b/libs/controller/features/steps/reading_steps.py
@@ -39,11 +39,15 @@
         super().__init__()
         self.reads_left = math.inf
         self.interrupt = None
+        self.stores_during_reads = False
 
     async def read(self, topic, partition, offset, wait_seconds):
         if self.reads_left <= 0:
             return await self.interrupt()
         self.reads_left -= 1
+        if self.stores_during_reads:
+            log = self.logs[topic, partition]
+            log.append(log[0])
         return await super().read(topic, partition, offset, wait_seconds)
 
     async def read_newest(self, topic, partition):
@@ -121,3 +125,21 @@
 @then('the owner is told of the job')
 def check_told(context):
     assert context.changes.receive_nowait() == [JOB_ID]
+
+
+@given('a new job is stored during each read')
+def store_during_reads(context):
+    context.store.stores_during_reads = True
+
+
+@when('the partition is read for {seconds:g} seconds at most')
+def read_busy(context, seconds):
+    scope = trio.CancelScope(relative_deadline=seconds)
+    refresh(context, scope)
+    context.is_read = not scope.cancelled_caught
+
+
+@then('it has been read to the end of the time when the read began')
+def check_read(context):
+    assert context.is_read
+    assert context.feed.job_index.find(JOB_ID) is not None
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -85,7 +85,7 @@
             self._wake = trio.Event()
 
     async def refresh(self) -> bool:
-        """Read to the partition's end; return whether the store answered."""
+        """Read all that is stored now; return whether the store answered."""
         while True:
             update = await self._reader.poll(0)
             if isinstance(update, NotDone):
@@ -93,7 +93,7 @@
             # Concurrent reads continue where this one ended, so the index must
             # hold its records before the next call to the store.
             self._apply(update.records)
-            if not (update.is_snapshot or update.records):
+            if update.is_at_end:
                 return True
 
     def apply_stored(self, records: Iterable[KeyedRecord], first: int) -> None:
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -17,10 +17,13 @@
     """The records of one read, oldest first.
 
     In a snapshot (``is_snapshot``), keys that are not listed don't exist.
+    ``is_at_end`` means that all records that were stored when the read was sent
+    have been returned, by this read or an earlier one.
     """
 
     records: tuple[KeyedRecord, ...]
     is_snapshot: bool
+    is_at_end: bool
 
 
 class PartitionReader:
@@ -68,4 +71,8 @@
         if isinstance(batch, NotDone):
             return batch
         self.next_offset = max(self.next_offset or 0, batch.next_offset)
-        return RecordUpdate(batch.records, is_snapshot)
+        # The pages of a snapshot may have been read before later changes.
+        is_at_end = not is_snapshot and (
+            batch.next_offset >= batch.end or not batch.records
+        )
+        return RecordUpdate(batch.records, is_snapshot, is_at_end)
