Let the test of broken refreshes read one record at a time

Since a read tells where the partition ends, a refresh of two records takes one read, and the scenario that breaks the second read had nothing to break. Its store now returns one record a read, and the refresh has to bring two jobs: the second read fails or is cancelled after the first has brought one. As strict as before; it fails when the records of the first read are dropped.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -141,8 +141,8 @@
   # dropped when a later read of the same refresh failed or was cancelled.
   Scenario Outline: A refresh that is broken off loses no records
     Given a feed of the pool's partition that has read a job
-    When another job is stored and the second read of a refresh <fault>
-    Then the feed knows both jobs after the next refresh
+    When two jobs are stored and the second read of a refresh <fault>
+    Then the feed knows all three jobs after the next refresh
 
     Examples: faults
       | fault        |
--- a/libs/controller/features/steps/partition_steps.py
+++ b/libs/controller/features/steps/partition_steps.py
@@ -12,7 +12,7 @@
 
 from tarragonlb.controller.partition import PartitionFeed  # noqa: E402
 from tarragonlb.controller.ports import Topic  # noqa: E402
-from tarragonlb.controller.results import NotDone  # noqa: E402
+from tarragonlb.controller.results import Batch, NotDone  # noqa: E402
 from tarragonlb.scheduling.job import (  # noqa: E402
     Demand,
     Job,
@@ -23,11 +23,14 @@
     build_submission_record,
 )
 
-JOB_IDS = ('0' * 16, '1' * 16)
+JOB_IDS = ('0' * 16, '1' * 16, '2' * 16)
 
 
 class FailingStore(FakeStore):
-    """Fails the second read after ``break_reads``, or does not answer it."""
+    """Fails the second read after ``break_reads``, or does not answer it.
+
+    A read returns one record only, so that a refresh takes several.
+    """
 
     fault = ''
     reads_left = 0
@@ -42,7 +45,10 @@
                 return NotDone('busy')
             await trio.sleep_forever()
         self.reads_left -= 1
-        return await super().read(topic, partition, offset, wait_seconds)
+        batch = await super().read(topic, partition, offset, wait_seconds)
+        if not batch.records:
+            return batch
+        return Batch(batch.records[:1], offset + 1, batch.end)
 
 
 def run(function, *arguments):
@@ -65,9 +71,10 @@
     assert run(context.feed.refresh)
 
 
-@when('another job is stored and the second read of a refresh {fault}')
+@when('two jobs are stored and the second read of a refresh {fault}')
 def break_refresh(context, fault):
-    store_job(context, JOB_IDS[1])
+    for job_id in JOB_IDS[1:]:
+        store_job(context, job_id)
     context.store.break_reads(fault)
 
     async def refresh():
@@ -78,7 +85,7 @@
     context.store.fault = ''
 
 
-@then('the feed knows both jobs after the next refresh')
+@then('the feed knows all three jobs after the next refresh')
 def check_jobs(context):
     assert run(context.feed.refresh)
     known = {job.job_id for job in context.feed.job_index.list_jobs()}
