Keep leases as long as intended when replies are handled late

Cause: the worker's clock was taken from the newest reply as if it had just been read. A reply that waited a second in its socket made the next lease a second shorter on the worker.

Change: the clock is carried forward from earlier replies, as slowly as a worker's clock may run, and the higher value counts, up to a second of delay. When leases have surely run out is computed from the newest reply as before, which is the later bound.

--- a/libs/controller/features/overload.feature
+++ b/libs/controller/features/overload.feature
@@ -43,3 +43,29 @@
     When 500 workers with 3 s left of their leases reply at once
     And 0.1 s later 1 workers with 3 s left of their leases reply at once
     Then the next polls are sent after 0.015 to 0.015 s
+
+  # A reply that is handled late must not shorten the leases granted after it.
+  Scenario Outline: Leases are as long as intended although a reply was handled late
+    Given a worker that replied at 10 s with its clock at 5000 ms
+    When a reply with its clock at <clock> ms is handled at 12 s
+    And a lease of 3.5 s is granted at 12 s
+    Then the lease expires between <first> and <last> ms on the worker's clock
+
+    Examples:
+      | clock | first | last  |
+      | 7000  | 10500 | 10500 |
+      | 6000  | 10450 | 10500 |
+      | 6960  | 10460 | 10500 |
+      | 7040  | 10540 | 10540 |
+
+  Scenario: The clock of a new incarnation is not mixed up with the former one
+    Given a worker that replied at 10 s with its clock at 5000 ms
+    When a reply with its clock at 300 ms is handled at 12 s
+    And a lease of 3.5 s is granted at 12 s
+    Then the lease expires between 3800 and 3800 ms on the worker's clock
+
+  Scenario: A lease that was granted long enough counts until it has surely run out
+    Given a worker that replied at 10 s with its clock at 5000 ms
+    When a reply with its clock at 6000 ms is handled at 12 s
+    And a lease of 3.5 s is granted at 12 s
+    Then it has not expired before 15.5 s
--- a/libs/controller/features/steps/overload_steps.py
+++ b/libs/controller/features/steps/overload_steps.py
@@ -112,3 +112,20 @@
     delays = [at - context.now for at in context.planned]
     assert abs(min(delays) - first) < 1e-6, min(delays)
     assert abs(max(delays) - last) < 1e-6, max(delays)
+
+
+@when('a reply with its clock at {clock:d} ms is handled at {at:g} s')
+def handle_reply(context, clock, at):
+    context.lease.record_reply(clock, at)
+
+
+@then(
+    "the lease expires between {first:d} and {last:d} ms on the worker's clock"
+)
+def check_lease_range(context, first, last):
+    assert first <= context.granted <= last, context.granted
+
+
+@then('it has not expired before {at:g} s')
+def check_not_expired(context, at):
+    assert context.lease.compute_expiry() >= at
