--- a/libs/controller/features/steps/overload_steps.py
+++ b/libs/controller/features/steps/overload_steps.py
@@ -4,7 +4,7 @@
 import trio.testing
 from behave import given, then, when
 from busyworkers import BusyWorkerApi
-from controller_steps import SETTINGS, Simulation
+from simulation import SETTINGS, Simulation
 
 from tarragonlb.controller.ordergate import OrderGate
 from tarragonlb.controller.pollbudget import PollBudget
@@ -19,7 +19,7 @@
 )
 def create_busy(context, ms, workers):
     context.simulation = Simulation(
-        1, workers, lambda: BusyWorkerApi(ms / 1000)
+        1, workers, create_worker_api=lambda: BusyWorkerApi(ms / 1000)
     )
 
 
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -7,6 +7,7 @@
 extended even if the store does not answer.
 """
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -111,7 +112,7 @@
         """
         self._lease_seconds = lease_seconds
         # Subscribe before reading anything, so that no change is missed.
-        subscriber, changes = trio.open_memory_channel[list[str]](INBOX_SIZE)
+        subscriber, changes = trio.open_memory_channel[list[str]](math.inf)
         self._feed.subscribe(subscriber)
         try:
             async with trio.open_nursery() as nursery:
@@ -316,13 +317,12 @@
         partition_workers = [
             worker
             for worker in view.workers.values()
-            if self._settings.find_partition(worker.pool)
-            == self._owned.partition
+            if view.find_partition(worker.pool) == self._owned.partition
         ]
         partition_state.update_workers(partition_workers)
-        drain_requests = view.fleet_state.drain_requests_by_worker
-        for worker_id, state in partition_state.workers.items():
-            state.is_drain_requested = worker_id in drain_requests
+        partition_state.apply_drain_requests(
+            view.fleet_state.drain_requests_by_worker
+        )
         self._update_sessions()
 
     def _update_sessions(self) -> None:
