Take the share of polls from the capacity of the daemon's processor

The budget was a tenth of a whole core, whatever the VM had. It is now 15% of the processor that the daemon has: 375 polls a second on a core or more, 187 on half a core.

--- a/libs/controller/features/overload.feature
+++ b/libs/controller/features/overload.feature
@@ -25,21 +25,23 @@
     Then at most 400 polls a second were sent, and 90% of the ends were reported within 0.1 s
 
   Scenario Outline: Pauses between polls follow the load
-    Given a budget of <share> of a core for polls that cost 0.5 ms each
+    Given a budget of <share> of <cores> cores for polls that cost 0.5 ms each
     When <replies> workers with <lease> s left of their leases reply at once
     Then the next polls are sent after <first> to <last> s
 
     Examples:
-      | share | replies | lease | first | last  |
-      | 0.1   | 1       | 3     | 0.015 | 0.015 |
-      | 0.1   | 3       | 3     | 0.015 | 0.015 |
-      | 0.1   | 11      | 3     | 0.015 | 0.05  |
-      | 0.1   | 60      | 3     | 0.015 | 0.1   |
-      | 0.5   | 60      | 3     | 0.015 | 0.059 |
-      | 0.1   | 60      | 1     | 0.015 | 0.015 |
+      | share | cores | replies | lease | first | last  |
+      | 0.1   | 1     | 1       | 3     | 0.015 | 0.015 |
+      | 0.1   | 1     | 3       | 3     | 0.015 | 0.015 |
+      | 0.1   | 1     | 11      | 3     | 0.015 | 0.05  |
+      | 0.1   | 1     | 60      | 3     | 0.015 | 0.1   |
+      | 0.5   | 1     | 60      | 3     | 0.015 | 0.059 |
+      | 0.5   | 2     | 60      | 3     | 0.015 | 0.059 |
+      | 0.5   | 0.6   | 60      | 3     | 0.015 | 0.098333 |
+      | 0.1   | 1     | 60      | 1     | 0.015 | 0.015 |
 
   Scenario: A budget that was exceeded is free again after the longest pause
-    Given a budget of 0.1 of a core for polls that cost 0.5 ms each
+    Given a budget of 0.1 of 1 cores for polls that cost 0.5 ms each
     When 500 workers with 3 s left of their leases reply at once
     And 0.1 s later 1 workers with 3 s left of their leases reply at once
     Then the next polls are sent after 0.015 to 0.015 s
--- a/libs/controller/features/steps/overload_steps.py
+++ b/libs/controller/features/steps/overload_steps.py
@@ -79,12 +79,16 @@
     assert delay <= seconds, delay
 
 
-@given('a budget of {share:g} of a core for polls that cost {ms:g} ms each')
-def create_budget(context, share, ms):
+@given(
+    'a budget of {share:g} of {cores:g} cores for polls that cost {ms:g} ms '
+    'each'
+)
+def create_budget(context, share, cores, ms):
     context.now = 100.0
     context.poll_budget = PollBudget(
         replace(
             SETTINGS,
+            processor_cores=cores,
             poll_processor_share=share,
             poll_processor_seconds=ms / 1000,
         )
--- a/libs/controller/tarragonlb/controller/pollbudget.py
+++ b/libs/controller/tarragonlb/controller/pollbudget.py
@@ -22,8 +22,10 @@
     def __init__(self, settings: ControllerSettings) -> None:
         """Start with an unused budget."""
         self._settings = settings
-        self._interval_seconds = (
-            settings.poll_processor_seconds / settings.poll_processor_share
+        # One thread uses no more than a core.
+        cores = min(settings.processor_cores, 1)
+        self._interval_seconds = settings.poll_processor_seconds / (
+            settings.poll_processor_share * cores
         )
         # When the polls planned so far are paid for.
         self._free_at = 0.0
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -57,9 +57,9 @@
     poll_pause_seconds: float = 0.015
     # Longest pause; the end of a task is reported this much later at most.
     max_poll_pause_seconds: float = 0.1
-    # Share of one core that a daemon spends on polls before pauses grow.
-    poll_processor_share: float = 0.1
-    # Processor time of a poll, with the handling of its report.
+    # Share of its processor that a daemon spends on polls before pauses grow.
+    poll_processor_share: float = 0.15
+    # Processor time of a poll on a whole core, with the handling of its report.
     poll_processor_seconds: float = 0.0004
     # A worker whose lease has less left is polled after the shortest pause.
     urgent_lease_seconds: float = 1.5
