--- a/libs/controller/features/steps/ownership_steps.py
+++ b/libs/controller/features/steps/ownership_steps.py
@@ -87,7 +87,7 @@
 @given('daemons with "{cores}" cores and {workers:d} workers')
 def begin_with_cores(context, cores, workers):
     numbers = [float(number) for number in cores.split()]
-    context.simulation = Simulation(len(numbers), workers, numbers)
+    context.simulation = Simulation(len(numbers), workers, cores=numbers)
 
 
 @then('{count:d} partitions are owned, {each:d} by each daemon with 2 cores')
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -90,6 +90,8 @@
             update = await self._reader.poll(0)
             if isinstance(update, NotDone):
                 return False
+            # Concurrent reads continue where this one ended, so the index must
+            # hold its records before the next call to the store.
             self._apply(update.records)
             if not (update.is_snapshot or update.records):
                 return True
@@ -104,7 +106,8 @@
     def subscribe(self, subscriber: trio.MemorySendChannel[list[str]]) -> None:
         """Poll at the owner's rate and send the ids of changed jobs.
 
-        The channel's buffer must not be limited.
+        The channel has to be unbounded: waiting for space could be cancelled
+        together with a client's query, and the change would get lost.
         """
         self._subscriber = subscriber
         self._wake.set()
@@ -121,8 +124,6 @@
             self._counted_at = now
         return self._counts[queue]
 
-    # Not asynchronous: the reader is past these records, so they would be lost
-    # if this was cancelled.
     def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
         self.last_read_at = self._clock.read_boottime()
         changed = self.job_index.apply(records)
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -24,7 +24,12 @@
 
 
 class PartitionReader:
-    """Reads one partition; two reads may run concurrently."""
+    """Reads one partition; two reads may run concurrently.
+
+    A read starts at the end of the last one that was answered.  Its records
+    have to be applied before control passes to another task: until then other
+    reads skip them, and would not find what is already stored.
+    """
 
     __slots__ = ('_partition', '_store', '_topic', 'next_offset')
 
@@ -38,9 +43,8 @@
     async def poll(self, wait_seconds: float) -> RecordUpdate | NotDone:
         """Return the new records, or why the read failed.
 
-        Without new records the read waits up to ``wait_seconds``.  The next
-        read continues after these records, so the caller must use them before
-        it awaits anything.
+        Without new records the read waits up to ``wait_seconds``.  The records
+        are not returned again, so the caller must apply them at once.
         """
         offset = self.next_offset
         if offset is None:
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -15,6 +15,7 @@
 from tarragonlb.controller.fleetowner import FleetOwner
 from tarragonlb.controller.jobservice import JobService
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.ordergate import OrderGate, WorkerAccess
 from tarragonlb.controller.ownership import Ownership
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
@@ -57,6 +58,7 @@
         '_ownership',
         '_platform',
         '_settings',
+        '_workers',
         'job_service',
         'view',
     )
@@ -77,6 +79,12 @@
             OwnedPartition, tuple[trio.CancelScope, trio.Event]
         ] = {}
         self._is_stopping = False
+        self._workers = WorkerAccess(
+            platform.workers,
+            OrderGate(
+                settings.max_orders_under_way, settings.order_hold_seconds
+            ),
+        )
         self.view = PlatformView()
         self._fleet_state_feed = FleetStateFeed(
             platform.store, settings, self.view, clock
@@ -221,7 +229,7 @@
             owned,
             self._feeds[owned.partition],
             platform.store,
-            platform.workers,
+            self._workers,
             self.view,
             self._settings,
             self._clock,
