--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -69,6 +69,7 @@
         self.append_offsets = {}
         self.groups = defaultdict(dict)
         self.holders = defaultdict(dict)
+        self.revoked = defaultdict(set)
         self.cut_members = set()
         self.generations = defaultdict(int)
         self.calls = Counter()
@@ -165,10 +166,11 @@
             return NotDone('busy')
         members = self.groups[partition]
         self._expire_members(partition)
-        if member not in members:
-            self.generations[partition] += 1
+        is_new = member not in members
         members[member] = trio.current_time() + ttl_seconds
-        self._deal(member, members, self.holders[partition])
+        if is_new:
+            self._note_change(partition)
+        self._deal(member, partition)
         mine = frozenset(
             dealt
             for dealt, holder in self.holders[partition].items()
@@ -176,18 +178,34 @@
         )
         return Assignment(self.generations[partition], mine)
 
-    def _deal(self, member, members, holders):
-        """Give a joining member what is its own and nobody else holds."""
-        names = sorted(members)
+    def _deal(self, member, partition):
+        """Give a joining member what is its own and nobody else holds.
+
+        What was to go to another member, even for a moment, is given back by
+        one join before a later one may get it again.
+        """
+        names = sorted(self.groups[partition])
+        holders, revoked = self.holders[partition], self.revoked[partition]
         for dealt in range(PARTITIONS):
             holder = holders.get(dealt)
-            if holder == member or holder not in members:
+            if holder == member and dealt in revoked:
+                revoked.discard(dealt)
+                holders[dealt] = None
+            elif holder == member or holder not in names:
                 is_mine = names[dealt % len(names)] == member
                 holders[dealt] = member if is_mine else None
+                revoked.discard(dealt)
+
+    def _note_change(self, partition):
+        self.generations[partition] += 1
+        names = sorted(self.groups[partition])
+        for dealt, holder in self.holders[partition].items():
+            if names and names[dealt % len(names)] != holder:
+                self.revoked[partition].add(dealt)
 
     async def leave(self, partition, member):
         if self.groups[partition].pop(member, None) is not None:
-            self.generations[partition] += 1
+            self._note_change(partition)
 
     async def list_owners(self, partition):
         self.calls['list_owners'] += 1
@@ -203,7 +221,7 @@
         for name, until in tuple(members.items()):
             if until <= now:
                 members.pop(name)
-                self.generations[partition] += 1
+                self._note_change(partition)
 
     async def publish_wave_status(self, wave, *, is_complete):
         self.waves[wave] = is_complete
--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -20,7 +20,7 @@
   Scenario: A job of a pool without a partition is rejected at once as not run
     Given 1 daemons and 2 workers
     When the operators publish version 2 with the pools "pool-0"
-    And 0.05 seconds pass
+    And 0.02 seconds pass
     And a job of pool "pool-0" is submitted
     Then the verdict is "not-run" within 0.1 seconds
     When 2 seconds pass
@@ -70,7 +70,18 @@
     When another daemon joins the groups of all partitions
     And 3 seconds pass
     Then the other daemon has left all groups
-    And no partition has changed hands
+    And every partition has the same owner
+
+  Scenario: A claim that others compete for begins one term, not several
+    Given 1 daemons and 2 workers
+    When a group is joined and left by others while a daemon claims it
+    Then the daemon owns it in the last generation
+
+  Scenario: A member that is gone, but listed until its TTL, costs no owner
+    Given 1 daemons and 2 workers
+    When another daemon joins the groups of all partitions and dies
+    And 4 seconds pass
+    Then every partition has the same owner
 
   Scenario: Daemons that own nothing don't ask who owns what
     Given daemons with "2 1 1 1 1 1 1 1 1 1" cores and 2 workers
--- a/libs/controller/features/steps/ownership_steps.py
+++ b/libs/controller/features/steps/ownership_steps.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from fakeplatform import FakeClock  # noqa: E402
+from fakeplatform import FakeClock, FakeStore  # noqa: E402
 from simulation import SETTINGS, Simulation  # noqa: E402
 
 from tarragonlb.controller.dependencylog import DependencyLog  # noqa: E402
@@ -178,6 +178,58 @@
     context.simulation.actions.append(action)
 
 
+@when('another daemon joins the groups of all partitions and dies')
+def join_groups_and_die(context):
+    async def action(sim):
+        sim.former_owners = sim.list_owners()
+        ttl = SETTINGS.member_ttl_seconds
+        for _, owned in sim.former_owners:
+            await sim.store.join(owned.partition, 'dead', ttl, 0)
+
+    context.simulation.actions.append(action)
+
+
+@when('a group is joined and left by others while a daemon claims it')
+def compete(context):
+    async def action(sim):
+        sim.lease = PartitionLease(
+            1,
+            'claimer',
+            sim.other_store,
+            SETTINGS,
+            FakeClock(),
+            DependencyLog('group of the claimer'),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sim.lease.claim)
+            for name in 'xyz':
+                await trio.sleep(0.008)
+                await sim.other_store.join(1, name, 1.6, 0)
+                await sim.other_store.leave(1, name)
+
+    context.simulation.other_store = FakeStore()
+    context.simulation.actions.append(action)
+
+
+@then('the daemon owns it in the last generation')
+def check_claim(context):
+    sim = context.simulation
+    sim.run()
+    owned = sim.lease.find_owned()
+    assert owned is not None
+    assert owned.term == sim.other_store.generations[1], owned
+
+
+@then('every partition has the same owner')
+def check_same_names(context):
+    owners = list_final_owners(context)
+    former = context.simulation.former_owners
+    assert former, 'nothing was owned'
+    assert {(name, owned.partition) for name, owned in owners} == {
+        (name, owned.partition) for name, owned in former
+    }, (former, owners)
+
+
 @then('the other daemon has left all groups')
 def check_left(context):
     context.simulation.run()
--- a/libs/controller/tarragonlb/controller/ownership.py
+++ b/libs/controller/tarragonlb/controller/ownership.py
@@ -185,6 +185,7 @@
                 partition=partition,
                 former_members=sorted(members),
                 owned_partitions=len(self._leases),
+                processor_cores=self._settings.processor_cores,
             )
             self._has_claimed.set()
             return True
--- a/libs/controller/tarragonlb/controller/partitionlease.py
+++ b/libs/controller/tarragonlb/controller/partitionlease.py
@@ -18,9 +18,13 @@
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('process')
-# An owner stays in the group for this many joins without its partition, since a
-# second member that made the store reassign it leaves again.
-MAX_JOINS_WITHOUT_PARTITION = 3
+# The store may take back a partition when another member joins, if only for a
+# moment.  Until the group has settled, a claim is repeated at this interval.
+SETTLE_SECONDS = 0.05
+MAX_CLAIM_JOINS = 10
+# An owner that lost its partition stays a member for longer than a dead member
+# is listed, since the partition may have gone to one.
+MAX_SECONDS_WITHOUT_PARTITION = 2.5
 
 
 class PartitionLease:
@@ -30,7 +34,7 @@
         '_clock',
         '_group_log',
         '_is_replaced',
-        '_joins_without_partition',
+        '_lost_at',
         '_member',
         '_membership',
         '_settings',
@@ -58,7 +62,7 @@
         self._clock = clock
         self._group_log = group_log
         self._membership = Membership(settings.member_ttl_seconds)
-        self._joins_without_partition = 0
+        self._lost_at: float | None = None
         # Whether another member was found after the membership had expired.
         self._is_replaced = False
 
@@ -76,8 +80,16 @@
 
     async def claim(self) -> bool:
         """Join the group; return whether the partition is owned now."""
-        if await self._join() and self.find_owned() is not None:
-            return True
+        for _ in range(MAX_CLAIM_JOINS):
+            generation = self._membership.generation
+            if not await self._join():
+                break
+            if self.find_owned() is None:
+                if not generation:
+                    break
+            elif self._membership.generation == generation:
+                return True
+            await trio.sleep(SETTLE_SECONDS)
         await self.leave()
         return False
 
@@ -113,11 +125,13 @@
             if self._is_replaced:
                 return False
             await trio.sleep(self._settings.store_retry_seconds)
+        now = self._clock.read_boottime()
         if self.find_owned() is not None or self._membership.must_rejoin:
-            self._joins_without_partition = 0
+            self._lost_at = None
             return True
-        self._joins_without_partition += 1
-        if self._joins_without_partition < MAX_JOINS_WITHOUT_PARTITION:
+        if self._lost_at is None:
+            self._lost_at = now
+        if now - self._lost_at < MAX_SECONDS_WITHOUT_PARTITION:
             return True
         await self.leave()
         return False
--- a/libs/scheduling/features/owners.feature
+++ b/libs/scheduling/features/owners.feature
@@ -48,6 +48,9 @@
     And a group with members "other" may not be joined at 7 s
     When the owner of partition 2 is heard at 6.9 s
     Then a group with members "other" may be joined at 7 s
+    When the owner of partition 1 releases it at 8 s
+    And the owner of partition 2 is heard at 14.5 s
+    Then a group with members "other" may be joined at 15 s
 
   Scenario: A late status of an earlier term is ignored
     Given a fleet state with a status of term 7 of partition 1
--- a/libs/scheduling/tarragonlb/scheduling/ownership.py
+++ b/libs/scheduling/tarragonlb/scheduling/ownership.py
@@ -33,7 +33,7 @@
 RECHECKS_BEFORE_BACKOFF = 5
 MAX_RECHECK_SECONDS = 4.0
 # An owner that is silent for this long, while others are heard, is not waited
-# for although it is listed.
+# for although a member is listed.
 ABANDONED_AFTER_SECONDS = 6.0
 # Bidders notice a new partition at different times, and it is not urgent.
 NEW_PARTITION_PATIENCE = 1.5
@@ -180,8 +180,7 @@
         watch = self._watches[partition]
         last_heard = max(other.heard_at for other in self._watches.values())
         return (
-            watch.has_owner()
-            and now - watch.heard_at > ABANDONED_AFTER_SECONDS
+            now - watch.heard_at > ABANDONED_AFTER_SECONDS
             and now - last_heard < SILENT_AFTER_SECONDS
         )
 
