--- a/libs/controller/tarragonlb/controller/partitionlease.py
+++ b/libs/controller/tarragonlb/controller/partitionlease.py
@@ -21,7 +21,7 @@
 # The store may take back a partition when another member joins, if only for a
 # moment.  Until the group has settled, a claim is repeated at this interval.
 SETTLE_SECONDS = 0.05
-MAX_CLAIM_JOINS = 10
+MAX_SETTLING_JOINS = 10
 # An owner that lost its partition stays a member for longer than a dead member
 # is listed, since the partition may have gone to one.
 MAX_SECONDS_WITHOUT_PARTITION = 2.5
@@ -80,17 +80,24 @@
 
     async def claim(self) -> bool:
         """Join the group; return whether the partition is owned now."""
-        for _ in range(MAX_CLAIM_JOINS):
+        if await self._join() and self.find_owned() and await self._settle():
+            return True
+        await self.leave()
+        return False
+
+    async def _settle(self) -> bool:
+        """Join until the group has settled; return if the partition is owned.
+
+        Others may have joined at the same time, and leave again.
+        """
+        for _ in range(MAX_SETTLING_JOINS):
+            await trio.sleep(SETTLE_SECONDS)
             generation = self._membership.generation
             if not await self._join():
                 break
-            if self.find_owned() is None:
-                if not generation:
-                    break
-            elif self._membership.generation == generation:
+            is_settled = self._membership.generation == generation
+            if is_settled and self.find_owned():
                 return True
-            await trio.sleep(SETTLE_SECONDS)
-        await self.leave()
         return False
 
     async def hold(self, on_renewal: Callable[[], Awaitable[None]]) -> None:
