--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -7,6 +7,7 @@
 extended even if the store does not answer.
 """
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -18,9 +19,11 @@
 from tarragonlb.controller.drainreporter import DrainReporter
 from tarragonlb.controller.loadpublisher import LoadPublisher
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.ordergate import WorkerAccess
+from tarragonlb.controller.ownerreport import OwnerReport
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
-from tarragonlb.controller.ports import Clock, Store, WorkerApi
+from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.workersession import WorkerSession
 from tarragonlb.scheduling.orders import (
@@ -60,6 +63,7 @@
         '_next_round_at',
         '_nursery',
         '_owned',
+        '_report',
         '_scheduler',
         '_sessions',
         '_settings',
@@ -73,7 +77,7 @@
         owned: OwnedPartition,
         feed: PartitionFeed,
         store: Store,
-        workers: WorkerApi,
+        workers: WorkerAccess,
         view: PlatformView,
         settings: ControllerSettings,
         clock: Clock,
@@ -93,6 +97,7 @@
         ](INBOX_SIZE)
         self._sessions: dict[str, WorkerSession] = {}
         self._decision_log = DecisionLog(owned)
+        self._report = OwnerReport(owned, clock.read_monotonic())
         self._is_storing = False
         self._next_round_at = 0.0
         self._scheduler = Scheduler(
@@ -107,7 +112,7 @@
         """
         self._lease_seconds = lease_seconds
         # Subscribe before reading anything, so that no change is missed.
-        subscriber, changes = trio.open_memory_channel[list[str]](INBOX_SIZE)
+        subscriber, changes = trio.open_memory_channel[list[str]](math.inf)
         self._feed.subscribe(subscriber)
         try:
             async with trio.open_nursery() as nursery:
@@ -162,6 +167,7 @@
 
     async def _run_rounds(self) -> None:
         settings = self._settings
+        self._next_round_at = self._clock.read_monotonic()
         while True:
             now = self._clock.read_monotonic()
             wait_seconds = max(self._next_round_at - now, 0)
@@ -178,6 +184,11 @@
             self._handle_queued_events()
             if self._clock.read_monotonic() >= self._next_round_at:
                 self._run_round()
+            self._report.emit_if_due(
+                self._scheduler.state,
+                self._inbox_receiver.statistics().current_buffer_used,
+                self._clock.read_monotonic(),
+            )
 
     def _handle_queued_events(self) -> None:
         while True:
@@ -189,12 +200,14 @@
 
     def _run_round(self) -> None:
         now = self._clock.read_monotonic()
+        delay = now - self._next_round_at
         self._next_round_at = now + self._settings.max_round_interval_seconds
         if self._is_storing:
             return
         decision = self._scheduler.decide(read_moment(self._clock))
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
+        self._report.note_round(delay, elapsed)
         self._decision_log.log_released(self._scheduler.state.released_attempts)
         self._decision_log.log_stops(decision.stops)
         for stop in decision.stops:
@@ -304,13 +317,12 @@
         partition_workers = [
             worker
             for worker in view.workers.values()
-            if self._settings.find_partition(worker.pool)
-            == self._owned.partition
+            if view.find_partition(worker.pool) == self._owned.partition
         ]
         partition_state.update_workers(partition_workers)
-        drain_requests = view.fleet_state.drain_requests_by_worker
-        for worker_id, state in partition_state.workers.items():
-            state.is_drain_requested = worker_id in drain_requests
+        partition_state.apply_drain_requests(
+            view.fleet_state.drain_requests_by_worker
+        )
         self._update_sessions()
 
     def _update_sessions(self) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -11,7 +11,15 @@
 
 import cbor2
 
-from tarragonlb.scheduling.fleetrecords import DrainRequest, PoolLoad, VmOrder
+from tarragonlb.scheduling.fleetrecords import (
+    DrainRequest,
+    PoolLoad,
+    VmOrder,
+)
+from tarragonlb.scheduling.ownershiprecords import (
+    OwnerStatus,
+    decode_owner_status,
+)
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
 
 
@@ -27,6 +35,8 @@
         'maintenance_begun',
         'maintenance_done',
         'orders',
+        'owner_statuses',
+        'partitions',
     )
 
     def __init__(self) -> None:
@@ -39,6 +49,10 @@
         # The worker that ran on a VM before its maintenance, by wave and VM.
         self.maintenance_begun: dict[tuple[int, str], str] = {}
         self.maintenance_done: set[tuple[int, str]] = set()
+        # The partition of each pool's jobs.
+        self.partitions: dict[str, int] = {}
+        # The newest status of each partition's owner.
+        self.owner_statuses: dict[int, OwnerStatus] = {}
         self.errors: list[RecordError] = []
 
     def apply(self, records: Iterable[KeyedRecord]) -> None:
@@ -106,6 +120,8 @@
                 self.orders[name] = VmOrder(int(term), float(wall_ms))
             case 'load':
                 self.loads[name] = _decode_load(record.value)
+            case 'pool' | 'owner':
+                self._apply_ownership(kind, name, record.value)
             case _:
                 raise RecordError('unknown kind')
 
@@ -117,6 +133,15 @@
         else:
             self.maintenance_done.add(key)
 
+    def _apply_ownership(self, kind: str, name: str, value: bytes) -> None:
+        if kind == 'pool':
+            self.partitions[name] = int(cbor2.loads(value))
+            return
+        status = decode_owner_status(int(name), value)
+        known = self.owner_statuses.get(status.partition)
+        if known is None or known.term <= status.term:
+            self.owner_statuses[status.partition] = status
+
 
 def _decode_load(value: bytes) -> PoolLoad:
     wanted, minimum, candidates, permanent = cbor2.loads(value)
