--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -37,7 +37,7 @@
     """Collects actions; each run carries out all of them in virtual time."""
 
     def __init__(
-        self, daemons, workers, create_worker_api=FakeWorkerApi, cores=None
+        self, daemons, workers, cores=None, create_worker_api=FakeWorkerApi
     ):
         self.cores = cores or [SETTINGS.processor_cores] * daemons
         self.workers = workers
--- a/libs/controller/tarragonlb/controller/partitionlease.py
+++ b/libs/controller/tarragonlb/controller/partitionlease.py
@@ -85,21 +85,6 @@
         await self.leave()
         return False
 
-    async def _settle(self) -> bool:
-        """Join until the group has settled; return if the partition is owned.
-
-        Others may have joined at the same time, and leave again.
-        """
-        for _ in range(MAX_SETTLING_JOINS):
-            await trio.sleep(SETTLE_SECONDS)
-            generation = self._membership.generation
-            if not await self._join():
-                break
-            is_settled = self._membership.generation == generation
-            if is_settled and self.find_owned():
-                return True
-        return False
-
     async def hold(self, on_renewal: Callable[[], Awaitable[None]]) -> None:
         """Renew the membership until the partition is lost.
 
@@ -126,6 +111,21 @@
         """Leave the group, so that another daemon can join it at once."""
         await self._store.leave(self.partition, self._member)
 
+    async def _settle(self) -> bool:
+        """Join until the group has settled; return if the partition is owned.
+
+        Others may have joined at the same time, and leave again.
+        """
+        for _ in range(MAX_SETTLING_JOINS):
+            await trio.sleep(SETTLE_SECONDS)
+            generation = self._membership.generation
+            if not await self._join():
+                break
+            is_settled = self._membership.generation == generation
+            if is_settled and self.find_owned():
+                return True
+        return False
+
     async def _renew(self) -> bool:
         """Renew the membership once; return whether to stay a member."""
         while not await self._rejoin():
