--- a/libs/controller/tarragonlb/controller/partitionlease.py
+++ b/libs/controller/tarragonlb/controller/partitionlease.py
@@ -111,32 +111,6 @@
         """Leave the group, so that another daemon can join it at once."""
         await self._store.leave(self.partition, self._member)
 
-    async def hold(self, on_renewal: Callable[[], Awaitable[None]]) -> None:
-        """Renew the membership until the partition is lost.
-
-        ``on_renewal`` is called after each join, and at the end.
-        """
-        is_member = True
-        while is_member:
-            await on_renewal()
-            pause = self._settings.store_retry_seconds
-            if self.find_owned():
-                pause = self._settings.join_interval_seconds
-            await trio.sleep(pause)
-            if self._membership.must_rejoin:
-                LOG.emit(
-                    'Leaving the group to rejoin in a new term.',
-                    partition=self.partition,
-                )
-                await self.leave()
-            is_member = await self._renew()
-        self._membership = Membership(self._settings.member_ttl_seconds)
-        await on_renewal()
-
-    async def leave(self) -> None:
-        """Leave the group, so that another daemon can join it at once."""
-        await self._store.leave(self.partition, self._member)
-
     async def _settle(self) -> bool:
         """Join until the group has settled; return if the partition is owned.
 
