--- a/libs/controller/features/overload.feature
+++ b/libs/controller/features/overload.feature
@@ -25,21 +25,49 @@
     Then at most 400 polls a second were sent, and 90% of the ends were reported within 0.1 s
 
   Scenario Outline: Pauses between polls follow the load
-    Given a budget of <share> of a core for polls that cost 0.5 ms each
+    Given a budget of <share> of <cores> cores for polls that cost 0.5 ms each
     When <replies> workers with <lease> s left of their leases reply at once
     Then the next polls are sent after <first> to <last> s
 
     Examples:
-      | share | replies | lease | first | last  |
-      | 0.1   | 1       | 3     | 0.015 | 0.015 |
-      | 0.1   | 3       | 3     | 0.015 | 0.015 |
-      | 0.1   | 11      | 3     | 0.015 | 0.05  |
-      | 0.1   | 60      | 3     | 0.015 | 0.1   |
-      | 0.5   | 60      | 3     | 0.015 | 0.059 |
-      | 0.1   | 60      | 1     | 0.015 | 0.015 |
+      | share | cores | replies | lease | first | last  |
+      | 0.1   | 1     | 1       | 3     | 0.015 | 0.015 |
+      | 0.1   | 1     | 3       | 3     | 0.015 | 0.015 |
+      | 0.1   | 1     | 11      | 3     | 0.015 | 0.05  |
+      | 0.1   | 1     | 60      | 3     | 0.015 | 0.1   |
+      | 0.5   | 1     | 60      | 3     | 0.015 | 0.059 |
+      | 0.5   | 2     | 60      | 3     | 0.015 | 0.059 |
+      | 0.5   | 0.6   | 60      | 3     | 0.015 | 0.098333 |
+      | 0.1   | 1     | 60      | 1     | 0.015 | 0.015 |
 
   Scenario: A budget that was exceeded is free again after the longest pause
-    Given a budget of 0.1 of a core for polls that cost 0.5 ms each
+    Given a budget of 0.1 of 1 cores for polls that cost 0.5 ms each
     When 500 workers with 3 s left of their leases reply at once
     And 0.1 s later 1 workers with 3 s left of their leases reply at once
     Then the next polls are sent after 0.015 to 0.015 s
+
+  # A reply that is handled late must not shorten the leases granted after it.
+  Scenario Outline: Leases are as long as intended although a reply was handled late
+    Given a worker that replied at 10 s with its clock at 5000 ms
+    When a reply with its clock at <clock> ms is handled at 12 s
+    And a lease of 3.5 s is granted at 12 s
+    Then the lease expires between <first> and <last> ms on the worker's clock
+
+    Examples:
+      | clock | first | last  |
+      | 7000  | 10500 | 10500 |
+      | 6000  | 10450 | 10500 |
+      | 6960  | 10460 | 10500 |
+      | 7040  | 10540 | 10540 |
+
+  Scenario: The clock of a new incarnation is not mixed up with the former one
+    Given a worker that replied at 10 s with its clock at 5000 ms
+    When a reply with its clock at 300 ms is handled at 12 s
+    And a lease of 3.5 s is granted at 12 s
+    Then the lease expires between 3800 and 3800 ms on the worker's clock
+
+  Scenario: A lease that was granted long enough counts until it has surely run out
+    Given a worker that replied at 10 s with its clock at 5000 ms
+    When a reply with its clock at 6000 ms is handled at 12 s
+    And a lease of 3.5 s is granted at 12 s
+    Then it has not expired before 15.5 s
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -17,11 +17,14 @@
     """The records of one read, oldest first.
 
     In a snapshot, which is complete up to the offset ``snapshot_end``, keys
-    that are not listed don't exist.
+    that are not listed don't exist.  ``is_at_end`` means that all records that
+    were stored when the read was sent have been returned, by this read or an
+    earlier one.
     """
 
     records: tuple[KeyedRecord, ...]
     snapshot_end: int | None = None
+    is_at_end: bool = False
 
     @property
     def is_snapshot(self) -> bool:
@@ -70,8 +73,14 @@
             return NotDone('unexpected: newest records were trimmed')
         if isinstance(batch, NotDone):
             return batch
-        return replace(self._advance(batch), snapshot_end=batch.next_offset)
+        # The pages may have been read before later changes to their keys.
+        return replace(
+            self._advance(batch),
+            snapshot_end=batch.next_offset,
+            is_at_end=False,
+        )
 
     def _advance(self, batch: Batch) -> RecordUpdate:
         self.next_offset = max(self.next_offset or 0, batch.next_offset)
-        return RecordUpdate(batch.records)
+        is_at_end = batch.next_offset >= batch.end or not batch.records
+        return RecordUpdate(batch.records, is_at_end=is_at_end)
