Stop all owners of a daemon at once

Each owner may store lease bounds at its end, for at most 0.2 s. Stopping one after the other would add these times when a daemon is asked to stop while the store is slow.

--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -197,8 +197,9 @@
             for owned, owner in self._owners.items()
             if owned not in owned_partitions
         ]
-        for scope, ended in ending:
+        for scope, _ in ending:
             scope.cancel()
+        for _, ended in ending:
             await ended.wait()
 
     async def _supervise_owner(
