Store which workers a task avoids

A takeover forgot on which workers a task had failed or stalled, so each new owner sent it back there, where it could use up the attempts of its job. The row of a task in the progress record now lists them; rows without the list are still read. The scenario failed before (no worker avoided) and passes.

--- /dev/null
+++ b/libs/scheduling/features/steps/restore_steps.py
@@ -0,0 +1,66 @@
+import cbor2
+from behave import given, then, when
+
+from tarragonlb.scheduling.job import Demand, Job, JobSpec, Moment, Step
+from tarragonlb.scheduling.jobstate import JobState
+from tarragonlb.scheduling.progress import (
+    build_progress_record,
+    decode_progress,
+    restore_tasks,
+)
+
+STEP = Step(width=2, demand=Demand(500, 100, 0))
+JOB = Job(
+    job_id='0' * 16,
+    queue='q',
+    pool='p',
+    spec=JobSpec(payload='x', steps=(STEP,)),
+)
+
+
+def make_state():
+    state = JobState(JOB, Moment(0.0))
+    state.add_occurrence()
+    return state
+
+
+def get_tasks(state):
+    return [task for _, task in state.list_tasks()]
+
+
+@given('a job whose task 0 has failed on "{names}"')
+def make_failed(context, names):
+    context.job_state = make_state()
+    task, other = get_tasks(context.job_state)
+    for attempt, name in enumerate(names.split(), 1):
+        task.place(name, attempt, 0.0)
+        task.failed_attempts.add(attempt)
+        task.avoided.add(name)
+        task.release()
+    other.place('w2', 1, 0.0)
+
+
+def restore(context, value):
+    state = make_state()
+    restore_tasks(state, decode_progress(value), 1.0)
+    context.restored = get_tasks(state)
+
+
+@when('its progress is stored and restored')
+def store(context):
+    restore(context, build_progress_record(context.job_state, 1).value)
+
+
+@when('its progress is stored without workers to avoid and restored')
+def store_old(context):
+    content = cbor2.loads(build_progress_record(context.job_state, 1).value)
+    content[-1] = [row[:8] for row in content[-1]]
+    restore(context, cbor2.dumps(content))
+
+
+@then('task {number:d} avoids "{names}" and has failed {count:d} times')
+@then('task {number:d} avoids "" and has failed {count:d} times')
+def check(context, number, count, names=''):
+    task = context.restored[number]
+    assert task.avoided == set(names.split()), task.avoided
+    assert task.failures == count, task.failures
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -29,6 +29,7 @@
     failed_attempts: list[int]
     worker_id: str
     checkpoint: str
+    avoided: list[str] = []
 
 
 class Progress(msgspec.Struct, array_like=True, frozen=True):
@@ -95,6 +96,7 @@
         sorted(task.failed_attempts),
         task.worker_id,
         task.checkpoint,
+        sorted(task.avoided) if task.phase is not TaskPhase.DONE else [],
     )
 
 
@@ -106,6 +108,7 @@
     task.phase = row.phase
     task.attempt = row.attempt
     task.failed_attempts.update(row.failed_attempts)
+    task.avoided.update(row.avoided)
     task.worker_id = row.worker_id
     task.checkpoint = row.checkpoint
     if task.is_attached:
