--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -134,12 +134,15 @@
                 term=self._owned.term,
             )
         finally:
-            self._decision_log.log_ends()
             self._feed.unsubscribe()
-            if not is_fenced:
-                await self._lease_handover.store_last_bounds(
-                    self._inbox_receiver, self._clock.read_monotonic()
-                )
+            await self._end_term(is_fenced=is_fenced)
+
+    async def _end_term(self, *, is_fenced: bool) -> None:
+        self._decision_log.log_ends()
+        if not is_fenced:
+            await self._lease_handover.store_last_bounds(
+                self._inbox_receiver, self._clock.read_monotonic()
+            )
 
     async def _run_term(
         self, changes: trio.MemoryReceiveChannel[list[str]]
