--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -135,14 +135,10 @@
             )
         finally:
             self._feed.unsubscribe()
-            await self._end_term(is_fenced=is_fenced)
-
-    async def _end_term(self, *, is_fenced: bool) -> None:
-        self._decision_log.log_ends()
-        if not is_fenced:
-            await self._lease_handover.store_last_bounds(
-                self._inbox_receiver, self._clock.read_monotonic()
-            )
+            if not is_fenced:
+                await self._lease_handover.store_last_bounds(
+                    self._inbox_receiver, self._clock.read_monotonic()
+                )
 
     async def _run_term(
         self, changes: trio.MemoryReceiveChannel[list[str]]
@@ -153,7 +149,10 @@
         self._load_state()
         self._nursery.start_soon(self._forward_job_changes, changes)
         self._nursery.start_soon(self._forward_view_changes)
-        await self._run_rounds()
+        try:
+            await self._run_rounds()
+        finally:
+            self._decision_log.log_ends()
 
     def _load_state(self) -> None:
         now = self._clock.read_monotonic()
