Let overlapping queries share reads of the store

Callers saw late answers and 504 while daemons lost contact with the store for seconds, although the store was well.

Cause: each query for a job that a daemon does not know yet read all records since its last read for itself. The slower the link, the more queries overlapped, all transferring the same records; reads timed out, clients asked again, and joins, reads of drain requests and of the directory starved.

Concurrent queries, and the follower's own poll, now share a read that began after all of them. The read that follows only to see the end is left out if the store's answer already names it.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -80,6 +80,13 @@
     When a query for a job that it has not read is abandoned after 0.1 s
     Then a later query reports the job as queued
 
+  # Guards against a link that is full of the same records, read once a query.
+  Scenario: Queries that overlap share reads
+    Given a daemon whose reads at the end of a partition take 0.5 s
+    When 20 queries for a job that does not exist come 0.02 s apart
+    Then all report that there is no such job
+    And the store was read at most 3 times
+
   Scenario: Records that expired unread are replaced by the newest records
     Given 1 daemons and 2 workers
     When the records of the pool expire
--- a/libs/controller/features/steps/query_steps.py
+++ b/libs/controller/features/steps/query_steps.py
@@ -26,8 +26,10 @@
     def __init__(self, delays):
         super().__init__()
         self.delays = list(delays)
+        self.read_count = 0
 
     async def read(self, topic, partition, offset, wait_seconds):
+        self.read_count += 1
         batch = await super().read(topic, partition, offset, wait_seconds)
         if not batch.records and self.delays:
             await trio.sleep(self.delays.pop(0))
@@ -41,6 +43,7 @@
 
 async def start_service(context, queries):
     store = StoreWithSlowReadsAtEnd([context.delay_seconds])
+    context.store = store
     store.logs[Topic.JOBS, PARTITION].append(build_submission_record(JOB))
     feed = PartitionFeed(PARTITION, store, SETTINGS, FakeClock())
     service = JobService(
@@ -48,8 +51,8 @@
     )
     context.states = []
 
-    async def query():
-        context.states.append(await service.describe(QUEUE, JOB.job_id))
+    async def query(job_id=JOB.job_id):
+        context.states.append(await service.describe(QUEUE, job_id))
 
     await queries(query)
 
@@ -80,6 +83,27 @@
     run_queries(context, queries)
 
 
+@when('{count:d} queries for a job that does not exist come {gap:g} s apart')
+def query_unknown(context, count, gap):
+    async def queries(query):
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(query, 'f' * 16)
+                await trio.sleep(gap)
+
+    run_queries(context, queries)
+
+
+@then('all report that there is no such job')
+def check_unknown(context):
+    assert set(context.states) == {None}, context.states
+
+
+@then('the store was read at most {count:d} times')
+def check_read_count(context, count):
+    assert context.store.read_count <= count, context.store.read_count
+
+
 @then('both report the job as queued')
 def check_states(context):
     assert context.states == ['queued', 'queued'], context.states
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -10,7 +10,7 @@
 import trio
 
 from tarragonlb.controller.dependencylog import DependencyLog
-from tarragonlb.controller.partitionreader import PartitionReader
+from tarragonlb.controller.partitionreader import PartitionReader, RecordUpdate
 from tarragonlb.controller.ports import Clock, Store, Topic
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import ControllerSettings
@@ -31,7 +31,10 @@
         '_counted_at',
         '_counts',
         '_dependency_log',
+        '_last_refresh',
         '_reader',
+        '_refresh_lock',
+        '_refreshes_begun',
         '_settings',
         '_subscriber',
         '_wake',
@@ -53,6 +56,12 @@
         self.last_read_at: float | None = None
         self._settings = settings
         self._clock = clock
+        self._refresh_lock = trio.Lock()
+        self._refreshes_begun = 0
+        self._last_refresh: tuple[int, RecordUpdate | NotDone] = (
+            0,
+            NotDone('nothing was read'),
+        )
         self._reader = PartitionReader(store, Topic.JOBS, partition)
         self._dependency_log = DependencyLog(
             f'records of partition {partition}'
@@ -67,16 +76,17 @@
         settings = self._settings
         while True:
             is_owner = self._subscriber is not None
-            wait = settings.read_wait_seconds if is_owner else 0
-            update = await self._reader.poll(wait)
-            if isinstance(update, NotDone):
+            if is_owner:
+                result = await self._read(settings.read_wait_seconds)
+            else:
+                result = await self._refresh()
+            if isinstance(result, NotDone):
                 self._dependency_log.record_failure(
-                    update.reason, trio.current_time()
+                    result.reason, trio.current_time()
                 )
                 await trio.sleep(settings.store_retry_seconds)
                 continue
             self._dependency_log.record_success(trio.current_time())
-            self._apply(update.records)
             if is_owner:
                 await trio.sleep(settings.owner_read_interval_seconds)
                 continue
@@ -86,15 +96,7 @@
 
     async def refresh(self) -> bool:
         """Read to the partition's end; return whether the store answered."""
-        while True:
-            update = await self._reader.poll(0)
-            if isinstance(update, NotDone):
-                return False
-            # Concurrent reads continue where this one ended, so the index must
-            # hold its records before the next call to the store.
-            self._apply(update.records)
-            if not (update.is_snapshot or update.records):
-                return True
+        return not isinstance(await self._refresh(), NotDone)
 
     def apply_stored(self, records: Iterable[KeyedRecord], first: int) -> None:
         """Apply records that this process stored at offset ``first``."""
@@ -124,6 +126,37 @@
             self._counted_at = now
         return self._counts[queue]
 
+    async def _refresh(self) -> RecordUpdate | NotDone:
+        """Read to the partition's end; return the result of the last read.
+
+        Concurrent calls share a refresh that began after all of them.  If each
+        read for itself, the same records would be sent several times, and on a
+        slow link ever more calls would overlap.
+        """
+        begun_before = self._refreshes_begun
+        async with self._refresh_lock:
+            number, result = self._last_refresh
+            if number > begun_before:
+                return result
+            self._refreshes_begun += 1
+            result = await self._read_to_end()
+            self._last_refresh = (self._refreshes_begun, result)
+            return result
+
+    async def _read_to_end(self) -> RecordUpdate | NotDone:
+        while True:
+            result = await self._read(0)
+            if isinstance(result, NotDone) or result.is_at_end:
+                return result
+
+    async def _read(self, wait_seconds: float) -> RecordUpdate | NotDone:
+        result = await self._reader.poll(wait_seconds)
+        if isinstance(result, RecordUpdate):
+            # Concurrent reads continue where this one ended, so the index must
+            # hold its records before the next call to the store.
+            self._apply(result.records)
+        return result
+
     def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
         self.last_read_at = self._clock.read_boottime()
         changed = self.job_index.apply(records)
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -17,10 +17,12 @@
     """The records of one read, oldest first.
 
     In a snapshot (``is_snapshot``), keys that are not listed don't exist.
+    ``is_at_end`` means that nothing more was stored when the store answered.
     """
 
     records: tuple[KeyedRecord, ...]
     is_snapshot: bool
+    is_at_end: bool
 
 
 class PartitionReader:
@@ -67,4 +69,6 @@
         if isinstance(batch, NotDone):
             return batch
         self.next_offset = max(self.next_offset or 0, batch.next_offset)
-        return RecordUpdate(batch.records, is_snapshot)
+        # A snapshot consists of pages of different age.
+        is_at_end = not is_snapshot and batch.next_offset >= batch.end
+        return RecordUpdate(batch.records, is_snapshot, is_at_end)
