Offer all surplus workers of a pool for moves

Cause: a load record listed at most eight workers to drain, and those already being drained stay listed until the owner has read the requests. It now lists as many as the pool has beyond those it wants.

The test failed before.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -139,6 +139,14 @@
     When a job with steps "30x1000" arrives
     Then the pool wants 11 workers, with a minimum of 4
 
+  # Guards against a next peak that gets the VMs of the last one eight at a time.
+  Scenario: A pool past its peak offers all workers beyond those it wants
+    Given workers "w0 w1 w2 w3 w4 w5 w6 w7 w8 w9 wa wb" with 4000 millicores
+    And a job with steps "1x500 permanent"
+    When a scheduling round runs
+    Then the pool wants 2 workers, with a minimum of 2
+    And 10 workers can be drained
+
   Scenario: An orphaned attempt outlives the directory entry of its worker
     Given workers "w0 w1" with 4000 millicores
     And a job with steps "2x3000 copies"
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -356,3 +356,9 @@
     workers = context.scheduler.state.workers.values()
     free = [worker for worker in workers if not worker.attached]
     assert len(free) == count, len(free)
+
+
+@then('{count:d} workers can be drained')
+def check_candidates(context, count):
+    load = measure_load(context.scheduler.state, 'p')
+    assert len(load.drain_candidates) == count, load
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -23,8 +23,6 @@
 # Added to what permanent tasks need, since one of them may have to move.
 SPARE_WORKERS = 1
 MIN_WORKERS = 2
-# Listed in one record; one rebalancing round never takes more.
-MAX_DRAIN_CANDIDATES = 8
 
 
 class _DemandSum:
@@ -69,7 +67,7 @@
     return PoolLoad(
         wanted,
         min_workers,
-        _list_drain_candidates(workers),
+        _list_drain_candidates(workers, max(len(workers) - wanted, 0)),
         with_permanent_tasks,
     )
 
@@ -114,16 +112,16 @@
     return math.ceil(max(shares, default=0))
 
 
-def _list_drain_candidates(workers: Iterable[WorkerState]) -> tuple[str, ...]:
+def _list_drain_candidates(
+    workers: Iterable[WorkerState], count: int
+) -> tuple[str, ...]:
     usable = [
         worker
         for worker in workers
         if worker.is_usable() and not worker.count_permanent()
     ]
     usable.sort(key=_get_used_cpu)
-    return tuple(
-        worker.entry.worker_id for worker in usable[:MAX_DRAIN_CANDIDATES]
-    )
+    return tuple(worker.entry.worker_id for worker in usable[:count])
 
 
 def _get_used_cpu(worker: WorkerState) -> int:
