Drain the surplus although the load is older than a drain

The fleet's owner took the first workers of a pool's list of candidates and then left out those that are being drained already.

A simulation of four pools whose peaks come in turn comes with it.

The test of the stale list failed before.

--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -17,6 +17,17 @@
     And a rebalancing round runs
     Then 3 VMs of "b" move to "a"
 
+  # Guards against rounds that drain nothing, as the load is older than a drain.
+  Scenario: Workers that are being drained do not take the place of others
+    Given VMs "3 of a, 8 of b"
+    And the VM "b0" is being drained for a move
+    And the VM "b1" is being drained for a move
+    And the VM "b2" is being drained for a move
+    And pool "a" wants 9 workers and needs at least 2
+    And pool "b" wants 2 workers, needs at least 2, and "b0 b1 b2 b3 b4 b5" can be drained
+    When a rebalancing round runs
+    Then the VMs "b3 b4 b5" are to be drained
+
   Scenario: The minimum of one pool precedes the peak of another
     Given VMs "6 of a, 1 of b, 1 of off"
     And pool "a" wants 20 workers and needs at least 2
--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -41,12 +41,12 @@
 DIRECTORY_SECONDS = 0.25
 FLEET_ROUND_SECONDS = 0.35
 MOVE_SECONDS = 1.5
-VM_CAPACITY = Demand(16000, 65536, 0)
 STANDBY_POOL = 'standby'
 STRETCH = 1.6
 OBJECTIVE_SECONDS = 0.6
 # A late job is worth something up to this multiple of its objective.
 LATE_FACTOR = 3.0
+LATE_SHARE = 0.07
 SETTINGS = SchedulingSettings(max_lease_seconds=6.0, maintenance_seconds=2.0)
 
 
@@ -55,17 +55,16 @@
     pool: str
     submitted_at: float
     objective_seconds: float
-    work: float
     ended_at: float = math.inf
 
     @property
-    def is_in_time(self):
-        return self.ended_at - self.submitted_at <= self.objective_seconds
-
-    @property
-    def is_served(self):
-        limit = LATE_FACTOR * self.objective_seconds
-        return self.ended_at - self.submitted_at <= limit
+    def earned(self):
+        """The share of its worth that the job earned."""
+        duration = self.ended_at - self.submitted_at
+        if duration <= self.objective_seconds:
+            return 1
+        is_late = duration <= LATE_FACTOR * self.objective_seconds
+        return LATE_SHARE if is_late else 0
 
 
 @dataclass
@@ -84,6 +83,7 @@
     width: int
     task_seconds: float
     millicores: int
+    vm_cores: int = 16
 
 
 class SimulatedPool:
@@ -126,7 +126,8 @@
         self.results = {}
         self.move_count = 0
         self.pool_seconds = 0.0
-        self.counts = []
+        self.idle_since = {}
+        self.longest_idle = 0.0
         self._create_vms(vm_count)
 
     def _create_vms(self, count):
@@ -156,7 +157,7 @@
         distance = turn - index
         if not 0 <= distance < 1:
             return pool.traffic.peak_rate / 80
-        return pool.traffic.peak_rate * math.sin(math.pi * distance) ** 2
+        return pool.traffic.peak_rate * math.sin(math.pi * distance)
 
     def _submit_jobs(self):
         for index, pool in enumerate(self.pools.values()):
@@ -166,7 +167,7 @@
 
     def _submit(self, pool):
         traffic = pool.traffic
-        steps, chain, work = [], 0.0, 0.0
+        steps, chain = [], 0.0
         job_id = f'{len(self.results):016x}'
         for number in range(self.random.choice(traffic.steps)):
             width = max(1, round(self._vary(traffic.width, 0.6)))
@@ -177,7 +178,6 @@
             for position, task_seconds in enumerate(seconds):
                 self.durations[job_id, number, position] = task_seconds
             chain += max(seconds)
-            work += sum(seconds) * millicores / 1000
             steps.append(
                 Step(
                     width=width,
@@ -193,7 +193,7 @@
             spec=JobSpec(payload='x', steps=tuple(steps)),
         )
         self.results[job_id] = JobResult(
-            pool.name, self.now, STRETCH * chain + OBJECTIVE_SECONDS, work
+            pool.name, self.now, STRETCH * chain + OBJECTIVE_SECONDS
         )
         pool.scheduler.state.add_job(JobState(job, Moment(self.now)))
 
@@ -222,10 +222,39 @@
     def _count(self):
         used = [vm for vm in self.vms.values() if vm.pool != STANDBY_POOL]
         self.pool_seconds += len(used) * TICK_SECONDS
-        if self.ticks % 20 == 0:
-            self.counts.append(
-                (round(self.now), Counter(vm.pool for vm in used))
-            )
+        idle = set()
+        lacking = {name for name in self.pools if self._count_spare(name) < 0}
+        for name, pool in self.pools.items():
+            if lacking - {name} and self._count_spare(name) > 0:
+                idle |= {
+                    worker_id
+                    for worker_id, worker in (
+                        pool.scheduler.state.workers.items()
+                    )
+                    if worker.is_usable() and not worker.attached
+                }
+        self.idle_since = {
+            worker_id: self.idle_since.get(worker_id, self.now)
+            for worker_id in idle
+        }
+        begun = min(self.idle_since.values(), default=self.now)
+        self.longest_idle = max(self.longest_idle, self.now - begun)
+
+    def _count_spare(self, name):
+        """Count a pool's VMs beyond those wanted; negative if it lacks some.
+
+        VMs on their way to the pool count, those being drained do not.
+        """
+        load = self.fleet_state.loads.get(name)
+        if load is None:
+            return 0
+        requests = self.fleet_state.drain_requests_by_worker
+        vms = [
+            vm
+            for vm in self.vms.values()
+            if vm.pool == name and vm.worker_id not in requests
+        ]
+        return len(vms) - load.wanted_workers
 
     def _read_directory(self):
         requests = self.fleet_state.drain_requests_by_worker
@@ -236,7 +265,7 @@
                     worker_id=vm.worker_id,
                     pool=pool.name,
                     address='x:1',
-                    capacity=VM_CAPACITY,
+                    capacity=Demand(pool.traffic.vm_cores * 1000, 65536, 0),
                 )
                 for vm in self.vms.values()
                 if vm.pool == pool.name and vm.status is VmStatus.UP
@@ -349,13 +378,11 @@
 
     # Queries.
 
-    def compute_share(self, until, *, is_in_time):
-        """Return the share of the jobs submitted until then, by pool."""
-        totals, good = Counter(), Counter()
+    def compute_earned_share(self, until):
+        """Return the share of the worth of jobs submitted until then."""
+        owed, earned = Counter(), Counter()
         for result in self.results.values():
-            if result.submitted_at > until:
-                continue
-            totals[result.pool] += 1
-            is_good = result.is_in_time if is_in_time else result.is_served
-            good[result.pool] += is_good
-        return {pool: good[pool] / totals[pool] for pool in totals}
+            if result.submitted_at <= until:
+                owed[result.pool] += 1
+                earned[result.pool] += result.earned
+        return {pool: earned[pool] / owed[pool] for pool in owed}
--- a/libs/scheduling/tarragonlb/scheduling/rebalancing.py
+++ b/libs/scheduling/tarragonlb/scheduling/rebalancing.py
@@ -209,7 +209,9 @@
                 else need.recent_peak
             )
             surplus = max(self._counts[pool] - wanted, 0)
-            chosen.extend(self._list_drainable(need.drain_candidates[:surplus]))
+            # Older loads still list workers that are being drained.
+            drainable = self._list_drainable(need.drain_candidates)
+            chosen.extend(drainable[:surplus])
         return chosen
 
     def _list_drainable(self, worker_ids: tuple[str, ...]) -> list[Vm]:
