--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -25,6 +25,23 @@
     worker_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedBound:
+    """How long leases that former owners granted on a worker may still last.
+
+    No more than ``remaining_seconds`` from ``read_at``, when this process read
+    the bound.
+    """
+
+    remaining_seconds: float
+    read_at: float
+
+    @property
+    def lease_end(self) -> float:
+        """Return when the leases have certainly run out."""
+        return self.read_at + self.remaining_seconds
+
+
 class PartitionState:
     """The jobs and workers of the pools of one partition.
 
@@ -35,10 +52,12 @@
     jobs or workers have changed since tasks were last placed there.
     ``reported_workers`` have reported since they were last paced, and
     ``stopping_workers`` may have attempts that are to be stopped.
+    ``stored_bounds`` maps the workers whose lease bound is stored, or being
+    stored, to its seconds.
     """
 
     __slots__ = (
-        '_taken_over_at',
+        '_inherited_bounds',
         'changed_jobs',
         'changed_pools',
         'jobs',
@@ -48,6 +67,8 @@
         'reported_workers',
         'settings',
         'stopping_workers',
+        'stored_bounds',
+        'taken_over_at',
         'workers',
     )
 
@@ -63,13 +84,27 @@
         self.released_attempts: list[ReleasedAttempt] = []
         self.reported_workers: set[str] = set()
         self.stopping_workers: set[str] = set()
-        self._taken_over_at = now
-
-    @property
-    def former_leases_end(self) -> float:
-        """Return when all leases granted by former owners have run out."""
-        settings = self.settings
-        return self._taken_over_at + settings.compute_longest_lease()
+        self.taken_over_at = now
+        self.stored_bounds: dict[str, float] = {}
+        self._inherited_bounds: Mapping[str, InheritedBound] = {}
+
+    def inherit_bounds(self, bounds: Mapping[str, InheritedBound]) -> None:
+        """Use the stored lease bounds, before any job or worker is added.
+
+        They must have been read to the end after all former owners were fenced.
+        """
+        self._inherited_bounds = dict(bounds)
+        self.stored_bounds = {
+            worker_id: bound.remaining_seconds
+            for worker_id, bound in bounds.items()
+        }
+
+    def find_former_lease_end(self, worker_id: str) -> float:
+        """Return when all leases of former owners on a worker have run out."""
+        longest = self.settings.compute_longest_lease()
+        latest = self.taken_over_at + longest
+        bound = self._inherited_bounds.get(worker_id)
+        return latest if bound is None else min(latest, bound.lease_end)
 
     def add_job(self, state: JobState) -> None:
         """Add a job and attach the attempts that its record says may run."""
@@ -121,7 +156,7 @@
             known = self.workers.get(worker_id)
             if known is None:
                 self.workers[worker_id] = WorkerState(
-                    worker, self.former_leases_end
+                    worker, self.find_former_lease_end(worker_id)
                 )
             elif known.entry != worker:
                 known.update(worker)
@@ -141,7 +176,7 @@
         if known is None:
             known = WorkerState(
                 Worker(worker_id=worker_id, pool=pool),
-                self.former_leases_end,
+                self.find_former_lease_end(worker_id),
             )
             known.is_listed = False
             self.workers[worker_id] = known
