--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -96,7 +96,7 @@
         sorted(task.failed_attempts),
         task.worker_id,
         task.checkpoint,
-        sorted(task.avoided) if task.phase is not TaskPhase.DONE else [],
+        [] if task.phase is TaskPhase.DONE else sorted(task.avoided),
     )
 
 
