Give VMs to tasks that wait before tasks that are expected

Cause: a pool's demand includes a quarter more than its ready tasks, a share of blocked steps and the growth of the load. That is right while VMs are free, but counted as much as tasks that wait in another pool.

Loads now also say for how many workers there are tasks that run or could run. While tasks wait in a pool, others give up what they only expect to need, at most as many VMs as are missing there, counting those on the way; free VMs go to waiting tasks first; and a drain is not cancelled for expected tasks.

The first of both tests failed before, as loads did not tell the two apart.

--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -47,6 +47,28 @@
     And a rebalancing round runs
     Then the VMs "a0 a1 a2 a3" are to be drained
 
+  # Guards against a peak that is missed since another pool keeps workers for
+  # tasks that it merely expects.
+  Scenario: Tasks that wait in one pool precede tasks expected in another
+    Given VMs "4 of a, 9 of b"
+    And pool "a" wants 9 workers and has tasks for 7
+    And pool "b" wants 9 workers, has tasks for 3, and "b0 b1 b2 b3 b4 b5" can be drained
+    When a rebalancing round runs
+    Then the VMs "b0 b1 b2" are to be drained
+    When a rebalancing round runs
+    Then no VM is to be drained
+    And no VM is reopened
+    When they have been drained
+    And a rebalancing round runs
+    Then 3 VMs of "b" move to "a"
+
+  Scenario: Pools that only expect tasks take no workers from each other
+    Given VMs "4 of a, 9 of b"
+    And pool "a" wants 9 workers and has tasks for 4
+    And pool "b" wants 9 workers, has tasks for 3, and "b0 b1 b2 b3 b4 b5" can be drained
+    When a rebalancing round runs
+    Then no VM is to be drained
+
   Scenario: A pool whose load grows gets workers for the expected load
     Given VMs "4 of a, 20 of off"
     And pool "a" wants 2 workers and needs at least 2
--- a/libs/scheduling/features/steps/fleet_steps.py
+++ b/libs/scheduling/features/steps/fleet_steps.py
@@ -33,6 +33,16 @@
         context.offset += 1
 
 
+def publish_load(context, pool, wanted, minimum, **more):
+    load = PoolLoad(
+        wanted_workers=wanted,
+        needed_workers=more.pop('needed_workers', wanted),
+        min_workers=minimum,
+        **more,
+    )
+    publish(context, build_load_record(pool, load))
+
+
 @given('VMs "{text}"')
 def list_vms(context, text):
     context.fleet_state = FleetState()
@@ -56,7 +66,7 @@
 
 @step('pool "{pool}" wants {wanted:d} workers and needs at least {minimum:d}')
 def set_load(context, pool, wanted, minimum):
-    publish(context, build_load_record(pool, PoolLoad(wanted, minimum)))
+    publish_load(context, pool, wanted, minimum)
 
 
 @step(
@@ -65,8 +75,27 @@
 )
 def set_load_with_candidates(context, pool, wanted, minimum, candidates):
     workers = tuple(f'i-{vm_id}' for vm_id in candidates.split())
-    publish(
-        context, build_load_record(pool, PoolLoad(wanted, minimum, workers))
+    publish_load(context, pool, wanted, minimum, drain_candidates=workers)
+
+
+@step('pool "{pool}" wants {wanted:d} workers and has tasks for {needed:d}')
+def set_needed_only(context, pool, wanted, needed):
+    publish_load(context, pool, wanted, 2, needed_workers=needed)
+
+
+@step(
+    'pool "{pool}" wants {wanted:d} workers, has tasks for {needed:d}, '
+    'and "{candidates}" can be drained'
+)
+def set_needed(context, pool, wanted, needed, candidates):
+    workers = tuple(f'i-{vm_id}' for vm_id in candidates.split())
+    publish_load(
+        context,
+        pool,
+        wanted,
+        2,
+        needed_workers=needed,
+        drain_candidates=workers,
     )
 
 
@@ -76,9 +105,7 @@
 )
 def set_load_with_permanent(context, pool, wanted, minimum, hosts):
     workers = tuple(f'i-{vm_id}' for vm_id in hosts.split())
-    publish(
-        context, build_load_record(pool, PoolLoad(wanted, minimum, (), workers))
-    )
+    publish_load(context, pool, wanted, minimum, with_permanent_tasks=workers)
 
 
 @given('the owner changes every {seconds:d} seconds')
@@ -271,6 +298,11 @@
     assert not context.decided.drain, context.decided.drain
 
 
+@then('no VM is reopened')
+def check_none_reopened(context):
+    assert not context.decided.reopen, context.decided.reopen
+
+
 @then('the VM "{vm_id}" is reopened')
 def check_reopened(context, vm_id):
     assert [vm.vm_id for vm in context.decided.reopen] == [vm_id]
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -52,27 +52,33 @@
     jobs = [
         state for state in partition.jobs.values() if state.job.pool == pool
     ]
-    total = _DemandSum()
+    needed, wanted = _DemandSum(), _DemandSum()
     min_workers = MIN_WORKERS
     for state in jobs:
         if state.is_open:
-            _add_job_demand(state, total)
+            _add_job_demand(state, needed, wanted)
             min_workers = max(
                 min_workers, _count_spread_workers(state) + SPARE_WORKERS
             )
-    wanted = max(min_workers, _count_demanded_workers(total, workers))
+    needed_count = max(min_workers, _count_demanded_workers(needed, workers))
+    wanted_count = max(needed_count, _count_demanded_workers(wanted, workers))
     with_permanent_tasks = tuple(
         worker.entry.worker_id for worker in workers if worker.count_permanent()
     )
     return PoolLoad(
-        wanted,
-        min_workers,
-        _list_drain_candidates(workers, max(len(workers) - wanted, 0)),
-        with_permanent_tasks,
+        wanted_workers=wanted_count,
+        needed_workers=needed_count,
+        min_workers=min_workers,
+        drain_candidates=_list_drain_candidates(
+            workers, max(len(workers) - needed_count, 0)
+        ),
+        with_permanent_tasks=with_permanent_tasks,
     )
 
 
-def _add_job_demand(state: JobState, total: _DemandSum) -> None:
+def _add_job_demand(
+    state: JobState, needed: _DemandSum, wanted: _DemandSum
+) -> None:
     for occurrence, number, step_state in state.list_steps():
         if step_state.is_done:
             continue
@@ -84,7 +90,9 @@
         weight = READY_TASK_WEIGHT if is_ready else BLOCKED_TASK_WEIGHT
         if step.is_permanent:
             weight = 1
-        total.add(step.demand, remaining * weight, scavenges=step.scavenges)
+        wanted.add(step.demand, remaining * weight, scavenges=step.scavenges)
+        if is_ready:
+            needed.add(step.demand, remaining, scavenges=step.scavenges)
 
 
 def _count_spread_workers(state: JobState) -> int:
--- a/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
@@ -46,8 +46,9 @@
 class PoolLoad:
     """The load of a pool, in workers.
 
-    ``wanted_workers`` is how many workers the pool's jobs could use now,
-    ``min_workers`` how many its permanent tasks need.  ``drain_candidates``
+    ``needed_workers`` is how many workers the tasks need that run or could run
+    now, ``wanted_workers`` includes tasks that are expected soon, and
+    ``min_workers`` is how many the permanent tasks need.  ``drain_candidates``
     are workers that can be drained quickly, the least loaded first.
     ``with_permanent_tasks`` are workers that drain slowly, since permanent
     tasks move one after the other.
@@ -55,6 +56,7 @@
 
     wanted_workers: int
     min_workers: int
+    needed_workers: int = 0
     drain_candidates: tuple[str, ...] = ()
     with_permanent_tasks: tuple[str, ...] = ()
 
@@ -72,6 +74,7 @@
     content = [
         load.wanted_workers,
         load.min_workers,
+        load.needed_workers,
         list(load.drain_candidates),
         list(load.with_permanent_tasks),
     ]
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -119,10 +119,11 @@
 
 
 def _decode_load(value: bytes) -> PoolLoad:
-    wanted, minimum, candidates, permanent = cbor2.loads(value)
-    return PoolLoad(
-        int(wanted), int(minimum), tuple(candidates), tuple(permanent)
-    )
+    row: list[Any] = cbor2.loads(value)
+    counts, workers = row[:3], row[3:]
+    wanted, minimum, needed = map(int, counts)
+    candidates, permanent = map(tuple, workers)
+    return PoolLoad(wanted, minimum, needed, candidates, permanent)
 
 
 def _apply_drain(
--- a/libs/scheduling/tarragonlb/scheduling/rebalancing.py
+++ b/libs/scheduling/tarragonlb/scheduling/rebalancing.py
@@ -75,7 +75,7 @@
             if pool not in standby
         }
         shortages = fleet.count_shortages(needs)
-        reopened = fleet.choose_reopened(shortages)
+        reopened = fleet.choose_reopened(needs, shortages)
         moves = [
             move
             for move in fleet.choose_moves(needs, shortages)
@@ -105,6 +105,7 @@
         expected = load.wanted_workers + math.ceil(growth * FORECAST_SECONDS)
         return PoolNeed(
             min_workers=load.min_workers,
+            needed_workers=max(load.needed_workers, load.min_workers),
             expected_workers=expected,
             recent_peak=max(*seen, expected),
             drain_candidates=load.drain_candidates,
@@ -115,13 +116,15 @@
 class PoolNeed:
     """How many workers a pool needs.
 
-    It needs ``min_workers`` at all times and ``expected_workers`` by the time
-    that a move ordered now has ended.  ``recent_peak`` is the largest number
+    It needs ``min_workers`` at all times, ``needed_workers`` for the tasks that
+    run or wait, and ``expected_workers`` by the time that a move ordered now
+    has ended.  ``recent_peak`` is the largest number
     that it needed in the last ``DEMAND_WINDOW_SECONDS``, and not less than
     ``expected_workers``.
     """
 
     min_workers: int
+    needed_workers: int
     expected_workers: int
     recent_peak: int
     drain_candidates: tuple[str, ...]
@@ -168,12 +171,22 @@
             }
         )
 
-    def choose_reopened(self, shortages: Counter[str]) -> list[Vm]:
-        """Return VMs whose drain to cancel, in pools that lack workers."""
+    def choose_reopened(
+        self, needs: Mapping[str, PoolNeed], shortages: Counter[str]
+    ) -> list[Vm]:
+        """Return VMs whose drain to cancel, in pools that lack workers.
+
+        While tasks wait in any pool, only pools with waiting tasks do so.
+        """
         chosen = []
+        is_any_urgent = bool(self._count_urgent(needs))
         for vm in self._vms:
-            if shortages[vm.pool] > 0 and self._is_draining_for_move(vm):
+            if shortages[vm.pool] <= 0 or not self._is_draining_for_move(vm):
+                continue
+            is_urgent = self._counts[vm.pool] < needs[vm.pool].needed_workers
+            if is_urgent or not is_any_urgent:
                 shortages[vm.pool] -= 1
+                self._counts[vm.pool] += 1
                 chosen.append(vm)
         return chosen
 
@@ -196,24 +209,53 @@
         """Return VMs to drain in pools that have surplus workers.
 
         A pool keeps its recent peak of workers, but only the expected number
-        while other pools lack workers.
+        while other pools lack workers, and while tasks wait there, only as many
+        as it has tasks for.
         """
         missing = sum(count for count in shortages.values() if count > 0)
         if not (self._standby or missing):
             return []
         chosen: list[Vm] = []
-        for pool, need in needs.items():
+        for need, pool in self._sort_by_surplus(needs):
             wanted = (
                 need.expected_workers
                 if missing > len(chosen)
                 else need.recent_peak
             )
-            surplus = max(self._counts[pool] - wanted, 0)
-            # Older loads still list workers that are being drained.
-            drainable = self._list_drainable(need.drain_candidates)
-            chosen.extend(drainable[:surplus])
+            chosen.extend(self._drain_surplus(pool, need, wanted))
+        being_drained = sum(map(self._is_draining_for_move, self._vms))
+        urgent = self._count_urgent(needs) - being_drained
+        for need, pool in self._sort_by_surplus(needs):
+            if urgent <= len(chosen):
+                break
+            surplus = self._drain_surplus(pool, need, need.needed_workers)
+            more = [vm for vm in surplus if vm not in chosen]
+            chosen.extend(more[: urgent - len(chosen)])
         return chosen
 
+    def _count_urgent(self, needs: Mapping[str, PoolNeed]) -> int:
+        """Return how many workers are missing for tasks that wait."""
+        return sum(
+            max(need.needed_workers - self._counts[pool], 0)
+            for pool, need in needs.items()
+        )
+
+    def _sort_by_surplus(
+        self, needs: Mapping[str, PoolNeed]
+    ) -> list[tuple[PoolNeed, str]]:
+        return sorted(
+            ((need, pool) for pool, need in needs.items()),
+            key=lambda pair: pair[0].needed_workers - self._counts[pair[1]],
+        )
+
+    def _drain_surplus(
+        self, pool: str, need: PoolNeed, wanted: int
+    ) -> list[Vm]:
+        surplus = max(self._counts[pool] - wanted, 0)
+        # Older loads still list workers that are being drained.
+        drainable = self._list_drainable(need.drain_candidates)
+        return drainable[:surplus]
+
     def _list_drainable(self, worker_ids: tuple[str, ...]) -> list[Vm]:
         by_worker = {vm.worker_id: vm for vm in self._vms if vm.worker_id}
         found = [by_worker.get(worker_id) for worker_id in worker_ids]
@@ -225,12 +267,13 @@
         short_pools = [pool for pool, count in shortages.items() if count > 0]
         if short_pools:
             # Pools below their minimum come first, for their permanent tasks,
-            # then the pool that lacks the largest share of the workers that it
-            # is expected to need.
+            # then those with waiting tasks, then the pool that lacks the
+            # largest share of the workers that it is expected to need.
             return max(
                 short_pools,
                 key=lambda pool: (
                     needs[pool].min_workers > self._counts[pool],
+                    needs[pool].needed_workers > self._counts[pool],
                     shortages[pool] / needs[pool].expected_workers,
                 ),
             )
