--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -149,7 +149,10 @@
         self._load_state()
         self._nursery.start_soon(self._forward_job_changes, changes)
         self._nursery.start_soon(self._forward_view_changes)
-        await self._run_rounds()
+        try:
+            await self._run_rounds()
+        finally:
+            self._decision_log.log_ends()
 
     def _load_state(self) -> None:
         now = self._clock.read_monotonic()
@@ -216,6 +219,7 @@
         self._next_round_at = now + self._settings.max_round_interval_seconds
         if self._is_storing:
             return
+        self._decision_log.log_ends()
         contact_age = self._view.compute_contact_age(
             self._clock.read_boottime()
         )
@@ -278,7 +282,7 @@
         reconciler = self._scheduler.reconciler
         match event:
             case events.ReportReceived():
-                self._decision_log.log_ends(
+                self._decision_log.collect_ends(
                     event.report, self._scheduler.state.workers
                 )
                 reconciler.apply_report(event.report)
