Place tasks beside a gang that waits for room

Callers saw tasks wait although workers had room for them, for as long as a gang of their pool found no room: every round, full ones included.

Cause: since a round remembers which demands found no worker. A gang that does not fit takes room for its first tasks, the next one is rejected, and the room is given back, but the rejection stayed. Every later step of the pool that needs as much or more was then skipped.

Rejections are forgotten when a gang gives its room back.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -62,6 +62,14 @@
     Then 3 tasks start
     And all starts have attempt 1
 
+  # A gang that waited for room kept all other tasks of its pool from starting.
+  Scenario: Tasks start beside a gang that waits for room
+    Given workers "w0 w1" with 2000 millicores
+    And a job with steps "3x2000 gang"
+    And a job with steps "1x2000"
+    When a scheduling round runs
+    Then 1 tasks start
+
   Scenario Outline: The only worker of a pool is tried again soon after failures
     Given workers "w0" with 8000 millicores
     And a job with steps "1x500 permanent"
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -225,9 +225,9 @@
             if task.is_attached:
                 worker = self._partition.workers[task.worker_id]
                 worker.detach(TaskKey(*ready.key, index))
-                self._get_candidates(
-                    ready.job_state.job.pool
-                ).move_after_change(worker)
+                self._get_candidates(ready.job_state.job.pool).note_freed(
+                    worker
+                )
                 task.release()
                 task.attempt = attempts[index]
         if not was_changed:
--- a/libs/scheduling/tarragonlb/scheduling/candidates.py
+++ b/libs/scheduling/tarragonlb/scheduling/candidates.py
@@ -3,8 +3,8 @@
 At a peak most steps find no room, and a round looks for it for hundreds of
 them.  The workers are kept in the order of their free CPU, so that a search
 begins at the first one with enough of it, and a step is not looked at again
-once one that needs no more has found no worker with enough free capacity:
-within a round capacity is only used up.
+once one that needs no more has found no worker with enough free capacity.  Only
+a gang that does not fit gives capacity back within a round.
 """
 
 from bisect import bisect_left, insort
@@ -52,6 +52,11 @@
             self._workers.remove(worker)
             insort(self._workers, worker, key=_get_free_cpu)
 
+    def note_freed(self, worker: WorkerState) -> None:
+        """Look again at all steps, as a worker's capacity is free again."""
+        self._rejected.clear()
+        self.move_after_change(worker)
+
 
 def _measure_demand(step: Step) -> tuple[int, int, int]:
     demand = step.demand
