Set the pace of scavengers that a former owner has paced

Callers saw scavenging tasks at rest after a takeover although nothing was disturbed beside them.

Cause: each owner took an unknown attempt for one at full speed, so an attempt that the former owner had paused got no order: "100" was no change. The same happened after a pace order without an answer, which may have been applied.

The pace of attempts that were running at the takeover, and of those whose order was not confirmed, counts as unknown: it is set with the next report, low if a serving task is beside the attempt, full otherwise.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -130,6 +130,20 @@
     And a scheduling round runs
     Then the scavenger is paced to 15 percent
 
+  # After a takeover a scavenger that the former owner had paused stayed paused.
+  Scenario: A new owner speeds up a scavenger that its predecessor paused
+    Given workers "w0" with 8000 millicores
+    And a job with steps "1x1000 permanent target 100"
+    And a job with steps "1x4000 permanent scavenges"
+    When a scheduling round runs
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    Then the scavenger is paced to 0 percent
+    When another owner takes over
+    And a tail latency of 30 ms is reported
+    And a scheduling round runs
+    Then the scavenger is paced to 15 percent
+
   Scenario: A task whose start was refused waits before its next start
     Given workers "w0" with 4000 millicores
     And a job with steps "1x500"
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -7,6 +7,11 @@
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.placement import PackNearData
+from tarragonlb.scheduling.progress import (
+    build_progress_record,
+    decode_progress,
+    restore_tasks,
+)
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.scheduling.settings import SchedulingSettings
@@ -340,6 +345,20 @@
     assert {o.attempt for o in context.round.starts} == {attempt}
 
 
+@when('another owner takes over')
+def take_over(context):
+    former = context.scheduler.state
+    context.scheduler = Scheduler(SETTINGS, PackNearData(), context.now)
+    state = context.scheduler.state
+    state.queues = QUEUES
+    state.update_workers(context.directory.values())
+    for job_state in former.jobs.values():
+        progress = decode_progress(build_progress_record(job_state, 1).value)
+        restored = JobState(job_state.job, Moment(context.now))
+        restore_tasks(restored, progress, context.now)
+        state.add_job(restored)
+
+
 @then('the scavenger is paced to {percent:d} percent')
 def check_pace(context, percent):
     assert [o.percent for o in context.round.paces] == [percent]
--- a/libs/scheduling/tarragonlb/scheduling/pacing.py
+++ b/libs/scheduling/tarragonlb/scheduling/pacing.py
@@ -15,7 +15,8 @@
 class Pacer:
     """Sets the pace of the scavenging attempts of a partition.
 
-    A pace is the percentage of full speed; an attempt starts at 100.
+    A pace is the percentage of full speed; an attempt starts at 100.  That of
+    an attempt which a former owner started is unknown.
     """
 
     __slots__ = ('_paces', '_partition')
@@ -36,8 +37,10 @@
         return orders
 
     def note_refused(self, order: PaceOrder) -> None:
-        """Forget a pace that was not applied."""
-        self._paces.pop((order.key, order.attempt), None)
+        """Forget a pace that was perhaps not applied."""
+        attempt = (order.key, order.attempt)
+        if self._paces.pop(attempt, None) is not None:
+            self._partition.unknown_paces.add(attempt)
 
     def _pace_worker(self, worker: WorkerState) -> list[PaceOrder]:
         scavengers = _list_scavengers(worker)
@@ -48,7 +51,14 @@
         for attempt in scavengers:
             old_percent = self._paces.get(attempt, FULL_PERCENT)
             new_percent = self._adjust(old_percent, latency_ratio)
-            if new_percent != old_percent:
+            is_unknown = attempt in self._partition.unknown_paces
+            if is_unknown:
+                self._partition.unknown_paces.discard(attempt)
+                # Speed may be lost for a moment, neighbours are not harmed.
+                new_percent = self._adjust(0, latency_ratio)
+                if not latency_ratio:
+                    new_percent = FULL_PERCENT
+            if is_unknown or new_percent != old_percent:
                 self._paces[attempt] = new_percent
                 orders.append(
                     PaceOrder(
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -53,7 +53,8 @@
     ``reported_workers`` have reported since they were last paced, and
     ``stopping_workers`` may have attempts that are to be stopped.
     ``stored_bounds`` maps the workers whose lease bound is stored, or being
-    stored, to its seconds.
+    stored, to its seconds.  ``unknown_paces`` are scavenging attempts whose
+    pace is unknown.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         'stopping_workers',
         'stored_bounds',
         'taken_over_at',
+        'unknown_paces',
         'workers',
     )
 
@@ -84,6 +86,7 @@
         self.released_attempts: list[ReleasedAttempt] = []
         self.reported_workers: set[str] = set()
         self.stopping_workers: set[str] = set()
+        self.unknown_paces: set[tuple[TaskKey, int]] = set()
         self.taken_over_at = now
         self.stored_bounds: dict[str, float] = {}
         self._inherited_bounds: Mapping[str, InheritedBound] = {}
@@ -118,7 +121,10 @@
         for key, task in state.list_tasks():
             if task.is_attached:
                 worker = self.find_worker(task.worker_id, state.job.pool)
-                worker.attach(key, task, state.job.spec.steps[key.step])
+                step = state.job.spec.steps[key.step]
+                worker.attach(key, task, step)
+                if step.scavenges:
+                    self.unknown_paces.add((key, task.attempt))
                 self.stopping_workers.add(task.worker_id)
 
     def cancel_job(self, job_id: str, now: float) -> None:
