Use a worker that was born anew in the next round

Callers saw tasks wait up to a second longer for a worker that had just been born anew.

Cause: whether a report makes a worker usable was decided after the orphans of its former incarnation had been forgotten. A worker that only these had kept from use then counted as usable before, its pool was not marked as changed, and only the next full pass looked at it.

The new scenario failed before (0 tasks started) and passes now.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -179,3 +179,16 @@
     And a job with steps "2x3000" arrives
     And a scheduling round runs
     Then no task starts on "w0"
+
+  # An orphan's worker was born anew, and was not used until a full pass.
+  Scenario: A worker that was born anew gets tasks at once
+    Given workers "w0" with 4000 millicores
+    And a job with steps "1x4000 copies"
+    When a scheduling round runs
+    And the worker "w0" becomes silent
+    And 0 seconds go by
+    And a scheduling round runs
+    Then 0 tasks start
+    When worker "w0" is born anew
+    And a scheduling round runs
+    Then 1 tasks start
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -67,7 +67,7 @@
     )
 
 
-def report(context, worker_id, tail_ms=0, ended=()):
+def report(context, worker_id, tail_ms=0, ended=(), incarnation=1):
     context.now += 0.01
     attached = context.scheduler.state.workers[worker_id].attached
     ended_keys = {end.key for end in ended}
@@ -76,7 +76,7 @@
             worker_id=worker_id,
             requested_at=context.now,
             received_at=context.now,
-            incarnation=1,
+            incarnation=incarnation,
             running=tuple(
                 RunningAttempt(key, attachment.attempt, '', 100, tail_ms)
                 for key, attachment in attached.items()
@@ -274,6 +274,11 @@
     context.expired = name
 
 
+@when('worker "{name}" is born anew')
+def restart_worker(context, name):
+    report(context, name, incarnation=2)
+
+
 @when('its next report does not list the attempt')
 def report_without_attempt(context):
     report(context, context.expired)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -35,12 +35,12 @@
         worker = self._partition.workers.get(report.worker_id)
         if worker is None:
             return
+        was_usable = worker.is_usable() and not worker.failures
         if (
             worker.incarnation is not None
             and report.incarnation != worker.incarnation
         ):
             self.end_incarnation(worker, 'the worker was born anew')
-        was_usable = worker.is_usable() and not worker.failures
         worker.incarnation = report.incarnation
         worker.last_report_at = report.received_at
         self._partition.reported_workers.add(report.worker_id)
