Let no scavenger that is slowed down count as stalled

Callers saw scavenging tasks stopped and started again elsewhere, and their workers on probation, although the owner itself had paused them.

Cause: an attempt without progress for 2.5 s counts as stalled by its worker's fault. A paused attempt makes none, and a slow one may take longer for a percent of its progress.

While an attempt runs below full pace its lack of progress is excused.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -180,6 +180,23 @@
     And a scheduling round runs
     Then no task starts on "w0"
 
+  # A scavenger that its owner had paused counted as stalled on a bad worker.
+  Scenario: A paused scavenger does not count as stalled
+    Given workers "w0" with 8000 millicores
+    And a job with steps "1x1000 permanent target 100"
+    And a job with steps "1x4000 scavenges"
+    When a scheduling round runs
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    Then the scavenger is paced to 0 percent
+    When 2 seconds go by
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    And 2 seconds go by
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    Then 0 attempts are stopped
+
   # An orphan's worker was born anew, and was not used until a full pass.
   Scenario: A worker that was born anew gets tasks at once
     Given workers "w0" with 4000 millicores
--- a/libs/scheduling/tarragonlb/scheduling/pacing.py
+++ b/libs/scheduling/tarragonlb/scheduling/pacing.py
@@ -49,16 +49,11 @@
         latency_ratio = self._measure_latency_ratio(worker)
         orders = []
         for attempt in scavengers:
-            old_percent = self._paces.get(attempt, FULL_PERCENT)
-            new_percent = self._adjust(old_percent, latency_ratio)
-            is_unknown = attempt in self._partition.unknown_paces
-            if is_unknown:
-                self._partition.unknown_paces.discard(attempt)
-                # Speed may be lost for a moment, neighbours are not harmed.
-                new_percent = self._adjust(0, latency_ratio)
-                if not latency_ratio:
-                    new_percent = FULL_PERCENT
-            if is_unknown or new_percent != old_percent:
+            old_percent = self._find_pace(attempt)
+            new_percent = self._choose_pace(old_percent, latency_ratio)
+            if new_percent < FULL_PERCENT:
+                _excuse_slowness(worker, attempt)
+            if new_percent != old_percent:
                 self._paces[attempt] = new_percent
                 orders.append(
                     PaceOrder(
@@ -70,6 +65,20 @@
                 )
         return orders
 
+    def _find_pace(self, attempt: tuple[TaskKey, int]) -> int | None:
+        """Return the present pace, None if it is unknown."""
+        unknown = self._partition.unknown_paces
+        if attempt in unknown:
+            unknown.discard(attempt)
+            return None
+        return self._paces.get(attempt, FULL_PERCENT)
+
+    def _choose_pace(self, percent: int | None, latency_ratio: float) -> int:
+        if percent is not None:
+            return self._adjust(percent, latency_ratio)
+        # Speed may be lost for a moment, neighbours are not harmed.
+        return self._adjust(0, latency_ratio) if latency_ratio else FULL_PERCENT
+
     def _adjust(self, percent: int, latency_ratio: float) -> int:
         settings = self._partition.settings
         if latency_ratio > 1:
@@ -90,6 +99,13 @@
         return latency_ratio
 
 
+def _excuse_slowness(worker: WorkerState, attempt: tuple[TaskKey, int]) -> None:
+    """Let a slowed attempt not count as stalled."""
+    if worker.last_report_at is not None:
+        task = worker.attached[attempt[0]].task
+        task.progress_at = worker.last_report_at
+
+
 def _list_scavengers(worker: WorkerState) -> list[tuple[TaskKey, int]]:
     return [
         (key, attachment.attempt)
