Resume no term that another owner has followed

What callers could see: a task that ran twice, or a bound on leases that was too short, after a daemon had been cut off from the store.

Cause: a daemon whose membership had expired joined again and, if nobody else was a member at that moment, went on with its old term. Another daemon might have owned the partition in between and left or died. Until its next append or an answer with a fence, the old owner extended leases again, also where the other had stored a bound.

A member whose membership had expired first fences its own term again. If a later one is known, it begins a new term in the generation that it has joined. After an outage of the store, in which nobody else became owner, the term still goes on.

--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -87,3 +87,9 @@
     Given daemons with "2 1 1 1 1 1 1 1 1 1" cores and 2 workers
     When the calls of 10 seconds are counted
     Then there were at most 60 joins and 0 listings of owners
+
+  # An owner that had been cut off resumed its term after another's had passed.
+  Scenario: A term that another owner has followed is not resumed
+    Given a daemon that owns a partition
+    When its membership expires, and another owner comes and goes meanwhile
+    Then it owns the partition in a later term than the other
--- a/libs/controller/features/steps/ownership_steps.py
+++ b/libs/controller/features/steps/ownership_steps.py
@@ -211,6 +211,56 @@
     context.simulation.actions.append(action)
 
 
+@given('a daemon that owns a partition')
+def prepare_lease(context):
+    context.simulation = Simulation(1, 0)
+    context.simulation.other_store = FakeStore()
+
+
+@when('its membership expires, and another owner comes and goes meanwhile')
+def pass_ownership(context):
+    async def action(sim):
+        store = sim.other_store
+        first, second = make_lease(store, 'first'), make_lease(store, 'second')
+        valid_terms = set()
+
+        async def note_renewal():
+            owned = first.find_owned()
+            if owned and first.is_valid(trio.current_time()):
+                valid_terms.add(owned.term)
+
+        async with trio.open_nursery() as nursery:
+            assert await first.claim()
+            nursery.start_soon(first.hold, note_renewal)
+            store.cut_members.add('first')
+            await trio.sleep(SETTINGS.member_ttl_seconds + 0.1)
+            assert await second.claim()
+            sim.second_term = second.find_owned().term
+            await store.fence(1, sim.second_term)
+            await second.leave()
+            valid_terms.clear()
+            store.cut_members.clear()
+            await trio.sleep(2)
+            sim.valid_terms = valid_terms
+            nursery.cancel_scope.cancel()
+
+    context.simulation.actions.append(action)
+
+
+@then('it owns the partition in a later term than the other')
+def check_new_term(context):
+    sim = context.simulation
+    sim.run()
+    assert sim.valid_terms, 'nothing is owned'
+    assert min(sim.valid_terms) > sim.second_term, sim.valid_terms
+
+
+def make_lease(store, name):
+    return PartitionLease(
+        1, name, store, SETTINGS, FakeClock(), DependencyLog(f'group of {name}')
+    )
+
+
 @then('the daemon owns it in the last generation')
 def check_claim(context):
     sim = context.simulation
--- a/libs/controller/tarragonlb/controller/partitionlease.py
+++ b/libs/controller/tarragonlb/controller/partitionlease.py
@@ -13,7 +13,12 @@
 from tarragonlb.controller.dependencylog import DependencyLog
 from tarragonlb.controller.membership import Membership, OwnedPartition
 from tarragonlb.controller.ports import Clock, Store
-from tarragonlb.controller.results import Assignment, NotDone
+from tarragonlb.controller.results import (
+    Assignment,
+    Fenced,
+    NotDone,
+    Stored,
+)
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.telemetry.log import Log
 
@@ -174,6 +179,8 @@
             )
             return False
         self._group_log.record_success(trio.current_time())
+        if not await self._check_term():
+            return False
         self.renewed_at = sent_at
         self._membership.apply_assignment(
             Assignment(
@@ -183,3 +190,17 @@
             sent_at,
         )
         return True
+
+    async def _check_term(self) -> bool:
+        """Give up a term that another owner's has followed.
+
+        While the membership had expired, another daemon may have owned the
+        partition and left.  Return whether the store answered.
+        """
+        owned = self.find_owned()
+        if owned is None or self.is_valid(self._clock.read_boottime()):
+            return True
+        fenced = await self._store.fence(owned.partition, owned.term)
+        if isinstance(fenced, Fenced):
+            self.end_term(owned)
+        return isinstance(fenced, Fenced | Stored)
