Count VMs that another owner may have sent an order for as down

What callers could see: more VMs of a wave down for maintenance than its cap allows, after the fleet's owner had changed.

Cause: a new owner sends no order for a VM that its predecessor has just sent one for, but did not count that VM as down until the platform listed it so, or the predecessor had stored that its maintenance had begun. If the predecessor died in between, while its order was under way, the slot was given to another VM.

Such VMs now use a slot of the wave for as long as they are reserved.

With the reserved VMs only left out, as before, the new scenario fails in both examples (two VMs were ordered beside the reserved one, with a cap of two).

--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -170,12 +170,10 @@
             read_at,
             self._view.fleet_state,
             standby,
+            self._list_recently_ordered(),
             self._clock.read_monotonic(),
         )
-        recently_ordered = self._list_recently_ordered()
-        to_maintain = [
-            vm for vm in decision.maintain if vm.vm_id not in recently_ordered
-        ]
+        to_maintain = decision.maintain
         records = self._build_drain_records(decision.drain, number)
         records.extend(self._build_order_records(to_maintain))
         for vm_id in decision.maintained:
--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -171,3 +171,15 @@
     Then for the owner of term 6 the VMs "a0" are reserved at 11 s
     And for the owner of term 6 the VMs "" are reserved at 17 s
     And for the owner of term 5 the VMs "" are reserved at 11 s
+
+  # A new owner exceeded the cap while an order of the former one was under way.
+  Scenario Outline: A VM that another owner may have ordered counts as down
+    Given VMs "4 of off"
+    And a wave of "off0 off1 off2 off3" within 24 seconds, 2 at once
+    When a round of the wave runs while another owner's order for "<other>" is recent
+    Then the maintenance of "<next>" is ordered
+
+    Examples:
+      | other | next |
+      | off0  | off1 |
+      | off3  | off0 |
--- a/libs/scheduling/features/steps/fleet_steps.py
+++ b/libs/scheduling/features/steps/fleet_steps.py
@@ -245,12 +245,13 @@
             context.complete_at = context.now
 
 
-def run_wave_round(context):
+def run_wave_round(context, reserved=frozenset()):
     return context.coordinator.decide(
         context.vms.values(),
         context.now,
         context.fleet_state,
         STANDBY,
+        reserved,
         context.now,
     )
 
@@ -260,6 +261,20 @@
     context.decided = run_wave_round(context)
 
 
+@when(
+    "a round of the wave runs while another owner's order for "
+    '"{vm_id}" is recent'
+)
+def run_reserved_wave_round(context, vm_id):
+    context.decided = run_wave_round(context, frozenset((vm_id,)))
+
+
+@then('the maintenance of "{vm_ids}" is ordered')
+def check_maintained(context, vm_ids):
+    ordered = [vm.vm_id for vm in context.decided.maintain]
+    assert ordered == vm_ids.split(), ordered
+
+
 @then('the first VM to be drained is "{vm_id}"')
 def check_first(context, vm_id):
     drained = [vm.vm_id for vm in context.decided.drain]
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -113,12 +113,14 @@
         read_at: float,
         fleet_state: FleetState,
         standby: frozenset[str],
+        reserved: frozenset[str],
         now: float,
     ) -> WaveDecision:
         """Return what to drain and maintain, given the listed VMs.
 
         The list was requested at ``read_at`` seconds.  No tasks run on VMs of
-        ``standby`` pools, so these VMs need no draining.
+        ``standby`` pools, so these VMs need no draining.  An order of another
+        owner for VMs of ``reserved`` may be under way, so they count as down.
         """
         wave = self.wave
         self._resume_orders(fleet_state, now)
@@ -138,7 +140,7 @@
                 remaining, _DrainPriority(vms, fleet_state), now
             ),
             maintain=self._choose_vms_to_maintain(
-                remaining, fleet_state, standby, now
+                remaining, fleet_state, standby, reserved, now
             ),
             maintained=finished,
             is_complete=not remaining,
@@ -206,14 +208,13 @@
         remaining: list[Vm],
         fleet_state: FleetState,
         standby: frozenset[str],
+        reserved: frozenset[str],
         now: float,
     ) -> tuple[Vm, ...]:
-        down = {
-            vm.vm_id for vm in remaining if vm.status is VmStatus.IN_MAINTENANCE
-        }.union(self._ordered)
-        free = self.wave.cap - len(down)
+        free = self.wave.cap - self._count_down(remaining, reserved)
+        unreserved = [vm for vm in remaining if vm.vm_id not in reserved]
         chosen: list[Vm] = []
-        for vm in remaining:
+        for vm in unreserved:
             ordered = self._ordered.get(vm.vm_id)
             if ordered is not None:
                 if self._needs_retry(vm, ordered, now):
@@ -226,6 +227,14 @@
                 chosen.append(vm)
         return tuple(chosen)
 
+    def _count_down(self, remaining: list[Vm], reserved: frozenset[str]) -> int:
+        down = {
+            vm.vm_id
+            for vm in remaining
+            if vm.status is VmStatus.IN_MAINTENANCE or vm.vm_id in reserved
+        }
+        return len(down.union(self._ordered))
+
     def _needs_retry(
         self, vm: Vm, order: '_MaintenanceOrder', now: float
     ) -> bool:
