Forget jobs that were removed while nothing could be read

What callers could see: after a daemon had been cut off for longer than the store keeps records, a job that had ended and been removed meanwhile was shown as it was before, and would have run again with that daemon as owner.

Cause: when records expire before they are read, the reader starts over with the newest record of each key. Keys without a value are not listed there; the index of lease bounds takes note of that, the index of jobs did not.

The new scenario failed before (the job was still known) and passes now.

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -24,3 +24,12 @@
     And a new job is stored during each read
     When the partition is read for 2 seconds at most
     Then it has been read to the end of the time when the read began
+
+  # A daemon that had been cut off kept jobs that were removed meanwhile, and
+  # would have run them again as owner.
+  Scenario: A job that was removed while nothing could be read is forgotten
+    Given a partition with a job
+    When the partition is read again
+    And the job is removed and its records expire
+    And the partition is read again
+    Then the job is unknown
--- a/libs/controller/features/steps/reading_steps.py
+++ b/libs/controller/features/steps/reading_steps.py
@@ -25,6 +25,7 @@
     Step,
 )
 from tarragonlb.scheduling.records import (  # noqa: E402
+    build_removal_records,
     build_submission_record,
 )
 
@@ -143,3 +144,15 @@
 def check_read(context):
     assert context.is_read
     assert context.feed.job_index.find(JOB_ID) is not None
+
+
+@when('the job is removed and its records expire')
+def remove_job(context):
+    key = (Topic.JOBS, PARTITION)
+    context.store.logs[key].extend(build_removal_records(JOB_ID))
+    context.store.firsts[key] = len(context.store.logs[key])
+
+
+@then('the job is unknown')
+def check_unknown(context):
+    assert context.feed.job_index.find(JOB_ID) is None
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -166,13 +166,13 @@
 
     def _index(self, update: RecordUpdate) -> list[str]:
         now = self._clock.read_monotonic()
-        if update.snapshot_end is None:
-            others = self.lease_bounds.apply(update.records, now)
-        else:
-            others = self.lease_bounds.apply_snapshot(
-                update.records, update.snapshot_end, now
+        end = update.snapshot_end
+        if end is None:
+            return self.job_index.apply(
+                self.lease_bounds.apply(update.records, now)
             )
-        return self.job_index.apply(others)
+        others = self.lease_bounds.apply_snapshot(update.records, end, now)
+        return self.job_index.apply_snapshot(others, end)
 
     def _apply(self, update: RecordUpdate) -> None:
         self.last_read_at = self._clock.read_boottime()
--- a/libs/scheduling/tarragonlb/scheduling/jobindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobindex.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from tarragonlb.scheduling.job import Job, Moment
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
@@ -47,6 +47,14 @@
         if kind == PROGRESS:
             self._progress = None
 
+    def drop_unlisted(self, listed: Container[str], end: int) -> None:
+        """Drop records before offset ``end`` whose keys are not ``listed``."""
+        self._values = {
+            kind: (offset, value)
+            for kind, (offset, value) in self._values.items()
+            if offset >= end or self.job_id + kind in listed
+        }
+
     @property
     def is_submitted(self) -> bool:
         """Return whether the job was accepted and has not been removed."""
@@ -132,6 +140,21 @@
             changed.append(job_id)
         return changed
 
+    def apply_snapshot(
+        self, records: Iterable[KeyedRecord], end: int
+    ) -> list[str]:
+        """Apply the newest record of each key, complete up to offset ``end``.
+
+        Records that are not listed were removed while nobody read.
+        """
+        found = tuple(records)
+        listed = frozenset(record.key for record in found)
+        for job_id, job in tuple(self._jobs.items()):
+            job.drop_unlisted(listed, end)
+            if job.is_empty:
+                self._jobs.pop(job_id)
+        return self.apply(found)
+
     def find(self, job_id: str) -> JobRecords | None:
         """Return the records of an accepted job, or None if there is none."""
         job = self._jobs.get(job_id)
