Read the directory of workers seldom in daemons that own nothing

Each of 30 daemons read the directory four times a second, although only the owners of pools use it. The others now read it once a second, and within a quarter of a second after they became owners.

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -24,3 +24,9 @@
     And a new job is stored during each read
     When the partition is read for 2 seconds at most
     Then it has been read to the end of the time when the read began
+
+  # Thirty daemons that own nothing made most of the calls to the store.
+  Scenario: Only owners read the directory of workers several times a second
+    Given daemons with "2 1 1 1 1 1" cores and 2 workers
+    When 20 seconds pass
+    Then the directory has been read 150 to 240 times
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -67,7 +67,11 @@
                 continue
             self._dependency_log.record_success(trio.current_time())
             self.apply(update)
-            await trio.sleep(self.get_pause_seconds())
+            await self.pause()
+
+    async def pause(self) -> None:
+        """Wait until the next read is due."""
+        await trio.sleep(self.get_pause_seconds())
 
     @abc.abstractmethod
     def get_topic(self) -> Topic:
@@ -147,9 +151,22 @@
         return 0
 
     def get_pause_seconds(self) -> float:
-        """Return the pause between two reads."""
+        """Return the pause between two reads of an owner."""
         return self._settings.worker_read_interval_seconds
 
+    async def pause(self) -> None:
+        """Wait until the next read is due.
+
+        A daemon that owns nothing reads seldom, but soon after it has become
+        an owner.
+        """
+        due_at = (
+            trio.current_time() + self._settings.follower_read_interval_seconds
+        )
+        await super().pause()
+        while not self._view.renewed_at and trio.current_time() < due_at:
+            await super().pause()
+
     def apply(self, update: RecordUpdate) -> None:
         """Apply the entries of workers; a snapshot replaces all of them."""
         workers = {} if update.is_snapshot else dict(self._view.workers)
