Begin a trial's fault once its jobs run

The check "no job had two attempts" failed at times under "rack failure" with "Counter()": the platform had seen no attempt at all. Its logs show why: the first starts were refused, since the wave had just taken the chosen VM, the next ones were committed 1 s later, and in that moment the fault began, so that the platform refused both ("status 503"). Jobs that must not run twice then end as unknown, which is what the product promises; the trial had assumed that an attempt precedes the fault.

The trial now waits until both jobs have an attempt. So as not to lose starts that coincide with the fault, a third job is submitted right before it; all checks cover it and stay as they are.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -2,7 +2,8 @@
 
   Every trial runs a maintenance wave over six VMs while one fault lasts.  At
   the same time clients send requests to every entry VM, two unrepeatable jobs
-  run, an operator changes settings, and a daemon is asked to stop.
+  run and a third starts, an operator changes settings, and a daemon is asked to
+  stop.
 
   Scenario Outline: The availability budget holds (<fault>)
     Given the trial under "<fault>"
--- a/libs/standin/tarragonlb/standin/installation.py
+++ b/libs/standin/tarragonlb/standin/installation.py
@@ -88,6 +88,10 @@
         """Return the number of drains that the platform has started."""
         return len(self.cluster.read_report().drains)
 
+    def count_attempts(self) -> int:
+        """Return the number of attempts of jobs that the platform started."""
+        return len(self.cluster.read_report().tasks)
+
     def _has_all_vms(self, entry: str) -> bool:
         operator = self.make_operator_client(entry)
         if operator.get(FLEET_PATH).status != STATUS_OK:
--- a/libs/standin/tarragonlb/standin/trial.py
+++ b/libs/standin/tarragonlb/standin/trial.py
@@ -37,6 +37,8 @@
 HELD_SECONDS = 6
 FIRST_DRAINS = 2
 JOB_COUNT = 2
+# Jobs whose first attempt coincides with the fault.
+LATE_JOB_COUNT = 1
 JOB_SECONDS = 8
 STOPPING_REQUEST_SECONDS = 2
 STATUS_CONFLICT = 409
@@ -116,8 +118,9 @@
                 entry, LONG_REQUEST_SECONDS, f'long-{index}'
             )
         victim, survivor, stopped = self._assign_roles()
-        self._submit_jobs(survivor)
+        self._submit_jobs(survivor, JOB_COUNT)
         self._start_wave(survivor)
+        self._wait_for_attempts(survivor)
         self._inject_fault(victim, survivor, stopped)
         self._wait_for_results(survivor)
         self._load_generator.stop()
@@ -131,17 +134,26 @@
         )
         return victim, survivor, stopped
 
-    def _submit_jobs(self, survivor: str) -> None:
+    def _submit_jobs(self, survivor: str, count: int) -> None:
         client = self._installation.make_team_client(survivor)
         job = {
             'kind': 'index',
             'pool': POOL,
             'payload': f'seconds={JOB_SECONDS}',
         }
-        for _ in range(JOB_COUNT):
+        for _ in range(count):
             accepted = client.post('/v1/jobs', job)
             self._evidence.jobs[accepted.fields['job_id']] = 'queued'
 
+    def _wait_for_attempts(self, survivor: str) -> None:
+        # With a fault before the first attempt a job may end as unknown without
+        # one, and nothing would show that attempts are counted.
+        poll(self._have_jobs_begun, WAIT_TIMEOUT_SECONDS)
+        self._submit_jobs(survivor, LATE_JOB_COUNT)
+
+    def _have_jobs_begun(self) -> bool:
+        return self._installation.count_attempts() >= JOB_COUNT
+
     def _start_wave(self, survivor: str) -> None:
         self._start_held_requests()
         self._wave_id = self._installation.start_wave(survivor)
