Admit orders together, and as many as are answered in time

What callers would have seen: fewer starts from a daemon whose processor comes in slices.

Cause: the gate let the first in its queue wait under a lock that takes a pass of the event loop to hand on, so one order was admitted a pass; and 16 orders at once are too few where an answer takes a slice.

Change: all orders that fit are admitted together. The number allowed rises by one with each answer within 0.2 s while it is reached, up to 256, and falls by 0.7 when answers take longer, down to 16.

--- a/libs/controller/features/overload.feature
+++ b/libs/controller/features/overload.feature
@@ -78,3 +78,26 @@
     When a job of 480 tasks is submitted
     And 4 seconds pass
     Then the log lists the ends of 480 tasks, each with its worker, in at most 200 lines
+
+  # A daemon that gets its processor in slices needs more orders under way.
+  Scenario: The number of orders under way follows the time that they take
+    Given a limit of 16 to 256 orders that starts at 32
+    When 10 orders are answered after 0.05 s with 31 under way
+    Then 32 orders are allowed
+    When 10 orders are answered after 0.05 s with 60 under way
+    Then 42 orders are allowed
+    When 20 orders are answered after 0.3 s with 42 under way
+    Then 29 orders are allowed
+    When 20 orders are answered after 0.3 s with 29 under way
+    Then 20 orders are allowed
+    When 1 orders are answered after 0.3 s with 20 under way
+    And 1 orders are answered after 0.3 s with 16 under way
+    Then 16 orders are allowed
+    When 500 orders are answered after 0.1 s with 300 under way
+    Then 256 orders are allowed
+
+  # Orders that were admitted one a pass left a throttled processor idle.
+  Scenario: Orders are admitted together, however long the event loop takes
+    Given a gate for 16 orders that hold it for 1 s at most
+    When 40 orders arrive while each pass of the event loop takes 0.1 s
+    Then 16 orders are admitted within 0.1 s and all within 1 s
--- a/libs/controller/features/steps/overload_steps.py
+++ b/libs/controller/features/steps/overload_steps.py
@@ -1,12 +1,14 @@
 from dataclasses import replace
 
 import trio
+import trio.lowlevel
 import trio.testing
 from behave import given, then, when
 from busyworkers import BusyWorkerApi
 from simulation import SETTINGS, Simulation
 
 from tarragonlb.controller.ordergate import OrderGate
+from tarragonlb.controller.orderlimit import OrderLimit
 from tarragonlb.controller.pollbudget import PollBudget
 
 # Tasks run for this long in each scenario.
@@ -34,7 +36,39 @@
 
 @given('a gate for {limit:d} orders that hold it for {seconds:g} s at most')
 def create_gate(context, limit, seconds):
-    context.gate = OrderGate(limit, seconds)
+    context.gate = OrderGate(
+        replace(
+            SETTINGS,
+            min_orders_under_way=limit,
+            max_orders_under_way=limit,
+            order_hold_seconds=seconds,
+        )
+    )
+    context.gate._limit.orders = limit
+
+
+@given('a limit of 16 to 256 orders that starts at 32')
+def create_limit(context):
+    context.now = 10.0
+    context.limit = OrderLimit(
+        replace(SETTINGS, min_orders_under_way=16, max_orders_under_way=256)
+    )
+
+
+@when(
+    '{count:d} orders are answered after {seconds:g} s with {under_way:d} '
+    'under way'
+)
+def answer_orders(context, count, seconds, under_way):
+    entered_at = context.now
+    context.now += seconds
+    for _ in range(count):
+        context.limit.record(entered_at, under_way, context.now)
+
+
+@then('{count:d} orders are allowed')
+def check_limit(context, count):
+    assert context.limit.orders == count, context.limit.orders
 
 
 @when('orders that take {times} s arrive together')
@@ -133,3 +167,38 @@
 @then('it has not expired before {at:g} s')
 def check_not_expired(context, at):
     assert context.lease.compute_expiry() >= at
+
+
+@when(
+    '{count:d} orders arrive while each pass of the event loop takes '
+    '{seconds:g} s'
+)
+def arrive_behind(context, count, seconds):
+    context.entered = []
+    clock = trio.testing.MockClock()
+
+    async def send():
+        async with context.gate.enter():
+            context.entered.append(trio.current_time())
+            await trio.lowlevel.checkpoint()
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            started_at = trio.current_time()
+            for _ in range(count):
+                nursery.start_soon(send)
+            while len(context.entered) < count:
+                await trio.lowlevel.checkpoint()
+                clock.jump(seconds)
+        context.entered = [at - started_at for at in context.entered]
+
+    trio.run(run, clock=clock)
+
+
+@then(
+    '{count:d} orders are admitted within {first:g} s and all within {last:g} s'
+)
+def check_admitted(context, count, first, last):
+    entered = sorted(context.entered)
+    assert entered[count - 1] <= first + 1e-6, entered
+    assert entered[-1] <= last + 1e-6, entered
--- a/libs/controller/tarragonlb/controller/ordergate.py
+++ b/libs/controller/tarragonlb/controller/ordergate.py
@@ -5,58 +5,81 @@
 among them, until their timeouts run out.  Orders therefore wait here, in order
 of arrival, and polls pass by.
 
-An order that waits for an unreachable worker uses no processor time, so after
-``hold_seconds`` it no longer counts.
+An order that waits for an unreachable worker uses no processor time, so it soon
+no longer counts.
 """
 
+import itertools
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import trio
 
+from tarragonlb.controller.orderlimit import OrderLimit
 from tarragonlb.controller.pollbudget import PollBudget
 from tarragonlb.controller.ports import WorkerApi
+from tarragonlb.controller.settings import ControllerSettings
 
 
 class OrderGate:
-    """Admits orders while fewer than ``limit`` are under way."""
+    """Admits orders while fewer than a limit are under way."""
 
-    __slots__ = ('_entered_at', '_head', '_hold_seconds', '_left', '_limit')
+    __slots__ = ('_entered_at', '_limit', '_settings', '_waiting')
 
-    def __init__(self, limit: int, hold_seconds: float) -> None:
-        """Admit ``limit`` orders at once."""
-        self._limit = limit
-        self._hold_seconds = hold_seconds
-        # By ticket, in order of entry.
+    def __init__(self, settings: ControllerSettings) -> None:
+        """Start with no order under way."""
+        self._settings = settings
+        self._limit = OrderLimit(settings)
+        # Both by ticket, in order of entry and of arrival.
         self._entered_at: dict[object, float] = {}
-        # Only the first in the queue waits for an order to leave.
-        self._head = trio.Lock()
-        self._left = trio.Event()
+        self._waiting: dict[object, trio.Event] = {}
 
     @asynccontextmanager
-    async def enter(self) -> AsyncGenerator[None]:
-        """Wait for admission; the order counts until the block ends."""
+    async def enter(self) -> AsyncGenerator[float]:
+        """Wait for admission; the order counts until the block ends.
+
+        Yields the time of admission in seconds.
+        """
         ticket = object()
-        async with self._head:
-            await self._wait_for_room()
-            self._entered_at[ticket] = trio.current_time()
+        admitted = trio.Event()
+        self._waiting[ticket] = admitted
+        self._admit()
         try:
-            yield
+            while not admitted.is_set():
+                await self._wait(admitted)
+            yield self._entered_at.get(ticket, trio.current_time())
         finally:
-            self._entered_at.pop(ticket, None)
-            self._left.set()
+            self._remove(ticket)
+            self._admit()
+
+    def record_answer(self, entered_at: float) -> None:
+        """Record that an order admitted at ``entered_at`` was answered now."""
+        self._limit.record(
+            entered_at, len(self._entered_at), trio.current_time()
+        )
+
+    def _remove(self, ticket: object) -> None:
+        self._waiting.pop(ticket, None)
+        self._entered_at.pop(ticket, None)
+
+    async def _wait(self, admitted: trio.Event) -> None:
+        with trio.move_on_after(self._settings.order_hold_seconds):
+            await admitted.wait()
+        self._admit()
 
-    async def _wait_for_room(self) -> None:
-        while len(self._entered_at) >= self._limit:
+    def _admit(self) -> None:
+        now = trio.current_time()
+        held_since = now - self._settings.order_hold_seconds
+        while self._entered_at:
             ticket, entered_at = next(iter(self._entered_at.items()))
-            held_until = entered_at + self._hold_seconds
-            if trio.current_time() >= held_until:
-                self._entered_at.pop(ticket)
-                continue
-            self._left = trio.Event()
-            with trio.move_on_at(held_until):
-                await self._left.wait()
+            if entered_at > held_since:
+                break
+            self._entered_at.pop(ticket)
+        free = max(self._limit.orders - len(self._entered_at), 0)
+        for ticket in tuple(itertools.islice(self._waiting, free)):
+            self._entered_at[ticket] = now
+            self._waiting.pop(ticket).set()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -82,9 +82,7 @@
         self._is_stopping = False
         self._workers = WorkerAccess(
             platform.workers,
-            OrderGate(
-                settings.max_orders_under_way, settings.order_hold_seconds
-            ),
+            OrderGate(settings),
             PollBudget(settings),
         )
         self.view = PlatformView()
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -68,11 +68,14 @@
     # Maximum number of concurrent orders to one worker; each may keep a
     # connection open.
     order_senders: int = 3
-    # Maximum number of concurrent orders of a daemon to all of its workers.
-    # Each is answered within a few ms, so this many keep a processor busy.
-    max_orders_under_way: int = 16
-    # An order that is unanswered for this long no longer counts as one of them.
-    order_hold_seconds: float = 0.2
+    # Bounds of the number of concurrent orders of a daemon to all workers.  The
+    # lower one keeps a processor busy while each is answered within a few ms.
+    min_orders_under_way: int = 16
+    max_orders_under_way: int = 256
+    # Orders that take longer are too many at once.
+    order_target_seconds: float = 0.2
+    # An order that is unanswered for this long no longer counts.
+    order_hold_seconds: float = 0.4
     # Pause before a call to the store that had no effect is retried.
     store_retry_seconds: float = 0.1
     # How long storing a client's job is retried before the job is rejected.
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -201,8 +201,10 @@
 
     async def _send_orders(self) -> None:
         async for order in self._order_receiver:
-            async with self._workers.gate.enter():
+            async with self._workers.gate.enter() as entered_at:
                 result = await self._send_order(order)
+                if result is OrderResult.DONE:
+                    self._workers.gate.record_answer(entered_at)
             if result is OrderResult.FENCED:
                 await self._inbox.send(TermEnded('a worker saw a later owner'))
             await self._inbox.send(OrderAnswered(order, result))
