Hand pools of overloaded owners over to stronger idle daemons

An owner whose event loop stays behind for 3 s says so in its status; an idle daemon with 1.5 times its capacity for each partition offers to own one; the owner releases it in favour of that daemon, 20 s after it was claimed at the earliest, so that ownership never flaps.

The scenarios were checked by changing the limits: without offers two of the four in ownership.feature fail, with offers of weaker daemons and without the time that an owner keeps a partition one each.

--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -87,3 +87,43 @@
     Given daemons with "2 1 1 1 1 1 1 1 1 1" cores and 2 workers
     When the calls of 10 seconds are counted
     Then there were at most 60 joins and 0 listings of owners
+
+  Scenario: An overloaded owner hands a pool over to a stronger idle daemon
+    Given daemons with "0.5 0.5" cores and 2 workers
+    When a job of 6 tasks is submitted
+    And 20 seconds pass
+    And a daemon with 2 cores starts
+    And 2 seconds pass
+    Then the new daemon owns nothing
+    When the owner of the pool is overloaded
+    And 5.5 seconds pass
+    Then the new daemon owns the pool
+    And 2 partitions are owned
+    And every task was started once
+    When the new daemon is overloaded, and the former owner is not
+    And 15 seconds pass
+    Then the new daemon owns the pool
+
+  Scenario: An overloaded owner keeps its pool while no idle daemon is stronger
+    Given daemons with "1 1 1" cores and 2 workers
+    When 20 seconds pass
+    And the owner of the pool is overloaded
+    And 10 seconds pass
+    Then no partition has changed hands
+
+  Scenario: A new owner keeps its pool for a while although it is overloaded
+    Given daemons with "0.5 0.5" cores and 2 workers
+    When a daemon with 2 cores starts
+    And the owner of the pool is overloaded
+    And 10 seconds pass
+    Then no partition has changed hands
+
+  Scenario: A successor that is gone delays the takeover, but does not stop it
+    Given daemons with "0.5 0.5 0.5" cores and 2 workers
+    When 20 seconds pass
+    And a daemon with 2 cores starts
+    And 1 seconds pass
+    And the owner of the pool is overloaded
+    And the new daemon is killed once it has offered
+    And 6 seconds pass
+    Then 2 partitions are owned
--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -13,6 +13,7 @@
     FakeWorkerApi,
 )
 
+from tarragonlb.controller.looplag import LoopLag
 from tarragonlb.controller.ports import Topic
 from tarragonlb.controller.process import Controller, Platform
 from tarragonlb.controller.settings import ControllerSettings
@@ -33,6 +34,21 @@
 )
 
 
+class FakeLag(LoopLag):
+    """An event loop that is behind for a share of the time, from now on."""
+
+    def __init__(self):
+        super().__init__()
+        self.share = 0
+        self.since = 0
+
+    def set_share(self, share):
+        self.share, self.since = share, trio.current_time()
+
+    def read_total(self, now):
+        return (now - self.since) * self.share
+
+
 class Simulation:
     """Collects actions; each run carries out all of them in virtual time."""
 
@@ -58,6 +74,7 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             self.controllers = {}
+            self.lags = {}
             self.scopes = {}
             self.stops = {}
             for number, cores in enumerate(self.cores):
@@ -72,7 +89,10 @@
             self.store, FakeDocumentDecoder(), self.worker_api, FakeVmApi()
         )
         settings = replace(SETTINGS, processor_cores=cores)
-        controller = Controller(platform, settings, name, FakeClock())
+        self.lags[name] = FakeLag()
+        controller = Controller(
+            platform, settings, name, FakeClock(), self.lags[name]
+        )
         scope = trio.CancelScope()
         stopped = trio.Event()
 
--- a/libs/controller/features/steps/ownership_steps.py
+++ b/libs/controller/features/steps/ownership_steps.py
@@ -255,6 +255,63 @@
     assert calls['list_owners'] <= listings, calls
 
 
+@when('a daemon with {cores:g} cores starts')
+def start_daemon(context, cores):
+    async def action(sim):
+        sim._start(sim.nursery, 'new', cores)
+
+    context.simulation.actions.append(action)
+
+
+@when('the owner of the pool is overloaded')
+def overload_owner(context):
+    async def action(sim):
+        sim.former_owners = sim.list_owners()
+        sim.former_owner = sim.find_owner()
+        sim.lags[sim.former_owner].set_share(0.5)
+
+    context.simulation.actions.append(action)
+
+
+@when('the new daemon is overloaded, and the former owner is not')
+def overload_new(context):
+    async def action(sim):
+        sim.lags['new'].set_share(0.5)
+        sim.lags[sim.former_owner].set_share(0)
+
+    context.simulation.actions.append(action)
+
+
+@when('the new daemon is killed once it has offered')
+def kill_new(context):
+    async def action(sim):
+        view = sim.controllers[sim.former_owner].view
+        for _ in range(200):
+            if view.fleet_state.owner_offers:
+                break
+            await trio.sleep(0.05)
+        assert view.fleet_state.owner_offers, 'no offer was made'
+        sim.scopes['new'].cancel()
+        sim.controllers.pop('new')
+
+    context.simulation.actions.append(action)
+
+
+@then('the new daemon owns nothing')
+def check_new_is_idle(context):
+    owners = list_final_owners(context)
+    assert 'new' not in {name for name, _ in owners}, owners
+
+
+@then('the new daemon owns the pool')
+def check_new_owner(context):
+    async def action(sim):
+        assert sim.find_owner() == 'new', sim.list_owners()
+
+    context.simulation.actions.append(action)
+    context.simulation.run()
+
+
 def list_final_owners(context):
     async def action(sim):
         sim.final_owners = sim.list_owners()
--- a/libs/controller/tarragonlb/controller/ownership.py
+++ b/libs/controller/tarragonlb/controller/ownership.py
@@ -7,27 +7,32 @@
 
 import math
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
 from functools import partial
 
 import trio
 
 from tarragonlb.controller.dependencylog import DependencyLog
+from tarragonlb.controller.looplag import LoopLag
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.ownershipwriter import OwnershipWriter
 from tarragonlb.controller.partitionlease import PartitionLease
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import Clock, Store
-from tarragonlb.controller.results import NotDone, Stored
+from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.scheduling.handover import (
+    MIN_TENURE_SECONDS,
+    HandoverOffers,
+    LagMeter,
+)
 from tarragonlb.scheduling.ownership import (
     STATUS_INTERVAL_SECONDS,
     Bidder,
     CapacityBidPolicy,
     OwnershipBids,
 )
-from tarragonlb.scheduling.ownershiprecords import (
-    OwnerStatus,
-    build_owner_record,
-)
+from tarragonlb.scheduling.ownershiprecords import OwnerStatus
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('process')
@@ -46,15 +51,19 @@
         '_clock',
         '_group_log',
         '_has_claimed',
+        '_lag',
+        '_lag_meter',
         '_leases',
         '_member',
+        '_offers',
         '_scope',
         '_settings',
-        '_status_log',
         '_status_number',
         '_store',
+        '_successors',
         '_update_owner',
         '_view',
+        '_writer',
     )
 
     def __init__(
@@ -64,6 +73,7 @@
         settings: ControllerSettings,
         clock: Clock,
         view: PlatformView,
+        lag: LoopLag,
     ) -> None:
         """Prepare to own partitions as ``member``."""
         self._member = member
@@ -71,14 +81,19 @@
         self._settings = settings
         self._clock = clock
         self._view = view
-        self._bids = OwnershipBids(CapacityBidPolicy())
+        self._lag = lag
+        policy = CapacityBidPolicy()
+        self._bids = OwnershipBids(policy)
+        self._offers = HandoverOffers(policy)
+        self._lag_meter = LagMeter(0)
+        self._successors: dict[int, str] = {}
         # Also holds the lease that is being claimed.
         self._leases: dict[int, PartitionLease] = {}
         self._scope = trio.CancelScope()
         self._has_claimed = trio.Event()
         self._status_number = 0
         self._group_log = DependencyLog('group of owners')
-        self._status_log = DependencyLog('statuses of owners')
+        self._writer = OwnershipWriter(store)
 
     async def run(
         self,
@@ -126,7 +141,7 @@
             async with trio.open_nursery() as nursery:
                 for lease in leases:
                     nursery.start_soon(lease.leave)
-            await self._store_statuses(statuses)
+            await self._writer.write_statuses(statuses)
 
     async def _run_bids(
         self,
@@ -151,12 +166,7 @@
             self._bids.note_no_contact(now)
             return NO_BID
         self._bids.observe(view.fleet_state.owner_statuses, partitions, now)
-        bidder = Bidder(
-            self._member,
-            self._settings.processor_cores,
-            frozenset(self._leases),
-        )
-        return self._bids.find_next(bidder) or NO_BID
+        return self._bids.find_next(self._build_bidder()) or NO_BID
 
     async def _bid(self, partition: int) -> bool:
         """Claim a partition if its group is vacant; return if it is owned."""
@@ -194,11 +204,29 @@
         return False
 
     async def _hold(self, lease: PartitionLease) -> None:
-        await lease.hold(partial(self._note_renewal, lease))
+        with lease.scope:
+            await lease.hold(partial(self._note_renewal, lease))
+        if lease.scope.cancelled_caught:
+            await self._release_to_successor(lease)
         self._leases.pop(lease.partition)
         self._view.renewed_at.pop(lease.partition, None)
         LOG.emit('Partition lost.', partition=lease.partition)
 
+    async def _release_to_successor(self, lease: PartitionLease) -> None:
+        released = [
+            replace(
+                status,
+                is_released=True,
+                successor=self._successors[lease.partition],
+            )
+            for status in self._build_statuses(is_released=False)
+            if status.partition == lease.partition
+        ]
+        lease.forget()
+        await self._update_owner(lease.partition)
+        await lease.leave()
+        await self._writer.write_statuses(released)
+
     async def _note_renewal(self, lease: PartitionLease) -> None:
         if lease.renewed_at is not None:
             self._view.renewed_at[lease.partition] = lease.renewed_at
@@ -206,11 +234,62 @@
 
     async def _publish_statuses(self) -> None:
         while True:
-            await self._store_statuses(self._build_statuses(is_released=False))
+            now = self._clock.read_boottime()
+            measured_at = trio.current_time()
+            self._lag_meter.note_total(
+                self._lag.read_total(measured_at), measured_at
+            )
+            statuses = self._build_statuses(is_released=False)
+            await self._writer.write_statuses(statuses)
+            self._hand_over(statuses, now)
+            await self._make_offer(now)
             with trio.move_on_after(STATUS_INTERVAL_SECONDS):
                 await self._has_claimed.wait()
             self._has_claimed = trio.Event()
 
+    def _hand_over(self, statuses: list[OwnerStatus], now: float) -> None:
+        """Begin to hand a partition over if this daemon is overloaded."""
+        fleet_state = self._view.fleet_state
+        self._offers.observe(
+            fleet_state.owner_statuses.values(), fleet_state.owner_offers, now
+        )
+        if not self._lag_meter.is_overloaded(trio.current_time()):
+            return
+        for status in statuses:
+            lease = self._leases[status.partition]
+            offer = self._offers.find_offer(status, now)
+            if offer is None or now - lease.claimed_at < MIN_TENURE_SECONDS:
+                continue
+            LOG.emit(
+                'Handing a partition over to a stronger daemon.',
+                partition=status.partition,
+                successor=offer.member,
+                lag_share=round(self._lag_meter.share, 3),
+            )
+            self._bids.exclude(status.partition, now + MIN_TENURE_SECONDS)
+            self._successors[status.partition] = offer.member
+            lease.scope.cancel()
+            # What was measured so far was with this partition.
+            self._lag_meter.restart()
+            return
+
+    async def _make_offer(self, now: float) -> None:
+        offer = self._offers.choose_offer(
+            self._build_bidder(),
+            self._lag_meter.share,
+            self._view.fleet_state.owner_statuses,
+            now,
+        )
+        if offer is not None:
+            await self._writer.write_offer(offer)
+
+    def _build_bidder(self) -> Bidder:
+        return Bidder(
+            self._member,
+            self._settings.processor_cores,
+            frozenset(self._leases),
+        )
+
     def _build_statuses(self, *, is_released: bool) -> list[OwnerStatus]:
         now = self._clock.read_boottime()
         self._status_number += 1
@@ -221,19 +300,10 @@
                 term=owned.term,
                 number=self._status_number,
                 processor_cores=self._settings.processor_cores,
+                lag_share=round(self._lag_meter.share, 2),
+                owned_partitions=len(self._leases),
                 is_released=is_released,
             )
             for lease in self._leases.values()
             if lease.is_valid(now) and (owned := lease.find_owned()) is not None
         ]
-
-    async def _store_statuses(self, statuses: list[OwnerStatus]) -> None:
-        if not statuses:
-            return
-        records = tuple(build_owner_record(status) for status in statuses)
-        stored = await self._store.append(FLEET_PARTITION, records, None)
-        now = trio.current_time()
-        if isinstance(stored, Stored):
-            self._status_log.record_success(now)
-        else:
-            self._status_log.record_failure(stored.reason, now)
--- a/libs/controller/tarragonlb/controller/partitionlease.py
+++ b/libs/controller/tarragonlb/controller/partitionlease.py
@@ -39,8 +39,10 @@
         '_membership',
         '_settings',
         '_store',
+        'claimed_at',
         'partition',
         'renewed_at',
+        'scope',
     )
 
     def __init__(
@@ -56,6 +58,9 @@
         self.partition = partition
         # When the last successful join was sent, on the boot-time clock.
         self.renewed_at: float | None = None
+        self.claimed_at = 0.0
+        # Cancelled to hand the partition over.
+        self.scope = trio.CancelScope()
         self._member = member
         self._store = store
         self._settings = settings
@@ -81,6 +86,7 @@
     async def claim(self) -> bool:
         """Join the group; return whether the partition is owned now."""
         if await self._join() and self.find_owned() and await self._settle():
+            self.claimed_at = self._clock.read_boottime()
             return True
         await self.leave()
         return False
@@ -104,9 +110,13 @@
                 )
                 await self.leave()
             is_member = await self._renew()
-        self._membership = Membership(self._settings.member_ttl_seconds)
+        self.forget()
         await on_renewal()
 
+    def forget(self) -> None:
+        """Own the partition no longer."""
+        self._membership = Membership(self._settings.member_ttl_seconds)
+
     async def leave(self) -> None:
         """Leave the group, so that another daemon can join it at once."""
         await self._store.leave(self.partition, self._member)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -14,6 +14,7 @@
 from tarragonlb.controller.feeds import FleetStateFeed, OperatorFeed, WorkerFeed
 from tarragonlb.controller.fleetowner import FleetOwner
 from tarragonlb.controller.jobservice import JobService
+from tarragonlb.controller.looplag import LoopLag
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.ordergate import OrderGate, WorkerAccess
 from tarragonlb.controller.ownership import Ownership
@@ -70,8 +71,12 @@
         settings: ControllerSettings,
         member: str,
         clock: Clock,
+        lag: LoopLag,
     ) -> None:
-        """Prepare to run as ``member``, a name unique to this process."""
+        """Prepare to run as ``member``, a name unique to this process.
+
+        The caller measures ``lag``, how far the event loop is behind.
+        """
         self._platform = platform
         self._settings = settings
         self._clock = clock
@@ -92,7 +97,7 @@
             platform.store, settings, self.view, clock
         )
         self._ownership = Ownership(
-            member, platform.store, settings, clock, self.view
+            member, platform.store, settings, clock, self.view, lag
         )
         self.job_service = JobService(
             platform.store, self._feeds, settings, clock, self.view
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -17,7 +17,9 @@
     VmOrder,
 )
 from tarragonlb.scheduling.ownershiprecords import (
+    OwnerOffer,
     OwnerStatus,
+    decode_owner_offer,
     decode_owner_status,
 )
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
@@ -35,6 +37,7 @@
         'maintenance_begun',
         'maintenance_done',
         'orders',
+        'owner_offers',
         'owner_statuses',
         'partitions',
     )
@@ -53,6 +56,8 @@
         self.partitions: dict[str, int] = {}
         # The newest status of each partition's owner.
         self.owner_statuses: dict[int, OwnerStatus] = {}
+        # The newest offer to take over each partition.
+        self.owner_offers: dict[int, OwnerOffer] = {}
         self.errors: list[RecordError] = []
 
     def apply(self, records: Iterable[KeyedRecord]) -> None:
@@ -120,7 +125,7 @@
                 self.orders[name] = VmOrder(int(term), float(wall_ms))
             case 'load':
                 self.loads[name] = _decode_load(record.value)
-            case 'pool' | 'owner':
+            case 'pool' | 'owner' | 'offer':
                 self._apply_ownership(kind, name, record.value)
             case _:
                 raise RecordError('unknown kind')
@@ -137,6 +142,10 @@
         if kind == 'pool':
             self.partitions[name] = int(cbor2.loads(value))
             return
+        if kind == 'offer':
+            offer = decode_owner_offer(int(name), value)
+            self.owner_offers[offer.partition] = offer
+            return
         status = decode_owner_status(int(name), value)
         known = self.owner_statuses.get(status.partition)
         if known is None or known.term <= status.term:
--- a/libs/scheduling/tarragonlb/scheduling/ownership.py
+++ b/libs/scheduling/tarragonlb/scheduling/ownership.py
@@ -37,6 +37,8 @@
 ABANDONED_AFTER_SECONDS = 6.0
 # Bidders notice a new partition at different times, and it is not urgent.
 NEW_PARTITION_PATIENCE = 1.5
+# How long others leave a partition to the successor that its owner chose.
+SUCCESSOR_SECONDS = 1.5
 # Assumed of the strongest owner while none is known.
 DEFAULT_CORES = 1.0
 HASH_RANGE = 1 << 32
@@ -115,6 +117,11 @@
         self.vacant_at = now
         if self.has_owner():
             self.vacant_at += SILENT_AFTER_SECONDS
+        elif self.status is not None and self.status.successor:
+            self.vacant_at += SUCCESSOR_SECONDS
+
+    def has_successor(self, member: str) -> bool:
+        return self.status is not None and self.status.successor == member
 
     def has_owner(self) -> bool:
         return self.status is not None and not self.status.is_released
@@ -126,12 +133,13 @@
     ``now`` is in seconds of a monotonic clock.
     """
 
-    __slots__ = ('_policy', '_watches')
+    __slots__ = ('_excluded_until', '_policy', '_watches')
 
     def __init__(self, policy: BidPolicy) -> None:
         """Bid with the delays of ``policy``."""
         self._policy = policy
         self._watches: dict[int, _Watch] = {}
+        self._excluded_until: dict[int, float] = {}
 
     def observe(
         self,
@@ -154,6 +162,10 @@
             if watch.has_owner():
                 watch.note_heard(now)
 
+    def exclude(self, partition: int, until: float) -> None:
+        """Make no bid for a partition until a time."""
+        self._excluded_until[partition] = until
+
     def find_next(self, bidder: Bidder) -> tuple[float, int] | None:
         """Return when to check which partition next, None if there is none.
 
@@ -195,12 +207,18 @@
 
     def _find_due_time(self, bidder: Bidder, partition: int) -> float:
         watch = self._watches[partition]
+        if watch.has_successor(bidder.member):
+            return watch.check_after
         delay = self._policy.choose_delay(
             bidder, partition, self._find_most_cores()
         )
         if watch.status is None:
             delay *= NEW_PARTITION_PATIENCE
-        return max(watch.vacant_at + delay, watch.check_after)
+        return max(
+            watch.vacant_at + delay,
+            watch.check_after,
+            self._excluded_until.get(partition, 0),
+        )
 
     def _find_most_cores(self) -> float:
         return max(
