Answer queries of an open job from the newest records

Callers saw the end of a job up to a second late, too late for its objective: a lot-price job takes two seconds.

Cause: a daemon that does not own the partition answered from records that it reads once a second. It now reads to the end first while the job is open, for 0.3 s at most; overlapping queries share the read. The owner and ended jobs need none. The state known before stays a valid answer if the store is slow.

The test failed before: three daemons showed the end of one job 1.0 s apart.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -80,6 +80,12 @@
     When a query for a job that it has not read is abandoned after 0.1 s
     Then a later query reports the job as queued
 
+  # Guards against jobs that end in time and are shown as completed too late.
+  Scenario: Every daemon shows the end of a job without delay
+    Given 3 daemons and 2 workers
+    When a job of 2 tasks is submitted
+    Then all daemons show its end within 0.1 seconds of each other
+
   # Guards against a link that is full of the same records, read once a query.
   Scenario: Queries that overlap share reads
     Given a daemon whose reads at the end of a partition take 0.5 s
--- a/libs/controller/features/steps/query_steps.py
+++ b/libs/controller/features/steps/query_steps.py
@@ -17,6 +17,8 @@
     pool=QUEUE.pool,
     spec=JobSpec(payload='x', steps=(Step(width=1, demand=Demand(1, 1)),)),
 )
+MAX_QUERIES = 100
+QUERY_SECONDS = 0.05
 PARTITION = SETTINGS.find_partition(QUEUE.pool)
 
 
@@ -112,3 +114,25 @@
 @then('a later query reports the job as queued')
 def check_later(context):
     assert context.states == ['queued'], context.states
+
+
+@then('all daemons show its end within {seconds:g} seconds of each other')
+def check_ends(context, seconds):
+    ended_at = []
+
+    async def watch(service, job_id):
+        for _ in range(MAX_QUERIES):
+            if await service.describe(QUEUE, job_id) == 'completed':
+                ended_at.append(trio.current_time())
+                return
+            await trio.sleep(QUERY_SECONDS)
+        raise AssertionError('the job did not end')
+
+    async def action(sim):
+        async with trio.open_nursery() as nursery:
+            for controller in sim.controllers.values():
+                nursery.start_soon(watch, controller.job_service, sim.jobs[0])
+
+    context.simulation.actions.append(action)
+    context.simulation.run()
+    assert max(ended_at) - min(ended_at) <= seconds, ended_at
--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -130,11 +130,20 @@
     async def describe(
         self, queue: Queue, job_id: str
     ) -> str | StoreUnavailable | None:
-        """Return the state of a job as one word, None if there is no job."""
+        """Return the state of a job as one word, None if there is no job.
+
+        While the job is open, the newest records are read first: clients wait
+        for its end, and the next poll may be a second away.
+        """
         found = await self._find_or_refresh(queue, job_id)
         if found is None or isinstance(found, StoreUnavailable):
             return found
-        return found[1].describe()
+        partition, records = found
+        feed = self._feeds[partition]
+        if not (records.is_over or feed.is_owned):
+            with trio.move_on_after(self._settings.state_read_seconds):
+                await feed.refresh()
+        return records.describe()
 
     def count_pending(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not started a task yet."""
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -71,11 +71,16 @@
         self._counts: Counter[str] = Counter()
         self._counted_at = -1.0
 
+    @property
+    def is_owned(self) -> bool:
+        """Return whether this daemon owns the partition."""
+        return self._subscriber is not None
+
     async def run(self) -> None:
         """Poll the partition until cancelled."""
         settings = self._settings
         while True:
-            is_owner = self._subscriber is not None
+            is_owner = self.is_owned
             if is_owner:
                 result = await self._read(settings.read_wait_seconds)
             else:
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -40,6 +40,10 @@
     # Time between reads by a daemon that does not own the partition.  Clients
     # are told that counts of pending jobs may be this old.
     follower_read_interval_seconds: float = 1.0
+    # How long a query of a job's state waits for newer records.  Several times
+    # the usual response time of the store, and short for the client: the state
+    # known before is a valid answer.
+    state_read_seconds: float = 0.3
     # How long an owner's read waits for records.
     read_wait_seconds: float = 0.5
     # How long one read of the operators' topic waits for records.  Together
--- a/libs/scheduling/tarragonlb/scheduling/jobindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobindex.py
@@ -57,6 +57,14 @@
         """Return whether a client cancelled the job."""
         return bool(self.get_value(CANCELLATION))
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether the job has an outcome."""
+        progress = self.find_progress()
+        return progress is not None and (
+            progress.outcome is not JobOutcome.OPEN
+        )
+
     @property
     def is_empty(self) -> bool:
         """Return whether all records have been removed."""
