--- a/libs/controller/tarragonlb/controller/ownerreport.py
+++ b/libs/controller/tarragonlb/controller/ownerreport.py
@@ -5,7 +5,6 @@
 and tasks that no worker can take.
 """
 
-import time
 from dataclasses import asdict
 
 from tarragonlb.controller.membership import OwnedPartition
@@ -28,7 +27,6 @@
     __slots__ = (
         '_fields',
         '_longest_round',
-        '_processor_seconds',
         '_reported_at',
         '_worst_delay',
     )
@@ -37,7 +35,6 @@
         """Add the partition and the term of ``owned`` to every line."""
         self._fields = {'partition': owned.partition, 'term': owned.term}
         self._reported_at = now
-        self._processor_seconds = time.process_time()
         self._worst_delay = 0.0
         self._longest_round = 0.0
 
@@ -55,7 +52,6 @@
         if elapsed < REPORT_INTERVAL_SECONDS:
             return
         health = assess_health(state, now)
-        processor_seconds = time.process_time()
         FLEET_METER.record(REPORT_AGE_SECONDS, health.oldest_report_seconds)
         LOG.emit(
             'State of the partition.',
@@ -71,13 +67,9 @@
             queued_events=queued_events,
             round_delay_seconds=round(self._worst_delay, 3),
             round_seconds=round(self._longest_round, 3),
-            processor_share=round(
-                (processor_seconds - self._processor_seconds) / elapsed, 3
-            ),
             **self._fields,
         )
         self._reported_at = now
-        self._processor_seconds = processor_seconds
         self._worst_delay = 0.0
         self._longest_round = 0.0
 
