--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -24,6 +24,31 @@
     And 3 seconds pass
     Then the remaining daemon reports its job as completed
 
+  # Guards against tasks of a lost worker that wait anew after each change of
+  # the owner.
+  Scenario: The next owner waits only for the rest of a silent worker's leases
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And the worker that runs them becomes unreachable
+    And 3 seconds pass
+    And the owner of the pool is asked to stop
+    And 4 seconds pass
+    Then the remaining daemon reports its job as completed
+    And no lease bound is left in the store
+
+  Scenario: A worker that answers again keeps its tasks
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And the worker that runs them becomes unreachable
+    And 2.6 seconds pass
+    And the worker becomes reachable
+    And 3 seconds pass
+    Then the job is completed
+    And every task was started once
+    And no lease bound is left in the store
+
   Scenario: A request that the store rejects fails fast as not run
     Given 1 daemons and 2 workers
     When the store is in mode "refuse"
@@ -80,6 +105,13 @@
     When a query for a job that it has not read is abandoned after 0.1 s
     Then a later query reports the job as queued
 
+  # Guards against a link that is full of the same records, read once a query.
+  Scenario: Queries that overlap share reads
+    Given a daemon whose reads at the end of a partition take 0.5 s
+    When 20 queries for a job that does not exist come 0.02 s apart
+    Then all report that there is no such job
+    And the store was read at most 3 times
+
   Scenario: Records that expired unread are replaced by the newest records
     Given 1 daemons and 2 workers
     When the records of the pool expire
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -119,10 +119,18 @@
         """Run until ``stopped`` is set, then shut down gracefully."""
         platform, settings = self._platform, self._settings
         operators = OperatorFeed(
-            platform.store, platform.documents, settings, self.view
+            platform.store,
+            platform.documents,
+            settings,
+            self.view,
+            self._clock,
         )
         workers = WorkerFeed(
-            platform.store, platform.documents, settings, self.view
+            platform.store,
+            platform.documents,
+            settings,
+            self.view,
+            self._clock,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(operators.run)
@@ -194,8 +202,9 @@
             for owned, owner in self._owners.items()
             if owned not in owned_partitions
         ]
-        for scope, ended in ending:
+        for scope, _ in ending:
             scope.cancel()
+        for _, ended in ending:
             await ended.wait()
 
     async def _supervise_owner(
--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -17,6 +17,17 @@
     And a rebalancing round runs
     Then 3 VMs of "b" move to "a"
 
+  # Guards against rounds that drain nothing, as the load is older than a drain.
+  Scenario: Workers that are being drained do not take the place of others
+    Given VMs "3 of a, 8 of b"
+    And the VM "b0" is being drained for a move
+    And the VM "b1" is being drained for a move
+    And the VM "b2" is being drained for a move
+    And pool "a" wants 9 workers and needs at least 2
+    And pool "b" wants 2 workers, needs at least 2, and "b0 b1 b2 b3 b4 b5" can be drained
+    When a rebalancing round runs
+    Then the VMs "b3 b4 b5" are to be drained
+
   Scenario: The minimum of one pool precedes the peak of another
     Given VMs "6 of a, 1 of b, 1 of off"
     And pool "a" wants 20 workers and needs at least 2
@@ -36,6 +47,28 @@
     And a rebalancing round runs
     Then the VMs "a0 a1 a2 a3" are to be drained
 
+  # Guards against a peak that is missed since another pool keeps workers for
+  # tasks that it merely expects.
+  Scenario: Tasks that wait in one pool precede tasks expected in another
+    Given VMs "4 of a, 9 of b"
+    And pool "a" wants 9 workers and has tasks for 7
+    And pool "b" wants 9 workers, has tasks for 3, and "b0 b1 b2 b3 b4 b5" can be drained
+    When a rebalancing round runs
+    Then the VMs "b0 b1 b2" are to be drained
+    When a rebalancing round runs
+    Then no VM is to be drained
+    And no VM is reopened
+    When they have been drained
+    And a rebalancing round runs
+    Then 3 VMs of "b" move to "a"
+
+  Scenario: Pools that only expect tasks take no workers from each other
+    Given VMs "4 of a, 9 of b"
+    And pool "a" wants 9 workers and has tasks for 4
+    And pool "b" wants 9 workers, has tasks for 3, and "b0 b1 b2 b3 b4 b5" can be drained
+    When a rebalancing round runs
+    Then no VM is to be drained
+
   Scenario: A pool whose load grows gets workers for the expected load
     Given VMs "4 of a, 20 of off"
     And pool "a" wants 2 workers and needs at least 2
@@ -88,6 +121,28 @@
     And no VM was maintained twice
     And the wave was complete within 24 seconds
 
+  # Guards against maintenance that never counts as done, since each owner counts
+  # its duration anew.
+  Scenario: VMs in standby are maintained although owners change faster
+    Given VMs "2 of a, 6 of off"
+    And a wave of "off0 off1 off2 off3" within 24 seconds, 2 at once
+    And the owner changes every 1 seconds
+    When the wave runs for 40 seconds with workers that drain in 1 second
+    Then at most 2 VMs were down at a time
+    And every VM of the wave was maintained
+    And no VM was maintained twice
+    And the wave was complete within 24 seconds
+
+  # Guards against a wave that is late, since each owner counts its time anew.
+  Scenario: A wave keeps to its time although owners change
+    Given VMs "12 of a"
+    And a wave of "a0 a1 a2 a3 a4 a5 a6 a7 a8 a9 a10 a11" within 20 seconds, 6 at once
+    And the owner changes every 1 seconds
+    When the wave runs for 60 seconds with workers that drain in 4 second
+    Then at most 6 VMs were down at a time
+    And every VM of the wave was maintained
+    And the wave was complete within 20 seconds
+
   Scenario: A drain request for a former worker does not delay the wave
     Given VMs "3 of a, 0 of off"
     And a wave of "a0 a1" within 20 seconds, 1 at once
--- a/libs/scheduling/features/steps/fleet_steps.py
+++ b/libs/scheduling/features/steps/fleet_steps.py
@@ -28,11 +28,22 @@
 def publish(context, *records):
     for record in records:
         context.fleet_state.apply(
-            [KeyedRecord(record.key, record.value, context.offset)]
+            [KeyedRecord(record.key, record.value, context.offset)],
+            context.now,
         )
         context.offset += 1
 
 
+def publish_load(context, pool, wanted, minimum, **more):
+    load = PoolLoad(
+        wanted_workers=wanted,
+        needed_workers=more.pop('needed_workers', wanted),
+        min_workers=minimum,
+        **more,
+    )
+    publish(context, build_load_record(pool, load))
+
+
 @given('VMs "{text}"')
 def list_vms(context, text):
     context.fleet_state = FleetState()
@@ -56,7 +67,7 @@
 
 @step('pool "{pool}" wants {wanted:d} workers and needs at least {minimum:d}')
 def set_load(context, pool, wanted, minimum):
-    publish(context, build_load_record(pool, PoolLoad(wanted, minimum)))
+    publish_load(context, pool, wanted, minimum)
 
 
 @step(
@@ -65,8 +76,27 @@
 )
 def set_load_with_candidates(context, pool, wanted, minimum, candidates):
     workers = tuple(f'i-{vm_id}' for vm_id in candidates.split())
-    publish(
-        context, build_load_record(pool, PoolLoad(wanted, minimum, workers))
+    publish_load(context, pool, wanted, minimum, drain_candidates=workers)
+
+
+@step('pool "{pool}" wants {wanted:d} workers and has tasks for {needed:d}')
+def set_needed_only(context, pool, wanted, needed):
+    publish_load(context, pool, wanted, 2, needed_workers=needed)
+
+
+@step(
+    'pool "{pool}" wants {wanted:d} workers, has tasks for {needed:d}, '
+    'and "{candidates}" can be drained'
+)
+def set_needed(context, pool, wanted, needed, candidates):
+    workers = tuple(f'i-{vm_id}' for vm_id in candidates.split())
+    publish_load(
+        context,
+        pool,
+        wanted,
+        2,
+        needed_workers=needed,
+        drain_candidates=workers,
     )
 
 
@@ -76,9 +106,7 @@
 )
 def set_load_with_permanent(context, pool, wanted, minimum, hosts):
     workers = tuple(f'i-{vm_id}' for vm_id in hosts.split())
-    publish(
-        context, build_load_record(pool, PoolLoad(wanted, minimum, (), workers))
-    )
+    publish_load(context, pool, wanted, minimum, with_permanent_tasks=workers)
 
 
 @given('the owner changes every {seconds:d} seconds')
@@ -110,7 +138,10 @@
         within_seconds=seconds,
         cap=cap,
     )
-    context.coordinator = WaveCoordinator(wave, MAINTENANCE_SECONDS, 0.0)
+    context.wave_read_at = context.now
+    context.coordinator = WaveCoordinator(
+        wave, MAINTENANCE_SECONDS, context.wave_read_at
+    )
     context.pending = frozenset(wave.vm_ids)
 
 
@@ -179,7 +210,9 @@
         if context.now >= owner_until:
             owner_until += context.owner_seconds
             context.coordinator = WaveCoordinator(
-                context.coordinator.wave, MAINTENANCE_SECONDS, context.now
+                context.coordinator.wave,
+                MAINTENANCE_SECONDS,
+                context.wave_read_at,
             )
         decided = run_wave_round(context)
         for vm in decided.drain:
@@ -271,6 +304,11 @@
     assert not context.decided.drain, context.decided.drain
 
 
+@then('no VM is reopened')
+def check_none_reopened(context):
+    assert not context.decided.reopen, context.decided.reopen
+
+
 @then('the VM "{vm_id}" is reopened')
 def check_reopened(context, vm_id):
     assert [vm.vm_id for vm in context.decided.reopen] == [vm_id]
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -1,7 +1,7 @@
 """The state of the fleet's VMs, built from the records about them.
 
 >>> fleet_state = FleetState()
->>> fleet_state.apply([KeyedRecord('through/1/m-1', b'\xf5', 0)])
+>>> fleet_state.apply([KeyedRecord('through/1/m-1', b'\xf5', 0)], now=0.0)
 >>> fleet_state.maintenance_done
 {(1, 'm-1')}
 """
@@ -35,6 +35,7 @@
         'errors',
         'loads',
         'maintenance_begun',
+        'maintenance_begun_at',
         'maintenance_done',
         'orders',
         'owner_offers',
@@ -51,6 +52,8 @@
         self.orders: dict[str, VmOrder] = {}
         # The worker that ran on a VM before its maintenance, by wave and VM.
         self.maintenance_begun: dict[tuple[int, str], str] = {}
+        # When this process first read that a maintenance has begun.
+        self.maintenance_begun_at: dict[tuple[int, str], float] = {}
         self.maintenance_done: set[tuple[int, str]] = set()
         # The partition of each pool's jobs.
         self.partitions: dict[str, int] = {}
@@ -60,8 +63,11 @@
         self.owner_offers: dict[int, OwnerOffer] = {}
         self.errors: list[RecordError] = []
 
-    def apply(self, records: Iterable[KeyedRecord]) -> None:
-        """Apply records; for each key the one with the highest offset wins."""
+    def apply(self, records: Iterable[KeyedRecord], now: float) -> None:
+        """Apply records that were read at ``now`` seconds.
+
+        For each key the one with the highest offset wins.
+        """
         for record in records:
             if self._offsets.get(record.key, -1) >= record.offset:
                 continue
@@ -70,6 +76,8 @@
                 self._apply(record)
             except (ValueError, TypeError) as error:
                 self.errors.append(RecordError(f'{record.key}: {error}'))
+        for key in self.maintenance_begun:
+            self.maintenance_begun_at.setdefault(key, now)
 
     @property
     def drain_requests_by_worker(self) -> dict[str, DrainRequest]:
@@ -153,10 +161,11 @@
 
 
 def _decode_load(value: bytes) -> PoolLoad:
-    wanted, minimum, candidates, permanent = cbor2.loads(value)
-    return PoolLoad(
-        int(wanted), int(minimum), tuple(candidates), tuple(permanent)
-    )
+    row: list[Any] = cbor2.loads(value)
+    counts, workers = row[:3], row[3:]
+    wanted, minimum, needed = map(int, counts)
+    candidates, permanent = map(tuple, workers)
+    return PoolLoad(wanted, minimum, needed, candidates, permanent)
 
 
 def _apply_drain(
