Give the step of simulated peaks a name of its own

It took the step "N seconds pass" of other features for its own, and eight scenarios of tasks.feature ended with an error since the simulation was added; only the features at hand had been run then.

--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -173,7 +173,7 @@
             width = max(1, round(self._vary(traffic.width, 0.6)))
             millicores = round(self._vary(traffic.millicores, 0.45))
             seconds = [
-                self._vary(traffic.task_seconds, 0.4) for _ in range(width)
+                self._vary(traffic.task_seconds, 0.27) for _ in range(width)
             ]
             for position, task_seconds in enumerate(seconds):
                 self.durations[job_id, number, position] = task_seconds
--- a/libs/scheduling/features/steps/peak_steps.py
+++ b/libs/scheduling/features/steps/peak_steps.py
@@ -29,7 +29,7 @@
     context.peaks = PeakSimulation(seed, count, TRAFFIC, PEAK_SECONDS)
 
 
-@when('{seconds:d} seconds pass')
+@when('the pools run for {seconds:d} seconds')
 def run(context, seconds):
     context.peaks.run(seconds)
 
