--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -7,6 +7,11 @@
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.placement import PackNearData
+from tarragonlb.scheduling.progress import (
+    build_progress_record,
+    decode_progress,
+    restore_tasks,
+)
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.scheduling.settings import SchedulingSettings
@@ -62,7 +67,7 @@
     )
 
 
-def report(context, worker_id, tail_ms=0, ended=()):
+def report(context, worker_id, tail_ms=0, ended=(), incarnation=1):
     context.now += 0.01
     attached = context.scheduler.state.workers[worker_id].attached
     ended_keys = {end.key for end in ended}
@@ -71,7 +76,7 @@
             worker_id=worker_id,
             requested_at=context.now,
             received_at=context.now,
-            incarnation=1,
+            incarnation=incarnation,
             running=tuple(
                 RunningAttempt(key, attachment.attempt, '', 100, tail_ms)
                 for key, attachment in attached.items()
@@ -269,6 +274,11 @@
     context.expired = name
 
 
+@when('worker "{name}" is born anew')
+def restart_worker(context, name):
+    report(context, name, incarnation=2)
+
+
 @when('its next report does not list the attempt')
 def report_without_attempt(context):
     report(context, context.expired)
@@ -340,6 +350,20 @@
     assert {o.attempt for o in context.round.starts} == {attempt}
 
 
+@when('another owner takes over')
+def take_over(context):
+    former = context.scheduler.state
+    context.scheduler = Scheduler(SETTINGS, PackNearData(), context.now)
+    state = context.scheduler.state
+    state.queues = QUEUES
+    state.update_workers(context.directory.values())
+    for job_state in former.jobs.values():
+        progress = decode_progress(build_progress_record(job_state, 1).value)
+        restored = JobState(job_state.job, Moment(context.now))
+        restore_tasks(restored, progress, context.now)
+        state.add_job(restored)
+
+
 @then('the scavenger is paced to {percent:d} percent')
 def check_pace(context, percent):
     assert [o.percent for o in context.round.paces] == [percent]
