Let jobs that have begun precede new ones

Cause: steps were ordered by the time at which they must start. At a peak that a pool can't serve whole, nearly all jobs began, their next steps waited behind steps of new jobs until their own slack was gone, and then they were deferred as late with their capacity spent. Of the jobs that can still be in time, those that have begun now come first.

The test failed before.

Ruled out by simulated peaks with rough estimates: newest first, least work first, and no deferral, each worse for one site or the other.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -32,6 +32,16 @@
     And a scheduling round runs
     Then the only job to start is number 1
 
+  # Guards against overload in which all jobs begin and few end in time.
+  Scenario: At a peak, jobs that have begun precede new ones
+    Given workers "w0" with 1000 millicores
+    And a job of queue "timely" with steps "1x1000 lasting 1, 1x1000 after 0 lasting 1"
+    When a scheduling round runs
+    And a job of queue "timely" arrives with steps "1x1000 lasting 1"
+    And one running task ends "done"
+    And a scheduling round runs
+    Then the only job to start is number 0
+
   Scenario: A permanent task that fits on no worker reserves one
     Given workers "w0" with 2000 millicores
     And a job with steps "4x1000"
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -1,12 +1,14 @@
 """Assigns waiting tasks to workers.
 
 Steps are tried in order of their queue's priority.  Within a priority,
-permanent tasks come first, then the steps that must start soonest for their
-job to meet its objective.  Jobs that will miss their objective are deferred
-behind those that can still meet it, for a limited time: at peak load more is
-asked of each pool than it has, and in order of arrival every job would be
-late.  A permanent task that fits on no worker reserves the one with the most
-free CPU, so that a stream of small tasks cannot starve it.
+permanent tasks come first, then jobs that have begun, then the steps that must
+start soonest for their job to meet its objective.  A job that has begun has
+used capacity, which is lost if new jobs make it late.  Jobs that will miss
+their objective are deferred behind those that can still meet it, for a limited
+time: at peak load more is asked of each pool than it has, and in order of
+arrival every job would be late.  A permanent task that fits on no worker
+reserves the one with the most free CPU, so that a stream of small tasks cannot
+starve it.
 """
 
 from tarragonlb.scheduling.job import Moment, Step, TaskKey
@@ -67,10 +69,14 @@
             - PLACEMENT_OVERHEAD_SECONDS
         )
         is_deferred = latest_start < now.seconds < due_at + MAX_DEFERRAL_SECONDS
+        has_begun = bool(self.step.prerequisites) or any(
+            task.attempt for task in self.step_state.tasks
+        )
         self.rank = (
             queue.priority,
             not self.step.is_permanent,
             is_deferred,
+            not (is_deferred or has_begun),
             due_at if is_deferred else latest_start,
         )
 
@@ -241,7 +247,7 @@
     ]
 
 
-def _get_rank(ready: ReadyStep) -> tuple[int, bool, bool, float]:
+def _get_rank(ready: ReadyStep) -> tuple[int, bool, bool, bool, float]:
     return ready.rank
 
 
