--- a/libs/controller/tarragonlb/controller/ownership.py
+++ b/libs/controller/tarragonlb/controller/ownership.py
@@ -208,7 +208,7 @@
             await lease.hold(partial(self._note_renewal, lease))
         if lease.scope.cancelled_caught:
             await self._release_to_successor(lease)
-        self._leases.pop(lease.partition)
+        self._leases.pop(lease.partition, None)
         self._view.renewed_at.pop(lease.partition, None)
         LOG.emit('Partition lost.', partition=lease.partition)
 
@@ -256,9 +256,12 @@
         if not self._lag_meter.is_overloaded(trio.current_time()):
             return
         for status in statuses:
-            lease = self._leases[status.partition]
+            # The partition may have been lost while its status was written.
+            lease = self._leases.get(status.partition)
             offer = self._offers.find_offer(status, now)
-            if offer is None or now - lease.claimed_at < MIN_TENURE_SECONDS:
+            if lease is None or offer is None:
+                continue
+            if now - lease.claimed_at < MIN_TENURE_SECONDS:
                 continue
             LOG.emit(
                 'Handing a partition over to a stronger daemon.',
