--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -127,3 +127,9 @@
     And the new daemon is killed once it has offered
     And 6 seconds pass
     Then 2 partitions are owned
+
+  # An owner that had been cut off resumed its term after another's had passed.
+  Scenario: A term that another owner has followed is not resumed
+    Given a daemon that owns a partition
+    When its membership expires, and another owner comes and goes meanwhile
+    Then it owns the partition in a later term than the other
