Drain as many charged VMs as a lowered budget allows

Operators would see a wave that never ends: when a budget was lowered below the number of VMs already charged to it, none of them was drained any more, and none could be released without having been drained.

A VM is not unavailable by its charge alone. The planner now drains as many of the charged VMs that still serve as the budget leaves beside the unavailable ones, in the order of their charges, so that a planner with older readings repeats the same drains instead of adding others.

--- a/libs/capacity/tarragonlb/capacity/draining.py
+++ b/libs/capacity/tarragonlb/capacity/draining.py
@@ -111,15 +111,47 @@
 def _drain(
     context: RoundContext, entry: VmEntry, charge: Charge
 ) -> list[Action]:
-    """Drain a VM, unless failures have used up the budget since its charge."""
+    """Drain a VM, unless the budget is used up by VMs that are unavailable.
+
+    Failures may have used it up since the charge, or it may have been lowered.
+    VMs that were charged first are then drained first.
+    """
     budget = context.view.teams.find_budget(entry.pool)
-    if budget is not None and _count_unavailable(context, entry.pool) > budget:
-        return []
+    if budget is not None:
+        drainable = _list_drainable(context, entry.pool)
+        unavailable = _count_unavailable(context, entry.pool, drainable)
+        if entry.vm_id not in drainable[: max(budget - unavailable, 0)]:
+            return []
     return [DrainVm(entry.vm_id, charge.boot)]
 
 
-def _count_unavailable(context: RoundContext, pool: str) -> int:
-    """Return the number of VMs that are charged, or failed but uncharged."""
+def _list_drainable(context: RoundContext, pool: str) -> list[str]:
+    """Return the charged VMs that still serve, the first charged one first."""
+    vms = context.view.vms
+    charges = [
+        (charge.offset, vm_id)
+        for vm_id in vms.list_charged(pool)
+        if (charge := vms[vm_id].charge) is not None
+        and charge.reason is not ChargeReason.FAILURE
+        and _is_drainable(context, vm_id, charge)
+    ]
+    return [vm_id for _, vm_id in sorted(charges)]
+
+
+def _is_drainable(context: RoundContext, vm_id: str, charge: Charge) -> bool:
+    reading = context.view.vm_readings.get(vm_id)
+    if reading is None or reading.boot != charge.boot:
+        return False
+    return reading.phase is VmPhase.LIVE
+
+
+def _count_unavailable(
+    context: RoundContext, pool: str, drainable: list[str]
+) -> int:
+    """Return the number of VMs that are charged, or failed but uncharged.
+
+    Those that are ``drainable`` don't count, as they still serve.
+    """
     vms = context.view.vms
     readings = context.view.vm_readings
     failed = [
@@ -129,7 +161,7 @@
         and vm_id in readings
         and readings[vm_id].phase is not VmPhase.LIVE
     ]
-    return vms.count_charged(pool) + len(failed)
+    return vms.count_charged(pool) - len(drainable) + len(failed)
 
 
 def _check_drain_limit(
