--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -1,6 +1,7 @@
 """In-memory platform: implements the interfaces of the controller's ports."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
+from dataclasses import replace
 
 import trio
 
@@ -66,8 +67,12 @@
         self.logs = defaultdict(list)
         self.epochs = defaultdict(int)
         self.append_offsets = {}
-        self.members = {}
-        self.generation = 0
+        self.groups = defaultdict(dict)
+        self.holders = defaultdict(dict)
+        self.revoked = defaultdict(set)
+        self.cut_members = set()
+        self.generations = defaultdict(int)
+        self.calls = Counter()
         self.mode = 'up'
         self.firsts = defaultdict(int)
         self.waves = {}
@@ -154,27 +159,69 @@
         kept = tuple(r for r in newest.values() if r.value)
         return Batch(kept, len(log), len(log))
 
-    async def join(self, member, ttl_seconds, generation):
+    async def join(self, partition, member, ttl_seconds, generation):
+        self.calls['join'] += 1
         await trio.sleep(CALL_SECONDS)
-        if self.mode != 'up':
+        if self.mode != 'up' or member in self.cut_members:
             return NotDone('busy')
-        now = trio.current_time()
-        before = frozenset(self.members)
-        self.members = {
-            name: until for name, until in self.members.items() if until > now
-        }
-        self.members[member] = now + ttl_seconds
-        if frozenset(self.members) != before:
-            self.generation += 1
-        names = sorted(self.members)
+        members = self.groups[partition]
+        self._expire_members(partition)
+        is_new = member not in members
+        members[member] = trio.current_time() + ttl_seconds
+        if is_new:
+            self._note_change(partition)
+        self._deal(member, partition)
         mine = frozenset(
-            p for p in range(PARTITIONS) if names[p % len(names)] == member
+            dealt
+            for dealt, holder in self.holders[partition].items()
+            if holder == member
         )
-        return Assignment(self.generation, mine)
+        return Assignment(self.generations[partition], mine)
+
+    def _deal(self, member, partition):
+        """Give a joining member what is its own and nobody else holds.
+
+        What was to go to another member, even for a moment, is given back by
+        one join before a later one may get it again.
+        """
+        names = sorted(self.groups[partition])
+        holders, revoked = self.holders[partition], self.revoked[partition]
+        for dealt in range(PARTITIONS):
+            holder = holders.get(dealt)
+            if holder == member and dealt in revoked:
+                revoked.discard(dealt)
+                holders[dealt] = None
+            elif holder == member or holder not in names:
+                is_mine = names[dealt % len(names)] == member
+                holders[dealt] = member if is_mine else None
+                revoked.discard(dealt)
+
+    def _note_change(self, partition):
+        self.generations[partition] += 1
+        names = sorted(self.groups[partition])
+        for dealt, holder in self.holders[partition].items():
+            if names and names[dealt % len(names)] != holder:
+                self.revoked[partition].add(dealt)
+
+    async def leave(self, partition, member):
+        if self.groups[partition].pop(member, None) is not None:
+            self._note_change(partition)
+
+    async def list_owners(self, partition):
+        self.calls['list_owners'] += 1
+        await trio.sleep(CALL_SECONDS)
+        if self.mode != 'up':
+            return NotDone('busy')
+        self._expire_members(partition)
+        return frozenset(self.groups[partition])
 
-    async def leave(self, member):
-        self.members.pop(member, None)
-        self.generation += 1
+    def _expire_members(self, partition):
+        now = trio.current_time()
+        members = self.groups[partition]
+        for name, until in tuple(members.items()):
+            if until <= now:
+                members.pop(name)
+                self._note_change(partition)
 
     async def publish_wave_status(self, wave, *, is_complete):
         self.waves[wave] = is_complete
@@ -183,7 +230,13 @@
 
 class FakeDocumentDecoder(DocumentDecoder):
     def decode_operator_record(self, record):
-        return Configuration(int(record.value), QueueTable([QUEUE]), 1000)
+        version, *pools = record.value.decode().split()
+        queues = [QUEUE]
+        queues.extend(
+            replace(QUEUE, name=pool, path_prefix=f'/{pool}/', pool=pool)
+            for pool in pools
+        )
+        return Configuration(int(version), QueueTable(queues), 1000)
 
     def decode_worker_record(self, record):
         if not record.value:
@@ -204,11 +257,15 @@
         self.ended = defaultdict(list)
         self.fences = defaultdict(int)
         self.starts = []
+        self.unreachable = set()
         self.last_end_numbers = defaultdict(int)
 
     async def poll_status(self, request):
         worker_id = request.worker.worker_id
         started_at = trio.current_time()
+        if worker_id in self.unreachable:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return OrderResult.UNANSWERED
         if request.term < self.fences[worker_id]:
             return OrderResult.FENCED
         self.fences[worker_id] = request.term
@@ -219,6 +276,9 @@
                 break
             await trio.sleep(0.02)
             self._advance(worker_id)
+        if worker_id in self.unreachable:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return OrderResult.UNANSWERED
         await trio.sleep(CALL_SECONDS)
         now = trio.current_time()
         report = WorkerReport(
@@ -239,6 +299,9 @@
         return StatusReply(report, int(now * 1000))
 
     async def start(self, worker, order, term, lease_until_ms):
+        if worker.worker_id in self.unreachable:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return OrderResult.UNANSWERED
         await trio.sleep(CALL_SECONDS)
         if term < self.fences[worker.worker_id]:
             return OrderResult.FENCED
--- a/libs/controller/features/steps/query_steps.py
+++ b/libs/controller/features/steps/query_steps.py
@@ -1,8 +1,8 @@
 import trio
 import trio.testing
 from behave import given, then, when
-from controller_steps import SETTINGS
 from fakeplatform import QUEUE, FakeClock, FakeStore
+from simulation import SETTINGS
 
 from tarragonlb.controller.jobservice import JobService
 from tarragonlb.controller.partition import PartitionFeed
@@ -17,9 +17,9 @@
     pool=QUEUE.pool,
     spec=JobSpec(payload='x', steps=(Step(width=1, demand=Demand(1, 1)),)),
 )
+PARTITION = 1
 MAX_QUERIES = 100
 QUERY_SECONDS = 0.05
-PARTITION = SETTINGS.find_partition(QUEUE.pool)
 
 
 class StoreWithSlowReadsAtEnd(FakeStore):
@@ -48,9 +48,9 @@
     context.store = store
     store.logs[Topic.JOBS, PARTITION].append(build_submission_record(JOB))
     feed = PartitionFeed(PARTITION, store, SETTINGS, FakeClock())
-    service = JobService(
-        store, {PARTITION: feed}, SETTINGS, FakeClock(), PlatformView()
-    )
+    view = PlatformView()
+    view.fleet_state.partitions[QUEUE.pool] = PARTITION
+    service = JobService(store, {PARTITION: feed}, SETTINGS, FakeClock(), view)
     context.states = []
 
     async def query(job_id=JOB.job_id):
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -11,6 +11,7 @@
 from tarragonlb.controller.partitionreader import PartitionReader, RecordUpdate
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import (
+    Clock,
     Configuration,
     DocumentDecoder,
     Store,
@@ -18,6 +19,7 @@
 )
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.scheduling.ownershiprecords import is_owner_record
 from tarragonlb.scheduling.wave import Wave
 from tarragonlb.telemetry.log import Log
 
@@ -28,6 +30,7 @@
     """Polls a topic, decodes its records and updates the view."""
 
     __slots__ = (
+        '_clock',
         '_dependency_log',
         '_documents',
         '_reader',
@@ -41,8 +44,10 @@
         documents: DocumentDecoder,
         settings: ControllerSettings,
         view: PlatformView,
+        clock: Clock,
     ) -> None:
         """Read from ``store``, decode with ``documents``, update ``view``."""
+        self._clock = clock
         topic = self.get_topic()
         self._reader = PartitionReader(store, topic, 0)
         self._dependency_log = DependencyLog(f'documents of {topic.value}')
@@ -62,7 +67,11 @@
                 continue
             self._dependency_log.record_success(trio.current_time())
             self.apply(update)
-            await trio.sleep(self.get_pause_seconds())
+            await self.pause()
+
+    async def pause(self) -> None:
+        """Wait until the next read is due."""
+        await trio.sleep(self.get_pause_seconds())
 
     @abc.abstractmethod
     def get_topic(self) -> Topic:
@@ -105,7 +114,7 @@
             if isinstance(document, Configuration):
                 self._apply_configuration(document)
             elif isinstance(document, Wave):
-                self._view.waves[document.number] = document
+                self._view.add_wave(document, self._clock.read_monotonic())
                 LOG.emit(
                     'Maintenance wave requested.',
                     wave=document.number,
@@ -142,9 +151,22 @@
         return 0
 
     def get_pause_seconds(self) -> float:
-        """Return the pause between two reads."""
+        """Return the pause between two reads of an owner."""
         return self._settings.worker_read_interval_seconds
 
+    async def pause(self) -> None:
+        """Wait until the next read is due.
+
+        A daemon that owns nothing reads seldom, but soon after it has become
+        an owner.
+        """
+        due_at = (
+            trio.current_time() + self._settings.follower_read_interval_seconds
+        )
+        await super().pause()
+        while not self._view.renewed_at and trio.current_time() < due_at:
+            await super().pause()
+
     def apply(self, update: RecordUpdate) -> None:
         """Apply the entries of workers; a snapshot replaces all of them."""
         workers = {} if update.is_snapshot else dict(self._view.workers)
@@ -162,12 +184,17 @@
 class FleetStateFeed:
     """Reads the records on drains, orders and loads in the fleet partition."""
 
-    __slots__ = ('_dependency_log', '_reader', '_settings', '_view')
+    __slots__ = ('_clock', '_dependency_log', '_reader', '_settings', '_view')
 
     def __init__(
-        self, store: Store, settings: ControllerSettings, view: PlatformView
+        self,
+        store: Store,
+        settings: ControllerSettings,
+        view: PlatformView,
+        clock: Clock,
     ) -> None:
         """Read from ``store`` and update ``view``."""
+        self._clock = clock
         self._reader = PartitionReader(store, Topic.JOBS, FLEET_PARTITION)
         self._dependency_log = DependencyLog('records on VMs')
         self._settings = settings
@@ -181,6 +208,7 @@
 
     async def refresh(self) -> bool:
         """Read new records; return whether the store answered."""
+        sent_at = self._clock.read_boottime()
         update = await self._reader.poll(0)
         if isinstance(update, NotDone):
             self._dependency_log.record_failure(
@@ -188,11 +216,13 @@
             )
             return False
         self._dependency_log.record_success(trio.current_time())
+        self._view.last_read_at = sent_at
         fleet_state = self._view.fleet_state
-        fleet_state.apply(update.records)
+        fleet_state.apply(update.records, self._clock.read_monotonic())
         for error in fleet_state.errors:
             LOG.emit('Invalid record ignored.', reason=str(error))
         fleet_state.errors.clear()
-        if update.records:
+        # Statuses of owners arrive all the time, and only bids use them.
+        if not all(is_owner_record(record) for record in update.records):
             self._view.notify()
         return True
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -5,7 +5,7 @@
 reader starts over with a new snapshot.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tarragonlb.controller.ports import Store, Topic
 from tarragonlb.controller.results import Batch, NotDone, Trimmed
@@ -16,13 +16,20 @@
 class RecordUpdate:
     """The records of one read, oldest first.
 
-    In a snapshot (``is_snapshot``), keys that are not listed don't exist.
-    ``is_at_end`` means that nothing more was stored when the store answered.
+    In a snapshot, which is complete up to the offset ``snapshot_end``, keys
+    that are not listed don't exist.  ``is_at_end`` means that all records that
+    were stored when the read was sent have been returned, by this read or an
+    earlier one.
     """
 
     records: tuple[KeyedRecord, ...]
-    is_snapshot: bool
-    is_at_end: bool
+    snapshot_end: int | None = None
+    is_at_end: bool = False
+
+    @property
+    def is_snapshot(self) -> bool:
+        """Return whether these are the newest records of all keys."""
+        return self.snapshot_end is not None
 
 
 class PartitionReader:
@@ -45,7 +52,8 @@
     async def poll(self, wait_seconds: float) -> RecordUpdate | NotDone:
         """Return the new records, or why the read failed.
 
-        Without new records the read waits up to ``wait_seconds``.
+        Without new records the read waits up to ``wait_seconds``.  The records
+        are not returned again, so the caller must apply them at once.
         """
         offset = self.next_offset
         if offset is None:
@@ -55,20 +63,24 @@
         )
         if isinstance(batch, Trimmed):
             return await self._read_newest()
-        return self._advance(batch, is_snapshot=False)
+        if isinstance(batch, NotDone):
+            return batch
+        return self._advance(batch)
 
     async def _read_newest(self) -> RecordUpdate | NotDone:
         batch = await self._store.read_newest(self._topic, self._partition)
         if isinstance(batch, Trimmed):
             return NotDone('unexpected: newest records were trimmed')
-        return self._advance(batch, is_snapshot=True)
-
-    def _advance(
-        self, batch: Batch | NotDone, *, is_snapshot: bool
-    ) -> RecordUpdate | NotDone:
         if isinstance(batch, NotDone):
             return batch
+        # The pages may have been read before later changes to their keys.
+        return replace(
+            self._advance(batch),
+            snapshot_end=batch.next_offset,
+            is_at_end=False,
+        )
+
+    def _advance(self, batch: Batch) -> RecordUpdate:
         self.next_offset = max(self.next_offset or 0, batch.next_offset)
-        # A snapshot consists of pages of different age.
-        is_at_end = not is_snapshot and batch.next_offset >= batch.end
-        return RecordUpdate(batch.records, is_snapshot, is_at_end)
+        is_at_end = batch.next_offset >= batch.end or not batch.records
+        return RecordUpdate(batch.records, is_at_end=is_at_end)
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -18,7 +18,9 @@
         '_changed',
         'configuration',
         'fleet_state',
-        'last_contact_at',
+        'last_read_at',
+        'renewed_at',
+        'wave_read_at',
         'waves',
         'workers',
     )
@@ -28,17 +30,33 @@
         self.configuration: Configuration | None = None
         self.workers: dict[str, Worker] = {}
         self.waves: dict[int, Wave] = {}
+        # When this process first read each wave, on the monotonic clock.
+        self.wave_read_at: dict[int, float] = {}
         self.fleet_state = FleetState()
-        self.last_contact_at: float | None = None
+        # When the last successful read of the fleet partition was sent, and
+        # the last renewal of each owned partition, on the boot-time clock.
+        self.last_read_at: float | None = None
+        self.renewed_at: dict[int, float] = {}
         self._changed = trio.Event()
 
     def compute_contact_age(self, now: float) -> float:
         """Return the time since the last contact with the store in seconds.
 
-        ``now`` is read from the boot-time clock.  The result is 0 if the last
-        contact is unknown: before the first call and while the process stops.
+        ``now`` is read from the boot-time clock.  The result is 0 before the
+        first read.  An owner that can read but not renew has lost contact.
         """
-        return 0 if self.last_contact_at is None else now - self.last_contact_at
+        if self.last_read_at is None:
+            return 0
+        return now - min((self.last_read_at, *self.renewed_at.values()))
+
+    def find_partition(self, pool: str) -> int | None:
+        """Return the partition of a pool's jobs, None if not yet assigned."""
+        return self.fleet_state.partitions.get(pool)
+
+    def add_wave(self, wave: Wave, now: float) -> None:
+        """Add or replace a wave that was read at ``now`` seconds."""
+        self.waves[wave.number] = wave
+        self.wave_read_at.setdefault(wave.number, now)
 
     def notify(self) -> None:
         """Wake all tasks that wait for a change."""
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -17,11 +17,14 @@
 from tarragonlb.controller.decisionlog import DecisionLog
 from tarragonlb.controller.decisionstorage import DecisionStorage
 from tarragonlb.controller.drainreporter import DrainReporter
+from tarragonlb.controller.leasehandover import LeaseHandover
 from tarragonlb.controller.loadpublisher import LoadPublisher
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.ordergate import WorkerAccess
+from tarragonlb.controller.ownerreport import OwnerReport
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
-from tarragonlb.controller.ports import Clock, Store, WorkerApi
+from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.workersession import WorkerSession
 from tarragonlb.scheduling.orders import (
@@ -56,11 +59,13 @@
         '_inbox',
         '_inbox_receiver',
         '_is_storing',
+        '_lease_handover',
         '_lease_seconds',
         '_load_publisher',
         '_next_round_at',
         '_nursery',
         '_owned',
+        '_report',
         '_scheduler',
         '_sessions',
         '_settings',
@@ -74,7 +79,7 @@
         owned: OwnedPartition,
         feed: PartitionFeed,
         store: Store,
-        workers: WorkerApi,
+        workers: WorkerAccess,
         view: PlatformView,
         settings: ControllerSettings,
         clock: Clock,
@@ -94,11 +99,15 @@
         ](INBOX_SIZE)
         self._sessions: dict[str, WorkerSession] = {}
         self._decision_log = DecisionLog(owned)
+        self._report = OwnerReport(owned, clock.read_monotonic())
         self._is_storing = False
         self._next_round_at = 0.0
         self._scheduler = Scheduler(
             settings.scheduling, PackNearData(), clock.read_monotonic()
         )
+        self._lease_handover = LeaseHandover(
+            self._scheduler, self._storage, self._decision_log
+        )
 
     async def run(self, lease_seconds: Callable[[], float]) -> None:
         """Own the partition until the term ends.
@@ -110,11 +119,13 @@
         # Subscribe before reading anything, so that no change is missed.
         subscriber, changes = trio.open_memory_channel[list[str]](math.inf)
         self._feed.subscribe(subscriber)
+        is_fenced = False
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 await self._run_term(changes)
         except* TermEndedError as group:
+            is_fenced = True
             reasons = [str(error) for error in group.exceptions]
             LOG.emit(
                 'Term ended.',
@@ -124,6 +135,10 @@
             )
         finally:
             self._feed.unsubscribe()
+            if not is_fenced:
+                await self._lease_handover.store_last_bounds(
+                    self._inbox_receiver, self._clock.read_monotonic()
+                )
 
     async def _run_term(
         self, changes: trio.MemoryReceiveChannel[list[str]]
@@ -134,11 +149,15 @@
         self._load_state()
         self._nursery.start_soon(self._forward_job_changes, changes)
         self._nursery.start_soon(self._forward_view_changes)
-        await self._run_rounds()
+        try:
+            await self._run_rounds()
+        finally:
+            self._decision_log.log_ends()
 
     def _load_state(self) -> None:
         now = self._clock.read_monotonic()
         partition_state = self._scheduler.state
+        partition_state.inherit_bounds(self._feed.lease_bounds.bounds)
         self._apply_view()
         for records in self._feed.job_index.list_jobs():
             self._update_job(records.job_id, now)
@@ -163,6 +182,7 @@
 
     async def _run_rounds(self) -> None:
         settings = self._settings
+        self._next_round_at = self._clock.read_monotonic()
         while True:
             now = self._clock.read_monotonic()
             wait_seconds = max(self._next_round_at - now, 0)
@@ -179,6 +199,11 @@
             self._handle_queued_events()
             if self._clock.read_monotonic() >= self._next_round_at:
                 self._run_round()
+            self._report.emit_if_due(
+                self._scheduler.state,
+                self._inbox_receiver.statistics().current_buffer_used,
+                self._clock.read_monotonic(),
+            )
 
     def _handle_queued_events(self) -> None:
         while True:
@@ -190,12 +215,21 @@
 
     def _run_round(self) -> None:
         now = self._clock.read_monotonic()
+        delay = now - self._next_round_at
         self._next_round_at = now + self._settings.max_round_interval_seconds
         if self._is_storing:
             return
-        decision = self._scheduler.decide(read_moment(self._clock))
+        self._decision_log.log_ends()
+        contact_age = self._view.compute_contact_age(
+            self._clock.read_boottime()
+        )
+        decision = self._scheduler.decide(
+            read_moment(self._clock),
+            is_store_suspect=contact_age > self._settings.store_suspect_seconds,
+        )
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
+        self._report.note_round(delay, elapsed)
         self._decision_log.log_released(self._scheduler.state.released_attempts)
         self._decision_log.log_stops(decision.stops)
         for stop in decision.stops:
@@ -207,7 +241,8 @@
             self._scheduler.state, now
         ):
             self._nursery.start_soon(self._load_publisher.publish, record)
-        if decision.jobs or decision.removed:
+        self._decision_log.log_bounds(decision.bound_changes)
+        if decision.has_records:
             self._is_storing = True
             self._nursery.start_soon(self._store_decision, decision)
         else:
@@ -221,6 +256,7 @@
 
     def _finish_round(self, decision: SchedulingDecision) -> None:
         self._is_storing = False
+        self._scheduler.bound_keeper.note_stored(decision.bound_changes)
         for worker_id, (incarnation, number) in decision.end_acks.items():
             session = self._sessions.get(worker_id)
             if session is not None:
@@ -246,7 +282,7 @@
         reconciler = self._scheduler.reconciler
         match event:
             case events.ReportReceived():
-                self._decision_log.log_ends(
+                self._decision_log.collect_ends(
                     event.report, self._scheduler.state.workers
                 )
                 reconciler.apply_report(event.report)
@@ -305,13 +341,12 @@
         partition_workers = [
             worker
             for worker in view.workers.values()
-            if self._settings.find_partition(worker.pool)
-            == self._owned.partition
+            if view.find_partition(worker.pool) == self._owned.partition
         ]
         partition_state.update_workers(partition_workers)
-        drain_requests = view.fleet_state.drain_requests_by_worker
-        for worker_id, state in partition_state.workers.items():
-            state.is_drain_requested = worker_id in drain_requests
+        partition_state.apply_drain_requests(
+            view.fleet_state.drain_requests_by_worker
+        )
         self._update_sessions()
 
     def _update_sessions(self) -> None:
@@ -333,7 +368,9 @@
                 self._nursery.start_soon(
                     session.run,
                     self._inbox,
-                    self._lease_seconds,
+                    self._lease_handover.limit_leases(
+                        worker_id, self._lease_seconds
+                    ),
                     self._scheduler.is_still_wanted,
                 )
             elif session is not None:
--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -72,6 +72,14 @@
     Then 3 tasks start
     And all starts have attempt 1
 
+  # A gang that waited for room kept all other tasks of its pool from starting.
+  Scenario: Tasks start beside a gang that waits for room
+    Given workers "w0 w1" with 2000 millicores
+    And a job with steps "3x2000 gang"
+    And a job with steps "1x2000"
+    When a scheduling round runs
+    Then 1 tasks start
+
   Scenario Outline: The only worker of a pool is tried again soon after failures
     Given workers "w0" with 8000 millicores
     And a job with steps "1x500 permanent"
@@ -132,6 +140,20 @@
     And a scheduling round runs
     Then the scavenger is paced to 15 percent
 
+  # After a takeover a scavenger that the former owner had paused stayed paused.
+  Scenario: A new owner speeds up a scavenger that its predecessor paused
+    Given workers "w0" with 8000 millicores
+    And a job with steps "1x1000 permanent target 100"
+    And a job with steps "1x4000 permanent scavenges"
+    When a scheduling round runs
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    Then the scavenger is paced to 0 percent
+    When another owner takes over
+    And a tail latency of 30 ms is reported
+    And a scheduling round runs
+    Then the scavenger is paced to 15 percent
+
   Scenario: A task whose start was refused waits before its next start
     Given workers "w0" with 4000 millicores
     And a job with steps "1x500"
@@ -167,3 +189,33 @@
     And a job with steps "2x3000" arrives
     And a scheduling round runs
     Then no task starts on "w0"
+
+  # A scavenger that its owner had paused counted as stalled on a bad worker.
+  Scenario: A paused scavenger does not count as stalled
+    Given workers "w0" with 8000 millicores
+    And a job with steps "1x1000 permanent target 100"
+    And a job with steps "1x4000 scavenges"
+    When a scheduling round runs
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    Then the scavenger is paced to 0 percent
+    When 2 seconds go by
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    And 2 seconds go by
+    And a tail latency of 120 ms is reported
+    And a scheduling round runs
+    Then 0 attempts are stopped
+
+  # An orphan's worker was born anew, and was not used until a full pass.
+  Scenario: A worker that was born anew gets tasks at once
+    Given workers "w0" with 4000 millicores
+    And a job with steps "1x4000 copies"
+    When a scheduling round runs
+    And the worker "w0" becomes silent
+    And 0 seconds go by
+    And a scheduling round runs
+    Then 0 tasks start
+    When worker "w0" is born anew
+    And a scheduling round runs
+    Then 1 tasks start
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -50,16 +50,17 @@
     if not workers:
         return None
     jobs = [
-        state for state in partition.jobs.values() if state.job.pool == pool
+        state
+        for state in partition.open_jobs.values()
+        if state.job.pool == pool
     ]
     needed, wanted = _DemandSum(), _DemandSum()
     min_workers = MIN_WORKERS
     for state in jobs:
-        if state.is_open:
-            _add_job_demand(state, needed, wanted)
-            min_workers = max(
-                min_workers, _count_spread_workers(state) + SPARE_WORKERS
-            )
+        _add_job_demand(state, needed, wanted)
+        min_workers = max(
+            min_workers, _count_spread_workers(state) + SPARE_WORKERS
+        )
     needed_count = max(min_workers, _count_demanded_workers(needed, workers))
     wanted_count = max(needed_count, _count_demanded_workers(wanted, workers))
     with_permanent_tasks = tuple(
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -1,7 +1,7 @@
 """The state of the fleet's VMs, built from the records about them.
 
 >>> fleet_state = FleetState()
->>> fleet_state.apply([KeyedRecord('through/1/m-1', b'\xf5', 0)])
+>>> fleet_state.apply([KeyedRecord('through/1/m-1', b'\xf5', 0)], now=0.0)
 >>> fleet_state.maintenance_done
 {(1, 'm-1')}
 """
@@ -11,7 +11,17 @@
 
 import cbor2
 
-from tarragonlb.scheduling.fleetrecords import DrainRequest, PoolLoad, VmOrder
+from tarragonlb.scheduling.fleetrecords import (
+    DrainRequest,
+    PoolLoad,
+    VmOrder,
+)
+from tarragonlb.scheduling.ownershiprecords import (
+    OwnerOffer,
+    OwnerStatus,
+    decode_owner_offer,
+    decode_owner_status,
+)
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
 
 
@@ -25,8 +35,12 @@
         'errors',
         'loads',
         'maintenance_begun',
+        'maintenance_begun_at',
         'maintenance_done',
         'orders',
+        'owner_offers',
+        'owner_statuses',
+        'partitions',
     )
 
     def __init__(self) -> None:
@@ -38,11 +52,22 @@
         self.orders: dict[str, VmOrder] = {}
         # The worker that ran on a VM before its maintenance, by wave and VM.
         self.maintenance_begun: dict[tuple[int, str], str] = {}
+        # When this process first read that a maintenance has begun.
+        self.maintenance_begun_at: dict[tuple[int, str], float] = {}
         self.maintenance_done: set[tuple[int, str]] = set()
+        # The partition of each pool's jobs.
+        self.partitions: dict[str, int] = {}
+        # The newest status of each partition's owner.
+        self.owner_statuses: dict[int, OwnerStatus] = {}
+        # The newest offer to take over each partition.
+        self.owner_offers: dict[int, OwnerOffer] = {}
         self.errors: list[RecordError] = []
 
-    def apply(self, records: Iterable[KeyedRecord]) -> None:
-        """Apply records; for each key the one with the highest offset wins."""
+    def apply(self, records: Iterable[KeyedRecord], now: float) -> None:
+        """Apply records that were read at ``now`` seconds.
+
+        For each key the one with the highest offset wins.
+        """
         for record in records:
             if self._offsets.get(record.key, -1) >= record.offset:
                 continue
@@ -51,6 +76,8 @@
                 self._apply(record)
             except (ValueError, TypeError) as error:
                 self.errors.append(RecordError(f'{record.key}: {error}'))
+        for key in self.maintenance_begun:
+            self.maintenance_begun_at.setdefault(key, now)
 
     @property
     def drain_requests_by_worker(self) -> dict[str, DrainRequest]:
@@ -106,6 +133,8 @@
                 self.orders[name] = VmOrder(int(term), float(wall_ms))
             case 'load':
                 self.loads[name] = _decode_load(record.value)
+            case 'pool' | 'owner' | 'offer':
+                self._apply_ownership(kind, name, record.value)
             case _:
                 raise RecordError('unknown kind')
 
@@ -117,6 +146,19 @@
         else:
             self.maintenance_done.add(key)
 
+    def _apply_ownership(self, kind: str, name: str, value: bytes) -> None:
+        if kind == 'pool':
+            self.partitions[name] = int(cbor2.loads(value))
+            return
+        if kind == 'offer':
+            offer = decode_owner_offer(int(name), value)
+            self.owner_offers[offer.partition] = offer
+            return
+        status = decode_owner_status(int(name), value)
+        known = self.owner_statuses.get(status.partition)
+        if known is None or known.term <= status.term:
+            self.owner_statuses[status.partition] = status
+
 
 def _decode_load(value: bytes) -> PoolLoad:
     row: list[Any] = cbor2.loads(value)
--- a/libs/scheduling/tarragonlb/scheduling/pacing.py
+++ b/libs/scheduling/tarragonlb/scheduling/pacing.py
@@ -15,42 +15,44 @@
 class Pacer:
     """Sets the pace of the scavenging attempts of a partition.
 
-    A pace is the percentage of full speed; an attempt starts at 100.
+    A pace is the percentage of full speed; an attempt starts at 100.  That of
+    an attempt which a former owner started is unknown.
     """
 
-    __slots__ = ('_decided_at', '_paces', '_partition')
+    __slots__ = ('_paces', '_partition')
 
     def __init__(self, partition: PartitionState) -> None:
         """Pace the scavenging attempts of ``partition``."""
         self._partition = partition
         self._paces: dict[tuple[TaskKey, int], int] = {}
-        self._decided_at: dict[str, float] = {}
 
-    def decide(self, now: float) -> list[PaceOrder]:
+    def decide(self) -> list[PaceOrder]:
         """Return the paces to change; decide once for each new report."""
         orders: list[PaceOrder] = []
-        for worker_id, worker in self._partition.workers.items():
-            last_report_at = worker.last_report_at
-            if last_report_at is None or worker.is_silent:
-                continue
-            if self._decided_at.get(worker_id, -1.0) < last_report_at:
-                self._decided_at[worker_id] = last_report_at
+        for worker_id in self._partition.reported_workers:
+            worker = self._partition.workers.get(worker_id)
+            if worker is not None and not worker.is_silent:
                 orders.extend(self._pace_worker(worker))
+        self._partition.reported_workers.clear()
         return orders
 
     def note_refused(self, order: PaceOrder) -> None:
-        """Forget a pace that was not applied."""
-        self._paces.pop((order.key, order.attempt), None)
+        """Forget a pace that was perhaps not applied."""
+        attempt = (order.key, order.attempt)
+        if self._paces.pop(attempt, None) is not None:
+            self._partition.unknown_paces.add(attempt)
 
     def _pace_worker(self, worker: WorkerState) -> list[PaceOrder]:
-        scavengers = self._list_scavengers(worker)
+        scavengers = _list_scavengers(worker)
         if not scavengers:
             return []
         latency_ratio = self._measure_latency_ratio(worker)
         orders = []
         for attempt in scavengers:
-            old_percent = self._paces.get(attempt, FULL_PERCENT)
-            new_percent = self._adjust(old_percent, latency_ratio)
+            old_percent = self._find_pace(attempt)
+            new_percent = self._choose_pace(old_percent, latency_ratio)
+            if new_percent < FULL_PERCENT:
+                _excuse_slowness(worker, attempt)
             if new_percent != old_percent:
                 self._paces[attempt] = new_percent
                 orders.append(
@@ -63,6 +65,20 @@
                 )
         return orders
 
+    def _find_pace(self, attempt: tuple[TaskKey, int]) -> int | None:
+        """Return the present pace, None if it is unknown."""
+        unknown = self._partition.unknown_paces
+        if attempt in unknown:
+            unknown.discard(attempt)
+            return None
+        return self._paces.get(attempt, FULL_PERCENT)
+
+    def _choose_pace(self, percent: int | None, latency_ratio: float) -> int:
+        if percent is not None:
+            return self._adjust(percent, latency_ratio)
+        # Speed may be lost for a moment, neighbours are not harmed.
+        return self._adjust(0, latency_ratio) if latency_ratio else FULL_PERCENT
+
     def _adjust(self, percent: int, latency_ratio: float) -> int:
         settings = self._partition.settings
         if latency_ratio > 1:
@@ -75,22 +91,25 @@
 
     def _measure_latency_ratio(self, worker: WorkerState) -> float:
         latency_ratio = 0.0
-        for key in worker.attached:
-            state = self._partition.jobs[key.job_id]
-            target_ms = state.job.spec.steps[key.step].latency_target_ms
-            task = state.find(key)
-            if target_ms and task is not None and task.is_serving:
+        for attachment in worker.attached.values():
+            target_ms = attachment.step.latency_target_ms
+            task = attachment.task
+            if target_ms and task.is_serving:
                 latency_ratio = max(latency_ratio, task.tail_ms / target_ms)
         return latency_ratio
 
-    def _list_scavengers(
-        self, worker: WorkerState
-    ) -> list[tuple[TaskKey, int]]:
-        found = []
-        for key, attachment in worker.attached.items():
-            state = self._partition.jobs[key.job_id]
-            task = state.find(key)
-            is_running = task is not None and task.phase is TaskPhase.RUNNING
-            if is_running and state.job.spec.steps[key.step].scavenges:
-                found.append((key, attachment.attempt))
-        return found
+
+def _excuse_slowness(worker: WorkerState, attempt: tuple[TaskKey, int]) -> None:
+    """Let a slowed attempt not count as stalled."""
+    if worker.last_report_at is not None:
+        task = worker.attached[attempt[0]].task
+        task.progress_at = worker.last_report_at
+
+
+def _list_scavengers(worker: WorkerState) -> list[tuple[TaskKey, int]]:
+    return [
+        (key, attachment.attempt)
+        for key, attachment in worker.attached.items()
+        if attachment.step.scavenges
+        and attachment.task.phase is TaskPhase.RUNNING
+    ]
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -4,7 +4,7 @@
 package.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 
 from tarragonlb.scheduling.job import Step, TaskKey
@@ -25,20 +25,52 @@
     worker_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedBound:
+    """How long leases that former owners granted on a worker may still last.
+
+    No more than ``remaining_seconds`` from ``read_at``, when this process read
+    the bound.
+    """
+
+    remaining_seconds: float
+    read_at: float
+
+    @property
+    def lease_end(self) -> float:
+        """Return when the leases have certainly run out."""
+        return self.read_at + self.remaining_seconds
+
+
 class PartitionState:
     """The jobs and workers of the pools of one partition.
 
     ``changed_jobs`` are the ids of jobs whose progress record is out of date.
-    ``released_attempts`` are still to be logged.
+    ``released_attempts`` are still to be logged.  ``open_jobs`` are the jobs
+    of which tasks may still be started; ``jobs`` also holds finished ones for
+    as long as their state can be queried.  ``changed_pools`` are pools whose
+    jobs or workers have changed since tasks were last placed there.
+    ``reported_workers`` have reported since they were last paced, and
+    ``stopping_workers`` may have attempts that are to be stopped.
+    ``stored_bounds`` maps the workers whose lease bound is stored, or being
+    stored, to its seconds.  ``unknown_paces`` are scavenging attempts whose
+    pace is unknown.
     """
 
     __slots__ = (
-        '_taken_over_at',
+        '_inherited_bounds',
         'changed_jobs',
+        'changed_pools',
         'jobs',
+        'open_jobs',
         'queues',
         'released_attempts',
+        'reported_workers',
         'settings',
+        'stopping_workers',
+        'stored_bounds',
+        'taken_over_at',
+        'unknown_paces',
         'workers',
     )
 
@@ -46,17 +78,36 @@
         """Start without jobs, after a takeover at ``now`` seconds."""
         self.settings = settings
         self.jobs: dict[str, JobState] = {}
+        self.open_jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.queues: Mapping[str, Queue] = {}
         self.changed_jobs: set[str] = set()
+        self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
-        self._taken_over_at = now
-
-    @property
-    def former_leases_end(self) -> float:
-        """Return when all leases granted by former owners have run out."""
-        settings = self.settings
-        return self._taken_over_at + settings.compute_longest_lease()
+        self.reported_workers: set[str] = set()
+        self.stopping_workers: set[str] = set()
+        self.unknown_paces: set[tuple[TaskKey, int]] = set()
+        self.taken_over_at = now
+        self.stored_bounds: dict[str, float] = {}
+        self._inherited_bounds: Mapping[str, InheritedBound] = {}
+
+    def inherit_bounds(self, bounds: Mapping[str, InheritedBound]) -> None:
+        """Use the stored lease bounds, before any job or worker is added.
+
+        They must have been read to the end after all former owners were fenced.
+        """
+        self._inherited_bounds = dict(bounds)
+        self.stored_bounds = {
+            worker_id: bound.remaining_seconds
+            for worker_id, bound in bounds.items()
+        }
+
+    def find_former_lease_end(self, worker_id: str) -> float:
+        """Return when all leases of former owners on a worker have run out."""
+        longest = self.settings.compute_longest_lease()
+        latest = self.taken_over_at + longest
+        bound = self._inherited_bounds.get(worker_id)
+        return latest if bound is None else min(latest, bound.lease_end)
 
     def add_job(self, state: JobState) -> None:
         """Add a job and attach the attempts that its record says may run."""
@@ -64,11 +115,17 @@
         if job_id in self.jobs:
             return
         self.jobs[job_id] = state
+        if state.is_open:
+            self.open_jobs[job_id] = state
+        self.changed_pools.add(state.job.pool)
         for key, task in state.list_tasks():
             if task.is_attached:
                 worker = self.find_worker(task.worker_id, state.job.pool)
                 step = state.job.spec.steps[key.step]
-                worker.attach(key, task.attempt, step)
+                worker.attach(key, task, step)
+                if step.scavenges:
+                    self.unknown_paces.add((key, task.attempt))
+                self.stopping_workers.add(task.worker_id)
 
     def cancel_job(self, job_id: str, now: float) -> None:
         """Cancel a job and stop all its attempts."""
@@ -83,10 +140,15 @@
     ) -> None:
         """Set the outcome of a job and stop its attempts."""
         state.close(outcome, now)
-        self.changed_jobs.add(state.job.job_id)
+        self._note_changed(state)
         for _, task in state.list_tasks():
             if task.is_attached:
-                task.begin_stop(StopReason.JOB_OVER)
+                self.begin_stop(task, StopReason.JOB_OVER)
+
+    def begin_stop(self, task: TaskState, reason: StopReason) -> None:
+        """Have the attempt of an attached task stopped."""
+        task.begin_stop(reason)
+        self.stopping_workers.add(task.worker_id)
 
     def update_workers(self, workers: Iterable[Worker]) -> None:
         """Apply the worker directory: all listed workers of these pools."""
@@ -100,10 +162,19 @@
             known = self.workers.get(worker_id)
             if known is None:
                 self.workers[worker_id] = WorkerState(
-                    worker, self.former_leases_end
+                    worker, self.find_former_lease_end(worker_id)
                 )
-            else:
+            elif known.entry != worker:
                 known.update(worker)
+                self.changed_pools.add(worker.pool)
+
+    def apply_drain_requests(self, worker_ids: Container[str]) -> None:
+        """Drain the requested workers, and use all others again."""
+        for worker_id, worker in self.workers.items():
+            is_requested = worker_id in worker_ids
+            if worker.is_drain_requested and not is_requested:
+                self.changed_pools.add(worker.entry.pool)
+            worker.is_drain_requested = is_requested
 
     def find_worker(self, worker_id: str, pool: str) -> WorkerState:
         """Return a worker; add one that the directory does not list."""
@@ -111,7 +182,7 @@
         if known is None:
             known = WorkerState(
                 Worker(worker_id=worker_id, pool=pool),
-                self.former_leases_end,
+                self.find_former_lease_end(worker_id),
             )
             known.is_listed = False
             self.workers[worker_id] = known
@@ -140,7 +211,7 @@
         )
         self._detach(key, task)
         task.release()
-        self.changed_jobs.add(key.job_id)
+        self._note_changed(self.jobs[key.job_id])
 
     def finish(self, key: TaskKey, now: float) -> None:
         """Mark a task, or all tasks of its gang, as done."""
@@ -150,9 +221,16 @@
             if index == key.position or step.is_gang:
                 self._detach(key._replace(position=index), task)
         state.finish_task(key, now)
-        self.changed_jobs.add(key.job_id)
+        self._note_changed(state)
 
     def _detach(self, key: TaskKey, task: TaskState) -> None:
         worker = self.workers.get(task.worker_id)
         if worker is not None and task.phase is not TaskPhase.WAITING:
             worker.detach(key)
+            self.changed_pools.add(worker.entry.pool)
+
+    def _note_changed(self, state: JobState) -> None:
+        self.changed_jobs.add(state.job.job_id)
+        self.changed_pools.add(state.job.pool)
+        if not state.is_open:
+            self.open_jobs.pop(state.job.job_id, None)
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from tarragonlb.scheduling.assignment import Assigner
 from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.leasebound import LeaseBoundKeeper
 from tarragonlb.scheduling.orders import SchedulingDecision, StartOrder
 from tarragonlb.scheduling.ordertracker import OrderTracker
 from tarragonlb.scheduling.pacing import Pacer
@@ -23,13 +24,18 @@
 from tarragonlb.scheduling.stopping import StopPlanner
 from tarragonlb.scheduling.task import TaskPhase
 
+# Finished jobs are looked through this often, since most rounds remove none.
+CLEANUP_INTERVAL_SECONDS = 1.0
+
 
 class Scheduler:
     """Schedules all pools of one partition, during one term."""
 
     __slots__ = (
         '_assigner',
+        '_next_cleanup_at',
         '_stop_planner',
+        'bound_keeper',
         'order_tracker',
         'pacer',
         'reconciler',
@@ -44,11 +50,18 @@
         self.reconciler = Reconciler(self.state)
         self.order_tracker = OrderTracker(self.state)
         self.pacer = Pacer(self.state)
+        self.bound_keeper = LeaseBoundKeeper(self.state)
         self._assigner = Assigner(self.state, policy)
         self._stop_planner = StopPlanner(self.state)
+        self._next_cleanup_at = now
+
+    def decide(
+        self, now: Moment, *, is_store_suspect: bool = False
+    ) -> SchedulingDecision:
+        """Run one scheduling round.
 
-    def decide(self, now: Moment) -> SchedulingDecision:
-        """Run one scheduling round."""
+        ``is_store_suspect`` means that the store may be unavailable.
+        """
         state = self.state
         self.reconciler.expire_leases(now.seconds)
         self._stop_planner.evict_permanent_tasks()
@@ -66,13 +79,20 @@
             removed=removed,
             starts=tuple(starts),
             stops=tuple(self._stop_planner.list_orders(now.seconds)),
-            paces=tuple(self.pacer.decide(now.seconds)),
+            paces=tuple(self.pacer.decide()),
+            bound_changes=self.bound_keeper.decide(
+                now.seconds, is_store_suspect=is_store_suspect
+            ),
             end_acks={
                 worker_id: (worker.incarnation, worker.last_end_number)
                 for worker_id, worker in state.workers.items()
             },
         )
 
+    def may_extend_lease(self, worker_id: str) -> bool:
+        """Return whether leases on a worker may be extended now."""
+        return worker_id not in self.state.stored_bounds
+
     def is_still_wanted(self, order: StartOrder) -> bool:
         """Return whether a stored start order should still be sent."""
         task = self.state.find_attempt(
@@ -84,6 +104,9 @@
         return worker is not None and not worker.entry.is_draining
 
     def _forget_finished(self, now: float) -> tuple[str, ...]:
+        if now < self._next_cleanup_at:
+            return ()
+        self._next_cleanup_at = now + CLEANUP_INTERVAL_SECONDS
         limit = now - self.state.settings.status_retention_seconds
         old = [
             job_id
