--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -33,3 +33,9 @@
     And the job is removed and its records expire
     And the partition is read again
     Then the job is unknown
+
+  # Thirty daemons that own nothing made most of the calls to the store.
+  Scenario: Only owners read the directory of workers several times a second
+    Given daemons with "2 1 1 1 1 1" cores and 2 workers
+    When 20 seconds pass
+    Then the directory has been read 150 to 240 times
