Keep the answer times of orders well below the timeout of calls

The gate admits as many orders as are answered within 0.2 s; the polls of all workers wait for the same processor, 0.24 s at 4 ms a call, so both together could exceed the 0.4 s after which a call counts as unanswered. Which ones did depended on the order in which trio runs tasks.

--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -77,7 +77,7 @@
     min_orders_under_way: int = 16
     max_orders_under_way: int = 256
     # Orders that take longer are too many at once.
-    order_target_seconds: float = 0.2
+    order_target_seconds: float = 0.1
     # An order that is unanswered for this long no longer counts.
     order_hold_seconds: float = 0.4
     # Pause before a call to the store that had no effect is retried.
