Read the fleet's records to their end, and forget withdrawn drains

And a daemon that had been cut off until records expired went on to take a VM whose drain was withdrawn meanwhile for one that is being drained.

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -39,3 +39,16 @@
     Given daemons with "2 1 1 1 1 1" cores and 2 workers
     When 20 seconds pass
     Then the directory has been read 150 to 240 times
+
+  # A fleet's owner began its term before it had read which partitions pools have.
+  Scenario: The fleet's records are read to their end
+    Given a store that returns one record a read
+    When three pools are assigned and the fleet's records are read once
+    Then all three pools have their partition
+
+  # A daemon that had been cut off took a reopened VM for one that is drained.
+  Scenario: A drain request withdrawn while nothing could be read is forgotten
+    Given a store that returns one record a read
+    When a drain is requested and the fleet's records are read once
+    And it is withdrawn, records expire and the fleet's records are read again
+    Then no VM is to be drained
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -207,22 +207,32 @@
             await trio.sleep(self._settings.worker_read_interval_seconds)
 
     async def refresh(self) -> bool:
-        """Read new records; return whether the store answered."""
-        sent_at = self._clock.read_boottime()
-        update = await self._reader.poll(0)
-        if isinstance(update, NotDone):
-            self._dependency_log.record_failure(
-                update.reason, trio.current_time()
-            )
-            return False
-        self._dependency_log.record_success(trio.current_time())
-        self._view.last_read_at = sent_at
+        """Read all that is stored now; return whether the store answered."""
+        while True:
+            sent_at = self._clock.read_boottime()
+            update = await self._reader.poll(0)
+            if isinstance(update, NotDone):
+                self._dependency_log.record_failure(
+                    update.reason, trio.current_time()
+                )
+                return False
+            self._dependency_log.record_success(trio.current_time())
+            self._view.last_read_at = sent_at
+            self._apply(update)
+            if update.is_at_end:
+                return True
+
+    def _apply(self, update: RecordUpdate) -> None:
         fleet_state = self._view.fleet_state
-        fleet_state.apply(update.records, self._clock.read_monotonic())
+        now = self._clock.read_monotonic()
+        if update.snapshot_end is None:
+            fleet_state.apply(update.records, now)
+        else:
+            fleet_state.apply_snapshot(update.records, update.snapshot_end, now)
         for error in fleet_state.errors:
             LOG.emit('Invalid record ignored.', reason=str(error))
         fleet_state.errors.clear()
         # Statuses of owners arrive all the time, and only bids use them.
-        if not all(is_owner_record(record) for record in update.records):
+        is_changed = not all(map(is_owner_record, update.records))
+        if is_changed or update.is_snapshot:
             self._view.notify()
-        return True
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -12,6 +12,8 @@
 import cbor2
 
 from tarragonlb.scheduling.fleetrecords import (
+    CLOSE,
+    EMPTY,
     DrainRequest,
     PoolLoad,
     VmOrder,
@@ -79,6 +81,26 @@
         for key in self.maintenance_begun:
             self.maintenance_begun_at.setdefault(key, now)
 
+    def apply_snapshot(
+        self, records: Iterable[KeyedRecord], end: int, now: float
+    ) -> None:
+        """Apply the newest record of each key, complete up to offset ``end``.
+
+        Drain requests that are not listed were withdrawn while nobody read;
+        records of other kinds are never removed.
+        """
+        found = tuple(records)
+        listed = {record.key for record in found}
+        for key, offset in self._offsets.items():
+            kind, _, vm_id = key.partition('/')
+            if offset >= end or key in listed:
+                continue
+            if kind == CLOSE:
+                self.drain_requests.pop(vm_id, None)
+            elif kind == EMPTY:
+                self.drained.pop(vm_id, None)
+        self.apply(found, now)
+
     @property
     def drain_requests_by_worker(self) -> dict[str, DrainRequest]:
         """Return the drain requests by worker id."""
