--- a/libs/controller/features/steps/dependency_steps.py
+++ b/libs/controller/features/steps/log_steps.py
@@ -2,19 +2,25 @@
 from behave import then
 
 
-@then(
-    'the log reports once that "{name}" is unavailable and once that it '
-    'recovered'
-)
-def check_lines(context, name):
+def run_and_collect_lines(simulation):
+    """Run the simulation and return the lines that it logs."""
     lines = []
     eliot.add_destinations(lines.append)
     # Eliot passes messages logged earlier to the first destination.
     lines.clear()
     try:
-        context.simulation.run()
+        simulation.run()
     finally:
         eliot.remove_destination(lines.append)
+    return lines
+
+
+@then(
+    'the log reports once that "{name}" is unavailable and once that it '
+    'recovered'
+)
+def check_lines(context, name):
+    lines = run_and_collect_lines(context.simulation)
     sentences = [
         line['sentence'] for line in lines if line.get('dependency') == name
     ]
@@ -26,14 +32,7 @@
 
 @then('the log has {least:d} to {most:d} lines on the state of the partition')
 def collect_states(context, least, most):
-    lines = []
-    eliot.add_destinations(lines.append)
-    # Eliot passes messages logged earlier to the first destination.
-    lines.clear()
-    try:
-        context.simulation.run()
-    finally:
-        eliot.remove_destination(lines.append)
+    lines = run_and_collect_lines(context.simulation)
     context.states = [
         line
         for line in lines
@@ -53,14 +52,7 @@
     'most {most:d} lines'
 )
 def check_ends(context, tasks, most):
-    lines = []
-    eliot.add_destinations(lines.append)
-    # Eliot passes messages logged earlier to the first destination.
-    lines.clear()
-    try:
-        context.simulation.run()
-    finally:
-        eliot.remove_destination(lines.append)
+    lines = run_and_collect_lines(context.simulation)
     ended = [
         line for line in lines if line.get('sentence') == 'owner: Tasks ended.'
     ]
