--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -74,11 +74,16 @@
         self._counts: Counter[str] = Counter()
         self._counted_at = -1.0
 
+    @property
+    def is_owned(self) -> bool:
+        """Return whether this daemon owns the partition."""
+        return self._subscriber is not None
+
     async def run(self) -> None:
         """Poll the partition until cancelled."""
         settings = self._settings
         while True:
-            is_owner = self._subscriber is not None
+            is_owner = self.is_owned
             if is_owner:
                 result = await self._read(settings.read_wait_seconds)
             else:
@@ -166,13 +171,13 @@
 
     def _index(self, update: RecordUpdate) -> list[str]:
         now = self._clock.read_monotonic()
-        if update.snapshot_end is None:
-            others = self.lease_bounds.apply(update.records, now)
-        else:
-            others = self.lease_bounds.apply_snapshot(
-                update.records, update.snapshot_end, now
+        end = update.snapshot_end
+        if end is None:
+            return self.job_index.apply(
+                self.lease_bounds.apply(update.records, now)
             )
-        return self.job_index.apply(others)
+        others = self.lease_bounds.apply_snapshot(update.records, end, now)
+        return self.job_index.apply_snapshot(others, end)
 
     def _apply(self, update: RecordUpdate) -> None:
         self.last_read_at = self._clock.read_boottime()
--- a/libs/controller/tarragonlb/controller/partitionlease.py
+++ b/libs/controller/tarragonlb/controller/partitionlease.py
@@ -13,7 +13,12 @@
 from tarragonlb.controller.dependencylog import DependencyLog
 from tarragonlb.controller.membership import Membership, OwnedPartition
 from tarragonlb.controller.ports import Clock, Store
-from tarragonlb.controller.results import Assignment, NotDone
+from tarragonlb.controller.results import (
+    Assignment,
+    Fenced,
+    NotDone,
+    Stored,
+)
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.telemetry.log import Log
 
@@ -39,8 +44,10 @@
         '_membership',
         '_settings',
         '_store',
+        'claimed_at',
         'partition',
         'renewed_at',
+        'scope',
     )
 
     def __init__(
@@ -56,6 +63,9 @@
         self.partition = partition
         # When the last successful join was sent, on the boot-time clock.
         self.renewed_at: float | None = None
+        self.claimed_at = 0.0
+        # Cancelled to hand the partition over.
+        self.scope = trio.CancelScope()
         self._member = member
         self._store = store
         self._settings = settings
@@ -81,6 +91,7 @@
     async def claim(self) -> bool:
         """Join the group; return whether the partition is owned now."""
         if await self._join() and self.find_owned() and await self._settle():
+            self.claimed_at = self._clock.read_boottime()
             return True
         await self.leave()
         return False
@@ -104,9 +115,13 @@
                 )
                 await self.leave()
             is_member = await self._renew()
-        self._membership = Membership(self._settings.member_ttl_seconds)
+        self.forget()
         await on_renewal()
 
+    def forget(self) -> None:
+        """Own the partition no longer."""
+        self._membership = Membership(self._settings.member_ttl_seconds)
+
     async def leave(self) -> None:
         """Leave the group, so that another daemon can join it at once."""
         await self._store.leave(self.partition, self._member)
@@ -174,6 +189,8 @@
             )
             return False
         self._group_log.record_success(trio.current_time())
+        if not await self._check_term():
+            return False
         self.renewed_at = sent_at
         self._membership.apply_assignment(
             Assignment(
@@ -183,3 +200,17 @@
             sent_at,
         )
         return True
+
+    async def _check_term(self) -> bool:
+        """Give up a term that another owner's has followed.
+
+        While the membership had expired, another daemon may have owned the
+        partition and left.  Return whether the store answered.
+        """
+        owned = self.find_owned()
+        if owned is None or self.is_valid(self._clock.read_boottime()):
+            return True
+        fenced = await self._store.fence(owned.partition, owned.term)
+        if isinstance(fenced, Fenced):
+            self.end_term(owned)
+        return isinstance(fenced, Fenced | Stored)
--- a/libs/scheduling/tarragonlb/scheduling/pacing.py
+++ b/libs/scheduling/tarragonlb/scheduling/pacing.py
@@ -15,7 +15,8 @@
 class Pacer:
     """Sets the pace of the scavenging attempts of a partition.
 
-    A pace is the percentage of full speed; an attempt starts at 100.
+    A pace is the percentage of full speed; an attempt starts at 100.  That of
+    an attempt which a former owner started is unknown.
     """
 
     __slots__ = ('_paces', '_partition')
@@ -36,8 +37,10 @@
         return orders
 
     def note_refused(self, order: PaceOrder) -> None:
-        """Forget a pace that was not applied."""
-        self._paces.pop((order.key, order.attempt), None)
+        """Forget a pace that was perhaps not applied."""
+        attempt = (order.key, order.attempt)
+        if self._paces.pop(attempt, None) is not None:
+            self._partition.unknown_paces.add(attempt)
 
     def _pace_worker(self, worker: WorkerState) -> list[PaceOrder]:
         scavengers = _list_scavengers(worker)
@@ -46,8 +49,10 @@
         latency_ratio = self._measure_latency_ratio(worker)
         orders = []
         for attempt in scavengers:
-            old_percent = self._paces.get(attempt, FULL_PERCENT)
-            new_percent = self._adjust(old_percent, latency_ratio)
+            old_percent = self._find_pace(attempt)
+            new_percent = self._choose_pace(old_percent, latency_ratio)
+            if new_percent < FULL_PERCENT:
+                _excuse_slowness(worker, attempt)
             if new_percent != old_percent:
                 self._paces[attempt] = new_percent
                 orders.append(
@@ -60,6 +65,20 @@
                 )
         return orders
 
+    def _find_pace(self, attempt: tuple[TaskKey, int]) -> int | None:
+        """Return the present pace, None if it is unknown."""
+        unknown = self._partition.unknown_paces
+        if attempt in unknown:
+            unknown.discard(attempt)
+            return None
+        return self._paces.get(attempt, FULL_PERCENT)
+
+    def _choose_pace(self, percent: int | None, latency_ratio: float) -> int:
+        if percent is not None:
+            return self._adjust(percent, latency_ratio)
+        # Speed may be lost for a moment, neighbours are not harmed.
+        return self._adjust(0, latency_ratio) if latency_ratio else FULL_PERCENT
+
     def _adjust(self, percent: int, latency_ratio: float) -> int:
         settings = self._partition.settings
         if latency_ratio > 1:
@@ -80,6 +99,13 @@
         return latency_ratio
 
 
+def _excuse_slowness(worker: WorkerState, attempt: tuple[TaskKey, int]) -> None:
+    """Let a slowed attempt not count as stalled."""
+    if worker.last_report_at is not None:
+        task = worker.attached[attempt[0]].task
+        task.progress_at = worker.last_report_at
+
+
 def _list_scavengers(worker: WorkerState) -> list[tuple[TaskKey, int]]:
     return [
         (key, attachment.attempt)
