--- a/bench/worker_calls.py
+++ b/bench/worker_calls.py
@@ -28,10 +28,10 @@
 RECEIVE_BYTES = 65536
 TIMEOUT_SECONDS = 0.4
 MICROSECONDS = 1_000_000
-PATH = '/hold'
+PATH = '/status'
 HEADERS = (
     ('Content-Type', 'application/json'),
-    ('X-Expect-Instance', 'i-5d13b3bfc6'),
+    ('X-Worker', 'worker-1'),
 )
 # As long as a status request.
 REQUEST = msgspec.json.encode(dict.fromkeys(('term', 'until', 'wait'), 486000))
@@ -39,10 +39,10 @@
     Report(
         clock_ms=482113,
         running=[
-            RunningRow(f'5c0e7a21d94b36f8.0.1.{number}', 2, '00bb87a2', 41, 880)
+            RunningRow(f'0123456789abcdef.0.1.{number}', 2, '00bb87a2', 41, 880)
             for number in range(RUNNING_TASKS)
         ],
-        ended_runs=[EndedRow(58, '5c0e7a21d94b36f8.0.1.9', 1, 'done')],
+        ended_runs=[EndedRow(58, '0123456789abcdef.0.1.9', 1, 'done')],
     )
 )
 RESPONSE = (
