Take a worker that no VM runs any more as over

Cause: silence was the only sign of a loss, and silence proves nothing before the leases end. The platform's list of VMs names the worker of each VM, and a worker is one life of a VM.

Change: an owner with attempts on unreachable workers lists the VMs twice a second. A worker that is missing from all listings within 0.4 s and has not answered meanwhile has ended. Ruled out: a record of lost workers written by the fleet's owner, which a later owner could read after the worker has started again under its id.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -37,6 +37,16 @@
     Then the remaining daemon reports its job as completed
     And no lease bound is left in the store
 
+  # Guards against tasks that wait for the leases of a worker whose VM is down.
+  Scenario: Tasks of a VM that is listed as down start elsewhere at once
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And the worker that runs them becomes unreachable
+    And its VM is listed as down
+    And 4 seconds pass
+    Then the job is completed
+
   Scenario: A worker that answers again keeps its tasks
     Given 2 daemons and 2 workers
     When a job of 6 tasks is submitted
--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -27,6 +27,7 @@
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.queue import Queue, QueueTable
 from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.scheduling.wave import Vm, VmStatus
 from tarragonlb.scheduling.worker import (
     EndedAttempt,
     RunningAttempt,
@@ -343,8 +344,24 @@
 
 
 class FakeVmApi(VmApi):
+    """Lists a VM for each worker; those in ``ended`` run no worker."""
+
+    def __init__(self, workers=0):
+        self.workers = workers
+        self.ended = set()
+
     async def list_vms(self):
-        return ()
+        await trio.sleep(CALL_SECONDS)
+        names = [f'w{number}' for number in range(self.workers)]
+        return tuple(
+            Vm(
+                vm_id=f'm-{name}',
+                pool='pool',
+                status=VmStatus.DOWN if name in self.ended else VmStatus.UP,
+                worker_id='' if name in self.ended else name,
+            )
+            for name in names
+        )
 
     async def maintain(self, vm, wave, holder, term):
         return OrderResult.DONE
--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -66,6 +66,7 @@
     async def _run(self):
         self.store = FakeStore()
         self.worker_api = self.create_worker_api()
+        self.vms = FakeVmApi(self.workers)
         log = self.store.logs
         log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'1'))
         for number in range(self.workers):
@@ -86,7 +87,7 @@
 
     def _start(self, nursery, name, cores=SETTINGS.processor_cores):
         platform = Platform(
-            self.store, FakeDocumentDecoder(), self.worker_api, FakeVmApi()
+            self.store, FakeDocumentDecoder(), self.worker_api, self.vms
         )
         settings = replace(SETTINGS, processor_cores=cores)
         self.lags[name] = FakeLag()
--- a/libs/controller/features/steps/bound_steps.py
+++ b/libs/controller/features/steps/bound_steps.py
@@ -13,6 +13,14 @@
     context.simulation.actions.append(action)
 
 
+@when('its VM is listed as down')
+def end_vm(context):
+    async def action(sim):
+        sim.vms.ended.update(sim.worker_api.unreachable)
+
+    context.simulation.actions.append(action)
+
+
 @when('the worker becomes reachable')
 def make_reachable(context):
     async def action(sim):
--- a/libs/controller/tarragonlb/controller/events.py
+++ b/libs/controller/tarragonlb/controller/events.py
@@ -9,6 +9,7 @@
     StartOrder,
     StopOrder,
 )
+from tarragonlb.scheduling.vmevidence import VmListing
 from tarragonlb.scheduling.worker import WorkerReport
 
 
@@ -46,6 +47,13 @@
     worker_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class VmsListed:
+    """The platform listed all VMs."""
+
+    listing: VmListing
+
+
 @dataclass(frozen=True, slots=True)
 class OrderAnswered:
     """The result of an order is known."""
@@ -74,6 +82,7 @@
     | ReportReceived
     | WorkerSilent
     | WorkerReplaced
+    | VmsListed
     | OrderAnswered
     | DecisionStored
     | TermEnded
--- a/libs/controller/tarragonlb/controller/ordergate.py
+++ b/libs/controller/tarragonlb/controller/ordergate.py
@@ -18,7 +18,7 @@
 
 from tarragonlb.controller.orderlimit import OrderLimit
 from tarragonlb.controller.pollbudget import PollBudget
-from tarragonlb.controller.ports import WorkerApi
+from tarragonlb.controller.ports import VmApi, WorkerApi
 from tarragonlb.controller.settings import ControllerSettings
 
 
@@ -87,5 +87,6 @@
     """How all owners of a process call workers, and what they share."""
 
     api: WorkerApi
+    vms: VmApi
     gate: OrderGate
     poll_budget: PollBudget
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -26,6 +26,7 @@
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.controller.vmwatch import VmWatch
 from tarragonlb.controller.workersession import WorkerSession
 from tarragonlb.scheduling.orders import (
     OrderResult,
@@ -149,6 +150,12 @@
         self._load_state()
         self._nursery.start_soon(self._forward_job_changes, changes)
         self._nursery.start_soon(self._forward_view_changes)
+        vm_watch = VmWatch(self._workers.vms, self._settings, self._clock)
+        self._nursery.start_soon(
+            vm_watch.run,
+            self._inbox,
+            lambda: bool(self._scheduler.state.list_unreachable()),
+        )
         try:
             await self._run_rounds()
         finally:
@@ -279,39 +286,35 @@
         if isinstance(event, events.TermEnded):
             raise TermEndedError(event.reason)
         now = self._clock.read_monotonic()
-        reconciler = self._scheduler.reconciler
         match event:
-            case events.ReportReceived():
-                self._decision_log.collect_ends(
-                    event.report, self._scheduler.state.workers
-                )
-                reconciler.apply_report(event.report)
             case events.JobsChanged():
                 for job_id in event.job_ids:
                     self._update_job(job_id, now)
             case events.OrderAnswered():
-                self._handle_order_answer(event, now)
+                self._scheduler.apply_order_result(
+                    event.order, event.result, now
+                )
             case events.DecisionStored():
                 self._finish_round(event.decision)
             case events.ViewChanged():
                 self._apply_view()
+            case _:
+                self._handle_worker_event(event)
+
+    def _handle_worker_event(self, event: events.Event) -> None:
+        reconciler = self._scheduler.reconciler
+        match event:
+            case events.ReportReceived():
+                self._decision_log.collect_ends(
+                    event.report, self._scheduler.state.workers
+                )
+                reconciler.apply_report(event.report)
             case events.WorkerSilent():
                 reconciler.note_silence(event.worker_id, event.lease_until)
             case events.WorkerReplaced():
                 reconciler.note_worker_replaced(event.worker_id)
-
-    def _handle_order_answer(
-        self, event: events.OrderAnswered, now: float
-    ) -> None:
-        order_tracker = self._scheduler.order_tracker
-        order, result = event.order, event.result
-        if isinstance(order, StartOrder):
-            order_tracker.apply_start_result(order, result, now)
-        elif isinstance(order, PaceOrder):
-            if result is not OrderResult.DONE:
-                self._scheduler.pacer.note_refused(order)
-        else:
-            order_tracker.apply_stop_result(order, result, now)
+            case events.VmsListed():
+                reconciler.apply_vm_listing(event.listing)
 
     def _update_job(self, job_id: str, now: float) -> None:
         records = self._feed.job_index.find(job_id)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -87,6 +87,7 @@
         self._is_stopping = False
         self._workers = WorkerAccess(
             platform.workers,
+            platform.vms,
             OrderGate(settings),
             PollBudget(settings),
         )
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -86,6 +86,8 @@
     submit_timeout_seconds: float = 1.2
     # Time between two listings of the VMs.
     vm_list_interval_seconds: float = 0.25
+    # Time between two listings by an owner that can't reach all its workers.
+    vm_watch_interval_seconds: float = 0.5
     # A daemon without contact with the store for this long is not ready and
     # gets no new clients.
     store_unready_seconds: float = 2.5
--- a/libs/scheduling/features/fakeworkers.py
+++ b/libs/scheduling/features/fakeworkers.py
@@ -31,6 +31,7 @@
     worker_id: str
     rate: float = 1.0
     incarnation: int = 1
+    started_at: float = -1.0
     fence: int = 0
     lease_until: float = 0.0
     is_up: bool = True
@@ -138,8 +139,9 @@
             log.append((self.worker_id, key, 'gone'))
         self.is_up = False
 
-    def restart(self):
+    def restart(self, now):
         self.is_up = True
+        self.started_at = now
         self.incarnation += 1
         self.fence = 0
         self.ended = []
--- a/libs/scheduling/features/faultscripts.py
+++ b/libs/scheduling/features/faultscripts.py
@@ -63,7 +63,7 @@
             inject_fault(fleet, fault, tick)
         fleet.step()
     for worker in fleet.workers:
-        clear_faults(worker)
+        clear_faults(worker, fleet.now)
     fleet.is_store_up = True
     fleet.run(RECOVERY_SECONDS)
     return [(number, faults, job_id) for job_id in fleet.list_open()]
@@ -87,7 +87,7 @@
             if worker.is_up:
                 worker.crash(fleet.log)
             else:
-                worker.restart()
+                worker.restart(fleet.now)
         case 'store':
             fleet.is_store_up = not fleet.is_store_up
         case 'fail':
@@ -98,9 +98,9 @@
             fleet.cancel(fleet.list_open()[0])
 
 
-def clear_faults(worker):
+def clear_faults(worker, now):
     worker.is_reachable = True
     worker.fails_all = False
     worker.is_stalled = False
     if not worker.is_up:
-        worker.restart()
+        worker.restart(now)
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -11,6 +11,7 @@
 
 from fakeworkers import FakeWorker
 from simulatedowner import MEMBER_TTL_SECONDS, SimulatedOwner
+from simulatedvms import VmListings
 
 from tarragonlb.scheduling.job import Demand, Job, JobSpec, Moment, Step
 from tarragonlb.scheduling.jobindex import JobIndex
@@ -66,6 +67,9 @@
         self.cancelled = {}
         self.owner = SimulatedOwner(self, self.term)
         self.former_owners = []
+        self.vm_listings = VmListings(
+            seed, 0 if is_reliable else LOSS_PROBABILITY
+        )
 
     # Actions of clients.
 
@@ -150,6 +154,7 @@
         for worker in self.workers:
             worker.advance(self.now, self.log)
         self._record_ends()
+        self.vm_listings.send(self)
         for owner in [self.owner, *self.former_owners]:
             if owner is not None and self.now >= owner.frozen_until:
                 self._run_owner(owner)
--- a/libs/scheduling/features/steps/task_steps.py
+++ b/libs/scheduling/features/steps/task_steps.py
@@ -13,6 +13,11 @@
 from faultscripts import FAULTS, run_script  # noqa: E402
 from fleetsimulation import FleetSimulation, make_step  # noqa: E402
 
+from tarragonlb.scheduling.vmevidence import (  # noqa: E402
+    VmListEvidence,
+    VmListing,
+)
+
 EXAMPLES = 120
 # A permanent task counts as lost from 6 s after the end of its last run, if it
 # does not run for 3 s.
@@ -83,6 +88,33 @@
     context.counts_before = dict(context.fleet.start_counts)
 
 
+@when('worker "{name}" is lost')
+def lose(context, name):
+    make_unreachable(context, name)
+    assert context.unreachable_keys, name
+    find_worker(context.fleet, name).crash(context.fleet.log)
+
+
+@when('listings at "{times}" lack a worker that last answered at {answered}')
+def list_without(context, times, answered):
+    evidence = VmListEvidence()
+    answered_at = None if answered == 'never' else float(answered)
+    workers = {'': {'w2'}, 'shown': {'w1', 'w2'}, 'empty': set()}
+    for text in times.split():
+        at, _, content = text.partition(':')
+        context.ended = evidence.observe(
+            VmListing(frozenset(workers[content]), float(at)),
+            {'w1': answered_at, 'w2': None},
+        )
+
+
+@then('the worker has {outcome}')
+def check_evidence(context, outcome):
+    assert context.ended == (('w1',) if outcome == 'ended' else ()), (
+        context.ended
+    )
+
+
 @then('"{name}" had tasks when it became unreachable')
 def check_had_tasks(context, name):
     assert context.unreachable_keys, name
--- a/libs/scheduling/features/tasks.feature
+++ b/libs/scheduling/features/tasks.feature
@@ -16,6 +16,49 @@
     When 12 seconds pass
     Then the job is completed
 
+  # Guards against tasks of a lost VM that wait for its leases to run out,
+  # although the platform already shows that the VM is down.
+  Scenario: Tasks of a VM that the platform lists as down start elsewhere at once
+    Given a fleet of 4 workers on a network that loses nothing
+    And a job of 8 permanent tasks
+    When 2 seconds pass
+    And worker "w1" is lost
+    And 2 seconds pass
+    Then every task of "w1" has started elsewhere
+
+  # Guards against permanent tasks that stay away when a worker and all owners
+  # are lost together: the next owner knows no bound of the worker's leases.
+  Scenario: Tasks of a lost VM start elsewhere at once after a loss of the owner
+    Given a fleet of 4 workers on a network that loses nothing
+    And a job of 8 permanent tasks
+    When 2 seconds pass
+    And worker "w1" is lost
+    And the owner is killed
+    And 3.5 seconds pass
+    Then every task of "w1" has started elsewhere
+
+  Scenario: A worker that is only unreachable stays listed and keeps its tasks
+    Given a fleet of 4 workers on a network that loses nothing
+    And a job of 8 permanent tasks
+    When 2 seconds pass
+    And worker "w1" becomes unreachable
+    And the owner is killed
+    And 3.5 seconds pass
+    Then no task of "w1" has started elsewhere
+
+  Scenario Outline: Listings of the VMs prove that a worker has ended, if <case>
+    When listings at "<listed>" lack a worker that last answered at <answered>
+    Then the worker has <outcome>
+
+    Examples:
+      | case                             | listed            | answered | outcome     |
+      | two lack it                      | 1.0 1.5           | 0.5      | ended       |
+      | two lack it and it never replied | 1.0 1.5           | never    | ended       |
+      | only one lacks it                | 1.0               | 0.5      | not ended   |
+      | one between shows it             | 1.0 1.2:shown 1.5 | 0.5      | not ended   |
+      | it replied between               | 1.0 1.5           | 1.2      | not ended   |
+      | the lists are empty              | 1.0:empty 1.5:empty | 0.5    | not ended   |
+
   Scenario: A step that allows copies does not wait for a silent worker
     Given a fleet of 4 workers on a network that loses nothing
     And a job of 8 tasks that allow copies
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -176,6 +176,18 @@
                 self.changed_pools.add(worker.entry.pool)
             worker.is_drain_requested = is_requested
 
+    def list_unreachable(self) -> dict[str, float | None]:
+        """Return when unreachable workers with attempts last answered, by id.
+
+        None for those that have not answered since the takeover.
+        """
+        return {
+            worker_id: worker.last_report_at
+            for worker_id, worker in self.workers.items()
+            if worker.attached
+            and (worker.is_silent or worker.last_report_at is None)
+        }
+
     def find_worker(self, worker_id: str, pool: str) -> WorkerState:
         """Return a worker; add one that the directory does not list."""
         known = self.workers.get(worker_id)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -1,14 +1,15 @@
 """Reconciles the recorded state of attempts with the workers' reports.
 
 An attempt is over only when its worker reports its end, when the worker has
-barred it and then does not list it, when the worker has a new incarnation, or
-when the attempt's lease has certainly run out.
+barred it and then does not list it, when the worker has a new incarnation or
+runs on no VM any more, or when the attempt's lease has certainly run out.
 """
 
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
+from tarragonlb.scheduling.vmevidence import VmListEvidence, VmListing
 from tarragonlb.scheduling.worker import (
     EndedAttempt,
     OrphanedAttempt,
@@ -24,11 +25,12 @@
 class Reconciler:
     """Updates a partition after reports, silence and expired leases."""
 
-    __slots__ = ('_partition',)
+    __slots__ = ('_partition', '_vm_evidence')
 
     def __init__(self, partition: PartitionState) -> None:
         """Update ``partition``, which the caller owns."""
         self._partition = partition
+        self._vm_evidence = VmListEvidence()
 
     def apply_report(self, report: WorkerReport) -> None:
         """Apply a worker's report of running and ended attempts."""
@@ -80,6 +82,14 @@
         if worker is not None:
             self.end_incarnation(worker, 'another worker has its address')
 
+    def apply_vm_listing(self, listing: VmListing) -> None:
+        """Release the attempts of workers that a list of VMs proves over."""
+        for worker_id in self._vm_evidence.observe(
+            listing, self._partition.list_unreachable()
+        ):
+            worker = self._partition.workers[worker_id]
+            self.end_incarnation(worker, 'no VM runs the worker any more')
+
     def expire_leases(self, now: float) -> None:
         """Release the attempts of silent workers whose lease has run out."""
         margin = self._partition.settings.lease_margin_seconds
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -14,7 +14,13 @@
 from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.leasebound import LeaseBoundKeeper
-from tarragonlb.scheduling.orders import SchedulingDecision, StartOrder
+from tarragonlb.scheduling.orders import (
+    OrderResult,
+    PaceOrder,
+    SchedulingDecision,
+    StartOrder,
+    StopOrder,
+)
 from tarragonlb.scheduling.ordertracker import OrderTracker
 from tarragonlb.scheduling.pacing import Pacer
 from tarragonlb.scheduling.partitionstate import PartitionState
@@ -89,6 +95,20 @@
             },
         )
 
+    def apply_order_result(
+        self,
+        order: StartOrder | StopOrder | PaceOrder,
+        result: OrderResult,
+        now: float,
+    ) -> None:
+        """Apply the result of an order to a worker."""
+        if isinstance(order, StartOrder):
+            self.order_tracker.apply_start_result(order, result, now)
+        elif isinstance(order, StopOrder):
+            self.order_tracker.apply_stop_result(order, result, now)
+        elif result is not OrderResult.DONE:
+            self.pacer.note_refused(order)
+
     def may_extend_lease(self, worker_id: str) -> bool:
         """Return whether leases on a worker may be extended now."""
         return worker_id not in self.state.stored_bounds
