Check all partitions soon after the start of a daemon

After a loss of all daemons the first claim came 1.9 s after the first daemon listened: a daemon that has just started waited for the silence of owners whose stored statuses it had read, although they may be long gone.

Change: the first status that a daemon reads is taken as possibly old, so the partition is due after the delay of the bid. A status heard meanwhile, or a member found in the group, starts the usual wait. Cost: at most one listing of owners a partition for a start.

Test: "A daemon that has just started checks all partitions soon" fails before the change. The step "owners are heard" now reads a stored status and then a newer one, since the two differ; its checks are unchanged.

--- a/libs/scheduling/features/owners.feature
+++ b/libs/scheduling/features/owners.feature
@@ -24,6 +24,22 @@
     Then no partition is due at 1.5 s
     And partition 1 is due at 1.9 s
 
+  # Guards against a takeover that waits for the silence of an owner that was
+  # gone before the daemon started, as after a loss of all daemons.
+  Scenario: A daemon that has just started checks all partitions soon
+    Given stored statuses of partitions "1" are read at 0 s
+    Then no partition is due at 0.1 s
+    And partition 1 is due at 0.5 s
+    When partition 1 turns out to be taken at 0.5 s
+    Then no partition is due at 1.6 s
+    And partition 1 is due at 2.1 s
+
+  Scenario: A daemon that has just started leaves live owners alone
+    Given stored statuses of partitions "1" are read at 0 s
+    When the owner of partition 1 is heard at 0.2 s
+    Then no partition is due at 1.8 s
+    And partition 1 is due at 2.3 s
+
   Scenario: A partition that never had an owner is due
     Given owners of partitions "1" are heard at 0 s
     And partition 3 gets its first pool at 0 s
--- a/libs/scheduling/features/steps/owner_steps.py
+++ b/libs/scheduling/features/steps/owner_steps.py
@@ -42,8 +42,8 @@
         assert least <= delay <= most, delay
 
 
-@given('owners of partitions "{numbers}" are heard at {now:g} s')
-def start(context, numbers, now):
+@given('stored statuses of partitions "{numbers}" are read at {now:g} s')
+def read_stored(context, numbers, now):
     context.bids = OwnershipBids(CapacityBidPolicy())
     context.new_partitions = frozenset()
     context.statuses = {
@@ -52,6 +52,14 @@
     observe(context, now)
 
 
+@given('owners of partitions "{numbers}" are heard at {now:g} s')
+def start(context, numbers, now):
+    read_stored(context, numbers, now)
+    for number in context.statuses:
+        context.statuses[number] = build_status(number, 2)
+    observe(context, now)
+
+
 @given('partition {partition:d} gets its first pool at {now:g} s')
 def add_partition(context, partition, now):
     context.new_partitions = frozenset((partition,))
@@ -60,7 +68,7 @@
 
 @when('the owner of partition {partition:d} releases it at {now:g} s')
 def release(context, partition, now):
-    context.statuses[partition] = build_status(partition, 2, is_released=True)
+    context.statuses[partition] = build_status(partition, 3, is_released=True)
     observe(context, now)
 
 
--- a/libs/scheduling/tarragonlb/scheduling/ownership.py
+++ b/libs/scheduling/tarragonlb/scheduling/ownership.py
@@ -1,10 +1,11 @@
 """Decides when a daemon bids for the ownership of a partition.
 
 Owners publish a status twice a second.  A partition whose owner has released it
-or has not been heard for a while is probably vacant.  Daemons then wait before
-they bid: the less processor capacity a daemon has for another partition, the
-longer.  So the strongest idle daemon wins, and the others see its status before
-their own time has come.
+or has not been heard for a while is probably vacant.  So is one of which a
+daemon that has just started knows only a stored status, which may be old.
+Daemons then wait before they bid: the less processor capacity a daemon has for
+another partition, the longer.  So the strongest idle daemon wins, and the
+others see its status before their own time has come.
 
 A status only tells when to look.  Whether a partition is vacant, and who gets
 it, is up to the store's groups.
@@ -105,6 +106,9 @@
 
     def __init__(self, status: OwnerStatus | None, now: float) -> None:
         self.note_status(status, now)
+        if self.has_owner():
+            # The first status read may be old: the owner may be long gone.
+            self.vacant_at = now
 
     def note_status(self, status: OwnerStatus | None, now: float) -> None:
         self.status = status
@@ -200,6 +204,8 @@
         """Take note that the partition is not vacant after all."""
         watch = self._watches[partition]
         watch.checks += 1
+        if watch.has_owner():
+            watch.vacant_at = watch.heard_at + SILENT_AFTER_SECONDS
         doublings = max(watch.checks - RECHECKS_BEFORE_BACKOFF, 0)
         watch.check_after = now + min(
             RECHECK_SECONDS * 2**doublings, MAX_RECHECK_SECONDS
