Let daemons that own nothing read less often

At hundreds of machines most daemons own nothing, and each made 13 calls to the store a second whether anything concerned it or not: 1 a second for each partition beside the reads of queries, 2 for the configuration, 1 for the directory of workers, 4 for the fleet partition.

Change: a read by a query postpones the next read of its partition, which is due after 1.8 s (counts of pending jobs may be 2 s old); a read of the operators' topic waits for 0.3 of the time in which a configuration has to be applied, as the settings file says it; the directory is read every 4 s, only the newest entry of each worker is decoded, and a daemon that becomes an owner reads it at once. Tried and dropped: the fleet partition every 0.5 s. The fleet's owner then claimed new pools before idle daemons had read of them ("An overloaded owner keeps its pool" failed).

Test: "A daemon that owns nothing reads seldom, an owner often" replaces a scenario that counted the reads of all daemons together, from 150 to 240: it bounds the reads of each daemon by topic, and owners must still read the directory 3.5 times a second. It fails before the change. "A daemon reads the directory at once when it becomes an owner" guards the longer interval: it fails if the new owner waits for the next read.

--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -229,6 +229,21 @@
         return Stored(0)
 
 
+class StoreAccess:
+    """The store as one daemon calls it, with the time of each of its reads."""
+
+    def __init__(self, store, reads):
+        self._store = store
+        self._reads = reads
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    async def read(self, topic, partition, offset, wait_seconds):
+        self._reads.append((trio.current_time(), (topic, partition)))
+        return await self._store.read(topic, partition, offset, wait_seconds)
+
+
 class FakeDocumentDecoder(DocumentDecoder):
     def decode_operator_record(self, record):
         version, *pools = record.value.decode().split()
--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -34,11 +34,24 @@
     And the partition is read again
     Then the job is unknown
 
-  # Thirty daemons that own nothing made most of the calls to the store.
-  Scenario: Only owners read the directory of workers several times a second
+  # Pattern: hundreds of daemons, most of which own nothing and made most of the
+  # calls to the store.
+  Scenario: A daemon that owns nothing reads seldom, an owner often
     Given daemons with "2 1 1 1 1 1" cores and 2 workers
-    When 20 seconds pass
-    Then the directory has been read 150 to 240 times
+    When the reads of 20 seconds are counted
+    Then each owner has read the directory at least 70 times
+    And a daemon that owns nothing has read the directory at most 5 times
+    And a daemon that owns nothing has read the fleet partition at most 81 times
+    And a daemon that owns nothing has read the other partitions at most 12 times
+    And a daemon that owns nothing has read the operators' topic at most 34 times
+
+  # Guards against an owner that starts tasks on a worker which has announced
+  # that it drains.
+  Scenario: A daemon reads the directory at once when it becomes an owner
+    Given 3 daemons and 2 workers
+    When the owner of the pool is killed
+    And 5 seconds pass until a daemon owns the pool
+    Then that daemon read the directory within 0.1 s of its claim
 
   # A fleet's owner began its term before it had read which partitions pools have.
   Scenario: The fleet's records are read to their end
--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -11,6 +11,7 @@
     FakeStore,
     FakeVmApi,
     FakeWorkerApi,
+    StoreAccess,
 )
 
 from tarragonlb.controller.looplag import LoopLag
@@ -75,6 +76,7 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             self.controllers = {}
+            self.reads = {}
             self.lags = {}
             self.scopes = {}
             self.stops = {}
@@ -86,8 +88,12 @@
             nursery.cancel_scope.cancel()
 
     def _start(self, nursery, name, cores=SETTINGS.processor_cores):
+        self.reads[name] = []
         platform = Platform(
-            self.store, FakeDocumentDecoder(), self.worker_api, self.vms
+            StoreAccess(self.store, self.reads[name]),
+            FakeDocumentDecoder(),
+            self.worker_api,
+            self.vms,
         )
         settings = replace(SETTINGS, processor_cores=cores)
         self.lags[name] = FakeLag()
@@ -106,6 +112,9 @@
         self.scopes[name] = scope
         self.stops[name] = stopped
 
+    async def sleep(self, seconds):
+        await trio.sleep(seconds)
+
     def find_owner(self):
         partition = self.find_partition('pool')
         for name, owned in self.list_owners():
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -157,20 +157,23 @@
     async def pause(self) -> None:
         """Wait until the next read is due.
 
-        A daemon that owns nothing reads seldom, but soon after it has become
+        A daemon that owns nothing reads seldom, but at once when it has become
         an owner.
         """
-        due_at = (
-            trio.current_time() + self._settings.follower_read_interval_seconds
-        )
-        await super().pause()
-        while not self._view.renewed_at and trio.current_time() < due_at:
+        if self._view.renewed_at:
             await super().pause()
+            return
+        with trio.move_on_after(
+            self._settings.follower_worker_interval_seconds
+        ):
+            await self._view.wait_for_ownership()
 
     def apply(self, update: RecordUpdate) -> None:
         """Apply the entries of workers; a snapshot replaces all of them."""
         workers = {} if update.is_snapshot else dict(self._view.workers)
-        for record in update.records:
+        # Most records only repeat an entry, and the newest one counts.
+        newest = {record.key: record for record in update.records}
+        for record in newest.values():
             worker = self._documents.decode_worker_record(record)
             if worker is not None:
                 workers[record.key] = worker
--- a/libs/controller/tarragonlb/controller/ownership.py
+++ b/libs/controller/tarragonlb/controller/ownership.py
@@ -136,7 +136,8 @@
         leases = tuple(self._leases.values())
         statuses = self._build_statuses(is_released=True)
         self._leases.clear()
-        self._view.renewed_at.clear()
+        for lease in leases:
+            self._view.note_loss(lease.partition)
         with trio.move_on_after(LEAVE_TIMEOUT_SECONDS):
             async with trio.open_nursery() as nursery:
                 for lease in leases:
@@ -209,7 +210,7 @@
         if lease.scope.cancelled_caught:
             await self._release_to_successor(lease)
         self._leases.pop(lease.partition, None)
-        self._view.renewed_at.pop(lease.partition, None)
+        self._view.note_loss(lease.partition)
         LOG.emit('Partition lost.', partition=lease.partition)
 
     async def _release_to_successor(self, lease: PartitionLease) -> None:
@@ -229,7 +230,7 @@
 
     async def _note_renewal(self, lease: PartitionLease) -> None:
         if lease.renewed_at is not None:
-            self._view.renewed_at[lease.partition] = lease.renewed_at
+            self._view.note_renewal(lease.partition, lease.renewed_at)
         await self._update_owner(lease.partition)
 
     async def _publish_statuses(self) -> None:
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -22,6 +22,8 @@
 LOG = Log('partition')
 # Clients may be given a count of pending jobs that is this old.
 COUNT_CACHE_SECONDS = 0.3
+# A read that is due within this time is not waited for.
+MIN_WAIT_SECONDS = 0.01
 
 
 class PartitionFeed:
@@ -98,9 +100,7 @@
             if is_owner:
                 await trio.sleep(settings.owner_read_interval_seconds)
                 continue
-            with trio.move_on_after(settings.follower_read_interval_seconds):
-                await self._wake.wait()
-            self._wake = trio.Event()
+            await self._wait_for_next_refresh()
 
     async def refresh(self) -> bool:
         """Read all that is stored now; return whether the store answered."""
@@ -138,6 +138,17 @@
             self._counted_at = now
         return self._counts[queue]
 
+    async def _wait_for_next_refresh(self) -> None:
+        """Wait until the last read is too old, or the partition is owned."""
+        interval = self._settings.follower_read_interval_seconds
+        while self.last_read_at is not None and not self._wake.is_set():
+            age = self._clock.read_boottime() - self.last_read_at
+            if age > interval - MIN_WAIT_SECONDS:
+                break
+            with trio.move_on_after(interval - age):
+                await self._wake.wait()
+        self._wake = trio.Event()
+
     async def _refresh(self) -> RecordUpdate | NotDone:
         """Read to the partition's end; return the result of the last read.
 
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -16,6 +16,7 @@
 
     __slots__ = (
         '_changed',
+        '_owns',
         'configuration',
         'fleet_state',
         'last_read_at',
@@ -38,6 +39,22 @@
         self.last_read_at: float | None = None
         self.renewed_at: dict[int, float] = {}
         self._changed = trio.Event()
+        self._owns = trio.Event()
+
+    def note_renewal(self, partition: int, sent_at: float) -> None:
+        """Note that an owned partition was renewed by a call of ``sent_at``."""
+        self.renewed_at[partition] = sent_at
+        self._owns.set()
+
+    def note_loss(self, partition: int) -> None:
+        """Note that a partition is no longer owned."""
+        self.renewed_at.pop(partition, None)
+        if not self.renewed_at and self._owns.is_set():
+            self._owns = trio.Event()
+
+    async def wait_for_ownership(self) -> None:
+        """Wait until this process owns a partition."""
+        await self._owns.wait()
 
     def compute_contact_age(self, now: float) -> float:
         """Return the time since the last contact with the store in seconds.
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -38,22 +38,25 @@
     max_round_interval_seconds: float = 0.25
     # Minimum time between an owner's reads while records arrive.
     owner_read_interval_seconds: float = 0.04
-    # Time between reads by a daemon that does not own the partition.  Clients
-    # are told that counts of pending jobs may be this old.
-    follower_read_interval_seconds: float = 1.0
+    # Time between reads by a daemon that does not own the partition, unless a
+    # query has read it meanwhile.  Clients are told that counts of pending jobs
+    # may be this old.
+    follower_read_interval_seconds: float = 1.8
     # How long a query of a job's state waits for newer records.  Several times
     # the usual response time of the store, and short for the client: the state
     # known before is a valid answer.
     state_read_seconds: float = 0.3
     # How long an owner's read waits for records.
     read_wait_seconds: float = 0.5
-    # How long one read of the operators' topic waits for records.  Together
-    # with the call's timeout it must stay well below the time in which a
-    # configuration has to be applied, since a connection may be dead.
-    operator_wait_seconds: float = 0.5
-    # Time between reads of the worker directory and of the fleet partition.  An
-    # owner must read entries of draining workers well within the drain time.
+    # A configuration has to be applied within this time.
+    configuration_apply_seconds: float = 2.0
+    # Time between reads of the fleet partition, and of the worker directory by
+    # an owner.  It must read entries of draining workers well within the drain
+    # time.
     worker_read_interval_seconds: float = 0.25
+    # Time between reads of the worker directory by a daemon that owns nothing.
+    # It reads at once when it becomes an owner.
+    follower_worker_interval_seconds: float = 4.0
     # How long a worker may wait for an attempt to end before it replies to a
     # poll.
     poll_wait_seconds: float = 0.8
@@ -92,6 +95,16 @@
     # gets no new clients.
     store_unready_seconds: float = 2.5
 
+    @property
+    def operator_wait_seconds(self) -> float:
+        """Return how long one read of the operators' topic waits for records.
+
+        Its connection may be dead, which shows only after this time and the
+        call's timeout; both together must stay well below the time in which a
+        configuration has to be applied.
+        """
+        return 0.3 * self.configuration_apply_seconds
+
     @property
     def pool_partitions(self) -> range:
         """Return the partitions that pools may be assigned to."""
