Build records of the store as structs

A follower builds a record for each change of a job. As frozen dataclasses they took most of the decoding. The behaviour is the same; no test changes.

--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -26,8 +26,7 @@
     """A record that cannot be used, since its key or value is invalid."""
 
 
-@dataclass(frozen=True, slots=True)
-class KeyedRecord:
+class KeyedRecord(msgspec.Struct, frozen=True):
     """A record of a topic that keeps the newest value of each key.
 
     An empty value removes the key.
