End a term, not the daemon, after an unexpected error of an owner

An error that no code expects, raised by a scheduling round or by the fleet's owner, ended the whole process, with all its other partitions and the clients that it served.

Change: the owner's term ends and the error is logged with its trace; the partition is owned again in a later term. Test: "An unexpected error ends a term, not the daemon" ended the whole simulation before the change.

--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -43,6 +43,17 @@
     Then the job is completed
     And every task was started once
 
+  # Guards against one unexpected error that takes a whole process down.
+  Scenario: An unexpected error ends a term, not the daemon
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And a scheduling round raises an unexpected error
+    And 5 seconds pass
+    Then 2 partitions are owned
+    And both daemons still run
+    And the job is completed
+    And every task was started once
+
   Scenario: A partition that its owner releases is owned again at once
     Given daemons with "2 1 1" cores and 2 workers
     When the owner of the pool is asked to stop
--- a/libs/controller/features/steps/ownership_steps.py
+++ b/libs/controller/features/steps/ownership_steps.py
@@ -1,6 +1,7 @@
 import sys
 from collections import Counter
 from pathlib import Path
+from unittest.mock import patch
 
 import trio
 from behave import given, then, when
@@ -14,6 +15,7 @@
 from tarragonlb.controller.partitionlease import PartitionLease  # noqa: E402
 from tarragonlb.controller.ports import Topic  # noqa: E402
 from tarragonlb.scheduling.records import KeyedRecord  # noqa: E402
+from tarragonlb.scheduling.scheduler import Scheduler  # noqa: E402
 
 
 @when('the operators publish version {version:d} with the pools "{names}"')
@@ -25,6 +27,27 @@
     context.simulation.actions.append(action)
 
 
+@when('a scheduling round raises an unexpected error')
+def fail_round(context):
+    async def action(sim):
+        failed = trio.Event()
+
+        def decide(*arguments, **named):
+            failed.set()
+            raise KeyError('unexpected')
+
+        with patch.object(Scheduler, 'decide', decide):
+            await failed.wait()
+
+    context.simulation.actions.append(action)
+
+
+@then('both daemons still run')
+def check_daemons_run(context):
+    # An error that ends a daemon ends the simulation's run.
+    assert len(context.simulation.controllers) == 2
+
+
 @when('all daemons are replaced by new ones')
 def replace_all(context):
     async def action(sim):
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -6,6 +6,7 @@
 allows.
 """
 
+import traceback
 from dataclasses import dataclass
 from functools import partial
 
@@ -36,6 +37,8 @@
 LOG = Log('process')
 # The part of the grace period that is reserved for closing connections.
 STOP_MARGIN_SECONDS = 1.5
+# The end of a trace names the cause.
+MAX_TRACE_CHARACTERS = 3000
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,7 +214,7 @@
     ) -> None:
         try:
             with scope:
-                await self._run_owner(owned)
+                await self._run_owner_contained(owned)
                 self._ownership.end_term(owned)
         finally:
             self._remove_owner(owned, ended)
@@ -226,6 +229,23 @@
             term=owned.term,
         )
 
+    async def _run_owner_contained(self, owned: OwnedPartition) -> None:
+        """Run an owner; an unexpected error ends its term, not the process.
+
+        Another daemon, or this one in a later term, then owns the partition.
+        """
+        try:
+            await self._run_owner(owned)
+        except Exception as error:
+            trace = ''.join(traceback.format_exception(error))
+            LOG.emit(
+                'Owner failed.',
+                partition=owned.partition,
+                term=owned.term,
+                error=repr(error),
+                trace=trace[-MAX_TRACE_CHARACTERS:],
+            )
+
     async def _run_owner(self, owned: OwnedPartition) -> None:
         platform = self._platform
         if owned.partition == FLEET_PARTITION:
