Let a pool without workers ask for some while it has jobs

A pool that lost all its workers for good published no load, so the fleet's owner that came next knew of no need there, and its jobs waited for ever (listed as open, by reading only).

Change: a pool with jobs but without workers publishes the least number of workers. Test: "A pool without workers asks for some while it has jobs" had no load before the change.

--- a/libs/controller/tarragonlb/controller/loadpublisher.py
+++ b/libs/controller/tarragonlb/controller/loadpublisher.py
@@ -37,6 +37,9 @@
         names = {
             worker.entry.pool for worker in partition_state.workers.values()
         }
+        names.update(
+            state.job.pool for state in partition_state.open_jobs.values()
+        )
         for name in sorted(names):
             load = measure_load(partition_state, name)
             if load is not None and load != self._published.get(name):
--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -219,3 +219,12 @@
     When worker "w0" is born anew
     And a scheduling round runs
     Then 1 tasks start
+
+  # Guards against a pool that loses all its workers for good, asks for none and
+  # never serves its jobs.
+  Scenario: A pool without workers asks for some while it has jobs
+    Given no workers
+    Then the pool publishes no load
+    When a job with steps "4x1000" arrives
+    Then the pool wants 2 workers, with a minimum of 2
+    And 0 workers can be drained
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -109,6 +109,16 @@
         add_worker(context, name, millicores)
 
 
+@given('no workers')
+def start_without_workers(context):
+    start_scheduler(context, '', 0)
+
+
+@then('the pool publishes no load')
+def check_no_load(context):
+    assert measure_load(context.scheduler.state, 'p') is None
+
+
 @when('worker "{name}" joins with {millicores:d} millicores')
 def add_worker_later(context, name, millicores):
     add_worker(context, name, millicores)
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -41,19 +41,22 @@
 
 
 def measure_load(partition: PartitionState, pool: str) -> PoolLoad | None:
-    """Return the load of a pool, or None while it has no listed worker."""
+    """Return the load of a pool, or None if it has neither workers nor jobs.
+
+    A pool that has lost all its workers still asks for some.
+    """
     workers = [
         worker
         for worker in partition.workers.values()
         if worker.entry.pool == pool and worker.is_listed
     ]
-    if not workers:
-        return None
     jobs = [
         state
         for state in partition.open_jobs.values()
         if state.job.pool == pool
     ]
+    if not (workers or jobs):
+        return None
     needed, wanted = _DemandSum(), _DemandSum()
     min_workers = MIN_WORKERS
     for state in jobs:
