Bound the VMs that owners list a second for lost workers

The listings for lost workers grew with owners times VMs: with 23,000 VMs and 72 pools, a zone cut would have asked for 16,000 pages a second, and the platform limits the pages of all daemons together, also those of the fleet's owner. Computed, not seen.

Change: after a listing an owner waits for at least a millisecond a VM.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -47,6 +47,15 @@
     And 4 seconds pass
     Then the job is completed
 
+  # Pattern: tens of thousands of VMs, and a zone cut that concerns every owner.
+  Scenario Outline: Listings for lost workers become rarer with the number of VMs
+    Then an owner that watches <vms> VMs lists them at most <most> times in 20 s
+
+    Examples:
+      | vms   | most |
+      | 30    | 40   |
+      | 23000 | 1    |
+
   Scenario: A worker that answers again keeps its tasks
     Given 2 daemons and 2 workers
     When a job of 6 tasks is submitted
--- a/libs/controller/features/steps/bound_steps.py
+++ b/libs/controller/features/steps/bound_steps.py
@@ -1,6 +1,11 @@
+import trio
+import trio.testing
 from behave import then, when
+from fakeplatform import FakeClock, FakeVmApi
+from simulation import SETTINGS
 
 from tarragonlb.controller.ports import Topic
+from tarragonlb.controller.vmwatch import VmWatch
 
 
 @when('the worker that runs them becomes unreachable')
@@ -37,3 +42,20 @@
     bounds = {key: v for key, v in newest.items() if key.endswith('l')}
     assert bounds, 'no bound was ever stored'
     assert not any(bounds.values()), bounds
+
+
+@then(
+    'an owner that watches {vms:d} VMs lists them at most {most:d} times in '
+    '{seconds:d} s'
+)
+def check_listings(context, vms, most, seconds):
+    inbox, listings = trio.open_memory_channel(1000)
+    watch = VmWatch(FakeVmApi(vms), SETTINGS, FakeClock())
+
+    async def run():
+        with trio.move_on_after(seconds):
+            await watch.run(inbox, lambda: True)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    found = listings.statistics().current_buffer_used
+    assert 0 < found <= most, found
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -91,6 +91,9 @@
     vm_list_interval_seconds: float = 0.25
     # Time between two listings by an owner that can't reach all its workers.
     vm_watch_interval_seconds: float = 0.5
+    # Each such owner lists no more VMs a second, since the platform limits the
+    # pages that all daemons together may read.
+    max_watched_vms_per_second: float = 1000
     # A daemon without contact with the store for this long is not ready and
     # gets no new clients.
     store_unready_seconds: float = 2.5
--- a/libs/controller/tarragonlb/controller/vmwatch.py
+++ b/libs/controller/tarragonlb/controller/vmwatch.py
@@ -36,17 +36,28 @@
         is_needed: Callable[[], bool],
     ) -> None:
         """List the VMs at an interval while ``is_needed`` returns true."""
+        pause = self._settings.vm_watch_interval_seconds
         while True:
-            await trio.sleep(self._settings.vm_watch_interval_seconds)
+            await trio.sleep(pause)
             if is_needed():
-                await self._list(inbox)
-
-    async def _list(self, inbox: trio.MemorySendChannel[Event]) -> None:
+                count = await self._list(inbox)
+                pause = self._choose_pause(count)
+
+    def _choose_pause(self, vms: int) -> float:
+        """Return a pause that bounds the listed VMs per second."""
+        return max(
+            self._settings.vm_watch_interval_seconds,
+            vms / self._settings.max_watched_vms_per_second,
+        )
+
+    async def _list(self, inbox: trio.MemorySendChannel[Event]) -> int:
+        """Send a listing to the owner; return the number of listed VMs."""
         requested_at = self._clock.read_monotonic()
         vms = await self._vms.list_vms()
         if isinstance(vms, NotDone):
             self._dependency_log.record_failure(vms.reason, requested_at)
-            return
+            return 0
         self._dependency_log.record_success(requested_at)
         worker_ids = frozenset(vm.worker_id for vm in vms) - {''}
         await inbox.send(VmsListed(VmListing(worker_ids, requested_at)))
+        return len(vms)
