Take the newest valid entry of each worker

Of the entries of one worker in a read only the newest was decoded since reads of the directory became rare.

Change: records are looked at from the newest on, until one is valid. New beside it: "A worker that left while nothing could be read is forgotten".

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -45,6 +45,30 @@
     And a daemon that owns nothing has read the other partitions at most 12 times
     And a daemon that owns nothing has read the operators' topic at most 34 times
 
+  # Guards against a server that has left and is in use again.
+  Scenario: A worker that left while nothing could be read is forgotten
+    Given a directory with the records "w0=x w1=x"
+    When the directory is read
+    Then the workers "w0 w1" are known
+    When the records "w0= w1=x" are added and the former ones expire
+    And the directory is read
+    Then the workers "w1" are known
+
+  # Another program may write to the directory.
+  Scenario Outline: Of several records of a worker the newest valid one counts
+    Given a directory with the records "w0=x w1=x"
+    When the directory is read
+    And the records "<records>" are added
+    And the directory is read
+    Then the workers "<known>" are known
+
+    Examples:
+      | records           | known    |
+      | w2=x w2=invalid   | w0 w1 w2 |
+      | w0= w0=invalid    | w1       |
+      | w0=invalid w0=x   | w0 w1    |
+      | w0=x w0=          | w1       |
+
   # Guards against an owner that starts tasks on a worker which has announced
   # that it drains.
   Scenario: A daemon reads the directory at once when it becomes an owner
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -171,14 +171,18 @@
     def apply(self, update: RecordUpdate) -> None:
         """Apply the entries of workers; a snapshot replaces all of them."""
         workers = {} if update.is_snapshot else dict(self._view.workers)
-        # Most records only repeat an entry, and the newest one counts.
-        newest = {record.key: record for record in update.records}
-        for record in newest.values():
+        # Most records only repeat an entry, and the newest valid one counts.
+        applied: set[str] = set()
+        for record in reversed(update.records):
+            if record.key in applied:
+                continue
             worker = self._documents.decode_worker_record(record)
             if worker is not None:
                 workers[record.key] = worker
+                applied.add(record.key)
             elif not record.value:
                 workers.pop(record.key, None)
+                applied.add(record.key)
         if workers != self._view.workers:
             self._view.workers = workers
             self._view.notify()
