--- a/libs/controller/tarragonlb/controller/ordergate.py
+++ b/libs/controller/tarragonlb/controller/ordergate.py
@@ -84,7 +84,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerAccess:
-    """How all owners of a process call workers, and what they share."""
+    """How all owners of a process call workers and list VMs."""
 
     api: WorkerApi
     vms: VmApi
