Log lost workers with the attempts that were on them

What operators saw: "Tasks queued again." names attempts and a reason, but not which of them may have caused the loss, and no metric counts losses. So a task that crashes its workers looks like the tasks that share them.

The owner now logs "Workers lost." with the reason and, for each attempt, its number and its age, the youngest first; the counter tarragonlb.workers.losses has the reason. How a worker is known to be over is an enumeration now; the texts in the log are unchanged. No decision changes.

The scenario "The log names the attempts of a lost worker and how long they ran" fails without the line (no such sentence). libs/controller 83 passed, libs/scheduling 110 passed.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -47,6 +47,17 @@
     And 4 seconds pass
     Then the job is completed
 
+  # Guards against losses in whose log lines the task that caused them can't be
+  # told from the tasks that shared the worker.
+  Scenario: The log names the attempts of a lost worker and how long they ran
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And the worker that runs them becomes unreachable
+    And its VM is listed as down
+    And 4 seconds pass
+    Then the log names the lost worker once, with its attempts and their ages
+
   # Pattern: tens of thousands of VMs, and a zone cut that concerns every owner.
   Scenario Outline: Listings for lost workers become rarer with the number of VMs
     Then an owner that watches <vms> VMs lists them at most <most> times in 20 s
--- a/libs/controller/features/steps/log_steps.py
+++ b/libs/controller/features/steps/log_steps.py
@@ -60,3 +60,25 @@
     assert len({row[0] for row in rows}) == len(rows) == tasks, len(rows)
     assert all(row[3].startswith('w') for row in rows), rows
     assert len(ended) <= most, len(ended)
+
+
+@then('the log names the lost worker once, with its attempts and their ages')
+def check_losses(context):
+    lines = run_and_collect_lines(context.simulation)
+    losses = [
+        loss
+        for line in lines
+        if line.get('sentence') == 'owner: Workers lost.'
+        for loss in line['workers']
+    ]
+    assert len(losses) == 1, losses
+    (loss,) = losses
+    assert loss['worker'] in context.simulation.vms.ended, loss
+    assert loss['reason'] == 'no VM runs the worker any more', loss
+    job_id = context.simulation.jobs[0]
+    tasks = {f'{job_id}.0.0.{index}' for index in range(6)}
+    assert loss['attempts'], loss
+    for name, attempt, age in loss['attempts']:
+        assert name in tasks and attempt == 1, loss
+        # From 0.4 s before the crash to the detection.
+        assert 0.4 < age < 4, loss
--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -6,19 +6,22 @@
 are reported each second.
 """
 
+import math
 from collections.abc import Mapping
 
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.scheduling.leasebound import BoundChanges
 from tarragonlb.scheduling.orders import SchedulingDecision, StopOrder
-from tarragonlb.scheduling.partitionstate import ReleasedAttempt
+from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
+from tarragonlb.scheduling.workerloss import WorkerLoss
 from tarragonlb.telemetry.fleetmetrics import (
     FLEET_METER,
     TASK_ENDS,
     TASK_RETURNS,
     TASK_STARTS,
     TASK_STOPS,
+    WORKER_LOSSES,
 )
 from tarragonlb.telemetry.log import Log
 
@@ -88,8 +91,10 @@
                 **self._fields,
             )
 
-    def log_released(self, released: list[ReleasedAttempt]) -> None:
-        """Log why attempts count as ended, and clear the list."""
+    def log_released(self, state: PartitionState) -> None:
+        """Log lost workers and why attempts count as over, each once."""
+        self._log_losses(state.worker_losses)
+        released = state.released_attempts
         if not released:
             return
         for attempt in released:
@@ -138,3 +143,39 @@
                 **self._fields,
             )
             self._ends = self._ends[MAX_ENDS_PER_LINE:]
+
+    def _log_losses(self, losses: list[WorkerLoss]) -> None:
+        if not losses:
+            return
+        for loss in losses:
+            FLEET_METER.count(WORKER_LOSSES, loss.reason.value)
+        LOG.emit(
+            'Workers lost.',
+            workers=[_describe_loss(loss) for loss in losses],
+            **self._fields,
+        )
+        losses.clear()
+
+
+def _describe_loss(loss: WorkerLoss) -> dict[str, object]:
+    """Return the fields of a lost worker, the youngest attempt first."""
+    attempts = sorted(
+        loss.attempts,
+        key=lambda lost: (
+            math.inf if lost.age_seconds is None else lost.age_seconds
+        ),
+    )
+    return {
+        'worker': loss.worker_id,
+        'reason': loss.reason.value,
+        'attempts': [
+            (
+                str(lost.key),
+                lost.attempt,
+                None
+                if lost.age_seconds is None
+                else round(lost.age_seconds, 3),
+            )
+            for lost in attempts
+        ],
+    }
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -237,7 +237,7 @@
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
         self._report.note_round(delay, elapsed)
-        self._decision_log.log_released(self._scheduler.state.released_attempts)
+        self._decision_log.log_released(self._scheduler.state)
         self._decision_log.log_stops(decision.stops)
         for stop in decision.stops:
             self._enqueue_order(stop)
@@ -312,7 +312,9 @@
             case events.WorkerSilent():
                 reconciler.note_silence(event.worker_id, event.lease_until)
             case events.WorkerReplaced():
-                reconciler.note_worker_replaced(event.worker_id)
+                reconciler.note_worker_replaced(
+                    event.worker_id, self._clock.read_monotonic()
+                )
             case events.VmsListed():
                 reconciler.apply_vm_listing(event.listing)
 
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -13,6 +13,7 @@
 from tarragonlb.scheduling.settings import SchedulingSettings
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.worker import Worker, WorkerState
+from tarragonlb.scheduling.workerloss import WorkerLoss
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +47,11 @@
     """The jobs and workers of the pools of one partition.
 
     ``changed_jobs`` are the ids of jobs whose progress record is out of date.
-    ``released_attempts`` are still to be logged.  ``open_jobs`` are the jobs
-    of which tasks may still be started; ``jobs`` also holds finished ones for
-    as long as their state can be queried.  ``changed_pools`` are pools whose
-    jobs or workers have changed since tasks were last placed there.
+    ``released_attempts`` and ``worker_losses`` are still to be logged.
+    ``open_jobs`` are the jobs of which tasks may still be started; ``jobs``
+    also holds finished ones for as long as their state can be queried.
+    ``changed_pools`` are pools whose jobs or workers have changed since tasks
+    were last placed there.
     ``reported_workers`` have reported since they were last paced, and
     ``stopping_workers`` may have attempts that are to be stopped.
     ``stored_bounds`` maps the workers whose lease bound is stored, or being
@@ -71,6 +73,7 @@
         'stored_bounds',
         'taken_over_at',
         'unknown_paces',
+        'worker_losses',
         'workers',
     )
 
@@ -84,6 +87,7 @@
         self.changed_jobs: set[str] = set()
         self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
+        self.worker_losses: list[WorkerLoss] = []
         self.reported_workers: set[str] = set()
         self.stopping_workers: set[str] = set()
         self.unknown_paces: set[tuple[TaskKey, int]] = set()
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -5,6 +5,8 @@
 runs on no VM any more, or when the attempt's lease has certainly run out.
 """
 
+from collections.abc import Iterator
+
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.partitionstate import PartitionState
@@ -17,6 +19,11 @@
     WorkerReport,
     WorkerState,
 )
+from tarragonlb.scheduling.workerloss import (
+    LossReason,
+    LostAttempt,
+    WorkerLoss,
+)
 
 ENDED_DONE = 'done'
 ENDED_FAILED = 'failed'
@@ -42,7 +49,7 @@
             worker.incarnation is not None
             and report.incarnation != worker.incarnation
         ):
-            self.end_incarnation(worker, 'the worker was born anew')
+            self.end_incarnation(worker, LossReason.REBORN, report.received_at)
         worker.incarnation = report.incarnation
         worker.last_report_at = report.received_at
         self._partition.reported_workers.add(report.worker_id)
@@ -76,11 +83,11 @@
                 self._orphan_attempt(worker, key)
                 self._release_task(key, 'the worker is silent')
 
-    def note_worker_replaced(self, worker_id: str) -> None:
+    def note_worker_replaced(self, worker_id: str, now: float) -> None:
         """Release the attempts of a worker whose address now is another's."""
         worker = self._partition.workers.get(worker_id)
         if worker is not None:
-            self.end_incarnation(worker, 'another worker has its address')
+            self.end_incarnation(worker, LossReason.REPLACED, now)
 
     def apply_vm_listing(self, listing: VmListing) -> None:
         """Release the attempts of workers that a list of VMs proves over."""
@@ -88,7 +95,7 @@
             listing, self._partition.list_unreachable()
         ):
             worker = self._partition.workers[worker_id]
-            self.end_incarnation(worker, 'no VM runs the worker any more')
+            self.end_incarnation(worker, LossReason.NO_VM, listing.requested_at)
 
     def expire_leases(self, now: float) -> None:
         """Release the attempts of silent workers whose lease has run out."""
@@ -96,15 +103,35 @@
         for worker in self._partition.workers.values():
             is_unreachable = worker.is_silent or worker.last_report_at is None
             if is_unreachable and now > worker.lease_until + margin:
-                self.end_incarnation(worker, 'the lease has run out')
+                self.end_incarnation(worker, LossReason.LEASE_OVER, now)
 
-    def end_incarnation(self, worker: WorkerState, reason: str) -> None:
+    def end_incarnation(
+        self, worker: WorkerState, reason: LossReason, now: float
+    ) -> None:
         """Release all attempts of a worker's present incarnation."""
+        if worker.attached or worker.orphans:
+            self._partition.worker_losses.append(
+                WorkerLoss(
+                    worker.entry.worker_id,
+                    reason,
+                    tuple(self._list_lost(worker, now)),
+                )
+            )
         worker.last_end_number = 0
         worker.incarnation = None
         worker.orphans.clear()
         for key in tuple(worker.attached):
-            self._release_task(key, reason)
+            self._release_task(key, reason.value)
+
+    def _list_lost(
+        self, worker: WorkerState, now: float
+    ) -> Iterator[LostAttempt]:
+        for key, attachment in worker.attached.items():
+            placed_at = attachment.task.placed_at
+            age = None if placed_at is None else now - placed_at
+            yield LostAttempt(key, attachment.attempt, age)
+        for key, orphan in worker.orphans.items():
+            yield LostAttempt(key, orphan.attempt, None)
 
     def _apply_running(
         self, worker: WorkerState, report: WorkerReport
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -41,12 +41,13 @@
 class TaskState:
     """The state of one task; times are seconds on the monotonic clock.
 
-    ``not_before`` is when the task may be placed again after a refusal.
-    ``settled_at`` is when the start order was answered or timed out: a report
-    requested later lists the attempt if it exists.  ``barred_at`` is when the
-    worker confirmed a stop order: a report requested later that does not list
-    the attempt proves that it is over.  ``avoided`` are workers where the task
-    failed or stalled.
+    ``placed_at`` is when this owner placed the present attempt, None if another
+    owner did.  ``not_before`` is when the task may be placed again after a
+    refusal.  ``settled_at`` is when the start order was answered or timed out:
+    a report requested later lists the attempt if it exists.  ``barred_at`` is
+    when the worker confirmed a stop order: a report requested later that does
+    not list the attempt proves that it is over.  ``avoided`` are workers where
+    the task failed or stalled.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         'failed_attempts',
         'not_before',
         'phase',
+        'placed_at',
         'progress_at',
         'progress_percent',
         'settled_at',
@@ -73,6 +75,7 @@
         self.worker_id = ''
         self.failed_attempts: set[int] = set()
         self.checkpoint = ''
+        self.placed_at: float | None = None
         self.not_before = 0.0
         self.avoided: set[str] = set()
         self.settled_at: float | None = None
@@ -105,6 +108,7 @@
         self.phase = TaskPhase.PLACED
         self.worker_id = worker_id
         self.attempt = attempt
+        self.placed_at = now
         self.settled_at = None
         self._forget_orders()
         self.progress_percent = 0
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/workerloss.py
@@ -0,0 +1,43 @@
+"""Records of workers that were lost with attempts on them.
+
+An attempt on a lost worker ends without a report, so the worker says nothing
+about the cause.  What is known is which attempts were there, and since when.
+The attempt that started last before one loss, and again before the next, is
+the suspect; attempts that only shared the worker tend to differ.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from tarragonlb.scheduling.job import TaskKey
+
+
+class LossReason(enum.Enum):
+    """How it is known that a worker is over; values are written to the log."""
+
+    REBORN = 'the worker was born anew'
+    REPLACED = 'another worker has its address'
+    NO_VM = 'no VM runs the worker any more'
+    LEASE_OVER = 'the lease has run out'
+
+
+@dataclass(frozen=True, slots=True)
+class LostAttempt:
+    """An attempt that a worker may have been running when it was lost.
+
+    ``age_seconds`` is the time from the attempt's placement to the detection
+    of the loss, None if this owner did not place it.
+    """
+
+    key: TaskKey
+    attempt: int
+    age_seconds: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLoss:
+    """A lost worker, and the attempts that it may have been running."""
+
+    worker_id: str
+    reason: LossReason
+    attempts: tuple[LostAttempt, ...]
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -43,6 +43,13 @@
     ('reason',),
     'Tasks that wait again, by the reason that their attempt is over.',
 )
+WORKER_LOSSES = Metric(
+    'tarragonlb.workers.losses',
+    'counter',
+    '{worker}',
+    ('reason',),
+    'Workers that were lost with attempts on them, by how that is known.',
+)
 VM_ORDERS = Metric(
     'tarragonlb.vms.orders',
     'counter',
@@ -91,6 +98,7 @@
     TASK_STOPS,
     TASK_ENDS,
     TASK_RETURNS,
+    WORKER_LOSSES,
     VM_ORDERS,
     TERMS,
     STORE_SECONDS,
