Show that a task can crash one worker after the other, without end

Scenarios over the simulated fleet, in virtual time: a task crashes each worker that starts it, at once or after 0.7 s; the worker is back after 3 s, under its id or a new one; the owner hands over, is killed or loses its membership after each crash; the step allows copies; the list of VMs is away.

The test runner strips the names of scenarios: those of outlines end in a space, so an entry in KNOWN-RED.txt could not name one.

--- a/libs/scheduling/features/fakeworkers.py
+++ b/libs/scheduling/features/fakeworkers.py
@@ -36,6 +36,7 @@
     lease_until: float = 0.0
     is_up: bool = True
     is_reachable: bool = True
+    is_draining: bool = False
     fails_all: bool = False
     is_stalled: bool = False
     runs: dict = field(default_factory=dict)
@@ -55,6 +56,7 @@
             pool='p',
             address='x:1',
             zone='z',
+            is_draining=self.is_draining,
             labels=frozenset(('a', 'r1')),
             capacity=self.capacity,
         )
@@ -139,10 +141,12 @@
             log.append((self.worker_id, key, 'gone'))
         self.is_up = False
 
-    def restart(self, now):
+    def restart(self, now, new_id=None):
         self.is_up = True
         self.started_at = now
         self.incarnation += 1
+        self.worker_id = new_id or self.worker_id
+        self.runs = {}
         self.fence = 0
         self.ended = []
         self.barred = {}
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -10,6 +10,7 @@
 from collections import Counter
 
 from fakeworkers import FakeWorker
+from simulatedcrashes import SimulatedCrashes
 from simulatedowner import MEMBER_TTL_SECONDS, SimulatedOwner
 from simulatedvms import VmListings
 
@@ -63,6 +64,7 @@
         self.log = []
         self.done_at = {}
         self.start_counts = Counter()
+        self.crashes = SimulatedCrashes(self)
         self.specs = {}
         self.cancelled = {}
         self.owner = SimulatedOwner(self, self.term)
@@ -258,12 +260,14 @@
         return received_at + (granted - clock) / 1000 * CLOCK_DRIFT_FACTOR
 
     def _send_order(self, owner, order, kind):
-        worker = next(w for w in self.workers if w.worker_id == order.worker_id)
+        worker = next(
+            (w for w in self.workers if w.worker_id == order.worker_id), None
+        )
         until = owner.granted.get(order.worker_id)
         if kind == 'start' and (until is None or self.now > owner.valid_until):
             self._apply_result(owner, order, OrderResult.REFUSED)
             return
-        if self._is_lost():
+        if worker is None or self._is_lost():
             self._apply_result(owner, order, OrderResult.UNANSWERED)
             return
         incarnation = worker.incarnation
@@ -305,6 +309,7 @@
         )
         if result is OrderResult.DONE and worker.runs.get(key) is not before:
             self._check_start(worker, order, step)
+            self.crashes.note_start(worker, key)
         return result
 
     def _apply_result(self, owner, order, result):
--- /dev/null
+++ b/libs/scheduling/features/simulatedcrashes.py
@@ -0,0 +1,51 @@
+"""Workers of a simulated fleet that crash, and tasks that crash them."""
+
+from collections import Counter
+
+RESTART_SECONDS = 3.0
+
+
+class SimulatedCrashes:
+    """Crashes workers, which are back after some seconds.
+
+    ``fuses`` maps deadly tasks to the seconds from their start to the crash.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.fuses = {}
+        self.counts = Counter()
+        self.has_new_ids = False
+
+    def note_start(self, worker, key):
+        if key not in self.fuses:
+            return
+        incarnation = worker.incarnation
+        attempt = worker.runs[key].attempt
+
+        def explode():
+            run = worker.runs.get(key)
+            is_there = run is not None and run.attempt == attempt
+            if worker.incarnation == incarnation and is_there:
+                self.counts[key] += 1
+                self.crash(worker)
+
+        if self.fuses[key]:
+            at = self.fleet.now + self.fuses[key]
+            self.fleet.delayed_calls.append((at, explode))
+        else:
+            explode()
+
+    def crash(self, worker):
+        worker.crash(self.fleet.log)
+
+        def restart():
+            if not worker.is_up:
+                new_id = None
+                if self.has_new_ids:
+                    name = worker.worker_id.partition('-')[0]
+                    new_id = f'{name}-{worker.incarnation + 1}'
+                worker.restart(self.fleet.now, new_id)
+
+        at = self.fleet.now + RESTART_SECONDS
+        self.fleet.delayed_calls.append((at, restart))
--- /dev/null
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -0,0 +1,129 @@
+import functools
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from fleetsimulation import make_step  # noqa: E402
+
+from tarragonlb.scheduling.job import TaskKey  # noqa: E402
+
+# Longer than a member's TTL, so that the owner comes back after its successor.
+MEMBERSHIP_LOSS_SECONDS = 2.0
+
+
+@given('{count:d} jobs of {tasks:d} tasks')
+def submit_others(context, count, tasks):
+    for _ in range(count):
+        context.fleet.submit([make_step(tasks)])
+
+
+@given(
+    'a job of {tasks:d} tasks of which the first crashes its worker after '
+    '{fuse:g} s'
+)
+def submit_deadly(context, tasks, fuse):
+    job_id = context.fleet.submit([make_step(tasks)])
+    mark_deadly(context, job_id, fuse)
+
+
+@given('a job of {tasks:d} copied tasks of which the first crashes its worker')
+def submit_deadly_copies(context, tasks):
+    job_id = context.fleet.submit([make_step(tasks, allows_copies=True)])
+    mark_deadly(context, job_id, 0)
+
+
+def mark_deadly(context, job_id, fuse):
+    context.deadly = TaskKey(job_id, 0, 0, 0)
+    context.fleet.crashes.fuses[context.deadly] = fuse
+
+
+@given('workers that come back under {which}')
+def set_ids(context, which):
+    context.fleet.crashes.has_new_ids = which == 'a new id'
+
+
+@given('a list of VMs that is away for {seconds:g} seconds')
+def interrupt_listings(context, seconds):
+    context.fleet.vm_listings.next_at = context.fleet.now + seconds
+
+
+@when('the owner {changes} after each crash for {seconds:g} seconds')
+def change_after_crashes(context, changes, seconds):
+    fleet = context.fleet
+    change = {
+        'hands over': fleet.hand_over,
+        'is killed': fleet.kill_owner,
+        'loses its membership': functools.partial(
+            fleet.freeze_owner, MEMBERSHIP_LOSS_SECONDS
+        ),
+    }[changes]
+    end = fleet.now + seconds
+    seen = 0
+    while fleet.now < end:
+        fleet.step()
+        crashes = fleet.crashes.counts[context.deadly]
+        if crashes > seen and fleet.owner is not None:
+            seen = crashes
+            change()
+
+
+@when('{count:d} workers crash every {every:g} seconds for {seconds:g} seconds')
+def crash_others(context, count, every, seconds):
+    fleet = context.fleet
+    end = fleet.now + seconds
+    first = 0
+    while fleet.now < end:
+        fleet.run(every)
+        for offset in range(count):
+            worker = fleet.workers[(first + offset) % len(fleet.workers)]
+            if worker.is_up:
+                fleet.crashes.crash(worker)
+        first += 1
+
+
+@when('the workers of the permanent tasks drain and end, {times:d} times')
+def drain_and_end(context, times):
+    fleet = context.fleet
+    for _ in range(times):
+        fleet.run(3)
+        for worker in [w for w in fleet.workers if w.runs]:
+            worker.is_draining = True
+            fleet.run(0.2)
+            fleet.crashes.crash(worker)
+            worker.is_draining = False
+
+
+@then('the deadly task has crashed {least:d} to {most:d} workers')
+def check_crashes(context, least, most):
+    crashes = context.fleet.crashes.counts[context.deadly]
+    assert least <= crashes <= most, crashes
+
+
+@then('its job has failed, and all other jobs are completed')
+def check_outcomes(context):
+    outcomes = describe_all(context.fleet)
+    assert outcomes.pop(context.deadly.job_id) == 'failed', outcomes
+    check_others(context.fleet, outcomes)
+
+
+@then('no job has failed, and all others are completed')
+def check_none_failed(context):
+    check_others(context.fleet, describe_all(context.fleet))
+
+
+def describe_all(fleet):
+    return {job_id: fleet.describe(job_id) for job_id in fleet.specs}
+
+
+def check_others(fleet, outcomes):
+    for job_id, outcome in outcomes.items():
+        step = fleet.specs[job_id].steps[0]
+        expected = 'running' if step.is_permanent else 'completed'
+        assert outcome == expected, (job_id, outcome)
+        if step.is_permanent:
+            running = {key for w in fleet.workers for key in w.runs}
+            tasks = {TaskKey(job_id, 0, 0, n) for n in range(step.width)}
+            assert tasks <= running, tasks - running
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -131,7 +131,8 @@
         for element in feature.get('elements', []):
             if element['type'] == 'background':
                 continue
-            name = f'{feature["name"]}: {element["name"]}'
+            # The names of scenarios from an outline end in a space.
+            name = f'{feature["name"]}: {element["name"]}'.strip()
             if element.get('status') == 'passed':
                 passed.append(name)
             else:
