Refuse starts on a worker whose capacity has shrunk since the decision

A decision is stored before its starts are sent. While the store is down that takes seconds; a worker that shrinks in that time was brought over its capacity by starts that were decided for the former one.

Change: a start is sent only if what is attached to its worker still fits; what is being stopped counts.

--- a/libs/scheduling/features/steps/task_steps.py
+++ b/libs/scheduling/features/steps/task_steps.py
@@ -203,6 +203,26 @@
     context.fleet.is_store_up = True
 
 
+@when(
+    'the store is down for {seconds:g} seconds and worker "{name}" shrinks to '
+    '{millicores:d} millicores'
+)
+def shrink_in_outage(context, seconds, name, millicores):
+    fleet = context.fleet
+    fleet.is_store_up = False
+    fleet.run(1)
+    find_worker(fleet, name).resize(millicores, fleet.now)
+    fleet.run(seconds - 1)
+    # The entry of the worker may be written before the decisions are.
+    find_worker(fleet, name).publish(fleet.now)
+    fleet.is_store_up = True
+
+
+@when('worker "{name}" grows to {millicores:d} millicores')
+def grow(context, name, millicores):
+    find_worker(context.fleet, name).resize(millicores, context.fleet.now)
+
+
 @when('fleets run with random faults')
 def run_random_faults(context):
     context.open_jobs = []
--- a/libs/scheduling/features/tasks.feature
+++ b/libs/scheduling/features/tasks.feature
@@ -167,6 +167,23 @@
     Then the job is completed
     And no task was started more than 1 times
 
+  # Guards against starts that bring a worker over its capacity: they were
+  # decided before an outage of the store, and the worker has shrunk since.
+  Scenario Outline: A worker that shrinks while the store is down is not overfilled
+    Given a fleet of 2 workers on a network that loses nothing
+    And a job of 6 tasks
+    When the store is down for <seconds> seconds and worker "w1" shrinks to <millicores> millicores
+    And 1.5 seconds pass
+    And worker "w1" grows to 4000 millicores
+    And 15 seconds pass
+    Then the job is completed
+
+    Examples:
+      | seconds | millicores |
+      | 8       | 1000       |
+      | 8       | 1500       |
+      | 12      | 500        |
+
   Scenario: Invariants hold in fleets with random faults
     When fleets run with random faults
     Then every job has ended
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -121,7 +121,10 @@
         if task is None or task.phase is not TaskPhase.PLACED:
             return False
         worker = self.state.workers.get(order.worker_id)
-        return worker is not None and not worker.entry.is_draining
+        if worker is None or worker.entry.is_draining:
+            return False
+        # Storing a decision may take seconds, and a capacity can shrink.
+        return not worker.is_overfilled(self.state.find_step(order.key))
 
     def _forget_finished(self, now: float) -> tuple[str, ...]:
         if now < self._next_cleanup_at:
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -191,6 +191,17 @@
             return False
         return step.scavenges or demand.cpu_millicores <= self.free_cpu
 
+    def is_overfilled(self, step: Step) -> bool:
+        """Return whether the attached attempts exceed a resource of the step.
+
+        That happens when the capacity shrinks.
+        """
+        return (
+            self.free_memory < 0
+            or (step.demand.gpus > 0 and self.free_gpus < 0)
+            or (not step.scavenges and self.free_cpu < 0)
+        )
+
     def count_step_tasks(self, step_key: tuple[str, int, int]) -> int:
         """Count the attached tasks of one occurrence of a step."""
         return self._step_counts.get(step_key, 0)
