Let a new owner read the directory before it places tasks

A daemon that owns nothing reads the directory of workers every 4 s. When it becomes an owner it reads at once, but it did not wait for that read. With a store that takes 0.1 s to answer it placed its first tasks by an entry up to 4 s old: a worker that had shrunk to 1000 millicores got tasks for 3000 (6 at a time where 2 fit).

Change: an owner places no task until a read of the directory has been answered that was sent in its term; a directory that can't be read stops it for 1.5 s. Leases, reports and stops go on.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -16,6 +16,37 @@
     Then the remaining daemon reports both jobs as completed
     And every task was started once
 
+  # Guards against starts by a new owner that go by an old directory: the worker
+  # has shrunk, or is leaving, since the daemon last read it.
+  Scenario Outline: A new owner reads the directory before it starts tasks
+    Given 3 daemons and 1 workers
+    When <wait> seconds pass
+    And the directory takes <seconds> seconds to read
+    And worker "w0" shrinks to 1000 millicores
+    And the owner of the pool is killed
+    And a job of 6 tasks is submitted
+    And 12 seconds pass
+    Then no worker has run more than 2 tasks at a time
+    And the job is completed
+
+    Examples:
+      | seconds | wait |
+      | 0.1     | 0    |
+      | 0.1     | 2    |
+      | 0.1     | 3    |
+      | 0.3     | 2    |
+      | 0.3     | 3    |
+
+  # A pool is not to stand still when only the directory can't be read.
+  Scenario: A new owner that can't read the directory starts tasks after a while
+    Given 3 daemons and 1 workers
+    When 2 seconds pass
+    And the directory takes 60 seconds to read
+    And the owner of the pool is killed
+    And a job of 6 tasks is submitted
+    And 6 seconds pass
+    Then the job is completed
+
   Scenario: A stopping daemon releases its partitions at once
     Given 2 daemons and 2 workers
     When the owner of the pool is asked to stop
--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -78,6 +78,7 @@
         self.firsts = defaultdict(int)
         self.waves = {}
         self.connections = defaultdict(object)
+        self.read_seconds = defaultdict(lambda: CALL_SECONDS)
         self.append_locks = defaultdict(trio.Lock)
 
     async def append(self, partition, records, append_key):
@@ -119,7 +120,7 @@
         return Stored(-1)
 
     async def read(self, topic, partition, offset, wait_seconds):
-        await trio.sleep(CALL_SECONDS)
+        await trio.sleep(self.read_seconds[topic])
         if self.mode == 'refuse':
             return NotDone('busy')
         key = (topic, partition)
@@ -261,7 +262,9 @@
             worker_id=record.key,
             pool='pool',
             address='x:1',
-            capacity=Demand(4000, 8000, 0),
+            capacity=Demand(
+                int(record.value) if record.value.isdigit() else 4000, 8000, 0
+            ),
         )
 
 
@@ -273,6 +276,7 @@
         self.ended = defaultdict(list)
         self.fences = defaultdict(int)
         self.starts = []
+        self.most_runs = 0
         self.unreachable = set()
         self.last_end_numbers = defaultdict(int)
 
@@ -326,6 +330,8 @@
             order.attempt,
             trio.current_time() + TASK_SECONDS,
         )
+        running = len(self.runs[worker.worker_id])
+        self.most_runs = max(self.most_runs, running)
         return OrderResult.DONE
 
     async def stop(self, worker, order, term):
--- a/libs/controller/features/steps/controller_steps.py
+++ b/libs/controller/features/steps/controller_steps.py
@@ -83,6 +83,31 @@
     context.simulation.actions.append(action)
 
 
+@when('the directory takes {seconds:g} seconds to read')
+def slow_directory(context, seconds):
+    async def action(sim):
+        sim.store.read_seconds[Topic.WORKERS] = seconds
+
+    context.simulation.actions.append(action)
+
+
+@when('worker "{name}" shrinks to {millicores:d} millicores')
+def shrink(context, name, millicores):
+    async def action(sim):
+        entry = KeyedRecord(name, str(millicores).encode())
+        sim.store.logs[Topic.WORKERS, 0].append(entry)
+
+    context.simulation.actions.append(action)
+
+
+@then('no worker has run more than {most:d} tasks at a time')
+def check_most_runs(context, most):
+    async def action(sim):
+        assert 0 < sim.worker_api.most_runs <= most, sim.worker_api.most_runs
+
+    context.simulation.actions.append(action)
+
+
 @when('the owner of the pool is killed')
 def kill(context):
     async def action(sim):
--- a/libs/controller/tarragonlb/controller/drainreporter.py
+++ b/libs/controller/tarragonlb/controller/drainreporter.py
@@ -29,6 +29,16 @@
         self._settings = settings
         self._reported: set[DrainRequest] = set()
 
+    def start_reports(
+        self,
+        nursery: trio.Nursery,
+        fleet_state: FleetState,
+        workers: Mapping[str, WorkerState],
+    ) -> None:
+        """Report the workers that have become empty, as tasks of a nursery."""
+        for request in self.list_newly_drained(fleet_state, workers):
+            nursery.start_soon(self.report, request)
+
     def list_newly_drained(
         self, fleet_state: FleetState, workers: Mapping[str, WorkerState]
     ) -> list[DrainRequest]:
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -58,6 +58,7 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
+            sent_at = self._clock.read_boottime()
             update = await self._reader.poll(self.get_wait_seconds())
             if isinstance(update, NotDone):
                 self._dependency_log.record_failure(
@@ -66,7 +67,7 @@
                 await trio.sleep(self._settings.store_retry_seconds)
                 continue
             self._dependency_log.record_success(trio.current_time())
-            self.apply(update)
+            self.apply(update, sent_at)
             await self.pause()
 
     async def pause(self) -> None:
@@ -86,8 +87,11 @@
         """Return the pause between two reads."""
 
     @abc.abstractmethod
-    def apply(self, update: RecordUpdate) -> None:
-        """Apply the records of one read to the view."""
+    def apply(self, update: RecordUpdate, sent_at: float) -> None:
+        """Apply the records of one read to the view.
+
+        The read was sent at ``sent_at`` seconds on the boot-time clock.
+        """
 
 
 class OperatorFeed(DocumentFeed):
@@ -107,7 +111,7 @@
         """Return no pause, since a read waits for records."""
         return 0
 
-    def apply(self, update: RecordUpdate) -> None:
+    def apply(self, update: RecordUpdate, sent_at: float) -> None:
         """Apply configurations and waves."""
         for record in update.records:
             document = self._documents.decode_operator_record(record)
@@ -168,7 +172,7 @@
         ):
             await self._view.wait_for_ownership()
 
-    def apply(self, update: RecordUpdate) -> None:
+    def apply(self, update: RecordUpdate, sent_at: float) -> None:
         """Apply the entries of workers; a snapshot replaces all of them."""
         workers = {} if update.is_snapshot else dict(self._view.workers)
         # Most records only repeat an entry, and the newest valid one counts.
@@ -183,6 +187,8 @@
             elif not record.value:
                 workers.pop(record.key, None)
                 applied.add(record.key)
+        if update.is_at_end:
+            self._view.workers_read_at = sent_at
         if workers != self._view.workers:
             self._view.workers = workers
             self._view.notify()
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -6,6 +6,7 @@
 import trio
 
 from tarragonlb.controller.ports import Configuration
+from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.fleetstate import FleetState
 from tarragonlb.scheduling.wave import Wave
 from tarragonlb.scheduling.worker import Worker
@@ -24,6 +25,7 @@
         'wave_read_at',
         'waves',
         'workers',
+        'workers_read_at',
     )
 
     def __init__(self) -> None:
@@ -34,6 +36,9 @@
         # When this process first read each wave, on the monotonic clock.
         self.wave_read_at: dict[int, float] = {}
         self.fleet_state = FleetState()
+        # When the last successful read of the directory of workers was sent, on
+        # the boot-time clock.
+        self.workers_read_at: float | None = None
         # When the last successful read of the fleet partition was sent, and
         # the last renewal of each owned partition, on the boot-time clock.
         self.last_read_at: float | None = None
@@ -83,3 +88,36 @@
     async def wait_for_change(self) -> None:
         """Wait for the next change."""
         await self._changed.wait()
+
+
+class DirectoryGate:
+    """Keeps a new owner from placing tasks by an old directory of workers.
+
+    A daemon that owns nothing reads the directory seldom.  What it knows when
+    it becomes an owner may be seconds old: a worker may have shrunk, or be
+    leaving.  So the first tasks wait for a read that began in this term.  A
+    directory that can't be read does not stop the pool for long.
+    """
+
+    __slots__ = ('_began_at', '_settings', '_view', 'is_open')
+
+    def __init__(
+        self, view: PlatformView, settings: ControllerSettings, now: float
+    ) -> None:
+        """Start a term at ``now`` seconds on the boot-time clock."""
+        self._view = view
+        self._settings = settings
+        self._began_at = now
+        self.is_open = False
+
+    def try_open(self, now: float) -> None:
+        """Allow tasks to be placed if it is time; ``now`` as at the start.
+
+        The caller then applies the directory.
+        """
+        read_at = self._view.workers_read_at
+        is_read = read_at is not None and read_at >= self._began_at
+        waited = now - self._began_at
+        self.is_open = (
+            is_read or waited >= self._settings.max_directory_wait_seconds
+        )
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -23,7 +23,7 @@
 from tarragonlb.controller.ordergate import WorkerAccess
 from tarragonlb.controller.ownerreport import OwnerReport
 from tarragonlb.controller.partition import PartitionFeed
-from tarragonlb.controller.platformview import PlatformView
+from tarragonlb.controller.platformview import DirectoryGate, PlatformView
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.vmwatch import VmWatch
@@ -55,6 +55,7 @@
     __slots__ = (
         '_clock',
         '_decision_log',
+        '_directory_gate',
         '_drain_reporter',
         '_feed',
         '_inbox',
@@ -100,6 +101,9 @@
         ](INBOX_SIZE)
         self._sessions: dict[str, WorkerSession] = {}
         self._decision_log = DecisionLog(owned)
+        self._directory_gate = DirectoryGate(
+            view, settings, clock.read_boottime()
+        )
         self._report = OwnerReport(owned, clock.read_monotonic())
         self._is_storing = False
         self._next_round_at = 0.0
@@ -227,13 +231,7 @@
         if self._is_storing:
             return
         self._decision_log.log_ends()
-        contact_age = self._view.compute_contact_age(
-            self._clock.read_boottime()
-        )
-        decision = self._scheduler.decide(
-            read_moment(self._clock),
-            is_store_suspect=contact_age > self._settings.store_suspect_seconds,
-        )
+        decision = self._decide()
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
         self._report.note_round(delay, elapsed)
@@ -243,7 +241,9 @@
             self._enqueue_order(stop)
         for pace in decision.paces:
             self._enqueue_order(pace)
-        self._report_drained_workers()
+        self._drain_reporter.start_reports(
+            self._nursery, self._view.fleet_state, self._scheduler.state.workers
+        )
         for record in self._load_publisher.list_changed(
             self._scheduler.state, now
         ):
@@ -255,6 +255,18 @@
         else:
             self._finish_round(decision)
 
+    def _decide(self) -> SchedulingDecision:
+        boottime = self._clock.read_boottime()
+        contact_age = self._view.compute_contact_age(boottime)
+        if not self._directory_gate.is_open:
+            self._directory_gate.try_open(boottime)
+            self._apply_view()
+        return self._scheduler.decide(
+            read_moment(self._clock),
+            is_store_suspect=contact_age > self._settings.store_suspect_seconds,
+            may_place=self._directory_gate.is_open,
+        )
+
     async def _store_decision(self, decision: SchedulingDecision) -> None:
         reason = await self._storage.store(decision)
         if reason:
@@ -380,10 +392,3 @@
                 )
             elif session is not None:
                 session.worker = state.entry
-
-    def _report_drained_workers(self) -> None:
-        workers = self._scheduler.state.workers
-        for request in self._drain_reporter.list_newly_drained(
-            self._view.fleet_state, workers
-        ):
-            self._nursery.start_soon(self._drain_reporter.report, request)
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -57,6 +57,9 @@
     # Time between reads of the worker directory by a daemon that owns nothing.
     # It reads at once when it becomes an owner.
     follower_worker_interval_seconds: float = 4.0
+    # A new owner waits this long for a read of the directory before it places
+    # tasks by what it knows.
+    max_directory_wait_seconds: float = 1.5
     # How long a worker may wait for an attempt to end before it replies to a
     # poll.
     poll_wait_seconds: float = 0.8
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -62,18 +62,23 @@
         self._next_cleanup_at = now
 
     def decide(
-        self, now: Moment, *, is_store_suspect: bool = False
+        self,
+        now: Moment,
+        *,
+        is_store_suspect: bool = False,
+        may_place: bool = True,
     ) -> SchedulingDecision:
         """Run one scheduling round.
 
-        ``is_store_suspect`` means that the store may be unavailable.
+        ``is_store_suspect`` means that the store may be unavailable.  With
+        ``may_place`` false no task is placed.
         """
         state = self.state
         self.reconciler.expire_leases(now.seconds)
         self._stop_planner.evict_permanent_tasks()
         self._stop_planner.stop_stalled(now.seconds)
         removed = self._forget_finished(now.seconds)
-        starts = self._assigner.place_ready(now)
+        starts = self._assigner.place_ready(now) if may_place else ()
         changed = tuple(
             state.jobs[job_id]
             for job_id in state.changed_jobs
