--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -113,6 +113,19 @@
     When a scheduling round runs at 7 s
     Then 1 tasks start
 
+  # Guards against a job that takes all memory of its owner, and of the next one,
+  # as all its occurrences are due at once.
+  Scenario: Occurrences that are due in great number come bit by bit
+    Given workers "w0" with 4000 millicores
+    And a job due at 0 ms, every 1 ms, 2000000000 times, with steps "2x500"
+    When a scheduling round runs at 3000000 s
+    Then 8 tasks start
+    And the job has 100 occurrences
+    When all running tasks end "done"
+    And a scheduling round runs at 3000002 s
+    Then 8 tasks start
+    And the job has 104 occurrences
+
   Scenario: Permanent tasks are evicted from a draining worker one at a time
     Given workers "w0 w1" with 8000 millicores
     And a job with steps "2x500 permanent budget 1"
--- a/libs/scheduling/tarragonlb/scheduling/jobstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobstate.py
@@ -6,6 +6,9 @@
 from tarragonlb.scheduling.job import MS_PER_SECOND, Job, Moment, TaskKey
 from tarragonlb.scheduling.task import TaskPhase, TaskState
 
+# Occurrences that are due and not done, for which a job has tasks at a time.
+MAX_OPEN_OCCURRENCES = 100
+
 
 class JobOutcome(enum.IntEnum):
     """The outcome of a job, OPEN until it has ended."""
@@ -47,6 +50,7 @@
     """
 
     __slots__ = (
+        '_first_open',
         'began',
         'cancelled',
         'critical_paths',
@@ -68,6 +72,7 @@
         self.began = False
         self.finished_at = 0.0
         self.occurrences: list[list[StepState]] = []
+        self._first_open = 0
 
     @property
     def is_open(self) -> bool:
@@ -80,12 +85,18 @@
         return len(self.occurrences) < self.job.spec.occurrence_count
 
     def add_due_occurrences(self, wall_ms: float) -> None:
-        """Add the occurrences that have come due."""
+        """Add the occurrences that have come due, as far as may be open."""
         spec = self.job.spec
         count = len(self.occurrences)
-        while count < spec.occurrence_count and spec.is_due(count, wall_ms):
+        if count >= spec.occurrence_count or not spec.is_due(count, wall_ms):
+            return
+        may_be_added = MAX_OPEN_OCCURRENCES - self._count_open_occurrences()
+        for number in range(count, count + may_be_added):
+            if number >= spec.occurrence_count:
+                break
+            if not spec.is_due(number, wall_ms):
+                break
             self.add_occurrence()
-            count += 1
 
     def add_occurrence(self) -> None:
         """Add the next occurrence."""
@@ -150,7 +161,21 @@
             self.outcome = outcome
             self.finished_at = now
 
+    def _count_open_occurrences(self) -> int:
+        occurrences = self.occurrences
+        while self._first_open < len(occurrences) and _are_done(
+            occurrences[self._first_open]
+        ):
+            self._first_open += 1
+        return sum(
+            not _are_done(steps) for steps in occurrences[self._first_open :]
+        )
+
     def _is_done(self) -> bool:
         if len(self.occurrences) < self.job.spec.occurrence_count:
             return False
         return all(state.is_done for _, _, state in self.list_steps())
+
+
+def _are_done(steps: list[StepState]) -> bool:
+    return all(state.is_done for state in steps)
