Do not count crashes long after the start of a permanent task

What callers saw: a permanent job was shown as failed and stopped, though its tasks were sound.

Cause: a permanent task was cleared of earlier crashes once it had run for 3 s, but a crash later than that still counted, though such an attempt can't have crashed its worker by its start.

"A crash long after the start does not count for permanent tasks" fails without the change (the job is failed) and passes with it; crashes.feature 19 passed.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -89,6 +89,16 @@
       | one by one       | 1     | 4       |
       | several together | 3     | 8       |
 
+  # Guards against permanent jobs that are given up for crashes by chance: the
+  # first came long after their start.
+  Scenario: A crash long after the start does not count for permanent tasks
+    Given a fleet of 8 workers on a network that loses nothing
+    And 2 jobs of 2 permanent tasks
+    And workers that come back under a new id
+    When the workers of the permanent tasks crash after "7 2 2" seconds
+    And 10 seconds pass
+    Then no job has failed, and all others are completed
+
   Scenario: A worker that announced its end does not count as crashed
     Given a fleet of 8 workers on a network that loses nothing
     And a job of 4 permanent tasks
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -25,6 +25,21 @@
         context.fleet.submit([make_step(tasks)])
 
 
+@given('{count:d} jobs of {tasks:d} permanent tasks')
+def submit_permanent_jobs(context, count, tasks):
+    for _ in range(count):
+        context.fleet.submit([make_step(tasks, is_permanent=True)])
+
+
+@when('the workers of the permanent tasks crash after "{times}" seconds')
+def crash_permanent(context, times):
+    fleet = context.fleet
+    for seconds in times.split():
+        fleet.run(float(seconds))
+        for worker in [w for w in fleet.workers if w.runs]:
+            fleet.crashes.crash(worker)
+
+
 @given(
     'a job of {tasks:d} tasks of which the first crashes its worker after '
     '{fuse:g} s'
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -143,6 +143,10 @@
         task = None if state is None else state.find(lost.key)
         if state is None or task is None or not state.is_open:
             return
+        # Permanent tasks live long enough to see workers crash by chance.
+        is_permanent = partition.find_step(lost.key).is_permanent
+        if is_permanent and lost.has_survived:
+            return
         task.crashes = task.crashes.add(lost.attempt, points)
         task.avoided.add(worker.entry.worker_id)
         task.isolate_until = now + ISOLATION_WAIT_SECONDS
@@ -163,6 +167,9 @@
             attachment.attempt,
             task.incarnation,
             was_seen=not (is_own and task.phase is TaskPhase.PLACED),
+            has_survived=worker.last_report_at is not None
+            and task.phase is not TaskPhase.PLACED
+            and task.has_survived_start(worker.last_report_at),
             age_seconds=None
             if task.placed_at is None
             else now - task.placed_at,
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -154,7 +154,7 @@
         step = self._partition.find_step(row.key)
         if step.latency_target_ms:
             task.tail_ms = row.gauge
-        # Permanent tasks live long enough to see workers crash by chance.
+        # It counts for a permanent task only how it starts, see LossRecorder.
         if (
             row.key in worker.suspects
             and step.is_permanent
--- a/libs/scheduling/tarragonlb/scheduling/workerloss.py
+++ b/libs/scheduling/tarragonlb/scheduling/workerloss.py
@@ -25,7 +25,8 @@
 
     ``incarnation`` is that of the worker when it got the attempt, 0 if unknown.
     ``was_seen`` is false if the worker surely never listed the attempt as
-    running.  ``age_seconds`` is the time from the attempt's placement to the
+    running, ``has_survived`` is true if it listed the attempt so long after its
+    start that this can't be what crashed it.  ``age_seconds`` is the time from the attempt's placement to the
     detection of the loss, None if this owner did not place it.
     """
 
@@ -33,6 +34,7 @@
     attempt: int
     incarnation: int
     was_seen: bool = True
+    has_survived: bool = False
     age_seconds: float | None = None
 
 
