Give up permanent tasks only after more evidence

Change: a permanent task needs six points, for example two crashes shared and two alone, or five crashes. Within the users' bound (at most two starts after the third crash) the fifth crash always ends it.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -89,6 +89,23 @@
       | one by one       | 1     | 4       |
       | several together | 3     | 8       |
 
+  Scenario: A permanent task that crashes its workers is given up, too
+    Given a fleet of 8 workers on a network that loses nothing
+    And 6 jobs of 4 tasks
+    And a job of 3 permanent tasks
+    And a job of 2 permanent tasks of which the first crashes its worker
+    And workers that come back under a new id
+    When 60 seconds pass
+    Then the deadly task has crashed 2 to 5 workers
+    And its job has failed, and all other jobs are completed
+
+  # Guards against permanent jobs that are given up since their workers were
+  # crashed twice by other tasks, and once by chance while they were alone.
+  Scenario: A permanent task outlives three crashes that it did not cause
+    Given a permanent task with crashes "shared shared alone"
+    Then it is not given up
+    But a task that ends is given up after them
+
   # Guards against permanent jobs that are given up for crashes by chance: the
   # first came long after their start.
   Scenario: A crash long after the start does not count for permanent tasks
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -12,6 +12,11 @@
 from faultscripts import ROOM_FAULTS, run_script  # noqa: E402
 from fleetsimulation import make_step  # noqa: E402
 
+from tarragonlb.scheduling.crashhistory import (  # noqa: E402
+    ALONE_POINTS,
+    SHARED_POINTS,
+    CrashHistory,
+)
 from tarragonlb.scheduling.job import TaskKey  # noqa: E402
 
 EXAMPLES = 150
@@ -55,6 +60,32 @@
     mark_deadly(context, job_id, 0)
 
 
+@given(
+    'a job of {tasks:d} permanent tasks of which the first crashes its worker'
+)
+def submit_deadly_permanent(context, tasks):
+    job_id = context.fleet.submit([make_step(tasks, is_permanent=True)])
+    mark_deadly(context, job_id, 0)
+
+
+@given('a permanent task with crashes "{kinds}"')
+def make_history(context, kinds):
+    points = {'shared': SHARED_POINTS, 'alone': ALONE_POINTS}
+    context.history = CrashHistory()
+    for attempt, kind in enumerate(kinds.split(), 1):
+        context.history = context.history.add(attempt, points[kind])
+
+
+@then('it is not given up')
+def check_kept(context):
+    assert not context.history.is_culprit(is_permanent=True)
+
+
+@then('a task that ends is given up after them')
+def check_given_up(context):
+    assert context.history.is_culprit(is_permanent=False)
+
+
 def mark_deadly(context, job_id, fuse):
     context.deadly = TaskKey(job_id, 0, 0, 0)
     context.fleet.crashes.fuses[context.deadly] = fuse
--- a/libs/scheduling/features/steps/restore_steps.py
+++ b/libs/scheduling/features/steps/restore_steps.py
@@ -92,7 +92,7 @@
 def check_crashes(context, count, number):
     crashes = context.restored[number].crashes
     assert len(crashes.attempts) == count, crashes
-    assert crashes.is_culprit == (count == 2), crashes
+    assert crashes.is_culprit(is_permanent=False) == (count == 2), crashes
 
 
 @then('task 1 is on an incarnation of its worker that is {text}')
--- a/libs/scheduling/tarragonlb/scheduling/crashhistory.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashhistory.py
@@ -9,18 +9,20 @@
 
 How strongly a crash points to a task is measured in points, and a task with
 enough of them is given up: after two crashes at the best, after four if it
-never was alone.
+never was alone.  A permanent task sees more workers crash by chance, and giving
+it up costs more, so it needs more points.
 
 >>> first = CrashHistory().add(1, SHARED_POINTS)
->>> first.needs_isolation, first.is_culprit
+>>> first.needs_isolation, first.is_culprit(is_permanent=False)
 (False, False)
->>> first.add(2, ALONE_AT_START_POINTS).is_culprit
+>>> first.add(2, ALONE_AT_START_POINTS).is_culprit(is_permanent=False)
 True
 >>> second = first.add(2, SHARED_POINTS)
->>> second.needs_isolation, second.is_culprit
+>>> second.needs_isolation, second.is_culprit(is_permanent=False)
+(True, False)
+>>> third = second.add(3, ALONE_POINTS)
+>>> third.is_culprit(is_permanent=False), third.is_culprit(is_permanent=True)
 (True, False)
->>> second.add(3, ALONE_POINTS).is_culprit
-True
 """
 
 from dataclasses import dataclass
@@ -28,6 +30,9 @@
 MIN_CRASHES_TO_ISOLATE = 2
 MIN_CRASHES_TO_GIVE_UP = 2
 POINTS_TO_GIVE_UP = 4
+POINTS_TO_GIVE_UP_PERMANENT = 6
+# Enough whatever the points are.
+MAX_CRASHES = 5
 # Other jobs had attempts on the worker.
 SHARED_POINTS = 1
 ALONE_POINTS = 2
@@ -65,12 +70,15 @@
         """Return whether the task should have a worker to itself."""
         return len(self.attempts) >= MIN_CRASHES_TO_ISOLATE
 
-    @property
-    def is_culprit(self) -> bool:
+    def is_culprit(self, *, is_permanent: bool) -> bool:
         """Return whether the task is to be given up."""
-        if len(self.attempts) < MIN_CRASHES_TO_GIVE_UP:
+        count = len(self.attempts)
+        if count < MIN_CRASHES_TO_GIVE_UP:
             return False
-        return self.points >= POINTS_TO_GIVE_UP
+        needed = POINTS_TO_GIVE_UP
+        if is_permanent:
+            needed = POINTS_TO_GIVE_UP_PERMANENT
+        return count >= MAX_CRASHES or self.points >= needed
 
 
 NO_CRASHES = CrashHistory()
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -151,7 +151,7 @@
         task.avoided.add(worker.entry.worker_id)
         task.isolate_until = now + ISOLATION_WAIT_SECONDS
         partition.note_changed(state)
-        if task.crashes.is_culprit:
+        if task.crashes.is_culprit(is_permanent=is_permanent):
             partition.given_up.append(
                 GivenUpTask(lost.key, len(task.crashes.attempts))
             )
--- a/libs/scheduling/tarragonlb/scheduling/workerloss.py
+++ b/libs/scheduling/tarragonlb/scheduling/workerloss.py
@@ -26,8 +26,9 @@
     ``incarnation`` is that of the worker when it got the attempt, 0 if unknown.
     ``was_seen`` is false if the worker surely never listed the attempt as
     running, ``has_survived`` is true if it listed the attempt so long after its
-    start that this can't be what crashed it.  ``age_seconds`` is the time from the attempt's placement to the
-    detection of the loss, None if this owner did not place it.
+    start that the start can't be what crashed it.  ``age_seconds`` is the time
+    from the placement to the detection of the loss, None if another owner
+    placed the attempt.
     """
 
     key: TaskKey
