Do not count workers whose VM was taken away as crashed

Change: a worker is leaving if it announced its end, or its VM was to be taken away, when it last reported or since. The loss of such a worker is no crash.

"A worker whose VM was taken away does not count as crashed" fails without the change (a permanent job is failed) and passes with it; libs/scheduling 138 passed.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -116,6 +116,15 @@
     And 10 seconds pass
     Then no job has failed, and all others are completed
 
+  # Guards against jobs that are given up since their workers' VMs were moved: the
+  # drain request is withdrawn with the move, before the worker is known to end.
+  Scenario: A worker whose VM was taken away does not count as crashed
+    Given a fleet of 8 workers on a network that loses nothing
+    And a job of 4 permanent tasks
+    When the VMs of the permanent tasks are drained and taken away, 6 times
+    And 10 seconds pass
+    Then no job has failed, and all others are completed
+
   Scenario: A worker that announced its end does not count as crashed
     Given a fleet of 8 workers on a network that loses nothing
     And a job of 4 permanent tasks
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -65,6 +65,7 @@
         self.done_at = {}
         self.start_counts = Counter()
         self.crashes = SimulatedCrashes(self)
+        self.drain_requests = set()
         self.specs = {}
         self.cancelled = {}
         self.owner = SimulatedOwner(self, self.term)
@@ -173,6 +174,7 @@
             self._check_status(owner, worker)
         state = owner.scheduler.state
         state.update_workers(w.entry for w in self.workers)
+        state.apply_drain_requests(self.drain_requests)
         for entry in self.job_index.list_jobs():
             if is_current and entry.job_id not in state.jobs:
                 state.add_job(entry.build_state(Moment(self.now)))
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -147,6 +147,21 @@
             worker.is_draining = False
 
 
+@when(
+    'the VMs of the permanent tasks are drained and taken away, {times:d} times'
+)
+def drain_and_move(context, times):
+    fleet = context.fleet
+    for _ in range(times):
+        fleet.run(1.5)
+        # No worker is left for the tasks, so they are not evicted.
+        fleet.drain_requests = {w.worker_id for w in fleet.workers}
+        fleet.run(0.5)
+        for worker in [w for w in fleet.workers if w.runs]:
+            fleet.crashes.crash(worker)
+        fleet.drain_requests = set()
+
+
 @then('the deadly task has crashed {least:d} to {most:d} workers')
 def check_crashes(context, least, most):
     crashes = context.fleet.crashes.counts[context.deadly]
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -121,9 +121,9 @@
     ) -> None:
         """Count a crash for the tasks that may have caused it.
 
-        A worker that announced its end did not crash.
+        A worker that announced its end, or whose VM we took, did not crash.
         """
-        if worker.has_announced_end:
+        if worker.is_leaving:
             return
         lost = tuple(lost)
         is_alone = len({attempt.key.job_id for attempt in lost}) == 1
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -42,20 +42,7 @@
         if worker is None:
             return
         was_usable = worker.is_usable() and not worker.failures
-        if (
-            worker.incarnation is not None
-            and report.incarnation != worker.incarnation
-        ):
-            self._losses.lose_all(worker, LossReason.REBORN, report.received_at)
-        elif worker.incarnation is None:
-            self._losses.lose_former(
-                worker, report.incarnation, report.received_at
-            )
-        self._losses.settle_doubt(
-            worker, report.incarnation, report.received_at
-        )
-        worker.incarnation = report.incarnation
-        worker.has_announced_end = worker.entry.is_draining
+        self._update_incarnation(worker, report)
         worker.last_report_at = report.received_at
         self._partition.reported_workers.add(report.worker_id)
         worker.is_silent = False
@@ -116,6 +103,20 @@
             if is_unreachable and now > worker.lease_until + margin:
                 self._losses.lose_all(worker, LossReason.LEASE_OVER, now)
 
+    def _update_incarnation(
+        self, worker: WorkerState, report: WorkerReport
+    ) -> None:
+        now = report.received_at
+        if worker.incarnation is None:
+            self._losses.lose_former(worker, report.incarnation, now)
+        elif report.incarnation != worker.incarnation:
+            self._losses.lose_all(worker, LossReason.REBORN, now)
+        self._losses.settle_doubt(worker, report.incarnation, now)
+        worker.incarnation = report.incarnation
+        worker.is_leaving = (
+            worker.entry.is_draining or worker.is_drain_requested
+        )
+
     def _apply_running(
         self, worker: WorkerState, report: WorkerReport
     ) -> set[tuple[TaskKey, int]]:
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -91,8 +91,9 @@
 
     ``suspects`` are the attached tasks that were on workers that crashed.
     ``doubtful`` are attempts whose leases ran out at ``doubtful_since``, while
-    it is not known whether the worker crashed.  ``has_announced_end`` is kept
-    until the worker reports again, which its successor may do under its id.
+    it is not known whether the worker crashed.  ``is_leaving`` means that the
+    worker announced its end, or its VM was to be taken away, when it last
+    reported or since.
     """
 
     __slots__ = (
@@ -106,9 +107,9 @@
         'free_cpu',
         'free_gpus',
         'free_memory',
-        'has_announced_end',
         'incarnation',
         'is_drain_requested',
+        'is_leaving',
         'is_listed',
         'is_silent',
         'last_end_number',
@@ -133,7 +134,7 @@
         self.suspects: dict[TaskKey, TaskState] = {}
         self.doubtful: tuple[LostAttempt, ...] = ()
         self.doubtful_since = 0.0
-        self.has_announced_end = worker.is_draining
+        self.is_leaving = worker.is_draining
         self.incarnation: int | None = None
         self.last_report_at: float | None = None
         self.is_listed = True
@@ -156,7 +157,7 @@
         self.free_gpus += after.gpus - before.gpus
         self.entry = worker
         self.is_listed = True
-        self.has_announced_end = self.has_announced_end or worker.is_draining
+        self.is_leaving = self.is_leaving or worker.is_draining
 
     def attach(self, key: TaskKey, task: TaskState, step: Step) -> None:
         """Occupy capacity for the present attempt of a task."""
