Repeat a request that breaks its connections at most twice

What callers would see: all endpoints of a pool gone, one after the other. An idempotent request whose endpoint broke off was sent to the next one, without count: in a pool of 8 it went to all of them and to three again, 11 sends, until the retry budget was spent.

Change: after three attempts whose endpoint broke off or fell silent (the first may have been a stale connection) the request gets its answer, "may have run". Refusals and attempts that never reached an endpoint don't count.

--- a/libs/routing/tarragonlb/routing/requeststate.py
+++ b/libs/routing/tarragonlb/routing/requeststate.py
@@ -12,6 +12,8 @@
 OVERLOAD_OUTCOMES = frozenset((Outcome.BUSY, Outcome.TIMED_OUT))
 CONNECTION_FAULTS = frozenset((Outcome.BROKEN, Outcome.SILENT))
 _NEVER_RAN = frozenset((Outcome.BUSY, Outcome.NOT_SENT))
+# The first may be a connection that was stale.
+MAX_CONNECTION_FAULTS = 3
 
 
 class RequestState:
@@ -21,10 +23,13 @@
     attempt is in progress; if the endpoint refused the attempt before it ran,
     or was never reached, the previous verdict is restored.
     ``needs_new_connection`` is set once an attempt has failed.
+    ``connection_faults`` counts attempts whose endpoint broke off or fell
+    silent, which the request itself may have caused.
     """
 
     __slots__ = (
         '_previous_verdict',
+        'connection_faults',
         'endpoint',
         'needs_new_connection',
         'refusals',
@@ -41,12 +46,15 @@
         self.endpoint: Endpoint | None = None
         self.sent_at = 0.0
         self.refusals = 0
+        self.connection_faults = 0
         self.needs_new_connection = False
         self.tried_vm_ids: frozenset[str] = frozenset()
         self._previous_verdict = Verdict.NOT_RUN
 
     def can_send(self) -> bool:
-        """Return whether the verdict allows another attempt."""
+        """Return whether the verdict and the faults allow another attempt."""
+        if self.connection_faults >= MAX_CONNECTION_FAULTS:
+            return False
         idempotent = self.request.idempotent
         return self.verdict.allows_retry(idempotent=idempotent)
 
@@ -70,6 +78,7 @@
         endpoint = self.endpoint
         self.endpoint = None
         self.refusals += outcome is Outcome.BUSY
+        self.connection_faults += outcome in CONNECTION_FAULTS
         self.needs_new_connection |= outcome is not Outcome.BUSY
         if outcome in _NEVER_RAN:
             self.verdict = self._previous_verdict
