Release all attempts of a worker when a stop order finds another one

What would break: a sound job given up after one more crash. If the answer to a stop order shows that another worker has the address, only the attempt of that order was released, and its crash was rated as if it had been alone there (two or three points instead of one). The others were released later, one by one.

Change: all attempts are released and rated together, as when a status request finds another worker.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -113,6 +113,17 @@
     When a scheduling round runs at 7 s
     Then 1 tasks start
 
+  # Guards against a task that is blamed as if it had been alone on its worker,
+  # since only the answer to its stop order showed that the worker is over.
+  Scenario: A stop order that finds another worker releases all attempts there
+    Given workers "w0" with 4000 millicores
+    And a job with steps "1x1000"
+    And a job with steps "1x1000"
+    When a scheduling round runs
+    And the first job is cancelled, and its stop order finds another worker
+    Then the task of the second job waits
+    And the crash points to it as to one of several
+
   # Guards against a job that takes all memory of its owner, and of the next one,
   # as all its occurrences are due at once.
   Scenario: Occurrences that are due in great number come bit by bit
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -17,7 +17,9 @@
     SHARED_POINTS,
     CrashHistory,
 )
-from tarragonlb.scheduling.job import TaskKey  # noqa: E402
+from tarragonlb.scheduling.job import Moment, TaskKey  # noqa: E402
+from tarragonlb.scheduling.orders import OrderResult  # noqa: E402
+from tarragonlb.scheduling.task import TaskPhase  # noqa: E402
 
 EXAMPLES = 150
 # Longer than a member's TTL, so that the owner comes back after its successor.
@@ -219,3 +221,29 @@
         context.open_jobs.extend(run_script(number, faults, fuse))
 
     run()
+
+
+@when('the first job is cancelled, and its stop order finds another worker')
+def find_other(context):
+    scheduler = context.scheduler
+    for start in context.round.starts:
+        scheduler.apply_order_result(start, OrderResult.DONE, context.now)
+    scheduler.state.cancel_job(f'{0:016x}', context.now)
+    context.now += 0.1
+    decision = scheduler.decide(Moment(context.now, context.now * 1000))
+    (stop,) = decision.stops
+    scheduler.apply_order_result(
+        stop, OrderResult.OTHER_INCARNATION, context.now
+    )
+
+
+@then('the task of the second job waits')
+def check_waits(context):
+    (_, task), *_ = context.scheduler.state.jobs[f'{1:016x}'].list_tasks()
+    assert task.phase is TaskPhase.WAITING, task.phase
+    context.task = task
+
+
+@then('the crash points to it as to one of several')
+def check_points(context):
+    assert context.task.crashes.points == SHARED_POINTS, context.task.crashes
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -6,7 +6,6 @@
     ISOLATION_WAIT_SECONDS,
     rate_crash,
 )
-from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import TaskPhase
@@ -58,15 +57,6 @@
         )
         self._lose(worker, lost, LossReason.REBORN, now)
 
-    def lose_attempt(
-        self, worker: WorkerState, key: TaskKey, now: float
-    ) -> None:
-        """Release one attempt on a worker that is over."""
-        lost = [
-            attempt for attempt in _list_lost(worker, now) if attempt.key == key
-        ]
-        self._lose(worker, tuple(lost), LossReason.REPLACED, now)
-
     def settle_doubt(
         self, worker: WorkerState, incarnation: int | None, now: float
     ) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -10,6 +10,7 @@
 from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StopReason, TaskPhase
+from tarragonlb.scheduling.workerloss import LossReason
 
 
 class OrderTracker:
@@ -55,7 +56,7 @@
             task.barred_at = now
         if result is OrderResult.OTHER_INCARNATION:
             worker = self._partition.workers[order.worker_id]
-            self._losses.lose_attempt(worker, order.key, now)
+            self._losses.lose_all(worker, LossReason.REPLACED, now)
 
     def _bar_orphan(
         self, order: StopOrder, result: OrderResult, now: float
