Count crashes only for attempts whose start may have been sent

Two of its tasks were placed while the store was down; their worker crashed before the placement was stored, so before any start was sent. That counted as a crash under tasks that were alone at their start, and the next one, by a deadly job, ended the job.

Change: a placement counts as sent once its decision is stored; the loss of a worker before that is no crash of the task. An attempt that a new owner finds in the store may have been sent.

--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -275,7 +275,7 @@
 
     def _finish_round(self, decision: SchedulingDecision) -> None:
         self._is_storing = False
-        self._scheduler.bound_keeper.note_stored(decision.bound_changes)
+        self._scheduler.note_stored(decision)
         for worker_id, (incarnation, number) in decision.end_acks.items():
             session = self._sessions.get(worker_id)
             if session is not None:
--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -116,6 +116,17 @@
     And 10 seconds pass
     Then no job has failed, and all others are completed
 
+  # Guards against jobs that are given up for workers that crashed before the
+  # start was sent: storing the decision took seconds.
+  Scenario: A worker that crashes before the start is sent does not count
+    Given a fleet of 8 workers on a network that loses nothing
+    And a job of 2 tasks
+    And workers that come back under a new id
+    When the worker of the tasks crashes while the store is down for 3 seconds
+    And the worker that runs the tasks crashes
+    And 20 seconds pass
+    Then no job has failed, and all others are completed
+
   # Guards against jobs that are given up since their workers' VMs were moved: the
   # drain request is withdrawn with the move, before the worker is known to end.
   Scenario: A worker whose VM was taken away does not count as crashed
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -164,6 +164,35 @@
         fleet.drain_requests = set()
 
 
+@when(
+    'the worker of the tasks crashes while the store is down for {seconds:g} '
+    'seconds'
+)
+def crash_before_start(context, seconds):
+    fleet = context.fleet
+    fleet.is_store_up = False
+    fleet.run(0.5)
+    crashed = [
+        worker
+        for worker in fleet.workers
+        if fleet.owner.scheduler.state.workers[worker.worker_id].attached
+    ]
+    assert crashed and not any(worker.runs for worker in crashed)
+    for worker in crashed:
+        fleet.crashes.crash(worker)
+    fleet.run(seconds)
+    fleet.is_store_up = True
+
+
+@when('the worker that runs the tasks crashes')
+def crash_running(context):
+    fleet = context.fleet
+    while not any(worker.runs for worker in fleet.workers):
+        fleet.step()
+    for worker in [w for w in fleet.workers if w.runs]:
+        fleet.crashes.crash(worker)
+
+
 @then('the deadly task has crashed {least:d} to {most:d} workers')
 def check_crashes(context, least, most):
     crashes = context.fleet.crashes.counts[context.deadly]
@@ -226,6 +255,7 @@
 @when('the first job is cancelled, and its stop order finds another worker')
 def find_other(context):
     scheduler = context.scheduler
+    scheduler.note_stored(context.round)
     for start in context.round.starts:
         scheduler.apply_order_result(start, OrderResult.DONE, context.now)
     scheduler.state.cancel_job(f'{0:016x}', context.now)
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -115,7 +115,7 @@
         """
         if worker.is_leaving:
             return
-        lost = tuple(lost)
+        lost = tuple(attempt for attempt in lost if attempt.was_sent)
         is_alone = len({attempt.key.job_id for attempt in lost}) == 1
         for attempt in lost:
             points = rate_crash(is_alone=is_alone, was_seen=attempt.was_seen)
@@ -156,6 +156,7 @@
             key,
             attachment.attempt,
             task.incarnation,
+            was_sent=task.is_stored,
             was_seen=not (is_own and task.phase is TaskPhase.PLACED),
             has_survived=worker.last_report_at is not None
             and task.phase is not TaskPhase.PLACED
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -131,6 +131,7 @@
     )
     task.isolate_until = now + ISOLATION_WAIT_SECONDS
     task.incarnation = row.incarnation
+    task.is_stored = True
     task.was_copied = row.was_copied
     if task.is_attached:
         task.settled_at = now
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -100,6 +100,16 @@
             },
         )
 
+    def note_stored(self, decision: SchedulingDecision) -> None:
+        """Note that a decision is stored, before its starts are sent."""
+        self.bound_keeper.note_stored(decision.bound_changes)
+        for start in decision.starts:
+            task = self.state.find_attempt(
+                start.key, start.attempt, start.worker_id
+            )
+            if task is not None:
+                task.is_stored = True
+
     def apply_order_result(
         self,
         order: StartOrder | StopOrder | PaceOrder,
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -50,9 +50,11 @@
     when the worker confirmed a stop order: a report requested later that does
     not list the attempt proves that it is over.  ``avoided`` are workers where
     the task failed or stalled, or that crashed.  ``incarnation`` is that of the
-    worker when the attempt was placed, 0 if unknown.  Until ``isolate_until`` a
-    strong suspect waits for an empty worker.  ``was_copied`` means that it was
-    started again while the worker of an attempt was silent.
+    worker when the attempt was placed, 0 if unknown.  ``is_stored`` means that
+    the placement is stored, so the start order may have been sent.  Until
+    ``isolate_until`` a strong suspect waits for an empty worker.
+    ``was_copied`` means that it was started again while the worker of an
+    attempt was silent.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         'crashes',
         'failed_attempts',
         'incarnation',
+        'is_stored',
         'isolate_until',
         'not_before',
         'phase',
@@ -85,6 +88,7 @@
         self.failed_attempts: set[int] = set()
         self.crashes = NO_CRASHES
         self.incarnation = 0
+        self.is_stored = False
         self.isolate_until = 0.0
         self.was_copied = False
         self.checkpoint = ''
@@ -133,6 +137,7 @@
         self.phase = TaskPhase.PLACED
         self.worker_id = worker_id
         self.incarnation = incarnation
+        self.is_stored = False
         self.attempt = attempt
         self.placed_at = now
         self.settled_at = None
