Place no task on a worker after a drain request until it reports again

Cause: excused the loss of any worker that was asked to drain since its last report, as the fleet's owner had moved such a VM under a task. The excuse treated a symptom. The fault was that tasks were placed on a VM that had just been moved.

Change: a drain request that is withdrawn, which also happens with the move, keeps the worker out of use until it reports again; a worker that was moved never does. Only an announced end excuses a loss.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -127,14 +127,25 @@
     And 20 seconds pass
     Then no job has failed, and all others are completed
 
-  # Guards against jobs that are given up since their workers' VMs were moved: the
+  # Guards against tasks that are placed on a VM that has just been moved: its
   # drain request is withdrawn with the move, before the worker is known to end.
-  Scenario: A worker whose VM was taken away does not count as crashed
+  Scenario: No task is placed on a drained VM that was taken away
     Given a fleet of 8 workers on a network that loses nothing
-    And a job of 4 permanent tasks
-    When the VMs of the permanent tasks are drained and taken away, 6 times
+    And workers that come back under a new id
+    When half of the VMs are drained, taken away as jobs arrive, 6 times
     And 10 seconds pass
     Then no job has failed, and all others are completed
+    And no task was lost with its worker
+
+  # Guards against crashes that don't count since the fleet's owner asked to drain
+  # the VM before the crash was noticed.
+  Scenario: A drain request after a crash does not excuse it
+    Given a fleet of 8 workers on a network that loses nothing
+    And a job of 4 tasks of which the first crashes its worker after 0 s
+    And workers that come back under a new id
+    When each worker that has crashed is asked to drain for 40 seconds
+    Then the deadly task has crashed 2 to 3 workers
+    And its job has failed, and all other jobs are completed
 
   Scenario: A worker that announced its end does not count as crashed
     Given a fleet of 8 workers on a network that loses nothing
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -149,19 +149,32 @@
             worker.is_draining = False
 
 
-@when(
-    'the VMs of the permanent tasks are drained and taken away, {times:d} times'
-)
+@when('half of the VMs are drained, taken away as jobs arrive, {times:d} times')
 def drain_and_move(context, times):
     fleet = context.fleet
     for _ in range(times):
-        fleet.run(1.5)
-        # No worker is left for the tasks, so they are not evicted.
-        fleet.drain_requests = {w.worker_id for w in fleet.workers}
+        # The tasks of the last round end, so the VMs are empty.
+        fleet.run(8)
+        moved = fleet.workers[: len(fleet.workers) // 2]
+        assert not any(worker.runs for worker in moved)
+        fleet.drain_requests = {worker.worker_id for worker in moved}
         fleet.run(0.5)
-        for worker in [w for w in fleet.workers if w.runs]:
+        for worker in moved:
             fleet.crashes.crash(worker)
         fleet.drain_requests = set()
+        for _ in range(3):
+            fleet.submit([make_step(8)])
+
+
+@when('each worker that has crashed is asked to drain for {seconds:g} seconds')
+def drain_crashed(context, seconds):
+    fleet = context.fleet
+    end = fleet.now + seconds
+    while fleet.now < end:
+        fleet.step()
+        fleet.drain_requests = {
+            worker.worker_id for worker in fleet.workers if not worker.is_up
+        }
 
 
 @when(
@@ -193,6 +206,12 @@
         fleet.crashes.crash(worker)
 
 
+@then('no task was lost with its worker')
+def check_no_loss(context):
+    losses = context.fleet.owner.scheduler.state.worker_losses
+    assert not losses, losses
+
+
 @then('the deadly task has crashed {least:d} to {most:d} workers')
 def check_crashes(context, least, most):
     crashes = context.fleet.crashes.counts[context.deadly]
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -111,7 +111,7 @@
     ) -> None:
         """Count a crash for the tasks that may have caused it.
 
-        A worker that announced its end, or whose VM we took, did not crash.
+        A worker that announced its end did not crash.
         """
         if worker.is_leaving:
             return
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -181,8 +181,8 @@
             is_requested = worker_id in worker_ids
             if worker.is_drain_requested and not is_requested:
                 self.changed_pools.add(worker.entry.pool)
+                worker.must_report = True
             worker.is_drain_requested = is_requested
-            worker.is_leaving = worker.is_leaving or is_requested
 
     def list_unreachable(self) -> dict[str, float | None]:
         """Return when unreachable workers with attempts last answered, by id.
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -113,9 +113,8 @@
             self._losses.lose_all(worker, LossReason.REBORN, now)
         self._losses.settle_doubt(worker, report.incarnation, now)
         worker.incarnation = report.incarnation
-        worker.is_leaving = (
-            worker.entry.is_draining or worker.is_drain_requested
-        )
+        worker.is_leaving = worker.entry.is_draining
+        worker.must_report = False
 
     def _apply_running(
         self, worker: WorkerState, report: WorkerReport
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -92,8 +92,9 @@
     ``suspects`` are the attached tasks that were on workers that crashed.
     ``doubtful`` are attempts whose leases ran out at ``doubtful_since``, while
     it is not known whether the worker crashed.  ``is_leaving`` means that the
-    worker announced its end, or its VM was to be taken away, when it last
-    reported or since.
+    worker announced its end when it last reported or since.  ``must_report`` is
+    true from when a drain request was withdrawn, which also happens when the VM
+    has been taken away, until the worker reports again.
     """
 
     __slots__ = (
@@ -115,6 +116,7 @@
         'last_end_number',
         'last_report_at',
         'lease_until',
+        'must_report',
         'orphans',
         'probe_at',
         'suspects',
@@ -140,6 +142,7 @@
         self.is_listed = True
         self.is_silent = False
         self.is_drain_requested = False
+        self.must_report = False
         self.lease_until = lease_until
         self.probe_at = 0.0
         self.failures = 0
@@ -220,6 +223,7 @@
         if (
             self.entry.is_draining
             or self.is_drain_requested
+            or self.must_report
             or not self.is_listed
         ):
             return False
