Give no points for a crash before a start that got no answer

Change: a crash on a worker with other jobs gives no points if the worker neither confirmed the start nor listed the attempt. Such a crash still counts towards isolation and towards the five that always end a task, so the bound on crashes stays. Alone on the worker it gives points as before.

"A start that got no answer on a shared worker is hardly evidence" fails without the change (1 point) and passes with it; libs/scheduling 142 passed.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -124,6 +124,17 @@
     Then the task of the second job waits
     And the crash points to it as to one of several
 
+  # Guards against jobs that are given up for workers that crashed before the
+  # start arrived: its order got no answer, and other jobs were there.
+  Scenario: A start that got no answer on a shared worker is hardly evidence
+    Given workers "w0" with 4000 millicores
+    And a job with steps "1x1000"
+    And a job with steps "1x1000"
+    When a scheduling round runs
+    And no start is answered, and the worker is lost
+    Then the task of the second job waits
+    And the crash does not point to it
+
   # Guards against a job that takes all memory of its owner, and of the next one,
   # as all its occurrences are due at once.
   Scenario: Occurrences that are due in great number come bit by bit
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -286,6 +286,21 @@
     )
 
 
+@when('no start is answered, and the worker is lost')
+def lose_unanswered(context):
+    scheduler = context.scheduler
+    scheduler.note_stored(context.round)
+    for start in context.round.starts:
+        scheduler.apply_order_result(start, OrderResult.UNANSWERED, context.now)
+    scheduler.reconciler.note_worker_replaced('w0', context.now)
+
+
+@then('the crash does not point to it')
+def check_no_points(context):
+    crashes = context.task.crashes
+    assert (len(crashes.attempts), crashes.points) == (1, 0), crashes
+
+
 @then('the task of the second job waits')
 def check_waits(context):
     (_, task), *_ = context.scheduler.state.jobs[f'{1:016x}'].list_tasks()
--- a/libs/scheduling/tarragonlb/scheduling/crashhistory.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashhistory.py
@@ -84,12 +84,13 @@
 NO_CRASHES = CrashHistory()
 
 
-def rate_crash(*, is_alone: bool, was_seen: bool) -> int:
+def rate_crash(*, is_alone: bool, was_seen: bool, was_started: bool) -> int:
     """Return how strongly a crash points to an attempt on the worker.
 
     ``is_alone`` means that no other job had an attempt there, ``was_seen`` that
-    the worker listed the attempt as running before.
+    the worker listed the attempt as running before.  Without ``was_started``
+    the start order got no answer: the worker may have crashed before.
     """
     if not is_alone:
-        return SHARED_POINTS
+        return SHARED_POINTS if was_started else 0
     return ALONE_POINTS if was_seen else ALONE_AT_START_POINTS
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -8,7 +8,7 @@
 )
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.task import TaskPhase
+from tarragonlb.scheduling.task import StartStage, TaskPhase
 from tarragonlb.scheduling.worker import WorkerState
 from tarragonlb.scheduling.workerloss import (
     GivenUpTask,
@@ -118,7 +118,11 @@
         lost = tuple(attempt for attempt in lost if attempt.was_sent)
         is_alone = len({attempt.key.job_id for attempt in lost}) == 1
         for attempt in lost:
-            points = rate_crash(is_alone=is_alone, was_seen=attempt.was_seen)
+            points = rate_crash(
+                is_alone=is_alone,
+                was_seen=attempt.was_seen,
+                was_started=attempt.was_started,
+            )
             self._blame(worker, attempt, points, now)
 
     def _blame(
@@ -156,8 +160,11 @@
             key,
             attachment.attempt,
             task.incarnation,
-            was_sent=task.is_stored,
+            was_sent=task.start_stage is not StartStage.DECIDED,
             was_seen=not (is_own and task.phase is TaskPhase.PLACED),
+            was_started=not is_own
+            or task.start_stage is StartStage.CONFIRMED
+            or task.phase is not TaskPhase.PLACED,
             has_survived=worker.last_report_at is not None
             and task.phase is not TaskPhase.PLACED
             and task.has_survived_start(worker.last_report_at),
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -9,7 +9,7 @@
 from tarragonlb.scheduling.lossrecorder import LossRecorder
 from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.task import StopReason, TaskPhase
+from tarragonlb.scheduling.task import StartStage, StopReason, TaskPhase
 from tarragonlb.scheduling.workerloss import LossReason
 
 
@@ -34,6 +34,8 @@
             return
         if result in {OrderResult.DONE, OrderResult.UNANSWERED}:
             task.settled_at = now
+            if result is OrderResult.DONE:
+                task.start_stage = StartStage.CONFIRMED
             return
         self._partition.release(order.key, task, 'the start was refused')
         task.not_before = now + self._partition.settings.refusal_backoff_seconds
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -20,7 +20,7 @@
     RecordError,
     decode_value,
 )
-from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.task import StartStage, TaskPhase, TaskState
 
 
 class TaskRow(msgspec.Struct, array_like=True, frozen=True):
@@ -131,7 +131,7 @@
     )
     task.isolate_until = now + ISOLATION_WAIT_SECONDS
     task.incarnation = row.incarnation
-    task.is_stored = True
+    task.start_stage = StartStage.STORED
     task.was_copied = row.was_copied
     if task.is_attached:
         task.settled_at = now
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -28,7 +28,7 @@
 from tarragonlb.scheduling.reconciliation import Reconciler
 from tarragonlb.scheduling.settings import SchedulingSettings
 from tarragonlb.scheduling.stopping import StopPlanner
-from tarragonlb.scheduling.task import TaskPhase
+from tarragonlb.scheduling.task import StartStage, TaskPhase
 
 # Finished jobs are looked through this often, since most rounds remove none.
 CLEANUP_INTERVAL_SECONDS = 1.0
@@ -108,7 +108,7 @@
                 start.key, start.attempt, start.worker_id
             )
             if task is not None:
-                task.is_stored = True
+                task.start_stage = StartStage.STORED
 
     def apply_order_result(
         self,
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -24,6 +24,18 @@
     DONE = 4
 
 
+class StartStage(enum.IntEnum):
+    """How far the start of an attempt has come.
+
+    DECIDED: no order was sent.  STORED: the placement is stored, and the order
+    may have been sent.  CONFIRMED: the worker has answered it.
+    """
+
+    DECIDED = 0
+    STORED = 1
+    CONFIRMED = 2
+
+
 class StopReason(enum.Enum):
     """Why an attempt is stopped; values are written to the log."""
 
@@ -50,8 +62,7 @@
     when the worker confirmed a stop order: a report requested later that does
     not list the attempt proves that it is over.  ``avoided`` are workers where
     the task failed or stalled, or that crashed.  ``incarnation`` is that of the
-    worker when the attempt was placed, 0 if unknown.  ``is_stored`` means that
-    the placement is stored, so the start order may have been sent.  Until
+    worker when the attempt was placed, 0 if unknown.  Until
     ``isolate_until`` a strong suspect waits for an empty worker.
     ``was_copied`` means that it was started again while the worker of an
     attempt was silent.
@@ -65,7 +76,6 @@
         'crashes',
         'failed_attempts',
         'incarnation',
-        'is_stored',
         'isolate_until',
         'not_before',
         'phase',
@@ -73,6 +83,7 @@
         'progress_at',
         'progress_percent',
         'settled_at',
+        'start_stage',
         'stop_reason',
         'stop_sent_at',
         'tail_ms',
@@ -88,7 +99,7 @@
         self.failed_attempts: set[int] = set()
         self.crashes = NO_CRASHES
         self.incarnation = 0
-        self.is_stored = False
+        self.start_stage = StartStage.DECIDED
         self.isolate_until = 0.0
         self.was_copied = False
         self.checkpoint = ''
@@ -137,7 +148,7 @@
         self.phase = TaskPhase.PLACED
         self.worker_id = worker_id
         self.incarnation = incarnation
-        self.is_stored = False
+        self.start_stage = StartStage.DECIDED
         self.attempt = attempt
         self.placed_at = now
         self.settled_at = None
--- a/libs/scheduling/tarragonlb/scheduling/workerloss.py
+++ b/libs/scheduling/tarragonlb/scheduling/workerloss.py
@@ -25,10 +25,11 @@
 
     ``incarnation`` is that of the worker when it got the attempt, 0 if unknown.
     ``was_sent`` is false if the start order was surely not sent, ``was_seen``
-    if the worker surely never listed the attempt as running.  ``has_survived``
-    is true if it listed the attempt so long after its start that the start
-    can't be what crashed it.  ``age_seconds`` is the time from the placement to
-    the detection of the loss, None if another owner placed the attempt.
+    if the worker surely never listed the attempt as running, ``was_started`` if
+    it did not confirm the start either.  ``has_survived`` is true if it listed
+    the attempt so long after its start that the start can't be what crashed it.
+    ``age_seconds`` is the time from the placement to the detection of the loss,
+    None if another owner placed the attempt.
     """
 
     key: TaskKey
@@ -36,6 +37,7 @@
     incarnation: int
     was_sent: bool = True
     was_seen: bool = True
+    was_started: bool = True
     has_survived: bool = False
     age_seconds: float | None = None
 
