Decode tenants and store the tenant of a job

Cause: keys, caps and shares need to know which tenant a job belongs to. Change: the configuration has a table of tenants with weight and cap, the settings say whether there are tenants, and a submission record has a last field with the tenant, only if there is one. Result: a scenario shows that a job of no tenant stores the same fields as before. lint and the scenarios of scheduling, controller and platform pass.

--- a/libs/controller/tarragonlb/controller/ports.py
+++ b/libs/controller/tarragonlb/controller/ports.py
@@ -23,6 +23,7 @@
 )
 from tarragonlb.scheduling.queue import QueueTable
 from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.scheduling.tenant import NO_TENANTS, TenantTable
 from tarragonlb.scheduling.wave import Vm, Wave
 from tarragonlb.scheduling.worker import Worker, WorkerReport
 
@@ -55,6 +56,7 @@
     queues: QueueTable
     max_body_bytes: int
     standby_pools: frozenset[str] = frozenset()
+    tenants: TenantTable = NO_TENANTS
 
 
 class Store(abc.ABC):
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -20,6 +20,8 @@
     grace_seconds: float
     holder_lease_seconds: float
     scheduling: SchedulingSettings
+    # Clients belong to tenants, which the configuration lists.
+    has_tenants: bool = False
     # Capacity of the VM's processor for this process.
     processor_cores: float = 1.0
     # A member without a successful join for this long loses its partitions.
--- a/libs/scheduling/tarragonlb/scheduling/job.py
+++ b/libs/scheduling/tarragonlb/scheduling/job.py
@@ -103,7 +103,8 @@
     """An accepted job, its queue and the pool that it runs on.
 
     ``handed_in_ms`` is when the job was submitted, in Unix milliseconds by the
-    clock of the daemon that accepted it; 0 if that is not known.
+    clock of the daemon that accepted it; 0 if that is not known.  ``tenant`` is
+    empty for a job of no tenant.
     """
 
     job_id: str
@@ -111,6 +112,7 @@
     pool: str
     spec: JobSpec
     handed_in_ms: float = 0
+    tenant: str = ''
 
 
 class TaskKey(NamedTuple):
--- a/libs/scheduling/tarragonlb/scheduling/jobindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobindex.py
@@ -108,6 +108,7 @@
             pool=head.pool,
             spec=decode_spec(head.spec),
             handed_in_ms=head.handed_in_ms,
+            tenant=head.tenant,
         )
         state = JobState(job, now)
         progress = self.find_progress()
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -12,6 +12,7 @@
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.settings import SchedulingSettings
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
+from tarragonlb.scheduling.tenant import NO_TENANTS, TenantTable
 from tarragonlb.scheduling.worker import Worker, WorkerState
 from tarragonlb.scheduling.workerloss import GivenUpTask, WorkerLoss
 
@@ -74,6 +75,7 @@
         'stopping_workers',
         'stored_bounds',
         'taken_over_at',
+        'tenants',
         'unknown_paces',
         'worker_losses',
         'workers',
@@ -86,6 +88,7 @@
         self.open_jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.queues: Mapping[str, Queue] = {}
+        self.tenants: TenantTable = NO_TENANTS
         self.changed_jobs: set[str] = set()
         self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -18,7 +18,7 @@
 CANCELLATION = 'c'
 PROGRESS = 'p'
 KINDS = frozenset((SUBMISSION, CANCELLATION, PROGRESS))
-SUBMISSION_FIELDS = ('queue', 'pool', 'spec', 'handed_in_ms')
+SUBMISSION_FIELDS = ('queue', 'pool', 'spec', 'handed_in_ms', 'tenant')
 CANCELLED_VALUE = cbor2.dumps([])
 
 
@@ -42,6 +42,8 @@
     spec = msgspec.to_builtins(job.spec)
     spec['steps'] = [_drop_defaults(step) for step in spec['steps']]
     content = [job.queue, job.pool, cbor2.dumps(spec), job.handed_in_ms]
+    if job.tenant:
+        content.append(job.tenant)
     return KeyedRecord(job.job_id + SUBMISSION, cbor2.dumps(content))
 
 
@@ -63,6 +65,7 @@
     pool: str
     spec: bytes
     handed_in_ms: float
+    tenant: str = ''
 
 
 def decode_submission_head(value: bytes) -> SubmissionHead:
@@ -72,8 +75,10 @@
     """
     content = decode_value(value)
     try:
+        # Jobs of no tenant have no last field.
+        fields = SUBMISSION_FIELDS[: len(content)]
         return msgspec.convert(
-            dict(zip(SUBMISSION_FIELDS, content, strict=True)), SubmissionHead
+            dict(zip(fields, content, strict=True)), SubmissionHead
         )
     except (msgspec.ValidationError, TypeError, ValueError) as error:
         raise RecordError(f'submission: {error}') from error
