Let policies order, limit and filter what a round places

Cause: shares of tenants, caps, reservations and tickets all change how waiting tasks are placed, and each needs a place of its own. Change: SchedulingPolicies with a JobOrder, a StartLimit and WorkerFilters, whose defaults are what was done before; ReadyStep and the sessions with workers move to modules of their own.

--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -24,10 +25,11 @@
 from tarragonlb.controller.ownerreport import OwnerReport
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import DirectoryGate, PlatformView
+from tarragonlb.controller.policies import build_scheduler
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.vmwatch import VmWatch
-from tarragonlb.controller.workersession import WorkerSession
+from tarragonlb.controller.workersessions import WorkerSessions
 from tarragonlb.scheduling.orders import (
     OrderResult,
     PaceOrder,
@@ -35,9 +37,7 @@
     StartOrder,
     StopOrder,
 )
-from tarragonlb.scheduling.placement import PackNearData
 from tarragonlb.scheduling.records import RecordError
-from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, ROUND_SECONDS
 from tarragonlb.telemetry.log import Log
 
@@ -99,7 +99,6 @@
         self._inbox, self._inbox_receiver = trio.open_memory_channel[
             events.Event
         ](INBOX_SIZE)
-        self._sessions: dict[str, WorkerSession] = {}
         self._decision_log = DecisionLog(owned)
         self._directory_gate = DirectoryGate(
             view, settings, clock.read_boottime()
@@ -107,12 +106,11 @@
         self._report = OwnerReport(owned, clock.read_monotonic())
         self._is_storing = False
         self._next_round_at = 0.0
-        self._scheduler = Scheduler(
-            settings.scheduling, PackNearData(), clock.read_monotonic()
-        )
+        self._scheduler = build_scheduler(settings, clock.read_monotonic())
         self._lease_handover = LeaseHandover(
             self._scheduler, self._storage, self._decision_log
         )
+        self._sessions = WorkerSessions(owned.term, workers, settings, clock)
 
     async def run(self, lease_seconds: Callable[[], float]) -> None:
         """Own the partition until the term ends.
@@ -276,10 +274,7 @@
     def _finish_round(self, decision: SchedulingDecision) -> None:
         self._is_storing = False
         self._scheduler.note_stored(decision)
-        for worker_id, (incarnation, number) in decision.end_acks.items():
-            session = self._sessions.get(worker_id)
-            if session is not None:
-                session.acknowledge_ends(incarnation, number)
+        self._sessions.acknowledge_ends(decision.end_acks)
         if decision.starts:
             self._decision_log.log_starts(
                 decision, self._scheduler.state.workers
@@ -290,8 +285,7 @@
             self._next_round_at = self._clock.read_monotonic()
 
     def _enqueue_order(self, order: StartOrder | StopOrder | PaceOrder) -> None:
-        session = self._sessions.get(order.worker_id)
-        if session is None or not session.enqueue(order):
+        if not self._sessions.enqueue(order):
             self._handle_event(events.OrderAnswered(order, OrderResult.REFUSED))
 
     def _handle_event(self, event: events.Event) -> None:
@@ -355,6 +349,7 @@
         partition_state = self._scheduler.state
         if view.configuration is not None:
             partition_state.queues = view.configuration.queues.by_name
+            partition_state.tenants = view.configuration.tenants
         partition_workers = [
             worker
             for worker in view.workers.values()
@@ -364,31 +359,13 @@
         partition_state.apply_drain_requests(
             view.fleet_state.drain_requests_by_worker
         )
-        self._update_sessions()
-
-    def _update_sessions(self) -> None:
-        workers = self._scheduler.state.workers
-        for worker_id in tuple(self._sessions):
-            if worker_id not in workers:
-                self._sessions.pop(worker_id).scope.cancel()
-        for worker_id, state in workers.items():
-            session = self._sessions.get(worker_id)
-            if session is None and state.entry.address:
-                session = WorkerSession(
-                    state.entry,
-                    self._owned.term,
-                    self._workers,
-                    self._settings,
-                    self._clock,
-                )
-                self._sessions[worker_id] = session
-                self._nursery.start_soon(
-                    session.run,
-                    self._inbox,
-                    self._lease_handover.limit_leases(
-                        worker_id, self._lease_seconds
-                    ),
-                    self._scheduler.is_still_wanted,
-                )
-            elif session is not None:
-                session.worker = state.entry
+        self._sessions.update(
+            partition_state.workers,
+            self._nursery,
+            self._inbox,
+            partial(
+                self._lease_handover.limit_leases,
+                lease_seconds=self._lease_seconds,
+            ),
+            self._scheduler.is_still_wanted,
+        )
--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -24,6 +24,7 @@
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.placement import PackNearData
+from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.rebalancing import PoolRebalancer
 from tarragonlb.scheduling.records import KeyedRecord
@@ -90,7 +91,9 @@
     def __init__(self, name, traffic):
         self.name = name
         self.traffic = traffic
-        self.scheduler = Scheduler(SETTINGS, PackNearData(), 0.0)
+        self.scheduler = Scheduler(
+            SETTINGS, SchedulingPolicies(placement=PackNearData()), 0.0
+        )
         self.scheduler.state.queues = {
             name: Queue(
                 name=name,
--- a/libs/scheduling/features/simulatedowner.py
+++ b/libs/scheduling/features/simulatedowner.py
@@ -4,6 +4,7 @@
 
 from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.placement import PackNearData
+from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.scheduling.settings import SchedulingSettings
@@ -22,7 +23,9 @@
         self.valid_until = fleet.now + MEMBER_TTL_SECONDS
         self.contact_at = fleet.now
         self.frozen_until = 0.0
-        self.scheduler = Scheduler(SETTINGS, PackNearData(), fleet.now)
+        self.scheduler = Scheduler(
+            SETTINGS, SchedulingPolicies(placement=PackNearData()), fleet.now
+        )
         self.granted = {}
         self.clocks = {}
         self.end_acks = {}
--- a/libs/scheduling/features/steps/cost_steps.py
+++ b/libs/scheduling/features/steps/cost_steps.py
@@ -5,6 +5,7 @@
 from tarragonlb.scheduling.job import Demand, Job, JobSpec, Moment, Step
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.placement import PackNearData
+from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.scheduling.settings import SchedulingSettings
@@ -26,7 +27,7 @@
 def build_pool(workers, jobs):
     scheduler = Scheduler(
         SchedulingSettings(max_lease_seconds=6, maintenance_seconds=3),
-        PackNearData(),
+        SchedulingPolicies(placement=PackNearData()),
         0.0,
     )
     state = scheduler.state
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -7,6 +7,7 @@
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.placement import PackNearData
+from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.progress import (
     build_progress_record,
     decode_progress,
@@ -22,6 +23,7 @@
     WorkerReport,
 )
 
+POLICIES = SchedulingPolicies(placement=PackNearData())
 SETTINGS = SchedulingSettings(
     max_lease_seconds=6.0,
     maintenance_seconds=2.0,
@@ -103,7 +105,7 @@
     context.now = 0.0
     context.directory = {}
     context.end_count = 0
-    context.scheduler = Scheduler(SETTINGS, PackNearData(), 0.0)
+    context.scheduler = Scheduler(SETTINGS, POLICIES, 0.0)
     context.scheduler.state.queues = QUEUES
     for name in names.split():
         add_worker(context, name, millicores)
@@ -363,7 +365,7 @@
 @when('another owner takes over')
 def take_over(context):
     former = context.scheduler.state
-    context.scheduler = Scheduler(SETTINGS, PackNearData(), context.now)
+    context.scheduler = Scheduler(SETTINGS, POLICIES, context.now)
     state = context.scheduler.state
     state.queues = QUEUES
     state.update_workers(context.directory.values())
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -1,12 +1,7 @@
 """Assigns waiting tasks to workers.
 
-Steps are tried in order of their queue's priority.  Within a priority,
-permanent tasks come first, then jobs that have begun, then the steps that must
-start soonest for their job to meet its objective.  A job that has begun has
-used capacity, which is lost if new jobs make it late.  Jobs that will miss
-their objective are deferred behind those that can still meet it, for a limited
-time: at peak load more is asked of each pool than it has, and in order of
-arrival every job would be late.  A permanent task that fits on no worker
+The policies decide in which order steps are tried, which tasks may start now
+and which worker each of them gets.  A permanent task that fits on no worker
 reserves the one with the most free CPU, so that a stream of small tasks cannot
 starve it.
 
@@ -18,91 +13,19 @@
 from collections.abc import Container, Iterator
 
 from tarragonlb.scheduling.candidates import PoolCandidates
-from tarragonlb.scheduling.job import Moment, Step, TaskKey
-from tarragonlb.scheduling.jobstate import JobState, StepState
+from tarragonlb.scheduling.job import Moment, TaskKey
 from tarragonlb.scheduling.orders import StartOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.placement import (
-    PlacementPolicy,
-    is_candidate,
-    is_eligible,
-)
-from tarragonlb.scheduling.queue import Queue
-from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.placement import is_candidate, is_eligible
+from tarragonlb.scheduling.policies import SchedulingPolicies
+from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
+from tarragonlb.scheduling.task import TaskState
 from tarragonlb.scheduling.worker import WorkerState
 
 # Time between two rounds that look at all pools.
 FULL_PASS_INTERVAL_SECONDS = 1.0
 # Time after which a pool with backoffs or due times is looked at again.
 RETRY_SECONDS = 0.1
-# Delay from placing a task to its start, plus from its end to the report.
-PLACEMENT_OVERHEAD_SECONDS = 0.2
-# Longest time for which a late job is deferred; peaks are shorter.
-MAX_DEFERRAL_SECONDS = 20.0
-
-
-class ReadyStep:
-    """An unfinished step whose prerequisites are done."""
-
-    __slots__ = (
-        'job_state',
-        'number',
-        'occurrence',
-        'rank',
-        'step',
-        'step_state',
-    )
-
-    def __init__(
-        self,
-        job_state: JobState,
-        occurrence: int,
-        number: int,
-        queue: Queue,
-        now: Moment,
-    ) -> None:
-        """Compute the rank of the step among all ready steps."""
-        self.job_state = job_state
-        self.occurrence = occurrence
-        self.number = number
-        self.step_state: StepState = job_state.occurrences[occurrence][number]
-        self.step: Step = job_state.job.spec.steps[number]
-        due_at = job_state.find_due_time(occurrence, now)
-        # The step must start by then for its job to meet its objective.
-        objective = (
-            queue.stretch * max(job_state.critical_paths)
-            + queue.objective_seconds
-        )
-        latest_start = (
-            due_at
-            + objective
-            - job_state.critical_paths[number]
-            - PLACEMENT_OVERHEAD_SECONDS
-        )
-        is_deferred = latest_start < now.seconds < due_at + MAX_DEFERRAL_SECONDS
-        has_begun = bool(self.step.prerequisites) or any(
-            task.attempt for task in self.step_state.tasks
-        )
-        self.rank = (
-            queue.priority,
-            not self.step.is_permanent,
-            is_deferred,
-            not (is_deferred or has_begun),
-            due_at if is_deferred else latest_start,
-        )
-
-    @property
-    def key(self) -> tuple[str, int, int]:
-        """Return the job id, the occurrence and the step number."""
-        return (self.job_state.job.job_id, self.occurrence, self.number)
-
-    def list_waiting(self, now: float) -> list[int]:
-        """Return the indexes of the tasks that may be placed now."""
-        return [
-            index
-            for index, task in enumerate(self.step_state.tasks)
-            if task.phase is TaskPhase.WAITING and task.not_before <= now
-        ]
 
 
 class Assigner:
@@ -112,18 +35,18 @@
         '_candidates',
         '_next_full_pass_at',
         '_partition',
-        '_policy',
+        '_policies',
         '_queues',
         '_reserved',
         '_retry_at',
     )
 
     def __init__(
-        self, partition: PartitionState, policy: PlacementPolicy
+        self, partition: PartitionState, policies: SchedulingPolicies
     ) -> None:
-        """Place the tasks of ``partition`` according to ``policy``."""
+        """Place the tasks of ``partition`` according to ``policies``."""
         self._partition = partition
-        self._policy = policy
+        self._policies = policies
         self._reserved: set[str] = set()
         self._candidates: dict[str, PoolCandidates] = {}
         self._queues = partition.queues
@@ -138,8 +61,11 @@
         self._reserved.clear()
         self._candidates.clear()
         self._partition.changed_pools.clear()
+        for worker_filter in self._policies.filters:
+            worker_filter.begin_round(self._partition, now.seconds)
+        found = self._list_ready(now, pools)
         orders: list[StartOrder] = []
-        for ready in sorted(self._list_ready(now, pools), key=_get_rank):
+        for ready in self._policies.order.arrange(found, self._partition, now):
             orders.extend(self._place_step(ready, now.seconds))
         return orders
 
@@ -174,7 +100,7 @@
                 job_state.add_due_occurrences(now.wall_ms)
                 if job_state.has_occurrences_to_come:
                     self._retry_later(job_state.job.pool, now.seconds)
-                found.extend(_list_ready_steps(job_state, queue, now))
+                found.extend(list_ready_steps(job_state, queue, now))
         return found
 
     def _get_candidates(self, pool: str) -> PoolCandidates:
@@ -194,21 +120,33 @@
             self._retry_later(ready.job_state.job.pool, now)
         if ready.step.is_gang:
             return self._place_gang(ready, waiting, now)
-        orders = []
+        orders: list[StartOrder] = []
         for index in waiting:
+            if not self._policies.limit.allows(ready, 1, self._partition):
+                return orders
             order = self._place_task(ready, index, now)
             if order is not None:
                 orders.append(order)
             elif not ready.step_state.tasks[index].crashes.needs_isolation:
                 break
+        if len(orders) < len(waiting):
+            self._note_waiting(ready, now)
         return orders
 
+    def _note_waiting(self, ready: ReadyStep, now: float) -> None:
+        for worker_filter in self._policies.filters:
+            worker_filter.note_waiting(ready, now)
+
     def _place_gang(
         self, ready: ReadyStep, waiting: list[int], now: float
     ) -> list[StartOrder]:
         tasks = ready.step_state.tasks
         if len(waiting) < len(tasks):
             return []
+        if not self._policies.limit.allows(
+            ready, len(waiting), self._partition
+        ):
+            return []
         attempts = [task.attempt for task in tasks]
         checkpoint = max(task.checkpoint for task in tasks)
         was_changed = ready.job_state.job.job_id in self._partition.changed_jobs
@@ -220,6 +158,7 @@
             if order is None:
                 self._undo_gang(ready, attempts, was_changed=was_changed)
                 ready.job_state.began = had_begun
+                self._note_waiting(ready, now)
                 return []
             orders.append(order)
         return orders
@@ -252,7 +191,7 @@
         if not self._get_candidates(ready.job_state.job.pool).is_full(
             ready.step
         ):
-            worker = self._policy.choose(
+            worker = self._policies.placement.choose(
                 ready.step, task, self._list_candidates(ready, task, now)
             )
         if worker is None:
@@ -284,6 +223,7 @@
         self._get_candidates(ready.job_state.job.pool).move_after_change(worker)
         ready.job_state.began = True
         self._partition.changed_jobs.add(key.job_id)
+        self._policies.order.note_placed(ready)
         return StartOrder(
             key=key,
             attempt=task.attempt,
@@ -300,11 +240,21 @@
             if worker.failures or worker.suspects:
                 self._retry_later(worker.entry.pool, now)
             is_free = worker.entry.worker_id not in self._reserved
-            if is_free and is_candidate(
-                worker, ready.step, ready.key, task, now
+            if (
+                is_free
+                and is_candidate(worker, ready.step, ready.key, task, now)
+                and self._is_allowed_by_filters(worker, ready, now)
             ):
                 yield worker
 
+    def _is_allowed_by_filters(
+        self, worker: WorkerState, ready: ReadyStep, now: float
+    ) -> bool:
+        return all(
+            worker_filter.may_use(worker, ready, now)
+            for worker_filter in self._policies.filters
+        )
+
     def _reserve(self, ready: ReadyStep) -> None:
         eligible = [
             worker
@@ -318,21 +268,5 @@
             self._reserved.add(emptiest.entry.worker_id)
 
 
-def _list_ready_steps(
-    job_state: JobState, queue: Queue, now: Moment
-) -> list[ReadyStep]:
-    return [
-        ReadyStep(job_state, occurrence, number, queue, now)
-        for occurrence, number, state in job_state.list_steps()
-        if not state.is_done
-        and state.count_waiting()
-        and job_state.is_ready(occurrence, number)
-    ]
-
-
-def _get_rank(ready: ReadyStep) -> tuple[int, bool, bool, bool, float]:
-    return ready.rank
-
-
 def _get_free_cpu(worker: WorkerState) -> int:
     return worker.free_cpu
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -5,7 +5,8 @@
 result of every order back.
 
 >>> from tarragonlb.scheduling.placement import FirstFit
->>> scheduler = Scheduler(settings, FirstFit(), now=0.0)   # doctest: +SKIP
+>>> policies = SchedulingPolicies(placement=FirstFit())
+>>> scheduler = Scheduler(settings, policies, now=0.0)   # doctest: +SKIP
 >>> scheduler.decide(Moment(1.0)).starts                   # doctest: +SKIP
 ()
 """
@@ -24,7 +25,7 @@
 from tarragonlb.scheduling.ordertracker import OrderTracker
 from tarragonlb.scheduling.pacing import Pacer
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.placement import PlacementPolicy
+from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.reconciliation import Reconciler
 from tarragonlb.scheduling.settings import SchedulingSettings
 from tarragonlb.scheduling.stopping import StopPlanner
@@ -49,7 +50,10 @@
     )
 
     def __init__(
-        self, settings: SchedulingSettings, policy: PlacementPolicy, now: float
+        self,
+        settings: SchedulingSettings,
+        policies: SchedulingPolicies,
+        now: float,
     ) -> None:
         """Start a term at ``now`` seconds, without jobs and workers."""
         self.state = PartitionState(settings, now)
@@ -57,7 +61,7 @@
         self.order_tracker = OrderTracker(self.state)
         self.pacer = Pacer(self.state)
         self.bound_keeper = LeaseBoundKeeper(self.state)
-        self._assigner = Assigner(self.state, policy)
+        self._assigner = Assigner(self.state, policies)
         self._stop_planner = StopPlanner(self.state)
         self._next_cleanup_at = now
 
