Keep drained VMs for the next peak before they go to standby

Cause: a drained VM goes to standby at once unless a pool lacks workers at that moment, and peaks come one after the other with a pause of about a second.

--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -82,7 +82,7 @@
         self._published_waves: set[int] = set()
         self._writer = TermWriter(owned, store, settings)
         self._drain_request_count = 0
-        self._rebalancer = PoolRebalancer()
+        self._rebalancer = PoolRebalancer(settings.standby_delay_seconds)
         self._dependency_log = DependencyLog('list of VMs')
 
     async def run(self, is_lease_valid: Callable[[], bool]) -> None:
--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -109,7 +109,8 @@
 
 
 class PeakSimulation:
-    def __init__(self, seed, vm_count, traffic, peak_seconds):
+    def __init__(self, seed, vm_count, traffic, peak_seconds, standby_delay=0):
+        self.seed = seed
         self.random = random.Random(seed)
         self.now = 0.0
         self.ticks = 0
@@ -120,7 +121,7 @@
         self.workers = {}
         self.vms = {}
         self.fleet_state = FleetState()
-        self.rebalancer = PoolRebalancer()
+        self.rebalancer = PoolRebalancer(standby_delay)
         self.offsets = itertools.count()
         self.drain_numbers = itertools.count(1)
         self.worker_numbers = itertools.count(1)
--- a/libs/scheduling/tarragonlb/scheduling/rebalancing.py
+++ b/libs/scheduling/tarragonlb/scheduling/rebalancing.py
@@ -46,10 +46,16 @@
 class PoolRebalancer:
     """Decides which VMs to drain and move in one term of the fleet's owner."""
 
-    __slots__ = ('_history', '_ordered_at')
+    __slots__ = ('_drained_at', '_history', '_ordered_at', '_standby_delay')
 
-    def __init__(self) -> None:
-        """Start without a history of loads and without ordered moves."""
+    def __init__(self, standby_delay_seconds: float = 0) -> None:
+        """Start without a history of loads and without ordered moves.
+
+        A drained VM goes to a standby pool only after
+        ``standby_delay_seconds`` without another pool that lacks workers.
+        """
+        self._standby_delay = standby_delay_seconds
+        self._drained_at: dict[str, float] = {}
         self._history: dict[str, deque[tuple[float, int]]] = {}
         self._ordered_at: dict[str, float] = {}
 
@@ -80,7 +86,9 @@
             move
             for move in fleet.choose_moves(needs, shortages)
             if self._can_order_move(move.vm, now)
+            and self._may_leave(move, standby, now)
         ]
+        self._note_drained(fleet.list_drained(), now)
         return RebalancingDecision(
             drain=tuple(fleet.choose_vms_to_drain(needs, shortages)),
             reopen=tuple(reopened),
@@ -91,6 +99,21 @@
         """Record that a move of a VM was ordered at ``now`` seconds."""
         self._ordered_at[vm.vm_id] = now
 
+    def _note_drained(self, worker_ids: Iterable[str], now: float) -> None:
+        self._drained_at = {
+            worker_id: self._drained_at.get(worker_id, now)
+            for worker_id in worker_ids
+        }
+
+    def _may_leave(
+        self, move: VmMove, standby: frozenset[str], now: float
+    ) -> bool:
+        """Return whether a drained VM has waited long enough for a pool."""
+        if move.pool not in standby:
+            return True
+        drained_at = self._drained_at.get(move.vm.worker_id, now)
+        return now - drained_at >= self._standby_delay
+
     def _can_order_move(self, vm: Vm, now: float) -> bool:
         ordered_at = self._ordered_at.get(vm.vm_id)
         return ordered_at is None or now - ordered_at > MOVE_RETRY_SECONDS
@@ -233,6 +256,10 @@
             chosen.extend(more[: urgent - len(chosen)])
         return chosen
 
+    def list_drained(self) -> list[str]:
+        """Return the workers that were drained for a move."""
+        return [vm.worker_id for vm in self._vms if self._is_drained(vm)]
+
     def _count_urgent(self, needs: Mapping[str, PoolNeed]) -> int:
         """Return how many workers are missing for tasks that wait."""
         return sum(
