Wait for one move, not two, before a drained VM goes to standby

Change: the delay is one move, the time for which a VM on its way to standby can't be ordered elsewhere.

--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -93,7 +93,7 @@
     # How long storing a client's job is retried before the job is rejected.
     submit_timeout_seconds: float = 1.2
     # A drained VM waits this long for a pool that lacks workers before it goes
-    # to a standby pool, from which it would come back only after two moves.
+    # to a standby pool, on the way to which it can't be moved elsewhere.
     standby_delay_seconds: float = 0
     # Time between two listings of the VMs.
     vm_list_interval_seconds: float = 0.25
--- a/libs/scheduling/features/peaks.feature
+++ b/libs/scheduling/features/peaks.feature
@@ -16,7 +16,7 @@
   # next peak begins.
   Scenario Outline: VMs of the last peak wait for the next one before they go to standby
     Given 125 VMs and four pools whose peaks of 9 s come in turn, with seed <seed>
-    When the pools run for 36 seconds, with and without a delay of two moves
+    When the pools run for 36 seconds, with and without a delay of one move
     Then with the delay the pool that earned least earns more, with fewer moves
 
     Examples:
--- a/libs/scheduling/features/steps/peak_steps.py
+++ b/libs/scheduling/features/steps/peak_steps.py
@@ -58,12 +58,12 @@
     assert min(earned.values()) * 100 >= percent, earned
 
 
-STANDBY_DELAY_SECONDS = 2 * MOVE_SECONDS
+STANDBY_DELAY_SECONDS = MOVE_SECONDS
 
 
 @when(
-    'the pools run for {seconds:d} seconds, with and without a delay of two '
-    'moves'
+    'the pools run for {seconds:d} seconds, with and without a delay of one '
+    'move'
 )
 def run_both(context, seconds):
     simulation = context.peaks
