--- a/libs/controller/tarragonlb/controller/ports.py
+++ b/libs/controller/tarragonlb/controller/ports.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from tarragonlb.controller.keyindex import NO_KEYS, KeyIndex
 from tarragonlb.controller.results import (
     AppendResult,
     JoinResult,
@@ -57,6 +58,7 @@
     max_body_bytes: int
     standby_pools: frozenset[str] = frozenset()
     tenants: TenantTable = NO_TENANTS
+    keys: KeyIndex = NO_KEYS
 
 
 class Store(abc.ABC):
