Show and cancel a job only for the tenant that submitted it

Cause: jobs of tenants lie in the same partitions, and any client that knows an id could ask for its state, cancel it, or replace its record. Change: a job of another tenant is no such job, and submitting its id is a conflict. With tenants, a submission first reads the partition, since another daemon may have stored the id up to 1.8 s ago. Result: without tenants no read or record is added.

--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -5,10 +5,13 @@
 unknown, the client is told that the job may have been accepted.  A daemon that
 has had no contact with the store for a while rejects requests at once, so that
 the client can reach another daemon before its deadline.
+
+With tenants, a job belongs to the tenant that submitted it, and for any other
+there is no such job.
 """
 
 import itertools
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 
 import trio
@@ -46,12 +49,14 @@
 
     RAN: the request is stored.  NOT_RUN: it was rejected and may be retried
     after ``retry_after`` seconds.  MAY_HAVE_RUN: the outcome is unknown.
-    ``reason`` is the store's last error.
+    ``reason`` is the store's last error.  ``is_conflict`` means that the id is
+    that of another tenant's job, so the same request never succeeds.
     """
 
     verdict: Verdict
     retry_after: int = 0
     reason: str = ''
+    is_conflict: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,8 +94,9 @@
 
     async def submit(self, job: Job) -> RequestOutcome:
         """Accept a job; submitting the same job again has no effect."""
-        if self._find_job(job.job_id) is not None:
-            return RequestOutcome(Verdict.RAN)
+        known = await self._find_submitted(job)
+        if known is not None:
+            return known
         partition = self._view.find_partition(job.pool)
         if partition is None:
             return RequestOutcome(
@@ -111,9 +117,11 @@
         )
         return outcome
 
-    async def cancel(self, queue: Queue, job_id: str) -> RequestOutcome | None:
-        """Cancel a job; return None if there is no such job."""
-        found = await self._find_or_refresh(queue, job_id)
+    async def cancel(
+        self, queue: Queue, job_id: str, tenant: str = ''
+    ) -> RequestOutcome | None:
+        """Cancel a job; return None if the tenant has no such job."""
+        found = await self._find_or_refresh(queue, job_id, tenant)
         if found is None:
             return None
         if isinstance(found, StoreUnavailable):
@@ -132,14 +140,14 @@
         return outcome
 
     async def describe(
-        self, queue: Queue, job_id: str
+        self, queue: Queue, job_id: str, tenant: str = ''
     ) -> str | StoreUnavailable | None:
-        """Return the state of a job as one word, None if there is no job.
+        """Return the state of a job as one word, None if the tenant has none.
 
         While the job is open, the newest records are read first: clients wait
         for its end, and the next poll may be a second away.
         """
-        found = await self._find_or_refresh(queue, job_id)
+        found = await self._find_or_refresh(queue, job_id, tenant)
         if found is None or isinstance(found, StoreUnavailable):
             return found
         partition, records = found
@@ -158,23 +166,54 @@
         partition = self._view.find_partition(pool)
         return None if partition is None else self._feeds.get(partition)
 
-    def _find_job(self, job_id: str) -> tuple[int, JobRecords] | None:
+    def _list_jobs(self, job_id: str) -> Iterator[tuple[int, JobRecords]]:
         for partition, feed in self._feeds.items():
             records = feed.job_index.find(job_id)
             if records is not None:
+                yield partition, records
+
+    def _find_job(
+        self, queue: str, job_id: str, tenant: str
+    ) -> tuple[int, JobRecords] | None:
+        for partition, records in self._list_jobs(job_id):
+            if not self._settings.has_tenants or records.belongs_to(
+                tenant, queue
+            ):
                 return partition, records
         return None
 
     async def _find_or_refresh(
-        self, queue: Queue, job_id: str
+        self, queue: Queue, job_id: str, tenant: str
     ) -> tuple[int, JobRecords] | StoreUnavailable | None:
-        found = self._find_job(job_id)
+        found = self._find_job(queue.name, job_id, tenant)
         if found is not None:
             return found
         feed = self._find_feed(queue.pool)
         if feed is None or not await feed.refresh():
             return StoreUnavailable()
-        return self._find_job(job_id)
+        return self._find_job(queue.name, job_id, tenant)
+
+    async def _find_submitted(self, job: Job) -> RequestOutcome | None:
+        """Return the outcome of a submission whose id is known, else None.
+
+        With tenants, an unknown id is looked up in the store first: the record
+        would replace one that another tenant has stored at another daemon since
+        the last read, up to 1.8 s ago.
+        """
+        if self._find_job(job.queue, job.job_id, job.tenant) is not None:
+            return RequestOutcome(Verdict.RAN)
+        feed = self._find_feed(job.pool)
+        if not self._settings.has_tenants or feed is None:
+            return None
+        if not (any(self._list_jobs(job.job_id)) or await feed.refresh()):
+            return RequestOutcome(
+                Verdict.NOT_RUN, RETRY_AFTER_SECONDS, 'the store is not read'
+            )
+        if self._find_job(job.queue, job.job_id, job.tenant) is not None:
+            return RequestOutcome(Verdict.RAN)
+        if any(self._list_jobs(job.job_id)):
+            return RequestOutcome(Verdict.NOT_RUN, is_conflict=True)
+        return None
 
     async def _append(
         self, partition: int, record: KeyedRecord
--- a/libs/scheduling/tarragonlb/scheduling/jobindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobindex.py
@@ -99,6 +99,21 @@
         began = progress is not None and progress.began
         return 'running' if began else 'queued'
 
+    def belongs_to(self, tenant: str, queue: str) -> bool:
+        """Return whether a request of a tenant for a queue is about this job.
+
+        If only one of the request and the job has a tenant, the queue became
+        public, or ceased to be, after the job was submitted to it.  A record
+        that can't be decoded belongs to nobody.
+        """
+        try:
+            head = decode_submission_head(self.get_value(SUBMISSION))
+        except RecordError:
+            return False
+        if head.tenant == tenant:
+            return True
+        return not (head.tenant and tenant) and head.queue == queue
+
     def build_state(self, now: Moment) -> JobState:
         """Return the state of the job, for an owner of the partition."""
         head = decode_submission_head(self.get_value(SUBMISSION))
