Check API keys before requests about jobs

Cause: any client could submit and see jobs of an installation with tenants. Change: one check between client API and job service. With tenants, a read of configurations after a failed one does not wait.

--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -1,13 +1,10 @@
 """In-memory platform: implements the interfaces of the controller's ports."""
 
 from collections import Counter, defaultdict
-from dataclasses import replace
 
 import trio
 
 from tarragonlb.controller.ports import (
-    Configuration,
-    DocumentDecoder,
     StatusReply,
     Store,
     Topic,
@@ -23,15 +20,13 @@
     Trimmed,
     Uncertain,
 )
-from tarragonlb.scheduling.job import Demand
 from tarragonlb.scheduling.orders import OrderResult
-from tarragonlb.scheduling.queue import Queue, QueueTable
+from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.records import KeyedRecord
 from tarragonlb.scheduling.wave import Vm, VmStatus
 from tarragonlb.scheduling.worker import (
     EndedAttempt,
     RunningAttempt,
-    Worker,
     WorkerReport,
 )
 
@@ -245,29 +240,6 @@
         return await self._store.read(topic, partition, offset, wait_seconds)
 
 
-class FakeDocumentDecoder(DocumentDecoder):
-    def decode_operator_record(self, record):
-        version, *pools = record.value.decode().split()
-        queues = [QUEUE]
-        queues.extend(
-            replace(QUEUE, name=pool, path_prefix=f'/{pool}/', pool=pool)
-            for pool in pools
-        )
-        return Configuration(int(version), QueueTable(queues), 1000)
-
-    def decode_worker_record(self, record):
-        if not record.value:
-            return None
-        return Worker(
-            worker_id=record.key,
-            pool='pool',
-            address='x:1',
-            capacity=Demand(
-                int(record.value) if record.value.isdigit() else 4000, 8000, 0
-            ),
-        )
-
-
 class FakeWorkerApi(WorkerApi):
     """Workers that run each task for a second and share one clock."""
 
--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -4,10 +4,10 @@
 
 import trio
 import trio.testing
+from fakedocuments import FakeDocumentDecoder
 from fakeplatform import (
     PARTITIONS,
     FakeClock,
-    FakeDocumentDecoder,
     FakeStore,
     FakeVmApi,
     FakeWorkerApi,
@@ -54,8 +54,14 @@
     """Collects actions; each run carries out all of them in virtual time."""
 
     def __init__(
-        self, daemons, workers, cores=None, create_worker_api=FakeWorkerApi
+        self,
+        daemons,
+        workers,
+        cores=None,
+        create_worker_api=FakeWorkerApi,
+        settings=SETTINGS,
     ):
+        self.settings = settings
         self.cores = cores or [SETTINGS.processor_cores] * daemons
         self.workers = workers
         self.create_worker_api = create_worker_api
@@ -95,7 +101,7 @@
             self.worker_api,
             self.vms,
         )
-        settings = replace(SETTINGS, processor_cores=cores)
+        settings = replace(self.settings, processor_cores=cores)
         self.lags[name] = FakeLag()
         controller = Controller(
             platform, settings, name, FakeClock(), self.lags[name]
--- a/libs/controller/features/steps/workerfeed_steps.py
+++ b/libs/controller/features/steps/workerfeed_steps.py
@@ -1,7 +1,8 @@
 import trio
 import trio.testing
 from behave import given, then, when
-from fakeplatform import FakeClock, FakeDocumentDecoder, FakeStore
+from fakedocuments import FakeDocumentDecoder
+from fakeplatform import FakeClock, FakeStore
 from simulation import SETTINGS
 
 from tarragonlb.controller.feeds import WorkerFeed
--- /dev/null
+++ b/libs/controller/features/tenantjobs.feature
@@ -0,0 +1,32 @@
+Feature: Jobs of tenants
+
+  Scenario: For another tenant there is no such job
+    Given 2 daemons with tenants
+    When tenant "a" submits a job at one daemon
+    Then tenant "a" sees it at each daemon
+    And tenant "b" can't see or cancel it at any daemon
+    And a request of no tenant for another queue can't see it
+    And a request of no tenant for its queue sees it
+    And each daemon has stored the tenant "a" with the job
+
+  # Guards against a submission that replaces the job of another tenant, stored
+  # at another daemon a moment ago.
+  Scenario: The id of another tenant's job is a conflict
+    Given 2 daemons with tenants
+    When tenant "a" submits a job at one daemon
+    And tenant "b" submits the same id at the other one at once
+    Then the second submission is a conflict
+    And the store has one submission, of tenant "a"
+    And submitting it again as tenant "a" at the other one succeeds
+
+  Scenario: A job whose id can't be looked up is not accepted
+    Given 2 daemons with tenants
+    When reads fail and tenant "a" submits a job
+    Then it is refused as not run, and nothing is stored
+
+  # Guards against a change for installations without tenants.
+  Scenario: Without tenants nothing more is read or stored
+    Given 1 daemons without tenants
+    When a job is submitted and read
+    Then the submission caused one append and no read
+    And its record has no tenant
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -24,6 +24,10 @@
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('feed')
+# A configuration that was confirmed longer ago than this many waits of a read
+# shows that a read has failed.  Without failures, the last read was sent just
+# over one wait ago.
+MAX_CONFIRMATION_WAITS = 2
 
 
 class DocumentFeed(abc.ABC):
@@ -104,8 +108,18 @@
         return Topic.OPERATORS
 
     def get_wait_seconds(self) -> float:
-        """Return a wait, so that configurations are read without delay."""
-        return self._settings.operator_wait_seconds
+        """Return a wait, so that configurations are read without delay.
+
+        With tenants, a read does not wait after a failed one: unknown keys
+        can't be refused before it returns.
+        """
+        wait_seconds = self._settings.operator_wait_seconds
+        if self._settings.has_tenants:
+            now = self._clock.read_boottime()
+            age = self._view.compute_configuration_age(now)
+            if age > MAX_CONFIRMATION_WAITS * wait_seconds:
+                return 0
+        return wait_seconds
 
     def get_pause_seconds(self) -> float:
         """Return no pause, since a read waits for records."""
@@ -126,6 +140,10 @@
                     cap=document.cap,
                     within_seconds=document.within_seconds,
                 )
+        # A snapshot has the newest configuration as well, but a read that ends
+        # before the last record may not.
+        if update.is_at_end or update.is_snapshot:
+            self._view.configuration_read_at = sent_at
         if update.records:
             self._view.notify()
 
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -3,6 +3,8 @@
 Only feeds write here; they replace whole values.
 """
 
+import math
+
 import trio
 
 from tarragonlb.controller.ports import Configuration
@@ -19,6 +21,7 @@
         '_changed',
         '_owns',
         'configuration',
+        'configuration_read_at',
         'fleet_state',
         'last_read_at',
         'renewed_at',
@@ -31,6 +34,9 @@
     def __init__(self) -> None:
         """Start without any information."""
         self.configuration: Configuration | None = None
+        # When the last read that returned all of the operators' records, or
+        # none, was sent, on the boot-time clock.
+        self.configuration_read_at: float | None = None
         self.workers: dict[str, Worker] = {}
         self.waves: dict[int, Wave] = {}
         # When this process first read each wave, on the monotonic clock.
@@ -71,6 +77,15 @@
             return 0
         return now - min((self.last_read_at, *self.renewed_at.values()))
 
+    def compute_configuration_age(self, now: float) -> float:
+        """Return how long ago the configuration was known to be the newest.
+
+        ``now`` is read from the boot-time clock.  The result is in seconds, and
+        infinite before the first read.
+        """
+        read_at = self.configuration_read_at
+        return math.inf if read_at is None else now - read_at
+
     def find_partition(self, pool: str) -> int | None:
         """Return the partition of a pool's jobs, None if not yet assigned."""
         return self.fleet_state.partitions.get(pool)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -15,6 +15,7 @@
 from tarragonlb.controller.feeds import FleetStateFeed, OperatorFeed, WorkerFeed
 from tarragonlb.controller.fleetowner import FleetOwner
 from tarragonlb.controller.jobservice import JobService
+from tarragonlb.controller.keycheck import KeyCheck
 from tarragonlb.controller.looplag import LoopLag
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.ordergate import OrderGate, WorkerAccess
@@ -65,6 +66,7 @@
         '_settings',
         '_workers',
         'job_service',
+        'key_check',
         'view',
     )
 
@@ -104,6 +106,7 @@
         self.job_service = JobService(
             platform.store, self._feeds, settings, clock, self.view
         )
+        self.key_check = KeyCheck(self.view, settings, clock)
 
     @property
     def is_ready(self) -> bool:
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -22,6 +22,11 @@
     scheduling: SchedulingSettings
     # Clients belong to tenants, which the configuration lists.
     has_tenants: bool = False
+    # Known keys are refused too once the configuration was last confirmed
+    # longer than this ago, so that a daemon that can't read the store stops
+    # serving keys that were withdrawn.
+    strict_revoke: bool = False
+    revoke_seconds: float = 5.0
     # Capacity of the VM's processor for this process.
     processor_cores: float = 1.0
     # A member without a successful join for this long loses its partitions.
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -15,6 +15,13 @@
     ('action', 'verdict'),
     'Jobs that clients handed in or cancelled, by what they were told.',
 )
+KEY_CHECKS = Metric(
+    'tarragonlb.keys.checks',
+    'counter',
+    '{request}',
+    ('outcome',),
+    'Requests of clients whose API key was checked, by outcome.',
+)
 TASK_STARTS = Metric(
     'tarragonlb.tasks.starts',
     'counter',
@@ -101,6 +108,7 @@
 )
 FLEET_METRICS = (
     JOB_REQUESTS,
+    KEY_CHECKS,
     TASK_STARTS,
     TASK_STOPS,
     TASK_ENDS,
