--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -198,7 +198,7 @@
             if task.crashes.needs_isolation:
                 self._retry_later(ready.job_state.job.pool, now)
             if ready.step.is_permanent:
-                self._reserve(ready)
+                self._reserve(ready, now)
             return None
         return self._attach(ready, index, worker, attempt, now)
 
@@ -230,6 +230,7 @@
             worker_id=worker_id,
             payload=ready.job_state.job.spec.payload,
             checkpoint=task.checkpoint,
+            ticket=self._find_ticket(worker, ready, now),
         )
 
     def _list_candidates(
@@ -255,13 +256,23 @@
             for worker_filter in self._policies.filters
         )
 
-    def _reserve(self, ready: ReadyStep) -> None:
+    def _find_ticket(
+        self, worker: WorkerState, ready: ReadyStep, now: float
+    ) -> str:
+        tickets = (
+            worker_filter.find_ticket(worker, ready, now)
+            for worker_filter in self._policies.filters
+        )
+        return next(filter(None, tickets), '')
+
+    def _reserve(self, ready: ReadyStep, now: float) -> None:
         eligible = [
             worker
             for worker in self._partition.workers.values()
             if worker.entry.pool == ready.job_state.job.pool
             and worker.entry.worker_id not in self._reserved
             and is_eligible(worker, ready.step, ready.key)
+            and self._is_allowed_by_filters(worker, ready, now)
         ]
         emptiest = max(eligible, key=_get_free_cpu, default=None)
         if emptiest is not None:
--- a/libs/scheduling/tarragonlb/scheduling/orders.py
+++ b/libs/scheduling/tarragonlb/scheduling/orders.py
@@ -13,13 +13,15 @@
     """The result of an order.
 
     DONE: carried out.  REFUSED: not carried out, and never will be.
-    UNANSWERED: may have been carried out, or may be later.  FENCED: refused,
-    since the worker knows a later owner.  OTHER_INCARNATION: the worker that
-    it was meant for has ended.
+    TICKET_REFUSED: as REFUSED, since the ticket is not valid.  UNANSWERED: may
+    have been carried out, or may be later.  FENCED: refused, since the worker
+    knows a later owner.  OTHER_INCARNATION: the worker that it was meant for
+    has ended.
     """
 
     DONE = 'done'
     REFUSED = 'refused'
+    TICKET_REFUSED = 'ticket-refused'
     UNANSWERED = 'unanswered'
     FENCED = 'fenced'
     OTHER_INCARNATION = 'other-life'
@@ -27,13 +29,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StartOrder:
-    """Start an attempt of a task."""
+    """Start an attempt of a task; ``ticket`` is empty if it needs none."""
 
     key: TaskKey
     attempt: int
     worker_id: str
     payload: str
     checkpoint: str = ''
+    ticket: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/scheduling/tarragonlb/scheduling/policies.py
+++ b/libs/scheduling/tarragonlb/scheduling/policies.py
@@ -91,6 +91,12 @@
     def note_waiting(self, ready: ReadyStep, now: float) -> None:
         """Note that tasks of a step found no worker in this round."""
 
+    def find_ticket(
+        self, worker: WorkerState, ready: ReadyStep, now: float
+    ) -> str:
+        """Return the ticket that a start of a task carries, empty for none."""
+        return ''
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SchedulingPolicies:
