--- a/libs/scheduling/tarragonlb/scheduling/advicechoice.py
+++ b/libs/scheduling/tarragonlb/scheduling/advicechoice.py
@@ -88,8 +88,9 @@
     def claim(self, step: Step, tasks: int) -> None:
         """Keep room for tasks of a step that is ready next."""
         demand, claimed = step.demand, self._claimed
+        cpu_millicores = 0 if step.scavenges else demand.cpu_millicores
         self._claimed = Demand(
-            claimed.cpu_millicores + tasks * demand.cpu_millicores,
+            claimed.cpu_millicores + tasks * cpu_millicores,
             claimed.memory_mb + tasks * demand.memory_mb,
             claimed.gpus + tasks * demand.gpus,
         )
