--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -60,8 +60,10 @@
         cores=None,
         create_worker_api=FakeWorkerApi,
         settings=SETTINGS,
+        decoder=None,
     ):
         self.settings = settings
+        self.decoder = decoder or FakeDocumentDecoder()
         self.cores = cores or [SETTINGS.processor_cores] * daemons
         self.workers = workers
         self.create_worker_api = create_worker_api
@@ -97,9 +99,10 @@
         self.reads[name] = []
         platform = Platform(
             StoreAccess(self.store, self.reads[name]),
-            FakeDocumentDecoder(),
+            self.decoder,
             self.worker_api,
             self.vms,
+            getattr(self.worker_api, 'advisor', None),
         )
         settings = replace(self.settings, processor_cores=cores)
         self.lags[name] = FakeLag()
