Count what each tenant occupies in a partition

Cause: a cap bounds what all attempts of a tenant occupy, and summing them up in each round would cost as much as a round. Change: TenantUsage keeps the sums as attempts are attached, detached and orphaned. A successor counts the former attempt of a copied task until all leases have run out, as no record says where it runs.

--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -170,7 +170,9 @@
         for index, task in enumerate(ready.step_state.tasks):
             if task.is_attached:
                 worker = self._partition.workers[task.worker_id]
-                worker.detach(TaskKey(*ready.key, index))
+                key = TaskKey(*ready.key, index)
+                worker.detach(key)
+                self._partition.usage.remove(task.worker_id, key)
                 self._get_candidates(ready.job_state.job.pool).note_freed(
                     worker
                 )
@@ -219,7 +221,7 @@
             attempt or task.attempt + 1,
             now,
         )
-        worker.attach(key, task, ready.step)
+        self._partition.attach(worker, key, task)
         self._get_candidates(ready.job_state.job.pool).move_after_change(worker)
         ready.job_state.began = True
         self._partition.changed_jobs.add(key.job_id)
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -9,6 +9,7 @@
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StartStage, TaskPhase
+from tarragonlb.scheduling.tenantusage import ORPHANED
 from tarragonlb.scheduling.worker import WorkerState
 from tarragonlb.scheduling.workerloss import (
     GivenUpTask,
@@ -38,6 +39,8 @@
         lost = tuple(_list_lost(worker, now))
         worker.last_end_number = 0
         worker.incarnation = None
+        for key in worker.orphans:
+            self._partition.usage.remove(worker.entry.worker_id, key, ORPHANED)
         worker.orphans.clear()
         self._lose(worker, lost, reason, now)
         if reason is not LossReason.LEASE_OVER:
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -13,6 +13,7 @@
 from tarragonlb.scheduling.settings import SchedulingSettings
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.tenant import NO_TENANTS, TenantTable
+from tarragonlb.scheduling.tenantusage import TenantUsage
 from tarragonlb.scheduling.worker import Worker, WorkerState
 from tarragonlb.scheduling.workerloss import GivenUpTask, WorkerLoss
 
@@ -58,7 +59,7 @@
     ``stopping_workers`` may have attempts that are to be stopped.
     ``stored_bounds`` maps the workers whose lease bound is stored, or being
     stored, to its seconds.  ``unknown_paces`` are scavenging attempts whose
-    pace is unknown.
+    pace is unknown.  ``usage`` is what tenants occupy.
     """
 
     __slots__ = (
@@ -77,6 +78,7 @@
         'taken_over_at',
         'tenants',
         'unknown_paces',
+        'usage',
         'worker_losses',
         'workers',
     )
@@ -89,6 +91,7 @@
         self.workers: dict[str, WorkerState] = {}
         self.queues: Mapping[str, Queue] = {}
         self.tenants: TenantTable = NO_TENANTS
+        self.usage = TenantUsage()
         self.changed_jobs: set[str] = set()
         self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
@@ -129,14 +132,27 @@
             self.open_jobs[job_id] = state
         self.changed_pools.add(state.job.pool)
         for key, task in state.list_tasks():
+            if task.was_copied and task.phase is not TaskPhase.DONE:
+                # The former attempt may run, on a worker that is not stored.
+                until = (
+                    self.taken_over_at + self.settings.compute_longest_lease()
+                )
+                self.usage.add_until('', key, state.job, until)
             if task.is_attached:
                 worker = self.find_worker(task.worker_id, state.job.pool)
-                step = state.job.spec.steps[key.step]
-                worker.attach(key, task, step)
-                if step.scavenges:
+                self.attach(worker, key, task)
+                if state.job.spec.steps[key.step].scavenges:
                     self.unknown_paces.add((key, task.attempt))
                 self.stopping_workers.add(task.worker_id)
 
+    def attach(
+        self, worker: WorkerState, key: TaskKey, task: TaskState
+    ) -> None:
+        """Occupy capacity of a worker for the present attempt of a task."""
+        worker.attach(key, task, self.find_step(key))
+        job = self.jobs[key.job_id].job
+        self.usage.add(worker.entry.worker_id, key, job)
+
     def cancel_job(self, job_id: str, now: float) -> None:
         """Cancel a job and stop all its attempts."""
         state = self.jobs.get(job_id)
@@ -258,4 +274,5 @@
         worker = self.workers.get(task.worker_id)
         if worker is not None and task.phase is not TaskPhase.WAITING:
             worker.detach(key)
+            self.usage.remove(task.worker_id, key)
             self.changed_pools.add(worker.entry.pool)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -11,6 +11,7 @@
 from tarragonlb.scheduling.lossrecorder import LossRecorder
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
+from tarragonlb.scheduling.tenantusage import ORPHANED
 from tarragonlb.scheduling.vmevidence import VmListEvidence, VmListing
 from tarragonlb.scheduling.worker import (
     EndedAttempt,
@@ -133,6 +134,9 @@
             is_listed = (key, orphan.attempt) in listed
             if not is_listed and orphan.is_over(report.requested_at):
                 worker.orphans.pop(key)
+                self._partition.usage.remove(
+                    worker.entry.worker_id, key, ORPHANED
+                )
         return listed
 
     def _add_orphan(self, worker: WorkerState, row: RunningAttempt) -> None:
@@ -140,7 +144,7 @@
         if known is None or known.attempt != row.attempt:
             known = OrphanedAttempt(row.attempt)
             worker.orphans[row.key] = known
-            self._partition.stopping_workers.add(worker.entry.worker_id)
+            self._count_orphan(worker, row.key)
         known.was_listed = True
 
     def _update_running(
@@ -206,7 +210,14 @@
     def _orphan_attempt(self, worker: WorkerState, key: TaskKey) -> None:
         attempt = worker.attached[key].attempt
         worker.orphans[key] = OrphanedAttempt(attempt)
-        self._partition.stopping_workers.add(worker.entry.worker_id)
+        self._count_orphan(worker, key)
+
+    def _count_orphan(self, worker: WorkerState, key: TaskKey) -> None:
+        worker_id = worker.entry.worker_id
+        self._partition.stopping_workers.add(worker_id)
+        state = self._partition.jobs.get(key.job_id)
+        if state is not None and key.step < len(state.job.spec.steps):
+            self._partition.usage.add(worker_id, key, state.job, ORPHANED)
 
     def _fail_job_if_exhausted(
         self, key: TaskKey, task: TaskState, now: float
