--- a/libs/scheduling/tarragonlb/scheduling/readystep.py
+++ b/libs/scheduling/tarragonlb/scheduling/readystep.py
@@ -24,6 +24,7 @@
     """An unfinished step whose prerequisites are done."""
 
     __slots__ = (
+        'has_begun',
         'job_state',
         'number',
         'occurrence',
@@ -59,14 +60,14 @@
             - PLACEMENT_OVERHEAD_SECONDS
         )
         is_deferred = latest_start < now.seconds < due_at + MAX_DEFERRAL_SECONDS
-        has_begun = bool(self.step.prerequisites) or any(
+        self.has_begun = bool(self.step.prerequisites) or any(
             task.attempt for task in self.step_state.tasks
         )
         self.rank = (
             queue.priority,
             not self.step.is_permanent,
             is_deferred,
-            not (is_deferred or has_begun),
+            not (is_deferred or self.has_begun),
             due_at if is_deferred else latest_start,
         )
 
