--- a/libs/controller/tarragonlb/controller/ownerreport.py
+++ b/libs/controller/tarragonlb/controller/ownerreport.py
@@ -8,6 +8,7 @@
 from dataclasses import asdict
 
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.tenantreport import TenantReport
 from tarragonlb.scheduling.health import IdlePermanentTask, assess_health
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.telemetry.fleetmetrics import (
@@ -28,6 +29,7 @@
         '_fields',
         '_longest_round',
         '_reported_at',
+        '_tenant_report',
         '_worst_delay',
     )
 
@@ -35,6 +37,7 @@
         """Add the partition and the term of ``owned`` to every line."""
         self._fields = {'partition': owned.partition, 'term': owned.term}
         self._reported_at = now
+        self._tenant_report = TenantReport(owned, now)
         self._worst_delay = 0.0
         self._longest_round = 0.0
 
@@ -48,6 +51,7 @@
         self, state: PartitionState, queued_events: int, now: float
     ) -> None:
         """Write the line of the last second, unless it is not over yet."""
+        self._tenant_report.emit_if_due(state, now)
         elapsed = now - self._reported_at
         if elapsed < REPORT_INTERVAL_SECONDS:
             return
@@ -73,6 +77,10 @@
         self._worst_delay = 0.0
         self._longest_round = 0.0
 
+    def close(self) -> None:
+        """Remove the metrics of the partition at the end of the term."""
+        self._tenant_report.close()
+
 
 def _describe(idle: IdlePermanentTask) -> dict[str, object]:
     return {
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -162,6 +162,7 @@
             await self._run_rounds()
         finally:
             self._decision_log.log_ends()
+            self._report.close()
 
     def _load_state(self) -> None:
         now = self._clock.read_monotonic()
--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -16,6 +16,7 @@
 from tarragonlb.settings import startup
 from tarragonlb.telemetry.fleetmetrics import FLEET_METRICS
 from tarragonlb.telemetry.metrics import METRICS
+from tarragonlb.telemetry.tenantmetrics import TENANT_METRICS
 
 DOCS = Path(__file__).parent.parent / 'docs'
 STARTUP_SETTINGS = startup.DaemonSettings(
@@ -50,7 +51,7 @@
     rows = [
         f'| `{metric.name}` | {metric.kind} | `{metric.unit}` | '
         f'{", ".join(metric.attributes)} | {metric.description} |\n'
-        for metric in (*METRICS, *FLEET_METRICS)
+        for metric in (*METRICS, *FLEET_METRICS, *TENANT_METRICS)
     ]
     return METRICS_HEAD + ''.join(rows)
 
