--- a/libs/controller/tarragonlb/controller/policies.py
+++ b/libs/controller/tarragonlb/controller/policies.py
@@ -1,11 +1,14 @@
 """Chooses an owner's scheduling policies by the settings."""
 
 from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.scheduling.fairshare import FairShareOrder
 from tarragonlb.scheduling.placement import PackNearData
 from tarragonlb.scheduling.policies import (
+    JobOrder,
     NoStartLimit,
     SchedulingPolicies,
     StartLimit,
+    UrgencyOrder,
     WorkerFilter,
 )
 from tarragonlb.scheduling.scheduler import Scheduler
@@ -23,6 +26,7 @@
     """
     return SchedulingPolicies(
         placement=PackNearData(),
+        order=_build_order(settings),
         limit=limit if settings.has_tenants else NoStartLimit(),
         filters=filters,
     )
@@ -37,3 +41,7 @@
     """Return a scheduler for a term that begins at ``now`` seconds."""
     policies = build_policies(settings, limit, filters)
     return Scheduler(settings.scheduling, policies, now)
+
+
+def _build_order(settings: ControllerSettings) -> JobOrder:
+    return FairShareOrder() if settings.has_tenants else UrgencyOrder()
