Test that copies, orphans and scavenging tasks count for a cap

Cause: the sums of what tenants occupy were tested with plain attempts only. Change: a scenario from the copy of silent attempts over a takeover to the loss of both workers. Result: the scenario passes.

--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -116,3 +116,18 @@
       | how           |
       | in a log      |
       | in a snapshot |
+
+  # Guards against attempts that run and are not counted.
+  Scenario: Copies, orphans and scavenging tasks count until they are over
+    Given an owner with 2 workers and a job of 2 scavenging tasks of 500
+    Then the tenant occupies 1000
+    When the worker of the tasks is silent and they are copied
+    Then the tenant occupies 2000
+    When an owner takes the job over
+    Then the tenant occupies 2000
+    When all leases of former owners have run out
+    Then the tenant occupies 1000
+    When the first worker loses all it had and the job is cancelled
+    Then the tenant occupies 1000
+    When the second worker is lost, too
+    Then the tenant occupies 0
