Learn the run times of tasks from attempts that ended as done

Cause: placement that looks ahead needs to know when running tasks end, and declared durations are off by up to nine tenths.

--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -6,6 +6,7 @@
 """
 
 from tarragonlb.scheduling.crashhistory import NO_CRASHES
+from tarragonlb.scheduling.durations import find_kind
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.lossrecorder import LossRecorder
@@ -173,6 +174,7 @@
             return
         if end.outcome == ENDED_DONE:
             worker.note_success()
+            self._learn_duration(worker, end, now)
             self._finish_task(end, task, now)
             return
         if end.outcome == ENDED_FAILED:
@@ -187,6 +189,22 @@
             self._partition.release(end.key, task, f'the attempt {end.outcome}')
         self._fail_job_if_exhausted(end.key, task, now)
 
+    def _learn_duration(
+        self, worker: WorkerState, end: EndedAttempt, now: float
+    ) -> None:
+        durations = self._partition.durations
+        task = self._partition.find_attempt(
+            end.key, end.attempt, worker.entry.worker_id
+        )
+        if durations is None or task is None:
+            return
+        step = self._partition.find_step(end.key)
+        # Outside the rack of its data a task takes several times as long.
+        if worker.entry.has_local_data(step):
+            queue = self._partition.jobs[end.key.job_id].job.queue
+            kind = find_kind(step, queue, end.key.step)
+            durations.note_done(step, kind, task, now)
+
     def _finish_task(
         self, end: EndedAttempt, task: TaskState, now: float
     ) -> None:
