--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 
 from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.reservationlog import log_reservations
 from tarragonlb.scheduling.leasebound import BoundChanges
 from tarragonlb.scheduling.orders import SchedulingDecision, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
@@ -93,9 +94,11 @@
             )
 
     def log_released(self, state: PartitionState) -> None:
-        """Log lost workers and why attempts count as over, each once."""
+        """Log lost workers, reservations and released attempts, each once."""
         self._log_losses(state.worker_losses)
         self._log_given_up(state.given_up)
+        if state.look_ahead is not None:
+            log_reservations(state.look_ahead, self._fields)
         released = state.released_attempts
         if not released:
             return
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -57,6 +57,20 @@
     ('reason',),
     'Workers that were lost with attempts on them, by how that is known.',
 )
+RESERVATIONS = Metric(
+    'tarragonlb.reservations',
+    'counter',
+    '{reservation}',
+    ('event', 'reason'),
+    'Reservations of workers for a waiting step that were made or ended.',
+)
+RESERVED_IDLE_SECONDS = Metric(
+    'tarragonlb.reservations.idle',
+    'histogram',
+    's',
+    ('event',),
+    'Core-seconds that a reservation kept free, when it ended.',
+)
 VM_ORDERS = Metric(
     'tarragonlb.vms.orders',
     'counter',
@@ -107,6 +121,8 @@
     TASK_RETURNS,
     TASKS_GIVEN_UP,
     WORKER_LOSSES,
+    RESERVATIONS,
+    RESERVED_IDLE_SECONDS,
     VM_ORDERS,
     TERMS,
     STORE_SECONDS,
