Leave look-ahead off by default, as no element served better

The best fit can't be told from today's placement. Change: three fields of SchedulingSettings, all off, turn the elements on; they take effect only where interruptions are short.

--- a/libs/scheduling/features/lookahead.feature
+++ b/libs/scheduling/features/lookahead.feature
@@ -68,8 +68,9 @@
       | 4, 8, 9  | 4, 8, 1  | second |
       | 2, 4, 1  | 4, 8, 1  | first  |
 
-  # The replay of docs/design/look-ahead.md, on two of its streams.
-  Scenario: Gangs wait less, small jobs no longer, and throughput stays
+  # The replay of docs/design/look-ahead.md, on two of its streams.  It guards
+  # the measured cost, a little throughput, not the aim of none.
+  Scenario: Reservations for gangs shorten their longest waits at a bounded cost
     When streams of load 1.0 are replayed with seeds 1 and 2
     Then the 99th percentile of gangs' waits is below that of today
     And the median wait of small jobs is raised by no more than a tenth
--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -60,14 +60,21 @@
     # Placement looks ahead only where an interruption takes no longer, so that
     # a wrong estimate costs little.
     max_interruption_seconds: float = 0.3
-    # Elements of placement that looks ahead, see docs/design/look-ahead.md.
-    reserves_for_gangs: bool = True
+    # Elements of placement that looks ahead.  All are off, as none served
+    # better than placement without them in docs/design/look-ahead.md.
+    reserves_for_gangs: bool = False
     reserves_for_wide_steps: bool = False
     fits_by_end: bool = False
 
     @property
     def may_look_ahead(self) -> bool:
-        """Return whether an interruption is known to be short."""
+        """Return whether an element is on and interruptions are short."""
+        if not (
+            self.reserves_for_gangs
+            or self.reserves_for_wide_steps
+            or self.fits_by_end
+        ):
+            return False
         if self.stop_seconds is None or self.resume_seconds is None:
             return False
         interruption = self.stop_seconds + self.resume_seconds
