--- a/libs/controller/tarragonlb/controller/policies.py
+++ b/libs/controller/tarragonlb/controller/policies.py
@@ -1,7 +1,12 @@
 """Chooses an owner's scheduling policies by the settings."""
 
+from dataclasses import replace
+
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.fairshare import FairShareOrder
+from tarragonlb.scheduling.forecast import EndForecast
+from tarragonlb.scheduling.lookahead import LookAheadPlacement
+from tarragonlb.scheduling.lookaheadrecord import LookAheadRecord
 from tarragonlb.scheduling.placement import PackNearData
 from tarragonlb.scheduling.policies import (
     JobOrder,
@@ -11,7 +16,9 @@
     UrgencyOrder,
     WorkerFilter,
 )
+from tarragonlb.scheduling.reservationfilter import ReservationFilter
 from tarragonlb.scheduling.scheduler import Scheduler
+from tarragonlb.scheduling.settings import SchedulingSettings
 
 
 def build_policies(
@@ -24,12 +31,15 @@
     ``limit`` keeps tenants within their caps, and ``filters`` place tasks only
     on workers with a ticket.
     """
-    return SchedulingPolicies(
+    policies = SchedulingPolicies(
         placement=PackNearData(),
         order=_build_order(settings),
         limit=limit if settings.has_tenants else NoStartLimit(),
         filters=filters,
     )
+    if settings.scheduling.may_look_ahead:
+        return _look_ahead(policies, settings.scheduling)
+    return policies
 
 
 def build_scheduler(
@@ -45,3 +55,20 @@
 
 def _build_order(settings: ControllerSettings) -> JobOrder:
     return FairShareOrder() if settings.has_tenants else UrgencyOrder()
+
+
+def _look_ahead(
+    policies: SchedulingPolicies, settings: SchedulingSettings
+) -> SchedulingPolicies:
+    record = LookAheadRecord()
+    forecast = EndForecast(record.durations)
+    placement = policies.placement
+    if settings.fits_by_end:
+        placement = LookAheadPlacement(forecast)
+    reservations = ReservationFilter(record, forecast, settings)
+    return replace(
+        policies,
+        placement=placement,
+        filters=(*policies.filters, reservations),
+        look_ahead=record,
+    )
--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -87,13 +87,15 @@
     vm_cores: int = 16
 
 
+def build_policies():
+    return SchedulingPolicies(placement=PackNearData())
+
+
 class SimulatedPool:
-    def __init__(self, name, traffic):
+    def __init__(self, name, traffic, policies):
         self.name = name
         self.traffic = traffic
-        self.scheduler = Scheduler(
-            SETTINGS, SchedulingPolicies(placement=PackNearData()), 0.0
-        )
+        self.scheduler = Scheduler(SETTINGS, policies, 0.0)
         self.scheduler.state.queues = {
             name: Queue(
                 name=name,
@@ -109,19 +111,22 @@
 
 
 class PeakSimulation:
-    def __init__(self, seed, vm_count, traffic, peak_seconds, standby_delay=0):
+    def __init__(self, seed, vm_count, traffic, peak_seconds, **options):
+        """Take ``standby_delay`` and ``build``, which makes policies."""
         self.seed = seed
         self.random = random.Random(seed)
         self.now = 0.0
         self.ticks = 0
         self.peak_seconds = peak_seconds
+        build = options.get('build', build_policies)
         self.pools = {
-            name: SimulatedPool(name, shape) for name, shape in traffic.items()
+            name: SimulatedPool(name, shape, build())
+            for name, shape in traffic.items()
         }
         self.workers = {}
         self.vms = {}
         self.fleet_state = FleetState()
-        self.rebalancer = PoolRebalancer(standby_delay)
+        self.rebalancer = PoolRebalancer(options.get('standby_delay', 0))
         self.offsets = itertools.count()
         self.drain_numbers = itertools.count(1)
         self.worker_numbers = itertools.count(1)
--- a/libs/scheduling/features/steps/peak_steps.py
+++ b/libs/scheduling/features/steps/peak_steps.py
@@ -70,7 +70,11 @@
     context.outcomes = []
     for delay in (0, STANDBY_DELAY_SECONDS):
         peaks = PeakSimulation(
-            simulation.seed, len(simulation.vms), TRAFFIC, PEAK_SECONDS, delay
+            simulation.seed,
+            len(simulation.vms),
+            TRAFFIC,
+            PEAK_SECONDS,
+            standby_delay=delay,
         )
         peaks.run(seconds)
         earned = peaks.compute_earned_share(peaks.now - SETTLE_SECONDS)
@@ -87,7 +91,11 @@
 @when('a peak of one pool is over for longer than the delay')
 def end_peak(context):
     peaks = context.peaks = PeakSimulation(
-        1, len(context.peaks.vms), TRAFFIC, PEAK_SECONDS, STANDBY_DELAY_SECONDS
+        1,
+        len(context.peaks.vms),
+        TRAFFIC,
+        PEAK_SECONDS,
+        standby_delay=STANDBY_DELAY_SECONDS,
     )
     peaks.run(PEAK_SECONDS)
     for pool in peaks.pools.values():
--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -5,6 +5,9 @@
 CLOCK_DRIFT_FACTOR = 1.021
 """Our seconds during one second of a worker's clock that is 2% slow."""
 
+# Sums of seconds may exceed their exact value by the rounding of floats.
+ROUNDING_SECONDS = 1e-6
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SchedulingSettings:
@@ -50,6 +53,36 @@
     pacing_low_share: float = 0.5
     # Percentage points by which a scavenger speeds up per report.
     pacing_step_percent: int = 15
+    # How long the stop of an attempt, and its resumption from a checkpoint, may
+    # take, by the platform's settings file; None if that does not say so.
+    stop_seconds: float | None = None
+    resume_seconds: float | None = None
+    # Placement looks ahead, and drained VMs wait for the next peak, only where
+    # an interruption takes no longer, so that a wrong estimate costs little.
+    max_interruption_seconds: float = 0.3
+    # Elements of placement that looks ahead.  All are off, as none served
+    # better than placement without them in docs/design/look-ahead.md.
+    reserves_for_gangs: bool = False
+    reserves_for_wide_steps: bool = False
+    fits_by_end: bool = False
+
+    @property
+    def has_short_interruptions(self) -> bool:
+        """Return whether the stop and the resumption of a task are short."""
+        if self.stop_seconds is None or self.resume_seconds is None:
+            return False
+        interruption = self.stop_seconds + self.resume_seconds
+        return interruption <= self.max_interruption_seconds + ROUNDING_SECONDS
+
+    @property
+    def may_look_ahead(self) -> bool:
+        """Return whether an element is on and interruptions are short."""
+        is_any_on = (
+            self.reserves_for_gangs
+            or self.reserves_for_wide_steps
+            or self.fits_by_end
+        )
+        return is_any_on and self.has_short_interruptions
 
     def compute_longest_lease(self) -> float:
         """Return the seconds after which any lease granted now is over."""
