Give the steps of look-ahead phrases of their own

Cause: the step '{cause} at {at:g} s' also matched steps of other features, which seven scenarios of make test showed as errors. Change: its phrases name what happens, and the small task.

--- a/libs/scheduling/features/lookahead.feature
+++ b/libs/scheduling/features/lookahead.feature
@@ -7,7 +7,7 @@
   # Guards against gangs that wait for ever, as small tasks fill each gap.
   Scenario Outline: Workers are kept for a waiting gang from all that would delay it
     When a task of <cores> cores that takes <seconds> s with priority <priority> comes at 0.5 s
-    Then it is <result>
+    Then the small task is <result>
     And the gang starts at 1.1 s
 
     Examples: ends too late, ends early enough, fits beside, goes first
@@ -18,7 +18,7 @@
 
   Scenario Outline: Tasks of a higher priority and permanent tasks are not kept off
     When a <kind> task of 2 cores that takes 2 s with priority <priority> comes at 0.5 s
-    Then it is placed
+    Then the small task is placed
 
     Examples:
       | kind      | priority |
@@ -29,10 +29,10 @@
   Scenario: A job of which nothing runs is not kept off a pool that is half free
     Given 3 more workers of 10 cores whose probation rules them out
     When a task of 2 cores that takes 2 s with priority 1 comes at 0.5 s
-    Then it is placed
+    Then the small task is placed
 
   Scenario Outline: A reservation ends with its reason
-    When <cause> at 0.6 s
+    When it happens at 0.6 s that <cause>
     Then the reservation was <event> because "<reason>"
 
     Examples:
--- a/libs/scheduling/features/steps/lookahead_steps.py
+++ b/libs/scheduling/features/steps/lookahead_steps.py
@@ -200,7 +200,7 @@
     pool.run_until(at)
 
 
-@then('it is {result}')
+@then('the small task is {result}')
 def check_small(context, result):
     assert ('small' in context.pool.started_at) == (result == 'placed')
 
@@ -214,8 +214,8 @@
     assert context.pool.changes[-1][1].event.value == 'kept'
 
 
-@when('{cause} at {at:g} s')
-def end_reservation(context, cause, at):
+@when('it happens at {at:g} s that {cause}')
+def end_reservation(context, at, cause):
     pool = context.pool
     pool.run_until(at)
     entry = pool.entries['w0']
