Check look-ahead placement against its aim, not its measured cost

Cause: the scenario on the replay allowed 98 of 100 jobs in time and a twentieth of idle capacity, bounds that follow from what was measured. The aim is that the throughput is not lower, and reservations for gangs miss it. The two measured bounds go.

--- a/libs/scheduling/features/lookahead.feature
+++ b/libs/scheduling/features/lookahead.feature
@@ -68,11 +68,14 @@
       | 4, 8, 9  | 4, 8, 1  | second |
       | 2, 4, 1  | 4, 8, 1  | first  |
 
-  # The replay of docs/design/look-ahead.md, on two of its streams.  It guards
-  # the measured cost, a little throughput, not the aim of none.
-  Scenario: Reservations for gangs shorten their longest waits at a bounded cost
+  # The replay of docs/design/look-ahead.md, on two of its streams.
+  Scenario: Reservations for gangs shorten their longest waits
     When streams of load 1.0 are replayed with seeds 1 and 2
     Then the 99th percentile of gangs' waits is below that of today
     And the median wait of small jobs is raised by no more than a tenth
-    And at least 98 of 100 as many jobs are done in time
-    And reservations kept at most a twentieth of the pool idle
+
+  # Guards against a reservation that costs throughput, which is why the element
+  # is off by default.
+  Scenario: Reservations for gangs do not lower the throughput
+    When streams of load 1.0 are replayed with seeds 1 and 2
+    Then as many jobs are done in time as today
--- a/libs/scheduling/features/steps/lookahead_steps.py
+++ b/libs/scheduling/features/steps/lookahead_steps.py
@@ -300,13 +300,7 @@
     assert total(context, 'gangs', 'small p50') <= 1.1 * today
 
 
-@step('at least {percent:d} of 100 as many jobs are done in time')
-def check_throughput(context, percent):
-    today = total(context, 'today', 'done')
-    assert total(context, 'gangs', 'done') * 100 >= percent * today
-
-
-@step('reservations kept at most a twentieth of the pool idle')
-def check_idle(context):
-    idle = [one.measure_reserved_idle() for one in context.found['gangs']]
-    assert max(idle) <= 0.05, idle
+@then('as many jobs are done in time as today')
+def check_throughput(context):
+    done = {name: total(context, name, 'done') for name in ('today', 'gangs')}
+    assert done['gangs'] >= done['today'], done
