Take shares from other owners when some do not confirm

The ledger counted on every lowered share that was not confirmed yet, also if its owner was gone, and repeated a lowering only when no share of the tenant had been lowered for a second. So a tenant waited for a dead owner while shares of others lay unused. Now a lowering that was not confirmed within 1 s is repeated by itself, is not counted, and all other owners are asked at once.

--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -13,6 +13,14 @@
     When 8 tasks of 100 wait in partition 2
     Then 0.35 seconds later 800 are in use
 
+  # Guards against LOST: the shares of owners that do not answer were waited for,
+  # while those of others lay unused.
+  Scenario: Owners that do not answer keep no unused share of others away
+    Given 5 partitions and a tenant with a cap of 1000
+    When the owners of partitions 4 and 5 are cut off
+    And 1 tasks of 210 wait in partition 2
+    Then 1.5 seconds later 210 are in use
+
   # Guards against two owners that take a share from each other for ever.
   Scenario: Owners that all want the whole cap share it without moves
     Given 5 partitions and a tenant with a cap of 1000
--- a/libs/scheduling/features/steps/caps_steps.py
+++ b/libs/scheduling/features/steps/caps_steps.py
@@ -195,6 +195,12 @@
     context.world.fleet_owners[-1].is_cut = True
 
 
+@when('the owners of partitions {first:d} and {second:d} are cut off')
+def cut_owners(context, first, second):
+    for owner in context.world.owners:
+        owner.is_cut |= owner.partition in {first, second}
+
+
 @when('the cap is reduced to {cap:d}')
 def reduce_cap(context, cap):
     context.world.set_caps({'a': cap})
--- a/libs/scheduling/tarragonlb/scheduling/quotaledger.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotaledger.py
@@ -65,7 +65,8 @@
         self._open: set[str] = set()
         # When a share was last raised so that a task could start.
         self._served_at: dict[tuple[str, int], float] = {}
-        self._lowered_at: dict[str, float] = {}
+        # When each share was last lowered for another partition.
+        self._lowered_at: dict[tuple[str, int], float] = {}
 
     def note_records(self, tenants: Iterable[str]) -> None:
         """Note that there are new records on tenants."""
@@ -180,13 +181,15 @@
     ) -> None:
         """Lower as many shares as one partition needs to reach its goal.
 
-        Each owner that is asked has to answer, so as few as possible are.
+        Each owner that is asked has to answer, so as few as possible are.  If
+        one has not answered in time, all others are asked at once: several may
+        be gone, and asking them in turn would take seconds.
         """
         reach = draft.compute_reach(partition)
+        unconfirmed, is_overdue = self._collect_unconfirmed(draft, now)
         # What is still to be confirmed need not be taken from others, too.
         missing = amounts.subtract(
-            amounts.subtract(goals[partition], reach),
-            self._collect_unconfirmed(draft, now),
+            amounts.subtract(goals[partition], reach), unconfirmed
         )
         releases = []
         for other, row in draft.shares.items():
@@ -197,29 +200,33 @@
         for release, other, lower in sorted(releases, reverse=True):
             if _helps(release, missing):
                 draft.lower_share(other, lower)
-                missing = amounts.subtract(missing, release)
-                self._lowered_at[draft.tenant] = now
+                if not is_overdue:
+                    missing = amounts.subtract(missing, release)
+                self._lowered_at[draft.tenant, other] = now
 
     def _collect_unconfirmed(
         self, draft: GrantDraft, now: float
-    ) -> amounts.Amounts:
-        """Return what will be free when all lowered shares are confirmed.
+    ) -> tuple[amounts.Amounts, bool]:
+        """Return what will be free once lowered shares are confirmed.
 
-        Lowerings whose confirmation is overdue are repeated.
+        Lowerings whose confirmation is overdue are repeated, and not counted,
+        since their owners may be gone.  The second value is whether there are
+        any.
         """
-        last = self._lowered_at.get(draft.tenant, -math.inf)
-        is_overdue = now >= last + REPEAT_SECONDS
-        total = amounts.NOTHING
+        total, is_overdue = amounts.NOTHING, False
         for partition, row in tuple(draft.shares.items()):
             if self._index.is_confirmed(draft.tenant, partition, row):
                 continue
-            total = amounts.add(
-                total, amounts.subtract(row.reserved, row.share)
-            )
-            if is_overdue:
+            key = (draft.tenant, partition)
+            if now >= self._lowered_at.get(key, -math.inf) + REPEAT_SECONDS:
+                is_overdue = True
                 draft.lower_share(partition, row.share)
-                self._lowered_at[draft.tenant] = now
-        return total
+                self._lowered_at[key] = now
+            else:
+                total = amounts.add(
+                    total, amounts.subtract(row.reserved, row.share)
+                )
+        return total, is_overdue
 
     def _find_lower(
         self,
