Ask owners again that used more than their share

What an owner used above its share stayed reserved until it reported less. If that report is lost, or a late one replaces it before a new fleet owner reads it, it stayed reserved for good, and the sum of the shares stayed below the cap. Now the lowering is repeated after 1 s while another owner lacks room.

--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -21,6 +21,17 @@
     And 1 tasks of 210 wait in partition 2
     Then 1.5 seconds later 210 are in use
 
+  # Guards against LOST: a late record replaced the newest report, and what it
+  # said about use above the share held for ever.
+  Scenario: An owner is asked again whether it uses more than its share
+    Given 2 partitions and a tenant with a cap of 1000
+    When 10 tasks of 100 that last 2 seconds wait in partition 1
+    And 1 seconds pass
+    And 1 tasks of 600 wait in partition 2
+    And 1 seconds pass
+    And all records on caps are lost for 1 second
+    Then 3 seconds later all tasks have run
+
   # Guards against two owners that take a share from each other for ever.
   Scenario: Owners that all want the whole cap share it without moves
     Given 5 partitions and a tenant with a cap of 1000
--- a/libs/scheduling/features/steps/caps_steps.py
+++ b/libs/scheduling/features/steps/caps_steps.py
@@ -201,6 +201,13 @@
         owner.is_cut |= owner.partition in {first, second}
 
 
+@when('all records on caps are lost for {seconds:d} second')
+def lose_records(context, seconds):
+    context.world.delay = lambda: None
+    context.world.run(seconds)
+    context.world.delay = lambda: 0
+
+
 @when('the cap is reduced to {cap:d}')
 def reduce_cap(context, cap):
     context.world.set_caps({'a': cap})
--- a/libs/scheduling/tarragonlb/scheduling/quotaledger.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotaledger.py
@@ -211,18 +211,20 @@
 
         Lowerings whose confirmation is overdue are repeated, and not counted,
         since their owners may be gone.  The second value is whether there are
-        any.
+        any.  Owners that used more than their share are asked again as well,
+        as the report that they no longer do may be lost.
         """
         total, is_overdue = amounts.NOTHING, False
         for partition, row in tuple(draft.shares.items()):
-            if self._index.is_confirmed(draft.tenant, partition, row):
+            is_open = not self._index.is_confirmed(draft.tenant, partition, row)
+            if not is_open and amounts.covers(row.share, row.reserved):
                 continue
             key = (draft.tenant, partition)
             if now >= self._lowered_at.get(key, -math.inf) + REPEAT_SECONDS:
-                is_overdue = True
+                is_overdue = is_overdue or is_open
                 draft.lower_share(partition, row.share)
                 self._lowered_at[key] = now
-            else:
+            elif is_open:
                 total = amounts.add(
                     total, amounts.subtract(row.reserved, row.share)
                 )
