Check the configuration's age again when a body has arrived

With strictRevoke, a daemon without contact served a request whose body took so long that the configuration became older than revokeMs meanwhile: only another configuration had the key checked again. Now such a request gets 503. A body of 2 s at an age of 4 s, with a limit of 5 s: 200 before, 503 now.

--- a/libs/controller/tarragonlb/controller/keycheck.py
+++ b/libs/controller/tarragonlb/controller/keycheck.py
@@ -80,11 +80,21 @@
         self._settings = settings
         self._view = view
 
-    def is_current(self, configuration: Configuration) -> bool:
-        """Return whether a decision by ``configuration`` still holds."""
-        if not self._settings.has_tenants:
+    def is_current(self, configuration: Configuration, queue: Queue) -> bool:
+        """Return whether a decision to serve a request still holds.
+
+        ``queue`` is of ``configuration``, by which it was taken.
+        """
+        settings = self._settings
+        if not settings.has_tenants:
             return True
-        return self._view.configuration is configuration
+        if self._view.configuration is not configuration:
+            return False
+        if queue.is_public or not settings.strict_revoke:
+            return True
+        now = self._clock.read_boottime()
+        age = self._view.compute_configuration_age(now)
+        return age <= settings.revoke_seconds
 
     def check(
         self, configuration: Configuration, queue: Queue, key: bytes
