Note when a cap is reduced, also of idle tenants

An owner scales its share for 2.5 s after a reduction, while the former cap counts. It took the time from the first task that met the reduced cap. With an idle tenant and no fleet owner, tasks started within a scaled share long after: in virtual time a start 4 s after the reduction brought 600 into use with a cap of 500. A second reduction took the time of the first, and nothing started at all. Now the time is noted for each cap as the configuration is applied.

--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -106,6 +106,34 @@
     And 5 seconds pass
     And 0 are in use and 3 tasks wait
 
+  # Guards against LOST: at the second reduction an owner took the time of the
+  # first one, and started nothing until there was a fleet owner.
+  Scenario: Owners scale their shares at each reduction of a cap
+    Given 2 partitions and a tenant with a cap of 1000
+    When the fleet owner is cut off
+    And the cap is reduced to 900
+    And 1 tasks of 100 wait in partition 2
+    And 2 seconds pass
+    And the fleet owner is back
+    And 10 seconds pass
+    And the fleet owner is cut off
+    And the cap is reduced to 800
+    And 1 tasks of 100 wait in partition 2
+    Then 0.5 seconds later 100 are in use
+
+  # Guards against QUOTA: the time of a reduction began with the first task after
+  # it, however long ago the former cap had ceased to count.
+  Scenario: An owner without tasks notes when a cap is reduced
+    Given 2 partitions and a tenant with a cap of 1000
+    When 5 tasks of 100 that last 20 seconds wait in partition 1
+    And 1 seconds pass
+    And the fleet owner is cut off
+    And the cap is reduced to 500
+    And 4 seconds pass
+    And 4 tasks of 100 wait in partition 2
+    And 1 seconds pass
+    Then 500 are in use and 4 tasks wait
+
   # Guards against LOST: the accepted jobs of a removed tenant go on.
   Scenario: A tenant that is no longer listed keeps its last cap
     Given 2 partitions and a tenant with a cap of 1000
--- a/libs/scheduling/features/steps/caps_steps.py
+++ b/libs/scheduling/features/steps/caps_steps.py
@@ -195,6 +195,11 @@
     context.world.fleet_owners[-1].is_cut = True
 
 
+@when('the fleet owner is back')
+def reach_fleet_owner(context):
+    context.world.fleet_owners[-1].is_cut = False
+
+
 @when('the owners of partitions {first:d} and {second:d} are cut off')
 def cut_owners(context, first, second):
     for owner in context.world.owners:
--- a/libs/scheduling/tarragonlb/scheduling/quotalimit.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotalimit.py
@@ -15,7 +15,7 @@
 from tarragonlb.scheduling.policies import StartLimit
 from tarragonlb.scheduling.quotaindex import QuotaIndex
 from tarragonlb.scheduling.readystep import ReadyStep
-from tarragonlb.scheduling.tenant import TenantTable
+from tarragonlb.scheduling.tenant import NO_TENANTS, Tenant, TenantTable
 
 # A tenant that neither the configuration nor a grant names counts as one
 # without a cap after this time: longer than an owner takes to read a
@@ -37,9 +37,11 @@
 
     __slots__ = (
         '_caps',
+        '_former',
         '_lacking',
         '_now',
         '_reduced_at',
+        '_tenants',
         '_unknown_since',
         'index',
         'is_open',
@@ -52,7 +54,10 @@
         self.index = index
         self.is_open = False
         self._now = 0.0
+        self._tenants = NO_TENANTS
         self._caps: dict[str, amounts.Amounts] = {}
+        # The cap before the present one, and when it was replaced.
+        self._former: dict[str, tuple[amounts.Amounts, float]] = {}
         self._unknown_since: dict[str, float] = {}
         # When a cap was first seen to be below that of the grant.
         self._reduced_at: dict[str, float] = {}
@@ -62,6 +67,11 @@
         """Prepare for a round at ``now`` seconds."""
         self._now = now
         partition.usage.expire(now)
+        if partition.tenants is not self._tenants:
+            # Also of idle tenants, as the former cap counts from now on.
+            self._tenants = partition.tenants
+            for listed in partition.tenants.by_name.values():
+                self._note_cap(listed)
 
     def allows(
         self, ready: ReadyStep, count: int, partition: PartitionState
@@ -93,11 +103,7 @@
         """
         listed = tenants.find(tenant)
         if listed is not None:
-            cap = amounts.add(
-                amounts.count_demand(listed.cap), amounts.OVERSIZE_TASK
-            )
-            self._caps[tenant] = cap
-            return cap
+            return self._note_cap(listed)
         known = self._caps.get(tenant)
         if known is not None:
             return known
@@ -120,7 +126,11 @@
         if not amounts.exceeds_cap(grant.cap, cap):
             self._reduced_at.pop(tenant, None)
             return share
-        since = self._reduced_at.setdefault(tenant, self._now)
+        former = self._former.get(tenant)
+        if former is not None and former[0] == grant.cap:
+            since = former[1]
+        else:
+            since = self._reduced_at.setdefault(tenant, self._now)
         if self._now > since + MAX_SCALING_SECONDS:
             return amounts.NOTHING
         return amounts.scale(share, cap, grant.cap)
@@ -161,6 +171,17 @@
         for ready, _ in self._lacking.get(tenant, {}).values():
             partition.changed_pools.add(ready.job_state.job.pool)
 
+    def _note_cap(self, listed: Tenant) -> amounts.Amounts:
+        """Return the cap of a tenant, and keep it with the one before."""
+        cap = amounts.add(
+            amounts.count_demand(listed.cap), amounts.OVERSIZE_TASK
+        )
+        known = self._caps.get(listed.name, cap)
+        if known != cap:
+            self._former[listed.name] = (known, self._now)
+        self._caps[listed.name] = cap
+        return cap
+
     def _fits(
         self,
         tenant: str,
