Count only jobs within the rate against later ones

Cause: a job beyond the rate counted against later jobs, so of a tenant that steadily sends twice its rate all jobs waited behind everything else. Change: a job is beyond the rate if `weight` jobs of its tenant that are not beyond it were submitted in the second before it. A job exactly one span earlier no longer counts. Two rows of the expected times change with the rule (1.05; 3.9 and 5.9 are no longer beyond), one is added.

--- a/libs/scheduling/features/shares.feature
+++ b/libs/scheduling/features/shares.feature
@@ -2,11 +2,14 @@
 
   # Guards against one tenant that makes all others late: 32 workers of 16 cores,
   # load 0.7, and 1.6 while one tenant sends 7.6 times its usual for 6 s.  0.78 s
-  # is the latest start of the shortest jobs.
+  # is the latest start of the shortest jobs.  The mean rates equal the weights, so
+  # about a quarter of the others' jobs are beyond their own rate; the other ones
+  # must hardly notice the flood.
   Scenario Outline: A tenant that floods the pool does not make others late
     Given a stream of 11 tenants with seed <seed>, and the same one with a flood
     When both are played with fair shares and by urgency
-    Then with fair shares the others start in 0.05 s at the median and 0.8 s at p99
+    Then with fair shares their jobs within the rate start in 0.3 s at p99
+    And with fair shares the others start in 0.05 s at the median and 0.8 s at p99
     And by urgency the flood makes them wait 5 s at p99
 
     Examples:
@@ -32,7 +35,8 @@
     Then it arranges the waiting steps as the former owner does
     And the jobs beyond their rate come last
 
-  # 1 job in 2 s for weight 0.5, 3 in a second for weight 2.5; windows slide.
+  # 1 job in 2 s for weight 0.5, 3 in a second for weight 2.5; windows slide, and
+  # jobs beyond the rate do not count.
   Scenario Outline: The jobs beyond a rate are found from the submission times
     Given a tenant of weight <weight>
     When jobs are submitted at <times> and read in any order
@@ -40,9 +44,24 @@
 
     Examples:
       | weight | times                   | beyond  |
-      | 2      | 0.0 0.1 0.2 1.05 1.25   | 0.2 1.05 |
+      | 2      | 0.0 0.1 0.2 1.05 1.25   | 0.2     |
+      | 2      | 0.0 0.5 1.0 1.5 1.6     | 1.6     |
       | 2.5    | 0.0 0.1 0.2 0.3 1.35    | 0.3     |
-      | 0.5    | 0.0 1.9 3.9 5.9 5.95    | 1.9 3.9 5.9 5.95 |
+      | 0.5    | 0.0 1.9 3.9 5.9 5.95    | 1.9 5.95 |
+
+  # Guards against a rate that puts all jobs of a tenant behind the others, and
+  # against marks that differ between owners: the times are random, and the jobs
+  # are read in a random order and in up to 12 parts.
+  Scenario Outline: Of twice the rate, half of the jobs are beyond it
+    Given a tenant of weight <weight>
+    When it submits twice its rate for 10 s
+    Then between <least> and <most> of its jobs are beyond the rate, as one by one
+
+    Examples:
+      | weight | least | most |
+      | 0.5    | 0.4   | 0.65 |
+      | 2      | 0.45  | 0.62 |
+      | 20     | 0.48  | 0.55 |
 
   # Guards against rounds that the order makes too slow: 400 tenants, 2,000 steps.
   Scenario: The order costs at most twice a sort and a heap operation a step
--- a/libs/scheduling/features/sharesimulation.py
+++ b/libs/scheduling/features/sharesimulation.py
@@ -161,10 +161,10 @@
                 self.submit(job_id, tenant, build_steps(steps))
             self.run_round()
 
-    def list_waits(self, tenants, begin, end):
+    def list_waits(self, tenants, begin, end, without=()):
         """Return the waits for the first start of jobs submitted in a span."""
         return sorted(
             self.first_starts.get(job_id, self.now) - at
             for job_id, (tenant, at) in self.submitted.items()
-            if tenant in tenants and begin <= at < end
+            if tenant in tenants and begin <= at < end and job_id not in without
         )
--- a/libs/scheduling/features/steps/share_steps.py
+++ b/libs/scheduling/features/steps/share_steps.py
@@ -47,7 +47,7 @@
 @when('both are played with fair shares and by urgency')
 def play_streams(context):
     others = set(FLOOD_WEIGHTS) - {FLOOD_TENANT}
-    context.waits = {}
+    context.waits, context.within_rate = {}, {}
     for order in (FairShareOrder, UrgencyOrder):
         for name, stream in context.streams.items():
             scheduler = build_scheduler(order(), FLOOD_WEIGHTS)
@@ -58,7 +58,18 @@
                 find_quantile(waits, 0.5),
                 find_quantile(waits, 0.99),
             )
-    print(context.waits)
+            rates = SubmissionRates()
+            rates.update(scheduler.state)
+            waits = simulation.list_waits(others, 4, 10, rates.beyond)
+            context.within_rate[order, name] = find_quantile(waits, 0.99)
+    print(context.waits, context.within_rate)
+
+
+@then('with fair shares their jobs within the rate start in {p99:g} s at p99')
+def check_within_rate(context, p99):
+    for name in context.streams:
+        wait = context.within_rate[FairShareOrder, name]
+        assert wait <= p99, context.within_rate
 
 
 @then(
@@ -268,6 +279,50 @@
     check()
 
 
+@when('it submits twice its rate for {seconds:d} s')
+def submit_twice(context, seconds):
+    weight = context.weights['t']
+    source = random.Random(9)
+    count = int(2 * weight * seconds)
+    # One job at a random time within each half of its interval.
+    context.times = [
+        (number + source.random()) / (2 * weight) for number in range(count)
+    ]
+
+
+def find_beyond(times, weight):
+    span, within, beyond = 1 / min(weight, 1), [], set()
+    for at in times:
+        if sum(at - span < other for other in within) < weight:
+            within.append(at)
+        else:
+            beyond.add(str(at))
+    return beyond
+
+
+@then(
+    'between {least:g} and {most:g} of its jobs are beyond the rate, as one '
+    'by one'
+)
+def check_twice(context, least, most):
+    expected = find_beyond(context.times, context.weights['t'])
+    share = len(expected) / len(context.times)
+    print(context.weights, share)
+    assert least <= share <= most, share
+    for number in range(40):
+        source = random.Random(number)
+        times = source.sample(context.times, len(context.times))
+        state = build_scheduler(FairShareOrder(), context.weights).state
+        rates = SubmissionRates()
+        for at in times:
+            job = build_job(str(at), 't', at, build_steps(1))
+            state.add_job(JobState(job, Moment(9.0, EPOCH_MS + 9000)))
+            if source.random() < 12 / len(times):
+                rates.update(state)
+        rates.update(state)
+        assert rates.beyond == expected, (number, rates.beyond ^ expected)
+
+
 @given('{count:d} waiting steps of {tenants:d} tenants in a full pool')
 def fill_pool(context, count, tenants):
     source = random.Random(3)
