Test that shares of backlogged tenants follow their weights

Change: the backlog is kept constant in each round, which takes one round in 0.08 s. Five tenants with different weights share 32 workers, 400 share 96. In both, each share is larger than one job, which the step checks.

--- a/libs/scheduling/features/shares.feature
+++ b/libs/scheduling/features/shares.feature
@@ -27,6 +27,16 @@
     When "b" gets a backlog and the pool runs for 1 s
     Then "b" occupies at least 0.45 of the pool
 
+  # Guards against shares that depend on the sizes and times of jobs.  All tenants
+  # always have a backlog.  Weights are followed only where each share is larger
+  # than one job: the smallest here is 27 cores for jobs of up to 16 cores, and
+  # 1.5 cores for jobs of up to 1 core.
+  Scenario: Shares of backlogged tenants follow their weights
+    Then Jain's index of 5 tenants with different weights on 32 workers is at least 0.95
+
+  Scenario: Shares of many backlogged tenants follow their weights
+    Then Jain's index of 400 tenants on 96 workers is at least 0.95
+
   # Guards against a takeover that favours other tenants, with 300 jobs of 7
   # tenants submitted within 3 s, some of them beyond their rate.
   Scenario: A takeover leaves the order as it is
--- a/libs/scheduling/features/sharesimulation.py
+++ b/libs/scheduling/features/sharesimulation.py
@@ -115,17 +115,20 @@
 
 
 class ShareSimulation:
-    def __init__(self, scheduler):
+    def __init__(self, scheduler, tick_seconds=TICK_SECONDS):
         self.scheduler = scheduler
+        self.tick_seconds = tick_seconds
         self.now = 0.0
         self.running = []
         self.first_starts = {}
         self.submitted = {}
         self.core_seconds = Counter()
+        self.waiting = Counter()
 
     def submit(self, job_id, tenant, steps):
         job = build_job(job_id, tenant, self.now, steps)
         self.submitted[job_id] = (tenant, self.now)
+        self.waiting[tenant] += sum(step.width for step in steps)
         self.scheduler.state.add_job(JobState(job, self.moment))
 
     @property
@@ -140,14 +143,15 @@
         self.scheduler.note_stored(decision)
         for start in decision.starts:
             self.first_starts.setdefault(start.key.job_id, self.now)
+            self.waiting[self.submitted[start.key.job_id][0]] -= 1
             ends_at = self.now + state.find_step(start.key).estimate_seconds
             heapq.heappush(self.running, (ends_at, start.key))
         for worker in state.workers.values():
             for key, attachment in worker.attached.items():
                 cores = attachment.demand.cpu_millicores / 1000
                 tenant = state.jobs[key.job_id].job.tenant
-                self.core_seconds[tenant] += cores * TICK_SECONDS
-        self.now += TICK_SECONDS
+                self.core_seconds[tenant] += cores * self.tick_seconds
+        self.now += self.tick_seconds
 
     def play(self, stream, seconds):
         queue = [
--- a/libs/scheduling/features/steps/share_steps.py
+++ b/libs/scheduling/features/steps/share_steps.py
@@ -9,6 +9,8 @@
 from hypothesis import strategies as st
 from sharesimulation import (
     EPOCH_MS,
+    TASK_SECONDS,
+    WORKER_CORES,
     ShareSimulation,
     build_job,
     build_scheduler,
@@ -27,7 +29,6 @@
 FLOOD_WEIGHTS = {FLOOD_TENANT: 6.0} | {f't{n}': 2.5 for n in range(10)}
 LOAD, FLOOD_LOAD = 0.7, 1.6
 FLOOD_FACTOR = 1 + (FLOOD_LOAD / LOAD - 1) * sum(FLOOD_WEIGHTS.values()) / 6
-TOTAL_CORES = 32 * 16
 
 
 def find_quantile(ordered, share):
@@ -94,34 +95,36 @@
         simulation.submit(job_id, tenant, steps)
 
 
-def measure_jain(weights, shapes, seconds):
+def measure_jain(weights, shapes, workers, seconds):
+    """Return the index of what tenants with a constant backlog got.
+
+    ``shapes`` maps tenants to width, millicores and seconds of their tasks.
+    """
+    cores = workers * WORKER_CORES / sum(weights.values())
+    # The order follows weights only where each share is larger than one job.
+    for name, (width, millicores, _) in shapes.items():
+        assert cores * weights[name] * 1000 > width * millicores, name
     # No step is deferred, and no job is beyond its rate.
-    weights = {name: 1000 * weight for name, weight in weights.items()}
+    rates = {name: 1000 * weight for name, weight in weights.items()}
     scheduler = build_scheduler(
-        FairShareOrder(), weights, objective_seconds=1000
+        FairShareOrder(), rates, workers, objective_seconds=1000
     )
-    simulation = ShareSimulation(scheduler)
-    for name, (width, millicores) in shapes.items():
-        steps = build_steps(1, 0.64, width, millicores)
-        share = weights[name] / sum(weights.values())
-        # More than a tenant can use, so that it is always backlogged.
-        tasks = share * TOTAL_CORES * 1000 / millicores * seconds / 0.64
-        fill_backlog(simulation, name, steps, int(1.2 * tasks / width) + 4)
+    simulation = ShareSimulation(scheduler, tick_seconds=0.08)
     while simulation.now < seconds:
+        for name, (width, millicores, task_seconds) in shapes.items():
+            # Enough for all of the share that becomes free at once.
+            share = 1.2 * cores * weights[name] * 1000 / millicores + width
+            lack = int(share - simulation.waiting[name]) // width + 1
+            steps = build_steps(1, task_seconds, width, millicores)
+            fill_backlog(simulation, name, steps, lack)
         simulation.run_round()
+        assert min(simulation.waiting.values()) > 0, simulation.waiting
     served = [simulation.core_seconds[name] / weights[name] for name in weights]
     return sum(served) ** 2 / (len(served) * sum(v * v for v in served))
 
 
-@then(
-    "Jain's index of {count:d} tenants on 32 workers is at least {least:g}, "
-    'whatever the jobs'
-)
-def check_jain(context, count, least):
-    is_many = count > 100
-    widths = st.integers(1, 2 if is_many else 8)
-    millicores = st.integers(50, 100) if is_many else st.integers(500, 2000)
-    examples, seconds = (2, 1.3) if is_many else (4, 3)
+def check_jain(least, shapes, draw_weights, examples, build):
+    jains = []
 
     @seed(5)
     @settings(
@@ -130,22 +133,55 @@
         database=None,
         phases=(Phase.generate,),
     )
-    @given_values(
-        weights=st.lists(st.integers(1, 4), min_size=7, max_size=7),
-        sizes=st.lists(st.tuples(widths, millicores), min_size=11, max_size=11),
-    )
-    def check(weights, sizes):
-        # A few drawn values are repeated, as hypothesis draws no 400 quickly.
-        names = [f't{number}' for number in range(count)]
-        jain = measure_jain(
-            {name: weights[at % 7] for at, name in enumerate(names)},
-            {name: sizes[at % 11] for at, name in enumerate(names)},
-            seconds,
-        )
-        print(count, round(jain, 4))
-        assert jain >= least, (jain, weights, sizes)
+    @given_values(weights=draw_weights, drawn=shapes)
+    def check(weights, drawn):
+        jains.append(measure_jain(*build(weights, drawn)))
+        assert jains[-1] >= least, (jains, weights, drawn)
 
     check()
+    print([round(jain, 4) for jain in jains])
+
+
+@then(
+    "Jain's index of 5 tenants with different weights on 32 workers is at "
+    'least {least:g}'
+)
+def check_few(context, least):
+    shape = st.tuples(
+        st.integers(1, 8), st.integers(500, 2000), st.floats(0.32, 1.7)
+    )
+    check_jain(
+        least,
+        st.lists(shape, min_size=5, max_size=5),
+        st.lists(st.integers(1, 6), min_size=5, max_size=5, unique=True),
+        4,
+        lambda weights, drawn: (
+            {f't{at}': weight for at, weight in enumerate(weights)},
+            {f't{at}': shape for at, shape in enumerate(drawn)},
+            32,
+            4,
+        ),
+    )
+
+
+@then("Jain's index of 400 tenants on 96 workers is at least {least:g}")
+def check_many(context, least):
+    shape = st.tuples(
+        st.integers(1, 2), st.integers(300, 500), st.just(TASK_SECONDS)
+    )
+    # A few drawn values are repeated, as hypothesis draws no 400 quickly.
+    check_jain(
+        least,
+        st.lists(shape, min_size=11, max_size=11),
+        st.lists(st.integers(1, 4), min_size=7, max_size=7),
+        2,
+        lambda weights, drawn: (
+            {f't{at}': weights[at % 7] for at in range(400)},
+            {f't{at}': drawn[at % 11] for at in range(400)},
+            96,
+            1.4,
+        ),
+    )
 
 
 @given('tenants "a" and "b" of equal weight, and a backlog of "a"')
