Renew one heap entry of a tenant for each step taken

Cause: each step placed made all moved entries of its tenant out of date, and each was renewed in turn. Change: steps that move wait in a queue of their tenant, and the heap holds the first of each queue.

--- a/libs/scheduling/tarragonlb/scheduling/fairshare.py
+++ b/libs/scheduling/tarragonlb/scheduling/fairshare.py
@@ -12,11 +12,13 @@
 for a share.
 
 The steps are sorted once.  A step whose tenant's share has risen since then
-moves to a heap when its turn comes, so that a round costs about one sort, and a
-heap operation for each step that moves.
+moves to a queue of its tenant when its turn comes.  A heap holds the first step
+of each queue; only the tenant's own steps raise its share, so its entry is
+renewed only when one has been taken.  A round costs about one sort, and a heap
+operation for each step that moves.
 """
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Container, Iterable, Iterator
 from heapq import heappop, heappush, heapreplace
 from itertools import chain
@@ -46,6 +48,8 @@
 # Weighted share when the entry was made, time of the rank, a number that no
 # other entry has, the step, and the share of its tenant.
 Entry: TypeAlias = tuple[float, float, int, ReadyStep, TenantShare]
+# The entries of each tenant that have moved, in their order.
+Queues: TypeAlias = dict[TenantShare, deque[Entry]]
 # Stands for all tenants in the classes that are not shared.
 NO_SHARE = TenantShare(Demand(), 1.0)
 
@@ -128,26 +132,30 @@
 
 def _take_in_order(entries: Iterable[Entry]) -> Iterator[ReadyStep]:
     """Yield the steps of sorted entries, while the shares rise."""
-    moved: list[Entry] = []
+    heads: list[Entry] = []
+    queues: Queues = defaultdict(deque)
     for entry in entries:
-        while moved and moved[0] < entry:
-            yield from _take_first(moved)
+        while heads and heads[0] < entry:
+            yield from _take_first(heads, queues)
         if entry[-1].weighted == entry[0]:
             yield entry[-2]
         else:
-            heappush(moved, _renew(entry))
-    while moved:
-        yield from _take_first(moved)
-
-
-def _take_first(moved: list[Entry]) -> Iterator[ReadyStep]:
-    """Yield the first step, or put it back if the share has risen again."""
-    entry = moved[0]
-    if entry[-1].weighted == entry[0]:
-        heappop(moved)
-        yield entry[-2]
+            queue = queues[entry[-1]]
+            queue.append(entry)
+            if len(queue) == 1:
+                heappush(heads, _renew(entry))
+    while heads:
+        yield from _take_first(heads, queues)
+
+
+def _take_first(heads: list[Entry], queues: Queues) -> Iterator[ReadyStep]:
+    """Yield the step of the first head, then replace it by the next one."""
+    queue = queues[heads[0][-1]]
+    yield queue.popleft()[-2]
+    if queue:
+        heapreplace(heads, _renew(queue[0]))
     else:
-        heapreplace(moved, _renew(entry))
+        heappop(heads)
 
 
 def _renew(entry: Entry) -> Entry:
