--- a/libs/scheduling/features/sharesimulation.py
+++ b/libs/scheduling/features/sharesimulation.py
@@ -13,6 +13,7 @@
 from tarragonlb.scheduling.placement import PackNearData
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.queue import Queue
+from tarragonlb.scheduling.readystep import list_ready_steps
 from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.scheduling.settings import SchedulingSettings
 from tarragonlb.scheduling.tenant import Tenant, TenantTable
@@ -114,18 +115,30 @@
     return jobs
 
 
+def list_ready(scheduler, now):
+    state = scheduler.state
+    return [
+        ready
+        for job_state in state.open_jobs.values()
+        for ready in list_ready_steps(job_state, state.queues['q'], now)
+    ]
+
+
 class ShareSimulation:
-    def __init__(self, scheduler):
+    def __init__(self, scheduler, tick_seconds=TICK_SECONDS):
         self.scheduler = scheduler
+        self.tick_seconds = tick_seconds
         self.now = 0.0
         self.running = []
         self.first_starts = {}
         self.submitted = {}
         self.core_seconds = Counter()
+        self.waiting = Counter()
 
     def submit(self, job_id, tenant, steps):
         job = build_job(job_id, tenant, self.now, steps)
         self.submitted[job_id] = (tenant, self.now)
+        self.waiting[tenant] += sum(step.width for step in steps)
         self.scheduler.state.add_job(JobState(job, self.moment))
 
     @property
@@ -140,14 +153,15 @@
         self.scheduler.note_stored(decision)
         for start in decision.starts:
             self.first_starts.setdefault(start.key.job_id, self.now)
+            self.waiting[self.submitted[start.key.job_id][0]] -= 1
             ends_at = self.now + state.find_step(start.key).estimate_seconds
             heapq.heappush(self.running, (ends_at, start.key))
         for worker in state.workers.values():
             for key, attachment in worker.attached.items():
                 cores = attachment.demand.cpu_millicores / 1000
                 tenant = state.jobs[key.job_id].job.tenant
-                self.core_seconds[tenant] += cores * TICK_SECONDS
-        self.now += TICK_SECONDS
+                self.core_seconds[tenant] += cores * self.tick_seconds
+        self.now += self.tick_seconds
 
     def play(self, stream, seconds):
         queue = [
@@ -161,10 +175,10 @@
                 self.submit(job_id, tenant, build_steps(steps))
             self.run_round()
 
-    def list_waits(self, tenants, begin, end):
+    def list_waits(self, tenants, begin, end, without=()):
         """Return the waits for the first start of jobs submitted in a span."""
         return sorted(
             self.first_starts.get(job_id, self.now) - at
             for job_id, (tenant, at) in self.submitted.items()
-            if tenant in tenants and begin <= at < end
+            if tenant in tenants and begin <= at < end and job_id not in without
         )
