Forget a reduction of a cap once its grant was applied

An owner that had applied a reduction, and then read the grant for a raised cap before the configuration, took that grant for one from before the reduction, and started nothing until it read the configuration. In virtual time none of 1 task ran 0.5 s later before, and it does now.

--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -134,6 +134,21 @@
     And 1 seconds pass
     Then 500 are in use and 4 tasks wait
 
+  # Guards against LOST: a grant for a raised cap was taken for one from before
+  # the last reduction.
+  Scenario: A reduction that was carried out does not count again
+    Given 2 partitions and a tenant with a cap of 1000
+    When the cap is reduced to 800
+    And 1 tasks of 100 wait in partition 2
+    And 1 seconds pass
+    And 1 tasks of 100 wait in partition 2
+    And 9 seconds pass
+    And all owners of pools read no further configuration
+    And the cap is raised to 1000
+    And 1 seconds pass
+    And 1 tasks of 100 wait in partition 2
+    Then 0.5 seconds later 100 are in use
+
   # Guards against LOST: the accepted jobs of a removed tenant go on.
   Scenario: A tenant that is no longer listed keeps its last cap
     Given 2 partitions and a tenant with a cap of 1000
--- a/libs/scheduling/features/quotasimulation.py
+++ b/libs/scheduling/features/quotasimulation.py
@@ -72,6 +72,8 @@
         self.tenants = world.tenants
         self.is_frozen = False
         self.is_cut = False
+        # It reads no configuration, but all else.
+        self.is_outdated = False
         # Until then new records do not arrive, although others are sent.
         self.blind_until = 0.0
 
@@ -240,7 +242,7 @@
         for _, records in due:
             self.append(records)
         for daemon in (*self.owners, *self.fleet_owners):
-            if not daemon.is_frozen:
+            if not (daemon.is_frozen or daemon.is_outdated):
                 daemon.tenants = self.tenants
             daemon.run_round(self.now)
 
--- a/libs/scheduling/features/steps/caps_steps.py
+++ b/libs/scheduling/features/steps/caps_steps.py
@@ -213,6 +213,13 @@
     context.world.delay = lambda: 0
 
 
+@when('all owners of pools read no further configuration')
+def keep_configuration(context):
+    for owner in context.world.owners:
+        owner.is_outdated = True
+
+
+@when('the cap is raised to {cap:d}')
 @when('the cap is reduced to {cap:d}')
 def reduce_cap(context, cap):
     context.world.set_caps({'a': cap})
--- a/libs/scheduling/tarragonlb/scheduling/quotalimit.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotalimit.py
@@ -124,6 +124,8 @@
             return None
         share = grant.shares[self.partition].share
         if not amounts.exceeds_cap(grant.cap, cap):
+            # A grant of a higher cap from now on is no earlier reduction.
+            self._former.pop(tenant, None)
             self._reduced_at.pop(tenant, None)
             return share
         former = self._former.get(tenant)
