--- a/libs/controller/features/caps.feature
+++ b/libs/controller/features/caps.feature
@@ -48,3 +48,9 @@
     When 2 tasks of the tenant are handed in to pool "a"
     And 3 seconds of the pools pass
     Then no record was stored after the first grants
+
+  # Guards against memory that grows with each term while nothing changes.
+  Scenario: The subscriptions of ended terms are not kept
+    Given a feed of records on caps
+    When 100 owners subscribe and end, one after the other
+    Then at most 1 subscription is kept
--- a/libs/controller/features/steps/caps_steps.py
+++ b/libs/controller/features/steps/caps_steps.py
@@ -16,7 +16,9 @@
 )
 from simulation import SETTINGS, Simulation  # noqa: E402
 
+from tarragonlb.controller.platformview import PlatformView  # noqa: E402
 from tarragonlb.controller.ports import Configuration, Topic  # noqa: E402
+from tarragonlb.controller.quotafeed import QuotaFeed  # noqa: E402
 from tarragonlb.controller.results import NotDone  # noqa: E402
 from tarragonlb.scheduling.job import Demand  # noqa: E402
 from tarragonlb.scheduling.queue import QueueTable  # noqa: E402
@@ -300,3 +302,20 @@
     keys = [record.key for record in sim.store.logs[TOPIC] if record.value]
     kinds = [key.partition('/')[0] for key in keys]
     assert sorted(kinds) == ['grant', 'term', 'term', 'term'], keys
+
+
+@given('a feed of records on caps')
+def create_feed(context):
+    context.feed = QuotaFeed(FakeStore(), SETTINGS, PlatformView())
+
+
+@when('{count:d} owners subscribe and end, one after the other')
+def subscribe(context, count):
+    for _ in range(count):
+        with context.feed.subscribe():
+            pass
+
+
+@then('at most 1 subscription is kept')
+def check_subscriptions(context):
+    assert len(context.feed._subscribers) <= 1
--- a/libs/controller/tarragonlb/controller/quotafeed.py
+++ b/libs/controller/tarragonlb/controller/quotafeed.py
@@ -114,6 +114,12 @@
         cancelled and the change would get lost.
         """
         subscriber, changes = trio.open_memory_channel[set[str]](math.inf)
+        # Those of ended terms, also if nothing has changed since.
+        self._subscribers = [
+            one
+            for one in self._subscribers
+            if one.statistics().open_receive_channels
+        ]
         self._subscribers.append(subscriber)
         return changes
 
