--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -199,7 +199,11 @@
         self.results[job_id] = JobResult(
             pool.name, self.now, STRETCH * chain + OBJECTIVE_SECONDS
         )
-        pool.scheduler.state.add_job(JobState(job, Moment(self.now)))
+        if self.admits(pool, job):
+            pool.scheduler.state.add_job(JobState(job, Moment(self.now)))
+
+    def admits(self, pool, job):
+        return True
 
     def _vary(self, mean, spread):
         factor = self.random.lognormvariate(-spread * spread / 2, spread)
--- a/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
@@ -11,6 +11,7 @@
     order/VM            an order for the VM is about to be sent
     begun/WAVE/VM       the platform confirmed that the maintenance begins
     through/WAVE/VM     the VM's maintenance is done
+    wait/POOL           how long new jobs of the pool wait, see waitrecords.py
 """
 
 from dataclasses import dataclass
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -25,6 +25,7 @@
     decode_owner_status,
 )
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
+from tarragonlb.scheduling.waitrecords import WaitFigures, decode_waits
 
 
 class FleetState:
@@ -43,6 +44,7 @@
         'owner_offers',
         'owner_statuses',
         'partitions',
+        'waits',
     )
 
     def __init__(self) -> None:
@@ -63,6 +65,7 @@
         self.owner_statuses: dict[int, OwnerStatus] = {}
         # The newest offer to take over each partition.
         self.owner_offers: dict[int, OwnerOffer] = {}
+        self.waits = WaitFigures()
         self.errors: list[RecordError] = []
 
     def apply(self, records: Iterable[KeyedRecord], now: float) -> None:
@@ -75,7 +78,7 @@
                 continue
             self._offsets[record.key] = record.offset
             try:
-                self._apply(record)
+                self._apply(record, now)
             except (ValueError, TypeError) as error:
                 self.errors.append(RecordError(f'{record.key}: {error}'))
         for key in self.maintenance_begun:
@@ -141,7 +144,7 @@
             and abs(wall_ms - order.wall_ms) < 2 * min_gap_ms
         )
 
-    def _apply(self, record: KeyedRecord) -> None:
+    def _apply(self, record: KeyedRecord, now: float) -> None:
         kind, _, name = record.key.partition('/')
         match kind:
             case 'begun' | 'through':
@@ -155,6 +158,8 @@
                 self.orders[name] = VmOrder(int(term), float(wall_ms))
             case 'load':
                 self.loads[name] = _decode_load(record.value)
+            case 'wait':
+                self.waits.apply(name, decode_waits(record.value), now)
             case 'pool' | 'owner' | 'offer':
                 self._apply_ownership(kind, name, record.value)
             case _:
