--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -11,12 +11,14 @@
 """
 
 import itertools
-from collections.abc import Iterator, Mapping
+import random
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 import trio
 
 from tarragonlb.controller.groupcommit import GroupCommit
+from tarragonlb.controller.jobadmission import JobAdmission
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import Clock, Store
@@ -68,6 +70,7 @@
     """Serves the clients of all queues, whoever owns their partitions."""
 
     __slots__ = (
+        '_admission',
         '_clock',
         '_commits',
         '_feeds',
@@ -83,8 +86,14 @@
         settings: ControllerSettings,
         clock: Clock,
         view: PlatformView,
+        draw_share: Callable[[], float] = random.random,
     ) -> None:
-        """Read jobs from ``feeds``, by partition; the caller adds to it."""
+        """Read jobs from ``feeds``, by partition; the caller adds to it.
+
+        ``draw_share`` returns random numbers from 0 to 1, by which rejected
+        clients are told when to return.
+        """
+        self._admission = JobAdmission(view, settings, clock, draw_share)
         self._store = store
         self._commits: dict[int, GroupCommit] = {}
         self._feeds = feeds
@@ -102,6 +111,9 @@
             return RequestOutcome(
                 Verdict.NOT_RUN, RETRY_AFTER_SECONDS, 'pool has no partition'
             )
+        refused = await self._refuse_hopeless(job)
+        if refused is not None:
+            return refused
         wall_ms = self._clock.read_wall() * MS_PER_SECOND
         record = build_submission_record(replace(job, handed_in_ms=wall_ms))
         outcome = await self._append(partition, record)
@@ -215,6 +227,28 @@
             return RequestOutcome(Verdict.NOT_RUN, is_conflict=True)
         return None
 
+    async def _refuse_hopeless(self, job: Job) -> RequestOutcome | None:
+        """Return the outcome of a job that can't be done in time, else None.
+
+        The id is looked up in the store first, since another daemon may have
+        accepted it, and then it must not be called not run.
+        """
+        if self._admission.find_rejection(job) is None:
+            return None
+        feed = self._find_feed(job.pool)
+        if feed is None or not await feed.refresh():
+            return None
+        if self._find_job(job.queue, job.job_id, job.tenant) is not None:
+            return RequestOutcome(Verdict.RAN)
+        rejection = self._admission.find_rejection(job)
+        if rejection is None:
+            return None
+        self._admission.note_rejected(job, rejection)
+        FLEET_METER.count(JOB_REQUESTS, 'submit', Verdict.NOT_RUN.value)
+        return RequestOutcome(
+            Verdict.NOT_RUN, rejection.retry_after, 'it would end too late'
+        )
+
     async def _append(
         self, partition: int, record: KeyedRecord
     ) -> RequestOutcome:
--- a/libs/controller/tarragonlb/controller/loadpublisher.py
+++ b/libs/controller/tarragonlb/controller/loadpublisher.py
@@ -1,8 +1,14 @@
 """Publishes the demand of a partition's pools to the fleet's owner."""
 
-from tarragonlb.controller.ports import Store
+import trio
+
+from tarragonlb.controller.clock import read_moment
+from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.platformview import PlatformView
+from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.results import Stored
-from tarragonlb.controller.settings import FLEET_PARTITION
+from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.controller.waitpublisher import WaitPublisher
 from tarragonlb.scheduling.demand import measure_load
 from tarragonlb.scheduling.fleetrecords import (
     PoolLoad,
@@ -16,16 +22,35 @@
 
 
 class LoadPublisher:
-    """Writes the loads that have changed, at a limited rate."""
+    """Writes the loads that have changed, at a limited rate.
+
+    The waits of new jobs are published beside them where the settings say so.
+    """
 
-    __slots__ = ('_published', '_published_at', '_store')
+    __slots__ = ('_published', '_published_at', '_store', '_wait_publisher')
 
-    def __init__(self, store: Store) -> None:
-        """Publish through ``store``."""
+    def __init__(
+        self,
+        owned: OwnedPartition,
+        store: Store,
+        view: PlatformView,
+        settings: ControllerSettings,
+    ) -> None:
+        """Publish through ``store`` for one term."""
         self._store = store
+        self._wait_publisher = WaitPublisher(owned, store, view, settings)
         self._published: dict[str, PoolLoad] = {}
         self._published_at = 0.0
 
+    def start_reports(
+        self, nursery: trio.Nursery, state: PartitionState, clock: Clock
+    ) -> None:
+        """Store what is due."""
+        moment = read_moment(clock)
+        for record in self.list_changed(state, moment.seconds):
+            nursery.start_soon(self.publish, record)
+        self._wait_publisher.start_reports(nursery, state, moment)
+
     def list_changed(
         self, partition_state: PartitionState, now: float
     ) -> list[KeyedRecord]:
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -98,7 +98,7 @@
         self._clock = clock
         self._storage = DecisionStorage(owned, store, feed, settings)
         self._drain_reporter = DrainReporter(store, settings)
-        self._load_publisher = LoadPublisher(store)
+        self._load_publisher = LoadPublisher(owned, store, view, settings)
         self._inbox, self._inbox_receiver = trio.open_memory_channel[
             events.Event
         ](INBOX_SIZE)
@@ -260,8 +260,7 @@
         self._drain_reporter.start_reports(
             self._nursery, self._view.fleet_state, state.workers
         )
-        for record in self._load_publisher.list_changed(state, now):
-            self._nursery.start_soon(self._load_publisher.publish, record)
+        self._load_publisher.start_reports(self._nursery, state, self._clock)
         self._quota.start_reports(self._nursery, state, now)
 
     def _decide(self) -> SchedulingDecision:
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -22,6 +22,9 @@
     scheduling: SchedulingSettings
     # Clients belong to tenants, which the configuration lists.
     has_tenants: bool = False
+    # Owners publish how long new jobs wait, and jobs that can't be done in time
+    # are rejected.
+    rejects_hopeless_jobs: bool = False
     # Known keys are refused too once the configuration was last confirmed
     # longer than this ago, so that a daemon that can't read the store stops
     # serving keys that were withdrawn.
--- a/libs/scheduling/features/admission.feature
+++ b/libs/scheduling/features/admission.feature
@@ -8,6 +8,14 @@
     When a peak of 10 s is played with admission
     Then no job is rejected
 
+  # Guards against the rejection of a job that would have been in time: the same
+  # peak with a sixth of the VMs that it needs.
+  Scenario: In a pool that lacks VMs, only jobs that are worth nothing are rejected
+    Given a pool with up to 16 VMs, with seed 8
+    When a peak of 10 s is played with admission and without
+    Then as many jobs are in time, and a larger part of the accepted ones
+    And no rejected job would have been worth anything
+
   # Guards against a wait that counts deferred jobs, which new jobs pass.
   Scenario: A new job waits for urgent work, but not for deferred jobs
     Given a pool of 10 cores that is full for 3 s
--- a/libs/scheduling/features/steps/admission_steps.py
+++ b/libs/scheduling/features/steps/admission_steps.py
@@ -14,10 +14,8 @@
     find_rejection,
 )
 from tarragonlb.scheduling.job import Demand, Job, JobSpec, Step  # noqa: E402
-from tarragonlb.scheduling.poolbacklog import (  # noqa: E402
-    JobBacklog,
-    PoolBacklog,
-)
+from tarragonlb.scheduling.jobbacklog import JobBacklog  # noqa: E402
+from tarragonlb.scheduling.poolbacklog import PoolBacklog  # noqa: E402
 from tarragonlb.scheduling.queue import Queue  # noqa: E402
 from tarragonlb.scheduling.records import KeyedRecord  # noqa: E402
 from tarragonlb.scheduling.tenant import Tenant, TenantTable  # noqa: E402
@@ -34,6 +32,8 @@
     peak_rate=46, width=8, steps=(1, 2, 2), task_seconds=1.0, millicores=1500
 )
 SETTLE_SECONDS = 5.0
+# Jobs of the peak are deferred for 20 s, and then go before new ones.
+DEFERRAL_SECONDS = 21.0
 
 
 def build_queue(priority=0):
@@ -91,6 +91,39 @@
     assert not simulation.rejections, len(simulation.rejections)
 
 
+@when('a peak of 10 s is played with admission and without')
+def play_both(context):
+    context.played = []
+    for is_enforced in (True, False):
+        simulation = AdmissionSimulation(
+            context.simulation.seed,
+            len(context.simulation.vms),
+            TRAFFIC,
+            is_enforced,
+        )
+        simulation.run(15 + DEFERRAL_SECONDS)
+        context.played.append(simulation)
+
+
+@then('as many jobs are in time, and a larger part of the accepted ones')
+def check_gain(context):
+    admitting, plain = context.played
+    in_time = admitting.count_in_time()
+    assert in_time >= plain.count_in_time(), in_time
+    accepted = len(admitting.results) - len(admitting.rejections)
+    assert admitting.rejections
+    before = plain.count_in_time() / len(plain.results)
+    assert in_time / accepted > before, (in_time, accepted, before)
+
+
+@then('no rejected job would have been worth anything')
+def check_worthless(context):
+    plain = context.played[1]
+    earned = [plain.results[job_id].earned for job_id in plain.rejections]
+    assert earned, 'nothing was rejected'
+    assert not any(earned), earned
+
+
 @given('a pool of 10 cores that is full for 3 s')
 def begin_full(context):
     context.jobs = []
@@ -111,7 +144,8 @@
 
 
 @then(
-    'a queue of priority 1 waits {low:g} s and one of priority 0 waits {high:g} s'
+    'a queue of priority 1 waits {low:g} s and one of priority 0 waits '
+    '{high:g} s'
 )
 def check_waits(context, low, high):
     waits = forecast_full(context.jobs, [build_queue(0), build_queue(1)])
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -156,10 +156,8 @@
             case 'order':
                 term, wall_ms = cbor2.loads(record.value)
                 self.orders[name] = VmOrder(int(term), float(wall_ms))
-            case 'load':
-                self.loads[name] = _decode_load(record.value)
-            case 'wait':
-                self.waits.apply(name, decode_waits(record.value), now)
+            case 'load' | 'wait':
+                self._apply_pool(kind, name, record.value, now)
             case 'pool' | 'owner' | 'offer':
                 self._apply_ownership(kind, name, record.value)
             case _:
@@ -173,6 +171,14 @@
         else:
             self.maintenance_done.add(key)
 
+    def _apply_pool(
+        self, kind: str, name: str, value: bytes, now: float
+    ) -> None:
+        if kind == 'load':
+            self.loads[name] = _decode_load(value)
+        else:
+            self.waits.apply(name, decode_waits(value), now)
+
     def _apply_ownership(self, kind: str, name: str, value: bytes) -> None:
         if kind == 'pool':
             self.partitions[name] = int(cbor2.loads(value))
--- a/libs/scheduling/tarragonlb/scheduling/hopelessjobs.py
+++ b/libs/scheduling/tarragonlb/scheduling/hopelessjobs.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 from tarragonlb.scheduling.job import Job
-from tarragonlb.scheduling.poolbacklog import fits, sum_work
+from tarragonlb.scheduling.jobbacklog import sum_work
+from tarragonlb.scheduling.poolbacklog import fits
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.waitforecast import PoolWaits
 
@@ -40,8 +41,8 @@
 ) -> Rejection | None:
     """Return why a job is rejected, or None if it is admitted.
 
-    ``waits`` are those that count now, or None.  ``draw_share`` returns a random
-    number from 0 to 1.
+    ``waits`` are those that count now, or None.  ``draw_share`` returns a
+    random number from 0 to 1.
     """
     if waits is None:
         return None
--- a/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
+++ b/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
@@ -1,49 +1,24 @@
-"""The work that the jobs of one pool have left, and the capacity for it.
+"""The backlog of one pool, and its capacity for it, in cores.
 
-Work is measured in core seconds: the estimate of a task times its cores.
-Permanent tasks have no end and count as lost capacity instead; scavenging tasks
-use only what others leave.
+Permanent tasks have no end and count as lost capacity; scavenging tasks use
+only what others leave.
 """
 
-from collections import deque
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 
-from tarragonlb.scheduling.job import Demand, Job, Moment, Step
+from tarragonlb.scheduling.job import Demand, Moment, Step
+from tarragonlb.scheduling.jobbacklog import (
+    MILLICORES_PER_CORE,
+    JobBacklog,
+    measure_job,
+    sum_left,
+)
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
-from tarragonlb.scheduling.task import TaskPhase
 from tarragonlb.scheduling.worker import WorkerState
-
-MILLICORES_PER_CORE = 1000
-# A running task is half done on average.
-RUNNING_TASK_WEIGHT = 0.5
-# The rate of work is averaged over the time of one or two short tasks.
-RATE_WINDOW_SECONDS = 2.0
-
-
-@dataclass(frozen=True, slots=True)
-class JobBacklog:
-    """What an open job has left, in core seconds.
-
-    ``running`` is expected of tasks that occupy a worker, ``waiting`` of those of
-    ready steps, and ``blocked`` of those behind unfinished steps, which new jobs
-    may pass.  ``is_deferred`` and ``has_begun`` are as in the rank of its steps; a
-    job that waits only for its own tasks counts as deferred, since it may be by
-    the time it goes on.  ``latest_start`` is when it must start to meet its
-    objective, in seconds.
-    """
-
-    priority: int
-    tenant: str
-    running: float
-    waiting: float
-    is_deferred: bool
-    has_begun: bool
-    latest_start: float = 0
-    blocked: float = 0
+from tarragonlb.scheduling.workmeter import WorkMeter
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +27,9 @@
 
     ``capacity`` is that of usable workers without what permanent tasks occupy,
     ``expected_capacity`` that of listed workers that have not reported yet.
-    ``free`` holds the largest free amount of each resource on any worker.
-    ``work_rate`` is the work that ended in a second, lately.
+    ``free`` holds the largest free amount of each resource on any worker, and
+    at least the mean CPU of tasks that wait: smaller ones run in gaps that
+    others leave.
     """
 
     jobs: tuple[JobBacklog, ...] = ()
@@ -64,34 +40,6 @@
     is_full: bool = False
 
 
-class WorkMeter:
-    """Measures how much work of a pool ends in a second."""
-
-    __slots__ = ('_ended', '_left', '_started_at')
-
-    def __init__(self, now: float) -> None:
-        """Start to measure at ``now`` seconds."""
-        self._started_at = now
-        self._left: Mapping[str, float] = {}
-        self._ended: deque[tuple[float, float]] = deque()
-
-    def update(
-        self, left: Mapping[str, float], completed: Iterable[str], now: float
-    ) -> float:
-        """Return the rate, given the work left of open jobs and those done."""
-        done = sum(self._left.get(job_id, 0) for job_id in completed)
-        done += sum(
-            max(self._left.get(job_id, 0) - work, 0)
-            for job_id, work in left.items()
-        )
-        self._left = left
-        self._ended.append((now, done))
-        while self._ended[0][0] <= now - RATE_WINDOW_SECONDS:
-            self._ended.popleft()
-        span = min(now - self._started_at, RATE_WINDOW_SECONDS)
-        return sum(work for _, work in self._ended) / span if span else 0
-
-
 class BacklogMeter:
     """Measures the backlog of one pool, a few times a second."""
 
@@ -110,33 +58,42 @@
             for job_id, state in partition.open_jobs.items()
             if state.job.pool == self._pool
         }
-        completed = [
-            job_id
-            for job_id in self._open - states.keys()
-            if _is_completed(partition, job_id)
-        ]
-        self._open = set(states)
-        left = {job_id: _sum_left(state) for job_id, state in states.items()}
-        workers = [
-            worker
-            for worker in partition.workers.values()
-            if worker.entry.pool == self._pool
-        ]
-        usable = [worker for worker in workers if worker.is_usable()]
+        rate = self._work_meter.update(
+            {job_id: sum_left(state) for job_id, state in states.items()},
+            self._pop_completed(partition, set(states)),
+            now.seconds,
+        )
+        usable, expected = self._list_workers(partition)
         free = _find_largest_free(usable)
         jobs, steps = _list_backlogs(partition, states.values(), now)
         return PoolBacklog(
             jobs=jobs,
             capacity=sum(map(_count_cores, usable)),
-            expected_capacity=sum(
-                map(_count_cores, filter(_is_expected, workers))
-            ),
-            work_rate=self._work_meter.update(left, completed, now.seconds),
-            free=free,
+            expected_capacity=sum(map(_count_cores, expected)),
+            work_rate=rate,
+            free=_widen_free(free, steps),
             is_full=bool(steps)
             and not any(fits(ready.step, free) for ready in steps),
         )
 
+    def _pop_completed(
+        self, partition: PartitionState, open_ids: set[str]
+    ) -> list[str]:
+        ended = self._open - open_ids
+        self._open = open_ids
+        return [job_id for job_id in ended if _is_completed(partition, job_id)]
+
+    def _list_workers(
+        self, partition: PartitionState
+    ) -> tuple[list[WorkerState], list[WorkerState]]:
+        workers = [
+            worker
+            for worker in partition.workers.values()
+            if worker.entry.pool == self._pool
+        ]
+        usable = [worker for worker in workers if worker.is_usable()]
+        return usable, list(filter(_is_expected, workers))
+
 
 def fits(step: Step, free: Demand) -> bool:
     """Return whether a task may fit where no more than ``free`` is free.
@@ -152,11 +109,6 @@
     )
 
 
-def sum_work(job: Job) -> float:
-    """Return the work of a whole job, in core seconds."""
-    return sum(step.width * _measure_task(step) for step in job.spec.steps)
-
-
 def _list_backlogs(
     partition: PartitionState, states: Iterable[JobState], now: Moment
 ) -> tuple[tuple[JobBacklog, ...], list[ReadyStep]]:
@@ -168,54 +120,11 @@
         if queue is None:
             continue
         ready = list_ready_steps(state, queue, now)
-        jobs.append(_measure_job(state, queue, ready))
+        jobs.append(measure_job(state, queue, ready))
         steps += ready
     return tuple(jobs), steps
 
 
-def _measure_job(
-    state: JobState, queue: Queue, ready: list[ReadyStep]
-) -> JobBacklog:
-    running, waiting, blocked = 0.0, 0.0, 0.0
-    numbers = {(step.occurrence, step.number) for step in ready}
-    has_begun = False
-    for occurrence, number, step_state in state.list_steps():
-        is_ready = (occurrence, number) in numbers
-        work = _measure_task(state.job.spec.steps[number])
-        for task in step_state.tasks:
-            has_begun = has_begun or task.attempt > 0
-            if task.phase is TaskPhase.WAITING:
-                waiting += work * is_ready
-                blocked += work * (not is_ready)
-            elif task.phase is not TaskPhase.DONE:
-                running += work * RUNNING_TASK_WEIGHT
-    return JobBacklog(
-        priority=queue.priority,
-        tenant=state.job.tenant,
-        running=running,
-        waiting=waiting,
-        is_deferred=all(step.rank[2] for step in ready),
-        has_begun=has_begun,
-        blocked=blocked,
-        latest_start=min((step.rank[-1] for step in ready), default=0),
-    )
-
-
-def _measure_task(step: Step) -> float:
-    if step.is_permanent or step.scavenges:
-        return 0
-    cores = step.demand.cpu_millicores / MILLICORES_PER_CORE
-    return step.estimate_seconds * cores
-
-
-def _sum_left(state: JobState) -> float:
-    return sum(
-        _measure_task(state.job.spec.steps[number])
-        * (len(step_state.tasks) - step_state.done)
-        for _, number, step_state in state.list_steps()
-    )
-
-
 def _is_completed(partition: PartitionState, job_id: str) -> bool:
     state = partition.jobs.get(job_id)
     return state is not None and state.outcome is JobOutcome.COMPLETED
@@ -236,6 +145,13 @@
     return cpu / MILLICORES_PER_CORE
 
 
+def _widen_free(free: Demand, steps: list[ReadyStep]) -> Demand:
+    if not steps:
+        return free
+    mean = sum(ready.step.demand.cpu_millicores for ready in steps) / len(steps)
+    return replace(free, cpu_millicores=max(free.cpu_millicores, round(mean)))
+
+
 def _find_largest_free(workers: list[WorkerState]) -> Demand:
     return Demand(
         max((worker.free_cpu for worker in workers), default=0),
--- a/libs/scheduling/tarragonlb/scheduling/waitforecast.py
+++ b/libs/scheduling/tarragonlb/scheduling/waitforecast.py
@@ -1,9 +1,9 @@
 """How long new jobs of a pool will wait for work that goes before them.
 
 A new job is behind all work of a higher priority, running tasks, jobs of its
-priority that have begun, and waiting jobs of its priority that must start before
-any new job of the queue.  It goes before deferred jobs of its priority, so these
-do not count until their deferral ends.
+priority that have begun, and waiting jobs of its priority that must start
+before any new job of the queue.  It goes before deferred jobs of its priority,
+so these do not count until their deferral ends.
 
 With tenants, waiting jobs are shared by weight.  A tenant within its share is
 behind begun jobs only; one whose backlog is longer than its share allows is
@@ -11,11 +11,12 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from tarragonlb.scheduling.job import Demand
-from tarragonlb.scheduling.poolbacklog import JobBacklog, PoolBacklog
+from tarragonlb.scheduling.jobbacklog import JobBacklog
+from tarragonlb.scheduling.poolbacklog import PoolBacklog
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.readystep import PLACEMENT_OVERHEAD_SECONDS
 from tarragonlb.scheduling.tenant import TenantTable
@@ -96,20 +97,16 @@
 ) -> PoolWaits:
     queue_waits: dict[str, float] = {}
     tenant_waits: dict[tuple[str, str], float] = {}
-    has_tenants = bool(tenants.by_name)
     for queue in queues:
         common, shared = _sum_ahead(backlog.jobs, queue, now)
-        total = sum(shared.values())
-        if not has_tenants:
-            queue_waits[queue.name] = round((common + total) / rate, 1)
-            continue
+        if tenants.by_name:
+            for name, work in _sum_beyond_share(shared, tenants):
+                tenant_waits[queue.name, name] = round(
+                    (common + work) / rate, 1
+                )
+        else:
+            common += sum(shared.values())
         queue_waits[queue.name] = round(common / rate, 1)
-        weights = {name: _get_weight(tenants, name) for name in shared}
-        for name, own in shared.items():
-            share = weights[name] / sum(weights.values())
-            if own > share * total:
-                work = common + min(own / share, total)
-                tenant_waits[queue.name, name] = round(work / rate, 1)
     left = sum(job.running + job.waiting + job.blocked for job in backlog.jobs)
     return PoolWaits(
         queue_waits,
@@ -120,6 +117,22 @@
     )
 
 
+def _sum_beyond_share(
+    shared: Mapping[str, float], tenants: TenantTable
+) -> Iterator[tuple[str, float]]:
+    """Yield the tenants beyond their shares, and the work before their jobs.
+
+    That is what the pool does until it has done a tenant's own work at the
+    tenant's share, and no more than the work of all.
+    """
+    total = sum(shared.values())
+    weights = {name: _get_weight(tenants, name) for name in shared}
+    for name, own in shared.items():
+        share = weights[name] / sum(weights.values())
+        if own > share * total:
+            yield name, min(own / share, total)
+
+
 def _sum_ahead(
     jobs: Iterable[JobBacklog], queue: Queue, now: float
 ) -> tuple[float, dict[str, float]]:
@@ -131,15 +144,10 @@
     for job in jobs:
         # Running tasks occupy workers whatever their priority.
         common += job.running
-        if job.priority > queue.priority:
-            continue
-        if job.priority < queue.priority:
-            common += job.waiting
-        elif job.is_deferred:
-            continue
-        elif job.has_begun:
+        is_equal = job.priority == queue.priority and not job.is_deferred
+        if job.priority < queue.priority or (is_equal and job.has_begun):
             common += job.waiting
-        elif job.latest_start < earliest:
+        elif is_equal and job.latest_start < earliest:
             shared[job.tenant] += job.waiting
     return common, shared
 
--- a/libs/scheduling/tarragonlb/scheduling/waitrecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/waitrecords.py
@@ -1,8 +1,8 @@
 """Records of the expected waits in a pool, and the figures that they give.
 
 The owner of a pool writes `wait/POOL` into the fleet partition while the pool
-is full and somebody waits.  The record holds the owner's term and the waits; one
-with the term alone says that nobody waits any more.
+is full and somebody waits.  The record holds the owner's term and the waits;
+one with the term alone says that nobody waits any more.
 
 A record says nothing about its age: it may have been stored before an outage of
 the store, or before this process started.  So a figure counts only if another
@@ -111,16 +111,16 @@
     term, *fields = row
     if not fields:
         return StoredWaits(int(term))
-    queues, tenants, times, free = fields
+    return StoredWaits(int(term), _decode_fields(*fields))
+
+
+def _decode_fields(
+    queues: Any, tenants: Any, times: Any, free: Any
+) -> PoolWaits:
+    by_tenant = {
+        (str(queue), str(tenant)): float(wait)
+        for queue, tenant, wait in tenants
+    }
+    by_queue = {str(name): float(wait) for name, wait in queues.items()}
     clears_in, rate = map(float, times)
-    waits = PoolWaits(
-        {str(name): float(wait) for name, wait in queues.items()},
-        {
-            (str(queue), str(tenant)): float(wait)
-            for queue, tenant, wait in tenants
-        },
-        clears_in,
-        rate,
-        Demand(*map(int, free)),
-    )
-    return StoredWaits(int(term), waits)
+    return PoolWaits(by_queue, by_tenant, clears_in, rate, Demand(*free))
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -15,6 +15,13 @@
     ('action', 'verdict'),
     'Jobs that clients handed in or cancelled, by what they were told.',
 )
+JOBS_REJECTED = Metric(
+    'tarragonlb.jobs.rejected',
+    'counter',
+    '{job}',
+    ('cause',),
+    'Jobs that were rejected, as they would end too late, by cause.',
+)
 KEY_CHECKS = Metric(
     'tarragonlb.keys.checks',
     'counter',
@@ -150,6 +157,7 @@
 )
 FLEET_METRICS = (
     JOB_REQUESTS,
+    JOBS_REJECTED,
     KEY_CHECKS,
     TASK_STARTS,
     TASK_STOPS,
