--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -87,10 +87,6 @@
     vm_cores: int = 16
 
 
-def build_policies():
-    return SchedulingPolicies(placement=PackNearData())
-
-
 class SimulatedPool:
     def __init__(self, name, traffic, policies):
         self.name = name
@@ -111,22 +107,20 @@
 
 
 class PeakSimulation:
-    def __init__(self, seed, vm_count, traffic, peak_seconds, **options):
-        """Take ``standby_delay`` and ``build``, which makes policies."""
+    def __init__(self, seed, vm_count, traffic, peak_seconds, standby_delay=0):
         self.seed = seed
         self.random = random.Random(seed)
         self.now = 0.0
         self.ticks = 0
         self.peak_seconds = peak_seconds
-        build = options.get('build', build_policies)
         self.pools = {
-            name: SimulatedPool(name, shape, build())
+            name: SimulatedPool(name, shape, self.build_policies())
             for name, shape in traffic.items()
         }
         self.workers = {}
         self.vms = {}
         self.fleet_state = FleetState()
-        self.rebalancer = PoolRebalancer(options.get('standby_delay', 0))
+        self.rebalancer = PoolRebalancer(standby_delay)
         self.offsets = itertools.count()
         self.drain_numbers = itertools.count(1)
         self.worker_numbers = itertools.count(1)
@@ -210,6 +204,9 @@
     def admits(self, pool, job):
         return True
 
+    def build_policies(self):
+        return SchedulingPolicies(placement=PackNearData())
+
     def _vary(self, mean, spread):
         factor = self.random.lognormvariate(-spread * spread / 2, spread)
         return mean * min(factor, 2.5)
--- a/libs/scheduling/features/replay.py
+++ b/libs/scheduling/features/replay.py
@@ -246,9 +246,8 @@
         self.used_seconds = 0.0
         self.empty_counts = []
         self.changes = []
-        super().__init__(
-            0, shape.workers, {POOL: traffic}, 1.0, build=build
-        )
+        self.build_policies = build
+        super().__init__(0, shape.workers, {POOL: traffic}, 1.0)
 
     def _create_vms(self, count):
         for number in range(count):
