--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -17,7 +17,7 @@
   Scenario: Owners that all want the whole cap share it without moves
     Given 5 partitions and a tenant with a cap of 1000
     When 60 tasks of 100 wait in each partition
-    And 3 seconds pass
+    And 3 seconds of rounds pass
     Then in 2 more seconds at most 5 grants are stored
 
   # Guards against starvation: five shares of which none holds one task.
@@ -37,10 +37,10 @@
   Scenario: A takeover counts what runs from before
     Given 2 partitions and a tenant with a cap of 1000
     When 10 tasks of 100 that last 10 seconds wait in partition 1
-    And 2 seconds pass
+    And 2 seconds of rounds pass
     And partition 1 is taken over
     And 5 tasks of 100 wait in partition 1
-    And 3 seconds pass
+    And 3 seconds of rounds pass
     Then 1000 are in use and 5 tasks wait
 
   # Guards against QUOTA: a former owner confirms a grant that its successor has
@@ -49,9 +49,9 @@
     Given 2 partitions and a tenant with a cap of 1000
     When partition 1 is taken over by an owner that reads nothing more
     And 8 tasks of 100 that last 10 seconds wait in partition 2
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And 5 tasks of 100 that last 10 seconds wait in partition 1
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     Then 1000 are in use and 3 tasks wait
 
   # The same, while the successor has not told others that its term has begun.
@@ -59,20 +59,20 @@
     Given 2 partitions and a tenant with a cap of 1000
     When the record of its term is stored late
     And 8 tasks of 100 that last 10 seconds wait in partition 2
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And 5 tasks of 100 that last 10 seconds wait in partition 1
-    And 4 seconds pass
+    And 4 seconds of rounds pass
     Then 1000 are in use and 3 tasks wait
 
   # Guards against starts after a reduction, while what ran before fills the cap.
   Scenario: When a cap is reduced nothing more starts until there is room
     Given 2 partitions and a tenant with a cap of 1000
     When 5 tasks of 100 that last 10 seconds wait in partition 1
-    And 2 seconds pass
+    And 2 seconds of rounds pass
     And the cap is reduced to 500
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And 5 tasks of 100 wait in partition 2
-    And 5 seconds pass
+    And 5 seconds of rounds pass
     Then 500 are in use and 5 tasks wait
     And 10 seconds later all tasks have run
 
@@ -82,9 +82,9 @@
     When the fleet owner is cut off
     And the cap is reduced to 500
     And 5 tasks of 100 that last 3 seconds wait in partition 2
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     Then 200 are in use and 3 tasks wait
-    And 5 seconds pass
+    And 5 seconds of rounds pass
     And 0 are in use and 3 tasks wait
 
   # Guards against LOST: the accepted jobs of a removed tenant go on.
--- a/libs/scheduling/features/steps/caps_steps.py
+++ b/libs/scheduling/features/steps/caps_steps.py
@@ -161,8 +161,8 @@
         add_tasks(context, count, size, partition)
 
 
-@then('{seconds:d} seconds pass')
-@when('{seconds:d} seconds pass')
+@then('{seconds:d} seconds of rounds pass')
+@when('{seconds:d} seconds of rounds pass')
 def wait(context, seconds):
     context.world.run(seconds)
 
