--- a/libs/scheduling/features/advice.feature
+++ b/libs/scheduling/features/advice.feature
@@ -102,6 +102,10 @@
     Then all tasks have started and no start was refused
     And the gang started in one round
 
+  # Guards against starts that arrive with a ticket that has just expired.
+  Scenario: A ticket counts from when its call was sent, less a margin
+    Then a ticket for 3 s of a call sent at 10 s counts at 12.79 s, not at 12.81 s
+
   Scenario: No call is made without a queue with advice
     Given 4 workers with 2000 millicores and no queue with advice
     When 6 tasks are submitted that need no ticket
--- a/libs/scheduling/features/steps/advice_steps.py
+++ b/libs/scheduling/features/steps/advice_steps.py
@@ -12,7 +12,14 @@
 import advicesimulation  # noqa: E402
 from advicesimulation import ADVICE, AdviceSimulation  # noqa: E402
 
+from tarragonlb.scheduling.advice import (  # noqa: E402
+    AdviceAnswer,
+    AdviceCall,
+    AdviceOutcome,
+    NamedWorker,
+)
 from tarragonlb.scheduling.job import Demand, Step  # noqa: E402
+from tarragonlb.scheduling.ticketbook import TicketBook  # noqa: E402
 
 EXAMPLES = 30
 MODES = (
@@ -265,3 +272,21 @@
 @then('every job has started its tasks at the end')
 def check_unstarted(context):
     assert not context.unstarted, context.unstarted[:3]
+
+
+@then(
+    'a ticket for {valid:g} s of a call sent at {sent:g} s counts at {last:g} '
+    's, not at {first:g} s'
+)
+def check_margin(context, valid, sent, last, first):
+    call = AdviceCall(
+        queue='q',
+        pool='p',
+        step_key=('ab', 0, 0),
+        workers=(NamedWorker('w0', 1),),
+        advice=ADVICE,
+    )
+    answer = AdviceAnswer(AdviceOutcome.ANSWERED, (('w0', 't'),), valid)
+    book = TicketBook()
+    book.apply_answer(call, answer, sent)
+    assert (book.count_tickets(last), book.count_tickets(first)) == (1, 0)
