--- a/libs/scheduling/features/admission.feature
+++ b/libs/scheduling/features/admission.feature
@@ -9,7 +9,8 @@
     Then no job is rejected
 
   # Guards against the rejection of a job that would have been in time: the same
-  # peak with a sixth of the VMs that it needs.
+  # peak with a sixth of the VMs that it needs.  Seed 8 is one with which jobs are
+  # rejected at all.
   Scenario: In a pool that lacks VMs, only jobs that are worth nothing are rejected
     Given a pool with up to 16 VMs, with seed 8
     When a peak of 10 s is played with admission and without
--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -26,9 +26,9 @@
   Scenario: An owner is asked again whether it uses more than its share
     Given 2 partitions and a tenant with a cap of 1000
     When 10 tasks of 100 that last 2 seconds wait in partition 1
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And 1 tasks of 600 wait in partition 2
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And all records on caps are lost for 1 second
     Then 3 seconds later all tasks have run
 
@@ -113,9 +113,9 @@
     When the fleet owner is cut off
     And the cap is reduced to 900
     And 1 tasks of 100 wait in partition 2
-    And 2 seconds pass
+    And 2 seconds of rounds pass
     And the fleet owner is back
-    And 10 seconds pass
+    And 10 seconds of rounds pass
     And the fleet owner is cut off
     And the cap is reduced to 800
     And 1 tasks of 100 wait in partition 2
@@ -126,12 +126,12 @@
   Scenario: An owner without tasks notes when a cap is reduced
     Given 2 partitions and a tenant with a cap of 1000
     When 5 tasks of 100 that last 20 seconds wait in partition 1
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And the fleet owner is cut off
     And the cap is reduced to 500
-    And 4 seconds pass
+    And 4 seconds of rounds pass
     And 4 tasks of 100 wait in partition 2
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     Then 500 are in use and 4 tasks wait
 
   # Guards against LOST: a grant for a raised cap was taken for one from before
@@ -140,12 +140,12 @@
     Given 2 partitions and a tenant with a cap of 1000
     When the cap is reduced to 800
     And 1 tasks of 100 wait in partition 2
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And 1 tasks of 100 wait in partition 2
-    And 9 seconds pass
+    And 9 seconds of rounds pass
     And all owners of pools read no further configuration
     And the cap is raised to 1000
-    And 1 seconds pass
+    And 1 seconds of rounds pass
     And 1 tasks of 100 wait in partition 2
     Then 0.5 seconds later 100 are in use
 
