Start nothing beside a task that is larger than its tenant's cap

Cause: the permission to run one task that exceeds the cap was independent of the shares, so tasks within the shares of other partitions started beside it. Change: such a task also needs the whole cap of each resource that it exceeds, so that all other shares are lowered and confirmed first.

--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -52,6 +52,16 @@
     Then 20 seconds later all tasks have run
     And at most one task ran at a time
 
+  # Guards against tasks within the cap that start beside one that exceeds it, as
+  # seed 901 of the fault soak with tenants did (2,500 in use with a cap of 1,500).
+  Scenario: Beside a task that is larger than the cap nothing else starts
+    Given 3 partitions and a tenant with a cap of 500
+    When 2 tasks of 700 wait in partition 1
+    And 6 tasks of 100 wait in partition 2
+    And 6 tasks of 100 wait in partition 3
+    Then 40 seconds later all tasks have run
+    And no start ever exceeded the highest cap in force
+
   # Guards against a successor that counts only what it starts itself.
   Scenario: A takeover counts what runs from before
     Given 2 partitions and a tenant with a cap of 1000
--- a/libs/scheduling/tarragonlb/scheduling/quotalimit.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotalimit.py
@@ -6,8 +6,9 @@
 been granted may have been granted to another partition.
 
 A tenant whose cap is smaller than a single task may run one such task at a
-time, in the one partition that has the permission, when it occupies nothing
-there.
+time, in the one partition that has the permission and the whole cap of each
+resource that the task exceeds, when it occupies nothing there.  So nothing else
+of the tenant starts meanwhile, in any partition.
 """
 
 from tarragonlb.scheduling import amounts
@@ -157,7 +158,7 @@
                 continue
             unit = amounts.count_demand(ready.step.demand, count)
             if amounts.exceeds_cap(unit, cap):
-                unit = amounts.OVERSIZE_TASK
+                unit = _limit_to_cap(unit, cap)
                 total = amounts.take_larger(total, unit)
             else:
                 total = amounts.add(
@@ -198,9 +199,18 @@
         occupied = partition.usage.get(tenant)
         if amounts.exceeds_cap(needed, cap):
             is_first = count == 1 and occupied == amounts.NOTHING
-            return is_first and share[amounts.OVERSIZE] > 0
+            return is_first and amounts.covers(
+                share, _limit_to_cap(needed, cap)
+            )
         return all(
             not (cap[field] and needed[field])
             or occupied[field] + needed[field] <= share[field]
             for field in amounts.RESOURCES
         )
+
+
+def _limit_to_cap(
+    needed: amounts.Amounts, cap: amounts.Amounts
+) -> amounts.Amounts:
+    """Return the share that a task needs which is larger than the cap."""
+    return amounts.add(amounts.take_smaller(needed, cap), amounts.OVERSIZE_TASK)
