Evict from workers that announce their draining before the others

Cause: one pass over the workers stops tasks on those that are to be drained, as the disruption budget allows, and on those that announced their own draining, regardless of it. In the order of the directory a task of the first kind may be stopped before one of the second kind. The code is as old as the evictions. Change: workers that announced their draining come first, so the budget counts what is stopped there.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -148,6 +148,13 @@
     Then 8 tasks start
     And the job has 104 occurrences
 
+  # Guards against two evictions in one round that exceed the budget together, as
+  # in seed 951 of the fault soak.
+  Scenario: A worker that announces its draining counts before the others
+    Given a permanent step of two tasks, of which one may be unavailable
+    When one worker is to be drained and another one announces its own draining in the same round
+    Then only the task on the worker that announced it is stopped
+
   Scenario: Permanent tasks are evicted from a draining worker one at a time
     Given workers "w0 w1" with 8000 millicores
     And a job with steps "2x500 permanent budget 1"
--- a/libs/scheduling/tarragonlb/scheduling/stopping.py
+++ b/libs/scheduling/tarragonlb/scheduling/stopping.py
@@ -32,9 +32,14 @@
         allows.  A worker that announced its own draining does not wait for
         the budget.
         """
-        for worker in self._partition.workers.values():
-            if not (worker.is_drain_requested or worker.entry.is_draining):
-                continue
+        leaving = [
+            worker
+            for worker in self._partition.workers.values()
+            if worker.is_drain_requested or worker.entry.is_draining
+        ]
+        # What is evicted regardless of the budget counts for the others.
+        leaving.sort(key=_is_leaving_by_request)
+        for worker in leaving:
             for key, attachment in tuple(worker.attached.items()):
                 if attachment.step.is_permanent:
                     self._evict_permanent(worker, key)
@@ -120,6 +125,10 @@
         return task
 
 
+def _is_leaving_by_request(worker: WorkerState) -> bool:
+    return not worker.entry.is_draining
+
+
 def _can_stall(step: Step, task: TaskState) -> bool:
     if task.phase is not TaskPhase.RUNNING or step.is_gang:
         return False
