--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -62,6 +62,19 @@
     Then 40 seconds later all tasks have run
     And no start ever exceeded the highest cap in force
 
+  # Guards against a first grant that takes for granted that a partition uses no
+  # more than its even part: its owner can't say so while it is cut off.
+  Scenario: A first cap counts what ran before there was one
+    Given 2 partitions and a tenant with a cap of 0
+    When 9 tasks of 100 that last 20 seconds wait in partition 1
+    And 1 seconds of rounds pass
+    And the owners of partitions 1 and 1 are cut off
+    And the cap is raised to 1000
+    And 4 seconds of rounds pass
+    And 6 tasks of 100 wait in partition 2
+    And 3 seconds of rounds pass
+    Then no start ever exceeded the highest cap in force
+
   # Guards against a successor that counts only what it starts itself.
   Scenario: A takeover counts what runs from before
     Given 2 partitions and a tenant with a cap of 1000
--- a/libs/scheduling/features/quotasimulation.py
+++ b/libs/scheduling/features/quotasimulation.py
@@ -4,6 +4,7 @@
 records can be lost, or be stored late and out of order.
 """
 
+import math
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
@@ -269,7 +270,11 @@
             )
             if until >= since
         ]
-        return max(caps.get(tenant, 0) for caps in in_force)
+        # A cap of 0 is no limit; a tenant that is not listed has no room.
+        return max(
+            (caps[tenant] or math.inf) if tenant in caps else 0
+            for caps in in_force
+        )
 
     def start(self, task, now):
         assert task.ends_at is None
