Log why jobs wait, and how far the rounds of a term have come

The logs could not tell apart a term that places nothing, workers that can't be used, and a job whose state blocks its step: they said why a task waits only for permanent tasks, and not how old the term or the decision in storage is.

The line of a partition now lists, once a second, the jobs that have had nothing running for 2 s, longest first, with the step, the phases of its tasks and the workers of the pool by what keeps each from taking it; and the age of the term, how long the present decision has been in storage, and whether tasks may be placed. New metric tarragonlb.job.idle.

--- a/libs/controller/tarragonlb/controller/ownerreport.py
+++ b/libs/controller/tarragonlb/controller/ownerreport.py
@@ -2,17 +2,20 @@
 
 Its lines tell three causes of late or lost tasks apart: an owner that lacks
 processor time (rounds start late, reports are old), workers that do not answer,
-and tasks that no worker can take.
+and tasks that no worker can take.  They also show a term that places no tasks,
+since a decision is still being stored or the directory of workers is old.
 """
 
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.tenantreport import TenantReport
 from tarragonlb.scheduling.health import IdlePermanentTask, assess_health
+from tarragonlb.scheduling.idlejobs import IdleJobs
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.telemetry.fleetmetrics import (
     FLEET_METER,
+    IDLE_JOB_SECONDS,
     REPORT_AGE_SECONDS,
     ROUND_DELAY_SECONDS,
 )
@@ -22,11 +25,27 @@
 REPORT_INTERVAL_SECONDS = 1.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TermProgress:
+    """How far the rounds of a term have come.
+
+    ``queued_events`` are not handled yet.  ``storing_since`` is when the
+    decision that is being stored was made, None if none is.  ``may_place`` is
+    false while the directory of workers may be out of date.
+    """
+
+    queued_events: int
+    storing_since: float | None
+    may_place: bool
+
+
 class OwnerReport:
     """Collects the delays of one owner between two lines of its log."""
 
     __slots__ = (
+        '_began_at',
         '_fields',
+        '_idle_jobs',
         '_longest_round',
         '_reported_at',
         '_tenant_report',
@@ -36,6 +55,8 @@
     def __init__(self, owned: OwnedPartition, now: float) -> None:
         """Add the partition and the term of ``owned`` to every line."""
         self._fields = {'partition': owned.partition, 'term': owned.term}
+        self._began_at = now
+        self._idle_jobs = IdleJobs()
         self._reported_at = now
         self._tenant_report = TenantReport(owned, now)
         self._worst_delay = 0.0
@@ -48,7 +69,7 @@
         self._longest_round = max(self._longest_round, took_seconds)
 
     def emit_if_due(
-        self, state: PartitionState, queued_events: int, now: float
+        self, state: PartitionState, progress: TermProgress, now: float
     ) -> None:
         """Write the line of the last second, unless it is not over yet."""
         self._tenant_report.emit_if_due(state, now)
@@ -57,9 +78,15 @@
             return
         health = assess_health(state, now)
         FLEET_METER.record(REPORT_AGE_SECONDS, health.oldest_report_seconds)
+        idle_jobs = self._idle_jobs.update(state, now)
+        FLEET_METER.record(IDLE_JOB_SECONDS, self._idle_jobs.find_longest(now))
         LOG.emit(
             'State of the partition.',
+            term_seconds=round(now - self._began_at, 1),
             jobs=len(state.jobs),
+            open_jobs=len(state.open_jobs),
+            idle_jobs=[asdict(idle) for idle in idle_jobs],
+            idle_job_count=self._idle_jobs.count,
             workers=health.workers,
             unheard=health.unheard,
             silent=health.silent,
@@ -68,7 +95,9 @@
             tasks=health.tasks,
             idle_permanent=[_describe(idle) for idle in health.idle_permanent],
             idle_permanent_count=health.idle_permanent_count,
-            queued_events=queued_events,
+            queued_events=progress.queued_events,
+            storing_seconds=_compute_age(progress.storing_since, now),
+            may_place=progress.may_place,
             round_delay_seconds=round(self._worst_delay, 3),
             round_seconds=round(self._longest_round, 3),
             **self._fields,
@@ -82,6 +111,10 @@
         self._tenant_report.close()
 
 
+def _compute_age(since: float | None, now: float) -> float:
+    return 0.0 if since is None else round(now - since, 3)
+
+
 def _describe(idle: IdlePermanentTask) -> dict[str, object]:
     return {
         **asdict(idle),
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -22,7 +22,7 @@
 from tarragonlb.controller.loadpublisher import LoadPublisher
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.ordergate import WorkerAccess
-from tarragonlb.controller.ownerreport import OwnerReport
+from tarragonlb.controller.ownerreport import OwnerReport, TermProgress
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.partitionquota import PartitionQuota
 from tarragonlb.controller.platformview import DirectoryGate, PlatformView
@@ -61,7 +61,6 @@
         '_feed',
         '_inbox',
         '_inbox_receiver',
-        '_is_storing',
         '_lease_handover',
         '_lease_seconds',
         '_load_publisher',
@@ -74,6 +73,7 @@
         '_sessions',
         '_settings',
         '_storage',
+        '_storing_since',
         '_view',
         '_workers',
     )
@@ -107,7 +107,7 @@
             view, settings, clock.read_boottime()
         )
         self._report = OwnerReport(owned, clock.read_monotonic())
-        self._is_storing = False
+        self._storing_since: float | None = None
         self._next_round_at = 0.0
         self._advice_caller = workers.create_advice_caller(owned, clock)
         self._scheduler = self._quota.build_scheduler(
@@ -198,27 +198,28 @@
             await self._inbox.send(events.ViewChanged())
 
     async def _run_rounds(self) -> None:
-        settings = self._settings
+        min_interval = self._settings.min_round_interval_seconds
         self._next_round_at = self._clock.read_monotonic()
         while True:
             now = self._clock.read_monotonic()
             wait_seconds = max(self._next_round_at - now, 0)
             with trio.move_on_after(wait_seconds):
                 self._handle_event(await self._inbox_receiver.receive())
-                is_early = (
-                    now + settings.min_round_interval_seconds
-                    < self._next_round_at
-                )
-                if is_early and not self._is_storing:
-                    self._next_round_at = (
-                        now + settings.min_round_interval_seconds
-                    )
+                is_early = now + min_interval < self._next_round_at
+                if is_early and self._storing_since is None:
+                    self._next_round_at = now + min_interval
             self._handle_queued_events()
             if self._clock.read_monotonic() >= self._next_round_at:
                 self._run_round()
             self._report.emit_if_due(
                 self._scheduler.state,
-                self._inbox_receiver.statistics().current_buffer_used,
+                TermProgress(
+                    queued_events=(
+                        self._inbox_receiver.statistics().current_buffer_used
+                    ),
+                    storing_since=self._storing_since,
+                    may_place=self._directory_gate.is_open,
+                ),
                 self._clock.read_monotonic(),
             )
 
@@ -234,7 +235,7 @@
         now = self._clock.read_monotonic()
         delay = now - self._next_round_at
         self._next_round_at = now + self._settings.max_round_interval_seconds
-        if self._is_storing:
+        if self._storing_since is not None:
             return
         self._decision_log.log_ends()
         decision = self._decide()
@@ -250,7 +251,7 @@
         self._start_reports(now)
         self._decision_log.log_bounds(decision.bound_changes)
         if decision.has_records:
-            self._is_storing = True
+            self._storing_since = now
             self._nursery.start_soon(self._store_decision, decision)
         else:
             self._finish_round(decision)
@@ -289,7 +290,7 @@
         await self._inbox.send(events.DecisionStored(decision))
 
     def _finish_round(self, decision: SchedulingDecision) -> None:
-        self._is_storing = False
+        self._storing_since = None
         self._scheduler.note_stored(decision)
         self._sessions.acknowledge_ends(decision.end_acks)
         if decision.starts:
--- a/libs/scheduling/features/steps/health_steps.py
+++ b/libs/scheduling/features/steps/health_steps.py
@@ -1,6 +1,7 @@
 from behave import then
 
 from tarragonlb.scheduling.health import assess_health
+from tarragonlb.scheduling.idlejobs import IdleJobs
 
 
 @then('{count:d} permanent task is idle in phase "{phase}"')
@@ -32,3 +33,34 @@
 @then('{count:d} worker is silent')
 def check_silent(context, count):
     assert context.health.silent == count, context.health
+
+
+@then('no job has been idle for long')
+def check_none_idle(context):
+    context.idle_jobs = IdleJobs()
+    assert context.idle_jobs.update(context.scheduler.state, context.now) == ()
+
+
+@then(
+    'after {seconds:d} seconds {count:d} job has been idle for {idle:d} '
+    'seconds, in step {step:d}'
+)
+def check_idle_jobs(context, seconds, count, idle, step):
+    found = context.idle_jobs.update(
+        context.scheduler.state, context.now + seconds
+    )
+    assert context.idle_jobs.count == count, found
+    (context.idle_job,) = found
+    assert context.idle_job.idle_seconds == idle, context.idle_job
+    assert context.idle_job.step == step, context.idle_job
+
+
+@then('{count:d} of its tasks are "{phase}"')
+def check_phases(context, phase, count):
+    assert context.idle_job.phases == {phase: count}, context.idle_job
+
+
+@then('{count:d} of its tasks wait, and {workers:d} workers are "{obstacle}"')
+def check_phases_and_obstacles(context, count, workers, obstacle):
+    check_phases(context, 'waiting', count)
+    assert context.idle_job.obstacles == {obstacle: workers}, context.idle_job
--- a/libs/scheduling/tarragonlb/scheduling/health.py
+++ b/libs/scheduling/tarragonlb/scheduling/health.py
@@ -84,6 +84,21 @@
     )
 
 
+def count_obstacles(partition: PartitionState, key: TaskKey) -> dict[str, int]:
+    """Count the workers of a waiting task's pool by why they can't take it.
+
+    'none' are workers that could take it.
+    """
+    pool = partition.jobs[key.job_id].job.pool
+    return dict(
+        Counter(
+            _find_obstacle(partition, key, worker)
+            for worker in partition.workers.values()
+            if worker.entry.pool == pool
+        )
+    )
+
+
 def _list_idle_permanent(
     partition: PartitionState,
 ) -> Iterator[tuple[TaskKey, TaskState]]:
@@ -106,15 +121,10 @@
 def _describe_idle(
     partition: PartitionState, key: TaskKey, task: TaskState
 ) -> IdlePermanentTask:
-    obstacles: Counter[str] = Counter()
+    obstacles: dict[str, int] = {}
     if task.phase is TaskPhase.WAITING:
-        pool = partition.jobs[key.job_id].job.pool
-        obstacles.update(
-            _find_obstacle(partition, key, worker)
-            for worker in partition.workers.values()
-            if worker.entry.pool == pool
-        )
-    return IdlePermanentTask(key, task.phase, task.worker_id, dict(obstacles))
+        obstacles = count_obstacles(partition, key)
+    return IdlePermanentTask(key, task.phase, task.worker_id, obstacles)
 
 
 def _find_obstacle(
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -127,6 +127,13 @@
     (),
     'Age of the oldest report of a reachable worker, once a second.',
 )
+IDLE_JOB_SECONDS = Metric(
+    'tarragonlb.job.idle',
+    'histogram',
+    's',
+    (),
+    'Longest time for which an open job had nothing running, once a second.',
+)
 ADVICE_CALLS = Metric(
     'tarragonlb.advice.calls',
     'counter',
@@ -187,6 +194,7 @@
     ROUND_SECONDS,
     ROUND_DELAY_SECONDS,
     REPORT_AGE_SECONDS,
+    IDLE_JOB_SECONDS,
     ADVICE_CALLS,
     TICKETS_REFUSED,
     TICKETS_HELD,
