--- a/libs/controller/features/overload.feature
+++ b/libs/controller/features/overload.feature
@@ -101,3 +101,40 @@
     Given a gate for 16 orders that hold it for 1 s at most
     When 40 orders arrive while each pass of the event loop takes 0.1 s
     Then 16 orders are admitted within 0.1 s and all within 1 s
+
+  # Guards against tasks that hold their workers for seconds before they start,
+  # while the jobs that were accepted first and the workers wait.
+  Scenario Outline: An owner places no more tasks than it can start soon
+    Given a daemon that spends <cost> ms of processor time on each call to its <workers> workers
+    When a job of 3600 tasks is submitted
+    And 6 seconds pass
+    Then <starts> tasks or more have started, and those placed wait no longer than 1 s
+
+    Examples:
+      | cost | workers | starts |
+      | 5    | 60      | 500    |
+      | 10   | 30      | 250    |
+
+  # Guards against an urgent job that waits for the orders of all tasks before it.
+  Scenario: An urgent job starts soon though its owner has a backlog
+    Given a daemon that spends 5 ms of processor time on each call to its 60 workers
+    When a job of 3600 tasks is submitted
+    And 4 seconds pass
+    And a job of 4 tasks is submitted to the urgent queue
+    And 2 seconds pass
+    Then the tasks of the urgent job have started
+
+  # Guards against a limit on starts that slows down an owner with processor time.
+  Scenario: An owner with enough processor time starts a peak at once
+    Given a daemon that spends 0.1 ms of processor time on each call to its 60 workers
+    When a job of 400 tasks is submitted
+    And 1 seconds pass
+    Then 400 tasks have started
+
+  # Guards against starts that wait for orders to workers which do not answer.
+  Scenario: Orders to silent workers do not use up the starts of the others
+    Given a daemon that spends 0.1 ms of processor time on each call to its 60 workers
+    When 30 workers stop to answer
+    And a job of 200 tasks is submitted
+    And 2 seconds pass
+    Then 200 tasks have started
--- a/libs/controller/features/steps/overload_steps.py
+++ b/libs/controller/features/steps/overload_steps.py
@@ -4,7 +4,7 @@
 import trio.lowlevel
 import trio.testing
 from behave import given, then, when
-from busyworkers import BusyWorkerApi
+from busyworkers import BusyWorkerApi, ProgressStore, UrgentDocumentDecoder
 from simulation import SETTINGS, Simulation
 
 from tarragonlb.controller.ordergate import OrderGate
@@ -21,8 +21,12 @@
 )
 def create_busy(context, ms, workers):
     context.simulation = Simulation(
-        1, workers, create_worker_api=lambda: BusyWorkerApi(ms / 1000)
+        1,
+        workers,
+        create_worker_api=lambda: BusyWorkerApi(ms / 1000),
+        decoder=UrgentDocumentDecoder(),
     )
+    context.simulation.create_store = ProgressStore
 
 
 @then('no worker counted as silent and no lease lapsed')
@@ -202,3 +206,60 @@
     entered = sorted(context.entered)
     assert entered[count - 1] <= first + 1e-6, entered
     assert entered[-1] <= last + 1e-6, entered
+
+
+@then(
+    '{count:d} tasks or more have started, and those placed wait no longer '
+    'than {seconds:g} s'
+)
+def check_pending(context, count, seconds):
+    simulation = context.simulation
+    simulation.run()
+    started_at = simulation.worker_api.started_at
+    assert len(started_at) >= count, len(started_at)
+    pending = simulation.store.placed.difference(started_at)
+    since = max(started_at.values()) - seconds
+    recent = sum(at > since for at in started_at.values())
+    assert len(pending) <= recent, (len(pending), recent)
+
+
+@when('a job of {tasks:d} tasks is submitted to the urgent queue')
+def submit_urgent(context, tasks):
+    async def action(sim):
+        controller = next(iter(sim.controllers.values()))
+        job = sim.add_job(tasks, queue='urgent')
+        outcome = await controller.job_service.submit(job)
+        assert outcome.verdict.value == 'ran', outcome
+        sim.urgent = job.job_id, tasks
+
+    context.simulation.actions.append(action)
+
+
+@then('the tasks of the urgent job have started')
+def check_urgent(context):
+    simulation = context.simulation
+    simulation.run()
+    job_id, tasks = simulation.urgent
+    started = [
+        key
+        for key, _ in simulation.worker_api.started_at
+        if key.job_id == job_id
+    ]
+    assert len(started) == tasks, started
+
+
+@when('{count:d} workers stop to answer')
+def cut_workers(context, count):
+    async def action(sim):
+        sim.worker_api.unreachable.update(
+            f'w{number}' for number in range(count)
+        )
+
+    context.simulation.actions.append(action)
+
+
+@then('{count:d} tasks have started')
+def check_started(context, count):
+    context.simulation.run()
+    started = len(context.simulation.worker_api.started_at)
+    assert started == count, started
