Place no more tasks than their owner can start soon

Cause: a round places every task for which a worker has room, in microseconds, and an owner that lacks processor time then sends the orders for tens of seconds.

The start window bounds the tasks that are placed and whose order is not answered. It grows by one per order answered within 0.25 s while tasks wait for it, and shrinks to 0.7 of its size when orders take longer, as the limit on orders under way does. Starts on workers that leave orders unanswered do not count, up to four windows, since an overloaded owner takes its own delay for silence. A gang larger than the window starts alone. The rest waits in the order of its rank, and room that is free counts as free.

The line of a partition shows pending_starts and start_window. Simulations that report no results of orders leave the window open; the random fleets use it.

--- a/libs/controller/tarragonlb/controller/ownerreport.py
+++ b/libs/controller/tarragonlb/controller/ownerreport.py
@@ -13,6 +13,7 @@
 from tarragonlb.scheduling.health import IdlePermanentTask, assess_health
 from tarragonlb.scheduling.idlejobs import IdleJobs
 from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.startwindow import StartWindow
 from tarragonlb.telemetry.fleetmetrics import (
     FLEET_METER,
     IDLE_JOB_SECONDS,
@@ -35,6 +36,7 @@
     """
 
     queued_events: int
+    start_window: StartWindow
     storing_since: float | None
     may_place: bool
 
@@ -96,6 +98,8 @@
             idle_permanent=[_describe(idle) for idle in health.idle_permanent],
             idle_permanent_count=health.idle_permanent_count,
             queued_events=progress.queued_events,
+            pending_starts=progress.start_window.count_pending(),
+            start_window=progress.start_window.size,
             storing_seconds=_compute_age(progress.storing_since, now),
             may_place=progress.may_place,
             round_delay_seconds=round(self._worst_delay, 3),
--- a/libs/controller/tarragonlb/controller/policies.py
+++ b/libs/controller/tarragonlb/controller/policies.py
@@ -36,6 +36,7 @@
         order=_build_order(settings),
         limit=limit if settings.has_tenants else NoStartLimit(),
         filters=filters,
+        bounds_pending_starts=True,
     )
     if settings.scheduling.may_look_ahead:
         return _look_ahead(policies, settings.scheduling)
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -217,6 +217,7 @@
                     queued_events=(
                         self._inbox_receiver.statistics().current_buffer_used
                     ),
+                    start_window=self._scheduler.start_window,
                     storing_since=self._storing_since,
                     may_place=self._directory_gate.is_open,
                 ),
@@ -291,7 +292,7 @@
 
     def _finish_round(self, decision: SchedulingDecision) -> None:
         self._storing_since = None
-        self._scheduler.note_stored(decision)
+        self._scheduler.note_stored(decision, self._clock.read_monotonic())
         self._sessions.acknowledge_ends(decision.end_acks)
         if decision.starts:
             self._decision_log.log_starts(
--- a/libs/scheduling/features/advicesimulation.py
+++ b/libs/scheduling/features/advicesimulation.py
@@ -121,7 +121,7 @@
         self._answer_calls()
         decision = self.scheduler.decide(Moment(self.now))
         self._note_ready()
-        self.scheduler.note_stored(decision)
+        self.scheduler.note_stored(decision, self.now)
         for order in decision.starts:
             self.orders.append((self.now + START_SECONDS, order))
             self.started_at.setdefault(order.key, self.now)
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -199,7 +199,7 @@
             ]
         )
         self.bound_writes.extend([self.now] * bool(bound_records))
-        owner.scheduler.note_stored(decided)
+        owner.scheduler.note_stored(decided, self.now)
         for worker_id, seen in decided.end_acks.items():
             owner.end_acks[worker_id] = seen
         for start in decided.starts:
--- a/libs/scheduling/features/sharesimulation.py
+++ b/libs/scheduling/features/sharesimulation.py
@@ -150,7 +150,7 @@
         while self.running and self.running[0][0] <= self.now:
             state.finish(heapq.heappop(self.running)[1], self.now)
         decision = self.scheduler.decide(self.moment)
-        self.scheduler.note_stored(decision)
+        self.scheduler.note_stored(decision, self.now)
         for start in decision.starts:
             self.first_starts.setdefault(start.key.job_id, self.now)
             self.waiting[self.submitted[start.key.job_id][0]] -= 1
--- a/libs/scheduling/features/simulatedowner.py
+++ b/libs/scheduling/features/simulatedowner.py
@@ -24,7 +24,11 @@
         self.contact_at = fleet.now
         self.frozen_until = 0.0
         self.scheduler = Scheduler(
-            SETTINGS, SchedulingPolicies(placement=PackNearData()), fleet.now
+            SETTINGS,
+            SchedulingPolicies(
+                placement=PackNearData(), bounds_pending_starts=True
+            ),
+            fleet.now,
         )
         self.granted = {}
         self.clocks = {}
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -274,7 +274,7 @@
 @when('the first job is cancelled, and its stop order finds another worker')
 def find_other(context):
     scheduler = context.scheduler
-    scheduler.note_stored(context.round)
+    scheduler.note_stored(context.round, context.now)
     for start in context.round.starts:
         scheduler.apply_order_result(start, OrderResult.DONE, context.now)
     scheduler.state.cancel_job(f'{0:016x}', context.now)
@@ -289,7 +289,7 @@
 @when('no start is answered, and the worker is lost')
 def lose_unanswered(context):
     scheduler = context.scheduler
-    scheduler.note_stored(context.round)
+    scheduler.note_stored(context.round, context.now)
     for start in context.round.starts:
         scheduler.apply_order_result(start, OrderResult.UNANSWERED, context.now)
     scheduler.reconciler.note_worker_replaced('w0', context.now)
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -19,6 +19,7 @@
 from tarragonlb.scheduling.placement import is_candidate, is_eligible
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
+from tarragonlb.scheduling.startwindow import StartWindow
 from tarragonlb.scheduling.task import TaskState
 from tarragonlb.scheduling.worker import WorkerState
 
@@ -39,12 +40,20 @@
         '_queues',
         '_reserved',
         '_retry_at',
+        '_window',
     )
 
     def __init__(
-        self, partition: PartitionState, policies: SchedulingPolicies
+        self,
+        partition: PartitionState,
+        policies: SchedulingPolicies,
+        window: StartWindow,
     ) -> None:
-        """Place the tasks of ``partition`` according to ``policies``."""
+        """Place the tasks of ``partition`` according to ``policies``.
+
+        ``window`` limits how many are placed and not started.
+        """
+        self._window = window
         self._partition = partition
         self._policies = policies
         self._reserved: set[str] = set()
@@ -63,10 +72,14 @@
         self._partition.changed_pools.clear()
         for worker_filter in self._policies.filters:
             worker_filter.begin_round(self._partition, now.seconds)
+        self._window.begin_round()
         found = self._list_ready(now, pools)
         orders: list[StartOrder] = []
         for ready in self._policies.order.arrange(found, self._partition, now):
-            orders.extend(self._place_step(ready, now.seconds))
+            if self._has_window(ready, 1):
+                placed = self._place_step(ready, now.seconds)
+                self._window.note_placed(placed)
+                orders.extend(placed)
         return orders
 
     def _choose_pools(self, now: float) -> set[str] | None:
@@ -123,7 +136,7 @@
             return self._place_gang(ready, waiting, now)
         orders: list[StartOrder] = []
         for index in waiting:
-            if not self._policies.limit.allows(ready, 1, self._partition):
+            if not self._may_start(ready, len(orders)):
                 return orders
             order = self._place_task(ready, index, now)
             if order is not None:
@@ -134,6 +147,21 @@
             self._note_waiting(ready, now)
         return orders
 
+    def _may_start(self, ready: ReadyStep, placed: int) -> bool:
+        """Return whether one more task of a step may start now.
+
+        ``placed`` tasks of it were placed before in this round.
+        """
+        if not self._has_window(ready, placed + 1):
+            return False
+        return self._policies.limit.allows(ready, 1, self._partition)
+
+    def _has_window(self, ready: ReadyStep, count: int) -> bool:
+        if self._window.allows(count):
+            return True
+        self._window.note_limited(ready.job_state.job.pool)
+        return False
+
     def _note_waiting(self, ready: ReadyStep, now: float) -> None:
         for worker_filter in self._policies.filters:
             worker_filter.note_waiting(ready, now)
@@ -144,6 +172,8 @@
         tasks = ready.step_state.tasks
         if len(waiting) < len(tasks):
             return []
+        if not self._has_window(ready, len(waiting)):
+            return []
         if not self._policies.limit.allows(
             ready, len(waiting), self._partition
         ):
--- a/libs/scheduling/tarragonlb/scheduling/policies.py
+++ b/libs/scheduling/tarragonlb/scheduling/policies.py
@@ -104,6 +104,8 @@
     """The policies of one owner, for one term.
 
     ``look_ahead`` is what those that look ahead learn, None without any.
+    ``bounds_pending_starts`` limits how many tasks are placed whose orders are
+    not answered yet; the caller then has to pass the result of each order.
     """
 
     placement: PlacementPolicy
@@ -111,6 +113,7 @@
     limit: StartLimit = field(default_factory=NoStartLimit)
     filters: tuple[WorkerFilter, ...] = ()
     look_ahead: LookAheadRecord | None = None
+    bounds_pending_starts: bool = False
 
 
 def _get_rank(ready: ReadyStep) -> tuple[int, bool, bool, bool, float]:
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -28,6 +28,7 @@
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.reconciliation import Reconciler
 from tarragonlb.scheduling.settings import SchedulingSettings
+from tarragonlb.scheduling.startwindow import StartWindow
 from tarragonlb.scheduling.stopping import StopPlanner
 from tarragonlb.scheduling.task import StartStage, TaskPhase
 
@@ -46,6 +47,7 @@
         'order_tracker',
         'pacer',
         'reconciler',
+        'start_window',
         'state',
     )
 
@@ -62,7 +64,10 @@
         self.order_tracker = OrderTracker(self.state)
         self.pacer = Pacer(self.state)
         self.bound_keeper = LeaseBoundKeeper(self.state)
-        self._assigner = Assigner(self.state, policies)
+        self.start_window = StartWindow(
+            self.state, is_bounded=policies.bounds_pending_starts
+        )
+        self._assigner = Assigner(self.state, policies, self.start_window)
         self._stop_planner = StopPlanner(self.state)
         self._next_cleanup_at = now
 
@@ -105,8 +110,9 @@
             },
         )
 
-    def note_stored(self, decision: SchedulingDecision) -> None:
+    def note_stored(self, decision: SchedulingDecision, now: float) -> None:
         """Note that a decision is stored, before its starts are sent."""
+        self.start_window.note_queued(decision.starts, now)
         self.bound_keeper.note_stored(decision.bound_changes)
         for start in decision.starts:
             task = self.state.find_attempt(
@@ -123,6 +129,7 @@
     ) -> None:
         """Apply the result of an order to a worker."""
         if isinstance(order, StartOrder):
+            self.start_window.note_answer(order, result, now)
             self.order_tracker.apply_start_result(order, result, now)
         elif isinstance(order, StopOrder):
             self.order_tracker.apply_stop_result(order, result, now)
--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -22,6 +22,12 @@
     # and a status check together, so that attempts outlive their owner; shorter
     # leases free the tasks of lost workers sooner.
     order_lease_seconds: float = 3.5
+    # Bounds of the number of tasks that are placed and not started yet.  The
+    # lower one keeps an owner busy whose orders take long.
+    min_pending_starts: int = 16
+    max_pending_starts: int = 2000
+    # Start orders that are answered later than this were too many at once.
+    start_target_seconds: float = 0.25
     # After this time a stop order without visible effect is repeated; well
     # above the interval of reports.
     stop_retry_seconds: float = 1.0
