Store a large decision by several appends

Callers would see a partition in which nothing starts any more, whoever owns it: an owner retries an append for ever, and the store refuses it for its size.

Cause: all changes of a round go into one append, and a round after a long wait for the store, or after a loss of all owners, may change every open job. The store takes 2 MB a call. A record of a job of 39 tasks has 2.1 KB, with two failed attempts and two avoided workers for each task 3.2 KB (measured), so some 650 to 1,000 such jobs are enough. Before that, an append of 1 MB takes longer than the first timeout of 0.8 s on a link of 10 Mbit/s.

Change: a decision is stored by appends of at most 262,144 bytes, the length of the longest record, in order; the records of one job stay together, and starts and acknowledgements still wait for the last append. If the term ends in between, each job is as decided or as before, since each has its own record.

Ruled out: to split only after a refusal, as the owner can't tell a refusal for size from another, and a narrow link would still time out.

--- a/libs/controller/features/controller.feature
+++ b/libs/controller/features/controller.feature
@@ -247,3 +247,11 @@
       | fault        |
       | fails        |
       | is cancelled |
+
+  # Guards against a partition whose owner, and each next one, retries for ever
+  # an append that the store refuses as too large.
+  Scenario: A decision on more jobs than one append can hold is stored
+    Given an owner of 100 jobs of 1000 tasks and a store that takes 2 MB a call
+    When the owner stores a decision on all of them
+    Then it is stored within 5 s
+    And a new reader of the partition finds all jobs as they were decided
--- a/libs/controller/tarragonlb/controller/decisionstorage.py
+++ b/libs/controller/tarragonlb/controller/decisionstorage.py
@@ -1,4 +1,13 @@
-"""Stores an owner's scheduling decisions, in order and each exactly once."""
+"""Stores an owner's scheduling decisions, in order and each exactly once.
+
+A decision may change all jobs of a partition.  It is then stored by several
+appends, since the store refuses one that is too large, and a narrow link does
+not carry it in time.  The records of one job always go together.  If the term
+ends in between, the next owner finds some jobs as they were decided and the
+others as they were before, which is a decision on fewer jobs.
+"""
+
+from collections.abc import Iterable, Iterator
 
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.partition import PartitionFeed
@@ -9,7 +18,10 @@
 from tarragonlb.scheduling.leasebound import build_bound_records
 from tarragonlb.scheduling.orders import SchedulingDecision
 from tarragonlb.scheduling.progress import build_progress_record
-from tarragonlb.scheduling.records import build_removal_records
+from tarragonlb.scheduling.records import KeyedRecord, build_removal_records
+
+# As much as the longest record; a link of 5 Mbit/s carries it in half a second.
+MAX_APPEND_BYTES = 262_144
 
 
 class DecisionStorage:
@@ -38,14 +50,39 @@
 
         Return why the term has ended, '' if the decision is stored.
         """
-        records = [
-            build_progress_record(job, self._term) for job in decision.jobs
-        ]
-        for job_id in decision.removed:
-            records.extend(build_removal_records(job_id))
-        records.extend(build_bound_records(decision.bound_changes, self._term))
-        result = await self._writer.append(tuple(records))
-        if isinstance(result, Fenced):
-            return result.reason
-        self._feed.apply_stored(records, result.first)
+        for records in tuple(_split(self._list_groups(decision))):
+            result = await self._writer.append(records)
+            if isinstance(result, Fenced):
+                return result.reason
+            self._feed.apply_stored(records, result.first)
         return ''
+
+    def _list_groups(
+        self, decision: SchedulingDecision
+    ) -> Iterator[list[KeyedRecord]]:
+        """Yield the records of a decision, those that go together at a time."""
+        for job in decision.jobs:
+            yield [build_progress_record(job, self._term)]
+        yield from map(build_removal_records, decision.removed)
+        for record in build_bound_records(decision.bound_changes, self._term):
+            yield [record]
+
+
+def _split(
+    groups: Iterable[list[KeyedRecord]],
+) -> Iterator[tuple[KeyedRecord, ...]]:
+    """Yield the records of successive appends."""
+    records: list[KeyedRecord] = []
+    free_bytes = MAX_APPEND_BYTES
+    for group in groups:
+        group_bytes = sum(
+            len(record.key) + len(record.value) for record in group
+        )
+        if records and group_bytes > free_bytes:
+            yield tuple(records)
+            records = []
+            free_bytes = MAX_APPEND_BYTES
+        records.extend(group)
+        free_bytes -= group_bytes
+    if records:
+        yield tuple(records)
