Reserve for a permanent task only workers on which it will fit

What callers saw: all jobs of a pool stand still for good although most of its workers' CPU and enough of their memory is free.

Cause: each waiting permanent step reserves the worker with the most free CPU in each round, whatever it lacks. If it lacks memory that another permanent task holds, or is larger than the worker, it never fits there, and the reservation is made anew for ever. As many such steps as the pool has workers keep out all other tasks.

Why it works: a task that ends makes room by ending, a permanent one doesn't, so a worker is worth waiting for only if the task fits beside its permanent tasks.

Result: decisions.feature, "A permanent task reserves no worker on which it can't fit": 2 of 2 examples fail before, none after; all others pass.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -270,3 +270,21 @@
     When a job with steps "4x1000" arrives
     Then the pool wants 2 workers, with a minimum of 2
     And 0 workers can be drained
+
+  # Guards against a permanent task that reserves a worker for as long as it
+  # waits, although no other task makes room for it by ending.
+  Scenario Outline: A permanent task reserves no worker on which it can't fit
+    Given workers "w0 w1" with 4000 millicores
+    And a job with steps "<before>"
+    When a scheduling round runs
+    And a job with steps "<waiting>" arrives
+    And a job with steps "<waiting>" arrives
+    And a scheduling round runs
+    And a job with steps "1x1000" arrives
+    And a scheduling round runs
+    Then 1 tasks start
+
+    Examples:
+      | before                     | waiting          |
+      | 1x500                      | 1x5000 permanent |
+      | 2x1000 permanent at most 1 | 1x4000 permanent |
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -2,8 +2,8 @@
 
 The policies decide in which order steps are tried, which tasks may start now
 and which worker each of them gets.  A permanent task that fits on no worker
-reserves the one with the most free CPU, so that a stream of small tasks cannot
-starve it.
+reserves the one with the most free CPU among those where it will fit, so that a
+stream of small tasks cannot starve it.
 
 A round looks only at pools whose jobs or workers have changed since the last
 one.  Backoffs and due times pass without such an event, so pools that have any
@@ -16,7 +16,11 @@
 from tarragonlb.scheduling.job import Moment, TaskKey
 from tarragonlb.scheduling.orders import StartOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.placement import is_candidate, is_eligible
+from tarragonlb.scheduling.placement import (
+    has_room_beside_permanent,
+    is_candidate,
+    is_eligible,
+)
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
 from tarragonlb.scheduling.startwindow import StartWindow
@@ -304,13 +308,21 @@
             for worker in self._partition.workers.values()
             if worker.entry.pool == ready.job_state.job.pool
             and worker.entry.worker_id not in self._reserved
-            and is_eligible(worker, ready.step, ready.key)
-            and self._is_allowed_by_filters(worker, ready, now)
+            and self._may_wait_for(worker, ready, now)
         ]
         emptiest = max(eligible, key=_get_free_cpu, default=None)
         if emptiest is not None:
             self._reserved.add(emptiest.entry.worker_id)
 
+    def _may_wait_for(
+        self, worker: WorkerState, ready: ReadyStep, now: float
+    ) -> bool:
+        return (
+            is_eligible(worker, ready.step, ready.key)
+            and has_room_beside_permanent(worker, ready.step)
+            and self._is_allowed_by_filters(worker, ready, now)
+        )
+
 
 def _get_free_cpu(worker: WorkerState) -> int:
     return worker.free_cpu
--- a/libs/scheduling/tarragonlb/scheduling/placement.py
+++ b/libs/scheduling/tarragonlb/scheduling/placement.py
@@ -25,6 +25,29 @@
     return not limit or worker.count_step_tasks(step_key) < limit
 
 
+def has_room_beside_permanent(worker: WorkerState, step: Step) -> bool:
+    """Return whether one more task fits once all others have ended.
+
+    Permanent tasks don't end.
+    """
+    capacity, demand = worker.entry.capacity, step.demand
+    kept = [
+        attachment.demand
+        for attachment in worker.attached.values()
+        if attachment.is_permanent
+    ]
+    cpu_millicores = sum(other.cpu_millicores for other in kept)
+    if not step.scavenges:
+        cpu_millicores += demand.cpu_millicores
+    memory_mb = sum(other.memory_mb for other in kept) + demand.memory_mb
+    gpus = sum(other.gpus for other in kept) + demand.gpus
+    return (
+        cpu_millicores <= capacity.cpu_millicores
+        and memory_mb <= capacity.memory_mb
+        and gpus <= capacity.gpus
+    )
+
+
 def must_wait_for_empty_worker(step: Step, task: TaskState, now: float) -> bool:
     """Return whether a task may start only on an empty worker now.
 
