Start tasks elsewhere while a worker refuses starts

What callers saw: a step whose prerequisites are done never starts, though most of its pool's room is free.

Cause: a worker may answer polls and refuse starts: an unhealthy one, one that takes no more connections, or an entry of the directory whose address is another worker's. It counts as usable, and as it is empty it stays first among equals. All tasks of a step that fit there were placed there, refused, and placed there again 0.3 s later, for as long as it refused.

Evidence: the new scenario. A step of 11 tasks starts none of them within 3 s beside an idle worker.

Starts that the owner withheld by itself have a result of their own and don't count. A worker that was lost, or whose address is another's, gets tasks only after a report. The reasons why a permanent task waits name it.

Ruled out: putting the worker on probation as after a failed task. A sound worker that refuses one start for lack of room would run one task at a time.

--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -305,7 +305,9 @@
 
     def _enqueue_order(self, order: StartOrder | StopOrder | PaceOrder) -> None:
         if not self._sessions.enqueue(order):
-            self._handle_event(events.OrderAnswered(order, OrderResult.REFUSED))
+            self._handle_event(
+                events.OrderAnswered(order, OrderResult.WITHHELD)
+            )
 
     def _handle_event(self, event: events.Event) -> None:
         if isinstance(event, events.TermEnded):
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -219,9 +219,9 @@
     async def _start(self, order: StartOrder) -> OrderResult:
         until_ms = self._lease.granted_until_ms
         if until_ms is None or not self._lease_seconds():
-            return OrderResult.REFUSED
+            return OrderResult.WITHHELD
         if not self._is_still_wanted(order):
-            return OrderResult.REFUSED
+            return OrderResult.WITHHELD
         return await self._workers.api.start(
             self.worker, order, self._term, until_ms
         )
--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -271,6 +271,22 @@
     Then the pool wants 2 workers, with a minimum of 2
     And 0 workers can be drained
 
+  # Guards against an empty worker that refuses all starts and stays the first
+  # choice, so that a task never starts although other workers have room.
+  Scenario Outline: A task goes elsewhere when its worker refuses all starts
+    Given workers "w0 w1" with 16000 millicores
+    And worker "w0" answers each start with "<result>"
+    And a job with steps "<steps>"
+    When 3 seconds go by, with a round every 0.1 seconds
+    Then all tasks have started on "w1"
+
+    Examples:
+      | result     | steps         |
+      | refused    | 1x1400        |
+      | refused    | 11x1400       |
+      | refused    | 3x1400 copies |
+      | other-life | 1x1400        |
+
   # Guards against a permanent task that reserves a worker for as long as it
   # waits, although no other task makes room for it by ending.
   Scenario Outline: A permanent task reserves no worker on which it can't fit
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -206,7 +206,7 @@
             if owner.scheduler.is_still_wanted(start):
                 self._send_order(owner, start, 'start')
             else:
-                self._apply_result(owner, start, OrderResult.REFUSED)
+                self._apply_result(owner, start, OrderResult.WITHHELD)
 
     def _check_status(self, owner, worker):
         granted = owner.granted.get(worker.worker_id)
@@ -269,7 +269,7 @@
         )
         until = owner.granted.get(order.worker_id)
         if kind == 'start' and (until is None or self.now > owner.valid_until):
-            self._apply_result(owner, order, OrderResult.REFUSED)
+            self._apply_result(owner, order, OrderResult.WITHHELD)
             return
         if worker is None or self._is_lost():
             self._apply_result(owner, order, OrderResult.UNANSWERED)
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -275,7 +275,7 @@
     ) -> Iterator[WorkerState]:
         candidates = self._get_candidates(ready.job_state.job.pool)
         for worker in candidates.list_fitting(ready.step):
-            if worker.failures or worker.suspects:
+            if worker.failures or worker.has_refused or worker.suspects:
                 self._retry_later(worker.entry.pool, now)
             is_free = worker.entry.worker_id not in self._reserved
             if (
--- a/libs/scheduling/tarragonlb/scheduling/health.py
+++ b/libs/scheduling/tarragonlb/scheduling/health.py
@@ -145,5 +145,6 @@
             'label or limit per worker',
         ),
         (bool(worker.failures), 'on probation'),
+        (worker.has_refused, 'refused a start'),
     )
     return next((name for applies, name in checks if applies), 'none')
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -39,6 +39,7 @@
         lost = tuple(_list_lost(worker, now))
         worker.last_end_number = 0
         worker.incarnation = None
+        worker.must_report = True
         for key in worker.orphans:
             self._partition.usage.remove(worker.entry.worker_id, key, ORPHANED)
         worker.orphans.clear()
--- a/libs/scheduling/tarragonlb/scheduling/orders.py
+++ b/libs/scheduling/tarragonlb/scheduling/orders.py
@@ -13,7 +13,8 @@
     """The result of an order.
 
     DONE: carried out.  REFUSED: not carried out, and never will be.
-    TICKET_REFUSED: as REFUSED, since the ticket is not valid.  UNANSWERED: may
+    TICKET_REFUSED: as REFUSED, since the ticket is not valid.  WITHHELD: the
+    owner did not send it, whatever the worker is like.  UNANSWERED: may
     have been carried out, or may be later.  FENCED: refused, since the worker
     knows a later owner.  OTHER_INCARNATION: the worker that it was meant for
     has ended.
@@ -22,6 +23,7 @@
     DONE = 'done'
     REFUSED = 'refused'
     TICKET_REFUSED = 'ticket-refused'
+    WITHHELD = 'withheld'
     UNANSWERED = 'unanswered'
     FENCED = 'fenced'
     OTHER_INCARNATION = 'other-life'
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -12,6 +12,9 @@
 from tarragonlb.scheduling.task import StartStage, StopReason, TaskPhase
 from tarragonlb.scheduling.workerloss import LossReason
 
+# Results of a start that say that the worker would refuse others, too.
+REFUSALS = frozenset((OrderResult.REFUSED, OrderResult.OTHER_INCARNATION))
+
 
 class OrderTracker:
     """Applies order results to the state of a partition."""
@@ -32,11 +35,19 @@
         )
         if task is None:
             return
+        worker = self._partition.workers[order.worker_id]
         if result in {OrderResult.DONE, OrderResult.UNANSWERED}:
             task.settled_at = now
             if result is OrderResult.DONE:
                 task.start_stage = StartStage.CONFIRMED
+                worker.note_start_accepted()
             return
+        if result is OrderResult.OTHER_INCARNATION:
+            worker.must_report = True
+        if result in REFUSALS:
+            worker.note_start_refused(
+                now, self._partition.settings.refusal_backoff_seconds
+            )
         self._partition.release(order.key, task, 'the start was refused')
         task.not_before = now + self._partition.settings.refusal_backoff_seconds
         if self._partition.find_step(order.key).is_gang:
--- a/libs/scheduling/tarragonlb/scheduling/placement.py
+++ b/libs/scheduling/tarragonlb/scheduling/placement.py
@@ -68,6 +68,8 @@
     """Return whether a worker may take this task of a step now."""
     if not worker.can_fit(step) or worker.is_kept_by_suspect(now):
         return False
+    if worker.is_backing_off(now):
+        return False
     if must_wait_for_empty_worker(step, task, now) and worker.attached:
         return False
     is_retry = task.failures > 0 and not step.is_permanent
@@ -109,7 +111,8 @@
 class PackNearData(PlacementPolicy):
     """Prefers workers on the rack of the data, then the most loaded.
 
-    A worker where this task failed, or that is on probation, comes last.
+    A worker where this task failed, that is on probation or that has just
+    refused a start, comes last.
     Permanent tasks are packed onto the same workers as far as their limits
     allow, so that other workers can leave the pool.  Tasks that were on workers
     that crashed are spread instead, apart from each other.
@@ -138,7 +141,7 @@
             candidates,
             key=lambda worker: (
                 worker.entry.worker_id not in task.avoided,
-                not worker.failures,
+                not (worker.failures or worker.has_refused),
                 not worker.suspects,
                 worker.entry.has_local_data(step),
                 worker.count_permanent() if step.is_permanent else 0,
@@ -150,7 +153,7 @@
 
 def is_first_choice(worker: WorkerState, step: Step, task: TaskState) -> bool:
     """Return whether nothing speaks against a worker that may take a task."""
-    if worker.failures or worker.suspects:
+    if worker.failures or worker.has_refused or worker.suspects:
         return False
     if worker.entry.worker_id in task.avoided:
         return False
@@ -163,7 +166,7 @@
     is_avoided = worker.entry.worker_id in task.avoided
     return (
         not worker.suspects,
-        not (is_avoided or worker.failures),
+        not (is_avoided or worker.failures or worker.has_refused),
         -len(worker.attached),
         worker.entry.has_local_data(step),
         worker.free_cpu,
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from tarragonlb.scheduling.job import Demand, Step, TaskKey
+from tarragonlb.scheduling.startbackoff import StartBackoff
 from tarragonlb.scheduling.task import StopReason, TaskState
 from tarragonlb.scheduling.workerloss import LostAttempt
 
@@ -93,12 +94,14 @@
     ``doubtful`` are attempts whose leases ran out at ``doubtful_since``, while
     it is not known whether the worker crashed.  ``is_leaving`` means that the
     worker announced its end when it last reported or since.  ``must_report`` is
-    true from when a drain request was withdrawn, which also happens when the VM
-    has been taken away, until the worker reports again.
+    true from when the worker may have ended until it reports again: it was
+    lost, or a drain request was withdrawn, which also happens when the VM has
+    been taken away.
     """
 
     __slots__ = (
         '_permanent_count',
+        '_start_backoff',
         '_step_counts',
         'attached',
         'doubtful',
@@ -146,6 +149,7 @@
         self.lease_until = lease_until
         self.probe_at = 0.0
         self.failures = 0
+        self._start_backoff = StartBackoff()
         self.last_end_number = 0
         self.free_cpu = worker.capacity.cpu_millicores
         self.free_memory = worker.capacity.memory_mb
@@ -241,6 +245,23 @@
         """End the probation after a task has succeeded."""
         self.failures = 0
 
+    @property
+    def has_refused(self) -> bool:
+        """Return whether it has accepted no start since it refused one."""
+        return bool(self._start_backoff.refusals)
+
+    def is_backing_off(self, now: float) -> bool:
+        """Return whether it gets no start yet, as it refused one."""
+        return self._start_backoff.is_waiting(now)
+
+    def note_start_refused(self, now: float, backoff_seconds: float) -> None:
+        """Start nothing here for a while, longer with each refusal in a row."""
+        self._start_backoff.note_refusal(now, backoff_seconds)
+
+    def note_start_accepted(self) -> None:
+        """End the backoff after refused starts."""
+        self._start_backoff.note_start()
+
     def can_accept_on_probation(self, now: float, *, is_retry: bool) -> bool:
         """Return whether the probation, if any, allows one more task.
 
