Pass each change of the view on to the owner

Cause: the task that passes changes on waited for the next change only after it had sent the event. The owner may handle the event before that task runs again, and a change in between woke nobody.

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -108,3 +108,10 @@
     Given 11 partitions of 1 MB behind a link of 1 MB a second, which all feeds of a daemon read
     When the daemon joins a group until all are read
     Then all are read within 13 s and no join has failed
+
+  # Guards against an owner that goes by an old directory, or by drain requests
+  # that were withdrawn, until something else changes.
+  Scenario: A change of the view while the last one is passed on is not missed
+    Given an owner that is told of changes of the view
+    When the view changes twice, the second time as the owner takes note
+    Then the owner is told of both changes
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from tarragonlb.controller.events import Event, ViewChanged
 from tarragonlb.controller.ports import Configuration
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.fleetstate import FleetState
@@ -104,6 +105,20 @@
         """Wait for the next change."""
         await self._changed.wait()
 
+    async def forward_changes(
+        self, inbox: trio.MemorySendChannel[Event]
+    ) -> None:
+        """Send an event after each change, until cancelled.
+
+        The receiver may act on an event before the sender goes on, so what
+        changes from the sending on has an event of its own.
+        """
+        changed = self._changed
+        while True:
+            await changed.wait()
+            changed = self._changed
+            await inbox.send(ViewChanged())
+
 
 class DirectoryGate:
     """Keeps a new owner from placing tasks by an old directory of workers.
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -157,7 +157,7 @@
             raise TermEndedError(reason)
         self._load_state()
         self._nursery.start_soon(self._forward_job_changes, changes)
-        self._nursery.start_soon(self._forward_view_changes)
+        self._nursery.start_soon(self._view.forward_changes, self._inbox)
         self._nursery.start_soon(self._quota.run, self._inbox)
         vm_watch = VmWatch(self._workers.vms, self._settings, self._clock)
         self._nursery.start_soon(
@@ -192,11 +192,6 @@
         async for job_ids in changes:
             await self._inbox.send(events.JobsChanged(job_ids))
 
-    async def _forward_view_changes(self) -> None:
-        while True:
-            await self._view.wait_for_change()
-            await self._inbox.send(events.ViewChanged())
-
     async def _run_rounds(self) -> None:
         min_interval = self._settings.min_round_interval_seconds
         self._next_round_at = self._clock.read_monotonic()
