--- /dev/null
+++ b/libs/controller/features/steps/load_steps.py
@@ -0,0 +1,106 @@
+import trio
+import trio.testing
+from behave import given, then, when
+from fakeplatform import FakeClock, FakeStore
+from simulation import SETTINGS
+
+from tarragonlb.controller.feeds import FleetStateFeed
+from tarragonlb.controller.loadpublisher import LoadPublisher
+from tarragonlb.controller.membership import OwnedPartition
+from tarragonlb.controller.platformview import PlatformView
+from tarragonlb.controller.ports import Topic
+from tarragonlb.controller.settings import FLEET_PARTITION
+from tarragonlb.scheduling.demand import measure_load
+from tarragonlb.scheduling.job import Demand, Job, JobSpec, Moment, Step
+from tarragonlb.scheduling.jobstate import JobState
+from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.worker import Worker
+
+POOL = 'pool'
+KEY = (Topic.JOBS, FLEET_PARTITION)
+CAPACITY = Demand(4000, 8000, 0)
+INTERVAL_SECONDS = 0.25
+
+
+def add_jobs(context, count):
+    jobs = context.partition_state.jobs
+    for _ in range(count):
+        step = Step(width=4, demand=Demand(1000, 100, 0))
+        job = Job(
+            job_id=f'{len(jobs):016x}',
+            queue='q',
+            pool=POOL,
+            spec=JobSpec(payload='x', steps=(step,)),
+        )
+        state = JobState(job, Moment(0))
+        state.add_due_occurrences(0)
+        context.partition_state.add_job(state)
+
+
+def publish(context, seconds):
+    async def run():
+        trio.lowlevel.current_clock().jump(context.now)
+        until = trio.current_time() + seconds
+        while trio.current_time() < until:
+            records = context.publisher.list_changed(
+                context.partition_state, trio.current_time()
+            )
+            for record in records:
+                await context.publisher.publish(record)
+            await context.feed.refresh()
+            await trio.sleep(INTERVAL_SECONDS)
+        context.now = trio.current_time()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@given('a pool with {count:d} waiting job, whose load is published')
+def begin(context, count):
+    context.now = 1.0
+    context.store = FakeStore()
+    context.view = PlatformView()
+    context.feed = FleetStateFeed(
+        context.store, SETTINGS, context.view, FakeClock()
+    )
+    context.partition_state = PartitionState(SETTINGS.scheduling, 0)
+    context.partition_state.update_workers(
+        Worker(worker_id=name, pool=POOL, capacity=CAPACITY)
+        for name in ('w0', 'w1')
+    )
+    add_jobs(context, count)
+    context.publisher = LoadPublisher(
+        OwnedPartition(1, 1), context.store, context.view, SETTINGS
+    )
+    publish(context, INTERVAL_SECONDS)
+
+
+@when('{count:d} more jobs wait, and their load is published')
+def add_more(context, count):
+    add_jobs(context, count)
+    publish(context, INTERVAL_SECONDS)
+
+
+@when('the first record of the load is stored once more')
+def store_again(context):
+    log = context.store.logs[KEY]
+    log.append(log[0])
+
+
+@when('{seconds:d} seconds pass in which loads are published and read')
+def let_pass(context, seconds):
+    publish(context, seconds)
+
+
+@then('the stored load is the present one')
+def check_load(context):
+    stored = context.view.fleet_state.loads[POOL]
+    present = measure_load(context.partition_state, POOL)
+    assert stored == present, (stored, present)
+
+
+@then('the load was written {count:d} times')
+def check_writes(context, count):
+    # The record that was stored once more was not written by the publisher.
+    records = context.store.logs[KEY]
+    written = len(records) - (len(records) > 1)
+    assert written == count, records
