Report a drained worker again while the store shows an older report

What callers may see: a VM that is drained for a move stays where it is, takes no tasks and goes to no pool that lacks workers.

Cause: as with loads, a report that got no answer may be stored after the one for a later request. Each report was written once, so the older one stayed.

Result: loads.feature, "A drained worker is reported again when an older report is stored later": fails if reports are not repeated, passes with the change.

--- a/libs/controller/features/loads.feature
+++ b/libs/controller/features/loads.feature
@@ -15,3 +15,12 @@
     When 3 seconds pass in which loads are published and read
     Then the stored load is the present one
     And the load was written 1 times
+
+  # Guards against a VM that stays drained in its pool and moves nowhere.
+  Scenario: A drained worker is reported again when an older report is stored later
+    Given a drain request whose worker is reported as drained
+    When the worker is requested anew and reported as drained
+    And the first record of the report is stored once more
+    And 3 seconds pass in which drained workers are reported
+    Then the worker counts as drained
+    And 3 reports were written
--- a/libs/controller/tarragonlb/controller/loadpublisher.py
+++ b/libs/controller/tarragonlb/controller/loadpublisher.py
@@ -84,15 +84,15 @@
                 found.append(build_load_record(name, load))
         return found
 
+    async def publish(self, record: KeyedRecord) -> None:
+        """Store a load; after a failure all loads are published again."""
+        result = await self._store.append(FLEET_PARTITION, (record,), None)
+        if not isinstance(result, Stored):
+            self._published.clear()
+
     def _is_published(self, pool: str, load: PoolLoad, now: float) -> bool:
         published, written_at = self._published.get(pool, (None, now))
         if published != load:
             return False
         is_read = self._view.fleet_state.loads.get(pool) == load
         return is_read or now - written_at < REPEAT_SECONDS
-
-    async def publish(self, record: KeyedRecord) -> None:
-        """Store a load; after a failure all loads are published again."""
-        result = await self._store.append(FLEET_PARTITION, (record,), None)
-        if not isinstance(result, Stored):
-            self._published.clear()
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -97,7 +97,7 @@
         self._settings = settings
         self._clock = clock
         self._storage = DecisionStorage(owned, store, feed, settings)
-        self._drain_reporter = DrainReporter(store, settings)
+        self._drain_reporter = DrainReporter(store, settings, clock)
         self._load_publisher = LoadPublisher(owned, store, view, settings)
         self._inbox, self._inbox_receiver = trio.open_memory_channel[
             events.Event
