--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -275,9 +275,8 @@
   # choice, so that a task never starts although other workers have room.
   Scenario Outline: A task goes elsewhere when its worker refuses all starts
     Given workers "w0 w1" with 16000 millicores
-    And worker "w0" answers each start with "<result>"
     And a job with steps "<steps>"
-    When 3 seconds go by, with a round every 0.1 seconds
+    When for 3 seconds worker "w0" answers starts with "<result>"
     Then all tasks have started on "w1"
 
     Examples:
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -105,7 +105,6 @@
     context.now = 0.0
     context.directory = {}
     context.end_count = 0
-    context.start_results = {}
     context.scheduler = Scheduler(SETTINGS, POLICIES, 0.0)
     context.scheduler.state.queues = QUEUES
     for name in names.split():
@@ -239,44 +238,17 @@
         add_job(context, queue, steps)
 
 
-@given('worker "{name}" answers each start with "{result}"')
-def set_start_result(context, name, result):
-    context.start_results = {name: OrderResult(result)}
-
-
-def answer_starts(context):
-    for order in context.round.starts:
-        result = context.start_results.get(order.worker_id, OrderResult.DONE)
-        if result is OrderResult.DONE:
-            context.started_on[order.key] = order.worker_id
-        context.scheduler.apply_order_result(order, result, context.now)
-
-
 @when('{seconds:g} seconds go by, with a round every 0.1 seconds')
 def run_rounds(context, seconds):
     context.started = 0
-    context.started_on = {}
     end_at = context.now + seconds
     while context.now < end_at:
         run_round(context)
         context.started += len(context.round.starts)
-        if context.start_results:
-            answer_starts(context)
         for name in context.directory:
             report(context, name)
 
 
-@then('all tasks have started on "{name}"')
-def check_started_on(context, name):
-    waiting = [
-        key
-        for state in context.scheduler.state.jobs.values()
-        for key, _ in state.list_tasks()
-        if context.started_on.get(key) != name
-    ]
-    assert not waiting, waiting
-
-
 @then('tasks have started')
 def check_some_started(context):
     assert context.started
