--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -16,11 +16,7 @@
 from tarragonlb.scheduling.job import Moment, TaskKey
 from tarragonlb.scheduling.orders import StartOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.placement import (
-    has_room_beside_permanent,
-    is_candidate,
-    is_eligible,
-)
+from tarragonlb.scheduling.placement import is_candidate, will_be_candidate
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
 from tarragonlb.scheduling.startwindow import StartWindow
@@ -308,21 +304,13 @@
             for worker in self._partition.workers.values()
             if worker.entry.pool == ready.job_state.job.pool
             and worker.entry.worker_id not in self._reserved
-            and self._may_wait_for(worker, ready, now)
+            and will_be_candidate(worker, ready.step, ready.key)
+            and self._is_allowed_by_filters(worker, ready, now)
         ]
         emptiest = max(eligible, key=_get_free_cpu, default=None)
         if emptiest is not None:
             self._reserved.add(emptiest.entry.worker_id)
 
-    def _may_wait_for(
-        self, worker: WorkerState, ready: ReadyStep, now: float
-    ) -> bool:
-        return (
-            is_eligible(worker, ready.step, ready.key)
-            and has_room_beside_permanent(worker, ready.step)
-            and self._is_allowed_by_filters(worker, ready, now)
-        )
-
 
 def _get_free_cpu(worker: WorkerState) -> int:
     return worker.free_cpu
--- a/libs/scheduling/tarragonlb/scheduling/placement.py
+++ b/libs/scheduling/tarragonlb/scheduling/placement.py
@@ -25,6 +25,15 @@
     return not limit or worker.count_step_tasks(step_key) < limit
 
 
+def will_be_candidate(
+    worker: WorkerState, step: Step, step_key: tuple[str, int, int]
+) -> bool:
+    """Return whether a worker may take a task of a step once others end."""
+    return is_eligible(worker, step, step_key) and has_room_beside_permanent(
+        worker, step
+    )
+
+
 def has_room_beside_permanent(worker: WorkerState, step: Step) -> bool:
     """Return whether one more task fits once all others have ended.
 
