Run the jobs of a queue to their end after it was removed

Cause: a round skips the jobs whose queue the configuration does not list.

An owner now goes by the last settings of the queue that it knew. One that took over later knows none; after 5 s, in which it may still be reading a newer configuration, it runs such jobs behind all others and takes the first failure of a task for the last that is allowed. Without any configuration nothing starts, as before.

decisions.feature: two scenarios fail without the change (no start) and pass with it; decisions, queues, advice and admission.feature: 69 passed.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -303,3 +303,27 @@
       | before                     | waiting          |
       | 1x500                      | 1x5000 permanent |
       | 2x1000 permanent at most 1 | 1x4000 permanent |
+
+  # Guards against accepted jobs that wait for ever once their queue was removed.
+  Scenario: A job runs to its end although its queue is removed
+    Given workers "w0" with 1000 millicores
+    And a job of queue "patient" with steps "1x1000, 1x1000 after 0"
+    When a scheduling round runs
+    And all running tasks end "done"
+    And the queue "patient" is removed
+    And a scheduling round runs
+    Then 1 tasks start
+
+  # Guards against accepted jobs of a queue that their new owner has never seen.
+  Scenario Outline: A new owner runs the jobs of a queue that was removed before
+    Given workers "w0" with 1000 millicores
+    And a job of queue "patient" with steps "1x1000"
+    When another owner takes over
+    And the queue "patient" is removed
+    And <seconds> seconds go by, with a round every 0.1 seconds
+    Then <count> tasks were started since
+
+    Examples:
+      | seconds | count |
+      | 4       | 0     |
+      | 7       | 1     |
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -106,7 +106,9 @@
         for job_state in self._partition.open_jobs.values():
             if pools is not None and job_state.job.pool not in pools:
                 continue
-            queue = self._partition.queues.get(job_state.job.queue)
+            queue = self._partition.queue_history.find(
+                self._partition.queues, job_state.job, now.seconds
+            )
             if queue is not None:
                 # No occurrence starts early by ``wall_ms``, a wall clock
                 # without short jumps.
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -11,6 +11,7 @@
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.lookaheadrecord import LookAheadRecord
 from tarragonlb.scheduling.queue import Queue
+from tarragonlb.scheduling.queuehistory import QueueHistory
 from tarragonlb.scheduling.settings import SchedulingSettings
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.tenant import NO_TENANTS, TenantTable
@@ -60,7 +61,8 @@
     ``stopping_workers`` may have attempts that are to be stopped.
     ``stored_bounds`` maps the workers whose lease bound is stored, or being
     stored, to its seconds.  ``unknown_paces`` are scavenging attempts whose
-    pace is unknown.  ``usage`` is what tenants occupy.  ``look_ahead`` learns
+    pace is unknown.  ``queue_history`` finds the queues of jobs, also removed
+    ones.  ``usage`` is what tenants occupy.  ``look_ahead`` learns
     how long tasks run, None if no policy asks for it.
     """
 
@@ -72,6 +74,7 @@
         'jobs',
         'look_ahead',
         'open_jobs',
+        'queue_history',
         'queues',
         'released_attempts',
         'reported_workers',
@@ -93,6 +96,7 @@
         self.open_jobs: dict[str, JobState] = {}
         self.workers: dict[str, WorkerState] = {}
         self.queues: Mapping[str, Queue] = {}
+        self.queue_history = QueueHistory()
         self.tenants: TenantTable = NO_TENANTS
         self.usage = TenantUsage()
         self.changed_jobs: set[str] = set()
--- a/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
+++ b/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
@@ -116,7 +116,9 @@
     jobs: list[JobBacklog] = []
     steps: list[ReadyStep] = []
     for state in states:
-        queue = partition.queues.get(state.job.queue)
+        queue = partition.queue_history.find(
+            partition.queues, state.job, now.seconds
+        )
         if queue is None:
             continue
         ready = list_ready_steps(state, queue, now)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -241,7 +241,9 @@
         self, key: TaskKey, task: TaskState, now: float
     ) -> None:
         state = self._partition.jobs[key.job_id]
-        queue = self._partition.queues.get(state.job.queue)
+        queue = self._partition.queue_history.find(
+            self._partition.queues, state.job, now
+        )
         if queue is None or self._partition.find_step(key).is_permanent:
             return
         if task.failures >= queue.max_attempts:
--- a/libs/scheduling/tarragonlb/scheduling/reservationfilter.py
+++ b/libs/scheduling/tarragonlb/scheduling/reservationfilter.py
@@ -231,7 +231,7 @@
         return bool(holds)
 
     def _reserve(self, pool: str, waiting: WaitingStep, now: float) -> None:
-        limit_at = now + self._limit_hold(waiting.ready)
+        limit_at = now + self._limit_hold(waiting.ready, now)
         holds = self._plan(waiting, limit_at)
         if holds:
             reservation = Reservation(waiting, holds, now, limit_at)
@@ -240,10 +240,12 @@
                 reservation.describe(ReservationEvent.MADE, now)
             )
 
-    def _limit_hold(self, ready: ReadyStep) -> float:
+    def _limit_hold(self, ready: ReadyStep, now: float) -> float:
         """Return for how long workers may be held for a step."""
         job_state = ready.job_state
-        queue = self._partition.queues.get(job_state.job.queue)
+        queue = self._partition.queue_history.find(
+            self._partition.queues, job_state.job, now
+        )
         if queue is None:
             return 0
         objective = (
