Keep the start window from starving gangs and from opening too wide

- A gang wider than half of the window waited for ever behind smaller steps, which took what became free: a gang of 40 was not placed in 35 s at 50 starts a second.
Nothing is placed behind the first step that waits for the window now.
- A step that found nothing under way was placed whole, whatever its width: 900 or 1,500 at once.
Only a gang is.
- The bound on starts at workers that do not answer was passed over, and such a worker counted as unresponsive until it accepted a start.
The bound holds first, and a worker without pending starts is tried again.
- A worker that leaves starts unanswered, while it answers polls, stayed the first choice.
It backs off like one that refuses them.
- A new owner would give up a job of a removed queue after one failed task, though it can't know how many are allowed.
It gives up none.

--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         '_candidates',
+        '_is_window_full',
         '_next_full_pass_at',
         '_partition',
         '_policies',
@@ -54,6 +55,7 @@
         ``window`` limits how many are placed and not started.
         """
         self._window = window
+        self._is_window_full = False
         self._partition = partition
         self._policies = policies
         self._reserved: set[str] = set()
@@ -73,13 +75,20 @@
         for worker_filter in self._policies.filters:
             worker_filter.begin_round(self._partition, now.seconds)
         self._window.begin_round()
+        self._is_window_full = False
         found = self._list_ready(now, pools)
         orders: list[StartOrder] = []
         for ready in self._policies.order.arrange(found, self._partition, now):
-            if self._has_window(ready, 1):
-                placed = self._place_step(ready, now.seconds)
-                self._window.note_placed(placed)
-                orders.extend(placed)
+            placed = self._place_step(ready, now.seconds)
+            self._window.note_placed(placed)
+            orders.extend(placed)
+            if self._is_window_full:
+                # Steps behind the first one that waits for the window would
+                # take what becomes free of it, and starve a gang.
+                self._window.note_limited(
+                    waiting.job_state.job.pool for waiting in found
+                )
+                break
         return orders
 
     def _choose_pools(self, now: float) -> set[str] | None:
@@ -154,15 +163,13 @@
 
         ``placed`` tasks of it were placed before in this round.
         """
-        if not self._has_window(ready, placed + 1):
+        if not self._has_window(placed + 1, is_gang=False):
             return False
         return self._policies.limit.allows(ready, 1, self._partition)
 
-    def _has_window(self, ready: ReadyStep, count: int) -> bool:
-        if self._window.allows(count):
-            return True
-        self._window.note_limited(ready.job_state.job.pool)
-        return False
+    def _has_window(self, count: int, *, is_gang: bool) -> bool:
+        self._is_window_full = not self._window.allows(count, is_gang=is_gang)
+        return not self._is_window_full
 
     def _note_waiting(self, ready: ReadyStep, now: float) -> None:
         for worker_filter in self._policies.filters:
@@ -174,7 +181,7 @@
         tasks = ready.step_state.tasks
         if len(waiting) < len(tasks):
             return []
-        if not self._has_window(ready, len(waiting)):
+        if not self._has_window(len(waiting), is_gang=True):
             return []
         if not self._policies.limit.allows(
             ready, len(waiting), self._partition
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -10,6 +10,7 @@
 from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StartStage, StopReason, TaskPhase
+from tarragonlb.scheduling.worker import WorkerState
 from tarragonlb.scheduling.workerloss import LossReason
 
 # Results of a start that say that the worker would refuse others, too.
@@ -41,13 +42,13 @@
             if result is OrderResult.DONE:
                 task.start_stage = StartStage.CONFIRMED
                 worker.note_start_accepted()
+            else:
+                self._back_off(worker, now)
             return
         if result is OrderResult.OTHER_INCARNATION:
             worker.must_report = True
         if result in REFUSALS:
-            worker.note_start_refused(
-                now, self._partition.settings.refusal_backoff_seconds
-            )
+            self._back_off(worker, now)
         self._partition.release(order.key, task, 'the start was refused')
         task.not_before = now + self._partition.settings.refusal_backoff_seconds
         if self._partition.find_step(order.key).is_gang:
@@ -71,6 +72,11 @@
             worker = self._partition.workers[order.worker_id]
             self._losses.lose_all(worker, LossReason.REPLACED, now)
 
+    def _back_off(self, worker: WorkerState, now: float) -> None:
+        worker.note_start_refused(
+            now, self._partition.settings.refusal_backoff_seconds
+        )
+
     def _bar_orphan(
         self, order: StopOrder, result: OrderResult, now: float
     ) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/queuehistory.py
+++ b/libs/scheduling/tarragonlb/scheduling/queuehistory.py
@@ -3,8 +3,8 @@
 A job that was accepted runs to its end even if its queue is removed meanwhile.
 Its owner then goes by the last settings that it knew.  An owner that takes over
 later knows none: after a while, in which it may still read a newer
-configuration, it runs such jobs behind all others and takes the first failure
-of a task for the last that is allowed.
+configuration, it runs such jobs behind all others.  It can't know how often a
+task may fail, so it gives none of them up.
 """
 
 from collections.abc import Mapping
@@ -14,6 +14,7 @@
 
 # Well above the time in which a daemon applies a new configuration.
 UNKNOWN_QUEUE_SECONDS = 5.0
+UNLIMITED_ATTEMPTS = 1 << 30
 
 
 class QueueHistory:
@@ -53,5 +54,6 @@
             host='',
             path_prefix='',
             pool=job.pool,
+            max_attempts=UNLIMITED_ATTEMPTS,
             priority=max(listed.priority for listed in queues.values()),
         )
--- a/libs/scheduling/tarragonlb/scheduling/startwindow.py
+++ b/libs/scheduling/tarragonlb/scheduling/startwindow.py
@@ -12,7 +12,7 @@
 
 >>> window = StartWindow(partition, is_bounded=True)   # doctest: +SKIP
 >>> window.begin_round()                               # doctest: +SKIP
->>> window.allows(1)                                   # doctest: +SKIP
+>>> window.allows(1, is_gang=False)                    # doctest: +SKIP
 True
 """
 
@@ -84,16 +84,22 @@
             for attempt, start in self._pending.items()
             if self._is_pending(attempt, start)
         }
+        self._unresponsive.intersection_update(
+            start.worker_id for start in self._pending.values()
+        )
         self._counted = sum(map(self._counts, self._pending.values()))
 
-    def allows(self, count: int) -> bool:
+    def allows(self, count: int, *, is_gang: bool) -> bool:
         """Return whether ``count`` tasks may be placed now.
 
         A gang that is larger than the window is placed while nothing else is.
         """
-        if not (self._counted and self._is_bounded):
+        if not self._is_bounded:
             return True
-        if len(self._pending) + count > MAX_PENDING_FACTOR * self.size:
+        max_pending = MAX_PENDING_FACTOR * self.size
+        if is_gang and not self._counted:
+            return len(self._pending) < max_pending
+        if len(self._pending) + count > max_pending:
             return False
         return self._counted + count <= self.size
 
@@ -110,9 +116,9 @@
             self._pending[start.key, start.attempt] = pending
             self._counted += 1
 
-    def note_limited(self, pool: str) -> None:
-        """Note that tasks of a pool wait only for the window."""
-        self._limited_pools.add(pool)
+    def note_limited(self, pools: Iterable[str]) -> None:
+        """Note that tasks of these pools may wait only for the window."""
+        self._limited_pools.update(pools)
 
     def note_queued(self, starts: Iterable[StartOrder], now: float) -> None:
         """Note that the placements are stored and the orders queued."""
