--- a/libs/controller/features/steps/readgate_steps.py
+++ b/libs/controller/features/steps/narrowlink_steps.py
@@ -10,7 +10,6 @@
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.ports import Topic
-from tarragonlb.controller.readgate import ReadGate
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.termwriter import TermWriter
 from tarragonlb.scheduling.records import SUBMISSION, KeyedRecord
@@ -29,7 +28,6 @@
 )
 def create_partitions(context, count, size):
     context.store = NarrowStore()
-    gate = ReadGate()
     context.feeds = {}
     for partition in range(1, count + 1):
         log = context.store.logs[Topic.JOBS, partition]
@@ -43,7 +41,6 @@
             context.store,
             SETTINGS,
             FakeClock(),
-            read_gate=gate,
         )
 
 
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -13,7 +13,6 @@
 from tarragonlb.controller.partitionreader import PartitionReader, RecordUpdate
 from tarragonlb.controller.ports import Clock, Store, Topic
 from tarragonlb.controller.quotafeed import QuotaFeed
-from tarragonlb.controller.readgate import ReadGate
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.jobindex import JobIndex
@@ -26,9 +25,6 @@
 COUNT_CACHE_SECONDS = 0.3
 # A read that is due within this time is not waited for.
 MIN_WAIT_SECONDS = 0.01
-# A partition that was last read more than this many intervals ago may have many
-# new records.
-MAX_MISSED_INTERVALS = 2
 
 
 class PartitionFeed:
@@ -39,9 +35,7 @@
         '_counted_at',
         '_counts',
         '_dependency_log',
-        '_is_at_end',
         '_last_refresh',
-        '_read_gate',
         '_reader',
         '_refresh_lock',
         '_refreshes_begun',
@@ -62,12 +56,10 @@
         settings: ControllerSettings,
         clock: Clock,
         quota_feed: QuotaFeed | None = None,
-        read_gate: ReadGate | None = None,
     ) -> None:
         """Prepare to poll ``partition``.
 
-        Its owner follows ``quota_feed``, too, if there are tenants.  All feeds
-        of a daemon share ``read_gate``.
+        Its owner follows ``quota_feed``, too, if there are tenants.
         """
         self.quota_feed = quota_feed
         self.partition = partition
@@ -82,8 +74,6 @@
             0,
             NotDone('nothing was read'),
         )
-        self._read_gate = read_gate or ReadGate()
-        self._is_at_end = False
         self._reader = PartitionReader(store, Topic.JOBS, partition)
         self._dependency_log = DependencyLog(
             f'records of partition {partition}'
@@ -102,8 +92,7 @@
         """Poll the partition until cancelled."""
         settings = self._settings
         while True:
-            # A refresh that has begun also serves the owner's first read.
-            is_owner = self.is_owned and self.last_read_at is not None
+            is_owner = self.is_owned
             if is_owner:
                 result = await self._read(settings.read_wait_seconds)
             else:
@@ -143,7 +132,6 @@
         """
         self._subscriber = subscriber
         self._wake.set()
-        self._read_gate.notify()
 
     def unsubscribe(self) -> None:
         """Poll at the followers' rate again."""
@@ -187,24 +175,10 @@
 
     async def _read_to_end(self) -> RecordUpdate | NotDone:
         while True:
-            result = await self._read_in_turn()
+            result = await self._read(0)
             if isinstance(result, NotDone) or result.is_at_end:
                 return result
 
-    async def _read_in_turn(self) -> RecordUpdate | NotDone:
-        if not self._is_behind():
-            return await self._read(0)
-        async with self._read_gate.enter(lambda: self.is_owned):
-            return await self._read(0)
-
-    def _is_behind(self) -> bool:
-        """Return whether the next read may be long."""
-        if self.last_read_at is None or not self._is_at_end:
-            return True
-        age = self._clock.read_boottime() - self.last_read_at
-        interval = self._settings.follower_read_interval_seconds
-        return age > MAX_MISSED_INTERVALS * interval
-
     async def _read(self, wait_seconds: float) -> RecordUpdate | NotDone:
         result = await self._reader.poll(wait_seconds)
         if isinstance(result, RecordUpdate):
@@ -225,7 +199,6 @@
 
     def _apply(self, update: RecordUpdate) -> None:
         self.last_read_at = self._clock.read_boottime()
-        self._is_at_end = update.is_at_end
         changed = self._index(update)
         errors = (*self.job_index.errors, *self.lease_bounds.errors)
         for error in errors:
--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -285,7 +285,6 @@
       | refused    | 11x1400       |
       | refused    | 3x1400 copies |
       | other-life | 1x1400        |
-      | unanswered | 1x1400        |
 
   # Guards against a permanent task that reserves a worker for as long as it
   # waits, although no other task makes room for it by ending.
--- a/libs/scheduling/features/steps/window_steps.py
+++ b/libs/scheduling/features/steps/window_steps.py
@@ -76,9 +76,7 @@
             context.running.append((context.now + TASK_SECONDS, order.key))
 
 
-@when(
-    'the starts on all workers are left unanswered for {seconds:g} seconds'
-)
+@when('the starts on all workers are left unanswered for {seconds:g} seconds')
 def leave_unanswered(context, seconds):
     end_at = context.now + seconds
     while context.now < end_at:
