Show that weak daemons may claim first after a loss of all owners

Callers see late and failed jobs after all daemons have lost power together, when pools belong to daemons of half a core while daemons of two cores are idle.

Cause: a daemon that has just started checks each partition once, soon. If the memberships of the former owners have not expired by then, it waits until 1.6 s after its first reading. One that starts later, as a weak one does, checks first when they have expired, and claims.

--- a/libs/scheduling/features/owners.feature
+++ b/libs/scheduling/features/owners.feature
@@ -34,6 +34,14 @@
     Then no partition is due at 1.6 s
     And partition 1 is due at 2.1 s
 
+  # Guards against weak daemons that own all pools after a loss of all daemons,
+  # since they start later and so check first when the groups are vacant.
+  Scenario: After a loss of all owners the strongest daemon claims first
+    Given former owners that are listed as members until 1.2 s
+    When a daemon of 2 cores reads their statuses at 0 s
+    And a daemon of 0.5 cores reads their statuses at 1 s
+    Then the daemon of 2 cores claims partition 1 first
+
   Scenario: A daemon that has just started leaves live owners alone
     Given stored statuses of partitions "1" are read at 0 s
     When the owner of partition 1 is heard at 0.2 s
