--- a/libs/scheduling/tarragonlb/scheduling/startbackoff.py
+++ b/libs/scheduling/tarragonlb/scheduling/startbackoff.py
@@ -1,7 +1,8 @@
 """Backoff of a worker that refuses starts.
 
 A worker may answer polls and refuse starts, as one that is unhealthy or takes
-no more connections does.  It would stay the first choice, as it is empty.
+no more connections does.  It would stay the first choice, as it is empty.  A
+start that it leaves unanswered counts like one that it refuses.
 
 >>> backoff = StartBackoff()
 >>> backoff.note_refusal(now=10.0, seconds=0.3)
