Test that a task leaves a worker which answers no starts

Callers would see a step that never starts although other workers have room, while its first choice answers polls and stops but leaves each start unanswered.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -286,6 +286,13 @@
       | refused    | 3x1400 copies |
       | other-life | 1x1400        |
 
+  # Guards against a worker that answers polls only and stays the first choice.
+  Scenario: A task goes elsewhere when its worker leaves all starts unanswered
+    Given workers "w0 w1" with 16000 millicores
+    And a job with steps "11x1400"
+    When for 3 seconds worker "w0" leaves all starts unanswered
+    Then all tasks have started on "w1"
+
   # Guards against a permanent task that reserves a worker for as long as it
   # waits, although no other task makes room for it by ending.
   Scenario Outline: A permanent task reserves no worker on which it can't fit
