--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,10 +10,11 @@
 from stage import Stage, play
 
 SERVICES = ('pool-0', 'pool-1')
+DAEMONS = 6
 ROUNDS = 16
 RUN_MS = 4000
 # From the 2xx for a request to the arrival of the same request again.
-REPEAT_SECONDS = 1.2
+REPEAT_SECONDS = 1.0
 # Drawn anew for each round: daemons read other partitions at an interval.
 MIN_ROUND_SECONDS, MAX_ROUND_SECONDS = 4.5, 6.0
 
@@ -25,7 +26,7 @@
     # A job may run on either service, as a config sends the queue to each.
     stage.promises.ignored.add('ROUTE')
     stage.write_configuration(_list_queues(0))
-    await stage.start(4)
+    await stage.start(DAEMONS)
     await _warm_up(stage)
     first, *others = stage.daemons
     for number in range(ROUNDS):
--- a/review/standins/stage.py
+++ b/review/standins/stage.py
@@ -68,8 +68,6 @@
         """Check without any fault that would excuse a broken promise."""
         super().__init__(ActiveFaults())
         self._record = record
-        # The names of the work units that have started.
-        self.started: set[str] = set()
         # Promises that a script does not check.
         self.ignored: set[str] = set()
 
@@ -87,7 +85,6 @@
         self._record.say(
             f'start    {run.task} run {run.number} on {_name(worker)}'
         )
-        self.started.add(str(run.task))
         super().note_start(worker, run, order, is_late=is_late)
 
     def note_end(self, worker: Worker, run: Run) -> None:
@@ -101,10 +98,6 @@
         self._record.say(f'order    for VM {vm_id} from {holder} ({token})')
         super().note_vm_order(vm_id, holder, token)
 
-    def has_begun(self, job: JobFacts) -> bool:
-        """Return whether a work unit of a job has started."""
-        return any(str(task) in self.started for task in job.tasks)
-
 
 class RecordingClient(Client):
     """A requester whose requests and answers are recorded."""
@@ -130,7 +123,6 @@
     record: Record
     ip = ''
     own_ends = 0
-    _is_killed = False
     store_address = ''
     vm_address = ''
 
@@ -141,23 +133,13 @@
             while True:
                 await self._start()
                 code = await self._process.wait()
-                if not self._is_killed:
-                    self.own_ends += 1
-                    self.record.say(
-                        f'process  {self.name} ended by itself: {code}'
-                    )
-                self._is_killed = False
+                self.own_ends += 1
+                self.record.say(f'process  {self.name} ended by itself: {code}')
                 await trio.sleep(RESTART_SECONDS)
         finally:
             for holder in self._reserved:
                 holder.close()
 
-    def kill(self) -> None:
-        """Kill the process; it is started again."""
-        self._is_killed = True
-        self.record.say(f'process  {self.name} is killed')
-        self.send(signal.SIGKILL)
-
     async def _start(self) -> None:
         deployed = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         environment = {
@@ -275,19 +257,6 @@
         self.promises.jobs[plan.job_id] = job
         return job
 
-    def find_owner(self) -> DeployedDaemon:
-        """Return the owner of the only partition with jobs."""
-        members = {
-            member
-            for name, group in self.store._groups.items()
-            for (_, number), member in group.owners.items()
-            if name == f'owner-{number}' and number
-        }
-        if len(members) != 1:
-            raise RuntimeError(f'owners: {members}')
-        name = members.pop().rpartition('-')[0]
-        return next(found for found in self.daemons if found.name == name)
-
     async def post(self, job: JobFacts, daemon: Daemon) -> int:
         """Submit a job at a daemon; return the status."""
         path = job.plan.queue.prefix + job.plan.job_id
