--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,8 +23,7 @@
     """Send a job's request again at other daemons, after a config change."""
     for service in SERVICES:
         await stage.add_vms(service, 3)
-    # A job may run on either service, as a config sends the queue to each.
-    stage.promises.ignored.add('ROUTE')
+    stage.promises.checked.add('TWICE')
     stage.write_configuration(_list_queues(0))
     await stage.start(DAEMONS)
     await _warm_up(stage)
