Refuse text that is nested too deeply, in one place for all readers

Callers saw every daemon end, and end again after each restart, for as long as one entry of another writer lay in the directory of workers: a list nested 2,000 levels deep.

Cause: msgspec reports malformed JSON and unexpected types as MsgspecError, but nesting as RecursionError. Each decoder of the adapter caught the former only; the error then ended WorkerFeed.run, whose nursery is that of the process. The same text broke all twelve decoders of the adapter, and the request bodies of the product's own API.

decode_json raises DecodingError whatever the parser raised, and every reader of JSON uses it, so an entry or a response is ignored with a log line and a request is answered with 400.

--- a/libs/daemon/tarragonlb/daemon/apibase.py
+++ b/libs/daemon/tarragonlb/daemon/apibase.py
@@ -12,6 +12,7 @@
 from tarragonlb.daemon.clock import read_monotonic
 from tarragonlb.daemon.fleetwatcher import FleetWatcher
 from tarragonlb.daemon.journal import Journal
+from tarragonlb.model.decoding import DecodingError, decode_json
 from tarragonlb.model.errors import RefusedError
 from tarragonlb.model.verdict import Verdict
 
@@ -88,8 +89,8 @@
     """
     body = await read_body(request)
     try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(body, body_type)
+    except DecodingError as error:
         raise RefusedError(
             _describe_decode_error(str(error)),
             verdict=Verdict.NOT_RUN,
