Leave out odd records of the fleet partition instead of ending every daemon

A record of the fleet partition whose value decodes to something unexpected ended every daemon that read it, and again after each restart: an infinite number in a load, a text that is nested deeply, a date out of range. No record of this kind was seen from a user; the generated values of the new test showed it.

Cause: FleetState caught ValueError and TypeError, while int() and the CBOR library raise OverflowError, RecursionError and errors of their own family; and what did convert (NaN as the cores of an owner, bytes as the name of a worker) was kept, and failed or misled what used it later, such as the time of the next bid for a partition.

The values are now decoded into types that state their ranges (decoding.Count, Amount, ...), and everything that can't be decoded raises one error, which FleetState collects and its feed logs.

decoding.feature (libs/scheduling), 400 generated lists of records, each among ten sound ones: failed before, passes now; fleet.feature passes as before.

--- a/libs/model/tarragonlb/model/decoding.py
+++ b/libs/model/tarragonlb/model/decoding.py
@@ -1,9 +1,13 @@
-"""Decodes text that another program has written.
+"""Decodes bytes that another program has written.
 
-The parser raises errors of several families: for malformed text, for text that
-is nested too deeply, for numbers with too many digits and for values of another
-type.  Readers need one: the text can't be used.  What they ignore is then a
-single record or response, and never ends the process.
+The libraries raise errors of several families: for malformed text, for text
+that is nested too deeply, for numbers with too many digits and for values of
+another type.  Readers need one: the bytes can't be used.  What they ignore is
+then a single record or response, and never ends the process.
+
+Text that decodes may still hold numbers that no caller can use: an integer that
+does not fit into a float, or a float that is no number.  Types of decoded
+values say their range with the types below, so that callers may rely on it.
 
 >>> decode_json(b'[1, 2]', list[int])
 [1, 2]
@@ -12,17 +16,38 @@
 tarragonlb.model.decoding.DecodingError: nested too deeply
 """
 
-from typing import TypeVar
+from typing import Annotated, Any, TypeVar
 
+import cbor2
 import msgspec
 
 from tarragonlb.model.errors import TarragonError
 
+# The largest integer that every JSON parser reads exactly.
+MAX_INTEGER = 2**53 - 1
+# Some 300,000 years in milliseconds.
+MAX_FLOAT = 1e16
+
 Decoded = TypeVar('Decoded')
 
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# Infinity and NaN are outside every range.
+Number = Annotated[float, msgspec.Meta(ge=-MAX_FLOAT, le=MAX_FLOAT)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_FLOAT)]
+
+_FAILURES = (
+    ArithmeticError,
+    LookupError,
+    TypeError,
+    ValueError,
+    cbor2.CBORError,
+    msgspec.MsgspecError,
+)
+
 
 class DecodingError(TarragonError, ValueError):
-    """The text can't be decoded, or holds values that nobody can use."""
+    """The bytes can't be decoded, or hold values that nobody can use."""
 
 
 def decode_json(text: bytes, expected: type[Decoded]) -> Decoded:
@@ -34,5 +59,29 @@
         return msgspec.json.decode(text, type=expected)
     except RecursionError as error:
         raise DecodingError('nested too deeply') from error
-    except ValueError as error:
+    except _FAILURES as error:
+        raise DecodingError(str(error)) from error
+
+
+def decode_cbor(blob: bytes) -> Any:
+    """Decode one CBOR value of any type, or raise ``DecodingError``."""
+    try:
+        return cbor2.loads(blob)
+    except RecursionError as error:
+        raise DecodingError('nested too deeply') from error
+    except _FAILURES as error:
+        raise DecodingError(f'not CBOR: {error}') from error
+
+
+def convert(content: Any, expected: type[Decoded]) -> Decoded:
+    """Convert a decoded value to a type, or raise ``DecodingError``.
+
+    >>> convert([1, 2], list[Count])
+    [1, 2]
+    """
+    try:
+        return msgspec.convert(content, expected)
+    except RecursionError as error:
+        raise DecodingError('nested too deeply') from error
+    except _FAILURES as error:
         raise DecodingError(str(error)) from error
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -7,10 +7,13 @@
 """
 
 from collections.abc import Iterable
-from typing import Any
-
-import cbor2
 
+from tarragonlb.scheduling.fleetcontent import (
+    decode_drain,
+    decode_load,
+    decode_order,
+    decode_worker_id,
+)
 from tarragonlb.scheduling.fleetrecords import (
     CLOSE,
     EMPTY,
@@ -23,6 +26,7 @@
     OwnerStatus,
     decode_owner_offer,
     decode_owner_status,
+    decode_pool_partition,
 )
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
 from tarragonlb.scheduling.waitrecords import WaitFigures, decode_waits
@@ -79,7 +83,7 @@
             self._offsets[record.key] = record.offset
             try:
                 self._apply(record, now)
-            except (ValueError, TypeError) as error:
+            except ValueError as error:
                 self.errors.append(RecordError(f'{record.key}: {error}'))
         for key in self.maintenance_begun:
             self.maintenance_begun_at.setdefault(key, now)
@@ -154,8 +158,7 @@
             case 'empty':
                 _apply_drain(self.drained, name, record.value)
             case 'order':
-                term, wall_ms = cbor2.loads(record.value)
-                self.orders[name] = VmOrder(int(term), float(wall_ms))
+                self.orders[name] = decode_order(record.value)
             case 'load' | 'wait':
                 self._apply_pool(kind, name, record.value, now)
             case 'pool' | 'owner' | 'offer':
@@ -167,7 +170,7 @@
         number, _, vm_id = name.partition('/')
         key = (int(number), vm_id)
         if kind == 'begun':
-            self.maintenance_begun[key] = str(cbor2.loads(value))
+            self.maintenance_begun[key] = decode_worker_id(value)
         else:
             self.maintenance_done.add(key)
 
@@ -175,13 +178,13 @@
         self, kind: str, name: str, value: bytes, now: float
     ) -> None:
         if kind == 'load':
-            self.loads[name] = _decode_load(value)
+            self.loads[name] = decode_load(value)
         else:
             self.waits.apply(name, decode_waits(value), now)
 
     def _apply_ownership(self, kind: str, name: str, value: bytes) -> None:
         if kind == 'pool':
-            self.partitions[name] = int(cbor2.loads(value))
+            self.partitions[name] = decode_pool_partition(value)
             return
         if kind == 'offer':
             offer = decode_owner_offer(int(name), value)
@@ -193,22 +196,10 @@
             self.owner_statuses[status.partition] = status
 
 
-def _decode_load(value: bytes) -> PoolLoad:
-    row: list[Any] = cbor2.loads(value)
-    counts, workers = row[:3], row[3:]
-    wanted, minimum, needed = map(int, counts)
-    candidates, permanent = map(tuple, workers)
-    return PoolLoad(wanted, minimum, needed, candidates, permanent)
-
-
 def _apply_drain(
     requests: dict[str, DrainRequest], vm_id: str, value: bytes
 ) -> None:
     if not value:
         requests.pop(vm_id, None)
         return
-    row: list[Any] = cbor2.loads(value)
-    worker_id, wave, number = row
-    requests[vm_id] = DrainRequest(
-        vm_id, str(worker_id), int(wave), int(number)
-    )
+    requests[vm_id] = decode_drain(vm_id, value)
--- a/libs/scheduling/tarragonlb/scheduling/ownershiprecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/ownershiprecords.py
@@ -18,8 +18,14 @@
 from dataclasses import astuple, dataclass, fields
 
 import cbor2
-import msgspec
 
+from tarragonlb.model.decoding import (
+    Amount,
+    Count,
+    DecodingError,
+    convert,
+    decode_cbor,
+)
 from tarragonlb.scheduling.records import KeyedRecord
 
 POOL = 'pool'
@@ -39,11 +45,11 @@
 
     partition: int
     member: str
-    term: int
-    number: int
-    processor_cores: float
-    lag_share: float = 0.0
-    owned_partitions: int = 1
+    term: Count
+    number: Count
+    processor_cores: Amount
+    lag_share: Amount = 0.0
+    owned_partitions: Count = 1
     is_released: bool = False
     successor: str = ''
 
@@ -57,8 +63,8 @@
 
     partition: int
     member: str
-    term: int
-    number: int
+    term: Count
+    number: Count
 
 
 def build_pool_record(pool: str, partition: int) -> KeyedRecord:
@@ -78,12 +84,17 @@
 
 def decode_owner_status(partition: int, value: bytes) -> OwnerStatus:
     """Return the status in a record; raise ``ValueError`` if it is invalid."""
-    return msgspec.convert(_decode(partition, value, OwnerStatus), OwnerStatus)
+    return convert(_decode(partition, value, OwnerStatus), OwnerStatus)
 
 
 def decode_owner_offer(partition: int, value: bytes) -> OwnerOffer:
     """Return the offer in a record; raise ``ValueError`` if it is invalid."""
-    return msgspec.convert(_decode(partition, value, OwnerOffer), OwnerOffer)
+    return convert(_decode(partition, value, OwnerOffer), OwnerOffer)
+
+
+def decode_pool_partition(value: bytes) -> int:
+    """Return a pool's partition; raise ``ValueError`` if it is invalid."""
+    return convert(decode_cbor(value), int)
 
 
 def is_owner_record(record: KeyedRecord) -> bool:
@@ -99,5 +110,8 @@
 def _decode(
     partition: int, value: bytes, kind: type[OwnerStatus | OwnerOffer]
 ) -> dict[str, object]:
+    content = decode_cbor(value)
+    if not isinstance(content, list):
+        raise DecodingError('expected a row')
     names = (field.name for field in fields(kind))
-    return dict(zip(names, (partition, *cbor2.loads(value)), strict=False))
+    return dict(zip(names, (partition, *content), strict=False))
--- a/libs/scheduling/tarragonlb/scheduling/waitrecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/waitrecords.py
@@ -11,10 +11,17 @@
 """
 
 from dataclasses import dataclass
-from typing import Any
 
 import cbor2
-
+import msgspec
+
+from tarragonlb.model.decoding import (
+    Amount,
+    Count,
+    Integer,
+    convert,
+    decode_cbor,
+)
 from tarragonlb.scheduling.job import Demand
 from tarragonlb.scheduling.records import KeyedRecord
 from tarragonlb.scheduling.waitforecast import PoolWaits
@@ -43,6 +50,18 @@
     is_current: bool
 
 
+class WaitContent(msgspec.Struct, array_like=True, frozen=True):
+    """The value of a record; the term alone says that nobody waits."""
+
+    term: Count
+    queues: dict[str, Amount] | None = None
+    tenants: list[tuple[str, str, Amount]] = []
+    # When all present work will be done, and the work done in a second.
+    times: tuple[Amount, Amount] = (0, 0)
+    # Of a worker that has shrunk, less than nothing may be free.
+    free: tuple[Integer, Integer, Integer] = (0, 0, 0)
+
+
 class WaitFigures:
     """The newest waits of each pool, with the time of reading."""
 
@@ -102,25 +121,19 @@
 
 
 def decode_waits(encoded: bytes) -> StoredWaits:
-    """Return the waits of a record; raise ValueError or TypeError if invalid.
+    """Return the waits of a record; raise ``ValueError`` if it is invalid.
 
     >>> decode_waits(build_wait_record('p', StoredWaits(4)).value)
     StoredWaits(term=4, waits=None)
     """
-    row: list[Any] = cbor2.loads(encoded)
-    term, *fields = row
-    if not fields:
-        return StoredWaits(int(term))
-    return StoredWaits(int(term), _decode_fields(*fields))
-
-
-def _decode_fields(
-    queues: Any, tenants: Any, times: Any, free: Any
-) -> PoolWaits:
-    by_tenant = {
-        (str(queue), str(tenant)): float(wait)
-        for queue, tenant, wait in tenants
-    }
-    by_queue = {str(name): float(wait) for name, wait in queues.items()}
-    clears_in, rate = map(float, times)
-    return PoolWaits(by_queue, by_tenant, clears_in, rate, Demand(*free))
+    content = convert(decode_cbor(encoded), WaitContent)
+    if content.queues is None:
+        return StoredWaits(content.term)
+    tenants = {(queue, tenant): wait for queue, tenant, wait in content.tenants}
+    clears_in, rate = content.times
+    return StoredWaits(
+        content.term,
+        PoolWaits(
+            content.queues, tenants, clears_in, rate, Demand(*content.free)
+        ),
+    )
