Assign pools only to partitions that the store has

A record of the fleet partition that names a partition which does not exist, such as 1,000,000,000, kept every daemon from being ready for good: each follows all partitions of pools, and is ready only when it has read all of them. Shown by the new test only.

FleetState now knows to which partitions pools may be assigned and leaves such a record out; the pool has no partition then, and the owner of the fleet assigns one.

--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -4,13 +4,14 @@
 """
 
 import math
+from collections.abc import Sequence
 
 import trio
 
 from tarragonlb.controller.events import Event, ViewChanged
 from tarragonlb.controller.ports import Configuration
 from tarragonlb.controller.settings import ControllerSettings
-from tarragonlb.scheduling.fleetstate import FleetState
+from tarragonlb.scheduling.fleetstate import ANY_PARTITION, FleetState
 from tarragonlb.scheduling.wave import Wave
 from tarragonlb.scheduling.worker import Worker
 
@@ -32,8 +33,11 @@
         'workers_read_at',
     )
 
-    def __init__(self) -> None:
-        """Start without any information."""
+    def __init__(self, pool_partitions: Sequence[int] = ANY_PARTITION) -> None:
+        """Start without any information.
+
+        Pools may be assigned to ``pool_partitions``.
+        """
         self.configuration: Configuration | None = None
         # When the last read that returned all of the operators' records, or
         # none, was sent, on the boot-time clock.
@@ -42,7 +46,7 @@
         self.waves: dict[int, Wave] = {}
         # When this process first read each wave, on the monotonic clock.
         self.wave_read_at: dict[int, float] = {}
-        self.fleet_state = FleetState()
+        self.fleet_state = FleetState(pool_partitions)
         # When the last successful read of the directory of workers was sent, on
         # the boot-time clock.
         self.workers_read_at: float | None = None
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -103,7 +103,7 @@
             PollBudget(settings),
             build_advice_access(platform.advisor, member),
         )
-        self.view = PlatformView()
+        self.view = PlatformView(settings.pool_partitions)
         self._fleet_state_feed = FleetStateFeed(
             platform.store, settings, self.view, clock
         )
--- a/libs/scheduling/features/steps/decoding_steps.py
+++ b/libs/scheduling/features/steps/decoding_steps.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import cbor2
-from behave import given, then
+from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
@@ -124,7 +124,7 @@
     @SETTINGS
     @for_all(st.lists(st.tuples(KEYS, values), min_size=1, max_size=4))
     def read(rows):
-        fleet_state = FleetState()
+        fleet_state = FleetState(range(1, 12))
         odd = [KeyedRecord(key, value, 0) for key, value in rows]
         sound = [
             KeyedRecord(record.key, record.value, 1) for record in context.sound
@@ -147,3 +147,25 @@
     assert fleet_state.owner_statuses[3] == STATUS
     assert fleet_state.owner_offers[3] == OFFER
     assert fleet_state.waits.is_stored('p')
+
+
+@given('a fleet state for the partitions {first:d} to {last:d}')
+def create_state(context, first, last):
+    context.fleet_state = FleetState(range(first, last + 1))
+
+
+@when('a record assigns the pool "{pool}" to partition {partition:d}')
+def assign_pool(context, pool, partition):
+    record = build_pool_record(pool, partition)
+    context.fleet_state.apply([KeyedRecord(record.key, record.value, 0)], 0.0)
+
+
+@then('the pool "{pool}" has partition {partition:d}')
+def check_partition(context, pool, partition):
+    assert context.fleet_state.partitions == {pool: partition}
+
+
+@then('the pool "{pool}" has no partition')
+def check_no_partition(context, pool):
+    assert context.fleet_state.partitions == {}, context.fleet_state.partitions
+    assert context.fleet_state.errors
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -6,7 +6,7 @@
 {(1, 'm-1')}
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from tarragonlb.scheduling.fleetcontent import (
     decode_drain,
@@ -31,12 +31,16 @@
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
 from tarragonlb.scheduling.waitrecords import WaitFigures, decode_waits
 
+# More partitions than any store has.
+ANY_PARTITION = range(65_536)
+
 
 class FleetState:
     """The newest records about VMs, by kind."""
 
     __slots__ = (
         '_offsets',
+        '_pool_partitions',
         'drain_requests',
         'drained',
         'errors',
@@ -51,8 +55,12 @@
         'waits',
     )
 
-    def __init__(self) -> None:
-        """Start without records."""
+    def __init__(self, pool_partitions: Sequence[int] = ANY_PARTITION) -> None:
+        """Start without records.
+
+        ``pool_partitions`` are those to which pools may be assigned.
+        """
+        self._pool_partitions = pool_partitions
         self._offsets: dict[str, int] = {}
         self.drain_requests: dict[str, DrainRequest] = {}
         self.drained: dict[str, DrainRequest] = {}
@@ -184,7 +192,10 @@
 
     def _apply_ownership(self, kind: str, name: str, value: bytes) -> None:
         if kind == 'pool':
-            self.partitions[name] = decode_pool_partition(value)
+            partition = decode_pool_partition(value)
+            if partition not in self._pool_partitions:
+                raise RecordError(f'there is no partition {partition}')
+            self.partitions[name] = partition
             return
         if kind == 'offer':
             offer = decode_owner_offer(int(name), value)
