Keep attempts that started on the next incarnation of a worker

A task ran on two workers at once in a simulated fleet. No user has reported it; 'Invariants hold in fleets with random faults' drew the case once the generator had other constants to choose from (it collects them from the modules it tests), and the same script breaks on the untouched.

A worker restarts under its id between two reports; a start that was sent meanwhile reaches the new incarnation, as the id that the order names is the same. The first report of that incarnation made the owner release everything it had placed there, also the attempt that this report lists, and start it elsewhere.

Attempts that the report lists, and those whose start was sent and not answered before the report was requested, are kept: they run there, or a later report shows that they don't.

tasks.feature: the new scenario (fleet 147) fails without the change (TWICE) and passes with it; crashes.feature, tasks.feature and restore.feature: 58 scenarios passed.

--- a/libs/scheduling/features/steps/task_steps.py
+++ b/libs/scheduling/features/steps/task_steps.py
@@ -246,6 +246,14 @@
     run()
 
 
+@when(
+    'fleet {number:d} has a worker that crashes and restarts between two '
+    'reports'
+)
+def restart_at_once(context, number):
+    context.open_jobs = run_script(number, [(18, 'crash'), (18, 'crash')])
+
+
 def find_worker(fleet, name):
     return next(w for w in fleet.workers if w.worker_id == name)
 
--- a/libs/scheduling/features/tasks.feature
+++ b/libs/scheduling/features/tasks.feature
@@ -184,6 +184,12 @@
       | 8       | 1500       |
       | 12      | 500        |
 
+  # Guards against a task that runs twice: its start reached a worker that had
+  # restarted under its id, and whose first report was taken as its loss.
+  Scenario: A start that reaches the next incarnation of a worker is not lost
+    When fleet 147 has a worker that crashes and restarts between two reports
+    Then every job has ended
+
   Scenario: Invariants hold in fleets with random faults
     When fleets run with random faults
     Then every job has ended
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -1,16 +1,17 @@
 """Records workers that are over, and counts crashes for the tasks on them."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from tarragonlb.scheduling.crashhistory import (
     ISOLATION_WAIT_SECONDS,
     rate_crash,
 )
+from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.task import StartStage, TaskPhase
+from tarragonlb.scheduling.task import StartStage, TaskPhase, TaskState
 from tarragonlb.scheduling.tenantusage import ORPHANED
-from tarragonlb.scheduling.worker import WorkerState
+from tarragonlb.scheduling.worker import WorkerReport, WorkerState
 from tarragonlb.scheduling.workerloss import (
     GivenUpTask,
     LossReason,
@@ -33,10 +34,21 @@
         self._partition = partition
 
     def lose_all(
-        self, worker: WorkerState, reason: LossReason, now: float
+        self,
+        worker: WorkerState,
+        reason: LossReason,
+        now: float,
+        survivors: Container[TaskKey] = (),
     ) -> None:
-        """Release all attempts on a worker that is over."""
-        lost = tuple(_list_lost(worker, now))
+        """Release all attempts on a worker that is over.
+
+        Those of ``survivors`` may run on the next incarnation, and are kept.
+        """
+        lost = tuple(
+            attempt
+            for attempt in _list_lost(worker, now)
+            if attempt.key not in survivors
+        )
         worker.last_end_number = 0
         worker.incarnation = None
         worker.must_report = True
@@ -47,6 +59,24 @@
         if reason is not LossReason.LEASE_OVER:
             self.settle_doubt(worker, None, now)
 
+    def lose_reborn(self, worker: WorkerState, report: WorkerReport) -> None:
+        """Release the attempts of an incarnation that has ended.
+
+        ``report`` is the first one of the present incarnation.  A start that
+        was sent after that began has reached it: the report lists the attempt,
+        or the start was not answered yet when the report was requested.
+        """
+        listed = {(row.key, row.attempt) for row in report.running}
+        listed.update((end.key, end.attempt) for end in report.ended)
+        survivors: set[TaskKey] = set()
+        for key, attachment in worker.attached.items():
+            task = attachment.task
+            is_listed = (key, attachment.attempt) in listed
+            if is_listed or _may_arrive(task, report.requested_at):
+                survivors.add(key)
+                task.incarnation = report.incarnation
+        self.lose_all(worker, LossReason.REBORN, report.received_at, survivors)
+
     def lose_former(
         self, worker: WorkerState, incarnation: int, now: float
     ) -> None:
@@ -156,6 +186,13 @@
             partition.close_job(state, JobOutcome.FAILED, now)
 
 
+def _may_arrive(task: TaskState, requested_at: float) -> bool:
+    """Return whether a start that was sent may arrive after a report."""
+    if task.start_stage is StartStage.DECIDED:
+        return False
+    return task.settled_at is None or task.settled_at >= requested_at
+
+
 def _list_lost(worker: WorkerState, now: float) -> Iterator[LostAttempt]:
     for key, attachment in worker.attached.items():
         task = attachment.task
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -112,7 +112,7 @@
         if worker.incarnation is None:
             self._losses.lose_former(worker, report.incarnation, now)
         elif report.incarnation != worker.incarnation:
-            self._losses.lose_all(worker, LossReason.REBORN, now)
+            self._losses.lose_reborn(worker, report)
         self._losses.settle_doubt(worker, report.incarnation, now)
         worker.incarnation = report.incarnation
         worker.is_leaving = worker.entry.is_draining
