Leave out odd records of one job, and serve the other jobs of its partition

One record of a job with an odd value stopped more than that job: the count of pending jobs of every queue of the partition was answered with 500 when a job's progress could not be decoded, and an owner failed in each of its terms when a specification decoded to something that can't be scheduled, such as a step that waits for itself, a due time of 400 digits or a duration that is no number. A lease bound of a negative duration freed the tasks of a silent worker at once. Found with generated records; no user has reported one.

The values are decoded into types that state their ranges, JobSpec.find_problem says why steps can't be run, and progress may not list more occurrences than the job has. A job whose progress can't be decoded is shown as running; its owner leaves it alone and logs why, as before for records that were not CBOR.

--- a/libs/model/tarragonlb/model/decoding.py
+++ b/libs/model/tarragonlb/model/decoding.py
@@ -25,6 +25,7 @@
 
 # The largest integer that every JSON parser reads exactly.
 MAX_INTEGER = 2**53 - 1
+MAX_DIGITS = 16
 # Some 300,000 years in milliseconds.
 MAX_FLOAT = 1e16
 
@@ -35,6 +36,11 @@
 # Infinity and NaN are outside every range.
 Number = Annotated[float, msgspec.Meta(ge=-MAX_FLOAT, le=MAX_FLOAT)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_FLOAT)]
+# Fits into a key of the store and into a header of a request.
+Name = Annotated[
+    str,
+    msgspec.Meta(max_length=200, pattern=r'\A([!-~]([ -~]*[!-~])?)?\Z'),
+]
 
 _FAILURES = (
     ArithmeticError,
@@ -73,6 +79,16 @@
         raise DecodingError(f'not CBOR: {error}') from error
 
 
+def parse_count(text: str) -> int:
+    """Return the number that a text spells, or raise ``DecodingError``."""
+    if not (text.isascii() and text.isdecimal()):
+        raise DecodingError('expected a number')
+    # The conversion of very long texts is slow, or fails.
+    if len(text) > MAX_DIGITS:
+        raise DecodingError('the number has too many digits')
+    return convert(int(text), Count)
+
+
 def convert(content: Any, expected: type[Decoded]) -> Decoded:
     """Convert a decoded value to a type, or raise ``DecodingError``.
 
--- a/libs/scheduling/features/decoding.feature
+++ b/libs/scheduling/features/decoding.feature
@@ -20,3 +20,15 @@
       | 12         | no partition |
       | -1         | no partition |
       | 1000000000 | no partition |
+
+  # Guards against an owner that fails in each of its terms, and a count of
+  # pending jobs that is never answered, because of one job's record.
+  Scenario: Odd records of a job affect no other job of its partition
+    Given the records of a job, and odd ones about other jobs
+    Then the partition's jobs are counted, shown and scheduled, that job too
+
+  # Guards against an owner that fails in each of its terms, or takes the lease
+  # of a silent worker to be over, because of one record.
+  Scenario: Odd records on lease bounds and caps are left out, the others count
+    Given records on a lease bound and on the cap of a tenant
+    Then each is in force among any odd ones
--- /dev/null
+++ b/libs/scheduling/features/steps/jobrecord_steps.py
@@ -0,0 +1,249 @@
+"""Steps for odd records of jobs, lease bounds and caps."""
+
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import cbor2
+from behave import given, then
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+from oddvalues import SETTINGS, change_row, encode_odd  # noqa: E402
+
+from tarragonlb.scheduling.job import (  # noqa: E402
+    Demand,
+    Job,
+    JobSpec,
+    Moment,
+    Step,
+)
+from tarragonlb.scheduling.jobindex import JobIndex  # noqa: E402
+from tarragonlb.scheduling.jobstate import JobState  # noqa: E402
+from tarragonlb.scheduling.leasebound import (  # noqa: E402
+    BoundChanges,
+    LeaseBoundIndex,
+    build_bound_records,
+)
+from tarragonlb.scheduling.placement import FirstFit  # noqa: E402
+from tarragonlb.scheduling.policies import SchedulingPolicies  # noqa: E402
+from tarragonlb.scheduling.progress import (  # noqa: E402
+    build_progress_record,
+)
+from tarragonlb.scheduling.queue import Queue  # noqa: E402
+from tarragonlb.scheduling.quotaindex import QuotaIndex  # noqa: E402
+from tarragonlb.scheduling.quotaledger import QuotaLedger  # noqa: E402
+from tarragonlb.scheduling.quotarecords import (  # noqa: E402
+    Grant,
+    PartitionShare,
+    QuotaReport,
+    build_grant_record,
+    build_report_record,
+    build_term_record,
+)
+from tarragonlb.scheduling.records import (  # noqa: E402
+    KeyedRecord,
+    RecordError,
+    build_submission_record,
+)
+from tarragonlb.scheduling.scheduler import Scheduler  # noqa: E402
+from tarragonlb.scheduling.settings import SchedulingSettings  # noqa: E402
+from tarragonlb.scheduling.worker import (  # noqa: E402
+    Worker,
+    WorkerReport,
+)
+
+SOUND_ID = 'a' * 16
+ODD_ID = 'b' * 16
+WALL_MS = 1.7e12
+SETTINGS_OF_OWNER = SchedulingSettings(
+    max_lease_seconds=6.0, maintenance_seconds=2.0
+)
+STEPS = (
+    Step(width=1, demand=Demand(500, 10, 0), estimate_seconds=1),
+    Step(
+        width=2,
+        demand=Demand(500, 10, 1),
+        prerequisites=(0,),
+        disruption_budget=1,
+        max_per_worker=1,
+    ),
+)
+
+
+def build_job(job_id):
+    return Job(
+        job_id=job_id,
+        queue='q',
+        pool='p',
+        spec=JobSpec(
+            payload='x',
+            steps=STEPS,
+            first_due_ms=1_600_000_000_000,
+            interval_ms=1000,
+            repetitions=2,
+        ),
+        handed_in_ms=WALL_MS,
+        tenant='t',
+    )
+
+
+def build_progress(job):
+    state = JobState(job, Moment(0.0, WALL_MS))
+    state.add_occurrence()
+    for _, task in state.list_tasks():
+        task.place('w0', 1, 1, 0.0)
+        task.failed_attempts.add(1)
+    return build_progress_record(state, 7)
+
+
+def load_row(record):
+    return cbor2.loads(record.value)
+
+
+@st.composite
+def draw_submission(draw):
+    row = load_row(build_submission_record(build_job(ODD_ID)))
+    spec = draw(change_row(cbor2.loads(row[2])))
+    return cbor2.dumps([*row[:2], cbor2.dumps(spec), *row[3:]])
+
+
+def draw_records():
+    """Return a strategy of the odd records of one job."""
+    job = build_job(ODD_ID)
+    submission = build_submission_record(job)
+    progress = build_progress(job)
+    submissions = st.one_of(
+        st.just(submission.value),
+        draw_submission(),
+        encode_odd(load_row(submission)),
+    )
+    progresses = st.one_of(
+        st.just(b''), st.just(progress.value), encode_odd(load_row(progress))
+    )
+    cancellations = st.one_of(st.just(b''), st.binary(max_size=3))
+    return st.builds(
+        lambda *values: [
+            KeyedRecord(ODD_ID + kind, value, 0)
+            for kind, value in zip('jpc', values, strict=True)
+        ],
+        submissions,
+        progresses,
+        cancellations,
+    )
+
+
+@given('the records of a job, and odd ones about other jobs')
+def make_records(context):
+    context.records = draw_records()
+
+
+@then("the partition's jobs are counted, shown and scheduled, that job too")
+def check_jobs(context):
+    sound = replace(
+        build_job(SOUND_ID), spec=JobSpec(payload='x', steps=STEPS[:1])
+    )
+
+    @SETTINGS
+    @for_all(context.records)
+    def check(records):
+        index = JobIndex()
+        index.apply(records)
+        accepted = build_submission_record(sound)
+        index.apply([KeyedRecord(accepted.key, accepted.value, 1)])
+        assert index.count_pending()['q'] >= 1
+        for job in index.list_jobs():
+            job.describe()
+            job.belongs_to('t', 'q')
+        schedule(index)
+
+    check()
+
+
+def schedule(index):
+    scheduler = Scheduler(
+        SETTINGS_OF_OWNER, SchedulingPolicies(placement=FirstFit()), now=0.0
+    )
+    state = scheduler.state
+    state.queues = {'q': Queue(name='q', host='h', path_prefix='/', pool='p')}
+    worker = Worker(
+        worker_id='w0', pool='p', address='x:1', capacity=Demand(4000, 99, 4)
+    )
+    state.update_workers([worker])
+    for job in index.list_jobs():
+        try:
+            state.add_job(job.build_state(Moment(0.0, WALL_MS)))
+        except RecordError:
+            continue
+        if job.is_cancelled:
+            state.cancel_job(job.job_id, 0.0)
+    started = set()
+    for tenth in range(1, 100):
+        now = tenth / 10
+        scheduler.reconciler.apply_report(
+            WorkerReport(
+                worker_id='w0',
+                requested_at=now,
+                received_at=now,
+                incarnation=1,
+            )
+        )
+        decision = scheduler.decide(Moment(now, WALL_MS + 1000 * now))
+        for job_state in decision.jobs:
+            build_progress_record(job_state, 1)
+        scheduler.note_stored(decision, now)
+        started.update(order.key.job_id for order in decision.starts)
+    assert SOUND_ID in started
+
+
+@given('records on a lease bound and on the cap of a tenant')
+def list_bound_records(context):
+    context.bound = build_bound_records(BoundChanges({'w1': 3.0}, ()), 7)[0]
+    share = PartitionShare((1, 1, 1, 0), (2, 1, 1, 0), 1)
+    context.quota = (
+        build_term_record(1, 7),
+        build_grant_record(Grant('t', 4, (9, 9, 9, 0), {1: share})),
+        build_report_record(QuotaReport('t', 1, 7, 1, 4, (1, 0, 0, 0))),
+    )
+
+
+@then('each is in force among any odd ones')
+def check_bounds(context):
+    values = encode_odd(load_row(context.bound), *map(load_row, context.quota))
+    keys = st.sampled_from(
+        (
+            'w2l',
+            'l',
+            'grant/u',
+            'report/1/u',
+            'report/x/u',
+            'term/1/6',
+            'term/1/' + '9' * 500,
+            'term/x',
+            'grant/',
+            'odd',
+        )
+    )
+
+    @SETTINGS
+    @for_all(st.lists(st.tuples(keys, values), min_size=1, max_size=4))
+    def check(rows):
+        odd = [KeyedRecord(key, value, 0) for key, value in rows]
+        bounds = LeaseBoundIndex()
+        bounds.apply([*odd, replace_offset(context.bound)], 1.0)
+        assert bounds.bounds['w1'].remaining_seconds == 3.0
+        for bound in bounds.bounds.values():
+            assert bound.remaining_seconds >= 0
+        index = QuotaIndex()
+        index.apply([*odd, *map(replace_offset, context.quota)])
+        assert index.terms[1] == 7
+        assert index.grants['t'].number == 4
+        assert index.reports[1, 't'].occupied == (1, 0, 0, 0)
+        QuotaLedger(index)
+
+    check()
+
+
+def replace_offset(record):
+    return KeyedRecord(record.key, record.value, 1)
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from tarragonlb.model.decoding import parse_count
 from tarragonlb.scheduling.fleetcontent import (
     decode_drain,
     decode_load,
@@ -176,7 +177,7 @@
 
     def _apply_maintenance(self, kind: str, name: str, value: bytes) -> None:
         number, _, vm_id = name.partition('/')
-        key = (int(number), vm_id)
+        key = (parse_count(number), vm_id)
         if kind == 'begun':
             self.maintenance_begun[key] = decode_worker_id(value)
         else:
@@ -198,10 +199,10 @@
             self.partitions[name] = partition
             return
         if kind == 'offer':
-            offer = decode_owner_offer(int(name), value)
+            offer = decode_owner_offer(parse_count(name), value)
             self.owner_offers[offer.partition] = offer
             return
-        status = decode_owner_status(int(name), value)
+        status = decode_owner_status(parse_count(name), value)
         known = self.owner_statuses.get(status.partition)
         if known is None or known.term <= status.term:
             self.owner_statuses[status.partition] = status
--- a/libs/scheduling/tarragonlb/scheduling/job.py
+++ b/libs/scheduling/tarragonlb/scheduling/job.py
@@ -8,6 +8,11 @@
 from graphlib import TopologicalSorter
 from typing import NamedTuple
 
+from tarragonlb.model.decoding import Amount, Count, Integer
+
+# Tasks of all steps of a job.  The progress of a job, with a row for each of
+# them, must fit into one record of the store (256 KiB).
+MAX_TASKS = 2_000
 MS_PER_SECOND = 1000.0
 
 
@@ -15,9 +20,9 @@
 class Demand:
     """Resources that one task occupies on its worker."""
 
-    cpu_millicores: int = 0
-    memory_mb: int = 0
-    gpus: int = 0
+    cpu_millicores: Integer = 0
+    memory_mb: Integer = 0
+    gpus: Integer = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,22 +35,34 @@
     of the scheduler; None is no limit.
     """
 
-    width: int
+    width: Count
     demand: Demand = field(default_factory=Demand)
-    estimate_seconds: float = 0
-    prerequisites: tuple[int, ...] = ()
+    estimate_seconds: Amount = 0
+    prerequisites: tuple[Count, ...] = ()
     data_rack: str = ''
     required_label: str = ''
-    max_per_worker: int = 0
+    max_per_worker: Count = 0
     is_gang: bool = False
     wants_one_rack: bool = False
     saves_checkpoints: bool = False
     allows_copies: bool = False
     is_permanent: bool = False
     image: str = ''
-    latency_target_ms: int = 0
+    latency_target_ms: Count = 0
     scavenges: bool = False
-    disruption_budget: int | None = None
+    disruption_budget: Count | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SpecProblem:
+    """Why a job can't be run: the number of a step, and a field of it.
+
+    ``step`` is None if the reason is in the job as a whole.
+    """
+
+    step: int | None
+    field: str
+    reason: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,9 +75,27 @@
 
     payload: str
     steps: tuple[Step, ...]
-    first_due_ms: int = 0
-    interval_ms: int = 0
-    repetitions: int = 0
+    first_due_ms: Count = 0
+    interval_ms: Count = 0
+    repetitions: Count = 0
+
+    def find_problem(self) -> 'SpecProblem | None':
+        """Return the first reason why the job can't be run, None if it can.
+
+        >>> JobSpec(payload='', steps=(Step(width=0),)).find_problem().field
+        'width'
+        """
+        if not self.steps:
+            return SpecProblem(None, 'steps', 'a job has at least one step')
+        for number, step in enumerate(self.steps):
+            problem = _find_step_problem(number, step)
+            if problem is not None:
+                return problem
+        tasks = sum(step.width for step in self.steps)
+        if tasks > MAX_TASKS:
+            reason = f'{tasks} tasks are more than {MAX_TASKS}'
+            return SpecProblem(None, 'steps', reason)
+        return None
 
     @property
     def occurrence_count(self) -> int:
@@ -134,3 +169,16 @@
 
     seconds: float
     wall_ms: float = 0
+
+
+def _find_step_problem(number: int, step: Step) -> SpecProblem | None:
+    if not 0 < step.width <= MAX_TASKS:
+        return SpecProblem(number, 'width', f'{step.width} is out of range')
+    demand = step.demand
+    if min(demand.cpu_millicores, demand.memory_mb, demand.gpus) < 0:
+        return SpecProblem(number, 'demand', 'a demand is negative')
+    for earlier in step.prerequisites:
+        if earlier >= number:
+            reason = f'{earlier} is no earlier step'
+            return SpecProblem(number, 'prerequisites', reason)
+    return None
--- a/libs/scheduling/tarragonlb/scheduling/jobindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobindex.py
@@ -26,17 +26,26 @@
     decode_submission_head,
 )
 
+# Of a job whose progress can't be decoded, all that is known is that an owner
+# has stored some.
+UNREADABLE_PROGRESS = Progress(term=0, outcome=JobOutcome.OPEN, began=True)
+
 
 class JobRecords:
-    """The newest record of each kind of one job."""
+    """The newest record of each kind of one job.
+
+    ``error`` says why the newest progress can't be decoded, None if it can or
+    was not needed yet.
+    """
 
-    __slots__ = ('_progress', '_values', 'job_id')
+    __slots__ = ('_progress', '_values', 'error', 'job_id')
 
     def __init__(self, job_id: str) -> None:
         """Start without records."""
         self.job_id = job_id
         self._values: dict[str, tuple[int, bytes]] = {}
         self._progress: Progress | None = None
+        self.error: RecordError | None = None
 
     def apply(self, kind: str, offset: int, value: bytes) -> None:
         """Apply a record unless a newer one of its kind is known."""
@@ -46,6 +55,7 @@
         self._values[kind] = (offset, value)
         if kind == PROGRESS:
             self._progress = None
+            self.error = None
 
     def drop_unlisted(self, listed: Container[str], end: int) -> None:
         """Drop records before offset ``end`` whose keys are not ``listed``."""
@@ -83,10 +93,17 @@
         return self._values.get(kind, (-1, b''))[1]
 
     def find_progress(self) -> Progress | None:
-        """Return the newest progress, or None if no owner has recorded any."""
+        """Return the newest progress, or None if no owner has recorded any.
+
+        Clients are shown a job whose progress can't be decoded as running.
+        """
         value = self.get_value(PROGRESS)
         if self._progress is None and value:
-            self._progress = decode_progress(value)
+            try:
+                self._progress = decode_progress(value)
+            except RecordError as error:
+                self._progress = UNREADABLE_PROGRESS
+                self.error = error
         return self._progress if value else None
 
     def describe(self) -> str:
@@ -115,7 +132,10 @@
         return not (head.tenant and tenant) and head.queue == queue
 
     def build_state(self, now: Moment) -> JobState:
-        """Return the state of the job, for an owner of the partition."""
+        """Return the state of the job, for an owner of the partition.
+
+        Raise ``RecordError`` if a record can't be decoded.
+        """
         head = decode_submission_head(self.get_value(SUBMISSION))
         job = Job(
             job_id=self.job_id,
@@ -127,6 +147,8 @@
         )
         state = JobState(job, now)
         progress = self.find_progress()
+        if self.error is not None:
+            raise self.error
         if progress is not None:
             restore_tasks(state, progress, now.seconds)
         return state
@@ -197,6 +219,14 @@
         counts: Counter[str] = Counter()
         for job in self.list_jobs():
             if job.describe() == 'queued':
-                head = decode_submission_head(job.get_value(SUBMISSION))
-                counts[head.queue] += 1
+                counts[self._find_queue(job)] += 1
+        counts.pop('', None)
         return counts
+
+    def _find_queue(self, job: JobRecords) -> str:
+        """Return the queue of a job, empty if its submission is invalid."""
+        try:
+            return decode_submission_head(job.get_value(SUBMISSION)).queue
+        except RecordError as error:
+            self.errors.append(RecordError(f'job {job.job_id}: {error}'))
+            return ''
--- a/libs/scheduling/tarragonlb/scheduling/leasebound.py
+++ b/libs/scheduling/tarragonlb/scheduling/leasebound.py
@@ -23,12 +23,13 @@
 import cbor2
 import msgspec
 
+from tarragonlb.model.decoding import Count
 from tarragonlb.scheduling.job import MS_PER_SECOND
 from tarragonlb.scheduling.partitionstate import InheritedBound, PartitionState
 from tarragonlb.scheduling.records import (
     KeyedRecord,
     RecordError,
-    decode_value,
+    decode_content,
 )
 from tarragonlb.scheduling.worker import WorkerState
 
@@ -40,8 +41,8 @@
 class BoundContent(msgspec.Struct, array_like=True, frozen=True):
     """The content of a record: the term of its writer, and the bound."""
 
-    term: int
-    remaining_ms: int
+    term: Count
+    remaining_ms: Count
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,9 +126,9 @@
         if not record.value:
             return
         try:
-            content = msgspec.convert(decode_value(record.value), BoundContent)
-        except (msgspec.ValidationError, RecordError) as error:
-            self.errors.append(RecordError(f'lease bound: {error}'))
+            content = decode_content(record.value, BoundContent, 'lease bound')
+        except RecordError as error:
+            self.errors.append(error)
             return
         remaining = content.remaining_ms / MS_PER_SECOND
         self.bounds[worker_id] = InheritedBound(remaining, now)
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from tarragonlb.model.decoding import Count, Name
 from tarragonlb.scheduling.crashhistory import (
     ISOLATION_WAIT_SECONDS,
     NO_CRASHES,
@@ -18,26 +19,29 @@
     PROGRESS,
     KeyedRecord,
     RecordError,
-    decode_value,
+    decode_content,
 )
 from tarragonlb.scheduling.task import StartStage, TaskPhase, TaskState
 
+# More than a progress record has room for.
+MAX_OCCURRENCES = 100_000
+
 
 class TaskRow(msgspec.Struct, array_like=True, frozen=True):
     """A task in a progress record."""
 
-    occurrence: int
-    step: int
-    position: int
+    occurrence: Count
+    step: Count
+    position: Count
     phase: TaskPhase
-    attempt: int
-    failed_attempts: list[int]
-    worker_id: str
+    attempt: Count
+    failed_attempts: list[Count]
+    worker_id: Name
     checkpoint: str
     avoided: list[str] = []
-    crashed_attempts: list[int] = []
-    crash_points: int = 0
-    incarnation: int = 0
+    crashed_attempts: list[Count] = []
+    crash_points: Count = 0
+    incarnation: Count = 0
     was_copied: bool = False
 
 
@@ -48,10 +52,10 @@
     placed.
     """
 
-    term: int
+    term: Count
     outcome: JobOutcome
     began: bool
-    occurrence_count: int = 0
+    occurrence_count: Count = 0
     tasks: list[TaskRow] = []
 
 
@@ -73,10 +77,7 @@
 
 def decode_progress(value: bytes) -> Progress:
     """Decode a progress record, or raise ``RecordError``."""
-    try:
-        return msgspec.convert(decode_value(value), Progress)
-    except msgspec.ValidationError as error:
-        raise RecordError(f'progress: {error}') from error
+    return decode_content(value, Progress, 'progress')
 
 
 def restore_tasks(state: JobState, progress: Progress, now: float) -> None:
@@ -89,7 +90,10 @@
     state.close(progress.outcome, now)
     if progress.outcome is not JobOutcome.OPEN:
         return
-    while len(state.occurrences) < progress.occurrence_count:
+    count = progress.occurrence_count
+    if count > min(state.job.spec.occurrence_count, MAX_OCCURRENCES):
+        raise RecordError(f'progress: {count} occurrences are too many')
+    while len(state.occurrences) < count:
         state.add_occurrence()
     for row in progress.tasks:
         _restore_task(state, row, now)
--- a/libs/scheduling/tarragonlb/scheduling/quotaindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotaindex.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 
+from tarragonlb.model.decoding import parse_count
 from tarragonlb.scheduling.amounts import Amounts, take_larger
 from tarragonlb.scheduling.quotarecords import (
     GRANT,
@@ -60,7 +61,7 @@
             self._offsets[record.key] = record.offset
             try:
                 changed.update(self._apply(record))
-            except (ValueError, TypeError) as error:
+            except ValueError as error:
                 self.errors.append(RecordError(f'{record.key}: {error}'))
         return changed
 
@@ -95,7 +96,9 @@
         kind, _, name = record.key.partition('/')
         if kind == TERM:
             partition, _, term = name.partition('/')
-            self._apply_term(int(partition), int(term), record.value)
+            self._apply_term(
+                parse_count(partition), parse_count(term), record.value
+            )
             return ()
         if not record.value:
             return ()
--- a/libs/scheduling/tarragonlb/scheduling/quotarecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotarecords.py
@@ -12,20 +12,19 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Annotated
 
 import cbor2
 import msgspec
 
+from tarragonlb.model.decoding import Count, parse_count
 from tarragonlb.scheduling.amounts import NOTHING, Amounts
-from tarragonlb.scheduling.records import KeyedRecord, decode_value
+from tarragonlb.scheduling.records import KeyedRecord, decode_content
 
 GRANT = 'grant'
 TERM = 'term'
 REPORT = 'report'
 
-Amount = Annotated[int, msgspec.Meta(ge=0)]
-StoredAmounts = tuple[Amount, Amount, Amount, Amount]
+StoredAmounts = tuple[Count, Count, Count, Count]
 
 
 class PartitionShare(msgspec.Struct, frozen=True):
@@ -77,8 +76,8 @@
     this case ``reserved`` is left out.
     """
 
-    partition: int
-    lowered: int
+    partition: Count
+    lowered: Count
     share: StoredAmounts
     reserved: StoredAmounts | None = None
 
@@ -86,7 +85,7 @@
 class GrantContent(msgspec.Struct, array_like=True, frozen=True):
     """The value of a record of a grant."""
 
-    number: int
+    number: Count
     cap: StoredAmounts
     rows: list[ShareRow]
 
@@ -94,9 +93,9 @@
 class ReportContent(msgspec.Struct, array_like=True, frozen=True):
     """The value of a record of a report."""
 
-    term: int
-    sequence: int
-    number: int
+    term: Count
+    sequence: Count
+    number: Count
     occupied: StoredAmounts
     wanted: StoredAmounts
     unit: StoredAmounts
@@ -133,7 +132,7 @@
 
 def decode_grant(tenant: str, value: bytes) -> Grant:
     """Return the grant in a record; raise ``ValueError`` if it is invalid."""
-    content = msgspec.convert(decode_value(value), GrantContent)
+    content = decode_content(value, GrantContent, 'grant')
     shares = {
         row.partition: PartitionShare(
             row.share, row.reserved or row.share, row.lowered
@@ -149,7 +148,7 @@
     ``name`` is the partition and the tenant, as in the key.
     """
     partition, _, tenant = name.partition('/')
-    content = msgspec.convert(decode_value(value), ReportContent)
+    content = decode_content(value, ReportContent, 'report')
     return QuotaReport(
-        tenant, int(partition), *msgspec.structs.astuple(content)
+        tenant, parse_count(partition), *msgspec.structs.astuple(content)
     )
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -7,11 +7,17 @@
 """
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import cbor2
 import msgspec
 
+from tarragonlb.model.decoding import (
+    Amount,
+    DecodingError,
+    convert,
+    decode_cbor,
+)
 from tarragonlb.scheduling.job import Job, JobSpec
 
 SUBMISSION = 'j'
@@ -20,6 +26,7 @@
 KINDS = frozenset((SUBMISSION, CANCELLATION, PROGRESS))
 SUBMISSION_FIELDS = ('queue', 'pool', 'spec', 'handed_in_ms', 'tenant')
 CANCELLED_VALUE = cbor2.dumps([])
+Content = TypeVar('Content')
 
 
 class RecordError(ValueError):
@@ -64,7 +71,7 @@
     queue: str
     pool: str
     spec: bytes
-    handed_in_ms: float
+    handed_in_ms: Amount
     tenant: str = ''
 
 
@@ -73,31 +80,42 @@
 
     Raise ``RecordError`` if that is impossible.
     """
-    content = decode_value(value)
+    content = decode_content(value, list[Any], 'submission')
+    # Jobs of no tenant have no last field.
+    fields = SUBMISSION_FIELDS[: len(content)]
     try:
-        # Jobs of no tenant have no last field.
-        fields = SUBMISSION_FIELDS[: len(content)]
-        return msgspec.convert(
-            dict(zip(fields, content, strict=True)), SubmissionHead
-        )
-    except (msgspec.ValidationError, TypeError, ValueError) as error:
+        return convert(dict(zip(fields, content, strict=True)), SubmissionHead)
+    except ValueError as error:
         raise RecordError(f'submission: {error}') from error
 
 
 def decode_spec(encoded: bytes) -> JobSpec:
     """Decode a job specification, or raise ``RecordError``."""
+    spec = decode_content(encoded, JobSpec, 'specification')
+    problem = spec.find_problem()
+    if problem is not None:
+        raise RecordError(f'specification: {problem}')
+    return spec
+
+
+def decode_content(value: bytes, expected: type[Content], name: str) -> Content:
+    """Decode a record's value into a type.
+
+    Raise ``RecordError`` if that is impossible; its message begins with
+    ``name``.
+    """
     try:
-        return msgspec.convert(decode_value(encoded), JobSpec)
-    except msgspec.ValidationError as error:
-        raise RecordError(f'specification: {error}') from error
+        return convert(decode_cbor(value), expected)
+    except DecodingError as error:
+        raise RecordError(f'{name}: {error}') from error
 
 
 def decode_value(value: bytes) -> Any:
     """Decode the CBOR of a record's value, or raise ``RecordError``."""
     try:
-        return cbor2.loads(value)
-    except cbor2.CBORDecodeError as error:
-        raise RecordError(f'not CBOR: {error}') from error
+        return decode_cbor(value)
+    except DecodingError as error:
+        raise RecordError(str(error)) from error
 
 
 def _drop_defaults(step: dict[str, Any]) -> dict[str, Any]:
