Answer a job that nobody can schedule with 400, instead of accepting it

A job with numbers out of any range (a due time of 400 digits, an interval of 2^64 ms) was accepted with 200 and then failed its owner in each of its terms, with all other jobs of that partition. Found with generated bodies; no user has reported one.

Cause: the body was checked for types and for some signs only, and what passed was stored.

--- a/libs/scheduling/features/oddvalues.py
+++ b/libs/scheduling/features/oddvalues.py
@@ -60,8 +60,11 @@
             return draw(VALUES)
         inner = path[place]
         is_last = not isinstance(inner, dict | list) or not inner
-        if is_last or draw(st.booleans()):
-            path[place] = draw(VALUES)
+        if is_last or draw(st.integers(0, 3)) == 0:
+            is_number = isinstance(inner, int | float)
+            path[place] = draw(
+                st.one_of(NUMBERS, NUMBERS, VALUES) if is_number else VALUES
+            )
             return changed
         path = inner
 
@@ -69,8 +72,11 @@
 def encode_odd(*rows):
     """Return a strategy of encoded values: changed rows, and odd ones."""
     changed = st.one_of([change_row(row) for row in rows])
+    encoded = st.builds(cbor2.dumps, changed)
     return st.one_of(
-        st.builds(cbor2.dumps, changed),
+        encoded,
+        encoded,
+        encoded,
         st.builds(cbor2.dumps, VALUES),
         st.binary(max_size=12),
         ODD_TEXTS,
--- a/libs/scheduling/tarragonlb/scheduling/job.py
+++ b/libs/scheduling/tarragonlb/scheduling/job.py
@@ -75,7 +75,7 @@
 
     payload: str
     steps: tuple[Step, ...]
-    first_due_ms: Count = 0
+    first_due_ms: Integer = 0
     interval_ms: Count = 0
     repetitions: Count = 0
 
