--- a/libs/model/tarragonlb/model/decoding.py
+++ b/libs/model/tarragonlb/model/decoding.py
@@ -89,6 +89,19 @@
     return convert(int(text), Count)
 
 
+def is_name(text: str) -> bool:
+    """Return whether a text fits into a key and into a header.
+
+    >>> is_name('i-7f3a91c2'), is_name('i-7f3a91c2 ')
+    (True, False)
+    """
+    try:
+        convert(text, Name)
+    except DecodingError:
+        return False
+    return bool(text)
+
+
 def convert(content: Any, expected: type[Decoded]) -> Decoded:
     """Convert a decoded value to a type, or raise ``DecodingError``.
 
