--- a/libs/controller/tarragonlb/controller/looplag.py
+++ b/libs/controller/tarragonlb/controller/looplag.py
@@ -10,6 +10,9 @@
 PROBE_SECONDS = 0.05
 # The scheduler of the operating system wakes a process this late at times.
 TOLERANCE_SECONDS = 0.002
+# A response that comes more slowly is given up; a narrow link that several
+# calls share is faster.
+MIN_BYTES_PER_SECOND = 16_384
 # Two calls that are extended by this much still end within one lease.
 MAX_EXTENSION_SECONDS = 0.8
 
@@ -50,18 +53,27 @@
 class CallTimeout:
     """When a call counts as unanswered: its timeout plus the lag since."""
 
-    __slots__ = ('_ends_at', '_lag', '_lag_before', '_seconds')
+    __slots__ = ('_ends_at', '_lag', '_lag_before', '_latest_end', '_seconds')
 
     def __init__(self, seconds: float, lag: LoopLag, now: float) -> None:
         """Begin a call that may take ``seconds``."""
         self._seconds = seconds
         self._lag = lag
-        self.restart(now)
-
-    def restart(self, now: float) -> None:
-        """Allow the full time again, since a part of the response came."""
-        self._lag_before = self._lag.read_total(now)
-        self._ends_at = now + self._seconds
+        self._lag_before = lag.read_total(now)
+        # A response that has begun in time may take as long again.
+        self._latest_end = now + 2 * seconds
+        self.restart(now, 0)
+
+    def restart(self, now: float, received_bytes: int) -> None:
+        """Allow the full time again, since a part of the response came.
+
+        Parts that are too small for the time that they take don't count.
+        """
+        lag = self._lag.read_total(now)
+        self._latest_end += lag - self._lag_before
+        self._latest_end += received_bytes / MIN_BYTES_PER_SECOND
+        self._lag_before = lag
+        self._ends_at = min(now + self._seconds, self._latest_end)
 
     def compute_deadline(self, now: float) -> float:
         """Return the end of the wait, as far as is known at ``now``."""
