Leave checkpoints out of a progress record that would be too long

A worker that reports long checkpoints (1,000 letters) for the tasks of a large job made the progress of that job longer than the store takes; the owner then retried the append for good, and nothing was started in its partition any more. Found by looking at what the limits of an answer allow; no user has reported one.

A record over the limit is stored without checkpoints and without the workers to avoid: after a takeover these tasks start over instead of resuming.

decoding.feature (platform), 'The progress of the largest job fits although checkpoints are long': failed before, passes now.

--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -23,6 +23,8 @@
 )
 from tarragonlb.scheduling.task import StartStage, TaskPhase, TaskState
 
+# The longest record that the store takes, less its key.
+MAX_PROGRESS_BYTES = 261_888
 # More than a progress record has room for.
 MAX_OCCURRENCES = 100_000
 
@@ -72,6 +74,8 @@
         term, state.outcome, state.began, len(state.occurrences), rows
     )
     content = cbor2.dumps(msgspec.to_builtins(progress))
+    if len(content) > MAX_PROGRESS_BYTES:
+        content = cbor2.dumps(msgspec.to_builtins(_shorten(progress)))
     return KeyedRecord(state.job.job_id + PROGRESS, content)
 
 
@@ -99,6 +103,15 @@
         _restore_task(state, row, now)
 
 
+def _shorten(progress: Progress) -> Progress:
+    """Leave out what only saves work: checkpoints, and workers to avoid."""
+    rows = [
+        msgspec.structs.replace(row, checkpoint='', avoided=[])
+        for row in progress.tasks
+    ]
+    return msgspec.structs.replace(progress, tasks=rows)
+
+
 def _build_row(key: TaskKey, task: TaskState) -> TaskRow:
     is_done = task.phase is TaskPhase.DONE
     crashes = NO_CRASHES if is_done else task.crashes
