--- a/libs/scheduling/tarragonlb/scheduling/job.py
+++ b/libs/scheduling/tarragonlb/scheduling/job.py
@@ -10,9 +10,11 @@
 
 from tarragonlb.model.decoding import Amount, Count, Integer
 
-# Tasks of all steps of a job.  The progress of a job, with a row for each of
-# them, must fit into one record of the store (256 KiB).
+# Tasks of all steps of a new job.  Its progress, with a row for each of them,
+# must fit into one record of the store (256 KiB).
 MAX_TASKS = 2_000
+# Of a stored job, which may have been accepted under another limit.
+MAX_STORED_TASKS = 100_000
 MS_PER_SECOND = 1000.0
 
 
@@ -79,21 +81,21 @@
     interval_ms: Count = 0
     repetitions: Count = 0
 
-    def find_problem(self) -> 'SpecProblem | None':
+    def find_problem(self, max_tasks: int) -> 'SpecProblem | None':
         """Return the first reason why the job can't be run, None if it can.
 
-        >>> JobSpec(payload='', steps=(Step(width=0),)).find_problem().field
+        >>> JobSpec(payload='', steps=(Step(width=0),)).find_problem(9).field
         'width'
         """
         if not self.steps:
             return SpecProblem(None, 'steps', 'a job has at least one step')
         for number, step in enumerate(self.steps):
-            problem = _find_step_problem(number, step)
+            problem = _find_step_problem(number, step, max_tasks)
             if problem is not None:
                 return problem
         tasks = sum(step.width for step in self.steps)
-        if tasks > MAX_TASKS:
-            reason = f'{tasks} tasks are more than {MAX_TASKS}'
+        if tasks > max_tasks:
+            reason = f'{tasks} tasks are more than {max_tasks}'
             return SpecProblem(None, 'steps', reason)
         return None
 
@@ -171,8 +173,10 @@
     wall_ms: float = 0
 
 
-def _find_step_problem(number: int, step: Step) -> SpecProblem | None:
-    if not 0 < step.width <= MAX_TASKS:
+def _find_step_problem(
+    number: int, step: Step, max_tasks: int
+) -> SpecProblem | None:
+    if not 0 < step.width <= max_tasks:
         return SpecProblem(number, 'width', f'{step.width} is out of range')
     demand = step.demand
     if min(demand.cpu_millicores, demand.memory_mb, demand.gpus) < 0:
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -18,7 +18,7 @@
     convert,
     decode_cbor,
 )
-from tarragonlb.scheduling.job import Job, JobSpec
+from tarragonlb.scheduling.job import MAX_STORED_TASKS, Job, JobSpec
 
 SUBMISSION = 'j'
 CANCELLATION = 'c'
@@ -92,7 +92,7 @@
 def decode_spec(encoded: bytes) -> JobSpec:
     """Decode a job specification, or raise ``RecordError``."""
     spec = decode_content(encoded, JobSpec, 'specification')
-    problem = spec.find_problem()
+    problem = spec.find_problem(MAX_STORED_TASKS)
     if problem is not None:
         raise RecordError(f'specification: {problem}')
     return spec
