Keep a job one job while its queue moves to another pool

Cause: a job's records lie in the partition of the pool that its queue has at the daemon that accepts it, and an id is unique only within a partition. Other partitions were looked up in what the daemon had read, up to 1.8 s ago; a daemon that did not know the new configuration yet, or had just started, put a job that lay in the new partition into the former one.

Fix: a record of the move in the former partition. Who accepts jobs into the new one has read the former one up to that record; a submission behind it is not run there, but forwarded by the partition's owner to where it belongs, where the id makes it the same job. A read of a partition shows the record, so a daemon that is behind looks in the next partition as well before it answers that there is no such job. The fleet's owner stores the pools that each route had in the last hour, for daemons that start meanwhile. The order of one partition decides, so neither clocks nor late calls matter.

--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -55,6 +55,7 @@
 
     settings = SETTINGS
     create_store = FakeStore
+    create_access = StoreAccess
     create_vms = FakeVmApi
     create_documents = FakeDocumentDecoder
 
@@ -81,15 +82,13 @@
         self.store = self.create_store()
         self.worker_api = self.create_worker_api()
         self.vms = self.create_vms(self.workers)
-        log = self.store.logs
-        log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'1'))
-        for number in range(self.workers):
-            log[Topic.WORKERS, 0].append(KeyedRecord(f'w{number}', b'x'))
+        self.fill_store()
         self.jobs = []
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             self.controllers = {}
             self.reads = {}
+            self.accesses = {}
             self.lags = {}
             self.scopes = {}
             self.stops = {}
@@ -100,19 +99,28 @@
                 await action(self)
             nursery.cancel_scope.cancel()
 
-    def _start(self, nursery, name, cores=SETTINGS.processor_cores):
+    def fill_store(self):
+        log = self.store.logs
+        log[Topic.OPERATORS, 0].append(KeyedRecord('config', b'1'))
+        for number in range(self.workers):
+            log[Topic.WORKERS, 0].append(KeyedRecord(f'w{number}', b'x'))
+
+    def _start(
+        self, nursery, name, cores=SETTINGS.processor_cores, member=None
+    ):
         self.reads[name] = []
+        self.accesses[name] = self.create_access(self.store, self.reads[name])
         platform = Platform(
-            StoreAccess(self.store, self.reads[name]),
+            self.accesses[name],
             self.decoder or self.create_documents(),
             self.worker_api,
             self.vms,
             getattr(self.worker_api, 'advisor', None),
         )
-        settings = replace(self.settings, processor_cores=cores)
+        settings = replace(self.settings, processor_cores=cores, name=name)
         self.lags[name] = FakeLag()
         controller = Controller(
-            platform, settings, name, FakeClock(), self.lags[name]
+            platform, settings, member or name, FakeClock(), self.lags[name]
         )
         scope = trio.CancelScope()
         stopped = trio.Event()
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -151,7 +151,7 @@
         current = self._view.configuration
         if current is not None and current.version >= document.version:
             return
-        self._view.configuration = document
+        self._view.apply_configuration(document)
         LOG.emit(
             'Configuration applied.',
             version=document.version,
--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -28,6 +28,7 @@
 from tarragonlb.scheduling.poolassignment import assign_pools, weigh_pools
 from tarragonlb.scheduling.rebalancing import PoolRebalancer, VmMove
 from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.scheduling.routerecords import plan_route_records
 from tarragonlb.scheduling.wave import Vm, Wave, WaveCoordinator
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, VM_ORDERS
 from tarragonlb.telemetry.log import Log
@@ -35,6 +36,8 @@
 LOG = Log('fleet')
 # Gives the drain requests of each term their own range of numbers.
 DRAIN_REQUESTS_PER_TERM = 1_000_000
+# Records on routes in one append, which a narrow link carries in time.
+MAX_ROUTE_RECORDS = 500
 
 
 class FleetOwner:
@@ -52,6 +55,7 @@
         '_owned',
         '_published_waves',
         '_rebalancer',
+        '_routed',
         '_settings',
         '_store',
         '_view',
@@ -83,6 +87,8 @@
         self._writer = TermWriter(owned, store, settings)
         self._drain_request_count = 0
         self._rebalancer = PoolRebalancer(settings.standby_delay_seconds)
+        # The configuration whose routes are stored.
+        self._routed: Configuration | None = None
         self._dependency_log = DependencyLog('list of VMs')
 
     async def run(self, is_lease_valid: Callable[[], bool]) -> None:
@@ -141,9 +147,25 @@
         if assigned:
             LOG.emit('Pools assigned to partitions.', partitions=assigned)
         return await self._store_records(
-            [build_pool_record(*row) for row in assigned.items()]
+            [
+                *(build_pool_record(*row) for row in assigned.items()),
+                *self._plan_routes(configuration),
+            ]
         )
 
+    def _plan_routes(self, configuration: Configuration) -> list[KeyedRecord]:
+        """Return records on the routes of a configuration, a part at a time."""
+        if self._routed is configuration:
+            return []
+        records = plan_route_records(
+            configuration.queues.by_name.values(),
+            self._view.fleet_state.routes,
+            self._clock.read_wall() * MS_PER_SECOND,
+        )
+        if not records:
+            self._routed = configuration
+        return records[:MAX_ROUTE_RECORDS]
+
     def _get_coordinator(self, wave: Wave) -> WaveCoordinator:
         coordinator = self._coordinators.get(wave.number)
         if coordinator is None:
--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -22,11 +22,12 @@
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import Clock, Store
+from tarragonlb.controller.queuehomes import QueueHomes
 from tarragonlb.controller.results import NotDone, Stored
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.scheduling.job import MS_PER_SECOND, Job
-from tarragonlb.scheduling.jobindex import JobRecords
+from tarragonlb.scheduling.jobrecords import JobRecords
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.records import (
     KeyedRecord,
@@ -74,6 +75,7 @@
         '_clock',
         '_commits',
         '_feeds',
+        '_homes',
         '_settings',
         '_store',
         '_view',
@@ -96,6 +98,7 @@
         self._admission = JobAdmission(view, settings, clock, draw_share)
         self._store = store
         self._commits: dict[int, GroupCommit] = {}
+        self._homes = QueueHomes(store, feeds, settings, clock, view)
         self._feeds = feeds
         self._settings = settings
         self._clock = clock
@@ -105,7 +108,14 @@
         """Accept a job; submitting the same job again has no effect."""
         # The reads below may take long if the store is slow.
         arrived_ms = self._clock.read_wall() * MS_PER_SECOND
-        known = await self._find_submitted(job)
+        queue = self._find_queue(job)
+        if self._homes.must_settle(queue):
+            settled = await self._settle(job, queue)
+            if isinstance(settled, RequestOutcome):
+                self._note_submission(job, settled)
+                return settled
+            job = settled
+        known = await self._find_submitted(job, queue)
         if known is not None:
             if known.verdict is not Verdict.RAN:
                 self._note_submission(job, known)
@@ -115,7 +125,7 @@
             return RequestOutcome(
                 Verdict.NOT_RUN, RETRY_AFTER_SECONDS, 'pool has no partition'
             )
-        refused = await self._refuse_hopeless(job)
+        refused = await self._refuse_hopeless(job, queue)
         if refused is not None:
             return refused
         record = build_submission_record(replace(job, handed_in_ms=arrived_ms))
@@ -161,16 +171,49 @@
         if not (records.is_over or feed.is_owned):
             with trio.move_on_after(self._settings.state_read_seconds):
                 await feed.refresh()
+        if records.is_forwarded:
+            # It was moved to another partition meanwhile.
+            return await self.describe(queue, job_id, tenant)
         return records.describe()
 
     def count_pending(self, queue: Queue) -> int:
-        """Return how many jobs of a queue have not started a task yet."""
-        feed = self._find_feed(queue.pool)
-        return 0 if feed is None else feed.count_pending(queue.name)
+        """Return how many jobs of a queue have not started a task yet.
 
-    def _find_feed(self, pool: str) -> PartitionFeed | None:
-        partition = self._view.find_partition(pool)
-        return None if partition is None else self._feeds.get(partition)
+        Those that it accepted under a former name, or for a former pool, count
+        as well.
+        """
+        names = self._homes.list_names(queue)
+        return sum(
+            feed.count_pending(name)
+            for feed in self._feeds.values()
+            for name in names
+        )
+
+    def _find_queue(self, job: Job) -> Queue:
+        """Return the queue of a job.
+
+        After it was removed from the configuration, only its name and its pool
+        are known.
+        """
+        configuration = self._view.configuration
+        queue = None
+        if configuration is not None:
+            queue = configuration.queues.by_name.get(job.queue)
+        if queue is None or queue.pool != job.pool:
+            return Queue(name=job.queue, host='', path_prefix='', pool=job.pool)
+        return queue
+
+    async def _settle(self, job: Job, queue: Queue) -> Job | RequestOutcome:
+        """Return a job as it may be accepted while its queue moves."""
+        refused = self._refuse_without_contact()
+        if refused is not None:
+            return refused
+        settled = await self._homes.settle(job, queue)
+        if settled is None:
+            return RequestOutcome(
+                Verdict.NOT_RUN, RETRY_AFTER_SECONDS, 'the queue is moving'
+            )
+        return settled
 
     def _list_jobs(self, job_id: str) -> Iterator[tuple[int, JobRecords]]:
         for partition, feed in self._feeds.items():
@@ -179,11 +222,11 @@
                 yield partition, records
 
     def _find_job(
-        self, queue: str, job_id: str, tenant: str
+        self, queue: Queue, job_id: str, tenant: str
     ) -> tuple[int, JobRecords] | None:
         for partition, records in self._list_jobs(job_id):
             if not self._settings.has_tenants or records.belongs_to(
-                tenant, queue
+                tenant, queue.name
             ):
                 return partition, records
         return None
@@ -191,24 +234,25 @@
     async def _find_or_refresh(
         self, queue: Queue, job_id: str, tenant: str
     ) -> tuple[int, JobRecords] | StoreUnavailable | None:
-        found = self._find_job(queue.name, job_id, tenant)
+        found = self._find_job(queue, job_id, tenant)
         if found is not None:
             return found
-        feed = self._find_feed(queue.pool)
-        if feed is None or not await feed.refresh():
+        if not await self._homes.read_all(queue):
             return StoreUnavailable()
-        return self._find_job(queue.name, job_id, tenant)
+        return self._find_job(queue, job_id, tenant)
 
-    async def _find_submitted(self, job: Job) -> RequestOutcome | None:
+    async def _find_submitted(
+        self, job: Job, queue: Queue
+    ) -> RequestOutcome | None:
         """Return the outcome of a submission whose id is known, else None.
 
         With tenants, an unknown id is looked up in the store first: the record
         would replace one that another tenant has stored at another daemon since
         the last read, up to 1.8 s ago.
         """
-        if self._find_job(job.queue, job.job_id, job.tenant) is not None:
+        if self._find_job(queue, job.job_id, job.tenant) is not None:
             return RequestOutcome(Verdict.RAN)
-        feed = self._find_feed(job.pool)
+        feed = self._homes.find_feed(job.pool)
         if not self._settings.has_tenants or feed is None:
             return None
         # A read of a store that does not answer would hold the client.
@@ -219,7 +263,7 @@
             return RequestOutcome(
                 Verdict.NOT_RUN, RETRY_AFTER_SECONDS, 'the store is not read'
             )
-        if self._find_job(job.queue, job.job_id, job.tenant) is not None:
+        if self._find_job(queue, job.job_id, job.tenant) is not None:
             return RequestOutcome(Verdict.RAN)
         if any(self._list_jobs(job.job_id)):
             return RequestOutcome(
@@ -251,7 +295,9 @@
         reason = f'no contact with the store for {contact_age:.1f} s'
         return RequestOutcome(Verdict.NOT_RUN, RETRY_AFTER_SECONDS, reason)
 
-    async def _refuse_hopeless(self, job: Job) -> RequestOutcome | None:
+    async def _refuse_hopeless(
+        self, job: Job, queue: Queue
+    ) -> RequestOutcome | None:
         """Return the outcome of a job that can't be done in time, else None.
 
         The id is looked up in the store first, since another daemon may have
@@ -259,10 +305,9 @@
         """
         if self._admission.find_rejection(job) is None:
             return None
-        feed = self._find_feed(job.pool)
-        if feed is None or not await feed.refresh():
+        if not await self._homes.read_all(queue):
             return None
-        if self._find_job(job.queue, job.job_id, job.tenant) is not None:
+        if self._find_job(queue, job.job_id, job.tenant) is not None:
             return RequestOutcome(Verdict.RAN)
         rejection = self._admission.find_rejection(job)
         if rejection is None:
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from itertools import chain
 
 import trio
 
@@ -16,8 +17,10 @@
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.jobindex import JobIndex
+from tarragonlb.scheduling.jobrecords import JobRecords
 from tarragonlb.scheduling.leasebound import LeaseBoundIndex
-from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.scheduling.queuemoves import QueueMove, QueueMoves
+from tarragonlb.scheduling.records import SUBMISSION, KeyedRecord, RecordError
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('partition')
@@ -46,6 +49,7 @@
         'last_read_at',
         'lease_bounds',
         'partition',
+        'queue_moves',
         'quota_feed',
     )
 
@@ -65,6 +69,7 @@
         self.partition = partition
         self.job_index = JobIndex()
         self.lease_bounds = LeaseBoundIndex()
+        self.queue_moves = QueueMoves()
         self.last_read_at: float | None = None
         self._settings = settings
         self._clock = clock
@@ -109,6 +114,31 @@
                 continue
             await self._wait_for_next_refresh()
 
+    def has_read(self, offset: int) -> bool:
+        """Return whether all records up to an offset have been read.
+
+        That holds for all offsets before the first read, which comes before
+        any decision.
+        """
+        next_offset = self._reader.next_offset
+        return next_offset is None or next_offset > offset
+
+    def find_late_target(self, records: JobRecords) -> QueueMove | None:
+        """Return where a job belongs that was accepted too late for here.
+
+        None for a job of this partition.  One that an owner has stored some
+        progress of stays here.
+        """
+        if self.queue_moves.is_empty or records.find_progress() is not None:
+            return None
+        try:
+            head = records.decode_head()
+        except RecordError:
+            return None
+        return self.queue_moves.find_late_target(
+            head.queue, head.pool, records.get_offset(SUBMISSION)
+        )
+
     async def refresh(self) -> bool:
         """Read all that is stored now; return whether the store answered."""
         return not isinstance(await self._refresh(), NotDone)
@@ -191,23 +221,23 @@
         now = self._clock.read_monotonic()
         end = update.snapshot_end
         if end is None:
-            return self.job_index.apply(
-                self.lease_bounds.apply(update.records, now)
-            )
+            others = self.lease_bounds.apply(update.records, now)
+            return self.job_index.apply(self.queue_moves.apply(others))
         others = self.lease_bounds.apply_snapshot(update.records, end, now)
+        others = self.queue_moves.apply_snapshot(others, end)
         return self.job_index.apply_snapshot(others, end)
 
     def _apply(self, update: RecordUpdate) -> None:
         self.last_read_at = self._clock.read_boottime()
         changed = self._index(update)
-        errors = (*self.job_index.errors, *self.lease_bounds.errors)
-        for error in errors:
+        indexes = (self.job_index, self.lease_bounds, self.queue_moves)
+        for error in chain.from_iterable(index.errors for index in indexes):
             LOG.emit(
                 'Invalid record ignored.',
                 partition=self.partition,
                 reason=str(error),
             )
-        self.job_index.errors.clear()
-        self.lease_bounds.errors.clear()
+        for index in indexes:
+            index.errors.clear()
         if changed and self._subscriber is not None:
             self._subscriber.send_nowait(changed)
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -12,6 +12,7 @@
 from tarragonlb.controller.ports import Configuration
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.fleetstate import ANY_PARTITION, FleetState
+from tarragonlb.scheduling.routehistory import RouteHistory
 from tarragonlb.scheduling.wave import Wave
 from tarragonlb.scheduling.worker import Worker
 
@@ -27,6 +28,7 @@
         'fleet_state',
         'last_read_at',
         'renewed_at',
+        'route_history',
         'wave_read_at',
         'waves',
         'workers',
@@ -39,6 +41,7 @@
         Pools may be assigned to ``pool_partitions``.
         """
         self.configuration: Configuration | None = None
+        self.route_history = RouteHistory()
         # When the last read that returned all of the operators' records, or
         # none, was sent, on the boot-time clock.
         self.configuration_read_at: float | None = None
@@ -57,6 +60,11 @@
         self._changed = trio.Event()
         self._owns = trio.Event()
 
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Replace the configuration by a later one."""
+        self.configuration = configuration
+        self.route_history.apply(configuration.queues.by_name.values())
+
     def note_renewal(self, partition: int, sent_at: float) -> None:
         """Note that an owned partition was renewed by a call of ``sent_at``."""
         self.renewed_at[partition] = sent_at
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -18,6 +18,7 @@
 from tarragonlb.controller.decisionlog import DecisionLog
 from tarragonlb.controller.decisionstorage import DecisionStorage
 from tarragonlb.controller.drainreporter import DrainReporter
+from tarragonlb.controller.jobforwarder import JobForwarder, build_state
 from tarragonlb.controller.leasehandover import LeaseHandover
 from tarragonlb.controller.loadpublisher import LoadPublisher
 from tarragonlb.controller.membership import OwnedPartition
@@ -37,7 +38,6 @@
     StartOrder,
     StopOrder,
 )
-from tarragonlb.scheduling.records import RecordError
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, ROUND_SECONDS
 from tarragonlb.telemetry.log import Log
 
@@ -59,6 +59,7 @@
         '_directory_gate',
         '_drain_reporter',
         '_feed',
+        '_forwarder',
         '_inbox',
         '_inbox_receiver',
         '_lease_handover',
@@ -97,6 +98,7 @@
         self._settings = settings
         self._clock = clock
         self._storage = DecisionStorage(owned, store, feed, settings)
+        self._forwarder = JobForwarder(feed, store, view, settings, clock)
         self._drain_reporter = DrainReporter(store, settings, clock)
         self._load_publisher = LoadPublisher(owned, store, view, settings)
         self._inbox, self._inbox_receiver = trio.open_memory_channel[
@@ -159,6 +161,7 @@
         self._nursery.start_soon(self._forward_job_changes, changes)
         self._nursery.start_soon(self._view.forward_changes, self._inbox)
         self._nursery.start_soon(self._quota.run, self._inbox)
+        self._nursery.start_soon(self._forwarder.run)
         vm_watch = VmWatch(self._workers.vms, self._settings, self._clock)
         self._nursery.start_soon(
             vm_watch.run,
@@ -346,22 +349,16 @@
                 reconciler.apply_vm_listing(event.listing)
 
     def _update_job(self, job_id: str, now: float) -> None:
-        records = self._feed.job_index.find(job_id)
+        partition_state = self._scheduler.state
+        is_known = job_id in partition_state.jobs
+        records = self._forwarder.find_own(job_id, is_known=is_known)
         if records is None:
             return
-        partition_state = self._scheduler.state
-        if job_id not in partition_state.jobs:
-            try:
-                partition_state.add_job(
-                    records.build_state(read_moment(self._clock))
-                )
-            except RecordError as error:
-                LOG.emit(
-                    'Job ignored, as its records are invalid.',
-                    job=job_id,
-                    reason=str(error),
-                )
+        if not is_known:
+            state = build_state(records, read_moment(self._clock))
+            if state is None:
                 return
+            partition_state.add_job(state)
         if records.is_cancelled:
             partition_state.cancel_job(job_id, now)
 
--- a/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetrecords.py
@@ -12,6 +12,7 @@
     begun/WAVE/VM       the platform confirmed that the maintenance begins
     through/WAVE/VM     the VM's maintenance is done
     wait/POOL           how long new jobs of the pool wait, see waitrecords.py
+    route/DIGEST        the pools that served a route, see routerecords.py
 """
 
 from dataclasses import dataclass
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -30,6 +30,8 @@
     decode_pool_partition,
 )
 from tarragonlb.scheduling.records import KeyedRecord, RecordError
+from tarragonlb.scheduling.routehistory import Route
+from tarragonlb.scheduling.routerecords import RouteRecord, decode_route
 from tarragonlb.scheduling.waitrecords import WaitFigures, decode_waits
 
 # More partitions than any store has.
@@ -42,6 +44,7 @@
     __slots__ = (
         '_offsets',
         '_pool_partitions',
+        '_route_keys',
         'drain_requests',
         'drained',
         'errors',
@@ -53,6 +56,7 @@
         'owner_offers',
         'owner_statuses',
         'partitions',
+        'routes',
         'waits',
     )
 
@@ -78,6 +82,9 @@
         self.owner_statuses: dict[int, OwnerStatus] = {}
         # The newest offer to take over each partition.
         self.owner_offers: dict[int, OwnerOffer] = {}
+        # The routes of queues, by host and path prefix.
+        self.routes: dict[Route, RouteRecord] = {}
+        self._route_keys: dict[str, Route] = {}
         self.waits = WaitFigures()
         self.errors: list[RecordError] = []
 
@@ -168,7 +175,7 @@
                 _apply_drain(self.drained, name, record.value)
             case 'order':
                 self.orders[name] = decode_order(record.value)
-            case 'load' | 'wait':
+            case 'load' | 'wait' | 'route':
                 self._apply_pool(kind, name, record.value, now)
             case 'pool' | 'owner' | 'offer':
                 self._apply_ownership(kind, name, record.value)
@@ -188,9 +195,19 @@
     ) -> None:
         if kind == 'load':
             self.loads[name] = decode_load(value)
+        elif kind == 'route':
+            self._apply_route(name, value)
         else:
             self.waits.apply(name, decode_waits(value), now)
 
+    def _apply_route(self, key: str, value: bytes) -> None:
+        if not value:
+            self.routes.pop(self._route_keys.pop(key, ('', '')), None)
+            return
+        record = decode_route(value)
+        self._route_keys[key] = record.route
+        self.routes[record.route] = record
+
     def _apply_ownership(self, kind: str, name: str, value: bytes) -> None:
         if kind == 'pool':
             partition = decode_pool_partition(value)
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -1,9 +1,11 @@
 """Records about jobs in the store, and their CBOR encoding.
 
-A job has up to three records, distinguished by the last letter of their key:
-the submission, a cancellation, and the progress that the partition's owner
-writes.  The newest record of each kind counts.  A progress record replaces the
-previous one, so recovery needs only the newest records.
+A job has up to four records, distinguished by the last letter of their key:
+the submission, a cancellation, the progress that the partition's owner writes,
+and a mark that the submission was forwarded to another partition, see
+``tarragonlb.scheduling.queuemoves``.  The newest record of each kind counts.  A
+progress record replaces the previous one, so recovery needs only the newest
+records.
 """
 
 from dataclasses import dataclass
@@ -23,7 +25,10 @@
 SUBMISSION = 'j'
 CANCELLATION = 'c'
 PROGRESS = 'p'
-KINDS = frozenset((SUBMISSION, CANCELLATION, PROGRESS))
+FORWARDING = 'f'
+KINDS = frozenset((SUBMISSION, CANCELLATION, PROGRESS, FORWARDING))
+# Those of a job that was not forwarded.
+COMMON_KINDS = (CANCELLATION, SUBMISSION, PROGRESS)
 SUBMISSION_FIELDS = ('queue', 'pool', 'spec', 'handed_in_ms', 'tenant')
 CANCELLED_VALUE = cbor2.dumps([])
 Content = TypeVar('Content')
@@ -61,7 +66,7 @@
 
 def build_removal_records(job_id: str) -> list[KeyedRecord]:
     """Return the records that remove a job."""
-    return [KeyedRecord(job_id + kind, b'') for kind in sorted(KINDS)]
+    return [KeyedRecord(job_id + kind, b'') for kind in COMMON_KINDS]
 
 
 @dataclass(frozen=True, slots=True)
