Record a move of a queue with the configuration that it is of

A queue is now settled as the present configuration has it, and the record carries the version that it was taken from, also when the configuration changes meanwhile. A job that comes back to a partition is forwarded again after a pause.

--- a/libs/controller/features/steps/move_steps.py
+++ b/libs/controller/features/steps/move_steps.py
@@ -8,7 +8,9 @@
 
 from tarragonlb.controller.partition import PartitionFeed
 
-SETTLE_SECONDS = 8.0
+# The bound of the platform for jobs at the end of a day.  An owner that takes
+# over waits 5 s for a queue that it does not know.
+SETTLE_SECONDS = 14.0
 RANDOM_SEEDS = range(12)
 RANDOM_STEPS = 40
 KINDS = (
--- a/libs/controller/tarragonlb/controller/jobforwarder.py
+++ b/libs/controller/tarragonlb/controller/jobforwarder.py
@@ -144,6 +144,9 @@
         if move is None:
             return
         job_id, offset = records.job_id, records.get_offset(SUBMISSION)
+        if job_id in self._seen_at:
+            # It came back, as its queue moves once more.
+            await trio.sleep(self._settings.store_retry_seconds)
         try:
             submission = build_forwarded_submission(
                 job_id,
--- a/libs/controller/tarragonlb/controller/queuehomes.py
+++ b/libs/controller/tarragonlb/controller/queuehomes.py
@@ -18,7 +18,7 @@
 
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
-from tarragonlb.controller.ports import Clock, Store
+from tarragonlb.controller.ports import Clock, Configuration, Store
 from tarragonlb.controller.results import Stored
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.job import MS_PER_SECOND, Job
@@ -126,9 +126,15 @@
         lock = self._locks.setdefault(get_route(queue), trio.Lock())
         with trio.move_on_after(self._settings.submit_timeout_seconds):
             async with lock:
-                is_settled = not self.must_settle(queue)
-                if is_settled or await self._settle_places(queue):
+                # The configuration may have changed since the request came.
+                configuration = self._view.configuration
+                present = _find_same_route(configuration, queue)
+                if configuration is None or present is None:
                     return self._follow(job, queue)
+                if not self.must_settle(present) or await self._settle_places(
+                    present, configuration.version
+                ):
+                    return self._follow(job, present)
         return None
 
     def _is_settled(self, queue: Queue, places: tuple[Place, ...]) -> bool:
@@ -140,44 +146,40 @@
         homes = tuple((place.queue, place.pool) for place in places)
         return (changes, ((queue.name, queue.pool), *homes))
 
-    async def _settle_places(self, queue: Queue) -> bool:
+    async def _settle_places(self, queue: Queue, version: int) -> bool:
         """Record that a queue has moved, in its former partitions and here.
 
-        Return whether that is done, or this daemon is behind.
+        ``version`` is that of the configuration that has the queue.  Return
+        whether that is done, or this daemon is behind.
         """
         present = self.find_feed(queue.pool)
         if present is None:
             return False
         move = present.queue_moves.find(queue.name, queue.pool)
-        if (
-            move is not None
-            and move.is_away
-            and move.version >= self._get_version()
-        ):
+        if move is not None and move.is_away and move.version >= version:
             return True
         places = self._list_other_places(queue, present)
+        described = self._describe(queue, places)
         for place in places:
-            await self._record(place, queue, (queue.name, queue.pool))
+            target = (queue.name, queue.pool)
+            await self._record(place, queue, target, version)
             if not await _read_moves(place.feed):
                 return False
         # A daemon that is behind can't record any more that it is elsewhere.
         own = Place(queue.name, queue.pool, present)
-        await self._record(own, queue, ('', ''))
-        self._settled[get_route(queue)] = self._describe(queue, places)
+        await self._record(own, queue, ('', ''), version)
+        self._settled[get_route(queue)] = described
         return True
 
-    def _get_version(self) -> int:
-        configuration = self._view.configuration
-        return 0 if configuration is None else configuration.version
-
-    async def _record(self, place: Place, queue: Queue, target: Home) -> None:
+    async def _record(
+        self, place: Place, queue: Queue, target: Home, version: int
+    ) -> None:
         """Record in a partition where jobs of a queue belong, until stored.
 
         Nothing is written if a record of this configuration, or of a later one,
         is known.
         """
         feed = place.feed
-        version = self._get_version()
         known = feed.queue_moves.find(place.queue, place.pool)
         if known is not None and known.version >= version:
             return
@@ -277,6 +279,18 @@
                 yield Place(name, pool, feed)
 
 
+def _find_same_route(
+    configuration: Configuration | None, queue: Queue
+) -> Queue | None:
+    """Return the queue that a configuration has for the route of another."""
+    if configuration is None:
+        return None
+    found = configuration.queues.find(queue.host, queue.path_prefix)
+    if found is None or get_route(found) != get_route(queue):
+        return None
+    return found
+
+
 async def _read_moves(feed: PartitionFeed) -> bool:
     """Read a partition up to its last known record of a move.
 
