Use the sound rows of a report or list that has odd ones

One row of a worker's report that could not be decoded made the whole report invalid, so the worker counted as silent with all that ran there; one such row in the list of VMs stopped waves, moves and the evidence of lost workers. Found by reading, after the issue's demand that odd bytes must not hide the sound entries beside them.

An answer that can't be decoded as a whole is decoded row by row. What is left out may matter, so nothing is concluded from its absence: an incomplete report proves no attempt over, a list with such a row proves no worker over, and no wave goes on while the name of a VM is illegible.

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -115,3 +115,14 @@
     Given an owner that is told of changes of the view
     When the view changes twice, the second time as the owner takes note
     Then the owner is told of both changes
+
+  # Guards against tasks that are started again while they run, as the row of their
+  # VM in the list can't be read.
+  Scenario Outline: A list with a row that can't be read proves no worker over
+    When an owner without contact to a worker lists the VMs of the workers "<workers>"
+    Then it gets <listings> listings
+
+    Examples:
+      | workers | listings |
+      | w1 w2   | 1        |
+      | w1 ?    | 0        |
--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -124,6 +124,9 @@
         if not await self._assign_pools(configuration, vms):
             return False
         standby = configuration.standby_pools
+        if not all(vm.vm_id for vm in vms):
+            # Any VM of a wave may be the one that is missing.
+            return True
         for wave in tuple(self._view.waves.values()):
             if wave.number in self._completed_waves:
                 continue
--- a/libs/controller/tarragonlb/controller/vmwatch.py
+++ b/libs/controller/tarragonlb/controller/vmwatch.py
@@ -14,6 +14,7 @@
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.vmevidence import VmListing
+from tarragonlb.scheduling.wave import UNKNOWN_WORKER
 
 
 class VmWatch:
@@ -59,5 +60,7 @@
             return 0
         self._dependency_log.record_success(requested_at)
         worker_ids = frozenset(vm.worker_id for vm in vms) - {''}
-        await inbox.send(VmsListed(VmListing(worker_ids, requested_at)))
+        if UNKNOWN_WORKER not in worker_ids:
+            # A row that can't be read may be that of any worker.
+            await inbox.send(VmsListed(VmListing(worker_ids, requested_at)))
         return len(vms)
--- a/libs/model/tarragonlb/model/decoding.py
+++ b/libs/model/tarragonlb/model/decoding.py
@@ -16,6 +16,7 @@
 tarragonlb.model.decoding.DecodingError: nested too deeply
 """
 
+from collections.abc import Iterable
 from typing import Annotated, Any, TypeVar
 
 import cbor2
@@ -69,6 +70,24 @@
         raise DecodingError(str(error)) from error
 
 
+def decode_rows(
+    rows: Iterable[msgspec.Raw], expected: type[Decoded]
+) -> tuple[list[Decoded], list[bytes]]:
+    """Return the rows that can be decoded as a type, and the others.
+
+    >>> decode_rows([msgspec.Raw(b'1'), msgspec.Raw(b'x')], int)
+    ([1], [b'x'])
+    """
+    decoded: list[Decoded] = []
+    invalid: list[bytes] = []
+    for row in rows:
+        try:
+            decoded.append(decode_json(bytes(row), expected))
+        except DecodingError:
+            invalid.append(bytes(row))
+    return decoded, invalid
+
+
 def decode_cbor(blob: bytes | str) -> Any:
     """Decode one CBOR value of any type, or raise ``DecodingError``.
 
--- a/libs/scheduling/features/decoding.feature
+++ b/libs/scheduling/features/decoding.feature
@@ -32,3 +32,12 @@
   Scenario: Odd records on lease bounds and caps are left out, the others count
     Given records on a lease bound and on the cap of a tenant
     Then each is in force among any odd ones
+
+  # Guards against a task that is stopped, and runs twice, as the row of a report
+  # that lists it can't be read.
+  Scenario: What an incomplete report does not list may run
+    Given an owner whose task runs on a worker
+    When 3 incomplete reports don't list it
+    Then no stop order is sent
+    When 1 complete reports don't list it
+    Then a stop order is sent
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -54,7 +54,8 @@
                 self._apply_end(worker, end, report.received_at)
         listed = self._apply_running(worker, report)
         for key, attachment in tuple(worker.attached.items()):
-            if (key, attachment.attempt) not in listed:
+            is_listed = (key, attachment.attempt) in listed
+            if report.is_complete and not is_listed:
                 self._handle_unlisted(worker, key, report)
         if not was_usable and worker.is_usable():
             self._partition.changed_pools.add(worker.entry.pool)
@@ -132,8 +133,8 @@
             else:
                 self._update_running(worker, row, task, report)
         for key, orphan in tuple(worker.orphans.items()):
-            is_listed = (key, orphan.attempt) in listed
-            if not is_listed and orphan.is_over(report.requested_at):
+            may_run = (key, orphan.attempt) in listed or not report.is_complete
+            if not may_run and orphan.is_over(report.requested_at):
                 worker.orphans.pop(key)
                 self._partition.usage.remove(
                     worker.entry.worker_id, key, ORPHANED
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -24,6 +24,10 @@
 ORDER_RETRY_SECONDS = 2.5
 
 
+# The worker of a VM whose row in the platform's list can't be read.
+UNKNOWN_WORKER = '?'
+
+
 class VmStatus(enum.Enum):
     """Status of a VM, as the platform lists it."""
 
@@ -35,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Vm:
-    """A VM as the platform lists it, with the worker that it runs."""
+    """A VM as the platform lists it, with the worker that it runs.
+
+    Of a row that can't be read no more than the name is known, or nothing; the
+    worker is ``UNKNOWN_WORKER`` then.
+    """
 
     vm_id: str
     pool: str
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -315,7 +315,7 @@
     """A worker's report of its attempts.
 
     ``requested_at`` is when the report was requested; its content is not older
-    than that.
+    than that.  Only a complete one proves that what it does not list is over.
     """
 
     worker_id: str
@@ -324,3 +324,4 @@
     incarnation: int
     running: tuple[RunningAttempt, ...] = ()
     ended: tuple[EndedAttempt, ...] = field(default=())
+    is_complete: bool = True
