Answer for a job that a daemon knows before its queue is settled

A job that was submitted again at a daemon that knows it was refused while the store was down, if its queue had moved meanwhile: the move was recorded first. What is known needs no call.

moves.feature: the new scenario failed before and passes now, with the 21 others.

--- a/libs/controller/features/moves.feature
+++ b/libs/controller/features/moves.feature
@@ -96,6 +96,15 @@
     Then 5 jobs at daemon 0 take 7 appends and 1 reads of the store
     And 5 jobs at daemon 0 take 5 appends and 0 reads of the store
 
+  # Guards against a refusal of a job that the daemon knows, as its queue has moved
+  # and the store does not answer.
+  Scenario: A job that is known is accepted again although the store is down
+    Given 2 daemons and the pools "pool b", of which the queue has "pool"
+    When a job is submitted at daemon 0
+    And the queue moves to "b" at once
+    And the store is in mode "refuse"
+    Then the job is accepted again at daemon 0 within 0.1 s
+
   # Guards against jobs that are lost or doubled while appends are slow or their
   # answers get lost.
   Scenario Outline: A job is one job while its queue moves and the store is impaired
--- a/libs/controller/features/steps/move_steps.py
+++ b/libs/controller/features/steps/move_steps.py
@@ -87,6 +87,15 @@
     add(context, action)
 
 
+@then('the job is accepted again at daemon {number:d} within {seconds:g} s')
+def check_accepted(context, number, seconds):
+    async def action(sim):
+        with trio.fail_after(seconds):
+            await sim.submit(f'd{number}', sim.last)
+
+    run(context, action)
+
+
 @step('daemon {number:d} is killed and starts again')
 def restart(context, number):
     async def action(sim):
--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -109,6 +109,8 @@
         # The reads below may take long if the store is slow.
         arrived_ms = self._clock.read_wall() * MS_PER_SECOND
         queue = self._find_queue(job)
+        if self._find_job(queue, job.job_id, job.tenant) is not None:
+            return RequestOutcome(Verdict.RAN)
         if self._homes.must_settle(queue):
             settled = await self._settle(job, queue)
             if isinstance(settled, RequestOutcome):
