Forward other late jobs while one can't be forwarded

The forwarder waited for a pool without a partition, or a partition that refuses appends, and kept all other late jobs waiting behind that job. It now tries once, puts the job back and goes on; what is of no use any more is also removed while jobs keep coming.

--- a/libs/controller/tarragonlb/controller/jobforwarder.py
+++ b/libs/controller/tarragonlb/controller/jobforwarder.py
@@ -111,38 +111,58 @@
         """Forward jobs until cancelled."""
         for records in self._feed.job_index.list_forwarded():
             self._inbox.send_nowait(records.job_id)
+        clean_up_at = trio.current_time() + CLEANUP_SECONDS
         while True:
-            with trio.move_on_after(CLEANUP_SECONDS) as scope:
-                job_id = await self._job_ids.receive()
-            if scope.cancelled_caught:
+            with trio.move_on_at(clean_up_at):
+                await self._handle_next()
+            if trio.current_time() >= clean_up_at:
                 await self._clean_up()
-            else:
-                await self._handle(job_id)
+                clean_up_at = trio.current_time() + CLEANUP_SECONDS
+
+    async def _handle_next(self) -> None:
+        """Forward the next job, or put it back if that is not possible now."""
+        job_id = await self._job_ids.receive()
+        is_done = False
+        try:
+            is_done = await self._handle(job_id)
+        finally:
+            if not is_done:
+                self._inbox.send_nowait(job_id)
+        if not is_done:
+            await trio.sleep(self._settings.store_retry_seconds)
 
-    async def _handle(self, job_id: str) -> None:
-        """Forward a job, or the cancellation of one that was forwarded."""
+    async def _handle(self, job_id: str) -> bool:
+        """Forward a job, or the cancellation of one that was forwarded.
+
+        Return whether that is done, or need not be.
+        """
         records = self._feed.job_index.find(job_id)
-        forwarded = self._feed.job_index.find_forwarded(job_id)
         if records is not None:
-            await self._forward(records)
-        elif forwarded is not None:
-            self._seen_at.setdefault(job_id, self._clock.read_monotonic())
-            if forwarded.is_cancelled and job_id not in self._cancelled:
-                await self._forward_cancellation(forwarded)
+            return await self._forward(records)
+        forwarded = self._feed.job_index.find_forwarded(job_id)
+        if forwarded is None:
+            return True
+        self._seen_at.setdefault(job_id, self._clock.read_monotonic())
+        if not forwarded.is_cancelled or job_id in self._cancelled:
+            return True
+        return await self._forward_cancellation(forwarded)
 
-    async def _forward_cancellation(self, records: JobRecords) -> None:
+    async def _forward_cancellation(self, records: JobRecords) -> bool:
         """Forward the cancellation alone, as the job may be over by now."""
         move = self._feed.find_late_target(records)
         if move is None:
-            return
-        target = await self._find_partition(move.target_pool)
-        await self._append(target, [build_cancellation_record(records.job_id)])
+            return True
+        target = self._view.find_partition(move.target_pool)
+        cancellation = build_cancellation_record(records.job_id)
+        if await self._append(target, [cancellation]) is None:
+            return False
         self._cancelled.add(records.job_id)
+        return True
 
-    async def _forward(self, records: JobRecords) -> None:
+    async def _forward(self, records: JobRecords) -> bool:
         move = self._feed.find_late_target(records)
         if move is None:
-            return
+            return True
         job_id, offset = records.job_id, records.get_offset(SUBMISSION)
         if job_id in self._seen_at:
             # It came back, as its queue moves once more.
@@ -160,15 +180,19 @@
                 job=job_id,
                 reason=str(error),
             )
-            return
+            return True
         to_store = [submission]
         if records.is_cancelled:
             to_store.append(build_cancellation_record(job_id))
+        target = self._view.find_partition(move.target_pool)
+        if await self._append(target, to_store) is None:
+            return False
+        if len(to_store) > 1:
             self._cancelled.add(job_id)
-        target = await self._find_partition(move.target_pool)
-        await self._append(target, to_store)
         mark = build_forwarding_record(job_id, offset)
         first = await self._append(self._feed.partition, [mark])
+        if first is None:
+            return False
         self._feed.apply_stored([mark], first)
         self._seen_at.setdefault(job_id, self._clock.read_monotonic())
         LOG.emit(
@@ -180,21 +204,16 @@
             partition=self._feed.partition,
             target_partition=target,
         )
+        return True
 
-    async def _find_partition(self, pool: str) -> int:
-        while True:
-            partition = self._view.find_partition(pool)
-            if partition is not None:
-                return partition
-            await self._view.wait_for_change()
-
-    async def _append(self, partition: int, records: list[KeyedRecord]) -> int:
-        """Append records, retrying until they are stored; return the offset."""
-        while True:
-            result = await self._store.append(partition, tuple(records), None)
-            if isinstance(result, Stored):
-                return result.first
-            await trio.sleep(self._settings.store_retry_seconds)
+    async def _append(
+        self, partition: int | None, records: list[KeyedRecord]
+    ) -> int | None:
+        """Append records once; return the offset, None if they may be lost."""
+        if partition is None:
+            return None
+        result = await self._store.append(partition, tuple(records), None)
+        return result.first if isinstance(result, Stored) else None
 
     async def _clean_up(self) -> None:
         """Remove what is left of forwarded jobs, and moves of long ago."""
@@ -205,10 +224,13 @@
             self._clock.read_wall() * MS_PER_SECOND
         )
         for job_id in over:
-            self._seen_at.pop(job_id)
-            self._cancelled.discard(job_id)
-            if self._feed.job_index.find_forwarded(job_id) is not None:
+            if self._feed.job_index.find_forwarded(job_id) is None:
+                self._seen_at.pop(job_id)
+                self._cancelled.discard(job_id)
+            else:
                 records.extend(build_forwarded_removal(job_id))
+        first = None
         if records:
             first = await self._append(self._feed.partition, records)
+        if first is not None:
             self._feed.apply_stored(records, first)
