--- a/bench/worker_calls.py
+++ b/bench/worker_calls.py
@@ -20,7 +20,7 @@
 import trio
 
 from tarragonlb.adapter.http import HttpClient, HttpResponse
-from tarragonlb.adapter.workers import EndedRow, Report, RunningRow
+from tarragonlb.adapter.workerreport import EndedRow, Report, RunningRow
 from tarragonlb.controller.looplag import LoopLag
 
 CALLS = 3000
