Read a former partition that was never read before a queue is settled

A daemon that had just started accepted a job again that lay in the former partition of its queue: a partition that was never read counted as read up to the record of the move.

--- a/libs/controller/features/moves.feature
+++ b/libs/controller/features/moves.feature
@@ -78,6 +78,13 @@
     And the job is submitted again at daemon 0
     Then each job has run once
 
+  # Guards against a daemon that has just started and accepts a job again, as it has
+  # not read the partition of the former pool yet.
+  Scenario: A daemon reads a former partition first that it has never read
+    Given a daemon that has read no partition, and a queue that moves to "b"
+    When a job that lies in the former partition is submitted again
+    Then it is accepted, and nothing is stored in the new partition
+
   # Guards against a count that leaves out what waits in the former pool.
   Scenario: Jobs that wait in the former pool are counted as pending
     Given 3 daemons and the pools "pool b", of which the queue has "pool"
--- a/libs/controller/features/steps/move_steps.py
+++ b/libs/controller/features/steps/move_steps.py
@@ -1,12 +1,20 @@
 import random
+from dataclasses import replace
 from unittest import mock
 
 import trio
-from behave import given, step, then
-from fakeplatform import FakeStore
+import trio.testing
+from behave import given, step, then, when
+from fakeplatform import QUEUE, FakeClock, FakeStore
 from movesimulation import MoveSimulation
+from simulation import SETTINGS
 
+from tarragonlb.controller.jobservice import JobService
 from tarragonlb.controller.partition import PartitionFeed
+from tarragonlb.controller.platformview import PlatformView
+from tarragonlb.controller.ports import Configuration, Topic
+from tarragonlb.scheduling.queue import QueueTable
+from tarragonlb.scheduling.records import build_submission_record
 
 # The bound of the platform for jobs at the end of a day.  An owner that takes
 # over waits 5 s for a queue that it does not know.
@@ -96,6 +104,48 @@
     run(context, action)
 
 
+@given(
+    'a daemon that has read no partition, and a queue that moves to "{pool}"'
+)
+def create_unread(context, pool):
+    context.store = FakeStore()
+    context.view = PlatformView()
+    context.view.fleet_state.partitions = {QUEUE.pool: 1, pool: 2}
+    for version, queue in enumerate((QUEUE, replace(QUEUE, pool=pool))):
+        context.view.apply_configuration(
+            Configuration(version, QueueTable([queue]), 1000)
+        )
+    context.moved = queue
+
+
+@when('a job that lies in the former partition is submitted again')
+def repeat_unread(context):
+    job = MoveSimulation(1, ['pool']).build_job('a' * 16, QUEUE)
+    log = context.store.logs[Topic.JOBS, 1]
+    log.append(build_submission_record(job))
+    feeds = {
+        number: PartitionFeed(number, context.store, SETTINGS, FakeClock())
+        for number in (1, 2)
+    }
+
+    async def submit():
+        service = JobService(
+            context.store, feeds, SETTINGS, FakeClock(), context.view
+        )
+        context.outcome = await service.submit(
+            replace(job, pool=context.moved.pool)
+        )
+
+    trio.run(submit, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then('it is accepted, and nothing is stored in the new partition')
+def check_unread(context):
+    assert context.outcome.verdict.value == 'ran', context.outcome
+    kinds = [record.key[-1] for record in context.store.logs[Topic.JOBS, 2]]
+    assert 'j' not in kinds, kinds
+
+
 @step('daemon {number:d} is killed and starts again')
 def restart(context, number):
     async def action(sim):
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -115,13 +115,8 @@
             await self._wait_for_next_refresh()
 
     def has_read(self, offset: int) -> bool:
-        """Return whether all records up to an offset have been read.
-
-        That holds for all offsets before the first read, which comes before
-        any decision.
-        """
-        next_offset = self._reader.next_offset
-        return next_offset is None or next_offset > offset
+        """Return whether all records up to an offset have been read."""
+        return (self._reader.next_offset or 0) > offset
 
     def find_late_target(self, records: JobRecords) -> QueueMove | None:
         """Return where a job belongs that was accepted too late for here.
