Decode the rows of a list of VMs in one call while all are sound

Nothing that callers saw: the fleet's owner reads the list of VMs four times a second, and since it decoded each row with a call of its own, whether or not one was odd. Found in a re-read of the diff.

Rows are decoded one by one only if that fails.

--- a/libs/model/tarragonlb/model/decoding.py
+++ b/libs/model/tarragonlb/model/decoding.py
@@ -76,9 +76,23 @@
 ) -> tuple[list[Decoded], list[bytes]]:
     """Return the rows that can be decoded as a type, and the others.
 
+    Each row is one value, as the decoder of JSON gives it.
+
     >>> decode_rows([msgspec.Raw(b'1'), msgspec.Raw(b'x')], int)
     ([1], [b'x'])
     """
+    found = tuple(rows)
+    text = b'[%b]' % b','.join(found)
+    try:
+        # One call for all rows costs less.
+        return decode_json(text, list[expected]), []  # type: ignore[valid-type]
+    except DecodingError:
+        return _decode_each(found, expected)
+
+
+def _decode_each(
+    rows: Iterable[msgspec.Raw], expected: type[Decoded]
+) -> tuple[list[Decoded], list[bytes]]:
     decoded: list[Decoded] = []
     invalid: list[bytes] = []
     for row in rows:
