Correct the examples of four modules that did not hold

A reader who tried them got an error or another result: decode_json of 5000 brackets as a list of integers fails at the second one, not for its depth; the examples of queuemoves, quotaindex and fleetstate used names and bytes that the modules don't have.

--- a/libs/model/tarragonlb/model/decoding.py
+++ b/libs/model/tarragonlb/model/decoding.py
@@ -11,7 +11,7 @@
 
 >>> decode_json(b'[1, 2]', list[int])
 [1, 2]
->>> decode_json(b'[' * 5000, list[int])
+>>> decode_json(b'[' * 5000, object)
 Traceback (most recent call last):
 tarragonlb.model.decoding.DecodingError: nested too deeply
 """
--- a/libs/scheduling/tarragonlb/scheduling/fleetstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/fleetstate.py
@@ -1,7 +1,7 @@
 """The state of the fleet's VMs, built from the records about them.
 
 >>> fleet_state = FleetState()
->>> fleet_state.apply([KeyedRecord('through/1/m-1', b'\xf5', 0)], now=0.0)
+>>> fleet_state.apply([KeyedRecord('through/1/m-1', b'1', 0)], now=0.0)
 >>> fleet_state.maintenance_done
 {(1, 'm-1')}
 """
--- a/libs/scheduling/tarragonlb/scheduling/queuemoves.py
+++ b/libs/scheduling/tarragonlb/scheduling/queuemoves.py
@@ -23,7 +23,8 @@
 >>> move = QueueMove(version=2, queue='q', pool='a', host='h', path_prefix='/',
 ...                  target_queue='q', target_pool='b', stored_ms=0)
 >>> moves = QueueMoves()
->>> moves.apply([replace(build_move_record(move, 'a1'), offset=5)])
+>>> record = build_move_record(move, 'a1')
+>>> moves.apply([KeyedRecord(record.key, record.value, offset=5)])
 []
 >>> moves.find_late_target('q', 'a', 6) == move
 True
--- a/libs/scheduling/tarragonlb/scheduling/quotaindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/quotaindex.py
@@ -2,8 +2,11 @@
 
 Every reader applies the same records in the order in which they are stored.
 
+>>> from tarragonlb.scheduling.quotarecords import build_term_record
 >>> index = QuotaIndex()
->>> index.apply([replace(build_term_record(1, 7), offset=0)])
+>>> record = build_term_record(1, 7)
+>>> index.apply([KeyedRecord(record.key, record.value, offset=0)])
+set()
 >>> index.terms
 {1: 7}
 """
