Give the worker of the search among odd records room for all of an odd job

Nothing that callers saw.

Cause, traced with the example that hypothesis gave: a submission whose repetitions are 2**31, the first due in 2020, which is a job that a client may hand in: decode_job takes the same body. 100 of its occurrences are open at a time, all due before the sound job, and 8 of their tasks hold the only worker of the test, which finishes nothing (8 attempts of the odd job, 0 millicores free). So the sound job waited behind older work, as it should.

The check is as it was: each job is counted, shown and scheduled, and the sound one starts. Its worker now has room for 100 open occurrences of the odd job, each with 20 tasks.

--- a/libs/scheduling/features/steps/jobrecord_steps.py
+++ b/libs/scheduling/features/steps/jobrecord_steps.py
@@ -20,7 +20,10 @@
     Step,
 )
 from tarragonlb.scheduling.jobindex import JobIndex  # noqa: E402
-from tarragonlb.scheduling.jobstate import JobState  # noqa: E402
+from tarragonlb.scheduling.jobstate import (  # noqa: E402
+    MAX_OPEN_OCCURRENCES,
+    JobState,
+)
 from tarragonlb.scheduling.leasebound import (  # noqa: E402
     BoundChanges,
     LeaseBoundIndex,
@@ -72,6 +75,18 @@
         max_per_worker=1,
     ),
 )
+# Has room for the sound job beside all open occurrences of the odd one, as a
+# number may be odd, but valid: of occurrences that are due, or of tasks.
+WORKER = Worker(
+    worker_id='w0',
+    pool='p',
+    address='x:1',
+    capacity=Demand(
+        cpu_millicores=10_000 * MAX_OPEN_OCCURRENCES,
+        memory_mb=1000 * MAX_OPEN_OCCURRENCES,
+        gpus=100 * MAX_OPEN_OCCURRENCES,
+    ),
+)
 
 
 def build_job(job_id):
@@ -177,10 +192,7 @@
     )
     state = scheduler.state
     state.queues = {'q': Queue(name='q', host='h', path_prefix='/', pool='p')}
-    worker = Worker(
-        worker_id='w0', pool='p', address='x:1', capacity=Demand(4000, 99, 4)
-    )
-    state.update_workers([worker])
+    state.update_workers([WORKER])
     for job in index.list_jobs():
         try:
             state.add_job(job.build_state(Moment(0.0, WALL_MS)))
