Count no tenant's tasks twice as over when they occupy nothing

What callers would have seen: a job of a tenant with two tasks whose steps state no demand, a body that is accepted, ends its owner's term with a KeyError as its tasks end, in each term anew: nothing of that partition is started or shown as completed any more.

Cause: a tenant that occupies nothing is dropped from the sums, as if it had no attempts left, but attempts with a demand of 0 were left. The next of them to end looked the tenant up again. A tenant without a sum occupies nothing, in this lookup as in all others.

"Tasks of a tenant that occupy nothing end one by one" (caps.feature) failed with KeyError: 'a' before, and passes now.

--- a/libs/scheduling/features/caps.feature
+++ b/libs/scheduling/features/caps.feature
@@ -202,6 +202,14 @@
       | in a log      |
       | in a snapshot |
 
+  # Guards against an owner that fails in each of its terms, once a tenant's job
+  # has tasks whose demand is 0.
+  Scenario: Tasks of a tenant that occupy nothing end one by one
+    Given an owner with a worker and a job of 2 tasks that demand nothing
+    When both tasks end
+    Then the job of the tenant is complete
+    And the tenant occupies 0
+
   # Guards against attempts that run and are not counted.
   Scenario: Copies, orphans and scavenging tasks count until they are over
     Given an owner with 2 workers and a job of 2 scavenging tasks of 500
--- a/libs/scheduling/features/steps/usage_steps.py
+++ b/libs/scheduling/features/steps/usage_steps.py
@@ -1,7 +1,9 @@
+from dataclasses import replace
+
 from behave import given, then, when
 
 from tarragonlb.scheduling.job import Demand, Job, JobSpec, Moment, Step
-from tarragonlb.scheduling.jobstate import JobState
+from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.placement import PackNearData
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.progress import (
@@ -12,7 +14,7 @@
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.scheduling.settings import SchedulingSettings
-from tarragonlb.scheduling.worker import Worker, WorkerReport
+from tarragonlb.scheduling.worker import EndedAttempt, Worker, WorkerReport
 
 STEP = Step(
     width=2,
@@ -45,13 +47,14 @@
     return scheduler
 
 
-def report(scheduler, worker_id, now):
+def report(scheduler, worker_id, now, ended=()):
     scheduler.reconciler.apply_report(
         WorkerReport(
             worker_id=worker_id,
             requested_at=now,
             received_at=now,
             incarnation=1,
+            ended=ended,
         )
     )
 
@@ -66,6 +69,30 @@
     report(context.scheduler, 'w1', 1.5)
 
 
+@given('an owner with a worker and a job of 2 tasks that demand nothing')
+def build_owner_of_small(context):
+    job = replace(JOB, spec=JobSpec(payload='', steps=(Step(width=2),)))
+    context.scheduler = begin_term(JobState(job, Moment(0.0)), 0.0)
+    report(context.scheduler, 'w0', 1.0)
+    context.orders = context.scheduler.decide(Moment(1.0)).starts
+    assert len(context.orders) == 2, context.orders
+
+
+@when('both tasks end')
+def end_tasks(context):
+    ended = [
+        EndedAttempt(number, order.key, order.attempt, 'done', '')
+        for number, order in enumerate(context.orders, 1)
+    ]
+    report(context.scheduler, 'w0', 2.0, tuple(ended))
+
+
+@then('the job of the tenant is complete')
+def check_complete(context):
+    outcome = context.scheduler.state.jobs['j1'].outcome
+    assert outcome is JobOutcome.COMPLETED, outcome
+
+
 @when('the worker of the tasks is silent and they are copied')
 def copy_tasks(context):
     scheduler = context.scheduler
--- a/libs/scheduling/tarragonlb/scheduling/tenantusage.py
+++ b/libs/scheduling/tarragonlb/scheduling/tenantusage.py
@@ -61,9 +61,10 @@
         if found is None:
             return
         tenant, occupied = found
-        left = amounts.subtract(self._amounts[tenant], occupied)
+        left = amounts.subtract(self.get(tenant), occupied)
         if left == amounts.NOTHING:
-            self._amounts.pop(tenant)
+            # Attempts that occupy nothing may be left.
+            self._amounts.pop(tenant, None)
         else:
             self._amounts[tenant] = left
 
