Keep the need of a pool readable, however much its jobs demand

What callers would have seen: a pool whose jobs together demand more than a record holds, such as 40 jobs of 2,000 tasks of 2**53 - 1 millicores, as bodies of requests are accepted, keeps the VMs that it has: the record of its load has a number that every reader now ignores. Found by reading what owners write themselves with numbers that clients give; those of reports on caps are limited to the cap already.

It asks for a million at most now, which is more than any pool gets.

"Jobs that demand more than any pool has do not hide their pool's need" failed before ( workers wanted, not read) and passes now.

The search among odd records of jobs now reaches more: all parts of a record are drawn equally often, most in their own type, all fields of a specification are in it, the worker answers orders and ends what it starts, half of the examples use the policies of an owner with tenants, and the load and the figures of tenants are measured in each round.

--- a/libs/scheduling/features/decoding.feature
+++ b/libs/scheduling/features/decoding.feature
@@ -27,6 +27,12 @@
     Given the records of a job, and odd ones about other jobs
     Then the partition's jobs are counted, shown and scheduled, that job too
 
+  # Guards against a pool whose need of workers nobody can read, as the sum of
+  # what its jobs demand is out of range.
+  Scenario: Jobs that demand more than any pool has do not hide their pool's need
+    Given 40 jobs of 2000 tasks that demand 9007199254740991 millicores
+    Then the fleet's owner can read how many workers their pool needs
+
   # Guards against starts with an attempt number that no worker can read, or that
   # counts as none.
   Scenario Outline: A job whose progress has a number out of range is left out
--- a/libs/scheduling/features/oddvalues.py
+++ b/libs/scheduling/features/oddvalues.py
@@ -8,11 +8,19 @@
     max_examples=400, derandomize=True, deadline=None, database=None
 )
 HUGE = 10**400
+INTEGERS = st.one_of(
+    st.integers(0, 5),
+    st.sampled_from((1, -1, 10**5, 2**31, 10**15, 2**53 - 1)),
+    st.sampled_from((-5, 2**53, 10**16, 2**63, 2**64, -(2**64), HUGE, -HUGE)),
+)
 NUMBERS = st.one_of(
-    st.sampled_from((-1, 0, 2**31, 2**53, 2**63, 2**64, -(2**64), 10**30)),
-    st.sampled_from((HUGE, -HUGE, 0.5, -0.0, 1e308, -1e308)),
+    INTEGERS,
+    st.sampled_from((0.5, -0.0, 1e16, 1e308, -1e308)),
     st.floats(),
-    st.integers(-5, 5),
+)
+TEXTS = st.one_of(
+    st.sampled_from(('', ' ', '\x00', '\r\n', '\xe9', 'x' * 300)),
+    st.text(max_size=5),
 )
 SCALARS = st.one_of(
     NUMBERS,
@@ -45,39 +53,71 @@
     )
 )
 
+REPLACEMENTS = (
+    (bool, st.booleans()),
+    (int, INTEGERS),
+    (float, NUMBERS),
+    (str, TEXTS),
+    (bytes, st.binary(max_size=5)),
+    (
+        list,
+        st.one_of(
+            st.lists(st.integers(0, 3), max_size=3),
+            st.lists(INTEGERS, max_size=6),
+            st.lists(TEXTS, max_size=6),
+        ),
+    ),
+)
+
+
+def list_places(value):
+    """Yield the container and the key of each part of a value, at any depth."""
+    if isinstance(value, dict):
+        parts = sorted(value.items())
+    elif isinstance(value, list):
+        parts = list(enumerate(value))
+    else:
+        return
+    for place, part in parts:
+        yield value, place
+        yield from list_places(part)
+
 
 @st.composite
 def change_row(draw, row):
-    """Return a sound row with one part replaced by any value."""
+    """Return a sound row with one part replaced by any value.
+
+    All parts are drawn equally often, however deep they are.
+    """
     changed = cbor2.loads(cbor2.dumps(row))
-    path = changed
-    while True:
-        if isinstance(path, dict) and path:
-            place = draw(st.sampled_from(sorted(path)))
-        elif isinstance(path, list) and path:
-            place = draw(st.integers(0, len(path) - 1))
-        else:
-            return draw(VALUES)
-        inner = path[place]
-        is_last = not isinstance(inner, dict | list) or not inner
-        if is_last or draw(st.integers(0, 3)) == 0:
-            is_number = isinstance(inner, int | float)
-            path[place] = draw(
-                st.one_of(NUMBERS, NUMBERS, VALUES) if is_number else VALUES
-            )
-            return changed
-        path = inner
+    places = list(list_places(changed))
+    if not places:
+        return draw(VALUES)
+    container, place = places[draw(st.integers(0, len(places) - 1))]
+    container[place] = draw(draw_replacement(container[place]))
+    return changed
+
+
+def draw_replacement(value):
+    """Return a strategy of values in place of one, most of the same kind."""
+    for kind, replacements in REPLACEMENTS:
+        if isinstance(value, kind):
+            return draw_mostly(replacements, VALUES)
+    return VALUES
+
+
+@st.composite
+def draw_mostly(draw, usual, other):
+    """Return a value of the first strategy, one in five of the second."""
+    return draw(usual if draw(st.integers(0, 4)) else other)
 
 
 def encode_odd(*rows):
     """Return a strategy of encoded values: changed rows, and odd ones."""
     changed = st.one_of([change_row(row) for row in rows])
-    encoded = st.builds(cbor2.dumps, changed)
-    return st.one_of(
-        encoded,
-        encoded,
-        encoded,
-        st.builds(cbor2.dumps, VALUES),
-        st.binary(max_size=12),
-        ODD_TEXTS,
+    return draw_mostly(
+        st.builds(cbor2.dumps, changed),
+        st.one_of(
+            st.builds(cbor2.dumps, VALUES), st.binary(max_size=12), ODD_TEXTS
+        ),
     )
--- a/libs/scheduling/features/steps/jobrecord_steps.py
+++ b/libs/scheduling/features/steps/jobrecord_steps.py
@@ -1,17 +1,30 @@
 """Steps for odd records of jobs, lease bounds and caps."""
 
+import itertools
 import sys
 from dataclasses import replace
 from pathlib import Path
 
 import cbor2
+import msgspec
 from behave import given, then
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
-from oddvalues import SETTINGS, change_row, encode_odd  # noqa: E402
+from oddvalues import (  # noqa: E402
+    SETTINGS,
+    change_row,
+    draw_mostly,
+    encode_odd,
+)
 
+from tarragonlb.scheduling.demand import measure_load  # noqa: E402
+from tarragonlb.scheduling.fairshare import FairShareOrder  # noqa: E402
+from tarragonlb.scheduling.fleetrecords import (  # noqa: E402
+    build_load_record,
+)
+from tarragonlb.scheduling.fleetstate import FleetState  # noqa: E402
 from tarragonlb.scheduling.job import (  # noqa: E402
     Demand,
     Job,
@@ -29,7 +42,11 @@
     LeaseBoundIndex,
     build_bound_records,
 )
-from tarragonlb.scheduling.placement import FirstFit  # noqa: E402
+from tarragonlb.scheduling.orders import OrderResult  # noqa: E402
+from tarragonlb.scheduling.placement import (  # noqa: E402
+    FirstFit,
+    PackNearData,
+)
 from tarragonlb.scheduling.policies import SchedulingPolicies  # noqa: E402
 from tarragonlb.scheduling.progress import (  # noqa: E402
     TaskRow,
@@ -53,7 +70,15 @@
 )
 from tarragonlb.scheduling.scheduler import Scheduler  # noqa: E402
 from tarragonlb.scheduling.settings import SchedulingSettings  # noqa: E402
+from tarragonlb.scheduling.submissionrate import (  # noqa: E402
+    SubmissionRates,
+)
+from tarragonlb.scheduling.tenant import Tenant, TenantTable  # noqa: E402
+from tarragonlb.scheduling.tenantstatistics import (  # noqa: E402
+    measure_tenants,
+)
 from tarragonlb.scheduling.worker import (  # noqa: E402
+    EndedAttempt,
     Worker,
     WorkerReport,
 )
@@ -87,6 +112,15 @@
         gpus=100 * MAX_OPEN_OCCURRENCES,
     ),
 )
+# What owners use, without tenants and with them.
+POLICIES = (
+    lambda: SchedulingPolicies(placement=FirstFit()),
+    lambda: SchedulingPolicies(
+        placement=PackNearData(),
+        order=FairShareOrder(),
+        bounds_pending_starts=True,
+    ),
+)
 
 
 def build_job(job_id):
@@ -121,25 +155,37 @@
 
 @st.composite
 def draw_submission(draw):
-    row = load_row(build_submission_record(build_job(ODD_ID)))
-    spec = draw(change_row(cbor2.loads(row[2])))
+    job = build_job(ODD_ID)
+    row = load_row(build_submission_record(job))
+    # With the fields that a record leaves out, as they have their defaults.
+    spec = cbor2.loads(cbor2.dumps(msgspec.to_builtins(job.spec)))
+    for _ in range(draw(st.sampled_from((1, 1, 1, 2, 3)))):
+        spec = draw(change_row(spec))
     return cbor2.dumps([*row[:2], cbor2.dumps(spec), *row[3:]])
 
 
 def draw_records():
-    """Return a strategy of the odd records of one job."""
+    """Return a strategy of the records of one job, one or more of them odd."""
     job = build_job(ODD_ID)
     submission = build_submission_record(job)
     progress = build_progress(job)
-    submissions = st.one_of(
-        st.just(submission.value),
-        draw_submission(),
-        encode_odd(load_row(submission)),
-    )
-    progresses = st.one_of(
-        st.just(b''), st.just(progress.value), encode_odd(load_row(progress))
+    odd_submissions = draw_mostly(
+        draw_submission(), encode_odd(load_row(submission))
     )
+    odd_progresses = encode_odd(load_row(progress))
     cancellations = st.one_of(st.just(b''), st.binary(max_size=3))
+    return st.one_of(
+        build_records(
+            odd_submissions,
+            st.sampled_from((b'', progress.value)),
+            st.just(b''),
+        ),
+        build_records(st.just(submission.value), odd_progresses, st.just(b'')),
+        build_records(odd_submissions, odd_progresses, cancellations),
+    )
+
+
+def build_records(submissions, progresses, cancellations):
     return st.builds(
         lambda *values: [
             KeyedRecord(ODD_ID + kind, value, 0)
@@ -166,8 +212,8 @@
     marks = encode_odd([5])
 
     @SETTINGS
-    @for_all(context.records, marks)
-    def check(records, mark):
+    @for_all(context.records, marks, st.sampled_from(POLICIES))
+    def check(records, mark, build_policies):
         index = JobIndex()
         index.apply(records)
         accepted = build_submission_record(sound)
@@ -181,16 +227,23 @@
         for job in index.list_jobs():
             job.describe()
             job.belongs_to('t', 'q')
-        schedule(index)
+        schedule(index, build_policies())
 
     check()
 
 
-def schedule(index):
-    scheduler = Scheduler(
-        SETTINGS_OF_OWNER, SchedulingPolicies(placement=FirstFit()), now=0.0
-    )
+def check_load(load):
+    """The fleet's owner can read how many workers the pool needs."""
+    fleet_state = FleetState()
+    fleet_state.apply([replace_offset(build_load_record('p', load))], 1.0)
+    assert fleet_state.loads.get('p') == load, load
+
+
+def schedule(index, policies):
+    scheduler = Scheduler(SETTINGS_OF_OWNER, policies, now=0.0)
     state = scheduler.state
+    state.tenants = TenantTable([Tenant(name='t')])
+    rates = SubmissionRates()
     state.queues = {'q': Queue(name='q', host='h', path_prefix='/', pool='p')}
     state.update_workers([WORKER])
     for job in index.list_jobs():
@@ -201,6 +254,8 @@
         if job.is_cancelled:
             state.cancel_job(job.job_id, 0.0)
     started = set()
+    ended = ()
+    numbers = itertools.count(1)
     for tenth in range(1, 100):
         now = tenth / 10
         scheduler.reconciler.apply_report(
@@ -209,14 +264,48 @@
                 requested_at=now,
                 received_at=now,
                 incarnation=1,
+                ended=ended,
             )
         )
         decision = scheduler.decide(Moment(now, WALL_MS + 1000 * now))
+        measure_tenants(state, rates)
+        check_load(measure_load(state, 'p'))
         for job_state in decision.jobs:
             build_progress_record(job_state, 1)
         scheduler.note_stored(decision, now)
+        for order in (*decision.starts, *decision.stops):
+            scheduler.apply_order_result(order, OrderResult.DONE, now)
+        ended = tuple(
+            EndedAttempt(next(numbers), order.key, order.attempt, 'done', '')
+            for order in decision.starts
+        )
         started.update(order.key.job_id for order in decision.starts)
-    assert SOUND_ID in started
+    assert SOUND_ID in started, started
+
+
+@given('{jobs:d} jobs of {width:d} tasks that demand {millicores:d} millicores')
+def add_large_jobs(context, jobs, width, millicores):
+    scheduler = Scheduler(
+        SETTINGS_OF_OWNER, SchedulingPolicies(placement=FirstFit()), now=0.0
+    )
+    context.partition = scheduler.state
+    context.partition.update_workers(
+        [replace(WORKER, capacity=Demand(16_000, 64_000, 0))]
+    )
+    step = Step(width=width, demand=Demand(millicores, 1, 0))
+    for number in range(jobs):
+        job = replace(
+            build_job(f'{number:016x}'),
+            spec=JobSpec(payload='x', steps=(step,)),
+        )
+        state = JobState(job, Moment(0.0, WALL_MS))
+        state.add_occurrence()
+        context.partition.add_job(state)
+
+
+@then("the fleet's owner can read how many workers their pool needs")
+def check_need(context):
+    check_load(measure_load(context.partition, 'p'))
 
 
 @given('the stored progress of a task, where {name} is {value}')
--- a/libs/scheduling/tarragonlb/scheduling/demand.py
+++ b/libs/scheduling/tarragonlb/scheduling/demand.py
@@ -23,6 +23,8 @@
 # Added to what permanent tasks need, since one of them may have to move.
 SPARE_WORKERS = 1
 MIN_WORKERS = 2
+# Clients may demand more than any pool has, and more than a record holds.
+MAX_WORKERS = 1_000_000
 
 
 class _DemandSum:
@@ -121,7 +123,7 @@
         for wanted, available in ((total.cpu, cpu), (total.memory, memory))
         if available
     ]
-    return math.ceil(max(shares, default=0))
+    return math.ceil(min(max(shares, default=0), MAX_WORKERS))
 
 
 def _list_drain_candidates(
