Keep waves going while a row of the list of VMs has no legible name

What operators would have seen: one row of the platform's list of VMs whose name can't be read, left there by another program, holds up every wave and every move of a VM for as long as it is there, and the waves miss their time limits.

Cause: such a row may be any VM of a wave, so the fleet's owner skipped all its rounds.

A VM of a wave that is not listed now counts as not maintained, and as down, as far as there are nameless rows that it may be: the cap holds, the wave does not end without it, and the other VMs are drained and maintained. VMs with names are moved among pools as ever.

"A row that can't be read holds up no other VM of a wave" failed before (no VM maintained in 40 s), and with the owner's change alone (the wave complete without the VM). "A VM whose row can not be read counts as down" failed before in its three examples.

--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -126,3 +126,18 @@
       | workers | listings |
       | w1 w2   | 1        |
       | w1 ?    | 0        |
+
+  # Guards against a fleet without maintenance while one row of the list of VMs
+  # can't be read, and against a wave that ends without a VM whose row that is.
+  Scenario Outline: A row that can't be read holds up no other VM of a wave
+    Given a fleet of 5 VMs, and a wave of "m-w0 m-w1 m-w2 m-w3", 2 at once
+    When the row of "<vm>" can not be read for 40 s
+    And the rows can be read for 20 s
+    Then by then "<maintained>" were maintained, up to <down> at once
+    And the wave was <state> then
+    And in the end "m-w0 m-w1 m-w2 m-w3" were maintained once, and the wave was complete
+
+    Examples:
+      | vm   | maintained          | down | state    |
+      | m-w1 | m-w0 m-w2 m-w3      | 1    | open     |
+      | m-w4 | m-w0 m-w1 m-w2 m-w3 | 2    | complete |
--- a/libs/controller/tarragonlb/controller/fleetowner.py
+++ b/libs/controller/tarragonlb/controller/fleetowner.py
@@ -124,9 +124,6 @@
         if not await self._assign_pools(configuration, vms):
             return False
         standby = configuration.standby_pools
-        if not all(vm.vm_id for vm in vms):
-            # Any VM of a wave may be the one that is missing.
-            return True
         for wave in tuple(self._view.waves.values()):
             if wave.number in self._completed_waves:
                 continue
@@ -135,7 +132,8 @@
                 coordinator, vms, read_at, standby
             ):
                 return False
-        return await self._rebalance(vms, standby)
+        named = tuple(vm for vm in vms if vm.vm_id)
+        return await self._rebalance(named, standby)
 
     async def _assign_pools(
         self, configuration: Configuration, vms: tuple[Vm, ...]
--- a/libs/scheduling/features/fleet.feature
+++ b/libs/scheduling/features/fleet.feature
@@ -143,6 +143,25 @@
     And every VM of the wave was maintained
     And the wave was complete within 20 seconds
 
+  # Guards against more VMs down than the cap, as one whose row can't be read
+  # counts as maintained, or as up.
+  Scenario Outline: A VM whose row can not be read counts as down
+    Given VMs "4 of a, 4 of off"
+    And a wave of "a0 a1 off0 off1 off2" within 60 seconds, <cap> at once
+    And rows of VMs in maintenance can not be read
+    And half of the orders get no answer
+    And the owner changes every <seconds> seconds
+    When the wave runs for 60 seconds with workers that drain in 1 second
+    Then at most <cap> VMs were down at a time
+    And every VM of the wave was maintained
+    And the wave was complete within 60 seconds
+
+    Examples:
+      | cap | seconds |
+      | 1   | 5       |
+      | 2   | 5       |
+      | 2   | 1       |
+
   Scenario: A drain request for a former worker does not delay the wave
     Given VMs "3 of a, 0 of off"
     And a wave of "a0 a1" within 20 seconds, 1 at once
--- a/libs/scheduling/features/steps/fleet_steps.py
+++ b/libs/scheduling/features/steps/fleet_steps.py
@@ -18,7 +18,13 @@
 from tarragonlb.scheduling.fleetstate import FleetState
 from tarragonlb.scheduling.rebalancing import PoolRebalancer
 from tarragonlb.scheduling.records import KeyedRecord
-from tarragonlb.scheduling.wave import Vm, VmStatus, Wave, WaveCoordinator
+from tarragonlb.scheduling.wave import (
+    UNKNOWN_WORKER,
+    Vm,
+    VmStatus,
+    Wave,
+    WaveCoordinator,
+)
 
 STANDBY = frozenset(('off',))
 MAINTENANCE_SECONDS = 2.0
@@ -51,6 +57,7 @@
     context.now = 0.0
     context.rebalancer = PoolRebalancer()
     context.is_lossy = False
+    context.hides_maintenance = False
     context.owner_seconds = float('inf')
     context.pending = frozenset()
     context.vms = {}
@@ -145,6 +152,11 @@
     context.pending = frozenset(wave.vm_ids)
 
 
+@given('rows of VMs in maintenance can not be read')
+def hide_maintenance(context):
+    context.hides_maintenance = True
+
+
 @given('half of the orders get no answer')
 def lose_answers(context):
     context.is_lossy = True
@@ -247,7 +259,7 @@
 
 def run_wave_round(context, reserved=frozenset()):
     return context.coordinator.decide(
-        context.vms.values(),
+        [show_row(context, vm) for vm in context.vms.values()],
         context.now,
         context.fleet_state,
         STANDBY,
@@ -256,6 +268,18 @@
     )
 
 
+def show_row(context, vm):
+    is_down = vm.status is VmStatus.IN_MAINTENANCE
+    if context.hides_maintenance and is_down:
+        return Vm(
+            vm_id='',
+            pool='',
+            status=VmStatus.DOWN,
+            worker_id=UNKNOWN_WORKER,
+        )
+    return vm
+
+
 @when('a round of the wave runs')
 def run_one_wave_round(context):
     context.decided = run_wave_round(context)
--- a/libs/scheduling/tarragonlb/scheduling/wave.py
+++ b/libs/scheduling/tarragonlb/scheduling/wave.py
@@ -9,7 +9,8 @@
 import enum
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
 from tarragonlb.scheduling.fleetstate import FleetState
@@ -22,8 +23,6 @@
 DRAINS_AHEAD = 2
 # Time that a maintenance order is given to take effect before it is repeated.
 ORDER_RETRY_SECONDS = 2.5
-
-
 # The worker of a VM whose row in the platform's list can't be read.
 UNKNOWN_WORKER = '?'
 
@@ -130,28 +129,35 @@
         ``standby`` pools, so these VMs need no draining.  An order of another
         owner for VMs of ``reserved`` may be under way, so they count as down.
         """
-        wave = self.wave
         self._resume_orders(fleet_state, now)
         vms = tuple(vms)
-        listed = {vm.vm_id: vm for vm in vms if vm.vm_id in wave.vm_ids}
-        finished = self._find_maintained(listed, read_at)
-        for vm_id in finished:
-            self._ordered.pop(vm_id, None)
         ended = {
             vm_id
             for number, vm_id in fleet_state.maintenance_done
-            if number == wave.number
-        }.union(finished)
-        remaining = [vm for vm in listed.values() if vm.vm_id not in ended]
+            if number == self.wave.number
+        }
+        listing = _WaveListing(self.wave, vms, ended)
+        finished = self._find_maintained(listing, read_at)
+        for vm_id in finished:
+            self._ordered.pop(vm_id, None)
+        ended.update(finished)
+        remaining = [
+            vm for vm in listing.by_id.values() if vm.vm_id not in ended
+        ]
+        free = self.wave.cap - self._count_down(remaining, listing, reserved)
         return WaveDecision(
             drain=self._choose_vms_to_drain(
                 remaining, _DrainPriority(vms, fleet_state), now
             ),
             maintain=self._choose_vms_to_maintain(
-                remaining, fleet_state, standby, reserved, now
+                [vm for vm in remaining if vm.vm_id not in reserved],
+                fleet_state,
+                standby,
+                free,
+                now,
             ),
             maintained=finished,
-            is_complete=not remaining,
+            is_complete=not (remaining or listing.hidden),
         )
 
     def note_ordered(self, vm: Vm, now: float) -> None:
@@ -187,13 +193,14 @@
                 self._ordered[vm_id] = order
 
     def _find_maintained(
-        self, listed: Mapping[str, Vm], read_at: float
+        self, listing: '_WaveListing', read_at: float
     ) -> tuple[str, ...]:
         return tuple(
             vm_id
             for vm_id, order in self._ordered.items()
             if order.sent_at < read_at
-            and self._is_maintained(order, listed.get(vm_id), read_at)
+            and vm_id not in listing.hidden
+            and self._is_maintained(order, listing.by_id.get(vm_id), read_at)
         )
 
     def _is_maintained(
@@ -213,14 +220,12 @@
 
     def _choose_vms_to_maintain(
         self,
-        remaining: list[Vm],
+        unreserved: list[Vm],
         fleet_state: FleetState,
         standby: frozenset[str],
-        reserved: frozenset[str],
+        free: int,
         now: float,
     ) -> tuple[Vm, ...]:
-        free = self.wave.cap - self._count_down(remaining, reserved)
-        unreserved = [vm for vm in remaining if vm.vm_id not in reserved]
         chosen: list[Vm] = []
         for vm in unreserved:
             ordered = self._ordered.get(vm.vm_id)
@@ -235,13 +240,19 @@
                 chosen.append(vm)
         return tuple(chosen)
 
-    def _count_down(self, remaining: list[Vm], reserved: frozenset[str]) -> int:
+    def _count_down(
+        self,
+        remaining: list[Vm],
+        listing: '_WaveListing',
+        reserved: frozenset[str],
+    ) -> int:
         down = {
             vm.vm_id
             for vm in remaining
             if vm.status is VmStatus.IN_MAINTENANCE or vm.vm_id in reserved
         }
-        return len(down.union(self._ordered))
+        down.update(self._ordered)
+        return len(down) + listing.count_hidden(down)
 
     def _needs_retry(
         self, vm: Vm, order: '_MaintenanceOrder', now: float
@@ -293,6 +304,35 @@
         }
 
 
+class _WaveListing:
+    """What the platform lists of a wave.
+
+    ``by_id`` are its listed VMs.  VMs whose names can't be read may be any of
+    the others, so these are ``hidden``: they are not over, and may be down.
+    """
+
+    __slots__ = ('_nameless', 'by_id', 'hidden')
+
+    def __init__(
+        self, wave: Wave, vms: Iterable[Vm], ended: AbstractSet[str]
+    ) -> None:
+        """Find the VMs of a wave in a list, less those that have ended."""
+        hidden = set(wave.vm_ids)
+        self.by_id: dict[str, Vm] = {}
+        self._nameless = 0
+        for vm in vms:
+            if vm.vm_id in hidden:
+                self.by_id[vm.vm_id] = vm
+            elif not vm.vm_id:
+                self._nameless += 1
+        hidden.difference_update(self.by_id, ended)
+        self.hidden = frozenset(hidden if self._nameless else ())
+
+    def count_hidden(self, counted: AbstractSet[str]) -> int:
+        """Return how many hidden VMs other than ``counted`` may be down."""
+        return min(self._nameless, len(self.hidden - counted))
+
+
 class _DrainPriority:
     """The order in which VMs are drained.
 
