--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -16,6 +16,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.records import (
+    MAX_VALUE_BYTES,
     PROGRESS,
     KeyedRecord,
     RecordError,
@@ -23,8 +24,6 @@
 )
 from tarragonlb.scheduling.task import StartStage, TaskPhase, TaskState
 
-# The longest record that the store takes, less its key.
-MAX_PROGRESS_BYTES = 261_888
 # More than a progress record has room for.
 MAX_OCCURRENCES = 100_000
 
@@ -74,7 +73,7 @@
         term, state.outcome, state.began, len(state.occurrences), rows
     )
     content = cbor2.dumps(msgspec.to_builtins(progress))
-    if len(content) > MAX_PROGRESS_BYTES:
+    if len(content) > MAX_VALUE_BYTES:
         content = cbor2.dumps(msgspec.to_builtins(_shorten(progress)))
     return KeyedRecord(state.job.job_id + PROGRESS, content)
 
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -30,6 +30,8 @@
 # Those of a job that was not forwarded.
 COMMON_KINDS = (CANCELLATION, SUBMISSION, PROGRESS)
 SUBMISSION_FIELDS = ('queue', 'pool', 'spec', 'handed_in_ms', 'tenant')
+# The longest record that the store takes, less its key.
+MAX_VALUE_BYTES = 261_888
 CANCELLED_VALUE = cbor2.dumps([])
 Content = TypeVar('Content')
 
