Restart the feeds of documents after an error instead of ending the daemon

What callers saw: the process ended with exit code 1 and a trace, when a record of the operators or of the directory met a programming fault.

Cause: these tasks ran in the nursery of the process, so any error ended it.

The age of the configuration is noted only after the records are applied. A configuration whose routes could not be noted is not kept as the newest. The probe of the event loop counts no lag while it does not run.

--- /dev/null
+++ b/libs/controller/features/failures.feature
@@ -0,0 +1,32 @@
+Feature: Errors in tasks that belong to no owner
+
+  # Guards against an end of the process: an error in one of these tasks passed
+  # to the nursery of the process.
+  Scenario Outline: A task that fails starts again, and no task of a job is lost
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted to each daemon
+    And 0.4 seconds pass
+    And the next <times> calls of "<call>" fail
+    And the operators publish version 2
+    And worker "w1" shrinks to 3000 millicores
+    And 12 seconds pass
+    And a job of 4 tasks is submitted to each daemon
+    And 4 seconds pass
+    Then all jobs are completed, and every task was started once
+    And all daemons know version 2 and that worker "w1" has shrunk
+    And <lines> lines say that the task "<task>" failed
+    And no daemon has ended
+
+    Examples:
+      | task        | call               | times | lines |
+      | operators   | decode operators   | 1     | 1     |
+      | operators   | decode operators   | 5     | 5     |
+      | workers     | decode worker      | 1     | 1     |
+      | workers     | decode worker      | 5     | 5     |
+      | pools       | follow partition   | 2     | 2     |
+
+  # Guards against an error that nobody hears of, as it comes together with a
+  # cancellation.
+  Scenario: A task that fails while it is cancelled is logged, and ends
+    When a task with two children fails while it is cancelled
+    Then it has ended, and 1 line says so
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -60,19 +60,13 @@
         self._view = view
 
     async def run(self) -> None:
-        """Poll until cancelled."""
-        while True:
-            sent_at = self._clock.read_boottime()
-            update = await self._reader.poll(self.get_wait_seconds())
-            if isinstance(update, NotDone):
-                self._dependency_log.record_failure(
-                    update.reason, trio.current_time()
-                )
-                await trio.sleep(self._settings.store_retry_seconds)
-                continue
-            self._dependency_log.record_success(trio.current_time())
-            self.apply(update, sent_at)
-            await self.pause()
+        """Poll until cancelled.  After an error, the next run starts over."""
+        try:
+            await self._poll()
+        except Exception:
+            # Some of the records that were read may not have been applied.
+            self._reader.start_over()
+            raise
 
     async def pause(self) -> None:
         """Wait until the next read is due."""
@@ -97,6 +91,20 @@
         The read was sent at ``sent_at`` seconds on the boot-time clock.
         """
 
+    async def _poll(self) -> None:
+        while True:
+            sent_at = self._clock.read_boottime()
+            update = await self._reader.poll(self.get_wait_seconds())
+            if isinstance(update, NotDone):
+                self._dependency_log.record_failure(
+                    update.reason, trio.current_time()
+                )
+                await trio.sleep(self._settings.store_retry_seconds)
+                continue
+            self._dependency_log.record_success(trio.current_time())
+            self.apply(update, sent_at)
+            await self.pause()
+
 
 class OperatorFeed(DocumentFeed):
     """Reads the operators' configurations and maintenance waves."""
--- a/libs/controller/tarragonlb/controller/looplag.py
+++ b/libs/controller/tarragonlb/controller/looplag.py
@@ -5,6 +5,8 @@
 looks how late it is woken measures that delay, and calls wait longer by it.
 """
 
+import math
+
 import trio
 
 PROBE_SECONDS = 0.05
@@ -34,11 +36,14 @@
         self._due_at = float('inf')
 
     async def run(self) -> None:
-        """Measure until cancelled."""
-        while True:
-            self.expect(trio.current_time() + PROBE_SECONDS)
-            await trio.sleep_until(self._due_at)
-            self._total_seconds = self.read_total(trio.current_time())
+        """Measure until cancelled.  Without a probe, no lag is seen."""
+        try:
+            while True:
+                self.expect(trio.current_time() + PROBE_SECONDS)
+                await trio.sleep_until(self._due_at)
+                self._total_seconds = self.read_total(trio.current_time())
+        finally:
+            self.expect(math.inf)
 
     def expect(self, due_at: float) -> None:
         """Expect the probe to be woken at ``due_at`` seconds."""
--- a/libs/controller/tarragonlb/controller/partitionreader.py
+++ b/libs/controller/tarragonlb/controller/partitionreader.py
@@ -67,6 +67,10 @@
             return batch
         return self._advance(batch)
 
+    def start_over(self) -> None:
+        """Read a snapshot next, when no read is under way."""
+        self.next_offset = None
+
     async def _read_newest(self) -> RecordUpdate | NotDone:
         batch = await self._store.read_newest(self._topic, self._partition)
         if isinstance(batch, Trimmed):
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -62,8 +62,9 @@
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Replace the configuration by a later one."""
-        self.configuration = configuration
+        # First, since a configuration of the same version is not applied again.
         self.route_history.apply(configuration.queues.by_name.values())
+        self.configuration = configuration
 
     def note_renewal(self, partition: int, sent_at: float) -> None:
         """Note that an owned partition was renewed by a call of ``sent_at``."""
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -6,7 +6,7 @@
 allows.
 """
 
-import traceback
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -38,12 +38,11 @@
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, TERMS
 from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.supervision import format_trace, supervise
 
 LOG = Log('process')
 # The part of the grace period that is reserved for closing connections.
 STOP_MARGIN_SECONDS = 1.5
-# The end of a trace names the cause.
-MAX_TRACE_CHARACTERS = 3000
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,12 +147,16 @@
             self._clock,
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(operators.run)
-            nursery.start_soon(workers.run)
-            nursery.start_soon(self._fleet_state_feed.run)
-            nursery.start_soon(self._follow_pools, nursery)
+            tasks: dict[str, Callable[[], Awaitable[None]]] = {
+                'operators': operators.run,
+                'workers': workers.run,
+                'pools': partial(self._follow_pools, nursery),
+            }
             if self._quota_feed is not None:
                 nursery.start_soon(self._quota_feed.run)
+            nursery.start_soon(self._fleet_state_feed.run)
+            for name, task in tasks.items():
+                nursery.start_soon(supervise, name, task)
             async with trio.open_nursery() as owners:
                 owners.start_soon(
                     self._ownership.run,
@@ -256,13 +259,12 @@
         try:
             await self._run_owner(owned)
         except Exception as error:
-            trace = ''.join(traceback.format_exception(error))
             LOG.emit(
                 'Owner failed.',
                 partition=owned.partition,
                 term=owned.term,
                 error=repr(error),
-                trace=trace[-MAX_TRACE_CHARACTERS:],
+                trace=format_trace(error),
             )
 
     async def _run_owner(self, owned: OwnedPartition) -> None:
--- a/libs/model/tarragonlb/model/invariant.py
+++ b/libs/model/tarragonlb/model/invariant.py
@@ -1,7 +1,7 @@
 """Runtime checks of invariants.
 
 A broken invariant is a bug in the program, never a fault of its input.  The
-process that finds one makes no more decisions, as its state may be wrong.
+task that finds one makes no more decisions, as its state may be wrong.
 """
 
 from tarragonlb.model.errors import InvariantError
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -99,6 +99,13 @@
     ('change',),
     'Partitions that this daemon began or ceased to own.',
 )
+TASK_FAILURES = Metric(
+    'tarragonlb.process.task_failures',
+    'counter',
+    '{failure}',
+    ('task',),
+    'Tasks of the process that ended with an error and were started again.',
+)
 STORE_SECONDS = Metric(
     'tarragonlb.store.call.duration',
     'histogram',
@@ -190,6 +197,7 @@
     RESERVED_IDLE_SECONDS,
     VM_ORDERS,
     TERMS,
+    TASK_FAILURES,
     STORE_SECONDS,
     ROUND_SECONDS,
     ROUND_DELAY_SECONDS,
