Read the fleet state anew after an error, and let its age show it

What callers saw: the process ended when a record of the fleet partition met a programming fault, in the feed or in a request of another task that reads it.

Cause: the feed ran in the nursery of the process. Restarting it alone would have skipped the records of the failed read, and the time of the last contact was noted before they were applied.

Why it works: FeedReader makes an error, whoever meets it, that of the feed's task; reads fail until that has started again. The state is read into a new object, since pools without partitions would be assigned anew; the view keeps the former one until all is read, and its contact age grows meanwhile.

With an error at each read 5 to 9 attempts are made in 10 s, the daemon is not ready, and it is ready within 8 s of the last error.

--- a/libs/controller/features/failures.feature
+++ b/libs/controller/features/failures.feature
@@ -24,6 +24,28 @@
       | workers     | decode worker      | 1     | 1     |
       | workers     | decode worker      | 5     | 5     |
       | pools       | follow partition   | 2     | 2     |
+      | fleet state | index fleet state  | 1     | 1     |
+      | fleet state | index fleet state  | 5     | 5     |
+
+  # Guards against reads at full speed, and against answers from a part of the
+  # records.
+  Scenario Outline: While a task fails again and again, the daemon is not ready
+    Given 1 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And the next 1000 calls of "<call>" fail
+    And 10 seconds pass
+    Then the daemon is not ready and does not say that there is no such job
+    And 5 to 9 lines say that the task "<task>" failed
+    When all calls succeed again
+    And 8 seconds pass
+    Then the daemon is ready
+    And all jobs are completed, and every task was started once
+    And no daemon has ended
+
+    Examples:
+      | task        | call              |
+      | fleet state | index fleet state |
 
   # Guards against an error that nobody hears of, as it comes together with a
   # cancellation.
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -8,6 +8,7 @@
 import trio
 
 from tarragonlb.controller.dependencylog import DependencyLog
+from tarragonlb.controller.feedreader import FeedReader
 from tarragonlb.controller.partitionreader import PartitionReader, RecordUpdate
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import (
@@ -19,6 +20,7 @@
 )
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
+from tarragonlb.scheduling.fleetstate import FleetState
 from tarragonlb.scheduling.ownershiprecords import is_owner_record
 from tarragonlb.scheduling.wave import Wave
 from tarragonlb.telemetry.log import Log
@@ -221,9 +223,20 @@
 
 
 class FleetStateFeed:
-    """Reads the records on drains, orders and loads in the fleet partition."""
+    """Reads the records on drains, orders and loads in the fleet partition.
 
-    __slots__ = ('_clock', '_dependency_log', '_reader', '_settings', '_view')
+    After an error the view keeps the former state, which grows old visibly,
+    until all records have been read anew.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_dependency_log',
+        '_fleet_state',
+        '_reader',
+        '_settings',
+        '_view',
+    )
 
     def __init__(
         self,
@@ -234,35 +247,47 @@
     ) -> None:
         """Read from ``store`` and update ``view``."""
         self._clock = clock
-        self._reader = PartitionReader(store, Topic.JOBS, FLEET_PARTITION)
+        self._reader = FeedReader(
+            store, Topic.JOBS, FLEET_PARTITION, self._apply, self._discard
+        )
         self._dependency_log = DependencyLog('records on VMs')
         self._settings = settings
         self._view = view
+        self._fleet_state = view.fleet_state
 
     async def run(self) -> None:
         """Poll until cancelled."""
+        self._reader.start()
         while True:
             await self.refresh()
+            self._reader.check()
             await trio.sleep(self._settings.worker_read_interval_seconds)
 
     async def refresh(self) -> bool:
         """Read all that is stored now; return whether the store answered."""
         while True:
             sent_at = self._clock.read_boottime()
-            update = await self._reader.poll(0)
+            update = await self._reader.read(0)
             if isinstance(update, NotDone):
                 self._dependency_log.record_failure(
                     update.reason, trio.current_time()
                 )
                 return False
             self._dependency_log.record_success(trio.current_time())
-            self._view.last_read_at = sent_at
-            self._apply(update)
+            if update.is_at_end and self._view.replace_fleet_state(
+                self._fleet_state
+            ):
+                LOG.emit('Records on VMs were read anew.')
+            if self._view.fleet_state is self._fleet_state:
+                self._view.last_read_at = sent_at
             if update.is_at_end:
                 return True
 
+    def _discard(self) -> None:
+        self._fleet_state = FleetState(self._settings.pool_partitions)
+
     def _apply(self, update: RecordUpdate) -> None:
-        fleet_state = self._view.fleet_state
+        fleet_state = self._fleet_state
         now = self._clock.read_monotonic()
         if update.snapshot_end is None:
             fleet_state.apply(update.records, now)
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -66,6 +66,14 @@
         self.route_history.apply(configuration.queues.by_name.values())
         self.configuration = configuration
 
+    def replace_fleet_state(self, fleet_state: FleetState) -> bool:
+        """Show a state that was read anew; return whether it is another one."""
+        if fleet_state is self.fleet_state:
+            return False
+        self.fleet_state = fleet_state
+        self.notify()
+        return True
+
     def note_renewal(self, partition: int, sent_at: float) -> None:
         """Note that an owned partition was renewed by a call of ``sent_at``."""
         self.renewed_at[partition] = sent_at
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -150,11 +150,11 @@
             tasks: dict[str, Callable[[], Awaitable[None]]] = {
                 'operators': operators.run,
                 'workers': workers.run,
+                'fleet state': self._fleet_state_feed.run,
                 'pools': partial(self._follow_pools, nursery),
             }
             if self._quota_feed is not None:
                 nursery.start_soon(self._quota_feed.run)
-            nursery.start_soon(self._fleet_state_feed.run)
             for name, task in tasks.items():
                 nursery.start_soon(supervise, name, task)
             async with trio.open_nursery() as owners:
