Read a partition's jobs anew after an error, and end its owner's term

What callers saw: the process ended when a record of a job met a programming fault in an index.

Cause: the feed ran in the nursery of the process. Its indexes hold a part of the records after an error, and a read that is under way would go on behind them.

Evidence: on the rows "index jobs" ended the simulation with the injected error; a read that was under way was applied.

Why it works: position and indexes are discarded together, and only a read that began afterwards is applied. The partition counts as not read, so the daemon is not ready and does not say that there is no such job. The channel to the owner closes, its term ends, and the next one reads all records first.

--- a/libs/controller/features/failures.feature
+++ b/libs/controller/features/failures.feature
@@ -26,6 +26,9 @@
       | pools       | follow partition   | 2     | 2     |
       | fleet state | index fleet state  | 1     | 1     |
       | fleet state | index fleet state  | 5     | 5     |
+      | partition   | index jobs         | 1     | 1     |
+      | partition   | index jobs         | 2     | 2     |
+      | partition   | index jobs         | 5     | 5     |
 
   # Guards against reads at full speed, and against answers from a part of the
   # records.
@@ -46,9 +49,18 @@
     Examples:
       | task        | call              |
       | fleet state | index fleet state |
+      | partition   | index jobs        |
 
   # Guards against an error that nobody hears of, as it comes together with a
   # cancellation.
   Scenario: A task that fails while it is cancelled is logged, and ends
     When a task with two children fails while it is cancelled
     Then it has ended, and 1 line says so
+
+  # Guards against records that a read of before an error returns after it.
+  Scenario: A read that is under way during an error applies nothing
+    Given a partition with a job
+    When a read is under way while another one's records can't be indexed
+    Then it has failed, and the partition counts as not read
+    When the partition is started again and read
+    Then the job is known
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -11,7 +11,8 @@
 import trio
 
 from tarragonlb.controller.dependencylog import DependencyLog
-from tarragonlb.controller.partitionreader import PartitionReader, RecordUpdate
+from tarragonlb.controller.feedreader import FeedReader
+from tarragonlb.controller.partitionreader import RecordUpdate
 from tarragonlb.controller.ports import Clock, Store, Topic
 from tarragonlb.controller.quotafeed import QuotaFeed
 from tarragonlb.controller.results import NotDone
@@ -67,26 +68,23 @@
         """
         self.quota_feed = quota_feed
         self.partition = partition
-        self.job_index = JobIndex()
-        self.lease_bounds = LeaseBoundIndex()
-        self.queue_moves = QueueMoves()
-        self.last_read_at: float | None = None
         self._settings = settings
         self._clock = clock
         self._refresh_lock = trio.Lock()
         self._refreshes_begun = 0
-        self._last_refresh: tuple[int, RecordUpdate | NotDone] = (
-            0,
-            NotDone('nothing was read'),
+        self._reader = FeedReader(
+            store, Topic.JOBS, partition, self._apply, self._discard
         )
-        self._reader = PartitionReader(store, Topic.JOBS, partition)
         self._dependency_log = DependencyLog(
             f'records of partition {partition}'
         )
         self._subscriber: trio.MemorySendChannel[list[str]] | None = None
         self._wake = trio.Event()
-        self._counts: Counter[str] = Counter()
-        self._counted_at = -1.0
+        self.last_read_at: float | None
+        self._last_refresh: tuple[int, RecordUpdate | NotDone]
+        self._counts: Counter[str]
+        self._counted_at: float
+        self._discard()
 
     @property
     def is_owned(self) -> bool:
@@ -96,12 +94,14 @@
     async def run(self) -> None:
         """Poll the partition until cancelled."""
         settings = self._settings
+        self._reader.start()
         while True:
             is_owner = self.is_owned
             if is_owner:
-                result = await self._read(settings.read_wait_seconds)
+                result = await self._reader.read(settings.read_wait_seconds)
             else:
                 result = await self._refresh()
+            self._reader.check()
             if isinstance(result, NotDone):
                 self._dependency_log.record_failure(
                     result.reason, trio.current_time()
@@ -116,7 +116,7 @@
 
     def has_read(self, offset: int) -> bool:
         """Return whether all records up to an offset have been read."""
-        return (self._reader.next_offset or 0) > offset
+        return self._reader.next_offset > offset
 
     def find_late_target(self, records: JobRecords) -> QueueMove | None:
         """Return where a job belongs that was accepted too late for here.
@@ -140,18 +140,12 @@
 
     def apply_stored(self, records: Iterable[KeyedRecord], first: int) -> None:
         """Apply records that this process stored at offset ``first``."""
-        self._index(
-            RecordUpdate(
-                tuple(
-                    KeyedRecord(record.key, record.value, offset)
-                    for offset, record in enumerate(records, first)
-                )
-            )
-        )
+        self._reader.apply_stored(records, first, self._index)
 
     def subscribe(self, subscriber: trio.MemorySendChannel[list[str]]) -> None:
         """Poll at the owner's rate and send the ids of changed jobs.
 
+        The channel is closed if the records have to be read anew.
         The channel has to be unbounded: waiting for space could be cancelled
         together with a client's query, and the change would get lost.
         """
@@ -200,17 +194,23 @@
 
     async def _read_to_end(self) -> RecordUpdate | NotDone:
         while True:
-            result = await self._read(0)
+            result = await self._reader.read(0)
             if isinstance(result, NotDone) or result.is_at_end:
                 return result
 
-    async def _read(self, wait_seconds: float) -> RecordUpdate | NotDone:
-        result = await self._reader.poll(wait_seconds)
-        if isinstance(result, RecordUpdate):
-            # Concurrent reads continue where this one ended, so the index must
-            # hold its records before the next call to the store.
-            self._apply(result)
-        return result
+    def _discard(self) -> None:
+        """Discard all that was read; the owner's term can't go on without."""
+        self.job_index = JobIndex()
+        self.lease_bounds = LeaseBoundIndex()
+        self.queue_moves = QueueMoves()
+        self.last_read_at = None
+        self._last_refresh = (0, NotDone('nothing was read'))
+        self._counts = Counter()
+        self._counted_at = -1.0
+        if self._subscriber is not None:
+            self._subscriber.close()
+        self._subscriber = None
+        self._wake.set()
 
     def _index(self, update: RecordUpdate) -> list[str]:
         now = self._clock.read_monotonic()
@@ -223,7 +223,6 @@
         return self.job_index.apply_snapshot(others, end)
 
     def _apply(self, update: RecordUpdate) -> None:
-        self.last_read_at = self._clock.read_boottime()
         changed = self._index(update)
         indexes = (self.job_index, self.lease_bounds, self.queue_moves)
         for error in chain.from_iterable(index.errors for index in indexes):
@@ -236,3 +235,4 @@
             index.errors.clear()
         if changed and self._subscriber is not None:
             self._subscriber.send_nowait(changed)
+        self.last_read_at = self._clock.read_boottime()
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -194,6 +194,7 @@
     ) -> None:
         async for job_ids in changes:
             await self._inbox.send(events.JobsChanged(job_ids))
+        raise TermEndedError('the records of the partition are read anew')
 
     async def _run_rounds(self) -> None:
         min_interval = self._settings.min_round_interval_seconds
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -194,7 +194,7 @@
             self._quota_feed,
         )
         self._feeds[partition] = feed
-        nursery.start_soon(feed.run)
+        nursery.start_soon(supervise, 'partition', feed.run)
 
     def _list_served_partitions(self) -> tuple[int, ...]:
         return (FLEET_PARTITION, *self._feeds)
