Give up all partitions when the task that claims them fails

What callers saw: the process ended when the task that claims and renews partitions met a programming fault.

Cause: the task ran in the nursery of the process. Restarted alone, its owners would have gone on without a renewal until the membership expired.

Why it works: after an error the leases are forgotten first, so no owner may act; then the owners end and the groups are left. The last term of each partition is barred in a later lease, also if leaving the group was not answered.

--- a/libs/controller/features/failures.feature
+++ b/libs/controller/features/failures.feature
@@ -29,6 +29,37 @@
       | partition   | index jobs         | 1     | 1     |
       | partition   | index jobs         | 2     | 2     |
       | partition   | index jobs         | 5     | 5     |
+      | ownership   | find bid           | 1     | 1     |
+      | ownership   | find bid           | 5     | 5     |
+      | ownership   | build statuses     | 2     | 1     |
+
+  # Guards against a partition that two daemons own: the terms of a failed task
+  # went on until the membership expired.
+  Scenario: A daemon whose ownership fails gives its partitions up first
+    Given 2 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 0.4 seconds pass
+    And each search for a bid fails at the owner of the pool
+    And 1.5 seconds pass
+    Then the other daemon owns the pool
+    When 4 seconds pass
+    Then all jobs are completed, and every task was started once
+    And no daemon has ended
+
+  # Guards against LOST: a term that is resumed numbers its appends anew, and the
+  # store takes them for repeated ones.
+  Scenario: After an error a daemon does not resume its term
+    Given 1 daemons and 2 workers
+    When a job of 6 tasks is submitted
+    And 3 seconds pass
+    And no member can leave a group
+    And the next 1 calls of "find bid" fail
+    And 6 seconds pass
+    And a job of 6 tasks is submitted
+    And 4 seconds pass
+    Then the partition of the pool was owned anew, in another term
+    And all jobs are completed, and every task was started once
+    And no daemon has ended
 
   # Guards against reads at full speed, and against answers from a part of the
   # records.
--- a/libs/controller/tarragonlb/controller/ownership.py
+++ b/libs/controller/tarragonlb/controller/ownership.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import replace
 from functools import partial
 
@@ -51,8 +51,10 @@
         '_clock',
         '_group_log',
         '_has_claimed',
+        '_is_stopped',
         '_lag',
         '_lag_meter',
+        '_last_terms',
         '_leases',
         '_member',
         '_offers',
@@ -82,15 +84,13 @@
         self._clock = clock
         self._view = view
         self._lag = lag
-        policy = CapacityBidPolicy()
-        self._bids = OwnershipBids(policy)
-        self._offers = HandoverOffers(policy)
-        self._lag_meter = LagMeter(0)
-        self._successors: dict[int, str] = {}
+        self._start_over()
         # Also holds the lease that is being claimed.
         self._leases: dict[int, PartitionLease] = {}
+        # A term can't be resumed, and leaving a group may not succeed.
+        self._last_terms: dict[int, OwnedPartition] = {}
         self._scope = trio.CancelScope()
-        self._has_claimed = trio.Event()
+        self._is_stopped = False
         self._status_number = 0
         self._group_log = DependencyLog('group of owners')
         self._writer = OwnershipWriter(store)
@@ -103,13 +103,22 @@
         """Own partitions until stopped.
 
         ``list_partitions`` returns the partitions that need an owner.
-        ``update_owner`` is called when ``find_owned`` may have changed.
+        ``update_owner`` is called when ``find_owned`` may have changed.  After
+        an error all partitions are given up, and ``run`` may be called again.
         """
         self._update_owner = update_owner
+        self._scope = trio.CancelScope()
+        if self._is_stopped:
+            return
         with self._scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._publish_statuses)
-                await self._run_bids(list_partitions, nursery)
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._publish_statuses)
+                    await self._run_bids(list_partitions, nursery)
+            except* Exception:
+                self._start_over()
+                await self.release()
+                raise
 
     def find_owned(self, partition: int) -> OwnedPartition | None:
         """Return the partition with its term, None if it isn't owned."""
@@ -129,21 +138,33 @@
 
     def stop(self) -> None:
         """Neither bid nor renew any more."""
+        self._is_stopped = True
         self._scope.cancel()
 
     async def release(self) -> None:
-        """Leave all groups, for others to own their partitions at once."""
+        """End all terms and leave all groups, for others to own at once."""
+        # First of all, since a partition without a lease is not owned.
         leases = tuple(self._leases.values())
-        statuses = self._build_statuses(is_released=True)
         self._leases.clear()
         for lease in leases:
             self._view.note_loss(lease.partition)
+        for lease in leases:
+            await self._update_owner(lease.partition)
+        statuses = self._build_statuses(leases, is_released=True)
         with trio.move_on_after(LEAVE_TIMEOUT_SECONDS):
             async with trio.open_nursery() as nursery:
                 for lease in leases:
                     nursery.start_soon(lease.leave)
             await self._writer.write_statuses(statuses)
 
+    def _start_over(self) -> None:
+        policy = CapacityBidPolicy()
+        self._bids = OwnershipBids(policy)
+        self._offers = HandoverOffers(policy)
+        self._lag_meter = LagMeter(0)
+        self._successors: dict[int, str] = {}
+        self._has_claimed = trio.Event()
+
     async def _run_bids(
         self,
         list_partitions: Callable[[], Iterable[int]],
@@ -189,6 +210,9 @@
             self._clock,
             self._group_log,
         )
+        last_term = self._last_terms.get(partition)
+        if last_term is not None:
+            lease.end_term(last_term)
         self._leases[partition] = lease
         if await lease.claim():
             LOG.emit(
@@ -220,8 +244,7 @@
                 is_released=True,
                 successor=self._successors[lease.partition],
             )
-            for status in self._build_statuses(is_released=False)
-            if status.partition == lease.partition
+            for status in self._build_statuses((lease,), is_released=False)
         ]
         lease.forget()
         await self._update_owner(lease.partition)
@@ -231,6 +254,9 @@
     async def _note_renewal(self, lease: PartitionLease) -> None:
         if lease.renewed_at is not None:
             self._view.note_renewal(lease.partition, lease.renewed_at)
+        owned = lease.find_owned()
+        if owned is not None:
+            self._last_terms[lease.partition] = owned
         await self._update_owner(lease.partition)
 
     async def _publish_statuses(self) -> None:
@@ -240,10 +266,19 @@
             self._lag_meter.note_total(
                 self._lag.read_total(measured_at), measured_at
             )
-            statuses = self._build_statuses(is_released=False)
+            statuses = self._build_statuses(
+                self._leases.values(), is_released=False
+            )
             await self._writer.write_statuses(statuses)
             self._hand_over(statuses, now)
-            await self._make_offer(now)
+            offer = self._offers.choose_offer(
+                self._build_bidder(),
+                self._lag_meter.share,
+                self._view.fleet_state.owner_statuses,
+                now,
+            )
+            if offer is not None:
+                await self._writer.write_offer(offer)
             with trio.move_on_after(STATUS_INTERVAL_SECONDS):
                 await self._has_claimed.wait()
             self._has_claimed = trio.Event()
@@ -277,16 +312,6 @@
             self._lag_meter.restart()
             return
 
-    async def _make_offer(self, now: float) -> None:
-        offer = self._offers.choose_offer(
-            self._build_bidder(),
-            self._lag_meter.share,
-            self._view.fleet_state.owner_statuses,
-            now,
-        )
-        if offer is not None:
-            await self._writer.write_offer(offer)
-
     def _build_bidder(self) -> Bidder:
         return Bidder(
             self._member,
@@ -294,7 +319,9 @@
             frozenset(self._leases),
         )
 
-    def _build_statuses(self, *, is_released: bool) -> list[OwnerStatus]:
+    def _build_statuses(
+        self, leases: Collection[PartitionLease], *, is_released: bool
+    ) -> list[OwnerStatus]:
         now = self._clock.read_boottime()
         self._status_number += 1
         return [
@@ -305,9 +332,9 @@
                 number=self._status_number,
                 processor_cores=self._settings.processor_cores,
                 lag_share=round(self._lag_meter.share, 2),
-                owned_partitions=len(self._leases),
+                owned_partitions=max(len(self._leases), len(leases)),
                 is_released=is_released,
             )
-            for lease in self._leases.values()
+            for lease in leases
             if lease.is_valid(now) and (owned := lease.find_owned()) is not None
         ]
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -159,9 +159,13 @@
                 nursery.start_soon(supervise, name, task)
             async with trio.open_nursery() as owners:
                 owners.start_soon(
-                    self._ownership.run,
-                    self._list_served_partitions,
-                    partial(self._update_owner, owners),
+                    supervise,
+                    'ownership',
+                    partial(
+                        self._ownership.run,
+                        self._list_served_partitions,
+                        partial(self._update_owner, owners),
+                    ),
                 )
                 await stopped.wait()
                 await self._release_partitions()
