Restart the tasks of the product's daemon after an error

What callers saw: the process ended when any of its components met a programming fault, or when its peer port was taken.

Cause: all components ran in the nursery of the process.

A list counts as read only after it was merged. Endpoints are withdrawn until an update succeeds. The planner starts anew.

--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -6,7 +6,6 @@
 allows.
 """
 
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -38,7 +37,7 @@
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, TERMS
 from tarragonlb.telemetry.log import Log
-from tarragonlb.telemetry.supervision import format_trace, supervise
+from tarragonlb.telemetry.supervision import Task, format_trace, supervise
 
 LOG = Log('process')
 # The part of the grace period that is reserved for closing connections.
@@ -147,7 +146,7 @@
             self._clock,
         )
         async with trio.open_nursery() as nursery:
-            tasks: dict[str, Callable[[], Awaitable[None]]] = {
+            tasks: dict[str, Task] = {
                 'operators': operators.run,
                 'workers': workers.run,
                 'fleet state': self._fleet_state_feed.run,
--- a/libs/daemon/tarragonlb/daemon/fleetwatcher.py
+++ b/libs/daemon/tarragonlb/daemon/fleetwatcher.py
@@ -71,10 +71,11 @@
 
     def merge(self, reading: FleetReading, now: float) -> None:
         """Merge the changes of a new reading."""
-        self.last_read = now
-        self.number = max(self.number, reading.number)
         self.vms.update({vm.vm_id: vm for vm in reading.vms})
         self.tasks.update({task.task_id: task for task in reading.tasks})
+        # Last, so that a reading that was merged in part is requested again.
+        self.number = max(self.number, reading.number)
+        self.last_read = now
         self._updated.set()
         self._updated = trio.Event()
 
@@ -85,5 +86,5 @@
             self._emit('Reading the VM list failed.', error=str(error))
         else:
             self._wait_seconds = LONG_POLL_SECONDS
-            self.last_requested = requested_at
             self.merge(reading, read_monotonic())
+            self.last_requested = requested_at
--- a/libs/daemon/tarragonlb/daemon/journal.py
+++ b/libs/daemon/tarragonlb/daemon/journal.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TypeAlias
 
 import trio
@@ -14,7 +14,7 @@
 from tarragonlb.daemon.clock import read_monotonic, read_wall
 from tarragonlb.daemon.housekeeping import Housekeeping
 from tarragonlb.journal.fold import RecordOutcome
-from tarragonlb.journal.log import RecordLog
+from tarragonlb.journal.log import LogEntry, RecordLog
 from tarragonlb.journal.outbox import PendingRecord
 from tarragonlb.journal.replica import Replica
 from tarragonlb.journal.state import State
@@ -27,6 +27,7 @@
 from tarragonlb.model.record import Head, Record
 from tarragonlb.model.recordhead import HeadFactory
 from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.supervision import supervise
 
 BATCH_SECONDS = 0.01
 LONG_POLL_SECONDS = 5
@@ -70,9 +71,11 @@
     async def run(self) -> None:
         """Read from and append to the log until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read_log)
-            nursery.start_soon(self._write_log)
-            nursery.start_soon(Housekeeping(self).run)
+            nursery.start_soon(supervise, 'log reader', self._read_log)
+            nursery.start_soon(supervise, 'log writer', self._write_log)
+            nursery.start_soon(
+                supervise, 'housekeeping', Housekeeping(self).run
+            )
 
     def make_head(self, author: str = '') -> Head:
         """Return the head of a new record based on the current state."""
@@ -146,13 +149,21 @@
         entries = await self._log.read(after, wait_seconds)
         if self.replica.halted:
             return
-        self._wake_committers(self.replica.receive_entries(entries))
+        self._receive(entries)
         if self.replica.caught_up and not self.replica.searching:
             self.last_read = read_monotonic()
         if self.replica.halted:
             self.halt(self.replica.halted)
         self._signal_change()
 
+    def _receive(self, entries: Sequence[LogEntry]) -> None:
+        try:
+            self._wake_committers(self.replica.receive_entries(entries))
+        except Exception as error:
+            # The state may hold a part of the entries only.
+            self.halt(f'an entry could not be applied: {error!r}')
+            raise
+
     def _signal_change(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -171,10 +182,11 @@
 
     async def _write_log(self) -> None:
         while True:
+            # First, for records that were waiting when an error occurred.
+            await self._append_batches()
             await self._submitted.wait()
             self._submitted = trio.Event()
             await trio.sleep(BATCH_SECONDS)
-            await self._append_batches()
 
     async def _append_batches(self) -> None:
         batch = self.replica.outbox.take_batch()
--- a/libs/daemon/tarragonlb/daemon/keyservice.py
+++ b/libs/daemon/tarragonlb/daemon/keyservice.py
@@ -13,6 +13,7 @@
 )
 from tarragonlb.routing.ledger import ClaimResult, KeyLedger, parse_key
 from tarragonlb.settings.startup import DaemonSettings
+from tarragonlb.telemetry.supervision import supervise
 
 SECRET_BYTES = 32
 
@@ -38,7 +39,7 @@
         """Stay connected to all other issuers until cancelled."""
         async with trio.open_nursery() as nursery:
             for client in self._clients.values():
-                nursery.start_soon(client.run)
+                nursery.start_soon(supervise, 'key client', client.run)
 
     async def ask(
         self, text: str, team: str, *, ran: bool | None = None
--- a/libs/daemon/tarragonlb/daemon/plannertask.py
+++ b/libs/daemon/tarragonlb/daemon/plannertask.py
@@ -57,6 +57,7 @@
         '_emit',
         '_fleet',
         '_fleet_watcher',
+        '_head_factory',
         '_journal',
         '_member',
         '_planner',
@@ -75,6 +76,7 @@
         self._journal = journal
         self._fleet_watcher = fleet_watcher
         self._fleet = fleet
+        self._head_factory = head_factory
         self._planner = Planner(head_factory)
         self._member = member
         self._term_timer = TermTimer()
@@ -111,7 +113,12 @@
 
     def _decide(self) -> list[action.Action]:
         view = make_view(self._journal.state, self._fleet_watcher)
-        return self._planner.decide(view, read_monotonic(), read_wall())
+        try:
+            return self._planner.decide(view, read_monotonic(), read_wall())
+        except Exception:
+            # What it remembers may be wrong; a new one starts without memory.
+            self._planner = Planner(self._head_factory)
+            raise
 
     async def _execute_all(self, actions: list[action.Action]) -> None:
         async with trio.open_nursery() as nursery:
--- a/libs/daemon/tarragonlb/daemon/pools.py
+++ b/libs/daemon/tarragonlb/daemon/pools.py
@@ -71,7 +71,18 @@
                 await trio.sleep(UPDATE_SECONDS)
 
     def update(self, now: float) -> None:
-        """Update the dispatcher for pools whose endpoints have changed."""
+        """Update the dispatcher for pools whose endpoints have changed.
+
+        After an error no endpoint gets requests until the next update: which
+        of them are leaving may not be known.
+        """
+        try:
+            self._update(now)
+        except Exception:
+            self._withdraw_all()
+            raise
+
+    def _update(self, now: float) -> None:
         self._check_age(now)
         changed: dict[str, None] = {}
         for vm_id in self._take_changed_vms():
@@ -80,6 +91,14 @@
             endpoints = list(self._endpoints.get(pool, {}).values())
             self._dispatcher.update_pool(pool, endpoints)
 
+    def _withdraw_all(self) -> None:
+        self._slots_offset = -1
+        self._pool_by_vm.clear()
+        pools = tuple(self._endpoints)
+        self._endpoints.clear()
+        for pool in pools:
+            self._dispatcher.update_pool(pool, [])
+
     def _take_changed_vms(self) -> Iterable[str]:
         vm_ids = dict.fromkeys(self._vm_changes.take())
         vm_ids.update(dict.fromkeys(self._reading_changes.take()))
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -3,7 +3,6 @@
 import random
 import signal
 import uuid
-from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -27,6 +26,7 @@
 from tarragonlb.platform.remote import RemotePlatform
 from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.supervision import Task, supervise
 
 STOP_NOTICE_SECONDS = 1
 
@@ -100,8 +100,8 @@
         self._emit('The daemon is starting.', name=self._settings.name)
         stopped = trio.Event()
         async with trio.open_nursery() as nursery:
-            for task in self._list_tasks():
-                nursery.start_soon(task)
+            for name, task in self._build_tasks().items():
+                nursery.start_soon(supervise, name, task)
             nursery.start_soon(
                 serve_http, self.application, self._settings, stopped
             )
@@ -112,23 +112,20 @@
             nursery.cancel_scope.cancel()
         self._emit('The daemon has stopped.', name=self._settings.name)
 
-    def _list_tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
-        components = (
-            self._pause_guard,
-            self._journal,
-            self._peer_server,
-            self._peers,
-            self._fleet_watcher,
-            self._planner,
-            self._pools,
-            self._key_service,
-            self._claims,
-            self._metrics.burn,
-        )
-        return (
-            self._wait_until_ready,
-            *(component.run for component in components),
-        )
+    def _build_tasks(self) -> dict[str, Task]:
+        return {
+            'readiness': self._wait_until_ready,
+            'pause guard': self._pause_guard.run,
+            'journal': self._journal.run,
+            'peer server': self._peer_server.run,
+            'peers': self._peers.run,
+            'fleet watcher': self._fleet_watcher.run,
+            'planner': self._planner.run,
+            'pools': self._pools.run,
+            'key service': self._key_service.run,
+            'claims': self._claims.run,
+            'burn reporter': self._metrics.burn.run,
+        }
 
     async def _wait_until_ready(self) -> None:
         await self._journal.wait_until_caught_up()
--- a/libs/telemetry/tarragonlb/telemetry/supervision.py
+++ b/libs/telemetry/tarragonlb/telemetry/supervision.py
@@ -7,12 +7,15 @@
 
 import traceback
 from collections.abc import Awaitable, Callable
+from typing import TypeAlias
 
 import trio
 
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, TASK_FAILURES
 from tarragonlb.telemetry.log import Log
 
+Task: TypeAlias = Callable[[], Awaitable[None]]
+
 LOG = Log('process')
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 5.0
@@ -57,7 +60,7 @@
         self.pause_seconds = min(2 * self.pause_seconds, MAX_PAUSE_SECONDS)
 
 
-async def supervise(name: str, task: Callable[[], Awaitable[None]]) -> None:
+async def supervise(name: str, task: Task) -> None:
     """Run a task until it returns, and start it again whenever it fails.
 
     ``name`` is a label of a metric, so a process has few of them.
@@ -76,9 +79,7 @@
     return trace[-MAX_TRACE_CHARACTERS:]
 
 
-async def _run_once(
-    name: str, task: Callable[[], Awaitable[None]], restarts: TaskRestarts
-) -> bool:
+async def _run_once(name: str, task: Task, restarts: TaskRestarts) -> bool:
     """Run a task; return whether it ended without an error."""
     has_ended = False
     restarts.note_start(trio.current_time())
