End a daemon with a last log line that names cause and exit code

Operators saw a daemon gone and nothing in its log: an unexpected error left a bare trace on standard error and code 1, invalid settings a text there, a failed import the same. A machine that keeps standard output only could tell none of these apart.

Cause: only the queue of the log wrote to standard output, and only while all was well.

Now Lifecycle imports and runs the program of a process. It catches whatever comes out, drains the log for 0.2 s, and writes one line with cause, code and the end of the trace straight to the descriptor, then ends with os._exit, so that nothing after that line changes the code. It uses the standard library only, so a failing import is reported as well. A line has at most PIPE_BUF bytes and is written to a pipe only if that has room, so a reader that stopped can't hold the end up.

--- a/libs/daemon/tarragonlb/daemon/command.py
+++ b/libs/daemon/tarragonlb/daemon/command.py
@@ -11,6 +11,7 @@
 from tarragonlb.settings.problem import SettingsError
 from tarragonlb.settings.reader import read_settings
 from tarragonlb.settings.startup import DaemonSettings
+from tarragonlb.telemetry.lifecycle import STANDARD_ERROR
 from tarragonlb.telemetry.log import start_logging
 from tarragonlb.telemetry.metrics import start_metrics
 
@@ -39,7 +40,7 @@
     except (OSError, UnicodeDecodeError, SettingsError) as error:
         sys.stderr.write(f'tarragonlbd: {error}\n')
         sys.exit(EXIT_BAD_SETTINGS)
-    sink = start_logging()
+    sink = start_logging(STANDARD_ERROR)
     start_metrics()
     try:
         trio.run(Process(daemon_settings).run)
--- /dev/null
+++ b/libs/telemetry/features/lifecycle.feature
@@ -0,0 +1,29 @@
+Feature: A daemon says why it ends
+
+  # Guards against a daemon that ends by an error without a line in its log.
+  Scenario Outline: A daemon that ends by an error logs the error and its trace
+    When a daemon runs whose program <program>
+    Then it ends with exit code 70
+    And its last log line has exit code 70 and the cause "<cause>"
+    And standard error says "<trace>"
+
+    Examples:
+      | program                       | cause                     | trace        |
+      | fails                         | ValueError: no luck       | in main      |
+      | can't be imported             | ModuleNotFoundError       | import       |
+      | runs out of memory            | MemoryError               | MemoryError  |
+      | fails in a way beyond words   | Unprintable:             | in main      |
+      | fails at great length         | ValueError: żżż           | in main      |
+      | fails in a task               | ValueError: no luck       | in fail      |
+      | logs a lot before it fails    | ValueError: after lines   | in main      |
+
+  # Guards against a daemon that never ends, as its last line can't be written.
+  Scenario: A log that nobody reads does not keep a daemon from ending
+    When a daemon whose log nobody reads logs a lot before it fails
+    Then it ends with exit code 70
+
+  # Guards against an exit code that says less than the program did.
+  Scenario: The exit code of a program that exits is kept
+    When a daemon runs whose program exits with code 5
+    Then it ends with exit code 5
+    And its last log line has exit code 5 and the cause "exited: 5"
--- a/libs/telemetry/tarragonlb/telemetry/log.py
+++ b/libs/telemetry/tarragonlb/telemetry/log.py
@@ -6,21 +6,18 @@
 """
 
 import os
-import sys
 import time
-from typing import TextIO
 
 import eliot
 
 from tarragonlb.telemetry.sink import LineSink
 
 
-def start_logging(stream: TextIO = sys.stderr) -> LineSink:
-    """Write all log lines of this process to a stream.
+def start_logging(descriptor: int) -> LineSink:
+    """Write all log lines of this process to a file descriptor.
 
     The caller has to drain the returned sink before the process exits.
     """
-    descriptor = stream.fileno()
     sink = LineSink(
         lambda line: _write_fully(descriptor, line), now=time.monotonic
     )
--- a/tools/loglist.py
+++ b/tools/loglist.py
@@ -1,7 +1,7 @@
 """Lists the sentences that each component logs.
 
-A component creates its log with ``Log('component')`` and writes with ``emit``;
-both calls are looked up in the syntax trees of all modules.
+A component creates its log with ``Log('component')``, or ``DirectLog``, and
+writes with ``emit``; both are looked up in the syntax trees of all modules.
 """
 
 import ast
@@ -11,6 +11,7 @@
 
 LIBS = Path(__file__).parent.parent / 'libs'
 EMIT_NAMES = frozenset(('emit', '_emit'))
+LOG_NAMES = frozenset(('Log', 'DirectLog'))
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -45,7 +46,9 @@
 
 def _read_component(tree: ast.Module) -> Component | None:
     calls = [node for node in ast.walk(tree) if isinstance(node, ast.Call)]
-    prefixes = [_get_text(call) for call in calls if _get_name(call) == 'Log']
+    prefixes = [
+        _get_text(call) for call in calls if _get_name(call) in LOG_NAMES
+    ]
     if not prefixes:
         return None
     prefix = prefixes[0]
