End a daemon whose stop takes longer than its grace period, and say what was running

Operators who stopped a daemon while three clients didn't read their answers saw it run on for more than 15 s after SIGTERM without a line; only SIGKILL ended it. An error of one task could hang in the same way, with the error unknown, as it is reported only when all tasks have ended.

Cause: nothing of the process's own bounds its end. The HTTP library shields its write from cancellation, and the event loop waits for it.

Tasks without which the process can't go on run supervised: their error is logged at once and starts the same limit.

--- a/libs/telemetry/features/lifecycle.feature
+++ b/libs/telemetry/features/lifecycle.feature
@@ -47,3 +47,23 @@
     Then it ends with exit code 0
     And its last log line has exit code 0 and the cause "SIGTERM"
     And it has received SIGHUP, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGXCPU, SIGTERM
+
+  # Guards against a stop that something delays for ever.
+  Scenario Outline: A daemon that can't stop in time ends and says what was running
+    When a daemon runs whose program <program>
+    Then it ends with exit code 124
+    And its last log line has exit code 124 and the cause "took too long"
+    And it names "<running>" as running
+
+    Examples:
+      | program               | running  |
+      | can't be cancelled    | stuck at |
+      | blocks its event loop | in block |
+
+  # Guards against a daemon that neither works nor ends, and doesn't say why.
+  Scenario: An error is logged at once, and the process ends though a task hangs
+    When a daemon runs whose program can't be cancelled and fails
+    Then it ends with exit code 124
+    And its last log line has exit code 124 and the cause "took too long"
+    And it names "stuck at" as running
+    And an earlier log line names the error "no luck"
--- a/libs/telemetry/features/steps/lifecycle_steps.py
+++ b/libs/telemetry/features/steps/lifecycle_steps.py
@@ -22,8 +22,17 @@
         Log('program').emit(f'Sentence {number % 100}.', text='x' * 100)
 """
 EVENT_LOOP = """
-import os, signal, trio
-from tarragonlb.telemetry.eventloop import open_signals
+import os, signal, time, trio
+from tarragonlb.telemetry.eventloop import open_signals, supervise
+def block():
+    time.sleep(1000)
+async def stuck():
+    with trio.CancelScope(shield=True):
+        await trio.sleep_forever()
+def run(lifecycle, tasks):
+    lifecycle.begin_run(0.1)
+    trio.run(tasks, lifecycle)
+    return lifecycle.describe_stop()
 """
 PROGRAMS = {
     'fails': 'def main(lifecycle): raise ValueError("no luck")',
@@ -63,7 +72,7 @@
     for name in names:
         os.kill(os.getpid(), getattr(signal, f'SIG{name}'))
 async def tasks(lifecycle):
-    with open_signals(lifecycle.signals) as signals:
+    with open_signals(lifecycle) as signals:
         send(SERIES[1:])
         async for number in signals:
             print(number.name, flush=True)
@@ -72,10 +81,42 @@
     send(SERIES)
 def main(lifecycle):
     send(SERIES[:1])
-    lifecycle.signals.hold()
+    lifecycle.begin_run(60)
     trio.run(tasks, lifecycle)
     send(SERIES)
     return lifecycle.describe_stop()
+""",
+    "can't be cancelled": EVENT_LOOP
+    + """
+async def tasks(lifecycle):
+    with open_signals(lifecycle) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stuck)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await anext(signals)
+            nursery.cancel_scope.cancel()
+def main(lifecycle): return run(lifecycle, tasks)
+""",
+    'blocks its event loop': EVENT_LOOP
+    + """
+async def tasks(lifecycle):
+    os.kill(os.getpid(), signal.SIGTERM)
+    block()
+def main(lifecycle): return run(lifecycle, tasks)
+""",
+    "can't be cancelled and fails": EVENT_LOOP
+    + """
+from tarragonlb.telemetry.log import start_logging
+async def fail():
+    raise ValueError('no luck')
+async def tasks(lifecycle):
+    with open_signals(lifecycle):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stuck)
+            nursery.start_soon(supervise, lifecycle, fail)
+def main(lifecycle):
+    lifecycle.attach_log(start_logging(1).drain)
+    return run(lifecycle, tasks)
 """,
 }
 
@@ -138,7 +179,18 @@
     assert text in context.errors.decode(), context.errors
 
 
+@then('it names "{text}" as running')
+def check_running(context, text):
+    assert any(text in task for task in context.last['running']), context.last
+
+
 @then('it has received {names}')
 def check_signals(context, names):
     received = [line for line in context.lines if line.startswith('SIG')]
     assert sorted(received) == sorted(names.split(', ')), received
+
+
+@then('an earlier log line names the error "{error}"')
+def check_earlier_line(context, error):
+    lines = [json.loads(line) for line in context.lines[:-1]]
+    assert any(error in line.get('error', '') for line in lines), lines
--- a/libs/telemetry/tarragonlb/telemetry/eventloop.py
+++ b/libs/telemetry/tarragonlb/telemetry/eventloop.py
@@ -1,18 +1,27 @@
-"""Connects the signals of a daemon with its event loop."""
+"""The event loop of a daemon: signals, failures and what is running."""
 
 import contextlib
 import math
 import signal
-from collections.abc import Generator
+import traceback
+from collections.abc import Awaitable, Callable, Generator
+from functools import partial
+from typing import Any
 
 import trio
 
-from tarragonlb.telemetry.processsignals import ProcessSignals
+from tarragonlb.telemetry.lifecycle import Lifecycle
+from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.processsignals import STOP_SIGNALS
+
+LOG = Log('eventloop')
+# The end of a trace names the cause.
+MAX_TRACE_CHARACTERS = 3000
 
 
 @contextlib.contextmanager
 def open_signals(
-    signals: ProcessSignals,
+    lifecycle: Lifecycle,
 ) -> Generator[trio.MemoryReceiveChannel[signal.Signals], None, None]:
     """Receive the signals of the process as messages.
 
@@ -21,7 +30,10 @@
     """
     sender, receiver = trio.open_memory_channel[signal.Signals](math.inf)
     token = trio.lowlevel.current_trio_token()
-    signals.attach(
+    lifecycle.attach_tasks(
+        partial(list_tasks, trio.lowlevel.current_root_task())
+    )
+    lifecycle.signals.attach(
         lambda number: token.run_sync_soon(
             sender.send_nowait, number, idempotent=True
         )
@@ -29,4 +41,65 @@
     try:
         yield receiver
     finally:
-        signals.detach()
+        lifecycle.signals.detach()
+
+
+async def watch_signals(
+    lifecycle: Lifecycle, stop: Callable[[], None], reload: Callable[[], None]
+) -> None:
+    """Call ``stop`` on signals to stop, and ``reload`` on each SIGHUP."""
+    with open_signals(lifecycle) as signals:
+        async for number in signals:
+            if number in STOP_SIGNALS:
+                stop()
+            elif number == signal.SIGHUP:
+                reload()
+            else:
+                LOG.emit('Signal ignored.', signal=number.name)
+
+
+async def supervise(
+    lifecycle: Lifecycle, task: Callable[..., Awaitable[None]], *arguments: Any
+) -> None:
+    """Run a task without which the process can't go on.
+
+    Its error is logged at once and limits the time until the end: the process
+    ends only when all other tasks are cancelled, and one of them may hang.
+    """
+    try:
+        await task(*arguments)
+    except Exception as error:
+        lifecycle.begin_stop()
+        trace = ''.join(traceback.format_exception(error))
+        LOG.emit(
+            'Task failed.',
+            error=repr(error),
+            trace=trace[-MAX_TRACE_CHARACTERS:],
+        )
+        raise
+
+
+def list_tasks(root: trio.lowlevel.Task | None) -> list[str]:
+    """Return the name and position of each task without child tasks."""
+    lines = []
+    unvisited = [root] if root else []
+    while unvisited:
+        task = unvisited.pop()
+        children = [
+            child
+            for nursery in tuple(task.child_nurseries)
+            for child in tuple(nursery.child_tasks)
+        ]
+        unvisited.extend(children)
+        if not children:
+            lines.append(_describe(task))
+    return lines
+
+
+def _describe(task: trio.lowlevel.Task) -> str:
+    frames = [
+        f'{frame.f_code.co_filename}:{line}'
+        for frame, line in task.iter_await_frames()
+        if '/trio/' not in frame.f_code.co_filename
+    ]
+    return f'{task.name} at {frames[-1]}' if frames else task.name
--- a/libs/telemetry/tarragonlb/telemetry/lifecycle.py
+++ b/libs/telemetry/tarragonlb/telemetry/lifecycle.py
@@ -1,4 +1,4 @@
-"""The end of a daemon: exit code and last log line.
+"""The end of a daemon: exit code, last log line and time limit of a stop.
 
 The log line is written whatever has failed, so only the standard library is
 used here.
@@ -8,13 +8,20 @@
 import faulthandler
 import importlib
 import os
+import sys
+import threading
+import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NoReturn, Protocol
 
 from tarragonlb.telemetry.directlog import DirectLog, write_if_read
 from tarragonlb.telemetry.processsignals import ProcessSignals
 
+# Innermost frames of the main thread in the report of a stop.
+MAX_FRAMES = 3
+# Time limit for reporting the end, with the lines that are still queued.
+REPORT_SECONDS = 1
 STANDARD_ERROR = 2
 
 
@@ -25,6 +32,8 @@
     INVALID_SETTINGS = 2
     # EX_SOFTWARE of sysexits.h
     UNEXPECTED_ERROR = 70
+    # As of the command ``timeout``.
+    STOP_OVERDUE = 124
 
 
 class End:
@@ -51,8 +60,11 @@
 
     __slots__ = (
         '_drain',
+        '_ending',
+        '_list_tasks',
         '_log',
         '_signals',
+        '_stop_pipe',
     )
 
     def __init__(self, signals: ProcessSignals, descriptor: int) -> None:
@@ -60,6 +72,9 @@
         self._signals = signals
         self._log = DirectLog('lifecycle', descriptor)
         self._drain: Callable[[], None] | None = None
+        self._ending = threading.Lock()
+        self._list_tasks: Callable[[], Sequence[str]] | None = None
+        self._stop_pipe: int | None = None
 
     @property
     def signals(self) -> ProcessSignals:
@@ -76,15 +91,38 @@
             end = _describe_exit(error)
         except BaseException as error:
             end = _describe_error(error)
-        try:
-            self._report(end)
-        finally:
-            os._exit(end.code)
+        self._end(end)
 
     def attach_log(self, drain: Callable[[], None]) -> None:
         """Call ``drain`` before the last line, to write the lines before it."""
         self._drain = drain
 
+    def attach_tasks(self, list_tasks: Callable[[], Sequence[str]]) -> None:
+        """Call ``list_tasks`` to report what runs when a stop takes too long.
+
+        It is called in a thread of its own.
+        """
+        self._list_tasks = list_tasks
+
+    def begin_run(self, stop_seconds: float) -> None:
+        """Leave stops to the event loop, which gets ``stop_seconds`` for them.
+
+        The process is ended when the time is over.
+        """
+        reader, self._stop_pipe = os.pipe()
+        # Started in advance, as no thread can be started in a signal handler.
+        threading.Thread(
+            target=self._enforce_limit,
+            args=(reader, max(0, stop_seconds)),
+            daemon=True,
+        ).start()
+        self._signals.hold(self.begin_stop)
+
+    def begin_stop(self) -> None:
+        """Limit the time until the end of the process, from now on."""
+        if self._stop_pipe is not None:
+            os.write(self._stop_pipe, b'.')
+
     def describe_stop(self) -> End:
         """Return the end of a daemon whose tasks have ended in time."""
         number = self._signals.stop_signal
@@ -94,8 +132,42 @@
             )
         return End(ExitCode.STOPPED, number.name)
 
+    def _enforce_limit(self, reader: int, seconds: float) -> None:
+        os.read(reader, 1)
+        time.sleep(seconds)
+        number = self._signals.stop_signal
+        self._end(
+            End(
+                ExitCode.STOP_OVERDUE,
+                f'{number.name if number else "the end"} took too long',
+                limit_seconds=seconds,
+                running=self._list_running(),
+            )
+        )
+
+    def _list_running(self) -> list[str]:
+        frame = sys._current_frames().get(threading.main_thread().ident or 0)
+        stack = traceback.extract_stack(frame, limit=MAX_FRAMES)
+        running = [f'main thread: {_locate(entry)}' for entry in stack]
+        try:
+            running += self._list_tasks() if self._list_tasks else []
+        except Exception as error:
+            # The event loop may change its tasks meanwhile.
+            running.append(repr(error))
+        return running
+
+    def _end(self, end: End) -> NoReturn:
+        if self._ending.acquire(blocking=False):
+            try:
+                self._report(end)
+            finally:
+                os._exit(end.code)
+        # Another thread is reporting the end already.
+        time.sleep(REPORT_SECONDS)
+        os._exit(end.code)
+
     def _report(self, end: End) -> None:
-        self._signals.hold()
+        self._signals.hold(_ignore)
         self._signals.detach()
         if self._drain:
             self._drain()
@@ -111,6 +183,14 @@
             write_if_read(STANDARD_ERROR, content)
 
 
+def _ignore() -> None:
+    """Do nothing about a stop, as the process ends anyway."""
+
+
+def _locate(entry: traceback.FrameSummary) -> str:
+    return f'{entry.filename}:{entry.lineno} in {entry.name}'
+
+
 def _describe_exit(error: SystemExit) -> End:
     code = error.code if isinstance(error.code, int) else bool(error.code)
     return End(int(code), f'the program exited: {error.code}')
--- a/libs/telemetry/tarragonlb/telemetry/processsignals.py
+++ b/libs/telemetry/tarragonlb/telemetry/processsignals.py
@@ -35,9 +35,9 @@
     """Handles the signals of this process and hands them to the event loop."""
 
     __slots__ = (
+        '_begin_stop',
         '_deliver',
         '_descriptor',
-        '_is_held',
         '_pending',
         'stop_signal',
     )
@@ -45,7 +45,7 @@
     def __init__(self, descriptor: int) -> None:
         """Report a stop during the start on ``descriptor``."""
         self._descriptor = descriptor
-        self._is_held = False
+        self._begin_stop: Callable[[], None] | None = None
         self._deliver: Callable[[signal.Signals], None] | None = None
         self._pending: dict[signal.Signals, None] = {}
         self.stop_signal: signal.Signals | None = None
@@ -57,9 +57,12 @@
             if not (is_ignored and number in SHELL_SIGNALS):
                 signal.signal(number, self._handle)
 
-    def hold(self) -> None:
-        """Keep signals for the event loop instead of ending at once."""
-        self._is_held = True
+    def hold(self, begin_stop: Callable[[], None]) -> None:
+        """Keep signals for the event loop instead of ending at once.
+
+        Call ``begin_stop`` once, when the first signal to stop arrives.
+        """
+        self._begin_stop = begin_stop
 
     def attach(self, deliver: Callable[[signal.Signals], None]) -> None:
         """Deliver all signals that have been kept, and those to come."""
@@ -75,9 +78,11 @@
     def _handle(self, code: int, _frame: FrameType | None) -> None:
         number = signal.Signals(code)
         if number in STOP_SIGNALS and self.stop_signal is None:
-            if not self._is_held:
+            if self._begin_stop is None:
                 self._exit(number)
-            self.stop_signal = number
+            else:
+                self.stop_signal = number
+                self._begin_stop()
         if self._deliver is None:
             self._pending[number] = None
         else:
