Let tarragonlbd end as the adapter's daemon does

Operators of tarragonlbd saw the same ends without a line: -15 for SIGTERM and a trace with 130 for SIGINT while it started, -1 for SIGHUP at any time, a text without a log line for invalid settings.

Cause: the command read its settings before it had a log, and only the event loop handled signals, only the two that stop it.

Process runs its tasks under a Supervisor, as the adapter does. A stop may take the configured limit for draining requests and 5 s for the rest. Help and the version end with code 0 and no log line.

--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -1,7 +1,6 @@
 """The daemon process: creates its tasks, runs and stops them."""
 
 import random
-import signal
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -26,9 +25,12 @@
 from tarragonlb.model.recordhead import HeadFactory
 from tarragonlb.platform.remote import RemotePlatform
 from tarragonlb.settings.startup import DaemonSettings
+from tarragonlb.telemetry.eventloop import Supervisor
 from tarragonlb.telemetry.log import Log
 
 STOP_NOTICE_SECONDS = 1
+# Time for all that a stop does beside draining requests.
+STOP_MARGIN_SECONDS = 5
 
 
 class Process:
@@ -95,17 +97,22 @@
             self._pause_guard,
         )
 
-    async def run(self) -> None:
-        """Run until SIGTERM or SIGINT, then drain requests and stop."""
+    async def run(self, supervisor: Supervisor) -> None:
+        """Run until a signal to stop, then drain requests and stop."""
         self._emit('The daemon is starting.', name=self._settings.name)
-        stopped = trio.Event()
+        stopping, stopped = trio.Event(), trio.Event()
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(supervisor.watch_signals, stopping.set)
             for task in self._list_tasks():
-                nursery.start_soon(task)
+                nursery.start_soon(supervisor.run, task)
             nursery.start_soon(
-                serve_http, self.application, self._settings, stopped
+                supervisor.run,
+                serve_http,
+                self.application,
+                self._settings,
+                stopped,
             )
-            await self._wait_for_stop()
+            await self._wait_for_stop(stopping)
             stopped.set()
             await self._drain_requests()
             await self._metrics.burn.flush()
@@ -135,9 +142,8 @@
         self.application.ready = True
         self._emit('The daemon is ready.', offset=self._journal.state.offset)
 
-    async def _wait_for_stop(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as caught:
-            await anext(caught)
+    async def _wait_for_stop(self, stopping: trio.Event) -> None:
+        await stopping.wait()
         self.application.stopping = True
         self._emit('The daemon received a signal to stop.')
         await trio.sleep(STOP_NOTICE_SECONDS)
--- a/libs/telemetry/features/steps/lifecycle_steps.py
+++ b/libs/telemetry/features/steps/lifecycle_steps.py
@@ -23,7 +23,7 @@
 """
 EVENT_LOOP = """
 import os, signal, time, trio
-from tarragonlb.telemetry.eventloop import open_signals, supervise
+from tarragonlb.telemetry.eventloop import Supervisor, open_signals
 def block():
     time.sleep(1000)
 async def stuck():
@@ -113,7 +113,7 @@
     with open_signals(lifecycle):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stuck)
-            nursery.start_soon(supervise, lifecycle, fail)
+            nursery.start_soon(Supervisor(lifecycle).run, fail)
 def main(lifecycle):
     lifecycle.attach_log(start_logging(1).drain)
     return run(lifecycle, tasks)
--- a/libs/telemetry/tarragonlb/telemetry/eventloop.py
+++ b/libs/telemetry/tarragonlb/telemetry/eventloop.py
@@ -44,39 +44,49 @@
         lifecycle.signals.detach()
 
 
-async def watch_signals(
-    lifecycle: Lifecycle, stop: Callable[[], None], reload: Callable[[], None]
-) -> None:
-    """Call ``stop`` on signals to stop, and ``reload`` on each SIGHUP."""
-    with open_signals(lifecycle) as signals:
-        async for number in signals:
-            if number in STOP_SIGNALS:
-                stop()
-            elif number == signal.SIGHUP:
-                reload()
-            else:
-                LOG.emit('Signal ignored.', signal=number.name)
-
-
-async def supervise(
-    lifecycle: Lifecycle, task: Callable[..., Awaitable[None]], *arguments: Any
-) -> None:
-    """Run a task without which the process can't go on.
-
-    Its error is logged at once and limits the time until the end: the process
-    ends only when all other tasks are cancelled, and one of them may hang.
-    """
-    try:
-        await task(*arguments)
-    except Exception as error:
-        lifecycle.begin_stop()
-        trace = ''.join(traceback.format_exception(error))
-        LOG.emit(
-            'Task failed.',
-            error=repr(error),
-            trace=trace[-MAX_TRACE_CHARACTERS:],
-        )
-        raise
+class Supervisor:
+    """Runs the tasks without which a process can't go on."""
+
+    __slots__ = ('_lifecycle',)
+
+    def __init__(self, lifecycle: Lifecycle) -> None:
+        """Supervise tasks of the process with this lifecycle."""
+        self._lifecycle = lifecycle
+
+    async def run(
+        self, task: Callable[..., Awaitable[None]], *arguments: Any
+    ) -> None:
+        """Run a task; log its error at once and limit the time until the end.
+
+        The process ends only when all other tasks are cancelled, and one of
+        them may hang.
+        """
+        try:
+            await task(*arguments)
+        except Exception as error:
+            self._lifecycle.begin_stop()
+            trace = ''.join(traceback.format_exception(error))
+            LOG.emit(
+                'Task failed.',
+                error=repr(error),
+                trace=trace[-MAX_TRACE_CHARACTERS:],
+            )
+            raise
+
+    async def watch_signals(
+        self,
+        stop: Callable[[], None],
+        reload: Callable[[], None] | None = None,
+    ) -> None:
+        """Call ``stop`` on signals to stop, and ``reload`` on each SIGHUP."""
+        with open_signals(self._lifecycle) as signals:
+            async for number in signals:
+                if number in STOP_SIGNALS:
+                    stop()
+                elif number == signal.SIGHUP and reload:
+                    reload()
+                else:
+                    LOG.emit('Signal ignored.', signal=number.name)
 
 
 def list_tasks(root: trio.lowlevel.Task | None) -> list[str]:
--- a/libs/telemetry/tarragonlb/telemetry/lifecycle.py
+++ b/libs/telemetry/tarragonlb/telemetry/lifecycle.py
@@ -51,8 +51,8 @@
 class Program(Protocol):
     """A module that holds the main function of a daemon."""
 
-    def main(self, lifecycle: 'Lifecycle') -> End:
-        """Run the daemon and return why it ends."""
+    def main(self, lifecycle: 'Lifecycle') -> End | None:
+        """Run the daemon and return why it ends; None if it hasn't run."""
 
 
 class Lifecycle:
@@ -91,6 +91,8 @@
             end = _describe_exit(error)
         except BaseException as error:
             end = _describe_error(error)
+        if end is None:
+            sys.exit(ExitCode.STOPPED)
         self._end(end)
 
     def attach_log(self, drain: Callable[[], None]) -> None:
