Add the library server: HTTP connections that can't end the process

Not used yet. Each connection is a task with one boundary for errors, over hypercorn's HTTP/1.1 protocol; upgrades are ignored, HTTP/2 and tunnels refused. Cancellation and KeyboardInterrupt pass the boundary; SystemExit of a request does not, as a request must not end the process.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,7 +3,7 @@
 set -eu
 python3 -m pip install -q -U --target target/deps \
     -c constraints.txt -r deploy/requirements.txt
-for library in libs/model libs/scheduling libs/controller libs/telemetry platform; do
+for library in libs/model libs/scheduling libs/controller libs/telemetry libs/server platform; do
     cp -R "$library/tarragonlb" target/deps/
 done
 python3 -m compileall -q target/deps
--- /dev/null
+++ b/libs/server/tarragonlb/server/connection.py
@@ -0,0 +1,269 @@
+"""One connection of a client: its bytes, its time limits and its end.
+
+A task reads and feeds the protocol, which starts the application for each
+request in a task beside it; both write.  Whatever ends one of them ends the
+connection and nothing else.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+import hypercorn
+import trio
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState
+
+from tarragonlb.server.boundary import Boundary
+from tarragonlb.server.exchange import RequestTasks
+from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
+from tarragonlb.server.protocol import HttpProtocol
+from tarragonlb.server.room import AddressRoom
+from tarragonlb.server.settings import ServerSettings
+
+MAX_RECEIVE_BYTES = 65_536
+# A client that takes less than this within ``write_seconds`` is too slow.
+WRITE_BYTES = 16_384
+STATUS_REQUEST_TIMEOUT = 408
+
+# The client has closed or reset the connection.
+GONE_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+Endpoint: TypeAlias = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """What all connections of a server share."""
+
+    application: AppWrapper
+    settings: ServerSettings
+    config: hypercorn.Config
+    context: WorkerContext
+
+
+class Transport:
+    """Writes to a client until it has gone or takes too long."""
+
+    __slots__ = ('_lock', '_seconds', 'is_broken', 'stream')
+
+    def __init__(
+        self, stream: trio.abc.HalfCloseableStream, seconds: float
+    ) -> None:
+        """Give the client ``seconds`` to take each part."""
+        self.stream = stream
+        self.is_broken = False
+        self._seconds = seconds
+        self._lock = trio.Lock()
+
+    async def write(self, content: bytes) -> None:
+        """Write all bytes unless the client has gone.
+
+        A write that was cancelled may have sent a part, so nothing may
+        follow.
+        """
+        try:
+            self._lock.acquire_nowait()
+        except trio.WouldBlock:
+            await self._lock.acquire()
+        is_complete = False
+        try:
+            is_complete = await self._write_parts(content)
+        finally:
+            self._lock.release()
+            self.is_broken = self.is_broken or not is_complete
+
+    async def end(self, seconds: float) -> None:
+        """Let the client read what was written before the stream closes.
+
+        Closing while bytes are unread would reset the connection, and the
+        client could lose the response.
+        """
+        with trio.move_on_after(seconds):
+            async with self._lock:
+                self.is_broken = True
+            try:
+                await self.stream.send_eof()
+                await self._drain()
+            except GONE_ERRORS:
+                return
+
+    async def _drain(self) -> None:
+        received: bytes | bytearray = b' '
+        while received:
+            received = await self.stream.receive_some(MAX_RECEIVE_BYTES)
+
+    async def _write_parts(self, content: bytes) -> bool:
+        if self.is_broken:
+            return False
+        for start in range(0, len(content), WRITE_BYTES):
+            part = content[start : start + WRITE_BYTES]
+            with trio.move_on_after(self._seconds) as limit:
+                try:
+                    await self.stream.send_all(part)
+                except GONE_ERRORS:
+                    return False
+            if limit.cancelled_caught:
+                CONNECTION_METER.count(ConnectionEvent.SLOW_READER)
+                return False
+        return True
+
+
+class Connection:
+    """Serves the requests of one connection."""
+
+    __slots__ = (
+        '_client',
+        '_idle_since',
+        '_is_closing',
+        '_is_ended_by_client',
+        '_limit',
+        '_protocol',
+        '_received_bytes',
+        '_request_since',
+        '_room',
+        '_server',
+        '_service',
+        '_transport',
+    )
+
+    def __init__(
+        self,
+        stream: trio.abc.HalfCloseableStream,
+        service: Service,
+        room: AddressRoom,
+        client: Endpoint,
+        server: Endpoint,
+    ) -> None:
+        """Serve a client that has connected to ``server``."""
+        self._service = service
+        self._room = room
+        self._client = client
+        self._server = server
+        self._transport = Transport(stream, service.settings.write_seconds)
+        # Ends the wait for bytes of the client.
+        self._limit = trio.CancelScope()
+        self._idle_since = trio.current_time()
+        # When the first byte of a request came, None before.
+        self._request_since: float | None = None
+        self._received_bytes = 0
+        self._is_closing = False
+        self._protocol: HttpProtocol | None = None
+        self._is_ended_by_client = False
+
+    async def run(self) -> None:
+        """Serve until the connection ends; only cancellation passes."""
+        boundary = Boundary(self._client[0])
+        with boundary:
+            try:
+                async with trio.open_nursery() as nursery:
+                    await self._serve(nursery)
+            finally:
+                self._room.remove(self)
+                await trio.aclose_forcefully(self._transport.stream)
+        if boundary.has_failed:
+            CONNECTION_METER.count(ConnectionEvent.FAILED)
+
+    def close(self) -> None:
+        """Begin no further request, and stop reading."""
+        self._is_closing = True
+        if self._protocol is not None:
+            self._protocol.is_closing = True
+        self._limit.cancel()
+
+    async def _serve(self, nursery: trio.Nursery) -> None:
+        # Types of hypercorn's tasks say more than its protocol calls.
+        tasks: Any = RequestTasks(nursery, self._client[0])
+        protocol = HttpProtocol(
+            self._service.application,
+            self._service.config,
+            self._service.context,
+            tasks,
+            ConnectionState({}),
+            ssl=False,
+            client=self._client,
+            server=self._server,
+            send=self._handle,
+        )
+        self._protocol = protocol
+        await self._read(protocol)
+        if protocol.is_malformed:
+            CONNECTION_METER.count(ConnectionEvent.MALFORMED)
+        if self._is_ended_by_client and not self._is_closing:
+            # It may have closed only its side and read the response.
+            tasks.end_request()
+            return
+        if protocol.may_receive_more and not self._is_ended_by_client:
+            await self._transport.end(self._service.settings.linger_seconds)
+        await trio.aclose_forcefully(self._transport.stream)
+        await protocol.handle(Closed())
+
+    async def _read(self, protocol: HttpProtocol) -> None:
+        stream = self._transport.stream
+        while not (self._is_closing or self._is_ended_by_client):
+            self._limit = trio.CancelScope(
+                deadline=self._choose_deadline(protocol)
+            )
+            with self._limit:
+                try:
+                    received = await stream.receive_some(MAX_RECEIVE_BYTES)
+                except GONE_ERRORS:
+                    self._transport.is_broken = True
+                    return
+            if self._limit.cancelled_caught:
+                await self._handle_limit(protocol)
+                return
+            await self._receive(protocol, bytes(received))
+
+    async def _receive(self, protocol: HttpProtocol, received: bytes) -> None:
+        if self._request_since is None:
+            self._request_since = trio.current_time()
+        self._received_bytes += len(received)
+        if not received:
+            self._is_ended_by_client = True
+        await protocol.handle(RawData(received))
+
+    async def _handle_limit(self, protocol: HttpProtocol) -> None:
+        if self._is_closing:
+            return
+        if protocol.is_receiving:
+            CONNECTION_METER.count(ConnectionEvent.SLOW_REQUEST)
+            await protocol.refuse(STATUS_REQUEST_TIMEOUT)
+        self._is_closing = True
+
+    async def _handle(self, event: Event) -> None:
+        """Carry out what the protocol wants."""
+        if isinstance(event, RawData):
+            await self._transport.write(event.data)
+            if self._transport.is_broken:
+                self.close()
+        elif isinstance(event, Closed):
+            self.close()
+        elif isinstance(event, Updated):
+            self._update(is_idle=event.idle)
+
+    def _update(self, *, is_idle: bool) -> None:
+        if not is_idle:
+            self._room.mark_busy(self)
+            return
+        self._room.mark_idle(self)
+        self._request_since = None
+        self._received_bytes = 0
+        self._idle_since = trio.current_time()
+        self._limit.deadline = (
+            self._idle_since + self._service.settings.idle_seconds
+        )
+
+    def _choose_deadline(self, protocol: HttpProtocol) -> float:
+        settings = self._service.settings
+        if protocol.is_waiting:
+            return self._idle_since + settings.idle_seconds
+        if not protocol.is_receiving:
+            return math.inf
+        since = self._request_since
+        if since is None:
+            # The head came in one piece with the end of the request before.
+            since = self._idle_since
+        earned = self._received_bytes / settings.min_body_bytes_per_second
+        return since + settings.request_seconds + earned
--- /dev/null
+++ b/libs/server/tarragonlb/server/exchange.py
@@ -0,0 +1,104 @@
+"""Runs the application for the requests of one connection.
+
+The application takes the parts of a request from a queue.  A part waits until
+the queue has room, which slows the client down; that the client has gone never
+waits, and parts that nobody will take are dropped.
+"""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeAlias
+
+import trio
+
+from tarragonlb.server.boundary import Boundary
+
+MAX_QUEUED_PARTS = 10
+DISCONNECT = 'http.disconnect'
+
+Message: TypeAlias = dict[str, Any]
+Send: TypeAlias = Callable[[Any], Awaitable[None]]
+
+
+class RequestParts:
+    """The messages of one request that the application has yet to take."""
+
+    __slots__ = ('_changed', '_is_over', '_messages')
+
+    def __init__(self) -> None:
+        """Start without messages."""
+        self._messages: deque[Message] = deque()
+        self._changed = trio.lowlevel.ParkingLot()
+        self._is_over = False
+
+    def end(self) -> None:
+        """Tell the application after the last message that nothing follows."""
+        self._is_over = True
+        self._changed.unpark_all()
+
+    async def put(self, message: Any) -> None:
+        """Add a message as soon as there is room."""
+        if message['type'] == DISCONNECT:
+            self.end()
+            return
+        while len(self._messages) >= MAX_QUEUED_PARTS and not self._is_over:
+            await self._changed.park()
+        if not self._is_over:
+            self._messages.append(message)
+            self._changed.unpark_all()
+
+    async def receive(self) -> Message:
+        """Return the next message, in the end ``http.disconnect``."""
+        while not self._messages:
+            if self._is_over:
+                await trio.lowlevel.checkpoint()
+                return {'type': DISCONNECT}
+            await self._changed.park()
+        self._changed.unpark_all()
+        return self._messages.popleft()
+
+
+class RequestTasks:
+    """Starts the application for each request, as hypercorn asks for it."""
+
+    __slots__ = ('_client', '_nursery', '_parts')
+
+    def __init__(self, nursery: trio.Nursery, client: str) -> None:
+        """Run requests in ``nursery``."""
+        self._nursery = nursery
+        self._client = client
+        self._parts: RequestParts | None = None
+
+    def end_request(self) -> None:
+        """Tell the application that the client has gone."""
+        if self._parts is not None:
+            self._parts.end()
+
+    async def spawn_app(
+        self, app: Any, config: Any, scope: Any, send: Send
+    ) -> Callable[[Any], Awaitable[None]]:
+        """Start the application; return the function that passes messages."""
+        self._parts = RequestParts()
+        self._nursery.start_soon(
+            self._serve_request, app, scope, self._parts, send
+        )
+        return self._parts.put
+
+    def spawn(self, function: Callable[..., Any], *arguments: Any) -> None:
+        """Start a task of the connection."""
+        self._nursery.start_soon(function, *arguments)
+
+    async def _serve_request(
+        self, app: Any, scope: Any, parts: RequestParts, send: Send
+    ) -> None:
+        with Boundary(self._client):
+            await app(
+                scope,
+                parts.receive,
+                send,
+                trio.to_thread.run_sync,
+                trio.from_thread.run,
+            )
+        parts.end()
+        # Answers 500 unless the application has begun a response.
+        await send(None)
--- /dev/null
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -0,0 +1,135 @@
+"""HTTP/1.1 as hypercorn parses it, without other protocols on its port."""
+
+from typing import Any, TypeGuard
+
+import h11
+from hypercorn.events import Closed, RawData
+from hypercorn.protocol.events import (
+    Event,
+    Request,
+    Response,
+)
+from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
+from hypercorn.protocol.http_stream import HTTPStream
+
+FIRST_FINAL_STATUS = 200
+STATUS_NOT_IMPLEMENTED = 501
+STATUS_VERSION_NOT_SUPPORTED = 505
+ANSWERABLE = frozenset((h11.IDLE, h11.SEND_RESPONSE))
+
+
+class HttpProtocol(H11Protocol):
+    """The protocol of one connection.
+
+    An upgrade that a client asks for is ignored, as HTTP/1.1 allows; other
+    versions and tunnels are refused.  The head of a response leaves together
+    with the beginning of its body.
+    """
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Take what hypercorn's protocol takes."""
+        super().__init__(*arguments, **options)
+        # Set once no further request may begin on the connection.
+        self.is_closing = False
+        self._head = b''
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether nothing of the next request has arrived."""
+        return self.connection.their_state is h11.IDLE and not self._has_bytes
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has arrived, and a part has not."""
+        state = self.connection.their_state
+        return state is h11.SEND_BODY or (state is h11.IDLE and self._has_bytes)
+
+    @property
+    def is_malformed(self) -> bool:
+        """Whether the client sent something other than HTTP/1.1."""
+        return self.connection.their_state is h11.ERROR
+
+    @property
+    def may_receive_more(self) -> bool:
+        """Whether the client may still be sending a request."""
+        return self.is_malformed or self.is_receiving
+
+    async def refuse(self, status: int) -> None:
+        """Answer a request with an error, if possible, and close."""
+        self.is_closing = True
+        if self.connection.our_state in ANSWERABLE:
+            await self._send_error_response(status)
+        await self.send(Closed())
+
+    async def stream_send(self, event: Event) -> None:
+        """Pass an event of a response to the client."""
+        if _is_final(event):
+            headers = [*event.headers, *self.config.response_headers('h11')]
+            if self.keep_alive_requests >= self.config.keep_alive_max_requests:
+                headers.append((b'connection', b'close'))
+            await self._send_h11_event(
+                h11.Response(headers=headers, status_code=event.status_code)
+            )
+        else:
+            await super().stream_send(event)
+
+    async def _send_h11_event(self, event: Any) -> None:
+        try:
+            encoded: bytes = self.connection.send(event)
+        except h11.LocalProtocolError:
+            if self.connection.their_state is not h11.ERROR:
+                raise
+            return
+        if isinstance(event, h11.Response):
+            self._head = encoded
+            return
+        encoded = self._head + encoded
+        self._head = b''
+        if encoded:
+            await self.send(RawData(encoded))
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """Accept all requests; ``_create_stream`` refuses some."""
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        # Without a stream, the events that belong to the request are dropped.
+        if self.is_closing:
+            return
+        if not request.http_version.startswith(b'1.'):
+            await self.refuse(STATUS_VERSION_NOT_SUPPORTED)
+            return
+        if request.method == b'CONNECT':
+            await self.refuse(STATUS_NOT_IMPLEMENTED)
+            return
+        self.stream = HTTPStream(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            STREAM_ID,
+        )
+        await self.stream.handle(
+            Request(
+                stream_id=STREAM_ID,
+                headers=list(request.headers),
+                http_version=request.http_version.decode(),
+                method=request.method.decode('ascii').upper(),
+                raw_path=request.target,
+                state=self.connection_state,
+            )
+        )
+        self.keep_alive_requests += 1
+
+    @property
+    def _has_bytes(self) -> bool:
+        return bool(self.connection.trailing_data[0])
+
+
+def _is_final(event: Event) -> TypeGuard[Response]:
+    return (
+        isinstance(event, Response) and event.status_code >= FIRST_FINAL_STATUS
+    )
--- a/libs/telemetry/tarragonlb/telemetry/metrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/metrics.py
@@ -78,6 +78,13 @@
     ('phase',),
     'Jobs that this entry VM knows.',
 )
+CONNECTIONS = Metric(
+    'tarragonlb.http.connections',
+    'counter',
+    '{connection}',
+    ('event',),
+    'Connections of clients, by what happened to them.',
+)
 METRICS = (
     REQUESTS,
     REQUEST_SECONDS,
@@ -85,6 +92,7 @@
     LOG_OFFSET,
     VMS_UNAVAILABLE,
     JOBS,
+    CONNECTIONS,
 )
 
 
