Serve callers of the product's daemon with the library server

An error of one connection, or a port that was taken, ended the daemon: hypercorn runs all connections and listeners in one nursery. Its own boundary is now around each connection. At most half of the file descriptors of the process, and 4,000, are for connections of callers.

--- a/libs/daemon/tarragonlb/daemon/server.py
+++ b/libs/daemon/tarragonlb/daemon/server.py
@@ -1,23 +1,32 @@
 """The HTTP server of the daemon."""
 
-import hypercorn
 import trio
-from hypercorn.trio import serve
 
 from tarragonlb.daemon.application import Application
+from tarragonlb.server import httpserver
+from tarragonlb.server.settings import ServerSettings, read_descriptor_limit
 from tarragonlb.settings.startup import DaemonSettings
 
-KEEP_ALIVE_SECONDS = 30
+# Some 100 MB of memory.
+MAX_CONNECTIONS = 4000
 
 
 async def serve_http(
     application: Application, settings: DaemonSettings, stopped: trio.Event
 ) -> None:
     """Serve on the configured address until ``stopped`` is set."""
-    config = hypercorn.Config()
-    config.bind = [settings.listen]
-    config.graceful_timeout = settings.stop_limit_seconds
-    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
-    config.accesslog = None
-    config.errorlog = None
-    await serve(application, config, shutdown_trigger=stopped.wait, mode='asgi')
+    server_settings = ServerSettings(
+        max_connections=choose_max_connections(),
+        stop_seconds=settings.stop_limit_seconds,
+    )
+    await httpserver.serve_http(
+        application, [settings.listen], server_settings, stopped
+    )
+
+
+def choose_max_connections() -> int:
+    """Return how many connections of callers may be open.
+
+    As many descriptors are left for connections to endpoints and peers.
+    """
+    return min(read_descriptor_limit() // 2, MAX_CONNECTIONS)
