--- a/libs/server/tarragonlb/server/listener.py
+++ b/libs/server/tarragonlb/server/listener.py
@@ -78,12 +78,12 @@
                         error=describe_error(error),
                     )
                 number = getattr(error, 'errno', None)
-                if number in BROKEN_SOCKET:
-                    return
                 if number in NO_RESOURCES:
                     self._free_descriptor()
                 is_first = False
                 await trio.sleep(self._settings.accept_retry_seconds)
+                if number in BROKEN_SOCKET:
+                    return
             else:
                 is_first = True
 
