Free the memory of a connection when it ends, and bound the lingering ones

Cause: connection, protocol and stream refer to each other, and an error of h11 to a frame of its own trace, so all of them, with the bytes in them, waited for a garbage collection. During the linger, each connection also kept a read of 64 KiB, h11's buffer, and had no bound on their number.

At its end a connection now lets go of its protocol, and the protocol of its stream and of `send`; a parse error loses its trace. A shared parser in the state ERROR takes the place of the parser before a linger, reads are 16 KiB, and 256 connections linger at once; over that they are closed at once, which may reset a client that still sends.

Evidence: the new scenarios look for parts of connections with the collector off. Without these steps all 16 fail: 14 ends leave Connection, HttpProtocol and RequestParser, a lingering one its parser, and all of 3 clients linger where 2 may.

--- a/libs/server/features/connection.feature
+++ b/libs/server/features/connection.feature
@@ -121,3 +121,35 @@
       | rate | how            | status |
       | 5000 | arrives whole  | 200    |
       | 100  | is cut off     | 408    |
+
+  # Guards against memory that closed connections keep until a collection.
+  Scenario Outline: A connection that ends since <reason> frees its memory
+    When a connection ends since <reason>, without garbage collection
+    Then nothing of the connection is left
+
+    Examples:
+      | reason                            |
+      | its client closes it              |
+      | its client resets it              |
+      | its client half-closes it         |
+      | its client closes amid a body     |
+      | its client asks for the end       |
+      | its request is malformed          |
+      | its body is malformed             |
+      | its body isn't wanted             |
+      | its request takes too long        |
+      | it has been idle for too long     |
+      | it makes room for another         |
+      | the application fails             |
+      | the stream fails                  |
+      | the server is cancelled           |
+
+  # Guards against bytes that are kept while a refused client has time to read.
+  Scenario: A refused connection keeps no bytes while its client may read
+    When a client sends 15000 bytes that are not HTTP, without garbage collection
+    Then no parser is left while the connection lingers
+
+  # Guards against clients that hold descriptors by not reading their refusals.
+  Scenario: Only some of the refused clients have time to read
+    When 3 clients send nonsense where 2 may linger
+    Then 1 of them is closed at once and 2 later
--- a/libs/server/features/serverharness.py
+++ b/libs/server/features/serverharness.py
@@ -99,6 +99,7 @@
         settings=settings,
         config=config,
         context=WorkerContext(None),
+        lingering=trio.Semaphore(settings.max_lingering),
     )
 
 
@@ -146,13 +147,15 @@
         return await read_all(stream)
 
 
-def open_connection(nursery, application, streams=None, settings=SETTINGS):
+def open_connection(
+    nursery, application, streams=None, *, service=None, room=None
+):
     """Serve one end of a pair of streams in memory; return the other end."""
     ours, theirs = streams or trio.testing.memory_stream_pair()
-    room = AddressRoom()
+    room = room or AddressRoom()
     connection = Connection(
         theirs,
-        make_service(application, settings),
+        service or make_service(application),
         room,
         ('client', 1),
         ('server', 2),
--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -22,7 +22,7 @@
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 
-MAX_RECEIVE_BYTES = 65_536
+MAX_RECEIVE_BYTES = 16_384
 # A client that takes less than this within ``write_seconds`` is too slow.
 WRITE_BYTES = 16_384
 STATUS_REQUEST_TIMEOUT = 408
@@ -41,6 +41,8 @@
     settings: ServerSettings
     config: hypercorn.Config
     context: WorkerContext
+    # Places for connections that wait for their clients to read a refusal.
+    lingering: trio.Semaphore
 
 
 class Transport:
@@ -90,9 +92,10 @@
                 return
 
     async def _drain(self) -> None:
-        received: bytes | bytearray = b' '
-        while received:
-            received = await self.stream.receive_some(MAX_RECEIVE_BYTES)
+        size = 1
+        while size:
+            # A name for the bytes would keep them during the next wait.
+            size = len(await self.stream.receive_some(MAX_RECEIVE_BYTES))
 
     async def _write_parts(self, content: bytes) -> bool:
         if self.is_broken:
@@ -160,8 +163,7 @@
                 async with trio.open_nursery() as nursery:
                     await self._serve(nursery)
             finally:
-                self._room.remove(self)
-                await trio.aclose_forcefully(self._transport.stream)
+                await self._end()
         if boundary.has_failed:
             CONNECTION_METER.count(ConnectionEvent.FAILED)
 
@@ -195,10 +197,30 @@
             tasks.end_request()
             return
         if protocol.may_receive_more and not self._is_ended_by_client:
-            await self._transport.end(self._service.settings.linger_seconds)
+            await self._linger(protocol)
         await trio.aclose_forcefully(self._transport.stream)
         await protocol.handle(Closed())
 
+    async def _linger(self, protocol: HttpProtocol) -> None:
+        lingering = self._service.lingering
+        try:
+            lingering.acquire_nowait()
+        except trio.WouldBlock:
+            return
+        try:
+            protocol.release_parser()
+            await self._transport.end(self._service.settings.linger_seconds)
+        finally:
+            lingering.release()
+
+    async def _end(self) -> None:
+        self._room.remove(self)
+        # Without reference cycles, memory is free before a collection.
+        if self._protocol is not None:
+            self._protocol.release()
+        self._protocol = None
+        await trio.aclose_forcefully(self._transport.stream)
+
     async def _read(self, protocol: HttpProtocol) -> None:
         stream = self._transport.stream
         while not (self._is_closing or self._is_ended_by_client):
--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -52,6 +52,7 @@
         settings=settings,
         config=config,
         context=WorkerContext(None),
+        lingering=trio.Semaphore(settings.max_lingering),
     )
     unique = sorted(set(addresses))
     async with trio.open_nursery() as connections:
--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -8,6 +8,7 @@
     Event,
     Request,
     Response,
+    StreamClosed,
 )
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
@@ -16,6 +17,22 @@
 STATUS_NOT_IMPLEMENTED = 501
 STATUS_VERSION_NOT_SUPPORTED = 505
 ANSWERABLE = frozenset((h11.IDLE, h11.SEND_RESPONSE))
+# Takes the place of the parsers of connections that have ended.
+ENDED_PARSER = h11.Connection(h11.SERVER)
+ENDED_PARSER.send_failed()
+
+
+class RequestParser(h11.Connection):
+    """A parser whose errors don't keep it in memory."""
+
+    def next_event(self) -> Any:
+        """Return the next part of a request."""
+        try:
+            return super().next_event()
+        except h11.RemoteProtocolError as error:
+            # A frame of h11 in the trace refers to the error: a cycle.
+            error.with_traceback(None)
+            raise
 
 
 class HttpProtocol(H11Protocol):
@@ -29,9 +46,14 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Take what hypercorn's protocol takes."""
         super().__init__(*arguments, **options)
+        self.connection = RequestParser(
+            h11.SERVER, self.config.h11_max_incomplete_size
+        )
         # Set once no further request may begin on the connection.
         self.is_closing = False
         self._head = b''
+        # Set once nothing of the application may reach the client.
+        self._is_output_ended = False
 
     @property
     def is_waiting(self) -> bool:
@@ -61,8 +83,21 @@
             await self._send_error_response(status)
         await self.send(Closed())
 
+    def release_parser(self) -> None:
+        """Free what the parser has buffered; nothing is sent any more."""
+        self._is_output_ended = True
+        self.connection = ENDED_PARSER
+
+    def release(self) -> None:
+        """Let go of the connection and of the request after the end."""
+        self.release_parser()
+        self.stream = None
+        self.send = _drop
+
     async def stream_send(self, event: Event) -> None:
         """Pass an event of a response to the client."""
+        if self._is_output_ended and not isinstance(event, StreamClosed):
+            return
         if _is_final(event):
             headers = [*event.headers, *self.config.response_headers('h11')]
             if self.keep_alive_requests >= self.config.keep_alive_max_requests:
@@ -129,6 +164,10 @@
         return bool(self.connection.trailing_data[0])
 
 
+async def _drop(event: Any) -> None:
+    """Take the place of ``send`` after the end."""
+
+
 def _is_final(event: Event) -> TypeGuard[Response]:
     return (
         isinstance(event, Response) and event.status_code >= FIRST_FINAL_STATUS
--- a/libs/server/tarragonlb/server/settings.py
+++ b/libs/server/tarragonlb/server/settings.py
@@ -35,6 +35,8 @@
     accept_retry_seconds: float = 0.05
     # A client that still sends has this long to read a refusal.
     linger_seconds: float = 1
+    # Clients that have this time at once; further ones are closed earlier.
+    max_lingering: int = 256
     # Connections that the kernel queues for each address.
     backlog: int = 1024
 
