Close a connection at once when it makes room, and count it until it has closed

Cause: a connection that made room for another was forgotten first and closed after a linger of 1 s, as was one that had already been refused and lingered.

Eviction now ends reading, the refusal and the linger of a connection, which has no request in progress, and its place is free when it has closed. A connection that is closing never counts as idle.

Evidence: the scenario asks a room's size at eviction and afterwards; before: 0 at once.

--- a/libs/server/features/listener.feature
+++ b/libs/server/features/listener.feature
@@ -46,6 +46,18 @@
     Then the first connection is closed
     And the others are served
 
+  # Guards against descriptors of connections that have made room for others.
+  Scenario Outline: A connection that has sent <what> is closed as it makes room
+    When a connection that has sent <what> makes room for another
+    Then it has a place until it is closed, at once
+
+    Examples:
+      | what           |
+      | nothing        |
+      | half a head    |
+      | nonsense       |
+      | a request      |
+
   # Guards against a request in progress that loses its connection to others.
   Scenario: A connection beyond the room is refused while all others have requests
     When 3 clients connect where there is room for 2, and the first 2 have requests in progress
--- a/libs/server/features/steps/connection_steps.py
+++ b/libs/server/features/steps/connection_steps.py
@@ -322,6 +322,7 @@
 
 SENT = {
     'nothing': b'',
+    'nonsense': b'nonsense\r\n\r\n',
     'half a head': b'GET /a HTTP/1.1\r\nhost',
     'half a body': (
         b'POST /read HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nab'
--- a/libs/server/features/steps/listener_steps.py
+++ b/libs/server/features/steps/listener_steps.py
@@ -3,8 +3,9 @@
 from contextlib import AsyncExitStack
 
 import trio
+import trio.testing
 from behave import then, when
-from connection_steps import get_status, run
+from connection_steps import SENT, get_status, run, run_in_virtual_time
 from serverharness import (
     GET,
     HOST,
@@ -12,10 +13,12 @@
     connect,
     find_port,
     list_sentences,
+    open_connection,
     read_all,
     run_server,
 )
 
+from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 
 TIMES = {'once': 1, 'twice': 2, '3 times': 3}
@@ -148,6 +151,33 @@
     assert not context.first, context.first
 
 
+@when('a connection that has sent {what} makes room for another')
+def evict(context, what):
+    async def main(application):
+        room = AddressRoom()
+        async with trio.open_nursery() as nursery:
+            stream = open_connection(nursery, application, room=room)
+            if SENT[what]:
+                await stream.send_all(SENT[what])
+            await trio.testing.wait_all_tasks_blocked()
+            started_at = trio.current_time()
+            assert room.evict()
+            context.sizes = [room.size]
+            await trio.testing.wait_all_tasks_blocked()
+            context.sizes.append(room.size)
+            await read_all(stream)
+            await stream.aclose()
+        context.waited = trio.current_time() - started_at
+
+    run_in_virtual_time(context, main)
+
+
+@then('it has a place until it is closed, at once')
+def check_place(context):
+    assert context.sizes == [1, 0], context.sizes
+    assert not context.waited, context.waited
+
+
 @when(
     '3 clients connect where there is room for 2, and the first 2 have '
     'requests in progress'
--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -118,6 +118,7 @@
 
     __slots__ = (
         '_client',
+        '_eviction',
         '_idle_since',
         '_is_closing',
         '_is_ended_by_client',
@@ -147,6 +148,8 @@
         self._transport = Transport(stream, service.settings.write_seconds)
         # Ends the wait for bytes of the client.
         self._limit = trio.CancelScope()
+        # Ends all that the connection does without a request in progress.
+        self._eviction = trio.CancelScope()
         self._idle_since = trio.current_time()
         # When the first byte of a request came, None before.
         self._request_since: float | None = None
@@ -174,6 +177,11 @@
             self._protocol.is_closing = True
         self._limit.cancel()
 
+    def evict(self) -> None:
+        """Close without waiting for the client."""
+        self._eviction.cancel()
+        self.close()
+
     async def _serve(self, nursery: trio.Nursery) -> None:
         # Types of hypercorn's tasks say more than its protocol calls.
         tasks: Any = RequestTasks(nursery, self._client[0])
@@ -189,15 +197,16 @@
             send=self._handle,
         )
         self._protocol = protocol
-        await self._read(protocol)
-        if protocol.is_malformed:
-            CONNECTION_METER.count(ConnectionEvent.MALFORMED)
-        if self._is_ended_by_client and not self._is_closing:
-            # It may have closed only its side and read the response.
-            tasks.end_request()
-            return
-        if protocol.may_receive_more and not self._is_ended_by_client:
-            await self._linger(protocol)
+        with self._eviction:
+            await self._read(protocol)
+            if protocol.is_malformed:
+                CONNECTION_METER.count(ConnectionEvent.MALFORMED)
+            if self._is_ended_by_client and not self._is_closing:
+                # It may have closed only its side and read the response.
+                tasks.end_request()
+                return
+            if protocol.may_receive_more and not self._is_ended_by_client:
+                await self._linger(protocol)
         await trio.aclose_forcefully(self._transport.stream)
         await protocol.handle(Closed())
 
@@ -266,7 +275,7 @@
             self._update(is_idle=event.idle)
 
     def _update(self, *, is_idle: bool) -> None:
-        if not is_idle:
+        if self._is_closing or not is_idle:
             self._room.mark_busy(self)
             return
         self._room.mark_idle(self)
--- a/libs/server/tarragonlb/server/room.py
+++ b/libs/server/tarragonlb/server/room.py
@@ -20,9 +20,15 @@
     def close(self) -> None:
         """Begin no further request, and stop reading."""
 
+    def evict(self) -> None:
+        """Close without waiting for the client."""
+
 
 class AddressRoom:
-    """The connections of one address, those without a request in order."""
+    """The connections of one address, those without a request in order.
+
+    A connection counts until it has closed.
+    """
 
     __slots__ = ('_idle', '_open')
 
@@ -42,13 +48,12 @@
         self._idle[connection] = None
 
     def mark_busy(self, connection: Closeable) -> None:
-        """Note that a request of the connection has begun."""
+        """Note that the connection has a request, or is about to end."""
         self._idle.pop(connection, None)
 
     def mark_idle(self, connection: Closeable) -> None:
         """Note that the connection has no request in progress."""
-        if connection in self._open:
-            self._idle[connection] = None
+        self._idle[connection] = None
 
     def remove(self, connection: Closeable) -> None:
         """Note that the connection has ended."""
@@ -60,14 +65,14 @@
         oldest = next(iter(self._idle), None)
         if oldest is None:
             return False
-        self.remove(oldest)
-        oldest.close()
+        self.mark_busy(oldest)
+        oldest.evict()
         return True
 
     def close_idle(self) -> None:
         """Close all connections that have no request in progress."""
         for connection in tuple(self._idle):
-            self.remove(connection)
+            self.mark_busy(connection)
             connection.close()
 
 
