Answer the last request of a connection, whatever follows it

Callers saw 400 for a request that the application had carried out and answered with 200: with "connection: close", a pipelined request, a line end after the body or any other byte was enough.

Cause: after the last request h11 takes further bytes for an error of the client, and the protocol answered it in place of the request.

Such bytes are now discarded until the response is out, and the connection lingers, as bytes that are unread would reset it before the client has the response.

Evidence: the six examples got 400 before, and get 200 and an orderly end now.

--- a/libs/server/features/connection.feature
+++ b/libs/server/features/connection.feature
@@ -94,6 +94,22 @@
     When 5 requests come at once
     Then it gets the 5 responses in order
 
+  # Guards against a request that is refused after it has been carried out.
+  Scenario Outline: A last request that <what> follows gets its response
+    When <what> follows a request with the header "connection: close", <when>
+    Then the response has status 200
+    And the application has finished "wait"
+    And its connection is closed
+
+    Examples:
+      | what            | when         |
+      | a request       | at once      |
+      | a request       | a bit later  |
+      | a line end      | at once      |
+      | a line end      | a bit later  |
+      | nonsense        | at once      |
+      | 1 MB            | a bit later  |
+
   # Guards against a deadlock between a body that waits and its response.
   Scenario: A response to a body that isn't read reaches its client
     When a long body comes that the application doesn't read
--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -23,10 +23,25 @@
 
 
 class RequestParser(h11.Connection):
-    """A parser whose errors don't keep it in memory."""
+    """A parser whose errors don't keep it in memory.
+
+    What follows the last request of a connection is no error.
+    """
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the client has sent its last request."""
+        return self.their_state is h11.MUST_CLOSE
+
+    def receive_data(self, data: bytes) -> None:
+        """Take bytes of the client, after its last request the first only."""
+        if not (self.has_ended and self.trailing_data[0]):
+            super().receive_data(data)
 
     def next_event(self) -> Any:
         """Return the next part of a request."""
+        if self.has_ended:
+            return h11.NEED_DATA
         try:
             return super().next_event()
         except h11.RemoteProtocolError as error:
@@ -74,6 +89,8 @@
     @property
     def may_receive_more(self) -> bool:
         """Whether the client may still be sending a request."""
+        if self.connection.their_state is h11.MUST_CLOSE:
+            return self._has_bytes
         return self.is_malformed or self.is_receiving
 
     async def refuse(self, status: int) -> None:
