Drop what the application sends after a refusal of its request

Operators saw "A connection failed unexpectedly." with a LocalProtocolError and a count of a failed connection for each request that the server had answered 408 in its body, although nothing but the client was at fault.

Cause: the application learns of the end and answers, but h11 has sent the server's answer.

After an error answer only the end of the request reaches the protocol. A connection that lingers did so since its parser is released; one that can't linger still logged the line.

Evidence: with no places to linger, half a body and half a chunk logged the line before, and none now. A malformed chunk passes with and without the change; it is tested beside them.

--- a/libs/server/features/connection.feature
+++ b/libs/server/features/connection.feature
@@ -128,6 +128,20 @@
       | half a body   | 15.1    | 408    |
       | a request     | 30.1    | 200    |
 
+  # Guards against lines about failures where only the client is at fault.
+  Scenario Outline: The end of a request with <what> is no failure
+    When a client that can't linger falls silent after <what>
+    Then the response has status <status>
+    And it is the only response
+    And the application has finished "read"
+    And no line is logged
+
+    Examples:
+      | what                   | status |
+      | half a body            | 408    |
+      | half a chunk           | 408    |
+      | a malformed chunk      | 400    |
+
   # Guards against a slow upload that is cut off, and a trickle that isn't.
   Scenario Outline: A body at <rate> bytes a second <how>
     When a body of 200000 bytes comes at <rate> bytes a second
--- a/libs/server/features/steps/connection_steps.py
+++ b/libs/server/features/steps/connection_steps.py
@@ -1,17 +1,20 @@
 import re
 import socket
 import struct
+from dataclasses import replace
 
 import trio
 import trio.testing
 from behave import then, when
 from serverharness import (
     GET,
+    SETTINGS,
     Application,
     call,
     collect_lines,
     connect,
     list_sentences,
+    make_service,
     open_connection,
     read_all,
     run_server,
@@ -355,6 +358,9 @@
     run(context, main)
 
 
+CHUNKED = (
+    b'POST /read HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
+)
 SENT = {
     'nothing': b'',
     'nonsense': b'nonsense\r\n\r\n',
@@ -362,15 +368,21 @@
     'half a body': (
         b'POST /read HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nab'
     ),
+    'half a chunk': CHUNKED + b'9\r\nab',
+    'a malformed chunk': CHUNKED + b'2\r\nab\r\nzz\r\n',
     'a request': GET % b'a',
 }
 
 
-@when('a client falls silent after {what}')
-def send_half(context, what):
+@when('{who} falls silent after {what}')
+def send_half(context, who, what):
+    linger = 0 if who == "a client that can't linger" else 10
+    settings = replace(SETTINGS, max_lingering=linger)
+
     async def main(application):
         async with trio.open_nursery() as nursery:
-            stream = open_connection(nursery, application)
+            service = make_service(application, settings)
+            stream = open_connection(nursery, application, service=service)
             started_at = trio.current_time()
             if SENT[what]:
                 await stream.send_all(SENT[what])
@@ -381,6 +393,11 @@
     run_in_virtual_time(context, main)
 
 
+@then('it is the only response')
+def check_only(context):
+    assert context.response.count(b'HTTP/1.1') == 1, context.response
+
+
 @when('a body of {size:d} bytes comes at {rate:d} bytes a second')
 def send_slowly(context, size, rate):
     async def main(application):
--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -125,6 +125,10 @@
         else:
             await super().stream_send(event)
 
+    async def _send_error_response(self, status_code: int) -> None:
+        self._is_output_ended = True
+        await super()._send_error_response(status_code)
+
     async def _send_h11_event(self, event: Any) -> None:
         try:
             encoded: bytes = self.connection.send(event)
