Close an accepted connection that can't be admitted

A client whose connection could not be admitted, since an unexpected error was raised meanwhile, never saw its end, and the daemon kept a descriptor for it for as long as something referred to the socket.

The listener closes the socket when `admit` raises, and a place in the room is taken only once the task of the connection has been started.

--- a/libs/server/features/listener.feature
+++ b/libs/server/features/listener.feature
@@ -40,6 +40,12 @@
       | EBADF        | 3 times |
       | EINVAL       | 3 times |
 
+  # Guards against descriptors of connections that could not be served.
+  Scenario: A connection that can't be admitted is closed
+    When admitting a connection fails
+    Then the client sees the end of its connection
+    And the sentence "listener: Could not accept a connection, trying again." is logged once
+
   # Guards against clients that use up the descriptors of the process.
   Scenario: A new connection takes the place of the one that is idle longest
     When 3 clients connect where there is room for 2
--- a/libs/server/features/steps/listener_steps.py
+++ b/libs/server/features/steps/listener_steps.py
@@ -9,6 +9,7 @@
 from serverharness import (
     GET,
     HOST,
+    SETTINGS,
     call,
     connect,
     find_port,
@@ -18,6 +19,7 @@
     run_server,
 )
 
+from tarragonlb.server.listener import Listener
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 
@@ -116,6 +118,32 @@
     run(context, main)
 
 
+@when('admitting a connection fails')
+def fail_to_admit(context):
+    kept = []
+
+    def admit(accepted, client):
+        kept.append(accepted)
+        raise ValueError
+
+    async def main(application):
+        address = f'{HOST}:{find_port()}'
+        listener = Listener(address, SETTINGS, admit, kept.clear)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(listener.run)
+            stream = await connect(address)
+            with trio.move_on_after(5):
+                context.response = await read_all(stream) + b'(end)'
+            nursery.cancel_scope.cancel()
+
+    run(context, main)
+
+
+@then('the client sees the end of its connection')
+def check_end(context):
+    assert context.response == b'(end)', context.response
+
+
 async def connect_all(stack, address, count, request):
     streams = []
     for _ in range(count):
--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -106,9 +106,9 @@
             (client[0], client[1]),
             (host, int(port)),
         )
-        CONNECTION_METER.count(ConnectionEvent.OPENED)
-        room.add(connection)
         self._nursery.start_soon(connection.run)
+        room.add(connection)
+        CONNECTION_METER.count(ConnectionEvent.OPENED)
 
     def free_descriptor(self) -> None:
         """Close a connection without a request, if there is one."""
--- a/libs/server/tarragonlb/server/listener.py
+++ b/libs/server/tarragonlb/server/listener.py
@@ -69,7 +69,7 @@
         is_first = True
         while True:
             try:
-                self._admit(*await listening.accept())
+                self._pass(*await listening.accept())
             except Exception as error:
                 if is_first:
                     LOG.emit(
@@ -87,6 +87,13 @@
             else:
                 is_first = True
 
+    def _pass(self, socket: trio.socket.SocketType, client: Endpoint) -> None:
+        try:
+            self._admit(socket, client)
+        except BaseException:
+            socket.close()
+            raise
+
 
 async def open_socket(address: str, backlog: int) -> trio.socket.SocketType:
     """Return a socket that listens at ``ip:port``, or ``[ipv6]:port``.
