--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -28,19 +28,15 @@
     What follows the last request of a connection is no error.
     """
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether the client has sent its last request."""
-        return self.their_state is h11.MUST_CLOSE
-
     def receive_data(self, data: bytes) -> None:
         """Take bytes of the client, after its last request the first only."""
-        if not (self.has_ended and self.trailing_data[0]):
-            super().receive_data(data)
+        if self.their_state is h11.MUST_CLOSE and self.trailing_data[0]:
+            return
+        super().receive_data(data)
 
     def next_event(self) -> Any:
         """Return the next part of a request."""
-        if self.has_ended:
+        if self.their_state is h11.MUST_CLOSE:
             return h11.NEED_DATA
         try:
             return super().next_event()
