--- /dev/null
+++ b/libs/daemon/features/steps/peerserver_steps.py
@@ -0,0 +1,321 @@
+"""Steps for the websocket server, with bytes of any kind."""
+
+import builtins
+import contextlib
+import os
+import socket
+import struct
+
+import cbor2
+import eliot
+import hypothesis
+import trio
+import trio.testing
+from behave import given, then, when
+from hypothesis import strategies as st
+from websockets.frames import Opcode
+from websockets.trio.client import connect
+from websockets.trio.server import ServerConnection
+
+from tarragonlb.daemon.keyprotocol import KeyServer
+from tarragonlb.daemon.peerserver import PeerServer
+from tarragonlb.routing.ledger import KeyLedger
+from tarragonlb.standin.cluster import reserve_port
+
+RESET = struct.pack('ii', 1, 0)
+HANDSHAKE = (
+    b'GET %s HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n'
+    b'Connection: Upgrade\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n'
+    b'Sec-WebSocket-Version: %s\r\n%s\r\n'
+)
+QUESTION = cbor2.dumps({'number': 1, 'key': 'k', 'team': 't', 'ran': None})
+PAYLOADS = st.one_of(
+    st.just(QUESTION),
+    st.binary(max_size=20),
+    st.sampled_from(
+        (
+            b'',
+            bytes(200),
+            cbor2.dumps({'number': 10**30, 'key': 'k', 'team': 't'}),
+            cbor2.dumps({'number': 1, 'key': '\x00' * 900, 'team': ''}),
+            b'\x9b' + b'\xff' * 8,
+            b'\x81' * 5000,
+            b'\xd8\x1c\x80\xd8\x1d\x00',
+            bytes(5000),
+        )
+    ),
+)
+
+
+@st.composite
+def draw_frame(draw):
+    """Return a masked frame, sound or not."""
+    if draw(st.integers(0, 5)) == 0:
+        return draw(
+            st.one_of(
+                st.binary(max_size=20),
+                st.just(b'\x82\xff' + b'\x7f' * 8 + bytes(4)),
+                st.just(b'\x82\xfe\xff\xff' + bytes(4) + bytes(65_535)),
+            )
+        )
+    opcode = draw(st.sampled_from((*Opcode, 3, 11, *(Opcode.BINARY,) * 4)))
+    is_final = draw(st.sampled_from((True, True, False)))
+    is_masked = draw(st.sampled_from((True, True, False)))
+    payload = draw(PAYLOADS)
+    size = len(payload)
+    head = bytes((is_final << 7 | opcode,))
+    mask_bit = is_masked << 7
+    if size < 126:
+        head += bytes((mask_bit | size,))
+    else:
+        head += struct.pack('!BH', mask_bit | 126, size)
+    # A mask of zeros leaves the payload as it is.
+    return head + bytes(4 * is_masked) + payload
+
+
+@st.composite
+def draw_content(draw):
+    """Return a handshake and frames, cut anywhere."""
+    path = draw(
+        st.sampled_from((*(b'/keys',) * 6, b'/other', b'/\xff', b'', b'*'))
+    )
+    version = draw(st.sampled_from((b'13', b'13', b'13', b'8', b'x')))
+    header = draw(
+        st.sampled_from(
+            (
+                *(b'',) * 6,
+                b'X: \xff\xfe\r\n',
+                b'Content-Length: 9\r\n',
+                b'Upgrade: h2c\r\n',
+                b'Sec-WebSocket-Protocol: \xe9\r\n',
+                b'Sec-WebSocket-Extensions: permessage-deflate; x="\r\n',
+                b'no colon\r\n',
+                b'X: ' + b'x' * 20_000 + b'\r\n',
+                b'X: 1\r\n' * 300,
+            )
+        )
+    )
+    content = HANDSHAKE % (path, version, header)
+    content += b''.join(draw(st.lists(draw_frame(), max_size=4)))
+    if draw(st.integers(0, 3)) == 0:
+        content = content[: draw(st.integers(0, len(content)))]
+    return content
+
+
+CONNECTIONS = st.tuples(
+    st.one_of(draw_content(), draw_content(), st.binary(max_size=40)),
+    st.integers(0, 200),
+    st.sampled_from(('close', 'reset', 'half close')),
+)
+
+
+class Peers:
+    """A server, and a peer that asks questions."""
+
+    def __init__(self):
+        self.port = reserve_port()
+        self.messages = []
+        self.fault = None
+        ledger = KeyLedger('127.0.0.1:1', 'i', b's' * 32)
+        self.keys = KeyServer(ledger)
+        self.server = PeerServer(
+            f'127.0.0.1:{self.port}', {'/keys': self.serve}
+        )
+
+    async def serve(self, connection):
+        if self.fault:
+            error, self.fault = self.fault, None
+            raise error
+        await self.keys.serve_connection(connection)
+
+    def connect(self):
+        return connect(
+            f'ws://127.0.0.1:{self.port}/keys', proxy=None, compression=None
+        )
+
+    def run(self, scenario):
+        eliot.add_destinations(self.messages.append)
+        try:
+            trio.run(self.run_server, scenario)
+        finally:
+            eliot.remove_destination(self.messages.append)
+
+    async def run_server(self, scenario):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.server.run)
+            await scenario()
+            nursery.cancel_scope.cancel()
+
+    async def wait_until_open(self):
+        while True:
+            try:
+                stream = await trio.open_tcp_stream('127.0.0.1', self.port)
+            except OSError:
+                await trio.sleep(0.01)
+            else:
+                await stream.aclose()
+                return
+
+
+async def check_served(peer):
+    await peer.send(QUESTION)
+    with trio.fail_after(5):
+        assert cbor2.loads(await peer.recv())['number'] == 1
+
+
+def raise_once(name, error):
+    """Let a method of a connection of the server raise once."""
+    method = getattr(ServerConnection, name)
+
+    async def fail(self):
+        setattr(ServerConnection, name, method)
+        await method(self)
+        raise error
+
+    setattr(ServerConnection, name, fail)
+
+
+@given('a server for peers with 2 connections')
+def create_server(context):
+    context.peers = Peers()
+
+
+@when('{place} raises {name} in one of them')
+def raise_in_one(context, place, name):
+    peers = context.peers
+    error = (getattr(trio, name, None) or getattr(builtins, name))('test')
+    methods = {
+        'the receiving task': 'recv_events',
+        'the close of the stream': 'close_stream',
+    }
+
+    async def scenario():
+        await peers.wait_until_open()
+        async with peers.connect() as other:
+            await check_served(other)
+            if place in methods:
+                raise_once(methods[place], error)
+            else:
+                peers.fault = error
+            with contextlib.suppress(Exception):
+                async with peers.connect() as one:
+                    await check_served(one)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            await check_served(other)
+            context.is_served = True
+
+    context.is_served = False
+    peers.run(scenario)
+
+
+@then('the other one is still served')
+def check_other(context):
+    assert context.is_served
+
+
+@then('the log names {name}')
+def check_log(context, name):
+    errors = [str(message.get('error')) for message in context.peers.messages]
+    assert any(error.startswith(name) for error in errors), errors
+
+
+@given('a server for peers whose port someone else holds')
+def create_blocked(context):
+    context.peers = Peers()
+    context.holder = socket.create_server(('127.0.0.1', context.peers.port))
+
+
+@when('the port becomes free')
+def free_port(context):
+    peers = context.peers
+
+    async def scenario():
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        context.holder.close()
+        with trio.fail_after(10):
+            await peers.wait_until_open()
+        async with peers.connect() as peer:
+            await check_served(peer)
+
+    peers.run(scenario)
+
+
+@then('a peer is served')
+def check_listening(context):
+    sentences = [message.get('sentence') for message in context.peers.messages]
+    assert any('Could not listen' in str(one) for one in sentences), sentences
+
+
+async def send_bytes(port, content, cut, end):
+    stream = await trio.open_tcp_stream('127.0.0.1', port)
+    async with stream:
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(content[:cut])
+            await trio.lowlevel.checkpoint()
+            await stream.send_all(content[cut:])
+            if end == 'half close':
+                await stream.send_eof()
+            if end == 'reset':
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            else:
+                with trio.move_on_after(0.005):
+                    while await stream.receive_some():
+                        continue
+
+
+def count_descriptors():
+    return len(os.listdir('/proc/self/fd'))
+
+
+def draw_connections(examples, seed):
+    """Return generated connections."""
+    found = []
+
+    @hypothesis.seed(seed)
+    @hypothesis.settings(
+        max_examples=examples,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(CONNECTIONS)
+    def draw(connection):
+        found.append(connection)
+
+    draw()
+    return found
+
+
+@when('{examples:d} connections send generated bytes, seed {seed:d}')
+def send_generated(context, examples, seed):
+    peers = context.peers
+    connections = draw_connections(examples, seed)
+
+    async def scenario():
+        await peers.wait_until_open()
+        async with peers.connect() as other:
+            await check_served(other)
+            before = count_descriptors()
+            for content, cut, end in connections:
+                await send_bytes(peers.port, content, cut, end)
+            await check_served(other)
+            context.is_served = True
+            for _ in range(300):
+                if count_descriptors() <= before:
+                    break
+                await trio.sleep(0.05)
+            context.left = count_descriptors() - before
+
+    context.is_served = False
+    peers.run(scenario)
+
+
+@then('no descriptor is left of those')
+def check_descriptors(context):
+    assert context.left <= 0, context.left
+    unexpected = [
+        message
+        for message in context.peers.messages
+        if 'A connection failed' in str(message.get('sentence'))
+    ]
+    assert not unexpected, unexpected[:3]
