Keep the errors of one connection to a peer from those to all others

A request with a key of another entry VM was answered as an internal error, and the heartbeats to all peers broke off until the supervisor had started them anew, when one connection to a peer failed in a way that was not named: trio.ClosedResourceError, trio.BrokenResourceError, ValueError or anything unexpected.

Evidence (libs/daemon/features/peerserver.feature): of six errors raised while a client sends, all passed through KeyClient.ask or PeerTask.run.

Now the two errors of trio are named, and any other error ends its connection only and is logged with its trace: a question counts as unanswered, a heartbeat and a state are tried again after the usual pause. The six scenarios pass.

--- a/libs/daemon/features/peerserver.feature
+++ b/libs/daemon/features/peerserver.feature
@@ -31,3 +31,18 @@
       | seed |
       | 1    |
       | 2    |
+
+  # A request was refused as an error, and the heartbeats to all peers broke off.
+  Scenario Outline: An error of a connection to a peer is contained
+    Given a server for peers with 2 connections
+    When a <client> gets <error> while it sends
+    Then it sends again after that
+
+    Examples:
+      | client      | error               |
+      | key client  | BrokenResourceError |
+      | key client  | ClosedResourceError |
+      | key client  | RuntimeError        |
+      | peer client | ClosedResourceError |
+      | peer client | ValueError          |
+      | peer client | RuntimeError        |
--- a/libs/daemon/features/steps/peerserver_steps.py
+++ b/libs/daemon/features/steps/peerserver_steps.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import struct
+import types
 
 import cbor2
 import eliot
@@ -14,12 +15,13 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 from websockets.frames import Opcode
-from websockets.trio.client import connect
+from websockets.trio.client import ClientConnection, connect
 from websockets.trio.server import ServerConnection
 
-from tarragonlb.daemon.keyprotocol import KeyServer
+from tarragonlb.daemon.keyprotocol import KeyClient, KeyServer
+from tarragonlb.daemon.peers import PeerTask
 from tarragonlb.daemon.peerserver import PeerServer
-from tarragonlb.routing.ledger import KeyLedger
+from tarragonlb.routing.ledger import ClaimResult, KeyLedger
 from tarragonlb.standin.cluster import reserve_port
 
 RESET = struct.pack('ii', 1, 0)
@@ -118,9 +120,8 @@
         self.fault = None
         ledger = KeyLedger('127.0.0.1:1', 'i', b's' * 32)
         self.keys = KeyServer(ledger)
-        self.server = PeerServer(
-            f'127.0.0.1:{self.port}', {'/keys': self.serve}
-        )
+        self.handlers = {'/keys': self.serve}
+        self.server = PeerServer(f'127.0.0.1:{self.port}', self.handlers)
 
     async def serve(self, connection):
         if self.fault:
@@ -133,10 +134,10 @@
             f'ws://127.0.0.1:{self.port}/keys', proxy=None, compression=None
         )
 
-    def run(self, scenario):
+    def run(self, scenario, clock=None):
         eliot.add_destinations(self.messages.append)
         try:
-            trio.run(self.run_server, scenario)
+            trio.run(self.run_server, scenario, clock=clock)
         finally:
             eliot.remove_destination(self.messages.append)
 
@@ -183,7 +184,7 @@
 @when('{place} raises {name} in one of them')
 def raise_in_one(context, place, name):
     peers = context.peers
-    error = (getattr(trio, name, None) or getattr(builtins, name))('test')
+    error = find_error(name)
     methods = {
         'the receiving task': 'recv_events',
         'the close of the stream': 'close_stream',
@@ -319,3 +320,84 @@
         if 'A connection failed' in str(message.get('sentence'))
     ]
     assert not unexpected, unexpected[:3]
+
+
+def find_error(name):
+    return (getattr(trio, name, None) or getattr(builtins, name))('test')
+
+
+def fail_send_once(error):
+    """Let the next message of a client raise an error."""
+    send = ClientConnection.send
+
+    async def fail(self, *args):
+        ClientConnection.send = send
+        raise error
+
+    ClientConnection.send = fail
+
+
+async def ask_until_answered(client):
+    for _ in range(500):
+        if await client.ask('k', 't') is not None:
+            return
+        await trio.sleep(0.01)
+
+
+@when('a key client gets {name} while it sends')
+def fail_key_client(context, name):
+    peers = context.peers
+    context.answers = []
+
+    async def scenario():
+        await peers.wait_until_open()
+        client = KeyClient(f'127.0.0.1:{peers.port}')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(client.run)
+            await ask_until_answered(client)
+            fail_send_once(find_error(name))
+            context.answers = [await client.ask('k', 't') for _ in range(2)]
+            nursery.cancel_scope.cancel()
+
+    peers.run(scenario)
+    context.sends_again = context.answers == [None, ClaimResult.FORGED]
+
+
+async def wait_until_caught_up():
+    await trio.lowlevel.checkpoint()
+
+
+@when('a peer client gets {name} while it sends')
+def fail_peer_client(context, name):
+    peers = context.peers
+    received = trio.Event()
+    settings = types.SimpleNamespace(peers=(f'127.0.0.1:{peers.port}',))
+    journal = types.SimpleNamespace(
+        head_factory=types.SimpleNamespace(author='e', incarnation='1'),
+        state=types.SimpleNamespace(offset=0, digest=b''),
+        replica=types.SimpleNamespace(caught_up=True, halted=''),
+        wait_until_caught_up=wait_until_caught_up,
+    )
+
+    async def receive(connection):
+        await connection.recv()
+        received.set()
+
+    async def scenario():
+        await peers.wait_until_open()
+        fail_send_once(find_error(name))
+        task = PeerTask(settings, journal)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(task.run)
+            with trio.move_on_after(200):
+                await received.wait()
+            nursery.cancel_scope.cancel()
+
+    peers.handlers['/state'] = receive
+    peers.run(scenario, trio.testing.MockClock(rate=50))
+    context.sends_again = received.is_set()
+
+
+@then('it sends again after that')
+def check_sends_again(context):
+    assert context.sends_again
--- a/libs/daemon/tarragonlb/daemon/keyprotocol.py
+++ b/libs/daemon/tarragonlb/daemon/keyprotocol.py
@@ -18,6 +18,7 @@
 from tarragonlb.model.decoding import convert, decode_cbor
 from tarragonlb.routing.ledger import ClaimResult, KeyLedger, parse_key
 from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.supervision import format_trace
 
 MAX_MESSAGE_BYTES = 4096
 PING_SECONDS = 10
@@ -27,6 +28,8 @@
     WebSocketException,
     OSError,
     ValueError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
 )
 
 
@@ -130,7 +133,14 @@
                 cbor2.dumps(msgspec.to_builtins(question))
             )
             await pending.done.wait()
-        except _CONNECTION_ERRORS:
+        except Exception as error:
+            if not isinstance(error, _CONNECTION_ERRORS):
+                self._emit(
+                    'Asking a key server failed unexpectedly.',
+                    peer=self._address,
+                    error=repr(error),
+                    trace=format_trace(error),
+                )
             return None
         finally:
             self._pending.pop(number, None)
--- a/libs/daemon/tarragonlb/daemon/peers.py
+++ b/libs/daemon/tarragonlb/daemon/peers.py
@@ -17,6 +17,7 @@
 from tarragonlb.model.errors import JournalError
 from tarragonlb.settings.startup import DaemonSettings
 from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.supervision import format_trace
 
 HEARTBEAT_SECONDS = 4
 RETRY_SECONDS = 2
@@ -30,7 +31,9 @@
     OSError,
     WebSocketException,
     JournalError,
+    ValueError,
     trio.BrokenResourceError,
+    trio.ClosedResourceError,
     trio.TooSlowError,
 )
 
@@ -85,8 +88,15 @@
             try:
                 async with _connect(address) as connection:
                     await self._send_heartbeats(connection)
-            except _PEER_ERRORS:
-                await trio.sleep(RETRY_SECONDS)
+            except Exception as error:
+                if not isinstance(error, _PEER_ERRORS):
+                    self._emit(
+                        'Sending heartbeats to a peer failed unexpectedly.',
+                        peer=address,
+                        error=repr(error),
+                        trace=format_trace(error),
+                    )
+            await trio.sleep(RETRY_SECONDS)
 
     async def _send_heartbeats(self, connection: ClientConnection) -> None:
         head_factory = self._journal.head_factory
@@ -142,11 +152,12 @@
             with trio.fail_after(SNAPSHOT_TIMEOUT_SECONDS):
                 async with _connect(address) as connection:
                     states.append(await _fetch_state(connection))
-        except _PEER_ERRORS as error:
+        except Exception as error:
             self._emit(
                 'Fetching the state of a peer failed.',
                 peer=address,
                 error=repr(error),
+                trace=_describe_trace(error),
             )
 
     def _adopt_latest(self, states: list[State]) -> None:
@@ -158,6 +169,11 @@
             )
 
 
+def _describe_trace(error: Exception) -> str:
+    """Return the trace of an unexpected error, else nothing."""
+    return '' if isinstance(error, _PEER_ERRORS) else format_trace(error)
+
+
 def _get_offset(state: State) -> int:
     return state.offset
 
