Withdraw the endpoints of all pools when one of them fails

Requests could go on to VMs that were leaving: after an error in the update of endpoints all pools lose theirs, but a second error while one pool was withdrawn left the others, and that pool itself, as they were until their endpoints changed.

Evidence (libs/daemon/features/failures.feature): with three pools of which one can't be withdrawn, all three kept their endpoint.

Now each pool is withdrawn on its own, an error of one is logged, and a pool that the dispatcher has yet to learn is updated again the next time. The scenario passes: the two others have no endpoints, the third one has none after the next update.

--- a/libs/daemon/features/failures.feature
+++ b/libs/daemon/features/failures.feature
@@ -20,3 +20,9 @@
   Scenario: While the endpoints can't be updated none gets new requests
     When the endpoints of 2 VMs can be updated, then fail once and are updated
     Then the pool had 2, 0 and 2 endpoints
+
+  # A second error left the other pools with VMs that were leaving.
+  Scenario: A pool whose endpoints can't be withdrawn keeps no other pool's
+    When the endpoints of 3 pools can't be updated, and 1 can't be withdrawn
+    Then the 2 other pools have no endpoints
+    And the pool has none either after the next update
--- a/libs/daemon/features/steps/failure_steps.py
+++ b/libs/daemon/features/steps/failure_steps.py
@@ -195,3 +195,48 @@
 @then('the pool had 2, 0 and 2 endpoints')
 def check_counts(context):
     assert context.counts == [2, 0, 2], context.counts
+
+
+@when("the endpoints of 3 pools can't be updated, and 1 can't be withdrawn")
+def fail_withdrawal(context):
+    state = State()
+    watcher = types.SimpleNamespace(vms=ChangeTable(), number=1, last_read=0.0)
+    known = {}
+    failures = [AssertionError('the withdrawal fails')]
+
+    def update_pool(pool, endpoints):
+        if not endpoints and failures:
+            raise failures.pop()
+        known[pool] = len(endpoints)
+
+    task = PoolTask(
+        types.SimpleNamespace(state=state),
+        watcher,
+        types.SimpleNamespace(update_pool=update_pool, list_read_at=None),
+    )
+    for pool in ('p', 'q', 'r'):
+        vm_id = f'vm-{pool}'
+        state.vms[vm_id] = VmEntry(vm_id=vm_id, pool=pool, zone='a', rack='r')
+        watcher.vms[vm_id] = build_reading(vm_id)
+    task.update(1.0)
+    state.vms['vm-p'] = state.vms['vm-p']
+    error = ValueError('the update fails')
+    with patch.object(PoolTask, '_find_endpoint', side_effect=error):
+        try:
+            task.update(2.0)
+        except (AssertionError, ValueError):
+            context.known = dict(known)
+    # All of its VMs leave before the next update.
+    watcher.vms.replace({})
+    task.update(3.0)
+    context.known_later = known
+
+
+@then('the 2 other pools have no endpoints')
+def check_withdrawn(context):
+    assert context.known == {'p': 1, 'q': 0, 'r': 0}, context.known
+
+
+@then('the pool has none either after the next update')
+def check_withdrawn_later(context):
+    assert context.known_later == {'p': 0, 'q': 0, 'r': 0}, context.known_later
--- a/libs/daemon/tarragonlb/daemon/pools.py
+++ b/libs/daemon/tarragonlb/daemon/pools.py
@@ -20,6 +20,7 @@
 from tarragonlb.model.fleet import VmPhase
 from tarragonlb.routing.balancer import Endpoint
 from tarragonlb.telemetry.log import Log
+from tarragonlb.telemetry.supervision import format_trace
 
 UPDATE_SECONDS = 0.25
 MAX_LIST_AGE_SECONDS = 5
@@ -35,6 +36,7 @@
         '_endpoints',
         '_fleet_watcher',
         '_journal',
+        '_outdated',
         '_pool_by_vm',
         '_reading_changes',
         '_slots',
@@ -54,6 +56,8 @@
         self._fleet_watcher = fleet_watcher
         self._dispatcher = dispatcher
         self._endpoints: dict[str, dict[str, Endpoint]] = {}
+        # Pools whose endpoints the dispatcher has yet to learn.
+        self._outdated: dict[str, None] = {}
         self._pool_by_vm: dict[str, str] = {}
         self._slots: dict[str, int] = {}
         self._slots_offset = -1
@@ -84,20 +88,31 @@
 
     def _update(self, now: float) -> None:
         self._check_age(now)
-        changed: dict[str, None] = {}
         for vm_id in self._take_changed_vms():
-            changed.update(self._update_vm(vm_id))
-        for pool in changed:
-            endpoints = list(self._endpoints.get(pool, {}).values())
-            self._dispatcher.update_pool(pool, endpoints)
+            self._outdated.update(self._update_vm(vm_id))
+        for pool in tuple(self._outdated):
+            self._update_pool(pool)
 
     def _withdraw_all(self) -> None:
         self._slots_offset = -1
         self._pool_by_vm.clear()
-        pools = tuple(self._endpoints)
+        self._outdated.update(dict.fromkeys(self._endpoints))
         self._endpoints.clear()
-        for pool in pools:
-            self._dispatcher.update_pool(pool, [])
+        for pool in tuple(self._outdated):
+            try:
+                self._update_pool(pool)
+            except Exception as error:
+                self._emit(
+                    'The endpoints of a pool could not be withdrawn.',
+                    pool=pool,
+                    error=repr(error),
+                    trace=format_trace(error),
+                )
+
+    def _update_pool(self, pool: str) -> None:
+        endpoints = list(self._endpoints.get(pool, {}).values())
+        self._dispatcher.update_pool(pool, endpoints)
+        self._outdated.pop(pool)
 
     def _take_changed_vms(self) -> Iterable[str]:
         vm_ids = dict.fromkeys(self._vm_changes.take())
