Reuse no connection of httpcore's pool that holds bytes of no request

A caller got the response to the request of another caller, and an append to the platform the result of another append, if a server had sent more than one response in a segment: the rest stayed in the buffer of the pooled connection and was the response to the next request on it.

Cause: the pool's check before reuse looks at the socket only, as that of the adapter's client did.

Evidence (libs/daemon/features/platformclient.feature): of three requests to a server that sends a second response behind each, the second one got the surplus response, through the connections of endpoints and through the client of the platform.

Now the pools create connections that count as expired while they are idle and hold surplus bytes, so that the pool closes them.

--- a/libs/daemon/features/platformclient.feature
+++ b/libs/daemon/features/platformclient.feature
@@ -13,3 +13,14 @@
       | 200    | a number of 9000 digits |
       | 200    | rows of other types     |
       | 410    | text                    |
+
+  # A request got the response to another one: those of callers were mixed up.
+  Scenario Outline: A connection that carries more than a response is not used again
+    Given a server that sends a second response behind each
+    When 3 requests are sent through <client>
+    Then each gets the response to itself
+
+    Examples:
+      | client                       |
+      | the connections of endpoints |
+      | the client of the platform   |
--- a/libs/daemon/tarragonlb/daemon/connections.py
+++ b/libs/daemon/tarragonlb/daemon/connections.py
@@ -11,6 +11,7 @@
 import httpcore
 import trio
 
+from tarragonlb.platform.connectionpool import ConnectionPool
 from tarragonlb.routing.balancer import Endpoint
 
 MAX_CONNECTIONS_PER_ENDPOINT = 64
@@ -33,7 +34,7 @@
         """Create an empty connection pool."""
         self.active = 0
         self.answered = False
-        self.connections = httpcore.AsyncConnectionPool(
+        self.connections = ConnectionPool(
             network_backend=network,
             max_connections=MAX_CONNECTIONS_PER_ENDPOINT,
             keepalive_expiry=MAX_IDLE_SECONDS,
--- a/libs/platform/tarragonlb/platform/client.py
+++ b/libs/platform/tarragonlb/platform/client.py
@@ -18,6 +18,7 @@
     PlatformUnavailableError,
     RecordsExpiredError,
 )
+from tarragonlb.platform.connectionpool import ConnectionPool
 from tarragonlb.platform.traffic import MeteredBackend, TrafficCounter
 
 CALL_TIMEOUT_SECONDS = 5
@@ -49,7 +50,7 @@
         """Create a connection pool for ``address``, an ``ip:port``."""
         self._url = f'http://{address}'
         self.traffic = TrafficCounter()
-        self._connections = httpcore.AsyncConnectionPool(
+        self._connections = ConnectionPool(
             max_connections=MAX_CONNECTIONS,
             keepalive_expiry=KEEP_ALIVE_SECONDS,
             network_backend=MeteredBackend(self.traffic),
