Read the settings file without waiting for it, and with a bound of its size

Operators whose settings file had been replaced by a pipe saw the daemon hang at the next SIGHUP: it answered nobody and ended only by its own limit; /dev/zero as settings took memory until the kill.

Cause: the file was read whole, in the event loop, with a call that waits for a pipe's other end.

--- a/libs/daemon/tarragonlb/daemon/program.py
+++ b/libs/daemon/tarragonlb/daemon/program.py
@@ -19,6 +19,7 @@
 )
 from tarragonlb.telemetry.log import start_logging
 from tarragonlb.telemetry.metrics import start_metrics
+from tarragonlb.telemetry.settingsfile import read_settings_file
 
 application = cyclopts.App(
     name='tarragonlbd',
@@ -48,9 +49,9 @@
     if path is None:
         return None
     try:
-        text = path.read_text()
+        text = read_settings_file(str(path))
         settings = read_settings(text, str(path), DaemonSettings)
-    except (OSError, UnicodeDecodeError, SettingsError) as error:
+    except (OSError, ValueError, SettingsError) as error:
         return End(ExitCode.INVALID_SETTINGS, f'invalid settings: {error}')
     lifecycle.attach_log(start_logging(STANDARD_ERROR).drain)
     start_metrics()
