Stop a daemon whose grace period is shorter than its margin

Operators with graceS = 1 saw each stop end with code 70 and "seconds must be non-negative".

Cause: the controller slept for the grace period less 1.5 s.

Now it doesn't sleep if nothing is left. With less than 1.1 s, closing connections takes longer than the grace period, and the process ends with code 124 as its own limit says.

--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -169,7 +169,9 @@
                 await stopped.wait()
                 await self._release_partitions()
                 owners.cancel_scope.cancel()
-            await trio.sleep(settings.grace_seconds - STOP_MARGIN_SECONDS)
+            await trio.sleep(
+                max(0, settings.grace_seconds - STOP_MARGIN_SECONDS)
+            )
             nursery.cancel_scope.cancel()
 
     async def _release_partitions(self) -> None:
