--- a/libs/telemetry/features/lifecycle.feature
+++ b/libs/telemetry/features/lifecycle.feature
@@ -67,3 +67,18 @@
     And its last log line has exit code 124 and the cause "took too long"
     And it names "stuck at" as running
     And an earlier log line names the error "no luck"
+
+  # Guards against log lines in a file or a socket that got the number of a
+  # standard stream, and against a daemon that doesn't start without them.
+  Scenario Outline: A daemon without <streams> writes its log to what is left, and nowhere else
+    When a daemon without <streams> runs that opens a file, logs and fails
+    Then it ends with exit code 70
+    And the file is empty
+    And <log> has a last line with the cause "ValueError"
+
+    Examples:
+      | streams                                         | log             |
+      | standard output                                 | standard error  |
+      | standard error                                  | standard output |
+      | standard input and output                       | standard error  |
+      | standard input and output and error             | nothing         |
--- a/libs/telemetry/features/steps/lifecycle_steps.py
+++ b/libs/telemetry/features/steps/lifecycle_steps.py
@@ -8,11 +8,8 @@
 from behave import then, when
 
 RUN = """
-from tarragonlb.telemetry.processsignals import ProcessSignals
-signals = ProcessSignals(1)
-signals.install()
-from tarragonlb.telemetry.lifecycle import Lifecycle
-Lifecycle(signals, 1).run('program')
+from tarragonlb.telemetry.launch import launch
+launch('program', 1)
 """
 LOGGING = """
 from tarragonlb.telemetry.log import Log, start_logging
@@ -60,6 +57,14 @@
 def main(lifecycle):
     start(lifecycle)
     raise ValueError('after lines')
+""",
+    'opens a file, logs and fails': LOGGING
+    + """
+import pathlib
+def main(lifecycle):
+    with (pathlib.Path(__file__).parent / 'file').open('w') as opened:
+        start(lifecycle)
+        raise ValueError('no luck')
 """,
     'ends without having been told': """
 def main(lifecycle): return lifecycle.describe_stop()
@@ -119,24 +124,27 @@
     return run(lifecycle, tasks)
 """,
 }
+STREAMS = ('input', 'output', 'error')
 
 
-def start(context, program):
+def start(context, program, **options):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     (Path(folder.name) / 'program.py').write_text(program)
+    context.folder = Path(folder.name)
     context.process = subprocess.Popen(
         [sys.executable, '-c', RUN],
         env={**os.environ, 'PYTHONPATH': folder.name},
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
+        **options,
     )
     context.add_cleanup(context.process.wait)
     context.add_cleanup(context.process.kill)
 
 
-def run(context, program):
-    start(context, program)
+def run(context, program, **options):
+    start(context, program, **options)
     output, context.errors = context.process.communicate(timeout=60)
     context.lines = output.decode().splitlines()
 
@@ -194,3 +202,28 @@
 def check_earlier_line(context, error):
     lines = [json.loads(line) for line in context.lines[:-1]]
     assert any(error in line.get('error', '') for line in lines), lines
+
+
+@when('a daemon without {streams} runs that opens a file, logs and fails')
+def run_without_streams(context, streams):
+    def close():
+        for number, name in enumerate(STREAMS):
+            if name in streams:
+                os.close(number)
+
+    run(context, PROGRAMS['opens a file, logs and fails'], preexec_fn=close)
+
+
+@then('the file is empty')
+def check_file(context):
+    assert not (context.folder / 'file').read_text()
+
+
+@then('{name} has a last line with the cause "{cause}"')
+def check_stream(context, name, cause):
+    output = '\n'.join(context.lines)
+    streams = {'output': output, 'error': context.errors.decode()}
+    for stream in STREAMS[1:]:
+        has_line = '"lifecycle: Process ended."' in streams[stream]
+        assert has_line == (stream in name), (stream, streams)
+        assert not has_line or cause in streams[stream], streams
