Write log lines whatever their fields hold and however the stream takes them

A line whose field had a lone surrogate, or was nested too deeply, was lost and raised into the destination; an error of the stream other than OSError ended the writing thread, and the log with it; a line to a non-blocking pipe was cut, and after a full disk two lines ran together. Lines that the stream refused were not counted.

Cause: encoding and writing were trusted with whatever came.

--- a/libs/telemetry/features/steps/sink_steps.py
+++ b/libs/telemetry/features/steps/sink_steps.py
@@ -1,8 +1,13 @@
+import contextlib
 import json
+import os
+import resource
+import tempfile
 import threading
 
 from behave import given, then, when
 
+from tarragonlb.telemetry.linewriter import LineWriter
 from tarragonlb.telemetry.sink import DROPPED_SENTENCE, LineSink
 
 JOIN_SECONDS = 5.0
@@ -113,3 +118,137 @@
     kinds = [line['sentence'] for line in context.lines]
     assert kinds.count('many') == first
     assert kinds.count('one') == second
+
+
+class Unprintable:
+    def __str__(self):
+        raise LookupError
+
+    __repr__ = __str__
+
+
+def nest():
+    content = []
+    for _ in range(100_000):
+        content = [content]
+    return content
+
+
+ODD_FIELDS = {
+    'a lone surrogate': '\ud800',
+    'a key with a lone surrogate': {'\ud800': 1},
+    'an unprintable object': Unprintable(),
+    'nested too deeply': nest(),
+    'a huge number': 10**5000,
+    'a text': 'text',
+}
+
+
+@when('a line is written whose field is {kind}')
+def write_field(context, kind):
+    context.sink({'sentence': 'odd', 'timestamp': 1.5, 'n': ODD_FIELDS[kind]})
+    wait_until_written(context)
+
+
+@then('both lines were written, the first with "{description}"')
+def check_description(context, description):
+    first, second = context.lines
+    assert description in first['n'], first
+    assert first['timestamp'] == 1.5, first
+    assert second['n'] == 'text', second
+
+
+@given('a log whose stream fails with {name} for {count:d} lines')
+def start_failing(context, name, count):
+    errors = [{'OSError': OSError, 'ValueError': ValueError}[name]] * count
+    start_sink(context, unblocked=True)
+    write = context.sink._write
+
+    def fail_or_write(line):
+        if errors:
+            raise errors.pop()
+        write(line)
+
+    context.sink._write = fail_or_write
+
+
+@when('{count:d} lines are written and a second passes')
+def write_and_wait(context, count):
+    write_lines(context, count)
+    unblock_reader(context)
+
+
+@then(
+    '{count:d} lines were written, and a line says that {lost:d} were not, '
+    'for "{name}"'
+)
+def check_unwritten(context, count, lost, name):
+    assert len([line for line in context.lines if 'number' in line]) == count
+    (summary,) = [line for line in context.lines if 'unwritten' in line]
+    assert summary['sentence'] == DROPPED_SENTENCE, summary
+    assert summary['unwritten'] == lost, summary
+    assert name in summary['reason'], summary
+
+
+@given('a writer of lines to a non-blocking pipe')
+def open_pipe(context):
+    context.reader, descriptor = os.pipe()
+    context.add_cleanup(os.close, context.reader)
+    os.set_blocking(descriptor, False)
+    context.descriptor = descriptor
+    context.writer = LineWriter(descriptor)
+
+
+@when('{count:d} lines of {size:d} bytes are written while the reader is slow')
+def write_to_pipe(context, count, size):
+    def write():
+        with contextlib.suppress(OSError):
+            for _ in range(count):
+                context.writer.write(b'x' * (size - 1) + b'\n')
+        os.close(context.descriptor)
+
+    thread = threading.Thread(target=write, daemon=True)
+    thread.start()
+    context.content = b''
+    while part := os.read(context.reader, 1000):
+        context.content += part
+    thread.join(JOIN_SECONDS)
+
+
+@then('the reader has {count:d} lines of {size:d} bytes')
+def check_pipe(context, count, size):
+    sizes = [len(line) for line in context.content.splitlines(keepends=True)]
+    assert sizes == [size] * count, sizes
+
+
+@given('a writer of lines to a file that takes no more than {size:d} bytes')
+def limit_file(context, size):
+    context.file = tempfile.TemporaryFile()
+    context.add_cleanup(context.file.close)
+    context.writer = LineWriter(context.file.fileno())
+    context.limits = resource.getrlimit(resource.RLIMIT_FSIZE)
+    context.size = size
+
+
+@when(
+    '{count:d} lines of {size:d} bytes are written, and another when there '
+    'is room'
+)
+def write_to_file(context, count, size):
+    line = b'x' * (size - 1) + b'\n'
+    _, hard = context.limits
+    resource.setrlimit(resource.RLIMIT_FSIZE, (context.size, hard))
+    try:
+        for _ in range(count):
+            with contextlib.suppress(OSError):
+                context.writer.write(line)
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, context.limits)
+    context.writer.write(line)
+
+
+@then('the file has lines of {first:d}, {second:d} and {third:d} bytes')
+def check_file_lines(context, first, second, third):
+    context.file.seek(0)
+    sizes = [len(line) for line in context.file]
+    assert sizes == [first, second + 1, third], sizes
--- a/libs/telemetry/tarragonlb/telemetry/log.py
+++ b/libs/telemetry/tarragonlb/telemetry/log.py
@@ -5,11 +5,11 @@
 >>> Log('journal').emit('Record rejected.', record_id='r1')
 """
 
-import os
 import time
 
 import eliot
 
+from tarragonlb.telemetry.linewriter import LineWriter
 from tarragonlb.telemetry.sink import LineSink
 
 
@@ -18,9 +18,7 @@
 
     The caller has to drain the returned sink before the process exits.
     """
-    sink = LineSink(
-        lambda line: _write_fully(descriptor, line), now=time.monotonic
-    )
+    sink = LineSink(LineWriter(descriptor).write, now=time.monotonic)
     sink.start()
     eliot.add_destinations(sink)
     return sink
@@ -42,12 +40,3 @@
             sentence=f'{self._component}: {sentence}',
             **fields,
         )
-
-
-def _write_fully(descriptor: int, line: bytes) -> None:
-    try:
-        while line:
-            line = line[os.write(descriptor, line) :]
-    except OSError:
-        # The reader has closed the stream, so the error cannot be logged.
-        return
--- a/libs/telemetry/tarragonlb/telemetry/sink.py
+++ b/libs/telemetry/tarragonlb/telemetry/sink.py
@@ -3,7 +3,8 @@
 A separate thread takes the lines from a bounded queue and writes them to the
 pipe.  If the reader is slow or gone, lines are dropped instead of blocking the
 caller.  Lines with the same sentence are also rate-limited.  Dropped lines are
-counted, and the counts are logged as soon as the queue has room.
+counted, and the counts are logged as soon as the queue has room.  The same
+holds for lines that could not be written, as on a full disk.
 
 >>> sink = LineSink(lines.append, now=time.monotonic)      # doctest: +SKIP
 """
@@ -26,6 +27,8 @@
 DRAIN_SECONDS = 0.2
 # Pause between two checks of the queue while the process ends.
 DRAIN_STEP_SECONDS = 0.01
+# Of a field that can't be encoded as it is.
+MAX_DESCRIPTION_CHARACTERS = 3000
 # Fields of eliot for nested actions, which are not used here.
 OMITTED_FIELDS = ('task_uuid', 'task_level')
 DROPPED_SENTENCE = 'log: Lines were left out.'
@@ -39,6 +42,9 @@
         '_dropped',
         '_now',
         '_queue',
+        '_reported',
+        '_unwritten',
+        '_unwritten_reason',
         '_window_started_at',
         '_write',
     )
@@ -52,6 +58,10 @@
         self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_LINES)
         self._counts: Counter[str] = Counter()
         self._dropped: Counter[str] = Counter()
+        # Only the writing thread changes these two.
+        self._unwritten = 0
+        self._unwritten_reason = ''
+        self._reported = 0
         self._window_started_at = now()
 
     def __call__(self, message: dict[str, Any]) -> None:
@@ -77,11 +87,20 @@
             time.sleep(DRAIN_STEP_SECONDS)
 
     def _log_dropped_lines(self) -> None:
-        if not self._dropped:
+        unwritten = self._unwritten
+        if not self._dropped and unwritten == self._reported:
             return
-        summary = {'sentence': DROPPED_SENTENCE, 'counts': dict(self._dropped)}
+        summary: dict[str, Any] = {
+            'sentence': DROPPED_SENTENCE,
+            'counts': dict(self._dropped),
+        }
+        if unwritten:
+            # In total, as this line may not be written either.
+            summary['unwritten'] = unwritten
+            summary['reason'] = self._unwritten_reason
         if self._put(summary):
             self._dropped.clear()
+            self._reported = unwritten
 
     def _put(self, message: dict[str, Any]) -> bool:
         fields = {
@@ -89,14 +108,39 @@
             for name, content in message.items()
             if name not in OMITTED_FIELDS
         }
-        encoded = msgspec.json.encode(fields, enc_hook=str)
         try:
-            self._queue.put_nowait(b'%s\n' % encoded)
+            self._queue.put_nowait(b'%s\n' % _encode(fields))
         except queue.Full:
             return False
         return True
 
     def _write_lines(self) -> None:
         for line in iter(self._queue.get, None):
-            self._write(line)
-            self._queue.task_done()
+            try:
+                self._write(line)
+            except Exception as error:
+                self._unwritten += 1
+                self._unwritten_reason = repr(error)
+            finally:
+                self._queue.task_done()
+
+
+def _encode(fields: dict[str, Any]) -> bytes:
+    try:
+        return msgspec.json.encode(fields, enc_hook=str)
+    except Exception:
+        # Such as a lone surrogate, or an object that can't be shown.
+        plain = {name: _describe(content) for name, content in fields.items()}
+        return msgspec.json.encode(plain)
+
+
+def _describe(content: object) -> object:
+    if isinstance(content, float):
+        return content
+    try:
+        text = content if isinstance(content, str) else repr(content)
+    except Exception:
+        text = f'unprintable {type(content).__name__}'
+    if len(text) > MAX_DESCRIPTION_CHARACTERS:
+        text = f'{text[:MAX_DESCRIPTION_CHARACTERS]}...'
+    return text.encode(errors='backslashreplace').decode()
