Bound the memory of log lines that wait for a reader

A daemon whose log nobody read kept up to 2000 lines however long: 100 lines of 1 MB took 100 MB of the 300 MB that a process may have.

Cause: the queue was bounded by its number of lines only.

Before: the new scenario of sink.feature failed, 100 lines were kept.

Now at most 4 MiB wait; lines beyond are dropped and counted as before.

--- a/libs/telemetry/features/sink.feature
+++ b/libs/telemetry/features/sink.feature
@@ -54,3 +54,11 @@
     Given a writer of lines to a file that takes no more than 1500 bytes
     When 2 lines of 1000 bytes are written, and another when there is room
     Then the file has lines of 1000, 500 and 1000 bytes
+
+  # Guards against a daemon that runs out of memory, as nobody reads its log.
+  Scenario: The lines that wait for a blocked reader take a bounded amount of memory
+    Given a log whose reader is blocked
+    When 100 lines of 1000000 bytes are logged
+    Then 4 of these lines are written when the reader is unblocked
+    When 3 lines of 1000000 bytes are logged
+    Then 7 of these lines are written when the reader is unblocked
--- a/libs/telemetry/features/steps/sink_steps.py
+++ b/libs/telemetry/features/steps/sink_steps.py
@@ -252,3 +252,16 @@
     context.file.seek(0)
     sizes = [len(line) for line in context.file]
     assert sizes == [first, second + 1, third], sizes
+
+
+@when('{count:d} lines of {size:d} bytes are logged')
+def log_large_lines(context, count, size):
+    for _ in range(count):
+        context.sink({'sentence': 'large', 'number': 'x' * size})
+
+
+@then('{count:d} of these lines are written when the reader is unblocked')
+def check_large_lines(context, count):
+    context.unblocked.set()
+    wait_until_written(context)
+    assert len(context.lines) == count, len(context.lines)
--- a/libs/telemetry/tarragonlb/telemetry/sink.py
+++ b/libs/telemetry/tarragonlb/telemetry/sink.py
@@ -18,8 +18,10 @@
 
 import msgspec
 
-# A few seconds of the busiest daemon; less than a megabyte of memory.
+# A few seconds of the busiest daemon.
 MAX_QUEUED_LINES = 2000
+# Bounds the memory of a daemon whose reader has stopped.
+MAX_QUEUED_BYTES = 4_194_304
 # Limit per sentence; an owner at its peak writes about 150 lines a second.
 MAX_LINES_PER_SECOND = 400
 RATE_WINDOW_SECONDS = 1.0
@@ -41,8 +43,10 @@
         '_counts',
         '_dropped',
         '_now',
+        '_put_bytes',
         '_queue',
         '_reported',
+        '_taken_bytes',
         '_unwritten',
         '_unwritten_reason',
         '_window_started_at',
@@ -58,7 +62,10 @@
         self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_LINES)
         self._counts: Counter[str] = Counter()
         self._dropped: Counter[str] = Counter()
-        # Only the writing thread changes these two.
+        # In total.
+        self._put_bytes = 0
+        # Only the writing thread changes these three.
+        self._taken_bytes = 0
         self._unwritten = 0
         self._unwritten_reason = ''
         self._reported = 0
@@ -108,10 +115,15 @@
             for name, content in message.items()
             if name not in OMITTED_FIELDS
         }
+        line = b'%s\n' % _encode(fields)
+        queued = self._put_bytes - self._taken_bytes
+        if queued + len(line) > MAX_QUEUED_BYTES:
+            return False
         try:
-            self._queue.put_nowait(b'%s\n' % _encode(fields))
+            self._queue.put_nowait(line)
         except queue.Full:
             return False
+        self._put_bytes += len(line)
         return True
 
     def _write_lines(self) -> None:
@@ -122,6 +134,7 @@
                 self._unwritten += 1
                 self._unwritten_reason = repr(error)
             finally:
+                self._taken_bytes += len(line)
                 self._queue.task_done()
 
 
