--- a/libs/telemetry/features/steps/sink_steps.py
+++ b/libs/telemetry/features/steps/sink_steps.py
@@ -4,6 +4,7 @@
 import resource
 import tempfile
 import threading
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -223,9 +224,12 @@
 
 @given('a writer of lines to a file that takes no more than {size:d} bytes')
 def limit_file(context, size):
-    context.file = tempfile.TemporaryFile()
-    context.add_cleanup(context.file.close)
-    context.writer = LineWriter(context.file.fileno())
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = Path(folder.name) / 'lines'
+    descriptor = os.open(context.path, os.O_CREAT | os.O_WRONLY)
+    context.add_cleanup(os.close, descriptor)
+    context.writer = LineWriter(descriptor)
     context.limits = resource.getrlimit(resource.RLIMIT_FSIZE)
     context.size = size
 
@@ -249,8 +253,8 @@
 
 @then('the file has lines of {first:d}, {second:d} and {third:d} bytes')
 def check_file_lines(context, first, second, third):
-    context.file.seek(0)
-    sizes = [len(line) for line in context.file]
+    lines = context.path.read_bytes().splitlines(keepends=True)
+    sizes = [len(line) for line in lines]
     assert sizes == [first, second + 1, third], sizes
 
 
