--- a/libs/telemetry/features/lifecycle.feature
+++ b/libs/telemetry/features/lifecycle.feature
@@ -14,6 +14,7 @@
       | runs out of memory            | MemoryError               | MemoryError  |
       | fails in a way beyond words   | Unprintable:             | in main      |
       | fails at great length         | ValueError: żżż           | in main      |
+      | can't start a thread          | can't start new thread    | in start     |
       | fails in a task               | ValueError: no luck       | in fail      |
       | logs a lot before it fails    | ValueError: after lines   | in main      |
       | ends without having been told | without a signal          | all tasks    |
--- a/libs/telemetry/features/steps/lifecycle_steps.py
+++ b/libs/telemetry/features/steps/lifecycle_steps.py
@@ -65,6 +65,14 @@
     with (pathlib.Path(__file__).parent / 'file').open('w') as opened:
         start(lifecycle)
         raise ValueError('no luck')
+""",
+    "can't start a thread": LOGGING
+    + """
+import threading
+def refuse(*arguments): raise RuntimeError("can't start new thread")
+def main(lifecycle):
+    threading._start_new_thread = refuse
+    start(lifecycle)
 """,
     'ends without having been told': """
 def main(lifecycle): return lifecycle.describe_stop()
