--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -156,27 +156,30 @@
                 tasks['quota'] = self._quota_feed.run
             for name, task in tasks.items():
                 nursery.start_soon(supervise, name, task)
-            async with trio.open_nursery() as owners:
-                owners.start_soon(
-                    supervise,
-                    'ownership',
-                    partial(
-                        self._ownership.run,
-                        self._list_served_partitions,
-                        partial(self._update_owner, owners),
-                    ),
-                )
-                await stopped.wait()
-                closes_at = (
-                    trio.current_time()
-                    + settings.grace_seconds
-                    - STOP_MARGIN_SECONDS
-                )
-                await self._release_partitions()
-                owners.cancel_scope.cancel()
-            await trio.sleep_until(closes_at)
+            await self._own_partitions(stopped)
             nursery.cancel_scope.cancel()
 
+    async def _own_partitions(self, stopped: trio.Event) -> None:
+        """Own partitions until ``stopped`` is set, then serve a while."""
+        async with trio.open_nursery() as owners:
+            owners.start_soon(
+                supervise,
+                'ownership',
+                partial(
+                    self._ownership.run,
+                    self._list_served_partitions,
+                    partial(self._update_owner, owners),
+                ),
+            )
+            await stopped.wait()
+            grace_seconds = self._settings.grace_seconds
+            closes_at = (
+                trio.current_time() + grace_seconds - STOP_MARGIN_SECONDS
+            )
+            await self._release_partitions()
+            owners.cancel_scope.cancel()
+        await trio.sleep_until(closes_at)
+
     async def _release_partitions(self) -> None:
         LOG.emit('Stopping: releasing all partitions.')
         self._is_stopping = True
