--- a/libs/daemon/features/steps/failure_steps.py
+++ b/libs/daemon/features/steps/failure_steps.py
@@ -20,6 +20,9 @@
 from tarragonlb.model.fleet import FleetReading, VmPhase, VmReading
 from tarragonlb.model.recordhead import HeadFactory
 from tarragonlb.settings.startup import DaemonSettings
+from tarragonlb.telemetry.eventloop import Supervisor
+from tarragonlb.telemetry.lifecycle import STANDARD_ERROR, Lifecycle
+from tarragonlb.telemetry.processsignals import ProcessSignals
 from tarragonlb.telemetry.supervision import supervise
 
 SECONDS = 30
@@ -89,7 +92,7 @@
     process = Process(settings)
     tasks = {name: build(name) for name in process._build_tasks()}
 
-    async def stop(process):
+    async def stop(process, stopping):
         await trio.sleep(SECONDS)
 
     async def serve(*arguments):
@@ -101,7 +104,11 @@
         patch('tarragonlb.daemon.process.serve_http', serve),
     ):
         trio.run(
-            process.run, clock=trio.testing.MockClock(autojump_threshold=0)
+            process.run,
+            Supervisor(
+                Lifecycle(ProcessSignals(STANDARD_ERROR), STANDARD_ERROR)
+            ),
+            clock=trio.testing.MockClock(autojump_threshold=0),
         )
 
 
