Name the tasks that a process can't go on without apart from supervision

Two things were called supervisor: the restart of failed tasks and the class that runs the essential ones. No other change of behaviour.

--- a/libs/daemon/features/steps/failure_steps.py
+++ b/libs/daemon/features/steps/failure_steps.py
@@ -20,7 +20,7 @@
 from tarragonlb.model.fleet import FleetReading, VmPhase, VmReading
 from tarragonlb.model.recordhead import HeadFactory
 from tarragonlb.settings.startup import DaemonSettings
-from tarragonlb.telemetry.eventloop import Supervisor
+from tarragonlb.telemetry.eventloop import ProcessTasks
 from tarragonlb.telemetry.lifecycle import STANDARD_ERROR, Lifecycle
 from tarragonlb.telemetry.processsignals import ProcessSignals
 from tarragonlb.telemetry.supervision import supervise
@@ -105,7 +105,7 @@
     ):
         trio.run(
             process.run,
-            Supervisor(
+            ProcessTasks(
                 Lifecycle(ProcessSignals(STANDARD_ERROR), STANDARD_ERROR)
             ),
             clock=trio.testing.MockClock(autojump_threshold=0),
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -24,7 +24,7 @@
 from tarragonlb.model.recordhead import HeadFactory
 from tarragonlb.platform.remote import RemotePlatform
 from tarragonlb.settings.startup import DaemonSettings
-from tarragonlb.telemetry.eventloop import Supervisor
+from tarragonlb.telemetry.eventloop import ProcessTasks
 from tarragonlb.telemetry.log import Log
 from tarragonlb.telemetry.supervision import Task, supervise
 
@@ -97,16 +97,16 @@
             self._pause_guard,
         )
 
-    async def run(self, supervisor: Supervisor) -> None:
+    async def run(self, process_tasks: ProcessTasks) -> None:
         """Run until a signal to stop, then drain requests and stop."""
         self._emit('The daemon is starting.', name=self._settings.name)
         stopping, stopped = trio.Event(), trio.Event()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(supervisor.watch_signals, stopping.set)
+            nursery.start_soon(process_tasks.watch_signals, stopping.set)
             for name, task in self._build_tasks().items():
                 nursery.start_soon(supervise, name, task)
             nursery.start_soon(
-                supervisor.run,
+                process_tasks.run,
                 serve_http,
                 self.application,
                 self._settings,
--- a/libs/daemon/tarragonlb/daemon/program.py
+++ b/libs/daemon/tarragonlb/daemon/program.py
@@ -10,7 +10,7 @@
 from tarragonlb.settings.problem import SettingsError
 from tarragonlb.settings.reader import read_settings
 from tarragonlb.settings.startup import DaemonSettings
-from tarragonlb.telemetry.eventloop import Supervisor
+from tarragonlb.telemetry.eventloop import ProcessTasks
 from tarragonlb.telemetry.lifecycle import (
     STANDARD_ERROR,
     End,
@@ -56,5 +56,5 @@
     lifecycle.attach_log(start_logging(STANDARD_ERROR).drain)
     start_metrics()
     lifecycle.begin_run(settings.stop_limit_seconds + STOP_MARGIN_SECONDS)
-    trio.run(Process(settings).run, Supervisor(lifecycle))
+    trio.run(Process(settings).run, ProcessTasks(lifecycle))
     return lifecycle.describe_stop()
--- a/libs/telemetry/features/steps/lifecycle_steps.py
+++ b/libs/telemetry/features/steps/lifecycle_steps.py
@@ -20,7 +20,7 @@
 """
 EVENT_LOOP = """
 import os, signal, time, trio
-from tarragonlb.telemetry.eventloop import Supervisor, open_signals
+from tarragonlb.telemetry.eventloop import ProcessTasks, open_signals
 def block():
     time.sleep(1000)
 async def stuck():
@@ -126,7 +126,7 @@
     with open_signals(lifecycle):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stuck)
-            nursery.start_soon(Supervisor(lifecycle).run, fail)
+            nursery.start_soon(ProcessTasks(lifecycle).run, fail)
 def main(lifecycle):
     lifecycle.attach_log(start_logging(1).drain)
     return run(lifecycle, tasks)
--- a/libs/telemetry/tarragonlb/telemetry/eventloop.py
+++ b/libs/telemetry/tarragonlb/telemetry/eventloop.py
@@ -44,7 +44,7 @@
         lifecycle.signals.detach()
 
 
-class Supervisor:
+class ProcessTasks:
     """Runs the tasks without which a process can't go on."""
 
     __slots__ = ('_lifecycle',)
