Keep the daemon running when its settings can't be read again for any reason

Operators would have seen a daemon that a SIGHUP ended with code 70. Cause: the task that handles signals was supervised by nothing, and reading the settings again expects invalid settings only.

The task is supervised now: the error is logged and the next signal handled.

--- a/libs/telemetry/tarragonlb/telemetry/eventloop.py
+++ b/libs/telemetry/tarragonlb/telemetry/eventloop.py
@@ -3,7 +3,6 @@
 import contextlib
 import math
 import signal
-import traceback
 from collections.abc import Awaitable, Callable, Generator
 from functools import partial
 from typing import Any
@@ -13,10 +12,9 @@
 from tarragonlb.telemetry.lifecycle import Lifecycle
 from tarragonlb.telemetry.log import Log
 from tarragonlb.telemetry.processsignals import STOP_SIGNALS
+from tarragonlb.telemetry.supervision import format_trace, supervise
 
 LOG = Log('eventloop')
-# The end of a trace names the cause.
-MAX_TRACE_CHARACTERS = 3000
 
 
 @contextlib.contextmanager
@@ -65,11 +63,8 @@
             await task(*arguments)
         except Exception as error:
             self._lifecycle.begin_stop()
-            trace = ''.join(traceback.format_exception(error))
             LOG.emit(
-                'Task failed.',
-                error=repr(error),
-                trace=trace[-MAX_TRACE_CHARACTERS:],
+                'Task failed.', error=repr(error), trace=format_trace(error)
             )
             raise
 
@@ -78,7 +73,15 @@
         stop: Callable[[], None],
         reload: Callable[[], None] | None = None,
     ) -> None:
-        """Call ``stop`` on signals to stop, and ``reload`` on each SIGHUP."""
+        """Call ``stop`` on signals to stop, and ``reload`` on each SIGHUP.
+
+        An error of either is logged, and later signals are handled.
+        """
+        await supervise('signals', partial(self._handle_signals, stop, reload))
+
+    async def _handle_signals(
+        self, stop: Callable[[], None], reload: Callable[[], None] | None
+    ) -> None:
         with open_signals(self._lifecycle) as signals:
             async for number in signals:
                 if number in STOP_SIGNALS:
