--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -22,7 +22,7 @@
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 
-MAX_RECEIVE_BYTES = 65_536
+MAX_RECEIVE_BYTES = 8192
 # A client that takes less than this within ``write_seconds`` is too slow.
 WRITE_BYTES = 16_384
 STATUS_REQUEST_TIMEOUT = 408
@@ -200,21 +200,24 @@
         await protocol.handle(Closed())
 
     async def _read(self, protocol: HttpProtocol) -> None:
-        stream = self._transport.stream
         while not (self._is_closing or self._is_ended_by_client):
-            self._limit = trio.CancelScope(
-                deadline=self._choose_deadline(protocol)
-            )
-            with self._limit:
-                try:
-                    received = await stream.receive_some(MAX_RECEIVE_BYTES)
-                except GONE_ERRORS:
-                    self._transport.is_broken = True
-                    return
-            if self._limit.cancelled_caught:
-                await self._handle_limit(protocol)
+            # Nothing that was received is kept while the next is awaited.
+            await self._read_part(protocol)
+
+    async def _read_part(self, protocol: HttpProtocol) -> None:
+        stream = self._transport.stream
+        self._limit = trio.CancelScope(deadline=self._choose_deadline(protocol))
+        with self._limit:
+            try:
+                received = await stream.receive_some(MAX_RECEIVE_BYTES)
+            except GONE_ERRORS:
+                self._transport.is_broken = True
+                self._is_closing = True
                 return
-            await self._receive(protocol, bytes(received))
+        if self._limit.cancelled_caught:
+            await self._handle_limit(protocol)
+            return
+        await self._receive(protocol, bytes(received))
 
     async def _receive(self, protocol: HttpProtocol, received: bytes) -> None:
         if self._request_since is None:
