Log errors of accepting once while they follow each other

Callers saw: while a flood kept the process out of descriptors, each address logged "Could not accept a connection, trying again." up to 20 times a second.

Cause: the line was left out only after an error that came right after another. For want of descriptors an idle connection is evicted, so the next one is accepted and the one after it fails again: each error seemed the first.

A line is now written only after 5 s without such an error.

--- a/libs/server/tarragonlb/server/listener.py
+++ b/libs/server/tarragonlb/server/listener.py
@@ -1,6 +1,7 @@
 """Listens at one address, whatever happens to the address or its socket."""
 
 import errno
+import math
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -13,6 +14,9 @@
 LOG = Log('listener')
 # The listening socket itself is of no use any more.
 BROKEN_SOCKET = frozenset((errno.EBADF, errno.EINVAL, errno.ENOTSOCK))
+# Errors that follow each other more closely are logged once: for want of
+# descriptors, every other connection fails.
+QUIET_SECONDS = 5.0
 NO_RESOURCES = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
@@ -66,26 +70,25 @@
             await trio.sleep(self._settings.retry_seconds)
 
     async def _accept_all(self, listening: trio.socket.SocketType) -> None:
-        is_first = True
+        failed_at = -math.inf
         while True:
             try:
                 self._admit(*await listening.accept())
             except Exception as error:
-                if is_first:
+                now = trio.current_time()
+                if now - failed_at > QUIET_SECONDS:
                     LOG.emit(
                         'Could not accept a connection, trying again.',
                         address=self._address,
                         error=describe_error(error),
                     )
+                failed_at = now
                 number = getattr(error, 'errno', None)
                 if number in NO_RESOURCES:
                     self._free_descriptor()
-                is_first = False
                 await trio.sleep(self._settings.accept_retry_seconds)
                 if number in BROKEN_SOCKET:
                     return
-            else:
-                is_first = True
 
 
 async def open_socket(address: str, backlog: int) -> trio.socket.SocketType:
