--- a/libs/daemon/tarragonlb/daemon/program.py
+++ b/libs/daemon/tarragonlb/daemon/program.py
@@ -10,7 +10,7 @@
 from tarragonlb.settings.problem import SettingsError
 from tarragonlb.settings.reader import read_settings
 from tarragonlb.settings.startup import DaemonSettings
-from tarragonlb.telemetry.eventloop import Supervisor
+from tarragonlb.telemetry.eventloop import ProcessTasks
 from tarragonlb.telemetry.lifecycle import (
     STANDARD_ERROR,
     End,
@@ -19,6 +19,7 @@
 )
 from tarragonlb.telemetry.log import start_logging
 from tarragonlb.telemetry.metrics import start_metrics
+from tarragonlb.telemetry.settingsfile import read_settings_file
 
 application = cyclopts.App(
     name='tarragonlbd',
@@ -48,12 +49,12 @@
     if path is None:
         return None
     try:
-        text = path.read_text()
+        text = read_settings_file(str(path))
         settings = read_settings(text, str(path), DaemonSettings)
-    except (OSError, UnicodeDecodeError, SettingsError) as error:
+    except (OSError, ValueError, SettingsError) as error:
         return End(ExitCode.INVALID_SETTINGS, f'invalid settings: {error}')
     lifecycle.attach_log(start_logging(STANDARD_ERROR).drain)
     start_metrics()
     lifecycle.begin_run(settings.stop_limit_seconds + STOP_MARGIN_SECONDS)
-    trio.run(Process(settings).run, Supervisor(lifecycle))
+    trio.run(Process(settings).run, ProcessTasks(lifecycle))
     return lifecycle.describe_stop()
