--- a/libs/server/features/connection.feature
+++ b/libs/server/features/connection.feature
@@ -94,6 +94,22 @@
     When 5 requests come at once
     Then it gets the 5 responses in order
 
+  # Guards against a request that is refused after it has been carried out.
+  Scenario Outline: A last request that <what> follows gets its response
+    When <what> follows a request with the header "connection: close", <when>
+    Then the response has status 200
+    And the application has finished "wait"
+    And its connection is closed
+
+    Examples:
+      | what            | when         |
+      | a request       | at once      |
+      | a request       | a bit later  |
+      | a line end      | at once      |
+      | a line end      | a bit later  |
+      | nonsense        | at once      |
+      | 1 MB            | a bit later  |
+
   # Guards against a deadlock between a body that waits and its response.
   Scenario: A response to a body that isn't read reaches its client
     When a long body comes that the application doesn't read
@@ -112,6 +128,20 @@
       | half a body   | 15.1    | 408    |
       | a request     | 30.1    | 200    |
 
+  # Guards against lines about failures where only the client is at fault.
+  Scenario Outline: The end of a request with <what> is no failure
+    When a client that can't linger falls silent after <what>
+    Then the response has status <status>
+    And it is the only response
+    And the application has finished "read"
+    And no line is logged
+
+    Examples:
+      | what                   | status |
+      | half a body            | 408    |
+      | half a chunk           | 408    |
+      | a malformed chunk      | 400    |
+
   # Guards against a slow upload that is cut off, and a trickle that isn't.
   Scenario Outline: A body at <rate> bytes a second <how>
     When a body of 200000 bytes comes at <rate> bytes a second
@@ -121,3 +151,35 @@
       | rate | how            | status |
       | 5000 | arrives whole  | 200    |
       | 100  | is cut off     | 408    |
+
+  # Guards against memory that closed connections keep until a collection.
+  Scenario Outline: A connection that ends since <reason> frees its memory
+    When a connection ends since <reason>, without garbage collection
+    Then nothing of the connection is left
+
+    Examples:
+      | reason                            |
+      | its client closes it              |
+      | its client resets it              |
+      | its client half-closes it         |
+      | its client closes amid a body     |
+      | its client asks for the end       |
+      | its request is malformed          |
+      | its body is malformed             |
+      | its body isn't wanted             |
+      | its request takes too long        |
+      | it has been idle for too long     |
+      | it makes room for another         |
+      | the application fails             |
+      | the stream fails                  |
+      | the server is cancelled           |
+
+  # Guards against bytes that are kept while a refused client has time to read.
+  Scenario: A refused connection keeps no bytes while its client may read
+    When a client sends 15000 bytes that are not HTTP, without garbage collection
+    Then no parser is left while the connection lingers
+
+  # Guards against clients that hold descriptors by not reading their refusals.
+  Scenario: Only some of the refused clients have time to read
+    When 3 clients send nonsense where 2 may linger
+    Then 1 of them is closed at once and 2 later
--- a/libs/server/features/steps/listener_steps.py
+++ b/libs/server/features/steps/listener_steps.py
@@ -3,19 +3,24 @@
 from contextlib import AsyncExitStack
 
 import trio
+import trio.testing
 from behave import then, when
-from connection_steps import get_status, run
+from connection_steps import SENT, get_status, run, run_in_virtual_time
 from serverharness import (
     GET,
     HOST,
+    SETTINGS,
     call,
     connect,
     find_port,
     list_sentences,
+    open_connection,
     read_all,
     run_server,
 )
 
+from tarragonlb.server.listener import Listener
+from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 
 TIMES = {'once': 1, 'twice': 2, '3 times': 3}
@@ -98,14 +103,20 @@
         return FailingSocket(wrapped, self.errors)
 
 
+def count_bound(context):
+    return list_sentences(context.lines).count('listener: Listening.')
+
+
 @when('accepting a connection fails {times:d} times with {name}')
 def fail_to_accept(context, times, name):
     async def main(application):
         errors = [getattr(errno, name)] * times
+        # A client of a socket that is about to be replaced is reset.
+        bound = times + 1 if name in {'EBADF', 'EINVAL'} else 1
         factory = FailingFactory(errors)
         previous = trio.socket.set_custom_socket_factory(factory)
         async with run_server(application) as address:
-            while errors:  # noqa: ASYNC110
+            while errors or count_bound(context) < bound:  # noqa: ASYNC110
                 await trio.sleep(0.01)
             trio.socket.set_custom_socket_factory(previous)
             context.responses = [await call(address, GET % b'a')]
@@ -113,6 +124,32 @@
     run(context, main)
 
 
+@when('admitting a connection fails')
+def fail_to_admit(context):
+    kept = []
+
+    def admit(accepted, client):
+        kept.append(accepted)
+        raise ValueError
+
+    async def main(application):
+        address = f'{HOST}:{find_port()}'
+        listener = Listener(address, SETTINGS, admit, kept.clear)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(listener.run)
+            stream = await connect(address)
+            with trio.move_on_after(5):
+                context.response = await read_all(stream) + b'(end)'
+            nursery.cancel_scope.cancel()
+
+    run(context, main)
+
+
+@then('the client sees the end of its connection')
+def check_end(context):
+    assert context.response == b'(end)', context.response
+
+
 async def connect_all(stack, address, count, request):
     streams = []
     for _ in range(count):
@@ -148,6 +185,33 @@
     assert not context.first, context.first
 
 
+@when('a connection that has sent {what} makes room for another')
+def evict(context, what):
+    async def main(application):
+        room = AddressRoom()
+        async with trio.open_nursery() as nursery:
+            stream = open_connection(nursery, application, room=room)
+            if SENT[what]:
+                await stream.send_all(SENT[what])
+            await trio.testing.wait_all_tasks_blocked()
+            started_at = trio.current_time()
+            assert room.evict()
+            context.sizes = [room.size]
+            await trio.testing.wait_all_tasks_blocked()
+            context.sizes.append(room.size)
+            await read_all(stream)
+            await stream.aclose()
+        context.waited = trio.current_time() - started_at
+
+    run_in_virtual_time(context, main)
+
+
+@then('it has a place until it is closed, at once')
+def check_place(context):
+    assert context.sizes == [1, 0], context.sizes
+    assert not context.waited, context.waited
+
+
 @when(
     '3 clients connect where there is room for 2, and the first 2 have '
     'requests in progress'
--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -41,6 +41,8 @@
     settings: ServerSettings
     config: hypercorn.Config
     context: WorkerContext
+    # Places for connections that wait for their clients to read a refusal.
+    lingering: trio.Semaphore
 
 
 class Transport:
@@ -90,9 +92,10 @@
                 return
 
     async def _drain(self) -> None:
-        received: bytes | bytearray = b' '
-        while received:
-            received = await self.stream.receive_some(MAX_RECEIVE_BYTES)
+        size = 1
+        while size:
+            # A name for the bytes would keep them during the next wait.
+            size = len(await self.stream.receive_some(MAX_RECEIVE_BYTES))
 
     async def _write_parts(self, content: bytes) -> bool:
         if self.is_broken:
@@ -115,6 +118,7 @@
 
     __slots__ = (
         '_client',
+        '_eviction',
         '_idle_since',
         '_is_closing',
         '_is_ended_by_client',
@@ -144,6 +148,8 @@
         self._transport = Transport(stream, service.settings.write_seconds)
         # Ends the wait for bytes of the client.
         self._limit = trio.CancelScope()
+        # Ends all that the connection does without a request in progress.
+        self._eviction = trio.CancelScope()
         self._idle_since = trio.current_time()
         # When the first byte of a request came, None before.
         self._request_since: float | None = None
@@ -160,8 +166,7 @@
                 async with trio.open_nursery() as nursery:
                     await self._serve(nursery)
             finally:
-                self._room.remove(self)
-                await trio.aclose_forcefully(self._transport.stream)
+                await self._end()
         if boundary.has_failed:
             CONNECTION_METER.count(ConnectionEvent.FAILED)
 
@@ -172,6 +177,11 @@
             self._protocol.is_closing = True
         self._limit.cancel()
 
+    def evict(self) -> None:
+        """Close without waiting for the client."""
+        self._eviction.cancel()
+        self.close()
+
     async def _serve(self, nursery: trio.Nursery) -> None:
         # Types of hypercorn's tasks say more than its protocol calls.
         tasks: Any = RequestTasks(nursery, self._client[0])
@@ -187,17 +197,38 @@
             send=self._handle,
         )
         self._protocol = protocol
-        await self._read(protocol)
-        if protocol.is_malformed:
-            CONNECTION_METER.count(ConnectionEvent.MALFORMED)
-        if self._is_ended_by_client and not self._is_closing:
-            # It may have closed only its side and read the response.
-            tasks.end_request()
+        with self._eviction:
+            await self._read(protocol)
+            if protocol.is_malformed:
+                CONNECTION_METER.count(ConnectionEvent.MALFORMED)
+            if self._is_ended_by_client and not self._is_closing:
+                # It may have closed only its side and read the response.
+                tasks.end_request()
+                return
+            if protocol.may_receive_more and not self._is_ended_by_client:
+                await self._linger(protocol)
+        await trio.aclose_forcefully(self._transport.stream)
+        await protocol.handle(Closed())
+
+    async def _linger(self, protocol: HttpProtocol) -> None:
+        lingering = self._service.lingering
+        try:
+            lingering.acquire_nowait()
+        except trio.WouldBlock:
             return
-        if protocol.may_receive_more and not self._is_ended_by_client:
+        try:
+            protocol.release_parser()
             await self._transport.end(self._service.settings.linger_seconds)
+        finally:
+            lingering.release()
+
+    async def _end(self) -> None:
+        self._room.remove(self)
+        # Without reference cycles, memory is free before a collection.
+        if self._protocol is not None:
+            self._protocol.release()
+        self._protocol = None
         await trio.aclose_forcefully(self._transport.stream)
-        await protocol.handle(Closed())
 
     async def _read(self, protocol: HttpProtocol) -> None:
         while not (self._is_closing or self._is_ended_by_client):
@@ -247,7 +278,7 @@
             self._update(is_idle=event.idle)
 
     def _update(self, *, is_idle: bool) -> None:
-        if not is_idle:
+        if self._is_closing or not is_idle:
             self._room.mark_busy(self)
             return
         self._room.mark_idle(self)
--- a/libs/server/tarragonlb/server/listener.py
+++ b/libs/server/tarragonlb/server/listener.py
@@ -73,7 +73,7 @@
         failed_at = -math.inf
         while True:
             try:
-                self._admit(*await listening.accept())
+                self._pass(*await listening.accept())
             except Exception as error:
                 now = trio.current_time()
                 if now - failed_at > QUIET_SECONDS:
@@ -90,6 +90,13 @@
                 if number in BROKEN_SOCKET:
                     return
 
+    def _pass(self, socket: trio.socket.SocketType, client: Endpoint) -> None:
+        try:
+            self._admit(socket, client)
+        except BaseException:
+            socket.close()
+            raise
+
 
 async def open_socket(address: str, backlog: int) -> trio.socket.SocketType:
     """Return a socket that listens at ``ip:port``, or ``[ipv6]:port``.
--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -8,6 +8,7 @@
     Event,
     Request,
     Response,
+    StreamClosed,
 )
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
@@ -16,6 +17,33 @@
 STATUS_NOT_IMPLEMENTED = 501
 STATUS_VERSION_NOT_SUPPORTED = 505
 ANSWERABLE = frozenset((h11.IDLE, h11.SEND_RESPONSE))
+# Takes the place of the parsers of connections that have ended.
+ENDED_PARSER = h11.Connection(h11.SERVER)
+ENDED_PARSER.send_failed()
+
+
+class RequestParser(h11.Connection):
+    """A parser whose errors don't keep it in memory.
+
+    What follows the last request of a connection is no error.
+    """
+
+    def receive_data(self, data: bytes) -> None:
+        """Take bytes of the client, after its last request the first only."""
+        if self.their_state is h11.MUST_CLOSE and self.trailing_data[0]:
+            return
+        super().receive_data(data)
+
+    def next_event(self) -> Any:
+        """Return the next part of a request."""
+        if self.their_state is h11.MUST_CLOSE:
+            return h11.NEED_DATA
+        try:
+            return super().next_event()
+        except h11.RemoteProtocolError as error:
+            # A frame of h11 in the trace refers to the error: a cycle.
+            error.with_traceback(None)
+            raise
 
 
 class HttpProtocol(H11Protocol):
@@ -29,9 +57,14 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Take what hypercorn's protocol takes."""
         super().__init__(*arguments, **options)
+        self.connection = RequestParser(
+            h11.SERVER, self.config.h11_max_incomplete_size
+        )
         # Set once no further request may begin on the connection.
         self.is_closing = False
         self._head = b''
+        # Set once nothing of the application may reach the client.
+        self._is_output_ended = False
 
     @property
     def is_waiting(self) -> bool:
@@ -52,6 +85,8 @@
     @property
     def may_receive_more(self) -> bool:
         """Whether the client may still be sending a request."""
+        if self.connection.their_state is h11.MUST_CLOSE:
+            return self._has_bytes
         return self.is_malformed or self.is_receiving
 
     async def refuse(self, status: int) -> None:
@@ -61,8 +96,21 @@
             await self._send_error_response(status)
         await self.send(Closed())
 
+    def release_parser(self) -> None:
+        """Free what the parser has buffered; nothing is sent any more."""
+        self._is_output_ended = True
+        self.connection = ENDED_PARSER
+
+    def release(self) -> None:
+        """Let go of the connection and of the request after the end."""
+        self.release_parser()
+        self.stream = None
+        self.send = _drop
+
     async def stream_send(self, event: Event) -> None:
         """Pass an event of a response to the client."""
+        if self._is_output_ended and not isinstance(event, StreamClosed):
+            return
         if _is_final(event):
             headers = [*event.headers, *self.config.response_headers('h11')]
             if self.keep_alive_requests >= self.config.keep_alive_max_requests:
@@ -73,6 +121,10 @@
         else:
             await super().stream_send(event)
 
+    async def _send_error_response(self, status_code: int) -> None:
+        self._is_output_ended = True
+        await super()._send_error_response(status_code)
+
     async def _send_h11_event(self, event: Any) -> None:
         try:
             encoded: bytes = self.connection.send(event)
@@ -129,6 +181,10 @@
         return bool(self.connection.trailing_data[0])
 
 
+async def _drop(event: Any) -> None:
+    """Take the place of ``send`` after the end."""
+
+
 def _is_final(event: Event) -> TypeGuard[Response]:
     return (
         isinstance(event, Response) and event.status_code >= FIRST_FINAL_STATUS
