Play the tests of SIGINT with signals as by default, also from a background job

libs/daemon/features hung for ten minutes when started in the background: a shell ignores SIGINT there, the daemon keeps that (docs/OPERATIONS.md), and the test waited for its end. The tests now start their daemon with SIGINT and SIGQUIT as by default; with both ignored by the caller all three features pass. The checks are the same.

--- a/libs/daemon/features/steps/startup_steps.py
+++ b/libs/daemon/features/steps/startup_steps.py
@@ -12,6 +12,12 @@
 STARTED = b'process: The daemon is starting.'
 
 
+def restore_interrupts():
+    # A daemon keeps signals ignored that a shell ignores in the background.
+    for number in (signal.SIGINT, signal.SIGQUIT):
+        signal.signal(number, signal.SIG_DFL)
+
+
 @given('a daemon that reads its settings from a pipe')
 def start(context):
     folder = tempfile.TemporaryDirectory()
@@ -22,6 +28,7 @@
         [Path(sys.executable).parent / 'tarragonlbd', '--settings', str(path)],
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
+        preexec_fn=restore_interrupts,
     )
     context.add_cleanup(context.process.stderr.close)
     context.add_cleanup(context.process.wait)
--- a/libs/telemetry/features/steps/lifecycle_steps.py
+++ b/libs/telemetry/features/steps/lifecycle_steps.py
@@ -1,5 +1,6 @@
 import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -135,6 +136,12 @@
 STREAMS = ('input', 'output', 'error')
 
 
+def restore_interrupts():
+    # A daemon keeps signals ignored that a shell ignores in the background.
+    for number in (signal.SIGINT, signal.SIGQUIT):
+        signal.signal(number, signal.SIG_DFL)
+
+
 def start(context, program, **options):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
@@ -145,7 +152,7 @@
         env={**os.environ, 'PYTHONPATH': folder.name},
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
-        **options,
+        **{'preexec_fn': restore_interrupts, **options},
     )
     context.add_cleanup(context.process.wait)
     context.add_cleanup(context.process.kill)
