Log requests whose connection ends before their answer

A request that was read and then cancelled, as at the end of a stop, left neither a line nor a count, so that its cause could not be told from outside. Now a line names its method, its path (with the id of its job) and how long it had waited since its last byte, and the metric of connections counts it. No decision changes.

--- a/libs/server/tarragonlb/server/exchange.py
+++ b/libs/server/tarragonlb/server/exchange.py
@@ -12,7 +12,10 @@
 import trio
 
 from tarragonlb.server.boundary import Boundary
+from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
+from tarragonlb.telemetry.log import Log
 
+LOG = Log('server')
 MAX_QUEUED_PARTS = 10
 DISCONNECT = 'http.disconnect'
 
@@ -23,13 +26,15 @@
 class RequestParts:
     """The messages of one request that the application has yet to take."""
 
-    __slots__ = ('_changed', '_is_over', '_messages')
+    __slots__ = ('_changed', '_is_over', '_messages', 'completed_at')
 
     def __init__(self) -> None:
         """Start without messages."""
         self._messages: deque[Message] = deque()
         self._changed = trio.lowlevel.ParkingLot()
         self._is_over = False
+        # When the whole request had arrived, None before.
+        self.completed_at: float | None = None
 
     def end(self) -> None:
         """Tell the application after the last message that nothing follows."""
@@ -41,6 +46,8 @@
         if message['type'] == DISCONNECT:
             self.end()
             return
+        if not message.get('more_body'):
+            self.completed_at = trio.current_time()
         while len(self._messages) >= MAX_QUEUED_PARTS and not self._is_over:
             await self._changed.park()
         if not self._is_over:
@@ -91,14 +98,31 @@
     async def _serve_request(
         self, app: Any, scope: Any, parts: RequestParts, send: Send
     ) -> None:
-        with Boundary(self._client):
-            await app(
-                scope,
-                parts.receive,
-                send,
-                trio.to_thread.run_sync,
-                trio.from_thread.run,
-            )
-        parts.end()
-        # Answers 500 unless the application has begun a response.
-        await send(None)
+        is_answered = False
+        try:
+            with Boundary(self._client):
+                await app(
+                    scope,
+                    parts.receive,
+                    send,
+                    trio.to_thread.run_sync,
+                    trio.from_thread.run,
+                )
+            parts.end()
+            # Answers 500 unless the application has begun a response.
+            await send(None)
+            is_answered = True
+        finally:
+            if not (is_answered or parts.completed_at is None):
+                _note_unanswered(scope, parts.completed_at)
+
+
+def _note_unanswered(scope: Any, completed_at: float) -> None:
+    """Log a whole request whose connection ends before its response."""
+    CONNECTION_METER.count(ConnectionEvent.UNANSWERED)
+    LOG.emit(
+        'A request ends without an answer.',
+        method=scope['method'],
+        path=scope['path'],
+        waited_seconds=round(trio.current_time() - completed_at, 3),
+    )
--- a/libs/server/tarragonlb/server/meter.py
+++ b/libs/server/tarragonlb/server/meter.py
@@ -25,6 +25,8 @@
     SLOW_REQUEST = 'slow_request'
     # The client took too long to read a response.
     SLOW_READER = 'slow_reader'
+    # It ended before a whole request that had been read was answered.
+    UNANSWERED = 'unanswered'
 
 
 class ConnectionMeter:
