Answer every request that was read before a server ends

Callers saw whole requests end with neither an answer nor a refusal around planned stops: requests behind another one on a connection (its end came 1.0 s later), and on weak daemons plain submissions, 0.9 s after their last byte, without a line in the log.

Cause: the server decided about its end for itself and told nobody. At 4.5 s after SIGTERM it marked hypercorn's context as terminated; from then on a connection closed after the response in progress, and its reading task waited for a next cycle that never began, with whole requests in its buffer. At 5.5 s a cancellation ended everything, whatever was in progress. No response said that it was the last, so clients went on sending until then. The feeds that reads wait for had ended at 4.5 s as well.

The stop has stages now (server.stop), in one place for all connections. From the signal on, a response says that it is the last of its connection, unless bytes of a further request have arrived, also unread ones; such a request gets its answer first. Then requests that begin are rejected with 503 and never reach the application. Then requests in progress are answered for the application: 503 if they have no effect or their end never came, else 504. Connections stay open until the end and close after a last look for bytes. Each such answer has a line with the request's path and is counted.

The same rule holds away from a stop: requests behind the thousandth of a connection, behind an error of the application and at an idle time-out were dropped after they had been read.

The test of the controller's stop brings the end of serving itself, after the same 4.5 s, and the test of a grace period reads it where it is used now; both ask as much as before.

--- a/libs/controller/features/simulation.py
+++ b/libs/controller/features/simulation.py
@@ -23,10 +23,11 @@
 from tarragonlb.scheduling.settings import SchedulingSettings
 
 SETTLE_SECONDS = 3.0
+# Clients are served for this long after a daemon was told to stop.
+SERVED_SECONDS = 4.5
 SETTINGS = ControllerSettings(
     name='vm',
     partitions=PARTITIONS,
-    grace_seconds=6.0,
     holder_lease_seconds=3.0,
     scheduling=SchedulingSettings(
         max_lease_seconds=6.0,
@@ -128,9 +129,18 @@
 
         ended = trio.Event()
 
+        async def serve(served):
+            await stopped.wait()
+            await trio.sleep(SERVED_SECONDS)
+            served.set()
+
         async def run():
-            with scope:
-                await controller.run(stopped)
+            served = trio.Event()
+            async with trio.open_nursery() as tasks:
+                tasks.start_soon(serve, served)
+                with scope:
+                    await controller.run(stopped, served)
+                tasks.cancel_scope.cancel()
             ended.set()
 
         nursery.start_soon(run)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -2,8 +2,7 @@
 
 Feeds run all the time.  Owners are started and stopped as the group assigns
 partitions to this member.  When asked to stop, the process releases its
-partitions first and goes on serving clients for as long as the platform
-allows.
+partitions first; its feeds go on as long as clients are served.
 """
 
 from dataclasses import dataclass
@@ -40,8 +39,6 @@
 from tarragonlb.telemetry.supervision import Task, format_trace, supervise
 
 LOG = Log('process')
-# The part of the grace period that is reserved for closing connections.
-STOP_MARGIN_SECONDS = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,8 +125,11 @@
         contact_age = self.view.compute_contact_age(self._clock.read_boottime())
         return contact_age < self._settings.store_unready_seconds
 
-    async def run(self, stopped: trio.Event) -> None:
-        """Run until ``stopped`` is set, then shut down gracefully."""
+    async def run(self, stopped: trio.Event, served: trio.Event) -> None:
+        """Own partitions until ``stopped`` is set, and run until ``served`` is.
+
+        The caller sets ``served`` when no client is served any more.
+        """
         platform, settings = self._platform, self._settings
         operators = OperatorFeed(
             platform.store,
@@ -157,10 +157,11 @@
             for name, task in tasks.items():
                 nursery.start_soon(supervise, name, task)
             await self._own_partitions(stopped)
+            await served.wait()
             nursery.cancel_scope.cancel()
 
     async def _own_partitions(self, stopped: trio.Event) -> None:
-        """Own partitions until ``stopped`` is set, then serve a while."""
+        """Own partitions until ``stopped`` is set, then release them."""
         async with trio.open_nursery() as owners:
             owners.start_soon(
                 supervise,
@@ -172,13 +173,8 @@
                 ),
             )
             await stopped.wait()
-            grace_seconds = self._settings.grace_seconds
-            closes_at = (
-                trio.current_time() + grace_seconds - STOP_MARGIN_SECONDS
-            )
             await self._release_partitions()
             owners.cancel_scope.cancel()
-        await trio.sleep_until(closes_at)
 
     async def _release_partitions(self) -> None:
         LOG.emit('Stopping: releasing all partitions.')
--- a/libs/controller/tarragonlb/controller/settings.py
+++ b/libs/controller/tarragonlb/controller/settings.py
@@ -17,7 +17,6 @@
 
     name: str
     partitions: int
-    grace_seconds: float
     holder_lease_seconds: float
     scheduling: SchedulingSettings
     # Clients belong to tenants, which the configuration lists.
--- a/libs/daemon/features/steps/failure_steps.py
+++ b/libs/daemon/features/steps/failure_steps.py
@@ -13,6 +13,7 @@
 from tarragonlb.daemon.journal import Journal
 from tarragonlb.daemon.pools import PoolTask
 from tarragonlb.daemon.process import Process
+from tarragonlb.daemon.server import Server
 from tarragonlb.journal.log import LogEntry
 from tarragonlb.journal.replica import Replica
 from tarragonlb.journal.state import State
@@ -101,7 +102,7 @@
     with (
         patch.object(Process, '_build_tasks', lambda process: tasks),
         patch.object(Process, '_wait_for_stop', stop),
-        patch('tarragonlb.daemon.process.serve_http', serve),
+        patch.object(Server, 'run', serve),
     ):
         trio.run(
             process.run,
--- a/libs/daemon/features/steps/server_steps.py
+++ b/libs/daemon/features/steps/server_steps.py
@@ -13,6 +13,7 @@
 from tarragonlb.daemon.gateway import Gateway
 from tarragonlb.server.httpserver import serve_http
 from tarragonlb.server.settings import ServerSettings
+from tarragonlb.server.stop import ServerStop
 from tarragonlb.settings.schema import (
     FleetSettings,
     ServiceSettings,
@@ -44,7 +45,7 @@
     """Serve while the context lasts, which gets the host and the port."""
     with socket.create_server(('127.0.0.1', 0)) as holder:
         host, port = holder.getsockname()
-    stopped = trio.Event()
+    stop = ServerStop()
     settings = ServerSettings(max_connections=10)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
@@ -52,11 +53,11 @@
             make_application(gateway),
             [f'{host}:{port}'],
             settings,
-            stopped,
+            stop,
         )
         await trio.testing.wait_all_tasks_blocked()
         yield host, port
-        stopped.set()
+        stop.begin(trio.current_time() + 1)
 
 
 async def read_answer(host, port):
--- a/libs/daemon/tarragonlb/daemon/process.py
+++ b/libs/daemon/tarragonlb/daemon/process.py
@@ -20,7 +20,7 @@
 from tarragonlb.daemon.peerserver import PeerServer
 from tarragonlb.daemon.plannertask import PlannerTask
 from tarragonlb.daemon.pools import PoolTask
-from tarragonlb.daemon.server import serve_http
+from tarragonlb.daemon.server import Server
 from tarragonlb.model.recordhead import HeadFactory
 from tarragonlb.platform.remote import RemotePlatform
 from tarragonlb.settings.startup import DaemonSettings
@@ -48,6 +48,7 @@
         '_peers',
         '_planner',
         '_pools',
+        '_server',
         '_settings',
         'application',
     )
@@ -96,25 +97,23 @@
             ),
             self._pause_guard,
         )
+        self._server = Server(self.application, settings)
 
     async def run(self, process_tasks: ProcessTasks) -> None:
         """Run until a signal to stop, then drain requests and stop."""
         self._emit('The daemon is starting.', name=self._settings.name)
-        stopping, stopped = trio.Event(), trio.Event()
+        stopping = trio.Event()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(process_tasks.watch_signals, stopping.set)
             for name, task in self._build_tasks().items():
                 nursery.start_soon(supervise, name, task)
             nursery.start_soon(
                 process_tasks.run,
-                serve_http,
-                self.application,
-                self._settings,
-                stopped,
+                self._server.run,
             )
             await self._wait_for_stop(stopping)
-            stopped.set()
             await self._drain_requests()
+            await self._server.close()
             await self._metrics.burn.flush()
             nursery.cancel_scope.cancel()
         self._emit('The daemon has stopped.', name=self._settings.name)
@@ -143,6 +142,11 @@
         await stopping.wait()
         self.application.stopping = True
         self._emit('The daemon received a signal to stop.')
+        self._server.announce_end(
+            trio.current_time()
+            + STOP_NOTICE_SECONDS
+            + self._settings.stop_limit_seconds
+        )
         await trio.sleep(STOP_NOTICE_SECONDS)
 
     async def _drain_requests(self) -> None:
--- a/libs/server/features/serverharness.py
+++ b/libs/server/features/serverharness.py
@@ -14,11 +14,13 @@
 from tarragonlb.server.httpserver import serve_http
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
+from tarragonlb.server.stop import ServerStop, Stage
 
 HOST = '127.0.0.1'
 SETTINGS = ServerSettings(
     max_connections=100, retry_seconds=0.01, accept_retry_seconds=0.01
 )
+STOP_SECONDS = 0.1
 # Ends a scenario that hangs.
 TIMEOUT_SECONDS = 60
 GET = b'GET /%s HTTP/1.1\r\nhost: h\r\n\r\n'
@@ -60,6 +62,8 @@
         path = scope['path'].removeprefix('/')
         self.seen.append(path)
         self.begun.set()
+        if path == 'error':
+            raise ValueError
         behave = getattr(self, f'do_{path.partition("-")[0]}', None)
         if behave is not None:
             await behave(receive)
@@ -99,24 +103,26 @@
         settings=settings,
         config=config,
         context=WorkerContext(None),
+        stop=ServerStop(),
         lingering=trio.Semaphore(settings.max_lingering),
     )
 
 
 @asynccontextmanager
-async def run_server(application, settings=SETTINGS, addresses=()):
+async def run_server(application, settings=SETTINGS, addresses=(), stop=None):
     """Serve while the context lasts, then stop and wait for the end."""
+    stop = stop or ServerStop()
     addresses = addresses or (f'{HOST}:{find_port()}',)
-    stopped = trio.Event()
     with trio.fail_after(TIMEOUT_SECONDS):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                serve_http, application, addresses, settings, stopped
+                serve_http, application, addresses, settings, stop
             )
             try:
                 yield addresses[0]
             finally:
-                stopped.set()
+                if stop.stage is Stage.SERVING:
+                    stop.begin(trio.current_time() + STOP_SECONDS)
 
 
 async def connect(address):
--- a/libs/server/features/stopping.feature
+++ b/libs/server/features/stopping.feature
@@ -9,3 +9,64 @@
   Scenario: A request that is answered leaves no line
     When the server is cancelled while a connection is idle after its request
     Then no line is logged
+
+  # Guards against requests behind another one that get nothing when the server stops.
+  Scenario Outline: Requests behind another one are answered, whenever the first is done
+    When 3 requests come at once and the first is done <moment>
+    Then they get responses with status <statuses>, the last with "connection: close"
+
+    Examples:
+      | moment                              | statuses      |
+      | as the server begins to stop        | 200, 200, 200 |
+      | when new requests are rejected      | 200, 503, 503 |
+      | never                               | 503, 503, 503 |
+
+  # Guards against a request in progress that ends with its server, without an answer.
+  Scenario Outline: A <request> that is not done in time gets the status <status>
+    When a <request> is not done when the server stops
+    Then the response has status <status>
+    And its connection is closed
+    And a line says that "/wait" was answered before it was done
+
+    Examples:
+      | request                     | status |
+      | GET request                 | 503    |
+      | POST request                | 504    |
+      | POST request without an end | 503    |
+
+  # Guards against a client that sends more, as no response says that it is the last.
+  Scenario Outline: A response says whether it is the last of its connection
+    When a response is sent <moment>
+    Then its header says <header>
+
+    Examples:
+      | moment                                        | header            |
+      | before the server stops                       | nothing           |
+      | after the server begins to stop               | connection: close |
+      | after the server begins to stop, before a request | nothing       |
+      | after a body that was refused                 | connection: close |
+      | as the application fails                      | nothing           |
+
+  # Guards against a kept connection that is closed while its client sends.
+  Scenario Outline: A kept connection is served until the server ends
+    When a client sends its second request on a connection <moment>
+    Then the response has status <status>
+    And its header says connection: close
+    And its connection is closed
+
+    Examples:
+      | moment                             | status |
+      | when the server begins to stop     | 200    |
+      | when new requests are rejected     | 503    |
+      | when all requests are answered     | 503    |
+
+  # Guards against requests dropped behind the last request that a connection may have.
+  Scenario: The request behind the last one that a connection may have is answered
+    When 1001 requests come on one connection, the last two at once
+    Then it gets the 1001 responses in order
+
+  # Guards against a partial request that holds up the end of a server, or gets no answer.
+  Scenario: Half a head is refused when the server ends
+    When a client has sent half a head when the server ends
+    Then the response has status 503
+    And its connection is closed
--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import select
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
@@ -21,11 +22,15 @@
 from tarragonlb.server.protocol import HttpProtocol
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
+from tarragonlb.server.stop import ServerStop
 
 MAX_RECEIVE_BYTES = 8192
 # A client that takes less than this within ``write_seconds`` is too slow.
 WRITE_BYTES = 16_384
 STATUS_REQUEST_TIMEOUT = 408
+STATUS_UNAVAILABLE = 503
+# At the end of the server, for bytes that have arrived already.
+LAST_READ_SECONDS = 0.02
 
 # The client has closed or reset the connection.
 GONE_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -41,6 +46,7 @@
     settings: ServerSettings
     config: hypercorn.Config
     context: WorkerContext
+    stop: ServerStop
     # Places for connections that wait for their clients to read a refusal.
     lingering: trio.Semaphore
 
@@ -59,6 +65,17 @@
         self._seconds = seconds
         self._lock = trio.Lock()
 
+    def has_unread(self) -> bool:
+        """Return whether bytes of the client, or its end, wait to be read."""
+        if not isinstance(self.stream, trio.SocketStream):
+            return False
+        descriptor = self.stream.socket.fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
     async def write(self, content: bytes) -> None:
         """Write all bytes unless the client has gone.
 
@@ -122,6 +139,7 @@
         '_idle_since',
         '_is_closing',
         '_is_ended_by_client',
+        '_is_finishing',
         '_limit',
         '_protocol',
         '_received_bytes',
@@ -129,6 +147,7 @@
         '_room',
         '_server',
         '_service',
+        '_tasks',
         '_transport',
     )
 
@@ -157,6 +176,8 @@
         self._is_closing = False
         self._protocol: HttpProtocol | None = None
         self._is_ended_by_client = False
+        self._is_finishing = False
+        self._tasks: RequestTasks | None = None
 
     async def run(self) -> None:
         """Serve until the connection ends; only cancellation passes."""
@@ -182,9 +203,22 @@
         self._eviction.cancel()
         self.close()
 
+    def conclude(self) -> None:
+        """Answer the request in progress, whether it is done or not."""
+        if self._tasks is not None:
+            self._tasks.conclude()
+
+    def finish(self) -> None:
+        """Answer what has been sent, and close."""
+        self._is_finishing = True
+        self._limit.cancel()
+
     async def _serve(self, nursery: trio.Nursery) -> None:
+        self._tasks = RequestTasks(
+            nursery, self._client[0], self._service.settings
+        )
         # Types of hypercorn's tasks say more than its protocol calls.
-        tasks: Any = RequestTasks(nursery, self._client[0])
+        tasks: Any = self._tasks
         protocol = HttpProtocol(
             self._service.application,
             self._service.config,
@@ -195,6 +229,8 @@
             client=self._client,
             server=self._server,
             send=self._handle,
+            stop=self._service.stop,
+            has_unread=self._transport.has_unread,
         )
         self._protocol = protocol
         with self._eviction:
@@ -205,7 +241,12 @@
                 # It may have closed only its side and read the response.
                 tasks.end_request()
                 return
-            if protocol.may_receive_more and not self._is_ended_by_client:
+            may_send = (
+                protocol.may_receive_more
+                or protocol.has_announced_end
+                or self._is_finishing
+            )
+            if may_send and not self._is_ended_by_client:
                 await self._linger(protocol)
         await trio.aclose_forcefully(self._transport.stream)
         await protocol.handle(Closed())
@@ -228,6 +269,7 @@
         if self._protocol is not None:
             self._protocol.release()
         self._protocol = None
+        self._tasks = None
         await trio.aclose_forcefully(self._transport.stream)
 
     async def _read(self, protocol: HttpProtocol) -> None:
@@ -259,11 +301,20 @@
         await protocol.handle(RawData(received))
 
     async def _handle_limit(self, protocol: HttpProtocol) -> None:
-        if self._is_closing:
+        if self._is_closing or self._transport.has_unread():
+            # What has arrived in time is read, however late this runs.
             return
         if protocol.is_receiving:
+            await self._refuse(protocol)
+        self._is_closing = self._is_closing or protocol.is_waiting
+
+    async def _refuse(self, protocol: HttpProtocol) -> None:
+        """Refuse a request whose end has not arrived in time."""
+        status = STATUS_UNAVAILABLE
+        if not self._is_finishing:
+            status = STATUS_REQUEST_TIMEOUT
             CONNECTION_METER.count(ConnectionEvent.SLOW_REQUEST)
-            await protocol.refuse(STATUS_REQUEST_TIMEOUT)
+        await protocol.refuse(status)
         self._is_closing = True
 
     async def _handle(self, event: Event) -> None:
@@ -281,7 +332,8 @@
         if self._is_closing or not is_idle:
             self._room.mark_busy(self)
             return
-        self._room.mark_idle(self)
+        if self._protocol is not None and self._protocol.is_waiting:
+            self._room.mark_idle(self)
         self._request_since = None
         self._received_bytes = 0
         self._idle_since = trio.current_time()
@@ -291,6 +343,10 @@
 
     def _choose_deadline(self, protocol: HttpProtocol) -> float:
         settings = self._service.settings
+        if self._is_finishing and (
+            protocol.is_waiting or protocol.is_receiving
+        ):
+            return trio.current_time() + LAST_READ_SECONDS
         if protocol.is_waiting:
             return self._idle_since + settings.idle_seconds
         if not protocol.is_receiving:
--- a/libs/server/tarragonlb/server/exchange.py
+++ b/libs/server/tarragonlb/server/exchange.py
@@ -7,12 +7,15 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, TypeAlias
 
 import trio
 
 from tarragonlb.server.boundary import Boundary
 from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
+from tarragonlb.server.rejection import conclude
+from tarragonlb.server.settings import ServerSettings
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('server')
@@ -68,24 +71,45 @@
 class RequestTasks:
     """Starts the application for each request, as hypercorn asks for it."""
 
-    __slots__ = ('_client', '_nursery', '_parts')
+    __slots__ = (
+        '_client',
+        '_is_begun',
+        '_nursery',
+        '_parts',
+        '_settings',
+        '_unanswered',
+    )
 
-    def __init__(self, nursery: trio.Nursery, client: str) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, client: str, settings: ServerSettings
+    ) -> None:
         """Run requests in ``nursery``."""
         self._nursery = nursery
         self._client = client
+        self._settings = settings
         self._parts: RequestParts | None = None
+        # Ends the application's work on the request in progress.
+        self._unanswered = trio.CancelScope()
+        # Whether the application has begun its response.
+        self._is_begun = False
 
     def end_request(self) -> None:
         """Tell the application that the client has gone."""
         if self._parts is not None:
             self._parts.end()
 
+    def conclude(self) -> None:
+        """Let no request wait longer for a response of the application."""
+        if not self._is_begun:
+            self._unanswered.cancel()
+
     async def spawn_app(
         self, app: Any, config: Any, scope: Any, send: Send
     ) -> Callable[[Any], Awaitable[None]]:
         """Start the application; return the function that passes messages."""
         self._parts = RequestParts()
+        self._unanswered = trio.CancelScope()
+        self._is_begun = False
         self._nursery.start_soon(
             self._serve_request, app, scope, self._parts, send
         )
@@ -100,22 +124,37 @@
     ) -> None:
         is_answered = False
         try:
-            with Boundary(self._client):
-                await app(
-                    scope,
-                    parts.receive,
-                    send,
-                    trio.to_thread.run_sync,
-                    trio.from_thread.run,
-                )
-            parts.end()
-            # Answers 500 unless the application has begun a response.
-            await send(None)
+            await self._run_application(app, scope, parts, send)
             is_answered = True
         finally:
             if not (is_answered or parts.completed_at is None):
                 _note_unanswered(scope, parts.completed_at)
 
+    async def _run_application(
+        self, app: Any, scope: Any, parts: RequestParts, send: Send
+    ) -> None:
+        with self._unanswered as unanswered, Boundary(self._client):
+            await app(
+                scope,
+                parts.receive,
+                partial(self._begin_and_send, send),
+                trio.to_thread.run_sync,
+                trio.from_thread.run,
+            )
+        parts.end()
+        if unanswered.cancelled_caught:
+            has_begun = (
+                parts.completed_at is not None
+                or not self._settings.needs_whole_requests
+            )
+            await conclude(scope, send, has_begun=has_begun)
+        # Answers 500 unless the application has begun a response.
+        await send(None)
+
+    async def _begin_and_send(self, send: Send, message: Any) -> None:
+        self._is_begun = True
+        await send(message)
+
 
 def _note_unanswered(scope: Any, completed_at: float) -> None:
     """Log a whole request whose connection ends before its response."""
--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -24,6 +24,7 @@
 from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
 from tarragonlb.server.room import ServerRoom
 from tarragonlb.server.settings import ServerSettings
+from tarragonlb.server.stop import ServerStop, Stage
 
 # Refused connections that may be open at once, beyond those that are served.
 MAX_REFUSALS = 16
@@ -37,26 +38,19 @@
     application: Any,
     addresses: Collection[str],
     settings: ServerSettings,
-    stopped: trio.Event,
+    stop: ServerStop,
 ) -> None:
-    """Serve on the addresses (``ip:port``) until ``stopped`` is set.
+    """Serve on the addresses (``ip:port``) until the end of a stop.
 
-    Requests in progress may then take ``stop_seconds``.  No connection and no
-    address makes this raise; an address that is taken is tried again.
+    Whatever has been read by then is answered, unless its client does not read
+    its answers.  No connection and no address makes this raise; an address that
+    is taken is tried again.
     """
-    config = hypercorn.Config()
-    config.accesslog = None
-    config.errorlog = None
-    service = Service(
-        application=ASGIWrapper(application),
-        settings=settings,
-        config=config,
-        context=WorkerContext(None),
-        lingering=trio.Semaphore(settings.max_lingering),
-    )
     unique = sorted(set(addresses))
+    room = ServerRoom(settings, unique)
     async with trio.open_nursery() as connections:
-        gate = Gate(service, ServerRoom(settings, unique), connections)
+        service = build_service(application, settings, stop)
+        gate = Gate(service, room, connections)
         async with trio.open_nursery() as listeners:
             for address in unique:
                 listener = Listener(
@@ -66,12 +60,46 @@
                     gate.free_descriptor,
                 )
                 listeners.start_soon(listener.run)
-            await stopped.wait()
+            await pass_stages(stop, settings, room)
             listeners.cancel_scope.cancel()
-        await gate.close()
-        connections.cancel_scope.deadline = (
-            trio.current_time() + settings.stop_seconds
-        )
+        for connection in room.list_open():
+            connection.finish()
+        connections.cancel_scope.deadline = await stop.wait()
+
+
+def build_service(
+    application: Any, settings: ServerSettings, stop: ServerStop
+) -> Service:
+    """Return what all connections of a server share."""
+    config = hypercorn.Config()
+    config.accesslog = None
+    config.errorlog = None
+    return Service(
+        application=ASGIWrapper(application),
+        settings=settings,
+        config=config,
+        context=WorkerContext(None),
+        stop=stop,
+        lingering=trio.Semaphore(settings.max_lingering),
+    )
+
+
+async def pass_stages(
+    stop: ServerStop, settings: ServerSettings, room: ServerRoom
+) -> None:
+    """Go through the stages of a stop until its connections are to close.
+
+    The stages are shorter if less than twice the time of rejecting is left.
+    """
+    left = max(await stop.wait() - trio.current_time(), 0)
+    share = min(left / (2 * settings.reject_seconds), 1)
+    await stop.wait_before_end(share * settings.reject_seconds)
+    stop.stage = Stage.REJECTING
+    await stop.wait_before_end(share * settings.conclude_seconds)
+    stop.stage = Stage.CONCLUDING
+    for connection in room.list_open():
+        connection.conclude()
+    await stop.wait_before_end(share * settings.close_seconds)
 
 
 class Gate:
@@ -115,11 +143,6 @@
         if self._room.evict():
             CONNECTION_METER.count(ConnectionEvent.EVICTED)
 
-    async def close(self) -> None:
-        """Close all connections as soon as they have no request."""
-        await self._service.context.terminated.set()
-        self._room.close_idle()
-
     def _refuse(self, socket: trio.socket.SocketType) -> None:
         CONNECTION_METER.count(ConnectionEvent.REFUSED)
         if self._refusals >= MAX_REFUSALS:
--- a/libs/server/tarragonlb/server/meter.py
+++ b/libs/server/tarragonlb/server/meter.py
@@ -25,6 +25,10 @@
     SLOW_REQUEST = 'slow_request'
     # The client took too long to read a response.
     SLOW_READER = 'slow_reader'
+    # A request was not passed to the application, as the server stops.
+    REJECTED = 'rejected'
+    # A request was answered before it was done, as the server stops.
+    CONCLUDED = 'concluded'
     # It ended before a whole request that had been read was answered.
     UNANSWERED = 'unanswered'
 
--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 as hypercorn parses it, without other protocols on its port."""
 
+from collections.abc import Callable
 from typing import Any, TypeGuard
 
 import h11
@@ -13,6 +14,10 @@
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
 
+from tarragonlb.server.rejection import reject
+from tarragonlb.server.stop import ServerStop, Stage
+
+CONNECTION_HEADER = b'connection'
 FIRST_FINAL_STATUS = 200
 STATUS_NOT_IMPLEMENTED = 501
 STATUS_VERSION_NOT_SUPPORTED = 505
@@ -51,17 +56,32 @@
 
     An upgrade that a client asks for is ignored, as HTTP/1.1 allows; other
     versions and tunnels are refused.  The head of a response leaves together
-    with the beginning of its body.
+    with the beginning of its body, and says if it is the last response: that
+    is so only if nothing behind its request has arrived.
     """
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        """Take what hypercorn's protocol takes."""
+    def __init__(
+        self,
+        *arguments: Any,
+        stop: ServerStop,
+        has_unread: Callable[[], bool],
+        **options: Any,
+    ) -> None:
+        """Take what hypercorn's protocol takes, and the stop of the server.
+
+        ``has_unread`` returns whether bytes wait that were not passed on yet.
+        """
         super().__init__(*arguments, **options)
+        self._stop = stop
+        self._has_unread = has_unread
         self.connection = RequestParser(
             h11.SERVER, self.config.h11_max_incomplete_size
         )
         # Set once no further request may begin on the connection.
         self.is_closing = False
+        # Set once a response was said to be the last, though the client had
+        # not asked for the end of the connection.
+        self.has_announced_end = False
         self._head = b''
         # Set once nothing of the application may reach the client.
         self._is_output_ended = False
@@ -106,15 +126,23 @@
         self.release_parser()
         self.stream = None
         self.send = _drop
+        self._has_unread = _has_nothing
 
     async def stream_send(self, event: Event) -> None:
         """Pass an event of a response to the client."""
         if self._is_output_ended and not isinstance(event, StreamClosed):
             return
         if _is_final(event):
-            headers = [*event.headers, *self.config.response_headers('h11')]
-            if self.keep_alive_requests >= self.config.keep_alive_max_requests:
-                headers.append((b'connection', b'close'))
+            # An error of the application is no reason to drop what follows.
+            headers = [
+                header
+                for header in event.headers
+                if header[0] != CONNECTION_HEADER
+            ]
+            headers.extend(self.config.response_headers('h11'))
+            if self._is_last_response():
+                self.has_announced_end = True
+                headers.append((CONNECTION_HEADER, b'close'))
             await self._send_h11_event(
                 h11.Response(headers=headers, status_code=event.status_code)
             )
@@ -153,8 +181,11 @@
         if request.method == b'CONNECT':
             await self.refuse(STATUS_NOT_IMPLEMENTED)
             return
+        application: Any = self.app
+        if self._stop.stage >= Stage.REJECTING:
+            application = reject
         self.stream = HTTPStream(
-            self.app,
+            application,
             self.config,
             self.context,
             self.task_group,
@@ -176,6 +207,16 @@
         )
         self.keep_alive_requests += 1
 
+    def _is_last_response(self) -> bool:
+        if self.connection.their_state is h11.SEND_BODY:
+            # What follows the rest of the body would be hard to tell from it.
+            return True
+        may_end = (
+            self._stop.stage >= Stage.ANNOUNCING
+            or self.keep_alive_requests >= self.config.keep_alive_max_requests
+        )
+        return may_end and not (self._has_bytes or self._has_unread())
+
     @property
     def _has_bytes(self) -> bool:
         return bool(self.connection.trailing_data[0])
@@ -185,6 +226,11 @@
     """Take the place of ``send`` after the end."""
 
 
+def _has_nothing() -> bool:
+    """Take the place of ``has_unread`` after the end."""
+    return False
+
+
 def _is_final(event: Event) -> TypeGuard[Response]:
     return (
         isinstance(event, Response) and event.status_code >= FIRST_FINAL_STATUS
--- a/libs/server/tarragonlb/server/room.py
+++ b/libs/server/tarragonlb/server/room.py
@@ -23,6 +23,12 @@
     def evict(self) -> None:
         """Close without waiting for the client."""
 
+    def conclude(self) -> None:
+        """Answer the request in progress, whether it is done or not."""
+
+    def finish(self) -> None:
+        """Answer what has been sent, and close."""
+
 
 class AddressRoom:
     """The connections of one address, those without a request in order.
@@ -69,11 +75,9 @@
         oldest.evict()
         return True
 
-    def close_idle(self) -> None:
-        """Close all connections that have no request in progress."""
-        for connection in tuple(self._idle):
-            self.mark_busy(connection)
-            connection.close()
+    def list_open(self) -> tuple[Closeable, ...]:
+        """Return all open connections."""
+        return tuple(self._open)
 
 
 class ServerRoom:
@@ -106,10 +110,13 @@
         rooms = sorted(self.by_address.values(), key=_get_size, reverse=True)
         return any(room.evict() for room in rooms)
 
-    def close_idle(self) -> None:
-        """Close all connections that have no request in progress."""
-        for room in self.by_address.values():
-            room.close_idle()
+    def list_open(self) -> list[Closeable]:
+        """Return the open connections of all addresses."""
+        return [
+            connection
+            for room in self.by_address.values()
+            for connection in room.list_open()
+        ]
 
 
 def _get_size(room: AddressRoom) -> int:
--- a/libs/server/tarragonlb/server/settings.py
+++ b/libs/server/tarragonlb/server/settings.py
@@ -27,8 +27,14 @@
     min_body_bytes_per_second: int = 4096
     # A client must take a part of a response within this.
     write_seconds: float = 10
-    # Requests in progress may take this long when the server stops.
-    stop_seconds: float = 1
+    # The application does nothing about a request before all of it arrived.
+    needs_whole_requests: bool = False
+    # A server that stops rejects new requests for this long before its end,
+    # answers all requests in progress this long before it, and closes its
+    # connections this long before it.
+    reject_seconds: float = 2
+    conclude_seconds: float = 0.7
+    close_seconds: float = 0.4
     # Pause between two attempts to bind an address.
     retry_seconds: float = 1
     # Pause after an error of accepting a connection.
--- a/libs/telemetry/tarragonlb/telemetry/lifecycle.py
+++ b/libs/telemetry/tarragonlb/telemetry/lifecycle.py
@@ -125,6 +125,14 @@
         if self._stop_pipe is not None:
             os.write(self._stop_pipe, b'.')
 
+    def compute_stop_age(self, now: float) -> float:
+        """Return the seconds since the signal to stop, 0 before it.
+
+        ``now`` is in seconds of ``time.monotonic()``.
+        """
+        stopped_at = self._signals.stopped_at
+        return 0 if stopped_at is None else now - stopped_at
+
     def describe_stop(self) -> End:
         """Return the end of a daemon whose tasks have ended in time."""
         number = self._signals.stop_signal
--- a/libs/telemetry/tarragonlb/telemetry/processsignals.py
+++ b/libs/telemetry/tarragonlb/telemetry/processsignals.py
@@ -40,6 +40,7 @@
         '_descriptor',
         '_pending',
         'stop_signal',
+        'stopped_at',
     )
 
     def __init__(self, descriptor: int) -> None:
@@ -49,6 +50,8 @@
         self._deliver: Callable[[signal.Signals], None] | None = None
         self._pending: dict[signal.Signals, None] = {}
         self.stop_signal: signal.Signals | None = None
+        # When it arrived, in seconds of ``time.monotonic()``.
+        self.stopped_at: float | None = None
 
     def install(self) -> None:
         """Handle all signals that would end the process."""
@@ -82,6 +85,7 @@
                 self._exit(number)
             else:
                 self.stop_signal = number
+                self.stopped_at = time.monotonic()
                 self._begin_stop()
         if self._deliver is None:
             self._pending[number] = None
