Log nothing behind the last line of a process

Operators would see a process that ended without a cause.

The limit of a stop is enforced by a thread of its own. It waited until the queue of lines was empty, wrote the last line, and reported on standard error before it ended the process; the event loop went on logging meanwhile. The log is closed now: it takes no lines once its last ones are being written.

--- a/libs/daemon/tarragonlb/daemon/program.py
+++ b/libs/daemon/tarragonlb/daemon/program.py
@@ -53,7 +53,7 @@
         settings = read_settings(text, str(path), DaemonSettings)
     except (OSError, ValueError, SettingsError) as error:
         return End(ExitCode.INVALID_SETTINGS, f'invalid settings: {error}')
-    lifecycle.attach_log(start_logging(STANDARD_ERROR).drain)
+    lifecycle.attach_log(start_logging(STANDARD_ERROR).close)
     start_metrics()
     lifecycle.begin_run(settings.stop_limit_seconds + STOP_MARGIN_SECONDS)
     trio.run(Process(settings).run, ProcessTasks(lifecycle))
--- a/libs/telemetry/features/lifecycle.feature
+++ b/libs/telemetry/features/lifecycle.feature
@@ -61,6 +61,12 @@
       | can't be cancelled    | stuck at |
       | blocks its event loop | in block |
 
+  # Guards against lines behind the last one, so that the last says nothing of the end.
+  Scenario: Nothing is logged behind the last line of a daemon that still works
+    When a daemon runs whose program logs without end
+    Then it ends with exit code 124
+    And its last log line has exit code 124 and the cause "took too long"
+
   # Guards against a daemon that neither works nor ends, and doesn't say why.
   Scenario: An error is logged at once, and the process ends though a task hangs
     When a daemon runs whose program can't be cancelled and fails
--- a/libs/telemetry/features/steps/lifecycle_steps.py
+++ b/libs/telemetry/features/steps/lifecycle_steps.py
@@ -15,7 +15,7 @@
 LOGGING = """
 from tarragonlb.telemetry.log import Log, start_logging
 def start(lifecycle):
-    lifecycle.attach_log(start_logging(1).drain)
+    lifecycle.attach_log(start_logging(1).close)
     for number in range(20_000):
         Log('program').emit(f'Sentence {number % 100}.', text='x' * 100)
 """
@@ -117,6 +117,18 @@
     os.kill(os.getpid(), signal.SIGTERM)
     block()
 def main(lifecycle): return run(lifecycle, tasks)
+""",
+    'logs without end': LOGGING
+    + EVENT_LOOP
+    + """
+async def tasks(lifecycle):
+    start(lifecycle)
+    os.kill(os.getpid(), signal.SIGTERM)
+    number = 0
+    while True:
+        Log('program').emit(f'Sentence {(number := number + 1)}.')
+        time.sleep(0)
+def main(lifecycle): return run(lifecycle, tasks)
 """,
     "can't be cancelled and fails": EVENT_LOOP
     + """
@@ -129,7 +141,7 @@
             nursery.start_soon(stuck)
             nursery.start_soon(ProcessTasks(lifecycle).run, fail)
 def main(lifecycle):
-    lifecycle.attach_log(start_logging(1).drain)
+    lifecycle.attach_log(start_logging(1).close)
     return run(lifecycle, tasks)
 """,
 }
--- a/libs/telemetry/tarragonlb/telemetry/lifecycle.py
+++ b/libs/telemetry/tarragonlb/telemetry/lifecycle.py
@@ -59,7 +59,7 @@
     """Runs the program of this process and reports how it ends."""
 
     __slots__ = (
-        '_drain',
+        '_close_log',
         '_ending',
         '_list_tasks',
         '_log',
@@ -71,7 +71,7 @@
         """Write the last log line to ``descriptor``."""
         self._signals = signals
         self._log = DirectLog('lifecycle', descriptor)
-        self._drain: Callable[[], None] | None = None
+        self._close_log: Callable[[], None] | None = None
         self._ending = threading.Lock()
         self._list_tasks: Callable[[], Sequence[str]] | None = None
         self._stop_pipe: int | None = None
@@ -95,9 +95,9 @@
             sys.exit(ExitCode.STOPPED)
         self._end(end)
 
-    def attach_log(self, drain: Callable[[], None]) -> None:
-        """Call ``drain`` before the last line, to write the lines before it."""
-        self._drain = drain
+    def attach_log(self, close: Callable[[], None]) -> None:
+        """Call ``close`` before the last line, after which none may follow."""
+        self._close_log = close
 
     def attach_tasks(self, list_tasks: Callable[[], Sequence[str]]) -> None:
         """Call ``list_tasks`` to report what runs when a stop takes too long.
@@ -179,8 +179,8 @@
     def _report(self, end: End) -> None:
         self._signals.hold(_ignore)
         self._signals.detach()
-        if self._drain:
-            self._drain()
+        if self._close_log:
+            self._close_log()
         self._log.emit(
             'Process ended.',
             exit_code=end.code,
--- a/libs/telemetry/tarragonlb/telemetry/log.py
+++ b/libs/telemetry/tarragonlb/telemetry/log.py
@@ -16,7 +16,7 @@
 def start_logging(descriptor: int) -> LineSink:
     """Write all log lines of this process to a file descriptor.
 
-    The caller has to drain the returned sink before the process exits.
+    The caller has to close the returned sink before the process exits.
     """
     sink = LineSink(LineWriter(descriptor).write, now=time.monotonic)
     sink.start()
--- a/libs/telemetry/tarragonlb/telemetry/sink.py
+++ b/libs/telemetry/tarragonlb/telemetry/sink.py
@@ -42,6 +42,7 @@
     __slots__ = (
         '_counts',
         '_dropped',
+        '_is_closed',
         '_now',
         '_put_bytes',
         '_queue',
@@ -69,10 +70,13 @@
         self._unwritten = 0
         self._unwritten_reason = ''
         self._reported = 0
+        self._is_closed = False
         self._window_started_at = now()
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Queue a message, or count it as dropped."""
+        if self._is_closed:
+            return
         now = self._now()
         if now - self._window_started_at >= RATE_WINDOW_SECONDS:
             self._window_started_at = now
@@ -87,8 +91,12 @@
         """Start the writing thread."""
         threading.Thread(target=self._write_lines, daemon=True).start()
 
-    def drain(self) -> None:
-        """Wait until all lines are written, at most ``DRAIN_SECONDS``."""
+    def close(self) -> None:
+        """Take no more lines, and wait until those taken are written.
+
+        What takes longer than ``DRAIN_SECONDS`` is left out.
+        """
+        self._is_closed = True
         deadline = self._now() + DRAIN_SECONDS
         while self._queue.unfinished_tasks and self._now() < deadline:
             time.sleep(DRAIN_STEP_SECONDS)
