End a connection together with its last response

After the last response the end was written by another task, some turns of the event loop later; on a busy daemon these take hundreds of milliseconds, while a client goes on sending. The last response is held back until it is whole now, and leaves with the end of our side in one step, right after the look for unread bytes. What a client sends after that is not read, and it learns so at once.

--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -5,8 +5,11 @@
 connection and nothing else.
 """
 
+import contextlib
 import math
+import os
 import select
+import socket
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
@@ -19,7 +22,7 @@
 from tarragonlb.server.boundary import Boundary
 from tarragonlb.server.exchange import RequestTasks
 from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
-from tarragonlb.server.protocol import HttpProtocol
+from tarragonlb.server.protocol import HttpProtocol, LastData
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 from tarragonlb.server.stop import ServerStop
@@ -93,6 +96,21 @@
             self._lock.release()
             self.is_broken = self.is_broken or not is_complete
 
+    async def write_last(self, content: bytes) -> None:
+        """Write all bytes and end our side of the stream behind them.
+
+        If possible no other task runs in between, so that a client learns at
+        once whether what it sends meanwhile is read.
+        """
+        sent = 0
+        if isinstance(self.stream, trio.SocketStream) and not self.is_broken:
+            with contextlib.suppress(OSError):
+                sent = os.write(self.stream.socket.fileno(), content)
+                if sent == len(content):
+                    self.stream.socket.shutdown(socket.SHUT_WR)
+        if sent < len(content):
+            await self.write(content[sent:])
+
     async def end(self, seconds: float) -> None:
         """Let the client read what was written before the stream closes.
 
@@ -319,7 +337,9 @@
 
     async def _handle(self, event: Event) -> None:
         """Carry out what the protocol wants."""
-        if isinstance(event, RawData):
+        if isinstance(event, LastData):
+            await self._transport.write_last(event.data)
+        elif isinstance(event, RawData):
             await self._transport.write(event.data)
             if self._transport.is_broken:
                 self.close()
--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -18,6 +18,8 @@
 from tarragonlb.server.stop import ServerStop, Stage
 
 CONNECTION_HEADER = b'connection'
+# Of a last response, beyond which its parts leave one by one.
+MAX_HELD_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
 STATUS_NOT_IMPLEMENTED = 501
 STATUS_VERSION_NOT_SUPPORTED = 505
@@ -27,6 +29,10 @@
 ENDED_PARSER.send_failed()
 
 
+class LastData(RawData):
+    """The end of the last response of a connection."""
+
+
 class RequestParser(h11.Connection):
     """A parser whose errors don't keep it in memory.
 
@@ -82,7 +88,8 @@
         # Set once a response was said to be the last, though the client had
         # not asked for the end of the connection.
         self.has_announced_end = False
-        self._head = b''
+        # Encoded parts of a response that have not left yet.
+        self._held = b''
         # Set once nothing of the application may reach the client.
         self._is_output_ended = False
 
@@ -160,13 +167,19 @@
             if self.connection.their_state is not h11.ERROR:
                 raise
             return
+        self._held += encoded
         if isinstance(event, h11.Response):
-            self._head = encoded
             return
-        encoded = self._head + encoded
-        self._head = b''
-        if encoded:
-            await self.send(RawData(encoded))
+        is_end = isinstance(event, h11.EndOfMessage)
+        # The last response leaves together with the end of the connection.
+        is_last = self.has_announced_end and len(self._held) <= MAX_HELD_BYTES
+        if is_last and not is_end:
+            return
+        held, self._held = self._held, b''
+        if is_last:
+            await self.send(LastData(held))
+        elif held:
+            await self.send(RawData(held))
 
     async def _check_protocol(self, event: h11.Request) -> None:
         """Accept all requests; ``_create_stream`` refuses some."""
