Name all requests that a stop answers in few lines of the log

A line now names up to 25 requests with their paths, and what is left is written when the server ends.

The test reads the paths from the list; it still asks for each of them.

--- a/libs/server/features/serverharness.py
+++ b/libs/server/features/serverharness.py
@@ -15,6 +15,7 @@
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 from tarragonlb.server.stop import ServerStop, Stage
+from tarragonlb.server.stopanswers import StopAnswers
 
 HOST = '127.0.0.1'
 SETTINGS = ServerSettings(
@@ -104,6 +105,7 @@
         config=config,
         context=WorkerContext(None),
         stop=ServerStop(),
+        stop_answers=StopAnswers(),
         lingering=trio.Semaphore(settings.max_lingering),
     )
 
--- a/libs/server/features/steps/stop_steps.py
+++ b/libs/server/features/steps/stop_steps.py
@@ -11,7 +11,6 @@
     HOST,
     connect,
     find_port,
-    list_sentences,
     open_connection,
     read_all,
     run_server,
@@ -95,25 +94,48 @@
 
 @then('a line says that "{path}" ends without an answer')
 def check_unanswered(context, path):
-    check_line(context, 'server: A request ends without an answer.', path)
+    lines = find_lines(context, 'A request ends without an answer.')
+    assert [line['path'] for line in lines] == [path], lines
 
 
-@then('a line says that "{path}" was answered before it was done')
-def check_concluded(context, path):
-    check_line(
-        context,
-        'server: Request answered before it was done, as the server stops.',
-        path,
+@then('a line says that "{request}" was answered before it was done')
+def check_concluded(context, request):
+    lines = find_lines(
+        context, 'Requests answered before they were done, as the server stops.'
     )
+    assert [line['requests'] for line in lines] == [[request]], lines
 
 
-def check_line(context, sentence, path):
-    paths = [
-        line['path']
+def find_lines(context, sentence):
+    sentences = [line.get('sentence') for line in context.lines]
+    assert f'server: {sentence}' in sentences, sentences
+    return [
+        line
         for line in context.lines
-        if line.get('sentence') == sentence
+        if line.get('sentence') == f'server: {sentence}'
     ]
-    assert paths == [path], (paths, list_sentences(context.lines))
+
+
+@when('{count:d} requests come while new ones are rejected')
+def send_rejected(context, count):
+    async def main(application):
+        async with open_client(application) as (stop, stream):
+            begin(stop)
+            await wait_for(stop, Stage.REJECTING)
+            requests = [GET % (b'%d' % number) for number in range(count)]
+            await stream.send_all(b''.join(requests))
+            context.response = await read_all(stream)
+
+    run(context, main)
+
+
+@then('{count:d} lines name the {named:d} rejected requests')
+def check_rejected(context, count, named):
+    lines = find_lines(context, 'Requests rejected, as the server stops.')
+    requests = [request for line in lines for request in line['requests']]
+    assert requests == [f'GET /{number}' for number in range(named)], requests
+    assert len(lines) == count, len(lines)
+    assert list_statuses(context) == ['503'] * named
 
 
 @when('3 requests come at once and the first is done {moment}')
--- a/libs/server/features/stopping.feature
+++ b/libs/server/features/stopping.feature
@@ -26,13 +26,13 @@
     When a <request> is not done when the server stops
     Then the response has status <status>
     And its connection is closed
-    And a line says that "/wait" was answered before it was done
+    And a line says that "<line>" was answered before it was done
 
     Examples:
-      | request                     | status |
-      | GET request                 | 503    |
-      | POST request                | 504    |
-      | POST request without an end | 503    |
+      | request                     | status | line           |
+      | GET request                 | 503    | GET /wait 503  |
+      | POST request                | 504    | POST /wait 504 |
+      | POST request without an end | 503    | POST /wait 503 |
 
   # Guards against a client that sends more, as no response says that it is the last.
   Scenario Outline: A response says whether it is the last of its connection
@@ -70,3 +70,8 @@
     When a client has sent half a head when the server ends
     Then the response has status 503
     And its connection is closed
+
+  # Guards against requests that no line names, as a stop rejects many at once.
+  Scenario: The log names all requests that a stop rejects, many in a line
+    When 60 requests come while new ones are rejected
+    Then 3 lines name the 60 rejected requests
--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -26,6 +26,7 @@
 from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 from tarragonlb.server.stop import ServerStop
+from tarragonlb.server.stopanswers import StopAnswers
 
 MAX_RECEIVE_BYTES = 8192
 # A client that takes less than this within ``write_seconds`` is too slow.
@@ -50,6 +51,7 @@
     config: hypercorn.Config
     context: WorkerContext
     stop: ServerStop
+    stop_answers: StopAnswers
     # Places for connections that wait for their clients to read a refusal.
     lingering: trio.Semaphore
 
@@ -233,7 +235,10 @@
 
     async def _serve(self, nursery: trio.Nursery) -> None:
         self._tasks = RequestTasks(
-            nursery, self._client[0], self._service.settings
+            nursery,
+            self._client[0],
+            self._service.settings,
+            self._service.stop_answers,
         )
         # Types of hypercorn's tasks say more than its protocol calls.
         tasks: Any = self._tasks
@@ -248,6 +253,7 @@
             server=self._server,
             send=self._handle,
             stop=self._service.stop,
+            stop_answers=self._service.stop_answers,
             has_unread=self._transport.has_unread,
         )
         self._protocol = protocol
--- a/libs/server/tarragonlb/server/exchange.py
+++ b/libs/server/tarragonlb/server/exchange.py
@@ -14,8 +14,8 @@
 
 from tarragonlb.server.boundary import Boundary
 from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
-from tarragonlb.server.rejection import conclude
 from tarragonlb.server.settings import ServerSettings
+from tarragonlb.server.stopanswers import StopAnswers
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('server')
@@ -77,16 +77,22 @@
         '_nursery',
         '_parts',
         '_settings',
+        '_stop_answers',
         '_unanswered',
     )
 
     def __init__(
-        self, nursery: trio.Nursery, client: str, settings: ServerSettings
+        self,
+        nursery: trio.Nursery,
+        client: str,
+        settings: ServerSettings,
+        stop_answers: StopAnswers,
     ) -> None:
         """Run requests in ``nursery``."""
         self._nursery = nursery
         self._client = client
         self._settings = settings
+        self._stop_answers = stop_answers
         self._parts: RequestParts | None = None
         # Ends the application's work on the request in progress.
         self._unanswered = trio.CancelScope()
@@ -147,7 +153,7 @@
                 parts.completed_at is not None
                 or not self._settings.needs_whole_requests
             )
-            await conclude(scope, send, has_begun=has_begun)
+            await self._stop_answers.conclude(scope, send, has_begun=has_begun)
         # Answers 500 unless the application has begun a response.
         await send(None)
 
--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -25,6 +25,7 @@
 from tarragonlb.server.room import ServerRoom
 from tarragonlb.server.settings import ServerSettings
 from tarragonlb.server.stop import ServerStop, Stage
+from tarragonlb.server.stopanswers import StopAnswers
 
 # Refused connections that may be open at once, beyond those that are served.
 MAX_REFUSALS = 16
@@ -48,8 +49,8 @@
     """
     unique = sorted(set(addresses))
     room = ServerRoom(settings, unique)
+    service = build_service(application, settings, stop)
     async with trio.open_nursery() as connections:
-        service = build_service(application, settings, stop)
         gate = Gate(service, room, connections)
         async with trio.open_nursery() as listeners:
             for address in unique:
@@ -65,6 +66,7 @@
         for connection in room.list_open():
             connection.finish()
         connections.cancel_scope.deadline = await stop.wait()
+    service.stop_answers.flush()
 
 
 def build_service(
@@ -80,6 +82,7 @@
         config=config,
         context=WorkerContext(None),
         stop=stop,
+        stop_answers=StopAnswers(),
         lingering=trio.Semaphore(settings.max_lingering),
     )
 
--- a/libs/server/tarragonlb/server/protocol.py
+++ b/libs/server/tarragonlb/server/protocol.py
@@ -14,8 +14,8 @@
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
 
-from tarragonlb.server.rejection import reject
 from tarragonlb.server.stop import ServerStop, Stage
+from tarragonlb.server.stopanswers import StopAnswers
 
 CONNECTION_HEADER = b'connection'
 # Of a last response, beyond which its parts leave one by one.
@@ -70,15 +70,17 @@
         self,
         *arguments: Any,
         stop: ServerStop,
+        stop_answers: StopAnswers,
         has_unread: Callable[[], bool],
         **options: Any,
     ) -> None:
-        """Take what hypercorn's protocol takes, and the stop of the server.
+        """Take what hypercorn's protocol takes, and how the server stops.
 
         ``has_unread`` returns whether bytes wait that were not passed on yet.
         """
         super().__init__(*arguments, **options)
         self._stop = stop
+        self._stop_answers = stop_answers
         self._has_unread = has_unread
         self.connection = RequestParser(
             h11.SERVER, self.config.h11_max_incomplete_size
@@ -196,7 +198,7 @@
             return
         application: Any = self.app
         if self._stop.stage >= Stage.REJECTING:
-            application = reject
+            application = self._stop_answers.reject
         self.stream = HTTPStream(
             application,
             self.config,
