Read what has arrived before a connection is closed or said to end

Three ways in which a request was read and dropped, or never read:

- Bytes that trio had taken from the socket, and would return a turn later, were seen neither by the parser nor by the look for unread bytes, so the response in front of them was said to be the last.
- A connection that made room in the turn in which its client had sent a request read it and dropped it (24 of 60).

Bytes are read in the turn that handles them, a last look may read, and a connection with unread bytes makes no room.

--- a/libs/server/tarragonlb/server/connection.py
+++ b/libs/server/tarragonlb/server/connection.py
@@ -98,6 +98,24 @@
             self._lock.release()
             self.is_broken = self.is_broken or not is_complete
 
+    async def receive(self) -> bytes:
+        """Return the next bytes of the client, none after its end.
+
+        They are read by the turn that handles them: until then ``has_unread``
+        tells of them, which a receiving method of trio would not allow.
+        """
+        stream = self.stream
+        if not isinstance(stream, trio.SocketStream):
+            return bytes(await stream.receive_some(MAX_RECEIVE_BYTES))
+        while True:
+            await trio.lowlevel.wait_readable(stream.socket)
+            try:
+                return os.read(stream.socket.fileno(), MAX_RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise trio.BrokenResourceError from error
+
     async def write_last(self, content: bytes) -> None:
         """Write all bytes and end our side of the stream behind them.
 
@@ -160,6 +178,7 @@
         '_is_closing',
         '_is_ended_by_client',
         '_is_finishing',
+        '_is_last_look',
         '_limit',
         '_protocol',
         '_received_bytes',
@@ -197,6 +216,7 @@
         self._protocol: HttpProtocol | None = None
         self._is_ended_by_client = False
         self._is_finishing = False
+        self._is_last_look = False
         self._tasks: RequestTasks | None = None
 
     async def run(self) -> None:
@@ -218,6 +238,10 @@
             self._protocol.is_closing = True
         self._limit.cancel()
 
+    def has_unread(self) -> bool:
+        """Return whether bytes of the client, or its end, wait to be read."""
+        return self._transport.has_unread()
+
     def evict(self) -> None:
         """Close without waiting for the client."""
         self._eviction.cancel()
@@ -302,11 +326,15 @@
             await self._read_part(protocol)
 
     async def _read_part(self, protocol: HttpProtocol) -> None:
-        stream = self._transport.stream
-        self._limit = trio.CancelScope(deadline=self._choose_deadline(protocol))
+        deadline = self._choose_deadline(protocol)
+        if self._is_last_look:
+            # A scope whose deadline has passed would not let it read.
+            deadline = max(deadline, trio.current_time() + LAST_READ_SECONDS)
+            self._is_last_look = False
+        self._limit = trio.CancelScope(deadline=deadline)
         with self._limit:
             try:
-                received = await stream.receive_some(MAX_RECEIVE_BYTES)
+                received = await self._transport.receive()
             except GONE_ERRORS:
                 self._transport.is_broken = True
                 self._is_closing = True
@@ -314,7 +342,7 @@
         if self._limit.cancelled_caught:
             await self._handle_limit(protocol)
             return
-        await self._receive(protocol, bytes(received))
+        await self._receive(protocol, received)
 
     async def _receive(self, protocol: HttpProtocol, received: bytes) -> None:
         if self._request_since is None:
@@ -325,8 +353,11 @@
         await protocol.handle(RawData(received))
 
     async def _handle_limit(self, protocol: HttpProtocol) -> None:
-        if self._is_closing or self._transport.has_unread():
+        if self._is_closing:
+            return
+        if self._transport.has_unread():
             # What has arrived in time is read, however late this runs.
+            self._is_last_look = True
             return
         if protocol.is_receiving:
             await self._refuse(protocol)
--- a/libs/server/tarragonlb/server/room.py
+++ b/libs/server/tarragonlb/server/room.py
@@ -8,11 +8,15 @@
 True
 """
 
+import itertools
 from collections.abc import Collection
 from typing import Protocol
 
 from tarragonlb.server.settings import ServerSettings
 
+# Idle connections that are looked at to close one.
+MAX_EVICTION_LOOKS = 16
+
 
 class Closeable(Protocol):
     """A connection that can be told to close."""
@@ -20,6 +24,9 @@
     def close(self) -> None:
         """Begin no further request, and stop reading."""
 
+    def has_unread(self) -> bool:
+        """Return whether bytes of the client wait to be read."""
+
     def evict(self) -> None:
         """Close without waiting for the client."""
 
@@ -67,13 +74,16 @@
         self._idle.pop(connection, None)
 
     def evict(self) -> bool:
-        """Close the connection that is idle longest, if there is one."""
-        oldest = next(iter(self._idle), None)
-        if oldest is None:
-            return False
-        self.mark_busy(oldest)
-        oldest.evict()
-        return True
+        """Close the connection that is idle longest, if there is one.
+
+        One whose client has sent something is not idle any more.
+        """
+        for oldest in itertools.islice(self._idle, MAX_EVICTION_LOOKS):
+            if not oldest.has_unread():
+                self.mark_busy(oldest)
+                oldest.evict()
+                return True
+        return False
 
     def list_open(self) -> tuple[Closeable, ...]:
         """Return all open connections."""
