Conclude requests without cutting the answers that are ready

The cancellation met the application's write: half of a response counted as begun, and the answer of the server failed.

A response leaves only when its body begins, and once a request is to be concluded what the application still says is held until it ends: whole, it is its answer, otherwise the server answers.

A request without an end on which the application acts, as a DELETE with a body, may have run (504 instead of 503). Which methods have no effect is a setting, as calls to endpoints of other services may have one. The answers have the header of the verdict.

--- a/libs/server/features/serverharness.py
+++ b/libs/server/features/serverharness.py
@@ -105,7 +105,7 @@
         config=config,
         context=WorkerContext(None),
         stop=ServerStop(),
-        stop_answers=StopAnswers(),
+        stop_answers=StopAnswers(settings),
         lingering=trio.Semaphore(settings.max_lingering),
     )
 
--- a/libs/server/features/steps/stop_steps.py
+++ b/libs/server/features/steps/stop_steps.py
@@ -1,9 +1,12 @@
 """Steps for requests around the stop of a server."""
 
 import re
+import time
 from contextlib import asynccontextmanager
+from unittest.mock import patch
 
 import trio
+import trio.testing
 from behave import then, when
 from connection_steps import run
 from serverharness import (
@@ -16,6 +19,8 @@
     run_server,
 )
 
+from tarragonlb.server.connection import Connection
+from tarragonlb.server.room import AddressRoom
 from tarragonlb.server.settings import ServerSettings
 from tarragonlb.server.stop import ServerStop, Stage
 
@@ -25,6 +30,7 @@
 SETTINGS = ServerSettings(
     max_connections=100,
     needs_whole_requests=True,
+    safe_methods=frozenset(('GET',)),
     reject_seconds=1,
     conclude_seconds=0.6,
     close_seconds=0.2,
@@ -254,3 +260,118 @@
             context.closed = True
 
     run(context, main)
+
+
+@when(
+    'the application can answer in the turn in which all requests are answered'
+)
+def answer_at_conclusion(context):
+    async def main(application):
+        conclude = Connection.conclude
+
+        def release_and_conclude(connection):
+            application.released.set()
+            conclude(connection)
+
+        with patch.object(Connection, 'conclude', release_and_conclude):
+            async with open_client(application) as (stop, stream):
+                await stream.send_all(REQUESTS['POST request'])
+                await application.begun.wait()
+                begin(stop)
+                context.response = await read_all(stream)
+
+    run(context, main)
+
+
+@then('no line says that a request was answered before it was done')
+def check_none_concluded(context):
+    sentences = [line.get('sentence', '') for line in context.lines]
+    assert not [text for text in sentences if 'before' in text], sentences
+
+
+@when(
+    'a POST request without an end is not done and not waited for when the '
+    'server stops'
+)
+def leave_begun(context):
+    async def main(application):
+        async with open_client(application) as (stop, stream):
+            await stream.send_all(REQUESTS['POST request without an end'])
+            await application.begun.wait()
+            begin(stop)
+            context.response = await read_all(stream)
+
+    run(context, main)
+
+
+@asynccontextmanager
+async def open_idle(application, room):
+    """Serve a connection over sockets that has had one request."""
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        address = listeners[0].socket.getsockname()
+        ours = await trio.open_tcp_stream(*address)
+        theirs = await listeners[0].accept()
+        open_connection(nursery, application, (ours, theirs), room=room)
+        await ours.send_all(GET % b'a')
+        await read_response(ours)
+        await trio.testing.wait_all_tasks_blocked()
+        yield ours
+
+
+@when('a request arrives in the turn in which its idle connection is to close')
+def arrive_at_limit(context):
+    async def main(application):
+        room = AddressRoom()
+        async with open_idle(application, room) as stream:
+            await stream.send_all(GET % b'b')
+            # As the limit of time does.
+            for connection in room.list_open():
+                connection._idle_since -= 60
+                connection._limit.cancel()
+            context.response = await read_response(stream)
+            await stream.aclose()
+
+    run(context, main)
+
+
+@when('room is made in the turn in which a request arrives')
+def evict_at_arrival(context):
+    async def main(application):
+        room = AddressRoom()
+        async with open_idle(application, room) as stream:
+            await stream.send_all(GET % b'b')
+            room.evict()
+            context.response = await read_response(stream)
+            await stream.aclose()
+
+    run(context, main)
+
+
+def block(seconds):
+    time.sleep(seconds)
+
+
+@when(
+    '6 requests come at once and the event loop stands still over all stages '
+    'but the last'
+)
+def be_late(context):
+    async def main(application):
+        async with open_client(application) as (stop, stream):
+            await stream.send_all(GET % b'wait' + 5 * (GET % b'b'))
+            await application.begun.wait()
+            begin(stop)
+            await trio.sleep(0.1)
+            # Until 0.1 s before the end.
+            block(STOP_SECONDS - 0.2)
+            context.response = await read_all(stream)
+
+    run(context, main)
+
+
+@then('they get {count:d} responses, the last with "{header}"')
+def check_count(context, count, header):
+    assert len(list_statuses(context)) == count, context.response
+    last = context.response.rpartition(b'HTTP/1.1')[2]
+    assert header.encode() in last, context.response
--- a/libs/server/features/stopping.feature
+++ b/libs/server/features/stopping.feature
@@ -75,3 +75,29 @@
   Scenario: The log names all requests that a stop rejects, many in a line
     When 60 requests come while new ones are rejected
     Then 3 lines name the 60 rejected requests
+
+  # Guards against an answer that is cut, as its request is concluded in the same turn.
+  Scenario: An answer that is ready as its request is concluded reaches the client
+    When the application can answer in the turn in which all requests are answered
+    Then the response has status 200
+    And no line says that a request was answered before it was done
+
+  # Guards against a "not run" for a request on which the application acts before its end.
+  Scenario: A request without an end that the application acts on may have run
+    When a POST request without an end is not done and not waited for when the server stops
+    Then the response has status 504
+
+  # Guards against a limit of time that neither reads what has arrived nor ends, and spins.
+  Scenario: A request that arrives at the limit of an idle connection is answered
+    When a request arrives in the turn in which its idle connection is to close
+    Then the response has status 200
+
+  # Guards against a request that is read from a connection that makes room for another.
+  Scenario: A connection whose client has sent a request makes no room for another
+    When room is made in the turn in which a request arrives
+    Then the response has status 200
+
+  # Guards against the requests of a slow event loop, for which all stages come at once.
+  Scenario: Requests behind another one are answered by a server that is late for its stages
+    When 6 requests come at once and the event loop stands still over all stages but the last
+    Then they get 6 responses, the last with "connection: close"
--- a/libs/server/tarragonlb/server/exchange.py
+++ b/libs/server/tarragonlb/server/exchange.py
@@ -21,6 +21,7 @@
 LOG = Log('server')
 MAX_QUEUED_PARTS = 10
 DISCONNECT = 'http.disconnect'
+RESPONSE_START = 'http.response.start'
 
 Message: TypeAlias = dict[str, Any]
 Send: TypeAlias = Callable[[Any], Awaitable[None]]
@@ -29,7 +30,13 @@
 class RequestParts:
     """The messages of one request that the application has yet to take."""
 
-    __slots__ = ('_changed', '_is_over', '_messages', 'completed_at')
+    __slots__ = (
+        '_changed',
+        '_is_over',
+        '_messages',
+        'completed_at',
+        'is_awaited',
+    )
 
     def __init__(self) -> None:
         """Start without messages."""
@@ -38,6 +45,9 @@
         self._is_over = False
         # When the whole request had arrived, None before.
         self.completed_at: float | None = None
+        # Whether the application waits for the rest of the request, or was
+        # cancelled while it did.
+        self.is_awaited = False
 
     def end(self) -> None:
         """Tell the application after the last message that nothing follows."""
@@ -63,7 +73,9 @@
             if self._is_over:
                 await trio.lowlevel.checkpoint()
                 return {'type': DISCONNECT}
+            self.is_awaited = True
             await self._changed.park()
+            self.is_awaited = False
         self._changed.unpark_all()
         return self._messages.popleft()
 
@@ -73,9 +85,9 @@
 
     __slots__ = (
         '_client',
-        '_is_begun',
         '_nursery',
         '_parts',
+        '_response',
         '_settings',
         '_stop_answers',
         '_unanswered',
@@ -96,8 +108,7 @@
         self._parts: RequestParts | None = None
         # Ends the application's work on the request in progress.
         self._unanswered = trio.CancelScope()
-        # Whether the application has begun its response.
-        self._is_begun = False
+        self._response: HeldResponse | None = None
 
     def end_request(self) -> None:
         """Tell the application that the client has gone."""
@@ -106,7 +117,7 @@
 
     def conclude(self) -> None:
         """Let no request wait longer for a response of the application."""
-        if not self._is_begun:
+        if self._response is None or not self._response.has_left:
             self._unanswered.cancel()
 
     async def spawn_app(
@@ -115,7 +126,7 @@
         """Start the application; return the function that passes messages."""
         self._parts = RequestParts()
         self._unanswered = trio.CancelScope()
-        self._is_begun = False
+        self._response = None
         self._nursery.start_soon(
             self._serve_request, app, scope, self._parts, send
         )
@@ -133,33 +144,65 @@
             await self._run_application(app, scope, parts, send)
             is_answered = True
         finally:
+            # It refers to the connection, which would stay in memory.
+            self._response = None
             if not (is_answered or parts.completed_at is None):
                 _note_unanswered(scope, parts.completed_at)
 
     async def _run_application(
         self, app: Any, scope: Any, parts: RequestParts, send: Send
     ) -> None:
+        response = HeldResponse(send)
+        self._response = response
         with self._unanswered as unanswered, Boundary(self._client):
             await app(
                 scope,
                 parts.receive,
-                partial(self._begin_and_send, send),
+                partial(response.send, unanswered),
                 trio.to_thread.run_sync,
                 trio.from_thread.run,
             )
         parts.end()
         if unanswered.cancelled_caught:
-            has_begun = (
-                parts.completed_at is not None
-                or not self._settings.needs_whole_requests
+            has_begun = not (
+                parts.is_awaited and self._settings.needs_whole_requests
             )
             await self._stop_answers.conclude(scope, send, has_begun=has_begun)
+        else:
+            await response.release()
         # Answers 500 unless the application has begun a response.
         await send(None)
 
-    async def _begin_and_send(self, send: Send, message: Any) -> None:
-        self._is_begun = True
-        await send(message)
+
+class HeldResponse:
+    """A response of the application, of which nothing leaves too early.
+
+    Its head waits for the first part of its body.  Once the request is to be
+    concluded, the rest waits for the end of the application: a cancellation in
+    the middle of a write would leave half a response.
+    """
+
+    __slots__ = ('_held', '_send', 'has_left')
+
+    def __init__(self, send: Send) -> None:
+        """Pass messages on to ``send``."""
+        self._send = send
+        self._held: list[Any] = []
+        self.has_left = False
+
+    async def send(self, unanswered: trio.CancelScope, message: Any) -> None:
+        """Take a message of the application."""
+        self._held.append(message)
+        is_early = message['type'] == RESPONSE_START
+        if not (is_early or unanswered.cancel_called):
+            await self.release()
+
+    async def release(self) -> None:
+        """Pass on what was held back."""
+        held, self._held = self._held, []
+        for message in held:
+            self.has_left = True
+            await self._send(message)
 
 
 def _note_unanswered(scope: Any, completed_at: float) -> None:
--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -29,6 +29,8 @@
 
 # Refused connections that may be open at once, beyond those that are served.
 MAX_REFUSALS = 16
+# Turns of the event loop in which each stage of a stop can take effect.
+STAGE_TURNS = 50
 REFUSAL = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
@@ -65,6 +67,7 @@
             listeners.cancel_scope.cancel()
         for connection in room.list_open():
             connection.finish()
+        await give_turns()
         connections.cancel_scope.deadline = await stop.wait()
     service.stop_answers.flush()
 
@@ -82,11 +85,17 @@
         config=config,
         context=WorkerContext(None),
         stop=stop,
-        stop_answers=StopAnswers(),
+        stop_answers=StopAnswers(settings),
         lingering=trio.Semaphore(settings.max_lingering),
     )
 
 
+async def give_turns() -> None:
+    """Let all other tasks run, also if the event loop is late for a stage."""
+    for _ in range(STAGE_TURNS):
+        await trio.lowlevel.checkpoint()
+
+
 async def pass_stages(
     stop: ServerStop, settings: ServerSettings, room: ServerRoom
 ) -> None:
@@ -98,10 +107,12 @@
     share = min(left / (2 * settings.reject_seconds), 1)
     await stop.wait_before_end(share * settings.reject_seconds)
     stop.stage = Stage.REJECTING
+    await give_turns()
     await stop.wait_before_end(share * settings.conclude_seconds)
     stop.stage = Stage.CONCLUDING
     for connection in room.list_open():
         connection.conclude()
+    await give_turns()
     await stop.wait_before_end(share * settings.close_seconds)
 
 
--- a/libs/server/tarragonlb/server/settings.py
+++ b/libs/server/tarragonlb/server/settings.py
@@ -27,14 +27,16 @@
     min_body_bytes_per_second: int = 4096
     # A client must take a part of a response within this.
     write_seconds: float = 10
-    # The application does nothing about a request before all of it arrived.
+    # An application that waits for the rest of a request has not begun it.
     needs_whole_requests: bool = False
+    # Requests with these methods have no effect.
+    safe_methods: frozenset[str] = frozenset()
     # A server that stops rejects new requests for this long before its end,
     # answers all requests in progress this long before it, and closes its
     # connections this long before it.
-    reject_seconds: float = 2
-    conclude_seconds: float = 0.7
-    close_seconds: float = 0.4
+    reject_seconds: float = 2.5
+    conclude_seconds: float = 1.2
+    close_seconds: float = 0.5
     # Pause between two attempts to bind an address.
     retry_seconds: float = 1
     # Pause after an error of accepting a connection.
--- a/libs/server/tarragonlb/server/stopanswers.py
+++ b/libs/server/tarragonlb/server/stopanswers.py
@@ -8,16 +8,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from tarragonlb.model.verdict import Verdict
 from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
+from tarragonlb.server.settings import ServerSettings
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('server')
 STATUS_UNAVAILABLE = 503
 STATUS_UNCLEAR = 504
 RETRY_AFTER_SECONDS = 1
-SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
-NOT_RUN = b'{"error":"stopping, not run"}'
-MAY_HAVE_RUN = b'{"error":"stopping, may have run"}'
+VERDICT_HEADER = b'tarragon-verdict'
 # Requests of one line: a stop ends thousands at once, and the log is bounded.
 REQUESTS_PER_LINE = 25
 
@@ -27,10 +27,11 @@
 class StopAnswers:
     """The answers that one server gives for its application."""
 
-    __slots__ = ('_concluded', '_rejected')
+    __slots__ = ('_concluded', '_rejected', '_settings')
 
-    def __init__(self) -> None:
+    def __init__(self, settings: ServerSettings) -> None:
         """Start without requests."""
+        self._settings = settings
         self._rejected: list[str] = []
         self._concluded: list[str] = []
 
@@ -42,7 +43,7 @@
         self._rejected.append(f'{scope["method"]} {scope["path"]}')
         if len(self._rejected) >= REQUESTS_PER_LINE:
             self.flush()
-        await _answer(send, STATUS_UNAVAILABLE, NOT_RUN)
+        await _answer(send, STATUS_UNAVAILABLE, Verdict.NOT_RUN)
 
     async def conclude(
         self, scope: dict[str, Any], send: Send, *, has_begun: bool
@@ -51,13 +52,17 @@
 
         ``has_begun`` says that the application may have acted on it.
         """
-        is_run = has_begun and scope['method'] not in SAFE_METHODS
-        status = STATUS_UNCLEAR if is_run else STATUS_UNAVAILABLE
+        is_safe = scope['method'] in self._settings.safe_methods
+        verdict = Verdict.NOT_RUN
+        status = STATUS_UNAVAILABLE
+        if has_begun and not is_safe:
+            verdict = Verdict.MAY_HAVE_RUN
+            status = STATUS_UNCLEAR
         CONNECTION_METER.count(ConnectionEvent.CONCLUDED)
         self._concluded.append(f'{scope["method"]} {scope["path"]} {status}')
         if len(self._concluded) >= REQUESTS_PER_LINE:
             self.flush()
-        await _answer(send, status, MAY_HAVE_RUN if is_run else NOT_RUN)
+        await _answer(send, status, verdict)
 
     def flush(self) -> None:
         """Log the requests that no line has named yet."""
@@ -75,7 +80,8 @@
         self._concluded = []
 
 
-async def _answer(send: Send, status: int, body: bytes) -> None:
+async def _answer(send: Send, status: int, verdict: Verdict) -> None:
+    body = f'{{"error":"stopping","verdict":"{verdict.value}"}}'.encode()
     await send(
         {
             'type': 'http.response.start',
@@ -83,6 +89,7 @@
             'headers': [
                 (b'content-type', b'application/json'),
                 (b'content-length', b'%d' % len(body)),
+                (VERDICT_HEADER, verdict.value.encode()),
                 (b'retry-after', b'%d' % RETRY_AFTER_SECONDS),
             ],
         }
