--- a/libs/telemetry/tarragonlb/telemetry/sink.py
+++ b/libs/telemetry/tarragonlb/telemetry/sink.py
@@ -52,6 +52,7 @@
         '_unwritten_reason',
         '_window_started_at',
         '_write',
+        '_writing',
     )
 
     def __init__(
@@ -71,6 +72,7 @@
         self._unwritten_reason = ''
         self._reported = 0
         self._is_closed = False
+        self._writing = threading.Lock()
         self._window_started_at = now()
 
     def __call__(self, message: dict[str, Any]) -> None:
@@ -100,6 +102,8 @@
         deadline = self._now() + DRAIN_SECONDS
         while self._queue.unfinished_tasks and self._now() < deadline:
             time.sleep(DRAIN_STEP_SECONDS)
+        # Kept, so that the writing thread writes nothing more.
+        self._writing.acquire(timeout=DRAIN_STEP_SECONDS)
 
     def _log_dropped_lines(self) -> None:
         unwritten = self._unwritten
@@ -137,7 +141,8 @@
     def _write_lines(self) -> None:
         for line in iter(self._queue.get, None):
             try:
-                self._write(line)
+                with self._writing:
+                    self._write(line)
             except Exception as error:
                 self._unwritten += 1
                 self._unwritten_reason = repr(error)
