--- a/libs/daemon/tarragonlb/daemon/server.py
+++ b/libs/daemon/tarragonlb/daemon/server.py
@@ -10,8 +10,8 @@
 
 # About 50 MB of memory.
 MAX_CONNECTIONS = 4000
-# Time for closing the connections once no request is in progress.
-CLOSE_SECONDS = 0.5
+# Time for closing the connections, with requests that have just begun.
+CLOSE_SECONDS = 1.5
 
 
 class Server:
