Wait from the vacancy that a daemon has seen, not from its start

Callers would see lower service after a loss of all owners: weak daemons owned the pools although stronger ones were ready earlier.

Cause: a daemon that has just started knows only stored statuses. It checked a partition once; if the former owner was still listed (TTL 1.6 s), it waited for 1.6 s from its own first reading. A strong daemon that is ready early checks too early and then too late; a weak one that starts a second later checks first when the group is vacant, and claims at once.

Eight whole controllers in virtual time (two of 2 cores, six of 0.5), all killed, the strong ones back after 0.3 s and the others after 1.1 s: weak daemons claimed all four partitions, and so they did after 0.1 and 0.6 s; after 0.3 and 1.5 s two of four.

Change: while only a stored status of an owner is known, its group is looked at after the bidder's own delay, between 0.1 and 0.25 s, again and again for 1.6 s, and rarely after that. The delay counts from when the daemon saw the group vacant, and a claim needs a second look. As soon as the owner is heard, or the store was out of reach, the partition is treated as before, so takeovers while others run are as fast as they were. The strongest daemon sees a vacancy later than a weak one of a quarter of its capacity by less than the difference of their delays; between daemons of similar capacity either may win.

By the delays, where a group has been vacant for long the strongest claims after 0.3 to 0.5 s instead of 0.15 to 0.25 s, and a weak daemon that is alone after 1.3 s at most instead of 1.05 s.

--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -144,3 +144,36 @@
     Given a daemon that owns a partition
     When its membership expires, and another owner comes and goes meanwhile
     Then it owns the partition in a later term than the other
+
+  # Guards against weak daemons that own the pools after a loss of all daemons,
+  # since they are ready later and so look first when the groups are vacant.
+  Scenario Outline: After a loss of all daemons the strong ones own the pools
+    Given daemons with "0.5 0.5 0.5 0.5 0.5 0.5 2 2" cores and 2 workers
+    When the operators publish version 2 with the pools "pool-0 pool-1"
+    And 3 seconds pass
+    And all daemons are killed
+    And those with 2 cores start after <strong> s, the others after <weak> s
+    And <seconds> seconds pass
+    Then 4 partitions are owned
+    And all are owned by daemons with 2 cores
+
+    Examples:
+      | strong | weak | seconds |
+      | 0.1    | 0.6  | 2.5     |
+      | 0.3    | 1.1  | 2.3     |
+      | 0.3    | 1.5  | 2.3     |
+      | 1.0    | 1.5  | 1.6     |
+      | 3      | 3    | 1.2     |
+
+  # Guards against pools without an owner while only weak daemons are there.
+  Scenario: After a loss of all daemons weak ones own the pools if need be
+    Given daemons with "2 2 0.5 0.5 0.5 0.5" cores and 2 workers
+    When the operators publish version 2 with the pools "pool-0 pool-1"
+    And 3 seconds pass
+    And all daemons are killed
+    And those with 2 cores start after 9 s, the others after 1 s
+    And 3 seconds pass
+    Then 4 partitions are owned
+    When the owners are noted
+    And 10 seconds pass
+    Then no partition has changed hands
--- a/libs/controller/tarragonlb/controller/ownership.py
+++ b/libs/controller/tarragonlb/controller/ownership.py
@@ -200,7 +200,7 @@
         self._group_log.record_success(trio.current_time())
         now = self._clock.read_boottime()
         if not self._bids.may_claim(partition, members, self._member, now):
-            self._bids.note_taken(partition, now)
+            self._bids.note_members(partition, members, self._member, now)
             return False
         lease = PartitionLease(
             partition,
--- a/libs/scheduling/features/steps/owner_steps.py
+++ b/libs/scheduling/features/steps/owner_steps.py
@@ -155,37 +155,6 @@
     )
 
 
-@given('former owners that are listed as members until {seconds:g} s')
-def list_former(context, seconds):
-    context.listed_until = seconds
-    context.daemons = []
-
-
-@when('a daemon of {cores:g} cores reads their statuses at {seconds:g} s')
-def add_daemon(context, cores, seconds):
-    bids = OwnershipBids(CapacityBidPolicy())
-    bidder = Bidder(f'vm-{cores}', cores, frozenset())
-    context.daemons.append((seconds, bidder, bids))
-
-
-@then('the daemon of {cores:g} cores claims partition {partition:d} first')
-def check_first_claim(context, cores, partition):
-    statuses = {partition: build_status(partition, 1)}
-    first = next(list_claims(context, statuses, partition))
-    assert first.processor_cores == cores, first
-
-
-def list_claims(context, statuses, partition):
-    for tick in range(500):
-        now = tick / 100
-        is_listed = now < context.listed_until
-        members = frozenset(('former',)) if is_listed else frozenset()
-        for started_at, bidder, bids in context.daemons:
-            if now < started_at:
-                continue
-            bids.observe(statuses, (partition,), now)
-            if bids.find_next(bidder)[0] > now:
-                continue
-            if bids.may_claim(partition, members, bidder.member, now):
-                yield bidder
-            bids.note_taken(partition, now)
+@when('partition {partition:d} turns out to be vacant at {now:g} s')
+def note_vacant(context, partition, now):
+    context.bids.note_members(partition, frozenset(), IDLE.member, now)
--- a/libs/scheduling/tarragonlb/scheduling/ownership.py
+++ b/libs/scheduling/tarragonlb/scheduling/ownership.py
@@ -1,11 +1,15 @@
 """Decides when a daemon bids for the ownership of a partition.
 
 Owners publish a status twice a second.  A partition whose owner has released it
-or has not been heard for a while is probably vacant.  So is one of which a
-daemon that has just started knows only a stored status, which may be old.
-Daemons then wait before they bid: the less processor capacity a daemon has for
-another partition, the longer.  So the strongest idle daemon wins, and the
-others see its status before their own time has come.
+or has not been heard for a while is probably vacant.  Daemons then wait before
+they bid: the less processor capacity a daemon has for another partition, the
+longer.  So the strongest idle daemon wins, and the others see its status before
+their own time has come.
+
+A daemon that has just started knows only a stored status, which may be old.
+Until it hears the owner, it looks at the group again and again, and waits from
+when it has seen that the group is vacant.  So the order of daemons that start
+together does not depend on which of them was ready first.
 
 A status only tells when to look.  Whether a partition is vacant, and who gets
 it, is up to the store's groups.
@@ -31,6 +35,8 @@
 SILENT_AFTER_SECONDS = 1.6
 # Time between the first checks whether a silent owner has left its group.
 RECHECK_SECONDS = 0.25
+# Shortest time between two looks at the group of an owner that was never heard.
+MIN_LOOK_SECONDS = 0.1
 RECHECKS_BEFORE_BACKOFF = 5
 MAX_RECHECK_SECONDS = 4.0
 # An owner that is silent for this long, while others are heard, is not waited
@@ -100,15 +106,30 @@
 
 
 class _Watch:
-    """What is known about the owner of one partition."""
+    """What is known about the owner of one partition.
+
+    ``vacant_at`` is None while that takes a look at the group, since only a
+    stored status of the owner is known.
+    """
 
-    __slots__ = ('check_after', 'checks', 'heard_at', 'status', 'vacant_at')
+    __slots__ = (
+        'check_after',
+        'checks',
+        'heard_at',
+        'is_stored',
+        'looked_at',
+        'status',
+        'vacant_at',
+    )
 
     def __init__(self, status: OwnerStatus | None, now: float) -> None:
+        self.vacant_at: float | None
+        self.looked_at = now
         self.note_status(status, now)
         if self.has_owner():
             # The first status read may be old: the owner may be long gone.
-            self.vacant_at = now
+            self.is_stored = True
+            self.vacant_at = None
 
     def note_status(self, status: OwnerStatus | None, now: float) -> None:
         self.status = status
@@ -117,6 +138,7 @@
         self.note_heard(now)
 
     def note_heard(self, now: float) -> None:
+        self.is_stored = False
         self.heard_at = now
         self.vacant_at = now
         if self.has_owner():
@@ -124,6 +146,30 @@
         elif self.status is not None and self.status.successor:
             self.vacant_at += SUCCESSOR_SECONDS
 
+    def note_taken(self, now: float) -> None:
+        self.looked_at = now
+        is_silent = now >= self.heard_at + SILENT_AFTER_SECONDS
+        if self.is_stored:
+            self.vacant_at = None
+            if not is_silent:
+                # A dead owner can still be listed, but not for long.
+                return
+        elif self.has_owner():
+            self.vacant_at = self.heard_at + SILENT_AFTER_SECONDS
+        self.checks += 1
+        doublings = max(self.checks - RECHECKS_BEFORE_BACKOFF, 0)
+        self.check_after = now + min(
+            RECHECK_SECONDS * 2**doublings, MAX_RECHECK_SECONDS
+        )
+
+    def find_due_time(self, delay: float) -> float:
+        """Return when to check the group, for a bidder with this delay."""
+        if self.vacant_at is None:
+            # A short delay is of use only if the vacancy is seen as soon.
+            pause = min(max(delay, MIN_LOOK_SECONDS), RECHECK_SECONDS)
+            return max(self.looked_at + pause, self.check_after)
+        return max(self.vacant_at + delay, self.check_after)
+
     def has_successor(self, member: str) -> bool:
         return self.status is not None and self.status.successor == member
 
@@ -189,27 +235,30 @@
     ) -> bool:
         """Return whether ``member`` may join the partition's group.
 
-        ``members`` are the group's present members.
+        ``members`` are the group's present members.  If not, the caller calls
+        ``note_members``.
         """
-        if members <= {member}:
-            return True
         watch = self._watches[partition]
+        if members <= {member}:
+            return watch.vacant_at is not None
         last_heard = max(other.heard_at for other in self._watches.values())
         return (
             now - watch.heard_at > ABANDONED_AFTER_SECONDS
             and now - last_heard < SILENT_AFTER_SECONDS
         )
 
+    def note_members(
+        self, partition: int, members: frozenset[str], member: str, now: float
+    ) -> None:
+        """Take note of the members of a group that ``member`` may not join."""
+        if members <= {member}:
+            self._watches[partition].vacant_at = now
+        else:
+            self.note_taken(partition, now)
+
     def note_taken(self, partition: int, now: float) -> None:
         """Take note that the partition is not vacant after all."""
-        watch = self._watches[partition]
-        watch.checks += 1
-        if watch.has_owner():
-            watch.vacant_at = watch.heard_at + SILENT_AFTER_SECONDS
-        doublings = max(watch.checks - RECHECKS_BEFORE_BACKOFF, 0)
-        watch.check_after = now + min(
-            RECHECK_SECONDS * 2**doublings, MAX_RECHECK_SECONDS
-        )
+        self._watches[partition].note_taken(now)
 
     def _find_due_time(self, bidder: Bidder, partition: int) -> float:
         watch = self._watches[partition]
@@ -221,9 +270,7 @@
         if watch.status is None:
             delay *= NEW_PARTITION_PATIENCE
         return max(
-            watch.vacant_at + delay,
-            watch.check_after,
-            self._excluded_until.get(partition, 0),
+            watch.find_due_time(delay), self._excluded_until.get(partition, 0)
         )
 
     def _find_most_cores(self) -> float:
