Bring back the gate of long reads

Callers saw steps that were ready and not started, with room on the workers, after all daemons had restarted together: their partitions had no owner that knew their records.

Over a narrow link each of them takes as long as all together, so its own comes last. With more data under way than the link carries within the timeout of a call, every read fails and starts over, and joins wait behind the same bytes.

Reads that may be long (the first, those that did not reach the end, and those after missed intervals) pass a gate for two at a time. Reads of partitions that this daemon owns do not wait, and no other one begins beside them. A feed that starts over after an error counts as unread again.

New scenarios: three partitions that can't be read, and queries that give up while they wait, hold up nothing (both fail without the limit of the gate, and if a read that ended still counts); over narrow links the strong daemons own all pools and have read them.

Open: if the strong daemons' links are as full as those of the weak ones, so that each call takes 0.3 s (2 MB a partition, 1 MB a second for all), weak daemons still claim one or two of four partitions, since bids are made one at a time.

--- a/libs/controller/features/ownership.feature
+++ b/libs/controller/features/ownership.feature
@@ -177,3 +177,22 @@
     When the owners are noted
     And 10 seconds pass
     Then no partition has changed hands
+
+  # Guards against weak daemons that claim first since their reads no longer
+  # keep them from it, and against owners that know no jobs.
+  Scenario Outline: Over narrow links too the strong ones own the pools
+    Given daemons with "0.5 0.5 0.5 0.5 0.5 0.5 2 2" cores behind links of 1 MB a second, 10 with 2 cores, and <size> MB in each partition
+    When the operators publish version 2 with the pools "pool-0 pool-1"
+    And 20 seconds pass
+    And all daemons are killed
+    And those with 2 cores start after 0.3 s, the others after <weak> s
+    And 3 seconds pass
+    Then 4 partitions are owned
+    And all are owned by daemons with 2 cores
+    And all owners have read their partitions
+
+    Examples:
+      | size | weak |
+      | 0.5  | 1.1  |
+      | 2    | 0.8  |
+      | 2    | 1.1  |
--- a/libs/controller/features/reading.feature
+++ b/libs/controller/features/reading.feature
@@ -109,6 +109,18 @@
     When the daemon joins a group until all are read
     Then all are read within 13 s and no join has failed
 
+  # Guards against partitions that are not read for as long as others can't be.
+  Scenario: Partitions that can't be read do not hold up the others
+    Given 11 partitions of 1 MB behind a link of 1 MB a second, which all feeds of a daemon read
+    When partitions "1 2 3" can not be read, and the others are
+    Then these are read within 25 s
+
+  # Guards against a daemon that never reads its partitions after a client gave up.
+  Scenario: Queries that give up while they wait hold up no read
+    Given 11 partitions of 1 MB behind a link of 1 MB a second, which all feeds of a daemon read
+    When queries of all partitions give up after 0.3 s, and all are read
+    Then these are read within 13.5 s
+
   # Guards against an owner that goes by an old directory, or by drain requests
   # that were withdrawn, until something else changes.
   Scenario: A change of the view while the last one is passed on is not missed
--- a/libs/controller/features/steps/narrowlink_steps.py
+++ b/libs/controller/features/steps/narrowlink_steps.py
@@ -10,6 +10,7 @@
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.ports import Topic
+from tarragonlb.controller.readgate import ReadGate
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.termwriter import TermWriter
 from tarragonlb.scheduling.records import SUBMISSION, KeyedRecord
@@ -18,6 +19,7 @@
 OWNED = 6
 FLEET = 0
 JOIN_SECONDS = 0.4
+POLL_SECONDS = 0.05
 # After this all partitions of a scenario could have been read twice.
 MOST_SECONDS = 60
 
@@ -28,6 +30,7 @@
 )
 def create_partitions(context, count, size):
     context.store = NarrowStore()
+    gate = ReadGate()
     context.feeds = {}
     for partition in range(1, count + 1):
         log = context.store.logs[Topic.JOBS, partition]
@@ -41,6 +44,7 @@
             context.store,
             SETTINGS,
             FakeClock(),
+            read_gate=gate,
         )
 
 
@@ -75,10 +79,54 @@
     _run_feeds(context, run)
 
 
-def _run_feeds(context, action):
+@when('partitions "{numbers}" can not be read, and the others are')
+def read_others(context, numbers):
+    unreadable = frozenset(int(number) for number in numbers.split())
+    context.store.unreadable = unreadable
+
+    async def run(nursery):
+        await _wait_until_read(
+            feed
+            for partition, feed in context.feeds.items()
+            if partition not in unreadable
+        )
+        context.elapsed = trio.current_time()
+        nursery.cancel_scope.cancel()
+
+    _run_feeds(context, run)
+
+
+@when('queries of all partitions give up after {seconds:g} s, and all are read')
+def give_up(context, seconds):
+    async def query():
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                for feed in context.feeds.values():
+                    nursery.start_soon(feed.refresh)
+
+    async def run(nursery):
+        await _wait_until_read(context.feeds.values())
+        context.elapsed = trio.current_time()
+        nursery.cancel_scope.cancel()
+
+    _run_feeds(context, run, query)
+
+
+async def _wait_until_read(feeds):
+    waiting = tuple(feeds)
+    for _ in range(int(MOST_SECONDS / POLL_SECONDS)):
+        waiting = [feed for feed in waiting if feed.last_read_at is None]
+        if not waiting:
+            return
+        await trio.sleep(POLL_SECONDS)
+    raise AssertionError(f'not read: {len(waiting)}')
+
+
+def _run_feeds(context, action, prepare=trio.lowlevel.checkpoint):
     context.elapsed = math.inf
 
     async def run():
+        await prepare()
         with trio.move_on_after(MOST_SECONDS):
             async with trio.open_nursery() as nursery:
                 for feed in context.feeds.values():
@@ -93,6 +141,11 @@
     assert context.elapsed <= seconds, context.elapsed
 
 
+@then('these are read within {seconds:g} s')
+def check_all_read(context, seconds):
+    assert context.elapsed <= seconds, context.elapsed
+
+
 @then('all are read within {seconds:g} s and no join has failed')
 def check_joins(context, seconds):
     assert context.elapsed <= seconds, context.elapsed
--- a/libs/controller/tarragonlb/controller/partition.py
+++ b/libs/controller/tarragonlb/controller/partition.py
@@ -15,6 +15,7 @@
 from tarragonlb.controller.partitionreader import RecordUpdate
 from tarragonlb.controller.ports import Clock, Store, Topic
 from tarragonlb.controller.quotafeed import QuotaFeed
+from tarragonlb.controller.readgate import ReadGate
 from tarragonlb.controller.results import NotDone
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.scheduling.jobindex import JobIndex
@@ -29,6 +30,9 @@
 COUNT_CACHE_SECONDS = 0.3
 # A read that is due within this time is not waited for.
 MIN_WAIT_SECONDS = 0.01
+# A partition that was last read more than this many intervals ago may have many
+# new records.
+MAX_MISSED_INTERVALS = 2
 
 
 class PartitionFeed:
@@ -39,7 +43,9 @@
         '_counted_at',
         '_counts',
         '_dependency_log',
+        '_is_at_end',
         '_last_refresh',
+        '_read_gate',
         '_reader',
         '_refresh_lock',
         '_refreshes_begun',
@@ -61,15 +67,18 @@
         settings: ControllerSettings,
         clock: Clock,
         quota_feed: QuotaFeed | None = None,
+        read_gate: ReadGate | None = None,
     ) -> None:
         """Prepare to poll ``partition``.
 
-        Its owner follows ``quota_feed``, too, if there are tenants.
+        Its owner follows ``quota_feed``, too, if there are tenants.  All feeds
+        of a daemon share ``read_gate``.
         """
         self.quota_feed = quota_feed
         self.partition = partition
         self._settings = settings
         self._clock = clock
+        self._read_gate = read_gate or ReadGate()
         self._refresh_lock = trio.Lock()
         self._refreshes_begun = 0
         self._reader = FeedReader(
@@ -81,6 +90,7 @@
         self._subscriber: trio.MemorySendChannel[list[str]] | None = None
         self._wake = trio.Event()
         self.last_read_at: float | None
+        self._is_at_end: bool
         self._last_refresh: tuple[int, RecordUpdate | NotDone]
         self._counts: Counter[str]
         self._counted_at: float
@@ -96,7 +106,8 @@
         settings = self._settings
         self._reader.start()
         while True:
-            is_owner = self.is_owned
+            # A refresh that has begun also serves the owner's first read.
+            is_owner = self.is_owned and self.last_read_at is not None
             if is_owner:
                 result = await self._reader.read(settings.read_wait_seconds)
             else:
@@ -151,6 +162,7 @@
         """
         self._subscriber = subscriber
         self._wake.set()
+        self._read_gate.notify()
 
     def unsubscribe(self) -> None:
         """Poll at the followers' rate again."""
@@ -194,16 +206,31 @@
 
     async def _read_to_end(self) -> RecordUpdate | NotDone:
         while True:
-            result = await self._reader.read(0)
+            result = await self._read_in_turn()
             if isinstance(result, NotDone) or result.is_at_end:
                 return result
 
+    async def _read_in_turn(self) -> RecordUpdate | NotDone:
+        if not self._is_behind():
+            return await self._reader.read(0)
+        async with self._read_gate.enter(lambda: self.is_owned):
+            return await self._reader.read(0)
+
+    def _is_behind(self) -> bool:
+        """Return whether the next read may be long."""
+        if self.last_read_at is None or not self._is_at_end:
+            return True
+        age = self._clock.read_boottime() - self.last_read_at
+        interval = self._settings.follower_read_interval_seconds
+        return age > MAX_MISSED_INTERVALS * interval
+
     def _discard(self) -> None:
         """Discard all that was read; the owner's term can't go on without."""
         self.job_index = JobIndex()
         self.lease_bounds = LeaseBoundIndex()
         self.queue_moves = QueueMoves()
         self.last_read_at = None
+        self._is_at_end = False
         self._last_refresh = (0, NotDone('nothing was read'))
         self._counts = Counter()
         self._counted_at = -1.0
@@ -236,3 +263,4 @@
         if changed and self._subscriber is not None:
             self._subscriber.send_nowait(changed)
         self.last_read_at = self._clock.read_boottime()
+        self._is_at_end = update.is_at_end
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -34,6 +34,7 @@
 )
 from tarragonlb.controller.quotafeed import QuotaFeed
 from tarragonlb.controller.quotaowner import QuotaOwner
+from tarragonlb.controller.readgate import ReadGate
 from tarragonlb.controller.settings import FLEET_PARTITION, ControllerSettings
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, TERMS
 from tarragonlb.telemetry.log import Log
@@ -67,6 +68,7 @@
         '_ownership',
         '_platform',
         '_quota_feed',
+        '_read_gate',
         '_settings',
         '_workers',
         'job_service',
@@ -94,6 +96,7 @@
             OwnedPartition, tuple[trio.CancelScope, trio.Event]
         ] = {}
         self._is_stopping = False
+        self._read_gate = ReadGate()
         self._workers = WorkerAccess(
             platform.workers,
             platform.vms,
@@ -203,6 +206,7 @@
             self._settings,
             self._clock,
             self._quota_feed,
+            self._read_gate,
         )
         self._feeds[partition] = feed
         nursery.start_soon(supervise, 'partition', feed.run)
