Say in the log why a ready step waits, and when it no longer does

An owner explained jobs with nothing running at all, three a second and without the cap of a tenant, the policy service, reservations, or the start window.

Rounds now note why they could not place a step, from what they compute anyway. Once a second the owner looks at all ready steps; those without a start for 2 s get a line with the reason, one more when it changes, and one at the end. At most 5 lines of each kind a second are written, each reason in turn, and the others are counted. The line of the partition and tarragonlb.steps.waiting count all of them by reason.

No decision changes.

--- a/libs/controller/tarragonlb/controller/ownerreport.py
+++ b/libs/controller/tarragonlb/controller/ownerreport.py
@@ -6,14 +6,17 @@
 since a decision is still being stored or the directory of workers is old.
 """
 
+from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.tenantreport import TenantReport
+from tarragonlb.controller.waitreport import WaitReport
 from tarragonlb.scheduling.health import IdlePermanentTask, assess_health
 from tarragonlb.scheduling.idlejobs import IdleJobs
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.startwindow import StartWindow
+from tarragonlb.scheduling.waitreason import StepKey, WaitReason
 from tarragonlb.telemetry.fleetmetrics import (
     FLEET_METER,
     IDLE_JOB_SECONDS,
@@ -24,6 +27,8 @@
 
 LOG = Log('owner')
 REPORT_INTERVAL_SECONDS = 1.0
+# Storing a decision takes less, unless the store is slow or away.
+SLOW_STORING_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,13 +37,21 @@
 
     ``queued_events`` are not handled yet.  ``storing_since`` is when the
     decision that is being stored was made, None if none is.  ``may_place`` is
-    false while the directory of workers may be out of date.
+    false while the directory of workers may be out of date.  ``wait_reasons``
+    are why steps were not placed in the last rounds.
     """
 
     queued_events: int
     start_window: StartWindow
     storing_since: float | None
     may_place: bool
+    wait_reasons: Mapping[StepKey, WaitReason]
+
+    def find_stall(self, now: float) -> WaitReason | None:
+        """Return why nothing at all is placed, None if it is."""
+        if _compute_age(self.storing_since, now) >= SLOW_STORING_SECONDS:
+            return WaitReason.STORING
+        return None if self.may_place else WaitReason.DIRECTORY
 
 
 class OwnerReport:
@@ -51,6 +64,7 @@
         '_longest_round',
         '_reported_at',
         '_tenant_report',
+        '_wait_report',
         '_worst_delay',
     )
 
@@ -61,6 +75,7 @@
         self._idle_jobs = IdleJobs()
         self._reported_at = now
         self._tenant_report = TenantReport(owned, now)
+        self._wait_report = WaitReport(self._fields)
         self._worst_delay = 0.0
         self._longest_round = 0.0
 
@@ -82,6 +97,9 @@
         FLEET_METER.record(REPORT_AGE_SECONDS, health.oldest_report_seconds)
         idle_jobs = self._idle_jobs.update(state, now)
         FLEET_METER.record(IDLE_JOB_SECONDS, self._idle_jobs.find_longest(now))
+        waiting_steps = self._wait_report.emit(
+            state, progress.wait_reasons, progress.find_stall(now), now
+        )
         LOG.emit(
             'State of the partition.',
             term_seconds=round(now - self._began_at, 1),
@@ -89,6 +107,7 @@
             open_jobs=len(state.open_jobs),
             idle_jobs=[asdict(idle) for idle in idle_jobs],
             idle_job_count=self._idle_jobs.count,
+            waiting_steps=waiting_steps,
             workers=health.workers,
             unheard=health.unheard,
             silent=health.silent,
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -219,6 +219,7 @@
                     start_window=self._scheduler.start_window,
                     storing_since=self._storing_since,
                     may_place=self._directory_gate.is_open,
+                    wait_reasons=self._scheduler.wait_reasons,
                 ),
                 self._clock.read_monotonic(),
             )
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -21,6 +21,8 @@
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
 from tarragonlb.scheduling.startwindow import StartWindow
 from tarragonlb.scheduling.task import TaskState
+from tarragonlb.scheduling.waitnotes import WaitNotes
+from tarragonlb.scheduling.waitreason import WaitReason
 from tarragonlb.scheduling.worker import WorkerState
 
 # Time between two rounds that look at all pools.
@@ -42,6 +44,7 @@
         '_reserved',
         '_retry_at',
         '_window',
+        'wait_notes',
     )
 
     def __init__(
@@ -63,6 +66,7 @@
         self._queues = partition.queues
         self._next_full_pass_at = 0.0
         self._retry_at: dict[str, float] = {}
+        self.wait_notes = WaitNotes()
 
     def place_ready(self, now: Moment) -> list[StartOrder]:
         """Place the tasks that fit; return the orders to send once stored."""
@@ -75,6 +79,7 @@
         for worker_filter in self._policies.filters:
             worker_filter.begin_round(self._partition, now.seconds)
         self._window.begin_round()
+        self.wait_notes.begin_round(is_full_pass=pools is None)
         self._is_window_full = False
         found = self._list_ready(now, pools)
         orders: list[StartOrder] = []
@@ -88,6 +93,7 @@
                 self._window.note_limited(
                     waiting.job_state.job.pool for waiting in found
                 )
+                self.wait_notes.note_not_tried(found)
                 break
         return orders
 
@@ -118,7 +124,9 @@
             queue = self._partition.queue_history.find(
                 self._partition.queues, job_state.job, now.seconds
             )
-            if queue is not None:
+            if queue is None:
+                self.wait_notes.note_unknown_queue(job_state)
+            else:
                 # No occurrence starts early by ``wall_ms``, a wall clock
                 # without short jumps.
                 job_state.add_due_occurrences(now.wall_ms)
@@ -143,11 +151,12 @@
         if len(waiting) < ready.step_state.count_waiting():
             self._retry_later(ready.job_state.job.pool, now)
         self._policies.placement.begin_step(ready)
+        self.wait_notes.begin_step(ready, waiting)
         if ready.step.is_gang:
             return self._place_gang(ready, waiting, now)
         orders: list[StartOrder] = []
         for index in waiting:
-            if not self._may_start(ready, len(orders)):
+            if not self._may_start(ready, 1, len(orders)):
                 return orders
             order = self._place_task(ready, index, now)
             if order is not None:
@@ -158,18 +167,21 @@
             self._note_waiting(ready, now)
         return orders
 
-    def _may_start(self, ready: ReadyStep, placed: int) -> bool:
-        """Return whether one more task of a step may start now.
+    def _may_start(self, ready: ReadyStep, count: int, placed: int = 0) -> bool:
+        """Return whether ``count`` more tasks of a step may start now.
 
         ``placed`` tasks of it were placed before in this round.
         """
-        if not self._has_window(placed + 1, is_gang=False):
+        self._is_window_full = not self._window.allows(
+            placed + count, is_gang=ready.step.is_gang
+        )
+        if self._is_window_full:
+            self.wait_notes.note(ready, WaitReason.WINDOW)
             return False
-        return self._policies.limit.allows(ready, 1, self._partition)
-
-    def _has_window(self, count: int, *, is_gang: bool) -> bool:
-        self._is_window_full = not self._window.allows(count, is_gang=is_gang)
-        return not self._is_window_full
+        is_allowed = self._policies.limit.allows(ready, count, self._partition)
+        if not is_allowed:
+            self.wait_notes.note(ready, WaitReason.CAP)
+        return is_allowed
 
     def _note_waiting(self, ready: ReadyStep, now: float) -> None:
         for worker_filter in self._policies.filters:
@@ -180,12 +192,9 @@
     ) -> list[StartOrder]:
         tasks = ready.step_state.tasks
         if len(waiting) < len(tasks):
+            self.wait_notes.note_incomplete(ready)
             return []
-        if not self._has_window(len(waiting), is_gang=True):
-            return []
-        if not self._policies.limit.allows(
-            ready, len(waiting), self._partition
-        ):
+        if not self._may_start(ready, len(waiting)):
             return []
         attempts = [task.attempt for task in tasks]
         checkpoint = max(task.checkpoint for task in tasks)
@@ -230,13 +239,14 @@
     ) -> StartOrder | None:
         task = ready.step_state.tasks[index]
         worker = None
-        if not self._get_candidates(ready.job_state.job.pool).is_full(
-            ready.step
-        ):
+        candidates = self._get_candidates(ready.job_state.job.pool)
+        self.wait_notes.begin_task()
+        if not candidates.is_full(ready.step):
             worker = self._policies.placement.choose(
                 ready.step, task, self._list_candidates(ready, task, now)
             )
         if worker is None:
+            self.wait_notes.note_no_worker(ready, task, candidates, now)
             if task.crashes.needs_isolation:
                 self._retry_later(ready.job_state.job.pool, now)
             if ready.step.is_permanent:
@@ -282,21 +292,21 @@
         for worker in candidates.list_fitting(ready.step):
             if worker.failures or worker.has_refused or worker.suspects:
                 self._retry_later(worker.entry.pool, now)
-            is_free = worker.entry.worker_id not in self._reserved
-            if (
-                is_free
-                and is_candidate(worker, ready.step, ready.key, task, now)
-                and self._is_allowed_by_filters(worker, ready, now)
-            ):
+            if worker.entry.worker_id in self._reserved:
+                self.wait_notes.note_refused(WaitReason.RESERVED)
+            elif not is_candidate(worker, ready.step, ready.key, task, now):
+                self.wait_notes.note_held_back(worker)
+            elif self._is_allowed_by_filters(worker, ready, now):
                 yield worker
 
     def _is_allowed_by_filters(
         self, worker: WorkerState, ready: ReadyStep, now: float
     ) -> bool:
-        return all(
-            worker_filter.may_use(worker, ready, now)
-            for worker_filter in self._policies.filters
-        )
+        for worker_filter in self._policies.filters:
+            if not worker_filter.may_use(worker, ready, now):
+                self.wait_notes.note_refused(worker_filter.wait_reason)
+                return False
+        return True
 
     def _find_ticket(
         self, worker: WorkerState, ready: ReadyStep, now: float
--- a/libs/scheduling/tarragonlb/scheduling/candidates.py
+++ b/libs/scheduling/tarragonlb/scheduling/candidates.py
@@ -27,6 +27,11 @@
         )
         self._rejected: list[tuple[int, int, int]] = []
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the pool has no usable worker."""
+        return not self._workers
+
     def list_fitting(self, step: Step) -> Iterator[WorkerState]:
         """Yield the workers that have room for one more task of the step."""
         needed_cpu = _measure_demand(step)[0]
--- a/libs/scheduling/tarragonlb/scheduling/policies.py
+++ b/libs/scheduling/tarragonlb/scheduling/policies.py
@@ -15,6 +15,7 @@
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.placement import PlacementPolicy
 from tarragonlb.scheduling.readystep import ReadyStep
+from tarragonlb.scheduling.waitreason import WaitReason
 from tarragonlb.scheduling.worker import WorkerState
 
 
@@ -74,9 +75,13 @@
 
 
 class WorkerFilter(abc.ABC):
-    """Rules out workers for the tasks of a step."""
+    """Rules out workers for the tasks of a step.
+
+    ``wait_reason`` is why a step waits for which all workers are ruled out.
+    """
 
     __slots__ = ()
+    wait_reason = WaitReason.RESERVED
 
     @abc.abstractmethod
     def begin_round(self, partition: PartitionState, now: float) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -11,6 +11,8 @@
 ()
 """
 
+from collections.abc import Mapping
+
 from tarragonlb.scheduling.assignment import Assigner
 from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.jobstate import JobOutcome
@@ -31,6 +33,7 @@
 from tarragonlb.scheduling.startwindow import StartWindow
 from tarragonlb.scheduling.stopping import StopPlanner
 from tarragonlb.scheduling.task import StartStage, TaskPhase
+from tarragonlb.scheduling.waitreason import StepKey, WaitReason
 
 # Finished jobs are looked through this often, since most rounds remove none.
 CLEANUP_INTERVAL_SECONDS = 1.0
@@ -71,6 +74,11 @@
         self._stop_planner = StopPlanner(self.state)
         self._next_cleanup_at = now
 
+    @property
+    def wait_reasons(self) -> Mapping[StepKey, WaitReason]:
+        """Return why steps were not placed, as of the last rounds."""
+        return self._assigner.wait_notes.reasons
+
     def decide(
         self,
         now: Moment,
--- a/libs/scheduling/tarragonlb/scheduling/ticketbook.py
+++ b/libs/scheduling/tarragonlb/scheduling/ticketbook.py
@@ -15,6 +15,7 @@
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.policies import WorkerFilter
 from tarragonlb.scheduling.readystep import ReadyStep
+from tarragonlb.scheduling.waitreason import WaitReason
 from tarragonlb.scheduling.worker import WorkerState
 
 # The time from a decision to the arrival of its start order: one append, a
@@ -78,6 +79,7 @@
     """
 
     __slots__ = ('_next_cleanup_at', '_partition', '_steps', 'unplaced')
+    wait_reason = WaitReason.TICKET
 
     def __init__(self) -> None:
         """Start without tickets."""
--- a/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
+++ b/libs/telemetry/tarragonlb/telemetry/fleetmetrics.py
@@ -141,6 +141,13 @@
     (),
     'Longest time for which an open job had nothing running, once a second.',
 )
+STEPS_WAITING = Metric(
+    'tarragonlb.steps.waiting',
+    'histogram',
+    '{step}',
+    ('reason',),
+    'Ready steps that have waited 2 s without a start, once a second.',
+)
 ADVICE_CALLS = Metric(
     'tarragonlb.advice.calls',
     'counter',
@@ -203,6 +210,7 @@
     ROUND_DELAY_SECONDS,
     REPORT_AGE_SECONDS,
     IDLE_JOB_SECONDS,
+    STEPS_WAITING,
     ADVICE_CALLS,
     TICKETS_REFUSED,
     TICKETS_HELD,
