Log what an owner leaves and what the next one takes over

The begin, the start and the end of each term are now logged, with the number of open jobs and the ids of the oldest, and every 2 s that the records are not read yet.

--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -29,6 +29,7 @@
 from tarragonlb.controller.platformview import DirectoryGate, PlatformView
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.controller.termlog import TermLog
 from tarragonlb.controller.vmwatch import VmWatch
 from tarragonlb.controller.workersessions import WorkerSessions
 from tarragonlb.scheduling.orders import (
@@ -39,10 +40,9 @@
     StopOrder,
 )
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, ROUND_SECONDS
-from tarragonlb.telemetry.log import Log
 
-LOG = Log('owner')
 INBOX_SIZE = 1000
+NO_LONGER_OWNER = 'the partition is released, or its owner failed'
 
 
 class TermEndedError(Exception):
@@ -75,6 +75,7 @@
         '_settings',
         '_storage',
         '_storing_since',
+        '_term_log',
         '_view',
         '_workers',
     )
@@ -105,6 +106,7 @@
             events.Event
         ](INBOX_SIZE)
         self._decision_log = DecisionLog(owned)
+        self._term_log = TermLog(owned, feed)
         self._directory_gate = DirectoryGate(
             view, settings, clock.read_boottime()
         )
@@ -130,30 +132,31 @@
         # Subscribe before reading anything, so that no change is missed.
         subscriber, changes = trio.open_memory_channel[list[str]](math.inf)
         self._feed.subscribe(subscriber)
-        is_fenced = False
+        reasons: list[str] = []
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 await self._run_term(changes)
         except* TermEndedError as group:
-            is_fenced = True
             reasons = [str(error) for error in group.exceptions]
-            LOG.emit(
-                'Term ended.',
-                reasons=reasons,
-                partition=self._owned.partition,
-                term=self._owned.term,
-            )
         finally:
-            self._feed.unsubscribe()
-            if not is_fenced:
-                await self._lease_handover.store_last_bounds(
-                    self._inbox_receiver, self._clock.read_monotonic()
-                )
+            await self._end_term(reasons)
+
+    async def _end_term(self, reasons: list[str]) -> None:
+        """Leave the partition; ``reasons`` are why the term has ended early."""
+        self._feed.unsubscribe()
+        self._term_log.log_end(
+            self._scheduler.state, reasons or [NO_LONGER_OWNER]
+        )
+        if not reasons:
+            await self._lease_handover.store_last_bounds(
+                self._inbox_receiver, self._clock.read_monotonic()
+            )
 
     async def _run_term(
         self, changes: trio.MemoryReceiveChannel[list[str]]
     ) -> None:
+        self._nursery.start_soon(self._term_log.log_reading)
         reason = await self._storage.fence()
         if reason:
             raise TermEndedError(reason)
@@ -181,13 +184,7 @@
         self._apply_view()
         for records in self._feed.job_index.list_jobs():
             self._update_job(records.job_id, now)
-        LOG.emit(
-            'Term started.',
-            jobs=len(partition_state.jobs),
-            workers=len(partition_state.workers),
-            partition=self._owned.partition,
-            term=self._owned.term,
-        )
+        self._term_log.log_start(partition_state)
 
     async def _forward_job_changes(
         self, changes: trio.MemoryReceiveChannel[list[str]]
