Log submissions, starts and ends together instead of one line each

Submissions with the same outcome now share a line a second, and starts and ends one each a quarter of a second. All ids, attempts and workers stay; each row says how many seconds before the line it was. A lone event is logged at once, and what was collected when the daemon or the term ends. Lines on stops, losses and released attempts come after the starts before them.

--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -1,20 +1,21 @@
 """Logs and counts the scheduling decisions of a partition's owner.
 
-Each decision is one log line that lists the tasks concerned.  A task's name
-begins with its job's id, so a job can be traced through the logs of all
-processes.  Ends are collected until the next round: at a peak, hundreds of them
-are reported each second.
+A log line lists the tasks concerned.  A task's name begins with its job's id,
+so a job can be traced through the logs of all processes.  Starts and ends are
+collected for a moment: at a peak there are hundreds of them each second, and
+lines for each round would push all others out of a log of limited size.
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterator
+from typing import Any
 
 from tarragonlb.controller.membership import OwnedPartition
 from tarragonlb.controller.reservationlog import log_reservations
 from tarragonlb.scheduling.leasebound import BoundChanges
 from tarragonlb.scheduling.orders import SchedulingDecision, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.worker import WorkerReport, WorkerState
+from tarragonlb.scheduling.worker import WorkerReport
 from tarragonlb.scheduling.workerloss import GivenUpTask, WorkerLoss
 from tarragonlb.telemetry.fleetmetrics import (
     FLEET_METER,
@@ -28,43 +29,66 @@
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('owner')
-MAX_ENDS_PER_LINE = 200
+MAX_ROWS_PER_LINE = 200
+# Rounds may follow each other within some hundredths of a second.
+MIN_INTERVAL_SECONDS = 0.25
+
+# What happened to an attempt; the last value is when.
+Row = tuple[Any, ...]
 
 
 class DecisionLog:
     """Logs the decisions of one owner and updates the task metrics."""
 
-    __slots__ = ('_ends', '_fields')
+    __slots__ = ('_ends', '_fields', '_logged_at', '_starts', '_state')
 
-    def __init__(self, owned: OwnedPartition) -> None:
+    def __init__(self, owned: OwnedPartition, state: PartitionState) -> None:
         """Add the partition and the term of ``owned`` to every line."""
         self._fields = {'partition': owned.partition, 'term': owned.term}
-        self._ends: list[tuple[str, int, str, str]] = []
+        self._state = state
+        self._starts: list[Row] = []
+        self._ends: list[Row] = []
+        self._logged_at = -math.inf
 
-    def log_starts(
-        self, decision: SchedulingDecision, workers: Mapping[str, WorkerState]
-    ) -> None:
-        """Log which tasks start where, and the free CPU of each worker."""
+    def log_starts(self, decision: SchedulingDecision, now: float) -> None:
+        """Log which tasks start where, now or with others that follow soon."""
         FLEET_METER.count(TASK_STARTS, number=len(decision.starts))
-        used = {start.worker_id for start in decision.starts}
-        LOG.emit(
-            'Starting tasks.',
-            starts=[
-                (str(start.key), start.attempt, start.worker_id)
-                for start in decision.starts
-            ],
-            free_millicores={
-                worker_id: workers[worker_id].free_cpu
-                for worker_id in used
-                if worker_id in workers
-            },
-            **self._fields,
+        self._starts.extend(
+            (str(start.key), start.attempt, start.worker_id, now)
+            for start in decision.starts
         )
+        self.log_collected(now)
+
+    def log_collected(self, now: float) -> None:
+        """Log the starts and ends since the last call, unless too recent."""
+        if now - self._logged_at >= MIN_INTERVAL_SECONDS:
+            self.log_rest(now)
 
-    def log_stops(self, stops: tuple[StopOrder, ...]) -> None:
+    def log_rest(self, now: float) -> None:
+        """Log all starts and ends that are not logged yet.
+
+        The last value of each row is how many seconds ago it was.
+        """
+        if not (self._starts or self._ends):
+            return
+        self._logged_at = now
+        for starts in _split(self._starts, now):
+            LOG.emit(
+                'Starting tasks.',
+                starts=starts,
+                free_millicores=self._list_free({row[2] for row in starts}),
+                **self._fields,
+            )
+        for ends in _split(self._ends, now):
+            LOG.emit('Tasks ended.', ends=ends, **self._fields)
+        self._starts.clear()
+        self._ends.clear()
+
+    def log_stops(self, stops: tuple[StopOrder, ...], now: float) -> None:
         """Log the stop orders, including repeated ones."""
         if not stops:
             return
+        self.log_rest(now)
         for stop in stops:
             FLEET_METER.count(TASK_STOPS, stop.reason.name.lower())
         LOG.emit(
@@ -93,8 +117,12 @@
                 **self._fields,
             )
 
-    def log_released(self, state: PartitionState) -> None:
+    def log_released(self, now: float) -> None:
         """Log lost workers, reservations and released attempts, each once."""
+        state = self._state
+        if state.worker_losses or state.given_up or state.released_attempts:
+            # The lines on one attempt stay in order.
+            self.log_rest(now)
         self._log_losses(state.worker_losses)
         self._log_given_up(state.given_up)
         if state.look_ahead is not None:
@@ -119,16 +147,14 @@
         )
         released.clear()
 
-    def collect_ends(
-        self, report: WorkerReport, workers: Mapping[str, WorkerState]
-    ) -> None:
+    def collect_ends(self, report: WorkerReport) -> None:
         """Collect the attempts that a worker reports as ended, each end once.
 
         Must be called before the report is applied.  A worker repeats an end
         until it is acknowledged, so ends up to the last number applied are
         skipped.
         """
-        worker = workers.get(report.worker_id)
+        worker = self._state.workers.get(report.worker_id)
         last_logged = 0
         if worker is not None and worker.incarnation == report.incarnation:
             last_logged = worker.last_end_number
@@ -136,18 +162,21 @@
             if end.number > last_logged:
                 FLEET_METER.count(TASK_ENDS, end.outcome)
                 self._ends.append(
-                    (str(end.key), end.attempt, end.outcome, report.worker_id)
+                    (
+                        str(end.key),
+                        end.attempt,
+                        end.outcome,
+                        report.worker_id,
+                        report.received_at,
+                    )
                 )
 
-    def log_ends(self) -> None:
-        """Log the ends collected since the last call."""
-        while self._ends:
-            LOG.emit(
-                'Tasks ended.',
-                ends=self._ends[:MAX_ENDS_PER_LINE],
-                **self._fields,
-            )
-            self._ends = self._ends[MAX_ENDS_PER_LINE:]
+    def _list_free(self, worker_ids: set[str]) -> dict[str, int]:
+        return {
+            worker_id: self._state.workers[worker_id].free_cpu
+            for worker_id in worker_ids
+            if worker_id in self._state.workers
+        }
 
     def _log_given_up(self, given_up: list[GivenUpTask]) -> None:
         if not given_up:
@@ -173,6 +202,15 @@
         losses.clear()
 
 
+def _split(rows: list[Row], now: float) -> Iterator[list[Row]]:
+    """Yield the rows of successive lines, with how long ago they were."""
+    for first in range(0, len(rows), MAX_ROWS_PER_LINE):
+        yield [
+            (*row[:-1], round(now - row[-1], 2))
+            for row in rows[first : first + MAX_ROWS_PER_LINE]
+        ]
+
+
 def _describe_loss(loss: WorkerLoss) -> dict[str, object]:
     """Return the fields of a lost worker, the youngest attempt first."""
     attempts = sorted(
--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -25,6 +25,7 @@
 from tarragonlb.controller.queuehomes import QueueHomes
 from tarragonlb.controller.results import NotDone, Stored
 from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.controller.submissionlog import SubmissionKind, SubmissionLog
 from tarragonlb.model.verdict import Verdict
 from tarragonlb.scheduling.job import MS_PER_SECOND, Job
 from tarragonlb.scheduling.jobrecords import JobRecords
@@ -78,6 +79,7 @@
         '_homes',
         '_settings',
         '_store',
+        '_submission_log',
         '_view',
     )
 
@@ -97,6 +99,7 @@
         """
         self._admission = JobAdmission(view, settings, clock, draw_share)
         self._store = store
+        self._submission_log = SubmissionLog(clock)
         self._commits: dict[int, GroupCommit] = {}
         self._homes = QueueHomes(store, feeds, settings, clock, view)
         self._feeds = feeds
@@ -104,6 +107,10 @@
         self._clock = clock
         self._view = view
 
+    async def log_submissions(self) -> None:
+        """Log submissions that were collected, until cancelled."""
+        await self._submission_log.run()
+
     async def submit(self, job: Job) -> RequestOutcome:
         """Accept a job; submitting the same job again has no effect."""
         # The reads below may take long if the store is slow.
@@ -280,14 +287,15 @@
 
     def _note_submission(self, job: Job, outcome: RequestOutcome) -> None:
         FLEET_METER.count(JOB_REQUESTS, 'submit', outcome.verdict.value)
-        LOG.emit(
-            'Job submitted.',
-            job=job.job_id,
-            queue=job.queue,
-            pool=job.pool,
-            partition=self._view.find_partition(job.pool),
-            verdict=outcome.verdict.value,
-            reason=outcome.reason,
+        self._submission_log.note(
+            job.job_id,
+            SubmissionKind(
+                queue=job.queue,
+                pool=job.pool,
+                partition=self._view.find_partition(job.pool),
+                verdict=outcome.verdict.value,
+                reason=outcome.reason,
+            ),
         )
 
     def _refuse_without_contact(self) -> RequestOutcome | None:
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -105,7 +105,6 @@
         self._inbox, self._inbox_receiver = trio.open_memory_channel[
             events.Event
         ](INBOX_SIZE)
-        self._decision_log = DecisionLog(owned)
         self._term_log = TermLog(owned, feed)
         self._directory_gate = DirectoryGate(
             view, settings, clock.read_boottime()
@@ -117,6 +116,7 @@
         self._scheduler = self._quota.build_scheduler(
             clock.read_monotonic(), self._advice_caller.filters
         )
+        self._decision_log = DecisionLog(owned, self._scheduler.state)
         self._lease_handover = LeaseHandover(
             self._scheduler, self._storage, self._decision_log
         )
@@ -174,7 +174,7 @@
         try:
             await self._run_rounds()
         finally:
-            self._decision_log.log_ends()
+            self._decision_log.log_rest(self._clock.read_monotonic())
             self._report.close()
 
     def _load_state(self) -> None:
@@ -235,13 +235,13 @@
         self._next_round_at = now + self._settings.max_round_interval_seconds
         if self._storing_since is not None:
             return
-        self._decision_log.log_ends()
+        self._decision_log.log_collected(now)
         decision = self._decide()
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
         self._report.note_round(delay, elapsed)
-        self._decision_log.log_released(self._scheduler.state)
-        self._decision_log.log_stops(decision.stops)
+        self._decision_log.log_released(now)
+        self._decision_log.log_stops(decision.stops, now)
         for stop in decision.stops:
             self._enqueue_order(stop)
         for pace in decision.paces:
@@ -289,16 +289,15 @@
 
     def _finish_round(self, decision: SchedulingDecision) -> None:
         self._storing_since = None
-        self._scheduler.note_stored(decision, self._clock.read_monotonic())
+        now = self._clock.read_monotonic()
+        self._scheduler.note_stored(decision, now)
         self._sessions.acknowledge_ends(decision.end_acks)
         if decision.starts:
-            self._decision_log.log_starts(
-                decision, self._scheduler.state.workers
-            )
+            self._decision_log.log_starts(decision, now)
         for start in decision.starts:
             self._enqueue_order(start)
         if self._scheduler.state.changed_jobs:
-            self._next_round_at = self._clock.read_monotonic()
+            self._next_round_at = now
 
     def _enqueue_order(self, order: StartOrder | StopOrder | PaceOrder) -> None:
         if not self._sessions.enqueue(order):
@@ -334,9 +333,7 @@
         reconciler = self._scheduler.reconciler
         match event:
             case events.ReportReceived():
-                self._decision_log.collect_ends(
-                    event.report, self._scheduler.state.workers
-                )
+                self._decision_log.collect_ends(event.report)
                 reconciler.apply_report(event.report)
             case events.WorkerSilent():
                 reconciler.note_silence(event.worker_id, event.lease_until)
--- a/libs/controller/tarragonlb/controller/process.py
+++ b/libs/controller/tarragonlb/controller/process.py
@@ -151,6 +151,7 @@
                 'workers': workers.run,
                 'fleet state': self._fleet_state_feed.run,
                 'pools': partial(self._follow_pools, nursery),
+                'submissions': self.job_service.log_submissions,
             }
             if self._quota_feed is not None:
                 tasks['quota'] = self._quota_feed.run
--- a/libs/telemetry/features/steps/trace_steps.py
+++ b/libs/telemetry/features/steps/trace_steps.py
@@ -60,3 +60,21 @@
 def check_filtered_tasks(context, task):
     starts = context.events[-1].details['starts']
     assert [row[0] for row in starts] == [task], starts
+
+
+@given(
+    'the log of "{name}" shows at {at:d} s that jobs "{jobs}" were submitted'
+)
+def add_submissions_line(context, name, at, jobs):
+    line = {
+        'sentence': 'desk: Jobs submitted.',
+        'timestamp': at,
+        'jobs': [[job, 0.2] for job in jobs.split()],
+    }
+    add_line(context, name, json.dumps(line))
+
+
+@then('the event lists only the job "{job}"')
+def check_job_rows(context, job):
+    (event,) = context.events
+    assert event.details['jobs'] == [[job, 0.2]], event
--- a/libs/telemetry/features/trace.feature
+++ b/libs/telemetry/features/trace.feature
@@ -12,3 +12,10 @@
     Given a line " -1.5000 edge-1 " before "desk: Job submitted." of job "ab"
     When job "ab" is traced
     Then the timeline is "edge-1 -1.5 desk: Job submitted."
+
+  # Guards against traces that begin with all jobs that were submitted with one.
+  Scenario: Of jobs that were submitted together only the traced one is kept
+    Given the log of "one" shows at 3 s that jobs "ab cd" were submitted
+    When job "ab" is traced
+    Then the timeline is "one 3 desk: Jobs submitted."
+    And the event lists only the job "ab"
