Look for the line on a refused submission where it is written now

tenantjobs.feature replaced the log of jobservice, which no longer writes the line since, and so saw no call. It now replaces that of submissionlog, and requires exactly one line, with the id of the refused job, before the client has its response; before, any last line with the verdict was enough.

--- a/libs/controller/features/steps/tenantjob_steps.py
+++ b/libs/controller/features/steps/tenantjob_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from fakeplatform import QUEUE, FakeClock
 
-from tarragonlb.controller import jobservice
+from tarragonlb.controller import jobservice, submissionlog
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.ports import Topic
 from tarragonlb.scheduling.job import MS_PER_SECOND
@@ -161,7 +161,7 @@
         began_at = trio.current_time()
         with (
             mock.patch.object(jobservice, 'FLEET_METER') as sim.meter,
-            mock.patch.object(jobservice, 'LOG') as sim.log,
+            mock.patch.object(submissionlog, 'LOG') as sim.log,
         ):
             sim.second = await list_services(sim)[0].submit(job)
         sim.waited_seconds = trio.current_time() - began_at
@@ -184,7 +184,9 @@
     sim = context.simulation
     counted = (JOB_REQUESTS, 'submit', 'not-run')
     sim.meter.count.assert_called_once_with(*counted)
-    assert sim.log.emit.call_args.kwargs['verdict'] == 'not-run'
+    (line,) = (call.kwargs for call in sim.log.emit.call_args_list)
+    assert line['verdict'] == 'not-run', line
+    assert line['jobs'] == [(sim.jobs[-1], 0)], line
 
 
 @when('reads take {seconds:g} s and tenant "{tenant}" submits a job')
