--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -29,6 +29,7 @@
 from tarragonlb.controller.platformview import DirectoryGate, PlatformView
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.controller.termlog import TermLog
 from tarragonlb.controller.vmwatch import VmWatch
 from tarragonlb.controller.workersessions import WorkerSessions
 from tarragonlb.scheduling.orders import (
@@ -39,10 +40,9 @@
     StopOrder,
 )
 from tarragonlb.telemetry.fleetmetrics import FLEET_METER, ROUND_SECONDS
-from tarragonlb.telemetry.log import Log
 
-LOG = Log('owner')
 INBOX_SIZE = 1000
+NO_LONGER_OWNER = 'the partition is released, or its owner failed'
 
 
 class TermEndedError(Exception):
@@ -75,6 +75,7 @@
         '_settings',
         '_storage',
         '_storing_since',
+        '_term_log',
         '_view',
         '_workers',
     )
@@ -104,7 +105,7 @@
         self._inbox, self._inbox_receiver = trio.open_memory_channel[
             events.Event
         ](INBOX_SIZE)
-        self._decision_log = DecisionLog(owned)
+        self._term_log = TermLog(owned, feed)
         self._directory_gate = DirectoryGate(
             view, settings, clock.read_boottime()
         )
@@ -115,6 +116,7 @@
         self._scheduler = self._quota.build_scheduler(
             clock.read_monotonic(), self._advice_caller.filters
         )
+        self._decision_log = DecisionLog(owned, self._scheduler.state)
         self._lease_handover = LeaseHandover(
             self._scheduler, self._storage, self._decision_log
         )
@@ -130,30 +132,31 @@
         # Subscribe before reading anything, so that no change is missed.
         subscriber, changes = trio.open_memory_channel[list[str]](math.inf)
         self._feed.subscribe(subscriber)
-        is_fenced = False
+        reasons: list[str] = []
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 await self._run_term(changes)
         except* TermEndedError as group:
-            is_fenced = True
             reasons = [str(error) for error in group.exceptions]
-            LOG.emit(
-                'Term ended.',
-                reasons=reasons,
-                partition=self._owned.partition,
-                term=self._owned.term,
-            )
         finally:
-            self._feed.unsubscribe()
-            if not is_fenced:
-                await self._lease_handover.store_last_bounds(
-                    self._inbox_receiver, self._clock.read_monotonic()
-                )
+            await self._end_term(reasons)
+
+    async def _end_term(self, reasons: list[str]) -> None:
+        """Leave the partition; ``reasons`` are why the term has ended early."""
+        self._feed.unsubscribe()
+        self._term_log.log_end(
+            self._scheduler.state, reasons or [NO_LONGER_OWNER]
+        )
+        if not reasons:
+            await self._lease_handover.store_last_bounds(
+                self._inbox_receiver, self._clock.read_monotonic()
+            )
 
     async def _run_term(
         self, changes: trio.MemoryReceiveChannel[list[str]]
     ) -> None:
+        self._nursery.start_soon(self._term_log.log_reading)
         reason = await self._storage.fence()
         if reason:
             raise TermEndedError(reason)
@@ -171,7 +174,7 @@
         try:
             await self._run_rounds()
         finally:
-            self._decision_log.log_ends()
+            self._decision_log.log_rest(self._clock.read_monotonic())
             self._report.close()
 
     def _load_state(self) -> None:
@@ -181,13 +184,7 @@
         self._apply_view()
         for records in self._feed.job_index.list_jobs():
             self._update_job(records.job_id, now)
-        LOG.emit(
-            'Term started.',
-            jobs=len(partition_state.jobs),
-            workers=len(partition_state.workers),
-            partition=self._owned.partition,
-            term=self._owned.term,
-        )
+        self._term_log.log_start(partition_state)
 
     async def _forward_job_changes(
         self, changes: trio.MemoryReceiveChannel[list[str]]
@@ -219,6 +216,7 @@
                     start_window=self._scheduler.start_window,
                     storing_since=self._storing_since,
                     may_place=self._directory_gate.is_open,
+                    wait_reasons=self._scheduler.wait_reasons,
                 ),
                 self._clock.read_monotonic(),
             )
@@ -237,13 +235,13 @@
         self._next_round_at = now + self._settings.max_round_interval_seconds
         if self._storing_since is not None:
             return
-        self._decision_log.log_ends()
+        self._decision_log.log_collected(now)
         decision = self._decide()
         elapsed = self._clock.read_monotonic() - now
         FLEET_METER.record(ROUND_SECONDS, elapsed)
         self._report.note_round(delay, elapsed)
-        self._decision_log.log_released(self._scheduler.state)
-        self._decision_log.log_stops(decision.stops)
+        self._decision_log.log_released(now)
+        self._decision_log.log_stops(decision.stops, now)
         for stop in decision.stops:
             self._enqueue_order(stop)
         for pace in decision.paces:
@@ -291,16 +289,15 @@
 
     def _finish_round(self, decision: SchedulingDecision) -> None:
         self._storing_since = None
-        self._scheduler.note_stored(decision, self._clock.read_monotonic())
+        now = self._clock.read_monotonic()
+        self._scheduler.note_stored(decision, now)
         self._sessions.acknowledge_ends(decision.end_acks)
         if decision.starts:
-            self._decision_log.log_starts(
-                decision, self._scheduler.state.workers
-            )
+            self._decision_log.log_starts(decision, now)
         for start in decision.starts:
             self._enqueue_order(start)
         if self._scheduler.state.changed_jobs:
-            self._next_round_at = self._clock.read_monotonic()
+            self._next_round_at = now
 
     def _enqueue_order(self, order: StartOrder | StopOrder | PaceOrder) -> None:
         if not self._sessions.enqueue(order):
@@ -336,9 +333,7 @@
         reconciler = self._scheduler.reconciler
         match event:
             case events.ReportReceived():
-                self._decision_log.collect_ends(
-                    event.report, self._scheduler.state.workers
-                )
+                self._decision_log.collect_ends(event.report)
                 reconciler.apply_report(event.report)
             case events.WorkerSilent():
                 reconciler.note_silence(event.worker_id, event.lease_until)
