--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -18,7 +18,6 @@
     Connection,
     Endpoint,
     Service,
-    Transport,
 )
 from tarragonlb.server.listener import Listener
 from tarragonlb.server.meter import CONNECTION_METER, ConnectionEvent
@@ -26,6 +25,7 @@
 from tarragonlb.server.settings import ServerSettings
 from tarragonlb.server.stop import ServerStop, Stage
 from tarragonlb.server.stopanswers import StopAnswers
+from tarragonlb.server.transport import Transport
 
 # Refused connections that may be open at once, beyond those that are served.
 MAX_REFUSALS = 16
