Answer a request whose application fails behind the head of its response

A head without a body is dropped now, and the client gets 500. The steps of the feature no longer wait for an idle limit behind an empty response.

--- a/libs/server/features/serverharness.py
+++ b/libs/server/features/serverharness.py
@@ -65,6 +65,9 @@
         self.begun.set()
         if path == 'error':
             raise ValueError
+        if path == 'halt':
+            await send({'type': 'http.response.start', 'status': 200})
+            raise ValueError
         behave = getattr(self, f'do_{path.partition("-")[0]}', None)
         if behave is not None:
             await behave(receive)
--- a/libs/server/features/steps/stop_steps.py
+++ b/libs/server/features/steps/stop_steps.py
@@ -61,9 +61,11 @@
 
 
 async def read_response(stream):
-    """Return the next response with a body, or what there is at the end."""
+    """Return the next short response, or what there is at the end."""
     content = b''
-    while not content.partition(b'\r\n\r\n')[2]:
+    while not re.search(rb'content-length: 0\r\n(.+\r\n)*\r\n', content) and (
+        not content.partition(b'\r\n\r\n')[2]
+    ):
         received = await stream.receive_some()
         if not received:
             break
@@ -375,3 +377,14 @@
     assert len(list_statuses(context)) == count, context.response
     last = context.response.rpartition(b'HTTP/1.1')[2]
     assert header.encode() in last, context.response
+
+
+@when('the application fails behind the head of its response')
+def fail_behind_head(context):
+    async def main(application):
+        async with open_client(application) as (_, stream):
+            await stream.send_all(GET % b'halt')
+            with trio.move_on_after(STOP_SECONDS):
+                context.response = await read_response(stream)
+
+    run(context, main)
--- a/libs/server/features/stopping.feature
+++ b/libs/server/features/stopping.feature
@@ -101,3 +101,8 @@
   Scenario: Requests behind another one are answered by a server that is late for its stages
     When 6 requests come at once and the event loop stands still over all stages but the last
     Then they get 6 responses, the last with "connection: close"
+
+  # Guards against a request that gets nothing, as the application fails between head and body.
+  Scenario: An error of the application behind the head of its response is answered
+    When the application fails behind the head of its response
+    Then the response has status 500
--- a/libs/server/tarragonlb/server/exchange.py
+++ b/libs/server/tarragonlb/server/exchange.py
@@ -169,7 +169,7 @@
             )
             await self._stop_answers.conclude(scope, send, has_begun=has_begun)
         else:
-            await response.release()
+            await response.finish()
         # Answers 500 unless the application has begun a response.
         await send(None)
 
@@ -197,6 +197,11 @@
         if not (is_early or unanswered.cancel_called):
             await self.release()
 
+    async def finish(self) -> None:
+        """Pass on what was held back, but no head without a body."""
+        if self.has_left or len(self._held) > 1:
+            await self.release()
+
     async def release(self) -> None:
         """Pass on what was held back."""
         held, self._held = self._held, []
