Accept the connections that wait before the listeners close

One is accepted a turn, and a server that came late to the end closed its listeners with others waiting, which resets them.

The last stage lets other tasks run once more before the listeners close. The scenario, ten connections while the event loop stands still over that moment, got one answer without the change and gets ten with it.

--- a/libs/server/features/stopping.feature
+++ b/libs/server/features/stopping.feature
@@ -106,3 +106,8 @@
   Scenario: An error of the application behind the head of its response is answered
     When the application fails behind the head of its response
     Then the response has status 500
+
+  # Guards against connections that are reset, as a late server closes its listeners first.
+  Scenario: Connections that wait to be accepted are served by a server that is late for its stages
+    When 10 clients connect while the event loop stands still until the connections have to close
+    Then each of them gets status 503
--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -114,6 +114,8 @@
         connection.conclude()
     await give_turns()
     await stop.wait_before_end(share * settings.close_seconds)
+    # Closing the listeners would reset the connections that wait there.
+    await give_turns()
 
 
 class Gate:
