--- a/libs/server/features/stopping.feature
+++ b/libs/server/features/stopping.feature
@@ -101,3 +101,13 @@
   Scenario: Requests behind another one are answered by a server that is late for its stages
     When 6 requests come at once and the event loop stands still over all stages but the last
     Then they get 6 responses, the last with "connection: close"
+
+  # Guards against a request that gets nothing, as the application fails between head and body.
+  Scenario: An error of the application behind the head of its response is answered
+    When the application fails behind the head of its response
+    Then the response has status 500
+
+  # Guards against connections that are reset, as a late server closes its listeners first.
+  Scenario: Connections that wait to be accepted are served by a server that is late for its stages
+    When 10 clients connect while the event loop stands still until the connections have to close
+    Then each of them gets status 503
