--- a/libs/server/features/steps/late_steps.py
+++ b/libs/server/features/steps/late_steps.py
@@ -1,5 +1,6 @@
 """Steps for a server whose event loop is late for the stages of its stop."""
 
+import contextlib
 import socket
 import time
 
@@ -93,3 +94,30 @@
 @then('each of them gets status {status}')
 def check_late(context, status):
     assert context.statuses == [status] * 10, context.statuses
+
+
+@when('a client sends requests without end until the server ends')
+def send_without_end(context):
+    async def send(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(20 * (GET % b'a'))
+
+    async def main(application):
+        async with (
+            open_client(application) as (stop, stream),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(send, stream)
+            begin(stop)
+            context.response = await read_all(stream)
+            nursery.cancel_scope.cancel()
+
+    run(context, main)
+
+
+@then('no line says that a request ends without an answer')
+def check_all_answered(context):
+    sentences = [line.get('sentence', '') for line in context.lines]
+    unanswered = [text for text in sentences if 'without an answer' in text]
+    assert not unanswered, len(unanswered)
--- a/libs/server/features/stopping.feature
+++ b/libs/server/features/stopping.feature
@@ -111,3 +111,8 @@
   Scenario: Connections that wait to be accepted are served by a server that is late for its stages
     When 10 clients connect while the event loop stands still until the connections have to close
     Then each of them gets status 503
+
+  # Guards against a read request of a client that never pauses, cut as the server ends.
+  Scenario: A client that sends without end gets an answer to all that was read
+    When a client sends requests without end until the server ends
+    Then no line says that a request ends without an answer
