Bound the time in which a stage of a stop lets other tasks run

Tests of late bodies beside a load of 23 ended a process with code 124 and cut requests: on a busy daemon 50 turns of the event loop take seconds, so that the later stages came after the end.

--- a/libs/server/tarragonlb/server/httpserver.py
+++ b/libs/server/tarragonlb/server/httpserver.py
@@ -29,8 +29,10 @@
 
 # Refused connections that may be open at once, beyond those that are served.
 MAX_REFUSALS = 16
-# Turns of the event loop in which each stage of a stop can take effect.
+# Turns of the event loop in which each stage of a stop can take effect, and the
+# time that they may take.
 STAGE_TURNS = 50
+STAGE_SECONDS = 0.1
 REFUSAL = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
@@ -92,8 +94,9 @@
 
 async def give_turns() -> None:
     """Let all other tasks run, also if the event loop is late for a stage."""
-    for _ in range(STAGE_TURNS):
-        await trio.lowlevel.checkpoint()
+    with trio.move_on_after(STAGE_SECONDS):
+        for _ in range(STAGE_TURNS):
+            await trio.lowlevel.checkpoint()
 
 
 async def pass_stages(
