--- a/review/standins2/daemon.py
+++ b/review/standins2/daemon.py
@@ -100,16 +100,21 @@
             process.wait()
 
 
-def find_port():
-    """Return a free port that the kernel gives to no outgoing connection."""
+def reserve_port():
+    """Return a port, and a socket that keeps others from it.
+
+    The daemon can listen there; a socket that doesn't listen is no hindrance.
+    The kernel gives a port of this range to no outgoing connection.
+    """
     while True:
-        port = random.randint(10_000, 30_000)
-        with socket.socket() as holder:
-            try:
-                holder.bind((HOST, port))
-            except OSError:
-                continue
-            return port
+        holder = socket.socket()
+        try:
+            holder.bind((HOST, random.randint(10_000, 30_000)))
+        except OSError:
+            holder.close()
+            continue
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return holder.getsockname()[1], holder
 
 
 class Daemon:
@@ -119,7 +124,9 @@
         self.stage = stage
         self.name = f'edge-{number}'
         self.zone = ZONES[number % len(ZONES)]
-        self.front, self.ready, self.metrics = (find_port() for _ in range(3))
+        reserved = [reserve_port() for _ in range(3)]
+        self.front, self.ready, self.metrics = (port for port, _ in reserved)
+        self.holders = [holder for _, holder in reserved]
         self.store = Server(stage.serve_store)
         self.process = None
 
--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -71,6 +71,8 @@
     ``find_seconds`` returns how long a work unit has to run, None if it lasts.
     """
 
+    # Jobs that can never be done: their work units always fail, for all.
+    failing = set()
     # Numbers of members by job, time and step, and who has come, for all.
     gangs = {}
     members = {}
@@ -89,6 +91,8 @@
         self.find_seconds = find_seconds
         self.history = []
         self.late_seconds = 0.0
+        # Answers each start with 503 and does nothing.
+        self.is_unhealthy = False
         self.sequence = 0
         # Set when the next status request arrives.
         self.polled = trio.Event()
@@ -129,6 +133,9 @@
         body = request.decode()
         if request.path == W['hold']:
             return await self._hold(life, body)
+        if self.is_unhealthy and request.path == W['start']:
+            self.note(f'{life.id} answers 503 to {body["task"]}')
+            return Response(503)
         if self.late_seconds:
             self.nursery.start_soon(self._execute_late, life, request.path, body)
             return None
@@ -213,7 +220,8 @@
 
     async def _work(self, life, run):
         await trio.sleep(run.seconds)
-        self._end(life, run, 'done')
+        is_bad = run.task.partition('.')[0] in self.failing
+        self._end(life, run, 'failed' if is_bad else 'done')
 
     def _stop(self, life, task, number):
         self.note(f'{life.id} is told to stop {task} run {number}')
--- a/review/standins2/stage.py
+++ b/review/standins2/stage.py
@@ -85,7 +85,7 @@
         self.runners.append(runner)
         return runner
 
-    def write_config(self, queues):
+    def write_config(self, queues, max_attempts=3):
         """Write the next config; ``queues`` maps names to prefix and pool."""
         self.version += 3
         pools = sorted({pool for _, pool in queues.values()})
@@ -99,7 +99,7 @@
                     'service': pool,
                     'kind': 'non_idempotent',
                     'priority': 0,
-                    'maxAttempts': 3,
+                    'maxAttempts': max_attempts,
                     'stretch': 1.6,
                     'timeoutMs': 3000,
                     'sloMs': 600,
