--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,4 +1,4 @@
-"""Work units that run for minutes are taken for stalled, and block a pool."""
+"""A runner restarts under its id and is cut off soon after, and runs on."""
 
 import sys
 
@@ -6,79 +6,84 @@
 from runner import W
 from stage import run_case
 
-LONG_PREFIX = '/index/'
-CLIP_PREFIX = '/clips/'
-LONG = '00000000000000a1'
+SHORT_PREFIX = '/clips/'
+LASTING_PREFIX = '/index/'
+SHORT = '00000000000000a1'
+LASTING = '00000000000000b2'
+SHORT_SECONDS = 2.5
 RUNNERS = 6
-LONG_UNITS = 12
-LONG_SECONDS = 300.0
-SHORT_SECONDS = 60.0
-# From the hand-in of the long job to that of the short ones.
-LEAD_SECONDS = 30.0
-CLIPS = 6
-# The rule's bounds: three calm seconds after four calm seconds, and `finish_s`.
-IDLE_SECONDS = 7.0
-FINISH_SECONDS = 14.0
+UP_SECONDS = 10.0
+# For how long the runner is down after its crash.
+DOWN_SECONDS = 2.0
+# From the restart to the cut, and how long that lasts.
+CUT_AFTER_SECONDS = 1.0
+CUT_SECONDS = 5.5
+# Half of a runner: it takes one work unit of each job.
+HALF = 8000
 
 
 async def submit(stage, prefix, job, step, seconds):
-    for _ in range(10):
-        status = await stage.submit(
-            stage.daemons[0], prefix, job, [step], [seconds]
-        )
-        if status == 200:
+    for daemon in stage.daemons * 2:
+        if await stage.submit(daemon, prefix, job, [step], [seconds]) == 200:
             return
-        await trio.sleep(0.5)
+        await trio.sleep(0.1)
     raise RuntimeError(f'{job} was not accepted')
 
 
+def find_overlaps(stage):
+    """Return the work units of which two runs were at work at a time."""
+    now = trio.current_time()
+    broken = []
+    runs = stage.list_runs()
+    for run in runs:
+        end = run.ended_at or now
+        broken.extend(
+            f'TWICE: {run.task} runs on {run.lifetime.id} (run {run.number})'
+            f' until {end - stage.began:.2f} s, and on {later.lifetime.id} (run'
+            f' {later.number}) from {later.begun_at - stage.began:.2f} s, both'
+            f' up: {end - later.begun_at:.2f} s at the same time'
+            for later in runs
+            if later.task == run.task
+            and later is not run
+            and run.begun_at <= later.begun_at < end
+        )
+    return broken
+
+
 async def play(stage, is_disrupted):
     for number in range(RUNNERS):
         stage.add_runner(f'runner-{number}', 'pool-a', f'r{number // 4}')
     stage.write_config(
-        {'index': (LONG_PREFIX, 'pool-a'), 'clips': (CLIP_PREFIX, 'pool-a')}
+        {
+            'clips': (SHORT_PREFIX, 'pool-a'),
+            'index': (LASTING_PREFIX, 'pool-a'),
+        }
     )
     await stage.start()
-    await trio.sleep(2)
-    seconds = LONG_SECONDS if is_disrupted else SHORT_SECONDS
-    step = {
-        'count': LONG_UNITS,
-        'cpu': 880,
-        'memMb': 256,
-        # The estimate is right.
-        W['estimate']: int(seconds * 1000),
-    }
-    await submit(stage, LONG_PREFIX, LONG, step, seconds)
-    await trio.sleep(LEAD_SECONDS)
-    jobs = [f'{number:016x}' for number in range(1, CLIPS + 1)]
-    accepted = {}
-    for job in jobs:
-        clip = {'count': 6, 'cpu': 880, 'memMb': 256}
-        await submit(stage, CLIP_PREFIX, job, clip, 1.0)
-        accepted[job] = trio.current_time()
-        await trio.sleep(1)
-    await trio.sleep(FINISH_SECONDS + 4)
-    broken = []
-    now = trio.current_time()
-    for job in jobs:
-        _, state = await stage.ask(stage.daemons[1], CLIP_PREFIX, job)
-        runs = stage.list_runs(job)
-        idle = runs[0].begun_at - accepted[job] if runs else now - accepted[job]
-        stage.note(f'{job} is {state}; its first run began after {idle:.2f} s')
-        if idle > IDLE_SECONDS or (
-            state != 'completed' and now - accepted[job] > FINISH_SECONDS
-        ):
-            broken.append(
-                f'LOST: {job} was accepted {now - accepted[job]:.1f} s ago and'
-                f' is {state}; for {idle:.1f} s none of its work units ran'
-            )
-    runs = stage.list_runs(LONG)
-    stopped = sum(run.how == 'stopped' for run in runs)
-    stage.note(
-        f'{LONG}: {len(runs)} runs of {LONG_UNITS} work units, {stopped} of'
-        ' them were ended by a stop'
-    )
-    return broken
+    await trio.sleep(UP_SECONDS)
+    runner = stage.runners[2]
+    if is_disrupted:
+        runner.crash()
+        await trio.sleep(DOWN_SECONDS)
+        runner.begin()
+        with trio.fail_after(5):
+            await runner.polled.wait()
+    begun = trio.current_time()
+    await trio.sleep(0.1)
+    short = {'count': RUNNERS, 'cpu': HALF, 'memMb': 512, W['apart']: 1}
+    await submit(stage, SHORT_PREFIX, SHORT, short, SHORT_SECONDS)
+    await trio.sleep(0.2)
+    lasting = {'count': RUNNERS, 'cpu': HALF, 'memMb': 512, W['permanent']: True}
+    await submit(stage, LASTING_PREFIX, LASTING, lasting, None)
+    await trio.sleep_until(begun + CUT_AFTER_SECONDS)
+    if is_disrupted:
+        runner.server.cut()
+        stage.note(f'{runner.name} is cut off and runs on')
+        await trio.sleep(CUT_SECONDS)
+        runner.server.restore()
+        stage.note(f'{runner.name} is reached again')
+    await trio.sleep(6)
+    return find_overlaps(stage)
 
 
 run_case(play, daemons=3, folder=sys.argv[1])
