--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,51 +1,61 @@
-"""A runner restarts under its id and is cut off soon after, and runs on."""
+"""A runner restarts under its id: ends of its new lifetime are forgotten."""
 
 import sys
 
 import trio
-from runner import W
 from stage import run_case
 
-SHORT_PREFIX = '/clips/'
-LASTING_PREFIX = '/index/'
-SHORT = '00000000000000a1'
-LASTING = '00000000000000b2'
-SHORT_SECONDS = 2.5
-RUNNERS = 6
-UP_SECONDS = 10.0
+PREFIX = '/clips/'
+FIRST = '00000000000000a1'
+SECOND = '00000000000000b2'
+WORK_SECONDS = 0.4
 # For how long the runner is down after its crash.
-DOWN_SECONDS = 2.0
-# From the restart to the cut, and how long that lasts.
-CUT_AFTER_SECONDS = 1.0
-CUT_SECONDS = 5.5
-# Half of a runner: it takes one work unit of each job.
-HALF = 8000
+DOWN_SECONDS = 0.3
+# As many work units as fill all runners evenly.
+RUNNERS = 6
+WIDTH = 12
 
 
-async def submit(stage, prefix, job, step, seconds):
+async def submit(stage, job):
+    step = {'count': WIDTH, 'cpu': 2300, 'memMb': 512}
     for daemon in stage.daemons * 2:
-        if await stage.submit(daemon, prefix, job, [step], [seconds]) == 200:
+        if await stage.submit(daemon, PREFIX, job, [step], [WORK_SECONDS]) == 200:
             return
-        await trio.sleep(0.1)
+        await trio.sleep(0.5)
     raise RuntimeError(f'{job} was not accepted')
 
 
-def find_overlaps(stage):
-    """Return the work units of which two runs were at work at a time."""
-    now = trio.current_time()
+async def wait_until_completed(stage, job):
+    state = ''
+    with trio.move_on_after(25):
+        while state != 'completed':
+            await trio.sleep(0.5)
+            _, state = await stage.ask(stage.daemons[0], PREFIX, job)
+    return state
+
+
+async def crash_and_restart(stage, runner):
+    """Crash a runner that is idle, and start it again under its id."""
+    runner.crash()
+    await trio.sleep(DOWN_SECONDS)
+    runner.begin()
+
+
+def find_repeated(stage):
+    """Return the work units that ran again after an end that was noted."""
     broken = []
     runs = stage.list_runs()
     for run in runs:
-        end = run.ended_at or now
+        if run.how != 'done' or run.noted_at is None:
+            continue
         broken.extend(
-            f'TWICE: {run.task} runs on {run.lifetime.id} (run {run.number})'
-            f' until {end - stage.began:.2f} s, and on {later.lifetime.id} (run'
-            f' {later.number}) from {later.begun_at - stage.began:.2f} s, both'
-            f' up: {end - later.begun_at:.2f} s at the same time'
+            f'TWICE: {run.task} run {run.number} ended done on'
+            f' {run.lifetime.id} (born {run.lifetime.born}) as end number'
+            f' {run.end_number}, and that end is taken note of; run'
+            f' {later.number} began {later.begun_at - run.ended_at:.2f} s later'
+            f' on {later.lifetime.id}'
             for later in runs
-            if later.task == run.task
-            and later is not run
-            and run.begun_at <= later.begun_at < end
+            if later.task == run.task and later.begun_at > run.ended_at
         )
     return broken
 
@@ -53,37 +63,29 @@
 async def play(stage, is_disrupted):
     for number in range(RUNNERS):
         stage.add_runner(f'runner-{number}', 'pool-a', f'r{number // 4}')
-    stage.write_config(
-        {
-            'clips': (SHORT_PREFIX, 'pool-a'),
-            'index': (LASTING_PREFIX, 'pool-a'),
-        }
-    )
+    stage.write_config({'clips': (PREFIX, 'pool-a')})
     await stage.start()
-    await trio.sleep(UP_SECONDS)
-    runner = stage.runners[2]
-    if is_disrupted:
-        runner.crash()
-        await trio.sleep(DOWN_SECONDS)
-        runner.begin()
-        with trio.fail_after(5):
-            await runner.polled.wait()
-    begun = trio.current_time()
+    await trio.sleep(3)
+    await submit(stage, FIRST)
+    assert await wait_until_completed(stage, FIRST) == 'completed'
+    await trio.sleep(1)
+    # One of those that have run something, so that ends of it are known.
+    runner = stage.list_runs(FIRST)[0].lifetime.runner
+    with trio.fail_after(10):
+        await runner.polled.wait()
     await trio.sleep(0.1)
-    short = {'count': RUNNERS, 'cpu': HALF, 'memMb': 512, W['apart']: 1}
-    await submit(stage, SHORT_PREFIX, SHORT, short, SHORT_SECONDS)
-    await trio.sleep(0.2)
-    lasting = {'count': RUNNERS, 'cpu': HALF, 'memMb': 512, W['permanent']: True}
-    await submit(stage, LASTING_PREFIX, LASTING, lasting, None)
-    await trio.sleep_until(begun + CUT_AFTER_SECONDS)
     if is_disrupted:
-        runner.server.cut()
-        stage.note(f'{runner.name} is cut off and runs on')
-        await trio.sleep(CUT_SECONDS)
-        runner.server.restore()
-        stage.note(f'{runner.name} is reached again')
-    await trio.sleep(6)
-    return find_overlaps(stage)
+        await crash_and_restart(stage, runner)
+    else:
+        await trio.sleep(DOWN_SECONDS)
+    await submit(stage, SECOND)
+    await wait_until_completed(stage, SECOND)
+    await trio.sleep(2)
+    for run in stage.list_runs(SECOND):
+        stage.note(
+            f'{run.task} run {run.number} on {run.lifetime.id}: {run.how}'
+        )
+    return find_repeated(stage)
 
 
 run_case(play, daemons=3, folder=sys.argv[1])
