--- a/review/10/play.py
+++ b/review/10/play.py
@@ -1,39 +1,30 @@
-"""A job that repeats many times: its progress outgrows a record of the store."""
+"""A runner rejects all starts while the others are full: what is pending?"""
 
 import sys
-import time
 
 import trio
-from runner import Runner
 from stage import run_case
 
-SCHEDULED_PREFIX = '/settle/'
+LONG_PREFIX = '/index/'
 CLIP_PREFIX = '/clips/'
-SCHEDULED = '00000000000000a1'
-CLIPS = [f'{number:016x}' for number in range(1, 5)]
-RUNNERS = 8
-DAY_MS = 86_400_000
-TIMES = 365
-WIDTH = 400
-# So many of the times are due when the job is handed in.
-DUE_TIMES = 60
-FEW_DUE_TIMES = 5
-WORK_SECONDS = 0.05
-PLAY_SECONDS = 70.0
-# The rule's `finish_s`, after the last hand-in.
-FINISH_SECONDS = 14.0
+LONG = '00000000000000a1'
+RUNNERS = 7
+LONG_SECONDS = 60.0
+CLIPS = [f'{number:016x}' for number in range(1, 9)]
+# `visible_ms` + 2 s, and some more.
+WAIT_SECONDS = 5.2
+ASKS = 6
+ASK_INTERVAL = 0.1
 
 
-async def submit(stage, prefix, job, body, seconds):
-    stage.seconds[job, 0] = seconds
+async def submit(stage, prefix, job, step, seconds):
     for _ in range(10):
-        status, _ = await stage.daemons[0].call(
-            'POST', prefix + job, {'spec': f'run {job}', **body}
+        status = await stage.submit(
+            stage.daemons[0], prefix, job, [step], [seconds]
         )
-        stage.note(f'POST {job} -> {status}')
         if status == 200:
             return
-        await trio.sleep(0.5)
+        await trio.sleep(0.3)
     raise RuntimeError(f'{job} was not accepted')
 
 
@@ -41,53 +32,48 @@
     for number in range(RUNNERS):
         stage.add_runner(f'runner-{number}', 'pool-a', f'r{number // 4}')
     stage.write_config(
-        {
-            'settle': (SCHEDULED_PREFIX, 'pool-a'),
-            'clips': (CLIP_PREFIX, 'pool-a'),
-        }
+        {'index': (LONG_PREFIX, 'pool-a'), 'clips': (CLIP_PREFIX, 'pool-a')}
     )
     await stage.start()
-    await trio.sleep(2)
-    due = DUE_TIMES if is_disrupted else FEW_DUE_TIMES
-    now_ms = int(time.time() * 1000)
-    body = {
-        'steps': [{'count': WIDTH, 'cpu': 100, 'memMb': 64, 'gang': True}],
-        'startAtMs': now_ms - (due - 1) * DAY_MS,
-        'intervalMs': DAY_MS,
-        'repeatCount': TIMES,
-    }
-    for number in range(due):
-        Runner.gangs[f'{SCHEDULED}.{number}.0'] = WIDTH
-    await submit(stage, SCHEDULED_PREFIX, SCHEDULED, body, WORK_SECONDS)
-    with trio.move_on_after(PLAY_SECONDS):
-        shown = 0
-        while stage.store.refused is None:
-            await trio.sleep(0.5)
-            runs = stage.list_runs(SCHEDULED)
-            if len(runs) >= shown + 1000:
-                shown = len(runs)
-                stage.note(f'{shown} runs of {SCHEDULED} so far')
-            if sum(run.how == 'done' for run in runs) == due * WIDTH:
-                break
-    if stage.store.refused is not None:
-        stage.note(f'the store refused a record of {stage.store.refused} bytes')
-        await trio.sleep(2)
-    clip = {'steps': [{'count': 2, 'cpu': 880, 'memMb': 256}]}
+    await trio.sleep(3)
+    # All runners are full, or all but one.
+    full = RUNNERS - is_disrupted
+    step = {'count': full, 'cpu': 16000, 'memMb': 256}
+    await submit(stage, LONG_PREFIX, LONG, step, LONG_SECONDS)
+    with trio.fail_after(30):
+        while len(stage.list_runs(LONG)) < full:
+            await trio.sleep(0.1)
+    await trio.sleep(1)
+    since = trio.current_time()
+    for runner in stage.runners:
+        if not runner.history:
+            runner.is_unhealthy = True
+            stage.note(f'{runner.name} is unhealthy from now on')
+    clip = {'count': 1, 'cpu': 880, 'memMb': 256}
     for job in CLIPS:
         await submit(stage, CLIP_PREFIX, job, clip, 1.0)
-    await trio.sleep(FINISH_SECONDS)
+    await trio.sleep(WAIT_SECONDS)
     broken = []
-    for job in CLIPS:
-        _, state = await stage.ask(stage.daemons[1], CLIP_PREFIX, job)
-        begun = len(stage.list_runs(job))
-        if state != 'completed':
+    for number in range(ASKS):
+        daemon = stage.daemons[number % len(stage.daemons)]
+        begun = {run.task.partition('.')[0] for run in stage.list_runs()}
+        waiting = sum(job not in begun for job in CLIPS)
+        status, content = await daemon.call('GET', CLIP_PREFIX)
+        pending = content.get('pending', -1)
+        stage.note(
+            f'{daemon.name}: {status}, pending {pending}; {waiting} haven\'t'
+            ' begun'
+        )
+        if status == 200 and pending * 2 < waiting:
             broken.append(
-                f'LOST: {job} was accepted {FINISH_SECONDS:.0f} s ago and is'
-                f' {state}; {begun} runs began, though the runners are idle'
+                f'MIXED: {daemon.name} gives {pending} as pending; {waiting}'
+                f' jobs that were accepted over {WAIT_SECONDS} s before'
+                ' haven\'t begun'
             )
-    _, state = await stage.ask(stage.daemons[1], SCHEDULED_PREFIX, SCHEDULED)
-    done = sum(run.how == 'done' for run in stage.list_runs(SCHEDULED))
-    stage.note(f'{SCHEDULED} is {state}: {done} of {due * WIDTH} units due are done')
+        await trio.sleep(ASK_INTERVAL)
+    for runner in stage.runners:
+        runner.is_unhealthy = False
+    stage.note(f'all are healthy, after {trio.current_time() - since:.1f} s')
     return broken
 
 
