--- a/review/6/play.py
+++ b/review/6/play.py
@@ -11,7 +11,7 @@
 SHORT = '00000000000000a1'
 LASTING = '00000000000000b2'
 SHORT_SECONDS = 2.5
-RUNNERS = 6
+RUNNERS = 8
 UP_SECONDS = 10.0
 # For how long the runner is down after its crash.
 DOWN_SECONDS = 2.0
