--- a/review/7/play.py
+++ b/review/7/play.py
@@ -12,7 +12,7 @@
 # For how long the runner is down after its crash.
 DOWN_SECONDS = 0.3
 # As many work units as fill all runners evenly.
-RUNNERS = 6
+RUNNERS = 8
 WIDTH = 12
 
 
