--- a/review/9/play.py
+++ b/review/9/play.py
@@ -10,6 +10,7 @@
 BAD_PREFIX = '/clips/'
 GOOD_PREFIX = '/chant/'
 BAD = '00000000000000a1'
+SOUND = [f'{number:016x}' for number in range(1, 25)]
 RUNNERS = 6
 MAX_ATTEMPTS = 2
 WORK_SECONDS = 1.0
@@ -41,6 +42,8 @@
     others = [daemon for daemon in stage.daemons if daemon is not owner]
     Runner.failing.add(BAD)
     step = {'count': 1, 'cpu': 880, 'memMb': 256}
+    for job in SOUND:
+        await stage.submit(others[0], BAD_PREFIX, job, [step], [0.3])
     for _ in range(5):
         status = await stage.submit(
             others[0], BAD_PREFIX, BAD, [step], [WORK_SECONDS]
