Count the leases of an incarnation that has not been read as the longest

A worker restarted under its id, got tasks, was cut off and ran on.

Cause: a status request after a failed one repeated the last expiry, by the clock of the former incarnation. The new clock is near 0, so the worker shortened that to the longest lease (6 s); the owner counted the 3.5 s that it granted to the new clock. Start orders that reached the new incarnation before its first report carried the former expiry, too.

Change: a status request that follows a failed one extends no lease. From its first report an incarnation is assumed to hold the longest lease, also while calls for the former one are under way. Attempts whose start an incarnation may have executed unread are kept until the longest lease has passed since the last such call; all others as before. Stored lease bounds cover them. An order that is answered with a clock that has gone back is open until a report.

--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -11,3 +11,32 @@
     And worker "w1" restarts
     And 2 seconds pass
     Then the log says what the calls without an answer were meant for
+
+  # Guards against a task that runs twice: leases of the new incarnation were
+  # counted from the clock of the former one.
+  Scenario: A worker that restarts and is cut off runs no task beside its next attempt
+    Given 1 daemons, and 2 workers that can restart under their ids, with tasks that last
+    When 10 seconds pass
+    And worker "w1" crashes
+    And 2 seconds pass
+    And worker "w1" restarts
+    And 0.6 seconds pass
+    And a job of 10 tasks is submitted
+    And 0.4 seconds pass
+    And worker "w1" is cut off for 5.5 seconds
+    And 3 seconds pass
+    Then no task has run twice, and 2 runs or more were on worker "w1"
+
+  # Guards against a task that runs twice: start orders that reached the new
+  # incarnation before it was found had a lease by the clock of the former one.
+  Scenario: A worker that is cut off before its restart is found holds its tasks
+    Given 1 daemons, and 2 workers that can restart under their ids, with tasks that last
+    When 10 seconds pass
+    And worker "w1" crashes once it has answered a status request
+    And 0.2 seconds pass
+    And worker "w1" restarts
+    And a job of 10 tasks is submitted
+    And 0.2 seconds pass
+    And worker "w1" is cut off for 9 seconds
+    And 3 seconds pass
+    Then no task has run twice, and 2 runs or more were on worker "w1"
--- a/libs/controller/tarragonlb/controller/calllog.py
+++ b/libs/controller/tarragonlb/controller/calllog.py
@@ -25,13 +25,16 @@
 
     ``incarnation`` is the one that it is meant for, None before the worker has
     answered for the first time.  ``lease_until_ms`` is the lease that it
-    carries, on the clock of that incarnation.  ``attempt`` is that of an order.
+    carries, on the clock of that incarnation, and ``sent_clock_ms`` what this
+    clock showed at least when the call was sent.  ``attempt`` is that of an
+    order.
     """
 
     kind: str
     token: int
     incarnation: int | None
     lease_until_ms: int | None = None
+    sent_clock_ms: int = 0
     attempt: str = ''
 
     def describe(self) -> tuple[object, ...]:
--- a/libs/controller/tarragonlb/controller/contact.py
+++ b/libs/controller/tarragonlb/controller/contact.py
@@ -1,22 +1,46 @@
-"""What the calls of one owner to one worker may still do."""
+"""What the calls of one owner to one worker may still do.
+
+A worker may restart under its id.  The next incarnation executes what was meant
+for the former one, and knows nothing of before.  Which incarnation executed a
+call is known only from the answer: a report names it, and the clock in the
+answer to an order goes back.
+"""
 
 from tarragonlb.controller.calllog import Call, CallLog
 from tarragonlb.controller.lease import WorkerLease
 from tarragonlb.controller.ports import OrderReply, StatusReply
 from tarragonlb.scheduling.orders import OrderResult
+from tarragonlb.scheduling.settings import SchedulingSettings
 
 
 class WorkerContact:
-    """The calls to one worker, and what its incarnations have answered."""
+    """The calls to one worker, and what its incarnations have answered.
+
+    An incarnation is read once a report of it has been received.
+    """
 
-    __slots__ = ('_incarnation', '_log', '_term', '_under_way', 'lease')
+    __slots__ = (
+        '_incarnation',
+        '_log',
+        '_settings',
+        '_term',
+        '_under_way',
+        '_unread_at',
+        'lease',
+    )
 
-    def __init__(self, worker_id: str, term: int) -> None:
+    def __init__(
+        self, worker_id: str, term: int, settings: SchedulingSettings
+    ) -> None:
         """Start without contact; calls are sent under ``term``."""
         self._term = term
+        self._settings = settings
         self._log = CallLog(worker_id)
         self._incarnation: int | None = None
         self._under_way: list[Call] = []
+        # When a call that carries a lease may last have been executed by an
+        # incarnation that has not been read since.
+        self._unread_at: float | None = None
         self.lease = WorkerLease()
 
     def begin(
@@ -24,30 +48,48 @@
     ) -> Call:
         """Return a call that is about to be sent."""
         call = Call(
-            kind, self._term, self._incarnation, lease_until_ms, attempt
+            kind,
+            self._term,
+            self._incarnation,
+            lease_until_ms,
+            self.lease.clock_ms or 0,
+            attempt,
         )
         self._under_way.append(call)
         return call
 
     def note_order_reply(
         self, call: Call, reply: OrderReply, now: float
-    ) -> None:
-        """Take note of what became of an order."""
+    ) -> OrderResult:
+        """Take note of what became of an order, and return its result.
+
+        An order that another incarnation than the last one read has carried out
+        counts as unanswered: only a report shows what that runs.
+        """
         self._under_way.remove(call)
         if reply.result is OrderResult.UNANSWERED:
-            self._log.note_unanswered(call, now)
+            self._note_unanswered(call, now)
+        elif reply.result is OrderResult.DONE and _is_of_other(call, reply):
+            self._note_unread(call, now)
+            return OrderResult.UNANSWERED
+        return reply.result
 
     def note_report(self, call: Call, reply: StatusReply) -> None:
         """Take note of the answer to a status request."""
         self._under_way.remove(call)
         report = reply.report
         former, self._incarnation = self._incarnation, report.incarnation
-        if former is not None and former != report.incarnation:
+        is_new = former is not None and former != report.incarnation
+        if former is not None and is_new:
             self._log.log_incarnation(
                 former, report.incarnation, self._under_way
             )
+            self.lease.forget()
         self._log.log_collected(report.received_at)
         self.lease.record_reply(reply.clock_ms, report.received_at)
+        if is_new or self._has_calls_for_former():
+            self.lease.assume(self._settings.max_lease_seconds)
+        self._unread_at = None
 
     def note_failure(
         self, call: Call, result: OrderResult, failures: int, now: float
@@ -57,5 +99,36 @@
         ``failures`` is how many failed in a row before it.
         """
         self._under_way.remove(call)
-        if result is OrderResult.UNANSWERED and not failures:
-            self._log.note_unanswered(call, now)
+        if result is not OrderResult.UNANSWERED:
+            return
+        if failures:
+            self._note_unread(call, now)
+        else:
+            self._note_unanswered(call, now)
+
+    def compute_unread_expiry(self) -> float:
+        """Return when the leases of incarnations not read have expired.
+
+        0 if no call has been left that such an incarnation may have executed.
+        """
+        if self._unread_at is None:
+            return 0.0
+        return self._unread_at + self._settings.compute_longest_lease()
+
+    def _note_unanswered(self, call: Call, now: float) -> None:
+        self._log.note_unanswered(call, now)
+        self._note_unread(call, now)
+
+    def _note_unread(self, call: Call, now: float) -> None:
+        if call.lease_until_ms is not None:
+            self._unread_at = now
+
+    def _has_calls_for_former(self) -> bool:
+        return any(
+            call.incarnation != self._incarnation for call in self._under_way
+        )
+
+
+def _is_of_other(call: Call, reply: OrderReply) -> bool:
+    """Return whether the worker's clock went back after a call was sent."""
+    return reply.clock_ms is not None and reply.clock_ms < call.sent_clock_ms
--- a/libs/controller/tarragonlb/controller/events.py
+++ b/libs/controller/tarragonlb/controller/events.py
@@ -35,10 +35,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerSilent:
-    """A worker did not answer; its leases expire at ``lease_until`` seconds."""
+    """A worker did not answer.
+
+    The leases of the incarnation that was last read expire at ``lease_until``
+    seconds, and those of one that has not been read at ``unread_lease_until``.
+    """
 
     worker_id: str
     lease_until: float
+    unread_lease_until: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/controller/tarragonlb/controller/lease.py
+++ b/libs/controller/tarragonlb/controller/lease.py
@@ -4,6 +4,10 @@
 clock than on the worker's.  While the worker does not answer, leases are not
 extended: an unanswered call may still take effect.
 
+A new incarnation counts its clock anew.  A lease that was meant for the former
+one expires far ahead on that clock, so the worker shortens it to the longest
+lease, and holds that from when the call arrived.
+
 A reply that was handled late shows the worker's clock too low, so the clock is
 also carried forward from earlier replies, as slowly as it may run.
 """
@@ -25,6 +29,7 @@
     """
 
     __slots__ = (
+        '_assumed_until_ms',
         '_clock_ms',
         '_estimated_ms',
         '_granted_until_ms',
@@ -38,6 +43,13 @@
         self._estimated_ms = 0.0
         self._received_at = 0.0
         self._granted_until_ms: int | None = None
+        # An upper bound of what calls for a former incarnation have granted.
+        self._assumed_until_ms = 0.0
+
+    @property
+    def clock_ms(self) -> int | None:
+        """Return the worker's clock in its last reply, None without one."""
+        return self._clock_ms
 
     @property
     def granted_until_ms(self) -> int | None:
@@ -47,12 +59,22 @@
     def record_reply(self, clock_ms: int, received_at: float) -> None:
         """Record the worker's clock; a lower value is a new incarnation."""
         if self._clock_ms is not None and clock_ms < self._clock_ms:
-            self._granted_until_ms = None
-            self._clock_ms = None
+            self.forget()
         self._estimated_ms = self._estimate_clock(clock_ms, received_at)
         self._clock_ms = clock_ms
         self._received_at = received_at
 
+    def forget(self) -> None:
+        """Grant nothing until the next reply, of another incarnation."""
+        self._granted_until_ms = None
+        self._clock_ms = None
+        self._assumed_until_ms = 0.0
+
+    def assume(self, seconds: float) -> None:
+        """Assume that the worker held a lease of ``seconds`` as it replied."""
+        until_ms = (self._clock_ms or 0) + seconds * MS_PER_SECOND
+        self._assumed_until_ms = max(self._assumed_until_ms, until_ms)
+
     def extend(self, now: float, seconds: float) -> int | None:
         """Grant a lease of ``seconds`` from ``now`` and return its expiry."""
         if self._clock_ms is None:
@@ -62,10 +84,13 @@
         return self._granted_until_ms
 
     def compute_expiry(self) -> float:
-        """Return when all granted leases have expired, on the local clock."""
-        if self._clock_ms is None or self._granted_until_ms is None:
+        """Return when all leases have expired, on the local clock."""
+        if self._clock_ms is None:
+            return 0.0
+        until_ms = max(self._granted_until_ms or 0, self._assumed_until_ms)
+        if not until_ms:
             return 0.0
-        remaining = (self._granted_until_ms - self._clock_ms) / MS_PER_SECOND
+        remaining = (until_ms - self._clock_ms) / MS_PER_SECOND
         return self._received_at + remaining * CLOCK_DRIFT_FACTOR
 
     def compute_remaining(self, now: float) -> float:
--- a/libs/controller/tarragonlb/controller/leasehandover.py
+++ b/libs/controller/tarragonlb/controller/leasehandover.py
@@ -67,7 +67,9 @@
                     self._scheduler.reconciler.apply_report(event.report)
                 case events.WorkerSilent():
                     self._scheduler.reconciler.note_silence(
-                        event.worker_id, event.lease_until
+                        event.worker_id,
+                        event.lease_until,
+                        event.unread_lease_until,
                     )
         changes = self._scheduler.bound_keeper.decide_last(now)
         if changes.is_empty:
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -336,7 +336,11 @@
                 self._decision_log.collect_ends(event.report)
                 reconciler.apply_report(event.report)
             case events.WorkerSilent():
-                reconciler.note_silence(event.worker_id, event.lease_until)
+                reconciler.note_silence(
+                    event.worker_id,
+                    event.lease_until,
+                    event.unread_lease_until,
+                )
             case events.WorkerReplaced():
                 reconciler.note_worker_replaced(
                     event.worker_id, self._clock.read_monotonic()
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -82,7 +82,9 @@
         self._workers = workers
         self._settings = settings
         self._clock = clock
-        self._contact = WorkerContact(worker.worker_id, term)
+        self._contact = WorkerContact(
+            worker.worker_id, term, settings.scheduling
+        )
         self._acknowledged: tuple[int | None, int] = (None, 0)
         self._acknowledgement = trio.Event()
         self._order_sender, self._order_receiver = trio.open_memory_channel[
@@ -191,10 +193,9 @@
 
     def _extend_lease(self, failures: int) -> int | None:
         seconds = self._lease_seconds()
-        if not seconds:
+        # The worker may have restarted, with a clock that is not known.
+        if failures or not seconds:
             return None
-        if failures:
-            return self._contact.lease.granted_until_ms
         return self._contact.lease.extend(self._clock.read_monotonic(), seconds)
 
     async def _report_failure(self, result: OrderResult) -> None:
@@ -204,8 +205,12 @@
         elif result is OrderResult.OTHER_INCARNATION:
             await self._inbox.send(WorkerReplaced(worker_id))
         else:
-            lease_until = self._contact.lease.compute_expiry()
-            await self._inbox.send(WorkerSilent(worker_id, lease_until))
+            silent = WorkerSilent(
+                worker_id,
+                self._contact.lease.compute_expiry(),
+                self._contact.compute_unread_expiry(),
+            )
+            await self._inbox.send(silent)
 
     async def _send_orders(self) -> None:
         async for order in self._order_receiver:
@@ -229,8 +234,7 @@
         )
         reply = await self._call(order, call.token, until_ms or 0)
         now = self._clock.read_monotonic()
-        self._contact.note_order_reply(call, reply, now)
-        return reply.result
+        return self._contact.note_order_reply(call, reply, now)
 
     async def _call(
         self, order: Order, token: int, lease_until_ms: int
--- a/libs/scheduling/tarragonlb/scheduling/leasebound.py
+++ b/libs/scheduling/tarragonlb/scheduling/leasebound.py
@@ -191,7 +191,8 @@
             is_unreachable = worker.is_silent or not worker.entry.address
             if not (worker.attached and is_unreachable):
                 continue
-            remaining = max(worker.lease_until - now, 0)
+            tasks = (one.task for one in worker.attached.values())
+            remaining = max(worker.lease_ends.find_last(tasks) - now, 0)
             known = partition.stored_bounds.get(
                 worker_id, settings.compute_longest_lease()
             )
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -9,6 +9,7 @@
 from tarragonlb.scheduling.durations import find_kind
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.leaseends import LeaseEnds
 from tarragonlb.scheduling.lossrecorder import LossRecorder
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
@@ -60,16 +61,25 @@
         if not was_usable and worker.is_usable():
             self._partition.changed_pools.add(worker.entry.pool)
 
-    def note_silence(self, worker_id: str, lease_until: float) -> None:
+    def note_silence(
+        self,
+        worker_id: str,
+        lease_until: float,
+        unread_lease_until: float = 0.0,
+    ) -> None:
         """Stop using a worker until it answers again.
 
-        The leases that this owner granted there end at ``lease_until`` seconds.
-        Tasks that allow copies may start on another worker at once.
+        The leases that this owner granted to the incarnation that has last
+        reported end at ``lease_until`` seconds, those of one that has not
+        reported at ``unread_lease_until``.  Tasks that allow copies may start
+        on another worker at once.
         """
         worker = self._partition.workers.get(worker_id)
         if worker is None:
             return
-        worker.lease_until = max(worker.lease_until, lease_until)
+        worker.lease_ends = worker.lease_ends.extend(
+            LeaseEnds(lease_until, unread_lease_until)
+        )
         if worker.is_silent:
             return
         worker.is_silent = True
@@ -103,8 +113,14 @@
         for worker in self._partition.workers.values():
             self._losses.forget_doubt(worker, now)
             is_unreachable = worker.is_silent or worker.last_report_at is None
-            if is_unreachable and now > worker.lease_until + margin:
-                self._losses.lose_all(worker, LossReason.LEASE_OVER, now)
+            if is_unreachable and now > worker.lease_ends.read + margin:
+                may_run = now <= worker.lease_ends.unread + margin
+                self._losses.lose_all(
+                    worker,
+                    LossReason.LEASE_OVER,
+                    now,
+                    _list_open_starts(worker) if may_run else (),
+                )
 
     def _update_incarnation(
         self, worker: WorkerState, report: WorkerReport
@@ -269,3 +285,11 @@
         task = self._partition.jobs[key.job_id].find(key)
         if task is not None:
             self._partition.release(key, task, reason)
+
+
+def _list_open_starts(worker: WorkerState) -> tuple[TaskKey, ...]:
+    return tuple(
+        key
+        for key, attachment in worker.attached.items()
+        if attachment.task.has_open_start
+    )
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -28,7 +28,8 @@
     """How far the start of an attempt has come.
 
     DECIDED: no order was sent.  STORED: the placement is stored, and the order
-    may have been sent.  CONFIRMED: the worker has answered it.
+    may have been sent.  CONFIRMED: the worker has answered it, or listed the
+    attempt.
     """
 
     DECIDED = 0
@@ -124,6 +125,17 @@
         """Return whether an attempt may run on the task's worker."""
         return self.phase in ATTACHED
 
+    @property
+    def has_open_start(self) -> bool:
+        """Return whether a start by this owner may have run unnoticed.
+
+        The incarnation of the worker that last reported has neither answered it
+        nor listed the attempt.
+        """
+        return (
+            self.placed_at is not None and self.start_stage is StartStage.STORED
+        )
+
     @property
     def is_serving(self) -> bool:
         """Return whether a permanent task reports full readiness."""
@@ -160,6 +172,7 @@
         self, percent: int, checkpoint: str, now: float
     ) -> None:
         """Apply a report that lists the attempt."""
+        self.start_stage = StartStage.CONFIRMED
         if self.phase is TaskPhase.PLACED:
             self.phase = TaskPhase.RUNNING
             self.progress_at = now
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from tarragonlb.scheduling.job import Demand, Step, TaskKey
+from tarragonlb.scheduling.leaseends import LeaseEnds
 from tarragonlb.scheduling.startbackoff import StartBackoff
 from tarragonlb.scheduling.task import StopReason, TaskState
 from tarragonlb.scheduling.workerloss import LostAttempt
@@ -96,7 +97,7 @@
     worker announced its end when it last reported or since.  ``must_report`` is
     true from when the worker may have ended until it reports again: it was
     lost, or a drain request was withdrawn, which also happens when the VM has
-    been taken away.
+    been taken away.  ``lease_ends`` are when all leases on it have run out.
     """
 
     __slots__ = (
@@ -118,7 +119,7 @@
         'is_silent',
         'last_end_number',
         'last_report_at',
-        'lease_until',
+        'lease_ends',
         'must_report',
         'orphans',
         'probe_at',
@@ -146,7 +147,7 @@
         self.is_silent = False
         self.is_drain_requested = False
         self.must_report = False
-        self.lease_until = lease_until
+        self.lease_ends = LeaseEnds(lease_until)
         self.probe_at = 0.0
         self.failures = 0
         self._start_backoff = StartBackoff()
