Acknowledge ends only while no call to the worker is open

An idle worker restarted under its id within one status request, and the next job's first tasks ended there.

Cause: the numbers of ends begin anew with each incarnation. A session that had heard nothing since the last report of the former one acknowledged ends up to that one's number with any request, so the new incarnation forgot its first ends before it had listed them. The owner took their tasks for lost in the restart.

Change: nothing is acknowledged while a call is open, that is, got no answer or one with a clock that has gone back, and no report has followed. An acknowledgement is sent until a report has confirmed it and then no more, so that a request of an idle owner which arrives late forgets nothing.

--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -40,3 +40,16 @@
     And worker "w1" is cut off for 9 seconds
     And 3 seconds pass
     Then no task has run twice, and 2 runs or more were on worker "w1"
+
+  # Guards against a done task that runs again: the first ends of the new
+  # incarnation were forgotten, as their numbers were known from the former one.
+  Scenario: The ends of a new incarnation are reported, however soon it restarts
+    Given 1 daemons, and 2 workers that can restart under their ids, with tasks of 0.4 s
+    When a job of 16 tasks is submitted
+    And 3 seconds pass
+    And worker "w1" crashes once it has answered a status request
+    And 0.3 seconds pass
+    And worker "w1" restarts
+    And a job of 16 tasks is submitted
+    And 5 seconds pass
+    Then no task has run twice, and 4 runs or more were on worker "w1"
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -53,7 +53,6 @@
     """Communicates with one worker during one term."""
 
     __slots__ = (
-        '_acknowledged',
         '_acknowledgement',
         '_clock',
         '_contact',
@@ -85,7 +84,6 @@
         self._contact = WorkerContact(
             worker.worker_id, term, settings.scheduling
         )
-        self._acknowledged: tuple[int | None, int] = (None, 0)
         self._acknowledgement = trio.Event()
         self._order_sender, self._order_receiver = trio.open_memory_channel[
             Order
@@ -114,7 +112,7 @@
 
     def acknowledge_ends(self, incarnation: int | None, number: int) -> None:
         """Acknowledge the ends of an incarnation up to ``number``."""
-        self._acknowledged = (incarnation, number)
+        self._contact.acknowledge_ends(incarnation, number)
         self._acknowledgement.set()
 
     def enqueue(self, order: Order) -> bool:
@@ -127,12 +125,10 @@
 
     async def _poll_forever(self) -> None:
         settings = self._settings
-        incarnation: int | None = None
         failures = SILENT_AFTER_FAILURES
         while True:
-            reply = await self._poll(incarnation, failures)
+            reply = await self._poll(failures)
             if isinstance(reply, StatusReply):
-                incarnation = reply.report.incarnation
                 failures = 0
                 await self._inbox.send(ReportReceived(reply.report))
                 await self._pause(reply.report)
@@ -158,34 +154,29 @@
         await trio.sleep(max(poll_at - self._clock.read_monotonic(), 0))
 
     async def _wait_for_acknowledgement(self, report: WorkerReport) -> None:
-        last_end = (report.incarnation, report.ended[-1].number)
-        while self._acknowledged != last_end:
+        while not self._contact.has_acknowledged(report):
             self._acknowledgement = trio.Event()
             await self._acknowledgement.wait()
 
-    async def _poll(
-        self, incarnation: int | None, failures: int
-    ) -> StatusReply | OrderResult:
+    async def _poll(self, failures: int) -> StatusReply | OrderResult:
         settings = self._settings
         until_ms = self._extend_lease(failures)
-        acknowledged_incarnation, acknowledged_end = self._acknowledged
         wait_seconds = 0.0 if failures else settings.poll_wait_seconds
         if until_ms is None:
             # Leases may be extended again at any moment.
             wait_seconds = min(wait_seconds, settings.poll_retry_seconds)
+        acknowledged_end = self._contact.choose_acknowledged_end()
         call = self._contact.begin(STATUS, until_ms)
         request = StatusRequest(
             worker=self.worker,
             token=call.token,
-            acknowledged_end=acknowledged_end
-            if acknowledged_incarnation == incarnation
-            else 0,
+            acknowledged_end=acknowledged_end,
             lease_until_ms=until_ms,
             wait_seconds=wait_seconds,
         )
         reply = await self._workers.api.poll_status(request)
         if isinstance(reply, StatusReply):
-            self._contact.note_report(call, reply)
+            self._contact.note_report(call, reply, acknowledged_end)
         else:
             now = self._clock.read_monotonic()
             self._contact.note_failure(call, reply, failures, now)
