Shut out calls to a worker that got no answer by a higher fencing token

What callers saw: two runs of a task at once, one of them by a start order that arrived late ("late true" in the users' record).

Cause: a start order that gets no answer may be executed seconds later, by the next incarnation, which the same id in the header can't tell from the former one. The owner took the first report of that incarnation for the whole truth: what was sent before it and is not listed was lost with the worker, and started elsewhere. Nothing a worker lists can rule the late start out.

Evidence: "A start order that arrives after a restart and a report runs nothing" failed on: attempt 2 ran from 5.85 s, attempt 1 began on the restarted worker at 7.5 s.

Change: a token is the term and, below it, a number that rises within the term with each call without an answer, each new incarnation, and each request that acknowledges ends. The next status request is sent at once, with no wait, and its report is final: what was sent under a lower token and is not listed never runs on that incarnation. Until then such starts are kept; after it they are released without a stop order. An incarnation is assumed to hold the longest lease until its report is final. A call that a newer one of the same owner has overtaken is refused as outdated; it is sent again and ends no term.

What it costs: one status request after a lost answer.

Not closed: a late start that is executed by an incarnation which began after the final report and has not been reached itself.

--- a/libs/controller/features/fakeplatform.py
+++ b/libs/controller/features/fakeplatform.py
@@ -288,6 +288,7 @@
                 for end in self.ended[worker_id]
                 if end.number > request.acknowledged_end
             ),
+            token=request.token,
         )
         return StatusReply(report, int(now * 1000))
 
--- a/libs/controller/features/restartingworkers.py
+++ b/libs/controller/features/restartingworkers.py
@@ -5,6 +5,7 @@
 that are let through later.
 """
 
+import itertools
 import math
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -74,7 +75,8 @@
     """Workers whose tasks take ``seconds``, or last if that is None.
 
     A worker in ``cut`` gets no call and goes on.  Start orders to workers in
-    ``holding`` get no answer and are executed when they are let through.
+    ``holding`` get no answer and are executed when they are let through.  The
+    others take one of ``delays`` in turn to arrive.
     """
 
     def __init__(self, seconds=0.4):
@@ -85,6 +87,8 @@
         self.holding = set()
         self.held = []
         self.waiting = []
+        self.delays = itertools.repeat(0)
+        self.fenced = 0
         self.runs = []
         self.starts = []
         self.answered = defaultdict(trio.Event)
@@ -154,6 +158,7 @@
             self.held.append((worker.worker_id, execute))
             await trio.sleep(TIMEOUT_SECONDS)
             return UNANSWERED
+        await trio.sleep(next(self.delays))
         return await self._order(worker.worker_id, execute)
 
     async def stop(self, worker, order, token):
@@ -249,6 +254,7 @@
                 for key, run in incarnation.runs.items()
             ),
             ended=tuple(end for end, _ in incarnation.ends),
+            token=request.token,
         )
         return StatusReply(report, incarnation.read_clock(now))
 
@@ -257,6 +263,7 @@
         incarnation = self.present[worker_id]
         self._advance(worker_id)
         if not incarnation.accepts(token):
+            self.fenced += 1
             return OrderResult.FENCED
         if lease_until_ms <= incarnation.read_clock(now):
             return OrderResult.REFUSED
--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -53,3 +53,31 @@
     And a job of 16 tasks is submitted
     And 5 seconds pass
     Then no task has run twice, and 4 runs or more were on worker "w1"
+
+  # Guards against a task that runs twice: a start order without an answer was
+  # executed by the next incarnation, after that had listed its tasks.
+  Scenario: A start order that arrives after a restart and a report runs nothing
+    Given 1 daemons, and 2 workers that can restart under their ids, with tasks of 3 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 0.2 seconds pass
+    And worker "w1" crashes
+    And 0.3 seconds pass
+    And start orders are held back no more
+    And worker "w1" restarts
+    And 2 seconds pass
+    And those that were held back are executed
+    And 5 seconds pass
+    Then no task has run twice, and 0 runs or more were on worker "w1"
+
+  # Guards against a term that ends, or a task that never starts, as a newer call
+  # of the same owner has overtaken an order.
+  Scenario: An order that a newer call of its owner has overtaken is sent again
+    Given 1 daemons, and 2 workers that can restart under their ids, with tasks of 0.1 s
+    When 2 seconds pass
+    And every other start order takes 0.1 s to arrive
+    And a job of 200 tasks is submitted
+    And 12 seconds pass
+    Then all jobs are completed, and every task was started once
+    And orders were refused for newer ones, and no term has ended
--- a/libs/controller/features/steps/restartworker_steps.py
+++ b/libs/controller/features/steps/restartworker_steps.py
@@ -1,5 +1,6 @@
 """Steps for workers that restart under their ids and are cut off."""
 
+import itertools
 from dataclasses import replace
 from functools import partial
 
@@ -85,6 +86,15 @@
     add_action(context, action)
 
 
+@when('every other start order takes {seconds:g} s to arrive')
+def delay(context, seconds):
+    async def action(sim):
+        sim.worker_api.delays = itertools.cycle((0, seconds))
+        sim.terms = sim.list_owners()
+
+    add_action(context, action)
+
+
 @when('start orders are held back no more')
 def end_holding(context):
     async def action(sim):
@@ -118,6 +128,16 @@
     context.simulation.run()
 
 
+@then('orders were refused for newer ones, and no term has ended')
+def check_terms(context):
+    async def action(sim):
+        assert sim.worker_api.fenced > 0
+        assert sim.list_owners() == sim.terms
+
+    add_action(context, action)
+    context.simulation.run()
+
+
 @then('the log says what the calls without an answer were meant for')
 def check_lines(context):
     context.simulation.run()
--- a/libs/controller/tarragonlb/controller/calllog.py
+++ b/libs/controller/tarragonlb/controller/calllog.py
@@ -27,7 +27,7 @@
     answered for the first time.  ``lease_until_ms`` is the lease that it
     carries, on the clock of that incarnation, and ``sent_clock_ms`` what this
     clock showed at least when the call was sent.  ``attempt`` is that of an
-    order.
+    order.  A status request acknowledges ends up to ``acknowledged_end``.
     """
 
     kind: str
@@ -36,6 +36,7 @@
     lease_until_ms: int | None = None
     sent_clock_ms: int = 0
     attempt: str = ''
+    acknowledged_end: int = 0
 
     def describe(self) -> tuple[object, ...]:
         """Return the call as a row of a log line."""
--- a/libs/controller/tarragonlb/controller/events.py
+++ b/libs/controller/tarragonlb/controller/events.py
@@ -62,10 +62,11 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswered:
-    """The result of an order is known."""
+    """The result of an order is known, which was sent under a fencing token."""
 
     order: StartOrder | StopOrder | PaceOrder
     result: OrderResult
+    token: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -315,7 +315,7 @@
                     self._update_job(job_id, now)
             case events.OrderAnswered():
                 self._scheduler.apply_order_result(
-                    event.order, event.result, now
+                    event.order, event.result, now, event.token
                 )
                 self._advice_caller.note_result(event.order, event.result)
             case events.AdviceAnswered():
--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from tarragonlb.controller.calllog import STATUS
+from tarragonlb.controller.calllog import Call
 from tarragonlb.controller.contact import WorkerContact
 from tarragonlb.controller.events import (
     Event,
@@ -20,6 +20,7 @@
     WorkerReplaced,
     WorkerSilent,
 )
+from tarragonlb.controller.fencingtoken import FencingTokens
 from tarragonlb.controller.ordergate import WorkerAccess
 from tarragonlb.controller.ports import (
     Clock,
@@ -70,19 +71,19 @@
     def __init__(
         self,
         worker: Worker,
-        term: int,
+        tokens: FencingTokens,
         workers: WorkerAccess,
         settings: ControllerSettings,
         clock: Clock,
     ) -> None:
-        """Prepare to send orders to ``worker`` under ``term``."""
+        """Prepare to send orders to ``worker`` under ``tokens``."""
         self.worker = worker
         self.scope = trio.CancelScope()
         self._workers = workers
         self._settings = settings
         self._clock = clock
         self._contact = WorkerContact(
-            worker.worker_id, term, settings.scheduling
+            worker.worker_id, tokens, settings.scheduling
         )
         self._acknowledgement = trio.Event()
         self._order_sender, self._order_receiver = trio.open_memory_channel[
@@ -133,6 +134,8 @@
                 await self._inbox.send(ReportReceived(reply.report))
                 await self._pause(reply.report)
                 continue
+            if reply is None:
+                continue
             failures += 1
             if failures >= SILENT_AFTER_FAILURES:
                 await self._report_failure(reply)
@@ -158,28 +161,34 @@
             self._acknowledgement = trio.Event()
             await self._acknowledgement.wait()
 
-    async def _poll(self, failures: int) -> StatusReply | OrderResult:
+    async def _poll(self, failures: int) -> StatusReply | OrderResult | None:
+        """Ask for a report, without a wait if that settles open calls.
+
+        Return None if a newer call of this session has shut the request out.
+        """
         settings = self._settings
         until_ms = self._extend_lease(failures)
-        wait_seconds = 0.0 if failures else settings.poll_wait_seconds
+        must_settle = failures or self._contact.has_open_calls
+        wait_seconds = 0.0 if must_settle else settings.poll_wait_seconds
         if until_ms is None:
             # Leases may be extended again at any moment.
             wait_seconds = min(wait_seconds, settings.poll_retry_seconds)
-        acknowledged_end = self._contact.choose_acknowledged_end()
-        call = self._contact.begin(STATUS, until_ms)
+        call = self._contact.begin_status(until_ms)
         request = StatusRequest(
             worker=self.worker,
             token=call.token,
-            acknowledged_end=acknowledged_end,
+            acknowledged_end=call.acknowledged_end,
             lease_until_ms=until_ms,
             wait_seconds=wait_seconds,
         )
         reply = await self._workers.api.poll_status(request)
         if isinstance(reply, StatusReply):
-            self._contact.note_report(call, reply, acknowledged_end)
+            self._contact.note_report(call, reply)
         else:
             now = self._clock.read_monotonic()
             self._contact.note_failure(call, reply, failures, now)
+            if self._is_shut_out(call, reply):
+                return None
         return reply
 
     def _extend_lease(self, failures: int) -> int | None:
@@ -206,26 +215,40 @@
     async def _send_orders(self) -> None:
         async for order in self._order_receiver:
             async with self._workers.gate.enter() as entered_at:
-                result = await self._send_order(order)
-                if result is OrderResult.DONE:
+                answered = await self._send_order(order)
+                if answered.result is OrderResult.DONE:
                     self._workers.gate.record_answer(entered_at)
-            if result is OrderResult.FENCED:
+            if answered.result is OrderResult.FENCED:
                 await self._inbox.send(TermEnded('a worker saw a later owner'))
-            await self._inbox.send(OrderAnswered(order, result))
+            await self._inbox.send(answered)
 
-    async def _send_order(self, order: Order) -> OrderResult:
-        until_ms: int | None = None
-        if isinstance(order, StartOrder):
-            until_ms = self._contact.lease.granted_until_ms
-            may_start = until_ms is not None and self._lease_seconds()
-            if not (may_start and self._is_still_wanted(order)):
-                return OrderResult.WITHHELD
-        call = self._contact.begin(
-            KIND_BY_ORDER[type(order)], until_ms, f'{order.key} {order.attempt}'
-        )
-        reply = await self._call(order, call.token, until_ms or 0)
-        now = self._clock.read_monotonic()
-        return self._contact.note_order_reply(call, reply, now)
+    async def _send_order(self, order: Order) -> OrderAnswered:
+        """Send an order, again if a newer call of this session overtook it."""
+        while True:
+            until_ms: int | None = None
+            if isinstance(order, StartOrder):
+                until_ms = self._choose_start_lease(order)
+                if until_ms is None:
+                    return OrderAnswered(order, OrderResult.WITHHELD)
+            call = self._contact.begin_order(
+                KIND_BY_ORDER[type(order)],
+                f'{order.key} {order.attempt}',
+                until_ms,
+            )
+            reply = await self._call(order, call.token, until_ms or 0)
+            now = self._clock.read_monotonic()
+            result = self._contact.note_order_reply(call, reply, now)
+            if not self._is_shut_out(call, result):
+                return OrderAnswered(order, result, call.token)
+
+    def _choose_start_lease(self, order: StartOrder) -> int | None:
+        """Return the lease of a start, None if it may not be sent."""
+        if not (self._lease_seconds() and self._is_still_wanted(order)):
+            return None
+        return self._contact.lease.granted_until_ms
+
+    def _is_shut_out(self, call: Call, result: OrderResult) -> bool:
+        return result is OrderResult.FENCED and self._contact.is_outdated(call)
 
     async def _call(
         self, order: Order, token: int, lease_until_ms: int
--- a/libs/controller/tarragonlb/controller/workersessions.py
+++ b/libs/controller/tarragonlb/controller/workersessions.py
@@ -5,6 +5,7 @@
 import trio
 
 from tarragonlb.controller.events import Event
+from tarragonlb.controller.fencingtoken import FencingTokens
 from tarragonlb.controller.ordergate import WorkerAccess
 from tarragonlb.controller.ports import Clock
 from tarragonlb.controller.settings import ControllerSettings
@@ -18,7 +19,7 @@
 class WorkerSessions:
     """Starts and ends sessions as workers come and go."""
 
-    __slots__ = ('_clock', '_sessions', '_settings', '_term', '_workers')
+    __slots__ = ('_clock', '_sessions', '_settings', '_tokens', '_workers')
 
     def __init__(
         self,
@@ -27,8 +28,8 @@
         settings: ControllerSettings,
         clock: Clock,
     ) -> None:
-        """Start without sessions; all orders are sent under ``term``."""
-        self._term = term
+        """Start without sessions; all calls are sent in ``term``."""
+        self._tokens = FencingTokens(term)
         self._workers = workers
         self._settings = settings
         self._clock = clock
@@ -57,7 +58,7 @@
             elif state.entry.address:
                 session = WorkerSession(
                     state.entry,
-                    self._term,
+                    self._tokens,
                     self._workers,
                     self._settings,
                     self._clock,
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -9,7 +9,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.task import StartStage, TaskPhase, TaskState
+from tarragonlb.scheduling.task import StartStage, TaskPhase
 from tarragonlb.scheduling.tenantusage import ORPHANED
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
 from tarragonlb.scheduling.workerloss import (
@@ -63,8 +63,9 @@
         """Release the attempts of an incarnation that has ended.
 
         ``report`` is the first one of the present incarnation.  A start that
-        was sent after that began has reached it: the report lists the attempt,
-        or the start was not answered yet when the report was requested.
+        this has carried out, or may carry out yet, is kept: the report lists
+        the attempt, or the start was not answered yet when it was requested, or
+        never was, and nothing has shut it out.
         """
         listed = {(row.key, row.attempt) for row in report.running}
         listed.update((end.key, end.attempt) for end in report.ended)
@@ -72,7 +73,7 @@
         for key, attachment in worker.attached.items():
             task = attachment.task
             is_listed = (key, attachment.attempt) in listed
-            if is_listed or _may_arrive(task, report.requested_at):
+            if is_listed or task.may_arrive(report.requested_at, report.token):
                 survivors.add(key)
                 task.incarnation = report.incarnation
         self.lose_all(worker, LossReason.REBORN, report.received_at, survivors)
@@ -186,13 +187,6 @@
             partition.close_job(state, JobOutcome.FAILED, now)
 
 
-def _may_arrive(task: TaskState, requested_at: float) -> bool:
-    """Return whether a start that was sent may arrive after a report."""
-    if task.start_stage is StartStage.DECIDED:
-        return False
-    return task.settled_at is None or task.settled_at >= requested_at
-
-
 def _list_lost(worker: WorkerState, now: float) -> Iterator[LostAttempt]:
     for key, attachment in worker.attached.items():
         task = attachment.task
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -28,9 +28,13 @@
         self._losses = LossRecorder(partition)
 
     def apply_start_result(
-        self, order: StartOrder, result: OrderResult, now: float
+        self,
+        order: StartOrder,
+        result: OrderResult,
+        now: float,
+        token: int = 0,
     ) -> None:
-        """Apply the result of a start order."""
+        """Apply the result of a start order that was sent under ``token``."""
         task = self._partition.find_attempt(
             order.key, order.attempt, order.worker_id
         )
@@ -38,11 +42,12 @@
             return
         worker = self._partition.workers[order.worker_id]
         if result in {OrderResult.DONE, OrderResult.UNANSWERED}:
-            task.settled_at = now
             if result is OrderResult.DONE:
+                task.settled_at = now
                 task.start_stage = StartStage.CONFIRMED
                 worker.note_start_accepted()
             else:
+                task.note_start_unanswered(token, now)
                 self._back_off(worker, now)
             return
         if result is OrderResult.OTHER_INCARNATION:
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -274,6 +274,9 @@
             return
         if report.requested_at <= task.settled_at:
             return
+        if task.is_shut_out(report.token):
+            self._partition.release(key, task, 'the start was shut out')
+            return
         if task.phase is not TaskPhase.STOPPING:
             self._partition.begin_stop(task, StopReason.NOT_LISTED)
         elif (
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -134,11 +134,12 @@
         order: StartOrder | StopOrder | PaceOrder,
         result: OrderResult,
         now: float,
+        token: int = 0,
     ) -> None:
-        """Apply the result of an order to a worker."""
+        """Apply the result of an order, sent to a worker under ``token``."""
         if isinstance(order, StartOrder):
             self.start_window.note_answer(order, result, now)
-            self.order_tracker.apply_start_result(order, result, now)
+            self.order_tracker.apply_start_result(order, result, now, token)
         elif isinstance(order, StopOrder):
             self.order_tracker.apply_stop_result(order, result, now)
         elif result is not OrderResult.DONE:
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -70,6 +70,7 @@
     """
 
     __slots__ = (
+        '_open_token',
         'attempt',
         'avoided',
         'barred_at',
@@ -108,6 +109,8 @@
         self.not_before = 0.0
         self.avoided: set[str] = set()
         self.settled_at: float | None = None
+        # Of a start order that timed out.
+        self._open_token: int | None = None
         self.barred_at: float | None = None
         self.stop_sent_at: float | None = None
         self.stop_reason = StopReason.NONE
@@ -164,15 +167,42 @@
         self.attempt = attempt
         self.placed_at = now
         self.settled_at = None
+        self._open_token = None
         self._forget_orders()
         self.progress_percent = 0
         self.progress_at = now
 
+    def note_start_unanswered(self, token: int, now: float) -> None:
+        """Take note of a start order, sent under ``token``, that timed out."""
+        self.settled_at = now
+        self._open_token = token
+
+    def is_shut_out(self, token: int) -> bool:
+        """Return whether a start that timed out never runs after a report.
+
+        The report was requested under the fencing token ``token``.
+        """
+        return self._open_token is not None and self._open_token < token
+
+    def may_arrive(self, requested_at: float, token: int) -> bool:
+        """Return whether the start may be carried out after a report.
+
+        The report was requested at ``requested_at`` under ``token``.
+        """
+        if self.start_stage is StartStage.DECIDED:
+            return False
+        if self.settled_at is None:
+            return True
+        if self._open_token is not None:
+            return not self.is_shut_out(token)
+        return self.settled_at >= requested_at
+
     def update_progress(
         self, percent: int, checkpoint: str, now: float
     ) -> None:
         """Apply a report that lists the attempt."""
         self.start_stage = StartStage.CONFIRMED
+        self._open_token = None
         if self.phase is TaskPhase.PLACED:
             self.phase = TaskPhase.RUNNING
             self.progress_at = now
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -317,6 +317,8 @@
 
     ``requested_at`` is when the report was requested; its content is not older
     than that.  Only a complete one proves that what it does not list is over.
+    The worker carries out no order under a lower fencing token than ``token``
+    any more.
     """
 
     worker_id: str
@@ -326,3 +328,4 @@
     running: tuple[RunningAttempt, ...] = ()
     ended: tuple[EndedAttempt, ...] = field(default=())
     is_complete: bool = True
+    token: int = 0
