Keep what the first report of an owner lists on a restarted worker

What callers saw: after a worker had restarted under its id and its owner was killed, tasks that ran there were started elsewhere and stopped only then, so that both ran for up to the time of a stop, 0.4 s (TWICE).

Cause: start orders that are sent between a restart and its discovery run on the new incarnation, but are stored with the former one. The first report to the next owner, or the first after an expired lease, made it release all attempts of another incarnation before it looked at which of them the report lists.

Change: one function for both paths says which attempts the present incarnation may run, listed or not shut out, and these are kept.

"The next owner adopts what the new incarnation of a worker runs" failed before and passes.

--- a/libs/controller/features/restartingworkers.py
+++ b/libs/controller/features/restartingworkers.py
@@ -26,6 +26,7 @@
 MAX_LEASE_MS = 6000
 CLOCK_RATE = 0.981
 TIMEOUT_SECONDS = 0.4
+STOP_SECONDS = 0.4
 SLICE_SECONDS = 0.02
 # After an answer, the next status request is surely under way.
 ANSWERED_SECONDS = 0.2
@@ -43,6 +44,7 @@
     ends_at: float
     ended_at: float | None = None
     how: str = ''
+    stops_at: float = math.inf
     is_noted: bool = False
 
 
@@ -286,10 +288,12 @@
         self._advance(worker_id)
         if not incarnation.accepts(token):
             return OrderResult.FENCED
-        incarnation.barred[order.key] = order.attempt
         run = incarnation.runs.get(order.key)
         if run is not None and run.attempt == order.attempt:
-            self._end(incarnation, run, 'stopped', trio.current_time())
+            stops_at = trio.current_time() + STOP_SECONDS
+            run.stops_at = min(run.stops_at, stops_at)
+        else:
+            incarnation.barred[order.key] = order.attempt
         return OrderResult.DONE
 
     def _advance(self, worker_id):
@@ -303,6 +307,8 @@
                 self._end(incarnation, run, 'done', run.ends_at)
             elif lapses_at < now:
                 self._end(incarnation, run, 'lapsed', lapses_at)
+            elif run.stops_at < now:
+                self._end(incarnation, run, 'stopped', run.stops_at)
 
     def _end(self, incarnation, run, how, at):
         incarnation.runs.pop(run.key)
--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -81,3 +81,17 @@
     And 12 seconds pass
     Then all jobs are completed, and every task was started once
     And orders were refused for newer ones, and no term has ended
+
+  # Guards against a task that runs twice: the next owner took an attempt on the
+  # new incarnation for lost, as it was placed for the former one.
+  Scenario: The next owner adopts what the new incarnation of a worker runs
+    Given 2 daemons, and 2 workers that can restart under their ids, with tasks that last
+    When 2 seconds pass
+    And worker "w1" crashes once it has answered a status request
+    And 0.1 seconds pass
+    And worker "w1" restarts
+    And a job of 10 tasks is submitted
+    And 0.15 seconds pass
+    And the owner of the pool is killed
+    And 9 seconds pass
+    Then no task has run twice, and 2 runs or more were on worker "w1"
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -62,35 +62,25 @@
     def lose_reborn(self, worker: WorkerState, report: WorkerReport) -> None:
         """Release the attempts of an incarnation that has ended.
 
-        ``report`` is the first one of the present incarnation.  A start that
-        this has carried out, or may carry out yet, is kept: the report lists
-        the attempt, or the start was not answered yet when it was requested, or
-        never was, and nothing has shut it out.
+        ``report`` is the first one of the present incarnation.
         """
-        listed = {(row.key, row.attempt) for row in report.running}
-        listed.update((end.key, end.attempt) for end in report.ended)
-        survivors: set[TaskKey] = set()
-        for key, attachment in worker.attached.items():
-            task = attachment.task
-            is_listed = (key, attachment.attempt) in listed
-            if is_listed or task.may_arrive(report.requested_at, report.token):
-                survivors.add(key)
-                task.incarnation = report.incarnation
+        survivors = _adopt_survivors(worker, report)
         self.lose_all(worker, LossReason.REBORN, report.received_at, survivors)
 
-    def lose_former(
-        self, worker: WorkerState, incarnation: int, now: float
-    ) -> None:
+    def lose_former(self, worker: WorkerState, report: WorkerReport) -> None:
         """Release attempts that an earlier incarnation of a worker had.
 
-        ``incarnation`` is the present one.
+        ``report`` is the first one that this owner has of the worker, or the
+        first one after its leases ran out.
         """
+        survivors = _adopt_survivors(worker, report)
         lost = tuple(
             attempt
-            for attempt in _list_lost(worker, now)
-            if attempt.incarnation not in {0, incarnation}
+            for attempt in _list_lost(worker, report.received_at)
+            if attempt.incarnation not in {0, report.incarnation}
+            and attempt.key not in survivors
         )
-        self._lose(worker, lost, LossReason.REBORN, now)
+        self._lose(worker, lost, LossReason.REBORN, report.received_at)
 
     def settle_doubt(
         self, worker: WorkerState, incarnation: int | None, now: float
@@ -187,6 +177,25 @@
             partition.close_job(state, JobOutcome.FAILED, now)
 
 
+def _adopt_survivors(worker: WorkerState, report: WorkerReport) -> set[TaskKey]:
+    """Return the tasks whose attempts the present incarnation may run.
+
+    It has executed starts that were meant for the former one, or may do so yet:
+    ``report`` lists the attempt, or the start was not answered yet when it was
+    requested, or never was, and nothing has shut it out.
+    """
+    listed = {(row.key, row.attempt) for row in report.running}
+    listed.update((end.key, end.attempt) for end in report.ended)
+    survivors: set[TaskKey] = set()
+    for key, attachment in worker.attached.items():
+        task = attachment.task
+        is_listed = (key, attachment.attempt) in listed
+        if is_listed or task.may_arrive(report.requested_at, report.token):
+            survivors.add(key)
+            task.incarnation = report.incarnation
+    return survivors
+
+
 def _list_lost(worker: WorkerState, now: float) -> Iterator[LostAttempt]:
     for key, attachment in worker.attached.items():
         task = attachment.task
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -127,7 +127,7 @@
     ) -> None:
         now = report.received_at
         if worker.incarnation is None:
-            self._losses.lose_former(worker, report.incarnation, now)
+            self._losses.lose_former(worker, report)
         elif report.incarnation != worker.incarnation:
             self._losses.lose_reborn(worker, report)
         self._losses.settle_doubt(worker, report.incarnation, now)
