Count a job as begun once a worker has started a task of it

Cause: a job counted as begun, and was stored so, when a task of it was placed. Nothing took that back when the worker rejected the start, and nothing waited for the start to be confirmed.

Change: a job begins when a worker confirms a start, lists an attempt or reports its end. The next append of the owner stores that, one more record a job. A start without an answer does not count until it is listed.

--- a/libs/controller/features/restartingworkers.py
+++ b/libs/controller/features/restartingworkers.py
@@ -103,6 +103,7 @@
         self.held = []
         self.waiting = []
         self.delays = itertools.repeat(0)
+        self.refuses_starts = False
         self.fenced = 0
         self.runs = []
         self.starts = []
@@ -302,6 +303,8 @@
         if not incarnation.accepts(token):
             self.fenced += 1
             return OrderResult.FENCED
+        if self.refuses_starts:
+            return OrderResult.REFUSED
         if lease_until_ms <= incarnation.read_clock(now):
             return OrderResult.REFUSED
         incarnation.extend(lease_until_ms, now)
--- a/libs/controller/features/steps/restartworker_steps.py
+++ b/libs/controller/features/steps/restartworker_steps.py
@@ -8,6 +8,7 @@
 import trio
 from behave import given, then, when
 from failure_steps import add_action, collect_lines
+from fakeplatform import QUEUE
 from restartingworkers import RestartingWorkerApi
 from simulation import Simulation
 
@@ -117,6 +118,25 @@
     add_action(context, action)
 
 
+@when('the workers {verb} all starts')
+def set_refusal(context, verb):
+    async def action(sim):
+        sim.worker_api.refuses_starts = verb == 'refuse'
+
+    add_action(context, action)
+
+
+@then('each daemon counts {count:d} jobs as pending')
+def check_pending(context, count):
+    async def action(sim):
+        for name, controller in sim.controllers.items():
+            pending = controller.job_service.count_pending(QUEUE)
+            assert pending == count, (name, pending)
+
+    add_action(context, action)
+    context.simulation.run()
+
+
 @then(
     'no task has run twice, and {least:d} runs or more were on worker "{name}"'
 )
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -199,14 +199,12 @@
         attempts = [task.attempt for task in tasks]
         checkpoint = max(task.checkpoint for task in tasks)
         was_changed = ready.job_state.job.job_id in self._partition.changed_jobs
-        had_begun = ready.job_state.began
         orders = []
         for index in waiting:
             tasks[index].checkpoint = checkpoint
             order = self._place_task(ready, index, now, max(attempts) + 1)
             if order is None:
                 self._undo_gang(ready, attempts, was_changed=was_changed)
-                ready.job_state.began = had_begun
                 self._note_waiting(ready, now)
                 return []
             orders.append(order)
@@ -273,7 +271,6 @@
         )
         self._partition.attach(worker, key, task)
         self._get_candidates(ready.job_state.job.pool).move_after_change(worker)
-        ready.job_state.began = True
         self._partition.changed_jobs.add(key.job_id)
         self._policies.order.note_placed(ready)
         return StartOrder(
--- a/libs/scheduling/tarragonlb/scheduling/jobstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobstate.py
@@ -43,7 +43,8 @@
     """A job and its progress.
 
     ``occurrences`` holds the list of steps of each occurrence that has come
-    due.  ``submitted_at`` is when the client submitted the job, in seconds on
+    due.  ``began`` means that a worker has started a task, as far as this owner
+    knows.  ``submitted_at`` is when the client submitted the job, in seconds on
     this owner's clock, accurate as far as the daemons' wall clocks agree.
     ``critical_paths`` are the seconds from each step's start to the end of the
     job.
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -8,7 +8,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.lossrecorder import LossRecorder
 from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
-from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
 from tarragonlb.scheduling.task import StartStage, StopReason, TaskPhase
 from tarragonlb.scheduling.worker import WorkerState
 from tarragonlb.scheduling.workerloss import LossReason
@@ -45,6 +45,7 @@
             if result is OrderResult.DONE:
                 task.settled_at = now
                 task.start_stage = StartStage.CONFIRMED
+                note_begun(self._partition, order.key.job_id)
                 worker.note_start_accepted()
             else:
                 task.note_start_unanswered(token, now)
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -284,3 +284,11 @@
             worker.detach(key)
             self.usage.remove(task.worker_id, key)
             self.changed_pools.add(worker.entry.pool)
+
+
+def note_begun(partition: PartitionState, job_id: str) -> None:
+    """Have it stored, once, that a worker has started a task of a job."""
+    state = partition.jobs[job_id]
+    if not state.began:
+        state.began = True
+        partition.changed_jobs.add(job_id)
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -49,8 +49,7 @@
 class Progress(msgspec.Struct, array_like=True, frozen=True):
     """The content of a progress record.
 
-    ``term`` is the term of its writer, ``began`` whether any task was ever
-    placed.
+    ``term`` is the term of its writer, ``began`` whether any task has started.
     """
 
     term: Count
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -11,7 +11,7 @@
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.leaseends import LeaseEnds
 from tarragonlb.scheduling.lossrecorder import LossRecorder
-from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.tenantusage import ORPHANED
 from tarragonlb.scheduling.vmevidence import VmListEvidence, VmListing
@@ -173,6 +173,7 @@
         report: WorkerReport,
     ) -> None:
         task.update_progress(row.percent, row.checkpoint, report.received_at)
+        note_begun(self._partition, row.key.job_id)
         step = self._partition.find_step(row.key)
         if step.latency_target_ms:
             task.tail_ms = row.gauge
@@ -193,6 +194,7 @@
         task = None if state is None else state.find(end.key)
         if task is None or not 0 < end.attempt <= task.attempt:
             return
+        note_begun(self._partition, end.key.job_id)
         if end.outcome == ENDED_DONE:
             worker.note_success()
             self._learn_duration(worker, end, now)
