Store with a job how often a task of it may fail

The queue had been removed, and the owner killed.

Cause: the limit was known from the configuration only. The next owner had never read the queue, so it took the number of attempts for unlimited.

Change: the specification of a job has the limit of its queue when it was accepted, its progress the last one that an owner knew, which an owner stores as soon as it changes. Both are fields that earlier versions ignore, and records without them are read as before.

The same class: the end "failed" of an attempt that is no longer the present one was acknowledged at once and stored with the next change of its job, so an owner killed in between lost it for the limit. It is stored now before it is acknowledged; the second scenario failed before.

The steps of decisions.feature accept jobs with the limit of their queue, as the adapter does. restore.feature and decoding.feature name the rows of tasks by their field, since they are no longer the last one; they check the same.

--- a/libs/scheduling/features/decisions.feature
+++ b/libs/scheduling/features/decisions.feature
@@ -334,3 +334,31 @@
       | seconds | count |
       | 4       | 0     |
       | 7       | 1     |
+
+  # Guards against a task that is started without limit: the next owner of a job
+  # did not know how often it may fail, as the queue had been removed.
+  Scenario Outline: A task fails no more often than its removed queue allowed
+    Given workers "w0 w1 w2" with 1000 millicores
+    And a job of queue "patient" with steps "1x1000", accepted with <accepted> attempts
+    When the configuration allows <allowed> attempts
+    And each task that starts ends "failed", for <seconds> seconds
+    And another owner takes over
+    And the queue "patient" is removed
+    And each task that starts ends "failed", for 20 seconds
+    Then the job has failed after <count> attempts
+
+    Examples:
+      | accepted | allowed | seconds | count |
+      | 2        | 2       | 0       | 2     |
+      | 3        | 2       | 0       | 3     |
+      | 3        | 4       | 0.2     | 4     |
+      | 4        | 2       | 0.2     | 2     |
+
+  # Guards against an attempt too many: the end of a former attempt was
+  # acknowledged, and stored only with the next change of its job.
+  Scenario: The failure of a former attempt is stored before it is acknowledged
+    Given workers "w0 w1" with 1000 millicores
+    And a job with steps "1x1000 copies"
+    When the worker of the only task is silent, and another starts a copy
+    And the silent worker reports that its attempt ended "failed"
+    Then the job is stored before the end is acknowledged
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -8,11 +8,6 @@
 from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.placement import PackNearData
 from tarragonlb.scheduling.policies import SchedulingPolicies
-from tarragonlb.scheduling.progress import (
-    build_progress_record,
-    decode_progress,
-    restore_tasks,
-)
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.scheduler import Scheduler
 from tarragonlb.scheduling.settings import SchedulingSettings
@@ -28,6 +23,7 @@
     max_lease_seconds=6.0,
     maintenance_seconds=2.0,
 )
+MAX_ATTEMPTS = 2
 QUEUES = {
     name: Queue(
         name=name,
@@ -35,7 +31,7 @@
         path_prefix=f'/{name}/',
         pool='p',
         priority=priority,
-        max_attempts=2,
+        max_attempts=MAX_ATTEMPTS,
         stretch=1.5,
         objective_seconds=0.6,
     )
@@ -135,7 +131,7 @@
         spec=JobSpec(
             payload='x',
             steps=tuple(read_step(text) for text in steps.split(', ')),
-            **times,
+            **{'max_attempts': MAX_ATTEMPTS, **times},
         ),
     )
     state.add_job(JobState(job, Moment(context.now)))
@@ -362,20 +358,6 @@
     assert {o.attempt for o in context.round.starts} == {attempt}
 
 
-@when('another owner takes over')
-def take_over(context):
-    former = context.scheduler.state
-    context.scheduler = Scheduler(SETTINGS, POLICIES, context.now)
-    state = context.scheduler.state
-    state.queues = QUEUES
-    state.update_workers(context.directory.values())
-    for job_state in former.jobs.values():
-        progress = decode_progress(build_progress_record(job_state, 1).value)
-        restored = JobState(job_state.job, Moment(context.now))
-        restore_tasks(restored, progress, context.now)
-        state.add_job(restored)
-
-
 @then('the scavenger is paced to {percent:d} percent')
 def check_pace(context, percent):
     assert [o.percent for o in context.round.paces] == [percent]
--- a/libs/scheduling/features/steps/jobrecord_steps.py
+++ b/libs/scheduling/features/steps/jobrecord_steps.py
@@ -49,6 +49,7 @@
 )
 from tarragonlb.scheduling.policies import SchedulingPolicies  # noqa: E402
 from tarragonlb.scheduling.progress import (  # noqa: E402
+    Progress,
     TaskRow,
     build_progress_record,
 )
@@ -87,6 +88,8 @@
 ODD_ID = 'b' * 16
 SOUND_OFFSET = 77
 WALL_MS = 1.7e12
+# The place of the rows of tasks in a progress record.
+TASKS = Progress.__struct_fields__.index('tasks')
 SETTINGS_OF_OWNER = SchedulingSettings(
     max_lease_seconds=6.0, maintenance_seconds=2.0
 )
@@ -312,7 +315,7 @@
 def change_progress(context, name, value):
     job = build_job(ODD_ID)
     rows = load_row(build_progress(job))
-    row = rows[-1][0]
+    row = rows[TASKS][0]
     place = TaskRow.__struct_fields__.index(name)
     number = int(value)
     row[place] = [number] if isinstance(row[place], list) else number
--- a/libs/scheduling/features/steps/restore_steps.py
+++ b/libs/scheduling/features/steps/restore_steps.py
@@ -9,11 +9,14 @@
 from tarragonlb.scheduling.job import Demand, Job, JobSpec, Moment, Step
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.progress import (
+    Progress,
     build_progress_record,
     decode_progress,
     restore_tasks,
 )
 
+# The place of the rows of tasks in a progress record.
+TASKS = Progress.__struct_fields__.index('tasks')
 STEP = Step(width=2, demand=Demand(500, 100, 0))
 JOB = Job(
     job_id='0' * 16,
@@ -76,7 +79,7 @@
 def store_rows(context, length):
     """Store what an earlier version did, whose rows were shorter."""
     content = cbor2.loads(build_progress_record(context.job_state, 1).value)
-    content[-1] = [row[:length] for row in content[-1]]
+    content[TASKS:] = [[row[:length] for row in content[TASKS]]]
     restore(context, cbor2.dumps(content))
 
 
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -15,7 +15,7 @@
 from tarragonlb.scheduling.candidates import PoolCandidates
 from tarragonlb.scheduling.job import Moment, TaskKey
 from tarragonlb.scheduling.orders import StartOrder
-from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.partitionstate import PartitionState, note_limit
 from tarragonlb.scheduling.placement import is_candidate, will_be_candidate
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
@@ -122,8 +122,9 @@
             if pools is not None and job_state.job.pool not in pools:
                 continue
             queue = self._partition.queue_history.find(
-                self._partition.queues, job_state.job, now.seconds
+                self._partition.queues, job_state, now.seconds
             )
+            note_limit(self._partition, job_state)
             if queue is None:
                 self.wait_notes.note_unknown_queue(job_state)
             else:
--- a/libs/scheduling/tarragonlb/scheduling/job.py
+++ b/libs/scheduling/tarragonlb/scheduling/job.py
@@ -73,6 +73,8 @@
 
     A job with ``repetitions`` runs its steps that many times, the first time
     at ``first_due_ms`` (Unix milliseconds), then every ``interval_ms``.
+    ``max_attempts`` is how often a task may fail, by the configuration of the
+    job's queue when the job was accepted; 0 in records that don't say so.
     """
 
     payload: str
@@ -80,6 +82,7 @@
     first_due_ms: Integer = 0
     interval_ms: Count = 0
     repetitions: Count = 0
+    max_attempts: Count = 0
 
     def find_problem(self, max_tasks: int) -> 'SpecProblem | None':
         """Return the first reason why the job can't be run, None if it can.
--- a/libs/scheduling/tarragonlb/scheduling/jobstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobstate.py
@@ -47,7 +47,8 @@
     knows.  ``submitted_at`` is when the client submitted the job, in seconds on
     this owner's clock, accurate as far as the daemons' wall clocks agree.
     ``critical_paths`` are the seconds from each step's start to the end of the
-    job.
+    job.  ``max_attempts`` is how often a task may fail, by the last
+    configuration that an owner of the job knew; 0 if none is known.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         'critical_paths',
         'finished_at',
         'job',
+        'max_attempts',
         'occurrences',
         'outcome',
         'submitted_at',
@@ -68,6 +70,7 @@
         age_ms = now.wall_ms - job.handed_in_ms if job.handed_in_ms else 0
         self.submitted_at = now.seconds - max(age_ms, 0) / MS_PER_SECOND
         self.critical_paths = job.spec.compute_critical_paths()
+        self.max_attempts = job.spec.max_attempts
         self.outcome = JobOutcome.OPEN
         self.cancelled = False
         self.began = False
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -292,3 +292,14 @@
     if not state.began:
         state.began = True
         partition.changed_jobs.add(job_id)
+
+
+def note_limit(partition: PartitionState, state: JobState) -> None:
+    """Have it stored how often a task of a job may fail, if that has changed.
+
+    An owner that takes over may find the queue removed.
+    """
+    queue = partition.queues.get(state.job.queue)
+    if queue is not None and queue.max_attempts != state.max_attempts:
+        state.max_attempts = queue.max_attempts
+        partition.changed_jobs.add(state.job.job_id)
--- a/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
+++ b/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
@@ -117,7 +117,7 @@
     steps: list[ReadyStep] = []
     for state in states:
         queue = partition.queue_history.find(
-            partition.queues, state.job, now.seconds
+            partition.queues, state, now.seconds
         )
         if queue is None:
             continue
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -50,6 +50,7 @@
     """The content of a progress record.
 
     ``term`` is the term of its writer, ``began`` whether any task has started.
+    ``max_attempts`` is how often a task may fail, 0 if the writer didn't know.
     """
 
     term: Count
@@ -57,6 +58,7 @@
     began: bool
     occurrence_count: Count = 0
     tasks: list[TaskRow] = []
+    max_attempts: Count = 0
 
 
 def build_progress_record(state: JobState, term: int) -> KeyedRecord:
@@ -69,7 +71,12 @@
             if task.attempt
         ]
     progress = Progress(
-        term, state.outcome, state.began, len(state.occurrences), rows
+        term,
+        state.outcome,
+        state.began,
+        len(state.occurrences),
+        rows,
+        state.max_attempts,
     )
     content = cbor2.dumps(msgspec.to_builtins(progress))
     if len(content) > MAX_VALUE_BYTES:
@@ -89,6 +96,7 @@
     requested later shows whether they exist.
     """
     state.began = progress.began
+    state.max_attempts = progress.max_attempts or state.max_attempts
     state.close(progress.outcome, now)
     if progress.outcome is not JobOutcome.OPEN:
         return
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -201,7 +201,9 @@
             self._finish_task(end, task, now)
             return
         if end.outcome == ENDED_FAILED:
+            # Also of a former attempt, whose end is known only from here.
             task.failed_attempts.add(end.attempt)
+            self._partition.changed_jobs.add(end.key.job_id)
             task.avoided.add(worker.entry.worker_id)
             worker.note_failure(now)
         current = self._partition.find_attempt(
@@ -261,7 +263,7 @@
     ) -> None:
         state = self._partition.jobs[key.job_id]
         queue = self._partition.queue_history.find(
-            self._partition.queues, state.job, now
+            self._partition.queues, state, now
         )
         if queue is None or self._partition.find_step(key).is_permanent:
             return
--- a/libs/scheduling/tarragonlb/scheduling/reservationfilter.py
+++ b/libs/scheduling/tarragonlb/scheduling/reservationfilter.py
@@ -244,7 +244,7 @@
         """Return for how long workers may be held for a step."""
         job_state = ready.job_state
         queue = self._partition.queue_history.find(
-            self._partition.queues, job_state.job, now
+            self._partition.queues, job_state, now
         )
         if queue is None:
             return 0
