Let a stored lease bound cover start orders that are under way

What callers could see: a task that runs twice (TWICE), where a worker restarts, executes a start order that its owner gives up, and is cut off, and the owner is killed.

Cause: the owner stores for how long leases on a silent worker last. A start order that was still under way then, or got no answer afterwards, may have been executed with the longest lease by an incarnation that nobody has read, and a stored bound is never raised.

Change: an attempt with an open start lasts for the longest lease after its order was given up, and no bound is stored while the order is under way.

docs/design/platform.md says what calls for a former incarnation may do.

--- a/libs/controller/features/restartingworkers.py
+++ b/libs/controller/features/restartingworkers.py
@@ -208,6 +208,8 @@
     def find_overlaps(self):
         """Return pairs of runs of one task that overlap, on sound workers."""
         now = trio.current_time()
+        for worker_id in self.present:
+            self._advance(worker_id)
         return [
             (run, later)
             for run in self.runs
--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -96,6 +96,31 @@
     And 9 seconds pass
     Then no task has run twice, and 2 runs or more were on worker "w1"
 
+  # Guards against a task that runs twice: the bound that an owner stored for a
+  # silent worker did not cover start orders that it had sent meanwhile.
+  Scenario Outline: The next owner waits for attempts that may run unnoticed
+    Given 2 daemons, and 2 workers that can restart under their ids, with tasks that last
+    When 10 seconds pass
+    And worker "w1" crashes once it has answered a status request
+    And <down> seconds pass
+    And a job of 10 tasks is submitted
+    And worker "w1" restarts
+    And 0.2 seconds pass
+    And worker "w1" stays cut off
+    And <later> seconds pass
+    And the owner of the pool is killed
+    And 11 seconds pass
+    Then no task has run twice, and 1 runs or more were on worker "w1"
+
+    Examples:
+      | down | later |
+      | 0.1  | 0.8   |
+      | 0.1  | 1.2   |
+      | 0.1  | 1.6   |
+      | 0.1  | 2     |
+      | 0.1  | 2.8   |
+      | 0.1  | 3.6   |
+
   # Guards against calls for one incarnation of a worker that do harm in the next.
   # Each seed found such a call while one of the guards was taken out.
   Scenario Outline: No task runs twice whatever becomes of late calls
--- a/libs/controller/features/steps/restartworker_steps.py
+++ b/libs/controller/features/steps/restartworker_steps.py
@@ -84,6 +84,14 @@
     add_action(context, action)
 
 
+@when('worker "{name}" stays cut off')
+def cut_for_good(context, name):
+    async def action(sim):
+        sim.worker_api.cut.add(name)
+
+    add_action(context, action)
+
+
 @when('start orders to worker "{name}" are held back')
 def hold_back(context, name):
     async def action(sim):
--- a/libs/scheduling/features/leasebounds.feature
+++ b/libs/scheduling/features/leasebounds.feature
@@ -24,3 +24,17 @@
     When an invalid bound of "w0" is read at 11 s
     Then there is no bound of "w0"
     And the error is reported
+
+  # Guards against a task that runs twice: the next owner relied on a bound that
+  # did not cover a start order on its way, or one that got no answer, which the
+  # next incarnation of the worker may have executed.
+  Scenario: A bound covers start orders that may have been executed unnoticed
+    Given workers "w0" with 1000 millicores
+    And a job with steps "1x1000"
+    When a scheduling round runs, and its starts are sent
+    And the leases on "w0", which is silent, end in 1 second
+    Then no bound of "w0" is stored within 5 seconds
+    And the task is not released
+    When the start gets no answer
+    Then bounds of "w0" are stored, and none is shorter than the longest lease
+    And the task is released after the longest lease
--- a/libs/scheduling/features/steps/bound_steps.py
+++ b/libs/scheduling/features/steps/bound_steps.py
@@ -1,4 +1,5 @@
 from behave import step, then, when
+from decision_steps import SETTINGS, run_round
 
 from tarragonlb.scheduling.leasebound import (
     LEASE_BOUND,
@@ -6,6 +7,7 @@
     LeaseBoundIndex,
     build_bound_records,
 )
+from tarragonlb.scheduling.orders import OrderResult
 from tarragonlb.scheduling.records import KeyedRecord
 
 
@@ -66,3 +68,70 @@
 @then('the error is reported')
 def check_error(context):
     assert len(context.index.errors) == 1
+
+
+def run_until(context, end_at):
+    """Run rounds and return the bounds that they store, each with its time."""
+    stored = []
+    while context.now < end_at:
+        run_round(context)
+        changes = context.round.bound_changes
+        context.scheduler.bound_keeper.note_stored(changes)
+        stored.extend(
+            (context.now, changes.stored[name]) for name in changes.stored
+        )
+    return stored
+
+
+@when('a scheduling round runs, and its starts are sent')
+def send_starts(context):
+    run_round(context)
+    (context.order,) = context.round.starts
+    context.scheduler.note_stored(context.round, context.now)
+
+
+@when('the leases on "{name}", which is silent, end in {seconds:g} second')
+def end_leases(context, name, seconds):
+    context.scheduler.reconciler.note_silence(name, context.now + seconds)
+
+
+@then('no bound of "{name}" is stored within {seconds:g} seconds')
+def check_no_bounds(context, name, seconds):
+    assert not run_until(context, context.now + seconds)
+
+
+@then('the task is not released')
+def check_not_released(context):
+    order = context.order
+    assert context.scheduler.state.find_attempt(
+        order.key, order.attempt, order.worker_id
+    )
+
+
+@when('the start gets no answer')
+def lose_answer(context):
+    context.settled_at = context.now
+    context.scheduler.apply_order_result(
+        context.order, OrderResult.UNANSWERED, context.now, 5
+    )
+
+
+@then(
+    'bounds of "{name}" are stored, and none is shorter than the longest lease'
+)
+def check_bounds(context, name):
+    context.released_at = context.settled_at + SETTINGS.compute_longest_lease()
+    stored = run_until(context, context.released_at - 0.1)
+    assert stored
+    ends = [at + seconds for at, seconds in stored]
+    assert min(ends) >= context.released_at - 0.001, ends
+
+
+@then('the task is released after the longest lease')
+def check_released(context):
+    check_not_released(context)
+    run_until(context, context.released_at + 0.6)
+    state = context.scheduler.state
+    (job_state,) = state.jobs.values()
+    ((_, task),) = job_state.list_tasks()
+    assert not task.is_attached
--- a/libs/scheduling/tarragonlb/scheduling/leasebound.py
+++ b/libs/scheduling/tarragonlb/scheduling/leasebound.py
@@ -192,7 +192,10 @@
             if not (worker.attached and is_unreachable):
                 continue
             tasks = (one.task for one in worker.attached.values())
-            remaining = max(worker.lease_ends.find_last(tasks) - now, 0)
+            last_end = worker.lease_ends.find_last(
+                tasks, settings.compute_longest_lease()
+            )
+            remaining = max(last_end - now, 0)
             known = partition.stored_bounds.get(
                 worker_id, settings.compute_longest_lease()
             )
--- a/libs/scheduling/tarragonlb/scheduling/leaseends.py
+++ b/libs/scheduling/tarragonlb/scheduling/leaseends.py
@@ -6,6 +6,7 @@
 open, neither answered nor listed, may last longer than all others.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -32,8 +33,21 @@
             max(self.read, other.read), max(self.unread, other.unread)
         )
 
-    def find_last(self, tasks: Iterable[TaskState]) -> float:
+    def find_end(self, task: TaskState, longest_seconds: float) -> float:
+        """Return when the attempt of a task runs no more.
+
+        An open start may have been executed until its order was given up, with
+        a lease of ``longest_seconds``; infinity while it is under way.
+        """
+        if not task.has_open_start:
+            return self.read
+        if task.settled_at is None:
+            return math.inf
+        return max(self.read, self.unread, task.settled_at + longest_seconds)
+
+    def find_last(
+        self, tasks: Iterable[TaskState], longest_seconds: float
+    ) -> float:
         """Return when none of the tasks' attempts runs any more."""
-        if any(task.has_open_start for task in tasks):
-            return max(self.read, self.unread)
-        return self.read
+        ends = (self.find_end(task, longest_seconds) for task in tasks)
+        return max(ends, default=self.read)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -110,16 +110,14 @@
     def expire_leases(self, now: float) -> None:
         """Release the attempts of silent workers whose lease has run out."""
         margin = self._partition.settings.lease_margin_seconds
+        longest = self._partition.settings.compute_longest_lease()
         for worker in self._partition.workers.values():
             self._losses.forget_doubt(worker, now)
             is_unreachable = worker.is_silent or worker.last_report_at is None
             if is_unreachable and now > worker.lease_ends.read + margin:
-                may_run = now <= worker.lease_ends.unread + margin
+                survivors = _list_lasting(worker, longest, now - margin)
                 self._losses.lose_all(
-                    worker,
-                    LossReason.LEASE_OVER,
-                    now,
-                    _list_open_starts(worker) if may_run else (),
+                    worker, LossReason.LEASE_OVER, now, survivors
                 )
 
     def _update_incarnation(
@@ -294,9 +292,13 @@
             self._partition.release(key, task, reason)
 
 
-def _list_open_starts(worker: WorkerState) -> tuple[TaskKey, ...]:
-    return tuple(
+def _list_lasting(
+    worker: WorkerState, longest_seconds: float, at: float
+) -> set[TaskKey]:
+    """Return the tasks whose attempts may run longer than until ``at``."""
+    ends = worker.lease_ends
+    return {
         key
         for key, attachment in worker.attached.items()
-        if attachment.task.has_open_start
-    )
+        if ends.find_end(attachment.task, longest_seconds) >= at
+    }
