Store first starts of jobs with other changes of their owner

What callers could see: on busy owners a task starts later, as one decision is stored at a time, and the record that says that a job has begun was a decision of its own soon after each placement.

Change: a first start is stored with the next decision that has other changes, after 0.15 s by itself.

--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -45,7 +45,7 @@
             if result is OrderResult.DONE:
                 task.settled_at = now
                 task.start_stage = StartStage.CONFIRMED
-                note_begun(self._partition, order.key.job_id)
+                note_begun(self._partition, order.key.job_id, now)
                 worker.note_start_accepted()
             else:
                 task.note_start_unanswered(token, now)
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -51,6 +51,8 @@
     """The jobs and workers of the pools of one partition.
 
     ``changed_jobs`` are the ids of jobs whose progress record is out of date.
+    ``begun_jobs`` maps those of which only a first start is not stored yet to
+    when that was confirmed; they are stored with others.
     ``released_attempts``, ``worker_losses`` and ``given_up`` are still to be
     logged.
     ``open_jobs`` are the jobs of which tasks may still be started; ``jobs``
@@ -68,6 +70,7 @@
 
     __slots__ = (
         '_inherited_bounds',
+        'begun_jobs',
         'changed_jobs',
         'changed_pools',
         'given_up',
@@ -100,6 +103,7 @@
         self.tenants: TenantTable = NO_TENANTS
         self.usage = TenantUsage()
         self.changed_jobs: set[str] = set()
+        self.begun_jobs: dict[str, float] = {}
         self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
         self.worker_losses: list[WorkerLoss] = []
@@ -286,12 +290,12 @@
             self.changed_pools.add(worker.entry.pool)
 
 
-def note_begun(partition: PartitionState, job_id: str) -> None:
+def note_begun(partition: PartitionState, job_id: str, now: float) -> None:
     """Have it stored, once, that a worker has started a task of a job."""
     state = partition.jobs[job_id]
     if not state.began:
         state.began = True
-        partition.changed_jobs.add(job_id)
+        partition.begun_jobs[job_id] = now
 
 
 def note_limit(partition: PartitionState, state: JobState) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -171,7 +171,7 @@
         report: WorkerReport,
     ) -> None:
         task.update_progress(row.percent, row.checkpoint, report.received_at)
-        note_begun(self._partition, row.key.job_id)
+        note_begun(self._partition, row.key.job_id, report.received_at)
         step = self._partition.find_step(row.key)
         if step.latency_target_ms:
             task.tail_ms = row.gauge
@@ -192,7 +192,7 @@
         task = None if state is None else state.find(end.key)
         if task is None or not 0 < end.attempt <= task.attempt:
             return
-        note_begun(self._partition, end.key.job_id)
+        note_begun(self._partition, end.key.job_id, now)
         if end.outcome == ENDED_DONE:
             worker.note_success()
             self._learn_duration(worker, end, now)
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -15,7 +15,7 @@
 
 from tarragonlb.scheduling.assignment import Assigner
 from tarragonlb.scheduling.job import Moment
-from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.leasebound import LeaseBoundKeeper
 from tarragonlb.scheduling.orders import (
     OrderResult,
@@ -37,6 +37,9 @@
 
 # Finished jobs are looked through this often, since most rounds remove none.
 CLEANUP_INTERVAL_SECONDS = 1.0
+# Followers read a partition only a little more often than the number of pending
+# jobs may be old.
+MAX_BEGUN_DELAY_SECONDS = 0.15
 
 
 class Scheduler:
@@ -97,12 +100,7 @@
         self._stop_planner.stop_stalled(now.seconds)
         removed = self._forget_finished(now.seconds)
         starts = self._assigner.place_ready(now) if may_place else ()
-        changed = tuple(
-            state.jobs[job_id]
-            for job_id in state.changed_jobs
-            if job_id in state.jobs
-        )
-        state.changed_jobs.clear()
+        changed = self._collect_changed(now.seconds)
         return SchedulingDecision(
             jobs=changed,
             removed=removed,
@@ -162,6 +160,25 @@
         # Storing a decision may take seconds, and a capacity can shrink.
         return not worker.is_overfilled(self.state.find_step(order.key))
 
+    def _collect_changed(self, now: float) -> tuple[JobState, ...]:
+        """Return the jobs whose progress is to be stored.
+
+        While a decision is being stored no other is made, so first starts are
+        stored with other changes, or by themselves after some time.
+        """
+        state = self.state
+        begun_at = min(state.begun_jobs.values(), default=now)
+        if state.changed_jobs or now - begun_at >= MAX_BEGUN_DELAY_SECONDS:
+            state.changed_jobs.update(state.begun_jobs)
+            state.begun_jobs.clear()
+        changed = tuple(
+            state.jobs[job_id]
+            for job_id in state.changed_jobs
+            if job_id in state.jobs
+        )
+        state.changed_jobs.clear()
+        return changed
+
     def _forget_finished(self, now: float) -> tuple[str, ...]:
         if now < self._next_cleanup_at:
             return ()
