--- a/libs/controller/tarragonlb/controller/calllog.py
+++ b/libs/controller/tarragonlb/controller/calllog.py
@@ -83,6 +83,16 @@
         self._rows = []
         self._dropped = 0
 
+    def log_other_incarnation(self, call: Call, clock_ms: int | None) -> None:
+        """Log that another incarnation has answered an order."""
+        LOG.emit(
+            'Another incarnation has answered an order.',
+            worker=self._worker_id,
+            call=call.describe(),
+            sent_clock_ms=call.sent_clock_ms,
+            clock_ms=clock_ms,
+        )
+
     def log_incarnation(
         self, former: int, incarnation: int, under_way: Iterable[Call]
     ) -> None:
--- a/libs/controller/tarragonlb/controller/contact.py
+++ b/libs/controller/tarragonlb/controller/contact.py
@@ -134,6 +134,8 @@
         if reply.result is OrderResult.UNANSWERED:
             self._note_unanswered(call, now)
         elif _is_of_other(call, reply):
+            if not self.has_open_calls:
+                self._log.log_other_incarnation(call, reply.clock_ms)
             self._note_unread(call, now)
             if reply.result is OrderResult.DONE:
                 return OrderResult.UNANSWERED
