Send start orders to a worker that looks silent again

Cause: since the stored bounds cover open starts, orders that were queued when their worker fell silent were withheld. A weak daemon also finds workers silent that answer orders, and each withheld task waits and is placed anew.

Change: such orders are sent as before. The bounds don't need it: none is stored while a start is under way, and an open start counts from when it was given up.

--- a/libs/controller/tarragonlb/controller/workersession.py
+++ b/libs/controller/tarragonlb/controller/workersession.py
@@ -58,7 +58,6 @@
         '_clock',
         '_contact',
         '_inbox',
-        '_is_silent',
         '_is_still_wanted',
         '_lease_seconds',
         '_order_receiver',
@@ -86,7 +85,6 @@
         self._contact = WorkerContact(
             worker.worker_id, tokens, settings.scheduling
         )
-        self._is_silent = True
         self._acknowledgement = trio.Event()
         self._order_sender, self._order_receiver = trio.open_memory_channel[
             Order
@@ -133,7 +131,6 @@
             reply = await self._poll(failures)
             if isinstance(reply, StatusReply):
                 failures = 0
-                self._is_silent = False
                 await self._inbox.send(ReportReceived(reply.report))
                 await self._pause(reply.report)
                 continue
@@ -141,7 +138,6 @@
                 continue
             failures += 1
             if failures >= SILENT_AFTER_FAILURES:
-                self._is_silent = True
                 await self._report_failure(reply)
                 await trio.sleep(settings.poll_retry_seconds)
 
@@ -247,9 +243,7 @@
 
     def _choose_start_lease(self, order: StartOrder) -> int | None:
         """Return the lease of a start, None if it may not be sent."""
-        if self._is_silent or not self._lease_seconds():
-            return None
-        if not self._is_still_wanted(order):
+        if not (self._lease_seconds() and self._is_still_wanted(order)):
             return None
         return self._contact.lease.granted_until_ms
 
