Log what was known of lost attempts, and failures beside their limit

"Workers lost." now says of each attempt whether the worker had listed it, only answered its start, or neither, and how old the last report was; "Failed attempts counted." gives the sum and the limit.

--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -15,8 +15,9 @@
 from tarragonlb.scheduling.leasebound import BoundChanges
 from tarragonlb.scheduling.orders import SchedulingDecision, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.verdictnotes import CountedFailure, GivenUpTask
 from tarragonlb.scheduling.worker import WorkerReport
-from tarragonlb.scheduling.workerloss import GivenUpTask, WorkerLoss
+from tarragonlb.scheduling.workerloss import WorkerLoss
 from tarragonlb.telemetry.fleetmetrics import (
     FLEET_METER,
     TASK_ENDS,
@@ -120,11 +121,17 @@
     def log_released(self, now: float) -> None:
         """Log lost workers, reservations and released attempts, each once."""
         state = self._state
-        if state.worker_losses or state.given_up or state.released_attempts:
+        notes = state.verdict_notes
+        if (
+            state.worker_losses
+            or state.released_attempts
+            or not notes.are_empty
+        ):
             # The lines on one attempt stay in order.
             self.log_rest(now)
         self._log_losses(state.worker_losses)
-        self._log_given_up(state.given_up)
+        self._log_failures(notes.failures)
+        self._log_given_up(notes.given_up)
         if state.look_ahead is not None:
             log_reservations(state.look_ahead, self._fields)
         released = state.released_attempts
@@ -189,6 +196,24 @@
         )
         given_up.clear()
 
+    def _log_failures(self, failures: list[CountedFailure]) -> None:
+        """Log how often the tasks of failed attempts have failed so far."""
+        for first in range(0, len(failures), MAX_ROWS_PER_LINE):
+            LOG.emit(
+                'Failed attempts counted.',
+                attempts=[
+                    (
+                        str(failed.key),
+                        failed.attempt,
+                        failed.failures,
+                        failed.limit,
+                    )
+                    for failed in failures[first : first + MAX_ROWS_PER_LINE]
+                ],
+                **self._fields,
+            )
+        failures.clear()
+
     def _log_losses(self, losses: list[WorkerLoss]) -> None:
         if not losses:
             return
@@ -222,14 +247,18 @@
     return {
         'worker': loss.worker_id,
         'reason': loss.reason.value,
+        'silent_seconds': _round(loss.silent_seconds),
         'attempts': [
             (
                 str(lost.key),
                 lost.attempt,
-                None
-                if lost.age_seconds is None
-                else round(lost.age_seconds, 3),
+                _round(lost.age_seconds),
+                lost.known,
             )
             for lost in attempts
         ],
     }
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -11,9 +11,9 @@
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StartStage, TaskPhase
 from tarragonlb.scheduling.tenantusage import ORPHANED
+from tarragonlb.scheduling.verdictnotes import GivenUpTask
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
 from tarragonlb.scheduling.workerloss import (
-    GivenUpTask,
     LossReason,
     LostAttempt,
     WorkerLoss,
@@ -113,8 +113,14 @@
         if not lost:
             return
         partition = self._partition
+        reported_at = worker.last_report_at
         partition.worker_losses.append(
-            WorkerLoss(worker.entry.worker_id, reason, lost)
+            WorkerLoss(
+                worker.entry.worker_id,
+                reason,
+                lost,
+                None if reported_at is None else now - reported_at,
+            )
         )
         for attempt in lost:
             task = partition.find_attempt(
@@ -171,7 +177,7 @@
         task.isolate_until = now + ISOLATION_WAIT_SECONDS
         partition.note_changed(state)
         if task.crashes.is_culprit(is_permanent=is_permanent):
-            partition.given_up.append(
+            partition.verdict_notes.given_up.append(
                 GivenUpTask(lost.key, len(task.crashes.attempts))
             )
             partition.close_job(state, JobOutcome.FAILED, now)
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -16,8 +16,9 @@
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.tenant import NO_TENANTS, TenantTable
 from tarragonlb.scheduling.tenantusage import TenantUsage
+from tarragonlb.scheduling.verdictnotes import VerdictNotes
 from tarragonlb.scheduling.worker import Worker, WorkerState
-from tarragonlb.scheduling.workerloss import GivenUpTask, WorkerLoss
+from tarragonlb.scheduling.workerloss import WorkerLoss
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,8 +54,8 @@
     ``changed_jobs`` are the ids of jobs whose progress record is out of date.
     ``begun_jobs`` maps those of which only a first start is not stored yet to
     when that was confirmed; they are stored with others.
-    ``released_attempts``, ``worker_losses`` and ``given_up`` are still to be
-    logged.
+    ``released_attempts``, ``worker_losses`` and ``verdict_notes`` are still to
+    be logged.
     ``open_jobs`` are the jobs of which tasks may still be started; ``jobs``
     also holds finished ones for as long as their state can be queried.
     ``changed_pools`` are pools whose jobs or workers have changed since tasks
@@ -73,7 +74,6 @@
         'begun_jobs',
         'changed_jobs',
         'changed_pools',
-        'given_up',
         'jobs',
         'look_ahead',
         'open_jobs',
@@ -88,6 +88,7 @@
         'tenants',
         'unknown_paces',
         'usage',
+        'verdict_notes',
         'worker_losses',
         'workers',
     )
@@ -107,7 +108,7 @@
         self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
         self.worker_losses: list[WorkerLoss] = []
-        self.given_up: list[GivenUpTask] = []
+        self.verdict_notes = VerdictNotes()
         self.reported_workers: set[str] = set()
         self.stopping_workers: set[str] = set()
         self.unknown_paces: set[tuple[TaskKey, int]] = set()
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -14,6 +14,7 @@
 from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.tenantusage import ORPHANED
+from tarragonlb.scheduling.verdictnotes import CountedFailure
 from tarragonlb.scheduling.vmevidence import VmListEvidence, VmListing
 from tarragonlb.scheduling.worker import (
     EndedAttempt,
@@ -204,6 +205,7 @@
             self._partition.changed_jobs.add(end.key.job_id)
             task.avoided.add(worker.entry.worker_id)
             worker.note_failure(now)
+            _note_failure(self._partition, end, task, now)
         current = self._partition.find_attempt(
             end.key, end.attempt, worker.entry.worker_id
         )
@@ -292,6 +294,17 @@
             self._partition.release(key, task, reason)
 
 
+def _note_failure(
+    partition: PartitionState, end: EndedAttempt, task: TaskState, now: float
+) -> None:
+    state = partition.jobs[end.key.job_id]
+    queue = partition.queue_history.find(partition.queues, state, now)
+    limit = None if queue is None else queue.max_attempts
+    partition.verdict_notes.failures.append(
+        CountedFailure(end.key, end.attempt, task.failures, limit)
+    )
+
+
 def _list_lasting(
     worker: WorkerState, longest_seconds: float, at: float
 ) -> set[TaskKey]:
--- a/libs/scheduling/tarragonlb/scheduling/workerloss.py
+++ b/libs/scheduling/tarragonlb/scheduling/workerloss.py
@@ -41,19 +41,25 @@
     has_survived: bool = False
     age_seconds: float | None = None
 
+    @property
+    def known(self) -> str:
+        """Return what was known of the attempt, for the log."""
+        if not self.was_sent:
+            return 'not sent'
+        if self.was_seen:
+            return 'inherited' if self.age_seconds is None else 'listed'
+        return 'answered' if self.was_started else 'unanswered'
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerLoss:
-    """A lost worker, and the attempts that it may have been running."""
+    """A lost worker, and the attempts that it may have been running.
+
+    ``silent_seconds`` is the time from its last report to the detection of the
+    loss, None if this owner has no report of it.
+    """
 
     worker_id: str
     reason: LossReason
     attempts: tuple[LostAttempt, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class GivenUpTask:
-    """A task that is given up, as it crashed this many workers."""
-
-    key: TaskKey
-    crashes: int
+    silent_seconds: float | None = None
