--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -39,6 +39,7 @@
 LOSS_PROBABILITY = 0.08
 DELAY_PROBABILITY = 0.04
 MAX_DELAY_SECONDS = 8.0
+FAILED_SHARE = 0.02
 
 
 class FleetSimulation:
@@ -47,6 +48,10 @@
     def __init__(self, seed, workers=4, long_share=0, is_reliable=False):
         self.is_reliable = is_reliable
         self.long_share = long_share
+        # Of the attempts of tasks that end.
+        self.failed_share = FAILED_SHARE
+        # How long a task runs, random if None.
+        self.run_seconds = None
         self.random = random.Random(seed)
         self.late_random = random.Random(seed)
         self.now = 0.0
@@ -275,6 +280,8 @@
             self._apply_result(owner, order, OrderResult.UNANSWERED)
             return
         incarnation = worker.incarnation
+        if kind == 'start':
+            self.crashes.note_order(worker)
 
         def deliver():
             if not worker.is_up or worker.incarnation != incarnation:
@@ -304,9 +311,12 @@
         step = self.specs[key.job_id].steps[key.step]
         is_long = self.random.random() < self.long_share
         seconds = self.random.uniform(0.2, 8.0 if is_long else 1.5)
+        if self.run_seconds is not None:
+            seconds = self.run_seconds
         if step.is_permanent:
             seconds = math.inf
-        outcome = 'failed' if self.random.random() < 0.02 else 'done'
+        has_failed = self.random.random() < self.failed_share
+        outcome = 'failed' if has_failed else 'done'
         before = worker.runs.get(key)
         result = worker.start(
             order, step, seconds, outcome, owner.term, until, self.now
--- a/libs/scheduling/features/simulatedcrashes.py
+++ b/libs/scheduling/features/simulatedcrashes.py
@@ -9,6 +9,8 @@
     """Crashes workers, which are back after some seconds.
 
     ``fuses`` maps deadly tasks to the seconds from their start to the crash.
+    So many of the next start orders, ``starts_to_lose``, find a worker that has
+    just crashed.
     """
 
     def __init__(self, fleet):
@@ -16,6 +18,12 @@
         self.fuses = {}
         self.counts = Counter()
         self.has_new_ids = False
+        self.starts_to_lose = 0
+
+    def note_order(self, worker):
+        if self.starts_to_lose and worker.is_up:
+            self.starts_to_lose -= 1
+            self.crash(worker)
 
     def note_start(self, worker, key):
         if key not in self.fuses:
