Count workers that are away for a moment in the forecast of waits

What callers saw (where hopeless jobs are rejected, which no deployment does): while 7 of 8 workers were cut off for 3 s, 5 of 238 jobs were rejected, 7 with a cut of 4 s, and all of them would have been done in time.

Cause: the capacity for the backlog was that of workers usable at that moment, and the wait eight times too long.

Change: listed workers that are not leaving count as expected. A wait that is too short only admits a job.

Evidence: rejections.feature; 2 of 3 scenarios failed before and none does now.

--- a/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
+++ b/libs/scheduling/tarragonlb/scheduling/poolbacklog.py
@@ -26,7 +26,8 @@
     """The backlog of a pool and its capacity, in cores.
 
     ``capacity`` is that of usable workers without what permanent tasks occupy,
-    ``expected_capacity`` that of listed workers that have not reported yet.
+    ``expected_capacity`` that of others that are listed and stay: they have not
+    reported yet, or can't be used for the moment.
     ``free`` holds the largest free amount of each resource on any worker, and
     at least the mean CPU of tasks that wait: smaller ones run in gaps that
     others leave.
@@ -134,7 +135,7 @@
 
 def _is_expected(worker: WorkerState) -> bool:
     is_leaving = worker.entry.is_draining or worker.is_drain_requested
-    return worker.is_listed and worker.last_report_at is None and not is_leaving
+    return worker.is_listed and not (is_leaving or worker.is_usable())
 
 
 def _count_cores(worker: WorkerState) -> float:
