Do not back off from workers for a job that they all refuse

What callers saw, in simulated fleets: beside a job of 30 tasks whose starts all 8 workers refuse, as they would one whose orders they can't read, 20 of 957 sound jobs started within 30 s at half load; beside one of 100 tasks none did.

Cause: each refusal had its worker back off from all starts, and the refused tasks were the first to be tried again 0.3 s later.

Change: a refusal does not count against a worker if another one has refused a start of the step before and this one has accepted another start since. The tasks of such a step back off for longer, up to 2.4 s, with each worker that refuses them.

Two workers that refuse everything still back off.

--- a/libs/scheduling/features/jobmixfleet.py
+++ b/libs/scheduling/features/jobmixfleet.py
@@ -33,6 +33,9 @@
         self.started_at = {}
         self.draws = random.Random(1)
         self.failures = Counter()
+        self.refused_jobs = set()
+        self.refusing_workers = set()
+        self.refusals = 0
         queue = dataclasses.replace(
             QUEUE,
             max_attempts=max_attempts,
@@ -65,6 +68,7 @@
         return max(
             self.started_at.get(job_id, self.now) - submitted_at
             for job_id, submitted_at in self.submitted_at.items()
+            if job_id not in self.refused_jobs
         )
 
     def find_on_probation(self):
@@ -81,6 +85,12 @@
 
     def _start(self, owner, worker, order, until):
         key = order.key
+        if (
+            key.job_id in self.refused_jobs
+            or worker.worker_id in self.refusing_workers
+        ):
+            self.refusals += 1
+            return OrderResult.REFUSED
         plan = self.plans[key.job_id]
         step = self.specs[key.job_id].steps[key.step]
         result = worker.start(
--- a/libs/scheduling/features/steps/probation_steps.py
+++ b/libs/scheduling/features/steps/probation_steps.py
@@ -66,6 +66,23 @@
             worker.fails_late = when == 'at the end'
 
 
+@given('a job of {width:d} tasks that all workers refuse')
+def submit_refused(context, width):
+    context.bad = []
+    context.fleet.refused_jobs = {context.fleet.submit_sound(width)}
+
+
+@given('workers "{names}" refuse all starts')
+def refuse_all(context, names):
+    context.bad = names.split()
+    context.fleet.refusing_workers = set(context.bad)
+
+
+@then('at most {count:d} starts of the mix were refused')
+def check_refusals(context, count):
+    assert context.fleet.refusals <= count, context.fleet.refusals
+
+
 @when('sound jobs arrive for {seconds:g} seconds with a load of {load:g}')
 def submit_load(context, seconds, load):
     fleet = context.fleet
@@ -84,6 +101,7 @@
     fleet.run(10)
 
 
+@then('each sound job has started within {seconds:g} seconds')
 @then('each job has started within {seconds:g} seconds')
 def check_waits(context, seconds):
     assert context.fleet.find_longest_wait() <= seconds, (
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -9,6 +9,7 @@
 from tarragonlb.scheduling.lossrecorder import LossRecorder
 from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
+from tarragonlb.scheduling.refusedsteps import RefusedSteps
 from tarragonlb.scheduling.task import StartStage, StopReason, TaskPhase
 from tarragonlb.scheduling.worker import WorkerState
 from tarragonlb.scheduling.workerloss import LossReason
@@ -20,12 +21,13 @@
 class OrderTracker:
     """Applies order results to the state of a partition."""
 
-    __slots__ = ('_losses', '_partition')
+    __slots__ = ('_losses', '_partition', '_refused_steps')
 
     def __init__(self, partition: PartitionState) -> None:
         """Update ``partition``, which the caller owns."""
         self._partition = partition
         self._losses = LossRecorder(partition)
+        self._refused_steps = RefusedSteps()
 
     def apply_start_result(
         self,
@@ -46,17 +48,19 @@
                 task.settled_at = now
                 task.start_stage = StartStage.CONFIRMED
                 note_begun(self._partition, order.key.job_id, now)
-                worker.note_start_accepted()
+                worker.note_start_accepted(now)
+                self._refused_steps.note_start(order.key[:3])
             else:
                 task.note_start_unanswered(token, now)
                 self._back_off(worker, now)
             return
         if result is OrderResult.OTHER_INCARNATION:
             worker.must_report = True
+        backoff_seconds = self._partition.settings.refusal_backoff_seconds
         if result in REFUSALS:
-            self._back_off(worker, now)
+            backoff_seconds = self._apply_refusal(worker, order.key, now)
         self._partition.release(order.key, task, 'the start was refused')
-        task.not_before = now + self._partition.settings.refusal_backoff_seconds
+        task.not_before = now + backoff_seconds
         if self._partition.find_step(order.key).is_gang:
             self._stop_gang(order.key)
 
@@ -78,6 +82,19 @@
             worker = self._partition.workers[order.worker_id]
             self._losses.lose_all(worker, LossReason.REPLACED, now)
 
+    def _apply_refusal(
+        self, worker: WorkerState, key: TaskKey, now: float
+    ) -> float:
+        """Return for how long a task that a worker refused is not placed."""
+        backoff_seconds = self._partition.settings.refusal_backoff_seconds
+        worker_id = worker.entry.worker_id
+        refusal = self._refused_steps.note_refusal(key[:3], worker_id, now)
+        if refusal.is_first(worker_id) or not worker.has_accepted_start(
+            refusal.first_at
+        ):
+            self._back_off(worker, now)
+        return backoff_seconds * 2.0**refusal.doublings
+
     def _back_off(self, worker: WorkerState, now: float) -> None:
         worker.note_start_refused(
             now, self._partition.settings.refusal_backoff_seconds
--- a/libs/scheduling/tarragonlb/scheduling/startbackoff.py
+++ b/libs/scheduling/tarragonlb/scheduling/startbackoff.py
@@ -18,15 +18,17 @@
     """When a worker that refused starts may be tried again.
 
     ``refusals`` counts them since the last start that the worker accepted;
-    those that were on their way together count once.
+    those that were on their way together count once.  ``accepted_at`` is when
+    it accepted the last start, None if it has not.
     """
 
-    __slots__ = ('_until', 'refusals')
+    __slots__ = ('_until', 'accepted_at', 'refusals')
 
     def __init__(self) -> None:
         """Begin without a refusal."""
         self.refusals = 0
         self._until = 0.0
+        self.accepted_at: float | None = None
 
     def note_refusal(self, now: float, seconds: float) -> None:
         """Wait for ``seconds``, doubled for each refusal in a row."""
@@ -35,10 +37,11 @@
             self.refusals += 1
             self._until = now + seconds * 2**doublings
 
-    def note_start(self) -> None:
+    def note_start(self, now: float) -> None:
         """Forget the refusals, as a start was accepted."""
         self.refusals = 0
         self._until = 0
+        self.accepted_at = now
 
     def is_waiting(self, now: float) -> bool:
         """Return whether no start may be tried yet."""
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -244,9 +244,14 @@
         """Start nothing here for a while, longer with each refusal in a row."""
         self._start_backoff.note_refusal(now, backoff_seconds)
 
-    def note_start_accepted(self) -> None:
+    def note_start_accepted(self, now: float) -> None:
         """End the backoff after refused starts."""
-        self._start_backoff.note_start()
+        self._start_backoff.note_start(now)
+
+    def has_accepted_start(self, since: float) -> bool:
+        """Return whether a start was accepted after ``since`` seconds."""
+        accepted_at = self._start_backoff.accepted_at
+        return accepted_at is not None and accepted_at > since
 
     def can_accept_on_probation(self, now: float, *, is_retry: bool) -> bool:
         """Return whether the probation, if any, allows one more task."""
