--- a/libs/scheduling/features/probation.feature
+++ b/libs/scheduling/features/probation.feature
@@ -68,7 +68,7 @@
     Given a mixed fleet of 2 workers whose tasks may fail <attempts> times
     And workers "w1" fail all tasks of the mix at once
     When a hopeless job fails on "w1" only
-    And worker "w0" is full for 1.8 seconds
+    And worker "w0" is full for 2.3 seconds
     And a sound job arrives
     And 6 seconds pass
     Then at most 0 sound jobs are given up
