Forget tasks of closed jobs in the retry guard

An owner kept the tasks that had waited for a sound worker when their job was closed, for its whole term (found by reading; the scenario fails without it).

--- a/libs/scheduling/features/probation.feature
+++ b/libs/scheduling/features/probation.feature
@@ -95,3 +95,10 @@
     And workers "w0 w1" fail all tasks of the mix at once
     When 4 sound jobs arrive, one every 3 seconds
     Then workers "w0 w1" are on probation
+
+  # Guards against an owner that keeps the waiting tasks of all jobs that were
+  # closed.
+  Scenario: Tasks of closed jobs no longer wait for a sound worker
+    Given a waiting task that has failed, beside a worker with failures and another
+    When a minute passes in which its job is closed
+    Then no note of the task is kept
--- a/libs/scheduling/features/steps/probation_steps.py
+++ b/libs/scheduling/features/steps/probation_steps.py
@@ -9,6 +9,10 @@
 
 from jobmixfleet import LONG_SECONDS, SHORT_SECONDS, JobMixFleet  # noqa: E402
 
+from tarragonlb.scheduling.job import Moment  # noqa: E402
+from tarragonlb.scheduling.readystep import ReadyStep  # noqa: E402
+from tarragonlb.scheduling.retryguard import RetryGuard  # noqa: E402
+
 WORKER_CORES = 4
 # Widths of the jobs of a load, in turn.
 WIDTHS = (1, 1, 2, 4)
@@ -169,3 +173,38 @@
 @then('workers "{names}" are on probation')
 def check_probation(context, names):
     assert set(names.split()) <= set(context.fleet.find_on_probation())
+
+
+@given(
+    'a waiting task that has failed, beside a worker with failures and another'
+)
+def hold_task(context):
+    fleet = JobMixFleet(2, 3)
+    fleet.run(1)
+    job_id = fleet.submit_sound()
+    state = fleet.owner.scheduler.state
+    job_state = fleet.job_index.find(job_id).build_state(Moment(fleet.now))
+    job_state.add_occurrence()
+    context.task = job_state.occurrences[0][0].tasks[0]
+    context.task.failed_attempts.add(1)
+    ready = ReadyStep(job_state, 0, 0, state.queues['q'], Moment(fleet.now))
+    doubted = state.workers['w0']
+    doubted.probation.note_failure(fleet.now)
+    context.guard = RetryGuard()
+    assert context.guard.must_wait(
+        doubted, ready, context.task, state.workers.values, fleet.now
+    )
+    context.held_at = fleet.now
+
+
+@when('a minute passes in which its job is closed')
+def pass_minute(context):
+    context.references = sys.getrefcount(context.task)
+    context.guard.begin_round(context.held_at + 1)
+    assert sys.getrefcount(context.task) == context.references
+    context.guard.begin_round(context.held_at + 61)
+
+
+@then('no note of the task is kept')
+def check_no_note(context):
+    assert sys.getrefcount(context.task) < context.references
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -78,7 +78,7 @@
             return []
         self._reserved.clear()
         self._candidates.clear()
-        self._retry_guard.begin_round()
+        self._retry_guard.begin_round(now.seconds)
         self._partition.changed_pools.clear()
         for worker_filter in self._policies.filters:
             worker_filter.begin_round(self._partition, now.seconds)
--- a/libs/scheduling/tarragonlb/scheduling/retryguard.py
+++ b/libs/scheduling/tarragonlb/scheduling/retryguard.py
@@ -13,6 +13,8 @@
 
 # A job must not have nothing running for 3 s while there is room.
 MAX_WAIT_SECONDS = 2.0
+# Tasks of jobs that are closed meanwhile wait for ever.
+MAX_NOTE_SECONDS = 60.0
 
 
 class RetryGuard:
@@ -26,13 +28,14 @@
         # The attempts that came before, and since when the task waits.
         self._waiting: dict[TaskState, tuple[int, float]] = {}
 
-    def begin_round(self) -> None:
+    def begin_round(self, now: float) -> None:
         """Forget which pools have sound workers, and tasks that have left."""
         self._has_sound_worker.clear()
         self._waiting = {
             task: waiting
             for task, waiting in self._waiting.items()
             if task.phase is TaskPhase.WAITING
+            and now < waiting[1] + MAX_NOTE_SECONDS
         }
 
     def must_wait(
