Do not close a job on the failure of a task that is done

Cause: an attempt that was given up, or a copy, may report its failure after another attempt of the task is done. Any end of a task closed the job once the task had failed as often as its queue allows.

Change: ends of a task that is done never close its job.

--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -260,6 +260,9 @@
         self, key: TaskKey, task: TaskState, now: float
     ) -> None:
         state = self._partition.jobs[key.job_id]
+        if task.phase is TaskPhase.DONE:
+            # A copy, or an attempt that was given up, failed before or after.
+            return
         queue = self._partition.queue_history.find(
             self._partition.queues, state, now
         )
