Count no failure that is reported after the leases of its worker

What callers saw: a job could be closed as failed on an attempt that had been given up when its leases had run out, and that was started again elsewhere; its worker was cut off, and reported the old end once it was back.

Cause: every end "failed" was counted, whichever attempt it was of. Ends that a worker keeps while its leases run out are not taken note of any more, so they do not count as attempts (BUDGET, and LOST: only what has failed so often).

Evidence: four of the scenarios below fail on: 2 failures are counted instead of 1, and the job is closed. A copy whose leases hold still counts.

Change: the first report of a worker after all of its leases have run out adds no failures, except of an attempt with an open start, whose lease may be longer. The worker is still avoided, and backs off.

--- a/libs/scheduling/features/jobverdicts.feature
+++ b/libs/scheduling/features/jobverdicts.feature
@@ -10,6 +10,43 @@
     And the silent worker reports that its attempt ended "failed"
     Then the job goes on to its end
 
+  # Guards against a job that is closed on the failure of an attempt that was given
+  # up, as its leases had run out, and started elsewhere.
+  Scenario Outline: A failure that is reported <when> <counts>
+    Given workers "w0 w1" with 1000 millicores
+    And a job with steps "<steps>"
+    When the task has failed 1 times, and the worker of its next attempt is silent
+    And the attempt is replaced after <seconds> seconds
+    And the silent worker reports that its attempt ended "failed"
+    Then the job is <state>, and its first task counts <count> failures
+
+    Examples:
+      | when                        | counts         | steps         | seconds | state  | count |
+      | after the leases of a copy  | does not count | 1x1000 copies | 7       | open   | 1     |
+      | after the leases of a task  | does not count | 1x1000        | 7       | open   | 1     |
+      | within the leases of a copy | counts         | 1x1000 copies | 1       | failed | 2     |
+
+  # Guards against a failure that counts at the next owner although all leases on
+  # its worker had run out before the worker was reached.
+  Scenario: A failure that the next owner reads after the leases does not count
+    Given workers "w0 w1" with 1000 millicores
+    And a job with steps "1x1000"
+    When the task has failed 1 times, and the worker of its next attempt is silent
+    And another owner takes over that does not reach the silent worker
+    And the attempt is replaced after 9 seconds
+    And the silent worker reports that its attempt ended "failed"
+    Then the job is open, and its first task counts 1 failures
+
+  # Guards against a failure that counts although the leases have run out, as no
+  # round was run meanwhile.
+  Scenario: A failure does not count after an outage that outlasts the leases
+    Given workers "w0 w1" with 1000 millicores
+    And a job with steps "1x1000"
+    When the task has failed 1 times, and the worker of its next attempt is silent
+    And no round is run for 7 seconds
+    And the silent worker reports that its attempt ended "failed"
+    Then the job is open, and its first task counts 1 failures
+
   # Guards against a failure that counts again as it is listed again: to the same
   # owner, to the next one, or under the first numbers of another incarnation.
   Scenario Outline: A failure counts once although it is listed again <how>
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -45,6 +45,8 @@
         if worker is None:
             return
         was_usable = worker.is_usable() and not worker.failures
+        margin = self._partition.settings.lease_margin_seconds
+        has_lapsed = _has_lapsed(worker, report.requested_at - margin)
         self._update_incarnation(worker, report)
         worker.last_report_at = report.received_at
         self._partition.reported_workers.add(report.worker_id)
@@ -52,7 +54,9 @@
         for end in report.ended:
             if end.number > worker.last_end_number:
                 worker.last_end_number = end.number
-                self._apply_end(worker, end, report.received_at)
+                self._apply_end(
+                    worker, end, report.received_at, has_lapsed=has_lapsed
+                )
         listed = self._apply_running(worker, report)
         for key, attachment in tuple(worker.attached.items()):
             is_listed = (key, attachment.attempt) in listed
@@ -186,7 +190,12 @@
             self._partition.note_changed(self._partition.jobs[row.key.job_id])
 
     def _apply_end(
-        self, worker: WorkerState, end: EndedAttempt, now: float
+        self,
+        worker: WorkerState,
+        end: EndedAttempt,
+        now: float,
+        *,
+        has_lapsed: bool,
     ) -> None:
         state = self._partition.jobs.get(end.key.job_id)
         task = None if state is None else state.find(end.key)
@@ -198,15 +207,16 @@
             self._learn_duration(worker, end, now)
             self._finish_task(end, task, now)
             return
+        current = self._partition.find_attempt(
+            end.key, end.attempt, worker.entry.worker_id
+        )
         if end.outcome == ENDED_FAILED:
             # Also of a former attempt, whose end is known only from here.
-            task.failed_attempts.add(end.attempt)
+            if not has_lapsed or (current and current.has_open_start):
+                task.failed_attempts.add(end.attempt)
             self._partition.changed_jobs.add(end.key.job_id)
             task.avoided.add(worker.entry.worker_id)
             worker.note_failure(now)
-        current = self._partition.find_attempt(
-            end.key, end.attempt, worker.entry.worker_id
-        )
         if current is not None:
             task.checkpoint = end.checkpoint or task.checkpoint
             self._partition.release(end.key, task, f'the attempt {end.outcome}')
@@ -295,6 +305,15 @@
             self._partition.release(key, task, reason)
 
 
+def _has_lapsed(worker: WorkerState, at: float) -> bool:
+    """Return whether the leases on a silent worker ran out before ``at``.
+
+    What it then lists as ended was over by then, unless its start was open.
+    """
+    is_unreachable = worker.is_silent or worker.last_report_at is None
+    return is_unreachable and at > worker.lease_ends.read
+
+
 def _list_lasting(
     worker: WorkerState, longest_seconds: float, at: float
 ) -> set[TaskKey]:
