Hold a task to its limit while its queue is not known

What callers saw: nothing yet; found by reading. A task could be started after it had failed as often as its queue allows (BUDGET).

Cause: the last failure reached an owner that had not read the configuration, or one without the queue, so nothing closed the job. Once the queue was known, the task was placed again: placement does not look at failures.

Evidence: the scenario below starts 3 attempts of 2 on.

Change: without the queue the limit is the one that is stored with the job.

--- a/libs/scheduling/features/jobverdicts.feature
+++ b/libs/scheduling/features/jobverdicts.feature
@@ -47,6 +47,15 @@
     And the silent worker reports that its attempt ended "failed"
     Then the job is open, and its first task counts 1 failures
 
+  # Guards against an attempt too many: the last failure was reported to an owner
+  # that had not read the configuration yet.
+  Scenario: A job fails while the configuration of its queue is not known
+    Given workers "w0 w1 w2" with 1000 millicores
+    And a job of queue "patient" with steps "1x1000", accepted with 2 attempts
+    When the task fails once, and again while no configuration is known
+    And each task that starts ends "failed", for 10 seconds
+    Then the job has failed after 2 attempts
+
   # Guards against a failure that counts again as it is listed again: to the same
   # owner, to the next one, or under the first numbers of another incarnation.
   Scenario Outline: A failure counts once although it is listed again <how>
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -276,9 +276,11 @@
         queue = self._partition.queue_history.find(
             self._partition.queues, state, now
         )
-        if queue is None or self._partition.find_step(key).is_permanent:
+        if self._partition.find_step(key).is_permanent:
             return
-        if task.failures >= queue.max_attempts:
+        # While its queue is unknown, the job has its limit as last stored.
+        limit = state.max_attempts if queue is None else queue.max_attempts
+        if limit and task.failures >= limit:
             self._partition.close_job(state, JobOutcome.FAILED, now)
 
     def _handle_unlisted(
