Stop an attempt as stalled only if no sound attempt stands still as long

Cause: an attempt counted as stalled once its whole percent had not changed for 2.5 s, however long one percent takes; the adapter cut off fractions of a percent, new checkpoints did not count, and time in which the owner itself had not looked did. Each such stop also put the worker on probation.

Now progress is any change of the percentage or the checkpoint, measured between reports. An attempt is stalled after the longer of 2.5 s and an eighth of the duration expected of it (declared, learned, by its own pace or by that of its step), and the limit doubles with each attempt of the task that was stopped, which is kept in the progress record. A worker is blamed if nothing on it goes on while attempts of the same step do elsewhere; if only other tasks of the pool do, the failure is withdrawn when the next attempt stalls too or shows that the task takes long.

eviction_steps.py passes the new argument of StopPlanner; what it checks is the same.

--- a/libs/scheduling/features/steps/eviction_steps.py
+++ b/libs/scheduling/features/steps/eviction_steps.py
@@ -48,7 +48,7 @@
         build_worker(name, name == 'announced') for name in NAMES
     )
     state.apply_drain_requests({'requested'})
-    StopPlanner(state).evict_permanent_tasks()
+    StopPlanner(state, {}).evict_permanent_tasks()
 
 
 @then('only the task on the worker that announced it is stopped')
--- a/libs/scheduling/tarragonlb/scheduling/durations.py
+++ b/libs/scheduling/tarragonlb/scheduling/durations.py
@@ -21,8 +21,9 @@
 from statistics import median
 from typing import NamedTuple
 
+from tarragonlb.scheduling.attemptprogress import FULL_PERCENT
 from tarragonlb.scheduling.job import Step
-from tarragonlb.scheduling.task import FULL_PERCENT, TaskPhase, TaskState
+from tarragonlb.scheduling.task import TaskState
 
 # Runs of a kind before its estimate replaces the declared one.
 MIN_RUNS = 8
@@ -73,19 +74,13 @@
 def find_start(task: TaskState) -> float | None:
     """Return when the present attempt began, None if that is not known.
 
-    That is when its start order was answered, or else when a report first
-    listed it, which is kept until its progress changes.
+    That is when its start order was answered, or when a report first listed
+    it.
     """
     if task.placed_at is None:
         return None
-    is_first_listed = (
-        task.phase is TaskPhase.RUNNING and not task.progress_percent
-    )
-    if task.settled_at is None:
-        return task.progress_at if is_first_listed else None
-    if is_first_listed:
-        return min(task.settled_at, task.progress_at)
-    return task.settled_at
+    seen = (task.settled_at, task.progress.first_listed_at)
+    return min((at for at in seen if at is not None), default=None)
 
 
 def estimate_remaining(
@@ -105,9 +100,9 @@
     age = now - started_at
     if age > estimate.upper_seconds:
         return math.inf
-    if MIN_PERCENT <= task.progress_percent < FULL_PERCENT:
-        ran_seconds = max(task.progress_at - started_at, 0)
-        total = ran_seconds * FULL_PERCENT / task.progress_percent
+    if MIN_PERCENT <= task.progress.percent < FULL_PERCENT:
+        ran_seconds = max(task.progress.changed_at - started_at, 0)
+        total = ran_seconds * FULL_PERCENT / task.progress.percent
         if total > age:
             return total - age
     likely = estimate.seconds if age <= estimate.seconds else math.inf
--- a/libs/scheduling/tarragonlb/scheduling/pacing.py
+++ b/libs/scheduling/tarragonlb/scheduling/pacing.py
@@ -5,10 +5,11 @@
 when they do.
 """
 
+from tarragonlb.scheduling.attemptprogress import FULL_PERCENT
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.orders import PaceOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.task import FULL_PERCENT, TaskPhase
+from tarragonlb.scheduling.task import TaskPhase
 from tarragonlb.scheduling.worker import WorkerState
 
 
@@ -103,7 +104,7 @@
     """Let a slowed attempt not count as stalled."""
     if worker.last_report_at is not None:
         task = worker.attached[attempt[0]].task
-        task.progress_at = worker.last_report_at
+        task.progress.excuse(worker.last_report_at)
 
 
 def _list_scavengers(worker: WorkerState) -> list[tuple[TaskKey, int]]:
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from tarragonlb.model.decoding import Count, is_name
+from tarragonlb.scheduling.attemptprogress import AttemptProgress
 from tarragonlb.scheduling.crashhistory import (
     ISOLATION_WAIT_SECONDS,
     NO_CRASHES,
@@ -44,6 +45,7 @@
     crash_points: Count = 0
     incarnation: Count = 0
     was_copied: bool = False
+    stalls: Count = 0
 
 
 class Progress(msgspec.Struct, array_like=True, frozen=True):
@@ -135,6 +137,7 @@
         crashes.points,
         task.incarnation if task.is_attached else 0,
         task.was_copied,
+        0 if is_done else task.stalls,
     )
 
 
@@ -158,8 +161,9 @@
     task.incarnation = row.incarnation
     task.start_stage = StartStage.STORED
     task.was_copied = row.was_copied
+    task.stalls = row.stalls
     if task.is_attached:
         task.settled_at = now
-        task.progress_at = now
+        task.progress = AttemptProgress(now)
     if task.phase is TaskPhase.DONE:
         state.get_step(key).done += 1
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -29,15 +29,20 @@
 
 
 class Reconciler:
-    """Updates a partition after reports, silence and expired leases."""
+    """Updates a partition after reports, silence and expired leases.
 
-    __slots__ = ('_losses', '_partition', '_vm_evidence')
+    ``done_at`` maps the ids of workers to when one last reported a task as
+    done.
+    """
+
+    __slots__ = ('_losses', '_partition', '_vm_evidence', 'done_at')
 
     def __init__(self, partition: PartitionState) -> None:
         """Update ``partition``, which the caller owns."""
         self._partition = partition
         self._losses = LossRecorder(partition)
         self._vm_evidence = VmListEvidence()
+        self.done_at: dict[str, float] = {}
 
     def apply_report(self, report: WorkerReport) -> None:
         """Apply a worker's report of running and ended attempts."""
@@ -170,7 +175,12 @@
         task: TaskState,
         report: WorkerReport,
     ) -> None:
-        task.update_progress(row.percent, row.checkpoint, report.received_at)
+        task.update_progress(
+            row.percent,
+            row.checkpoint,
+            report.received_at,
+            report.requested_at,
+        )
         note_begun(self._partition, row.key.job_id, report.received_at)
         step = self._partition.find_step(row.key)
         if step.latency_target_ms:
@@ -195,6 +205,7 @@
         note_begun(self._partition, end.key.job_id, now)
         if end.outcome == ENDED_DONE:
             worker.note_success()
+            self.done_at[worker.entry.worker_id] = now
             self._learn_duration(worker, end, now)
             self._finish_task(end, task, now)
             return
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -74,7 +74,7 @@
             self.state, is_bounded=policies.bounds_pending_starts
         )
         self._assigner = Assigner(self.state, policies, self.start_window)
-        self._stop_planner = StopPlanner(self.state)
+        self._stop_planner = StopPlanner(self.state, self.reconciler.done_at)
         self._next_cleanup_at = now
 
     @property
--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -47,8 +47,8 @@
     bound_interval_seconds: float = 1.0
     # A stored bound is replaced once it has shrunk by this much.
     min_bound_gain_seconds: float = 0.2
-    # An attempt without progress for this time is stalled; reports come at
-    # least every second.
+    # An attempt without progress for this time is stalled, if it is expected to
+    # take no more than eight times as long; reports come at least every second.
     stall_timeout_seconds: float = 2.5
     # Finished jobs can be queried for this time, which the platform requires;
     # then they are removed.
--- a/libs/scheduling/tarragonlb/scheduling/stopping.py
+++ b/libs/scheduling/tarragonlb/scheduling/stopping.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterable
 
-from tarragonlb.scheduling.job import Step, TaskKey
+from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobState
 from tarragonlb.scheduling.orders import StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.placement import is_eligible
+from tarragonlb.scheduling.stalls import StallDetector
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.worker import OrphanedAttempt, WorkerState
 
@@ -17,12 +18,19 @@
 class StopPlanner:
     """Decides which attempts of a partition are stopped."""
 
-    __slots__ = ('_next_stall_check_at', '_partition')
+    __slots__ = ('_next_stall_check_at', '_partition', '_stall_detector')
 
-    def __init__(self, partition: PartitionState) -> None:
-        """Update ``partition``, which the caller owns."""
+    def __init__(
+        self, partition: PartitionState, done_at: dict[str, float]
+    ) -> None:
+        """Update ``partition``, which the caller owns.
+
+        ``done_at`` maps the ids of workers to when one last reported a task as
+        done.
+        """
         self._partition = partition
         self._next_stall_check_at = 0.0
+        self._stall_detector = StallDetector(partition, done_at)
 
     def evict_permanent_tasks(self) -> None:
         """Start to evict permanent tasks from workers that are being drained.
@@ -49,20 +57,10 @@
         if now < self._next_stall_check_at:
             return
         self._next_stall_check_at = now + STALL_CHECK_INTERVAL_SECONDS
-        timeout = self._partition.settings.stall_timeout_seconds
-        for worker in self._partition.workers.values():
-            if worker.is_silent or worker.last_report_at is None:
-                continue
-            stalled = [
-                attachment.task
-                for attachment in worker.attached.values()
-                if attachment.task.progress_at < now - timeout
-                and _can_stall(attachment.step, attachment.task)
-            ]
-            for task in stalled:
-                self._partition.begin_stop(task, StopReason.STALLED)
-                task.avoided.add(worker.entry.worker_id)
-                worker.note_failure(now)
+        for task in self._stall_detector.find_stalled(now):
+            self._partition.begin_stop(task, StopReason.STALLED)
+            task.avoided.add(task.worker_id)
+            task.stalls += 1
 
     def list_orders(self, now: float) -> list[StopOrder]:
         """Return the stop orders that are due, including repeated ones."""
@@ -129,12 +127,6 @@
     return not worker.entry.is_draining
 
 
-def _can_stall(step: Step, task: TaskState) -> bool:
-    if task.phase is not TaskPhase.RUNNING or step.is_gang:
-        return False
-    return not (step.is_permanent and task.is_serving)
-
-
 def _build_due_orders(
     worker: WorkerState,
     attempts: Iterable[tuple[TaskKey, TaskState | OrphanedAttempt]],
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -11,6 +11,10 @@
 
 import enum
 
+from tarragonlb.scheduling.attemptprogress import (
+    FULL_PERCENT,
+    AttemptProgress,
+)
 from tarragonlb.scheduling.crashhistory import NO_CRASHES, PROBATION_SECONDS
 
 
@@ -50,7 +54,6 @@
 
 
 ATTACHED = frozenset((TaskPhase.PLACED, TaskPhase.RUNNING, TaskPhase.STOPPING))
-FULL_PERCENT = 100
 
 
 class TaskState:
@@ -66,7 +69,8 @@
     worker when the attempt was placed, 0 if unknown.  Until
     ``isolate_until`` a strong suspect waits for an empty worker.
     ``was_copied`` means that it was started again while the worker of an
-    attempt was silent.
+    attempt was silent.  ``stalls`` counts the attempts that were stopped for
+    want of progress.
     """
 
     __slots__ = (
@@ -82,9 +86,9 @@
         'not_before',
         'phase',
         'placed_at',
-        'progress_at',
-        'progress_percent',
+        'progress',
         'settled_at',
+        'stalls',
         'start_stage',
         'stop_reason',
         'stop_sent_at',
@@ -114,8 +118,8 @@
         self.barred_at: float | None = None
         self.stop_sent_at: float | None = None
         self.stop_reason = StopReason.NONE
-        self.progress_percent = 0
-        self.progress_at = 0.0
+        self.progress = AttemptProgress()
+        self.stalls = 0
         self.tail_ms = 0
 
     @property
@@ -144,7 +148,7 @@
         """Return whether a permanent task reports full readiness."""
         if self.phase is not TaskPhase.RUNNING:
             return False
-        return self.progress_percent >= FULL_PERCENT
+        return self.progress.percent >= FULL_PERCENT
 
     def has_survived_start(self, now: float) -> bool:
         """Return whether the attempt has run too long to crash by its start."""
@@ -169,8 +173,7 @@
         self.settled_at = None
         self._open_token = None
         self._forget_orders()
-        self.progress_percent = 0
-        self.progress_at = now
+        self.progress = AttemptProgress(now)
 
     def note_start_unanswered(self, token: int, now: float) -> None:
         """Take note of a start order, sent under ``token``, that timed out."""
@@ -198,19 +201,28 @@
         return self.settled_at >= requested_at
 
     def update_progress(
-        self, percent: int, checkpoint: str, now: float
+        self,
+        percent: float,
+        checkpoint: str,
+        now: float,
+        requested_at: float | None = None,
     ) -> None:
-        """Apply a report that lists the attempt."""
+        """Apply a report that lists the attempt.
+
+        It was requested at ``requested_at``, if that was before ``now``.
+        """
         self.start_stage = StartStage.CONFIRMED
         self._open_token = None
         if self.phase is TaskPhase.PLACED:
             self.phase = TaskPhase.RUNNING
-            self.progress_at = now
-        if checkpoint:
+        self.progress.update(
+            percent, now, now if requested_at is None else requested_at
+        )
+        if checkpoint and checkpoint != self.checkpoint:
             self.checkpoint = checkpoint
-        if percent != self.progress_percent:
-            self.progress_percent = percent
-            self.progress_at = now
+            # A stop also has a checkpoint saved.
+            if self.phase is TaskPhase.RUNNING:
+                self.progress.note_checkpoint(now)
 
     def begin_stop(self, reason: StopReason) -> None:
         """Have the attempt stopped; the first reason is kept."""
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -293,7 +293,7 @@
     key: TaskKey
     attempt: int
     checkpoint: str
-    percent: int
+    percent: float
     gauge: int
 
 
