Give up a task for crashes only if nothing else explains them

Cause: a crash of a worker counted against every attempt there, and most against one that was alone and never listed, even if its start had got no answer. Two such crashes closed the job, and nothing compared them with how often workers of the pool go by themselves. Class: a decision that can't be taken back on evidence that a sound job gives, too.

Now a crash counts only if the worker had confirmed the start. It is confirmed 1.5 s later, with the share of the pool that went with the worker. A job is closed once a task of it has three counted crashes, one of them alone, and the chance of workers going by themselves that early each time is below 0.001, by the rate at which workers of the pool go without the task; until then it pauses, longer after each crash, and is tried alone on at most one worker in eight. The history is stored with the job, in new columns.

--- a/libs/controller/features/steps/log_steps.py
+++ b/libs/controller/features/steps/log_steps.py
@@ -78,7 +78,8 @@
     job_id = context.simulation.jobs[0]
     tasks = {f'{job_id}.0.0.{index}' for index in range(6)}
     assert loss['attempts'], loss
-    for name, attempt, age in loss['attempts']:
+    for name, attempt, age, known in loss['attempts']:
+        assert known in {'answered', 'listed'}, (name, known)
         assert name in tasks and attempt == 1, loss
         # From 0.4 s before the crash to the detection.
         assert 0.4 < age < 4, loss
--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -15,7 +15,11 @@
 from tarragonlb.scheduling.leasebound import BoundChanges
 from tarragonlb.scheduling.orders import SchedulingDecision, StopOrder
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.verdictnotes import CountedFailure, GivenUpTask
+from tarragonlb.scheduling.verdictnotes import (
+    CountedFailure,
+    GivenUpTask,
+    NotedCrash,
+)
 from tarragonlb.scheduling.worker import WorkerReport
 from tarragonlb.scheduling.workerloss import WorkerLoss
 from tarragonlb.telemetry.fleetmetrics import (
@@ -121,7 +125,7 @@
     def log_released(self, now: float) -> None:
         """Log lost workers, reservations and released attempts, each once."""
         state = self._state
-        notes = state.verdict_notes
+        notes = state.evidence.notes
         if (
             state.worker_losses
             or state.released_attempts
@@ -131,6 +135,7 @@
             self.log_rest(now)
         self._log_losses(state.worker_losses)
         self._log_failures(notes.failures)
+        self._log_crashes(notes.crashes)
         self._log_given_up(notes.given_up)
         if state.look_ahead is not None:
             log_reservations(state.look_ahead, self._fields)
@@ -191,7 +196,10 @@
         FLEET_METER.count(TASKS_GIVEN_UP, number=len(given_up))
         LOG.emit(
             'Jobs failed, as tasks crashed their workers.',
-            tasks=[(str(task.key), task.crashes) for task in given_up],
+            tasks=[
+                (str(task.key), task.crashes, task.chance, task.max_chance)
+                for task in given_up
+            ],
             **self._fields,
         )
         given_up.clear()
@@ -214,6 +222,27 @@
             )
         failures.clear()
 
+    def _log_crashes(self, crashes: list[NotedCrash]) -> None:
+        """Log how the crashes under tasks count, with the sums so far."""
+        for first in range(0, len(crashes), MAX_ROWS_PER_LINE):
+            LOG.emit(
+                'Crashes under tasks counted.',
+                attempts=[
+                    (
+                        str(crash.key),
+                        crash.attempt,
+                        crash.worker_id,
+                        crash.verdict,
+                        len(crash.history.attempts),
+                        crash.history.count_trials(),
+                        len(crash.history.excused),
+                    )
+                    for crash in crashes[first : first + MAX_ROWS_PER_LINE]
+                ],
+                **self._fields,
+            )
+        crashes.clear()
+
     def _log_losses(self, losses: list[WorkerLoss]) -> None:
         if not losses:
             return
--- a/libs/controller/tarragonlb/controller/leasehandover.py
+++ b/libs/controller/tarragonlb/controller/leasehandover.py
@@ -69,6 +69,7 @@
                     self._scheduler.reconciler.note_silence(
                         event.worker_id,
                         event.lease_until,
+                        now,
                         event.unread_lease_until,
                     )
         changes = self._scheduler.bound_keeper.decide_last(now)
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -339,6 +339,7 @@
                 reconciler.note_silence(
                     event.worker_id,
                     event.lease_until,
+                    self._clock.read_monotonic(),
                     event.unread_lease_until,
                 )
             case events.WorkerReplaced():
--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -99,12 +99,22 @@
     Then the deadly task has crashed 2 to 5 workers
     And its job has failed, and all other jobs are completed
 
-  # Guards against permanent jobs that are given up since their workers were
-  # crashed twice by other tasks, and once by chance while they were alone.
-  Scenario: A permanent task outlives three crashes that it did not cause
-    Given a permanent task with crashes "shared shared alone"
-    Then it is not given up
-    But a task that ends is given up after them
+  # Guards against jobs that are given up since their workers were crashed twice
+  # by other tasks, and by chance while they were alone.
+  Scenario Outline: A task outlives crashes that it may not have caused, <crashes>
+    Given a task with crashes "<crashes>"
+    Then there is a case against it if it is "<given up>"
+
+    Examples:
+      | crashes                            | given up        |
+      | shared shared                      | never           |
+      | alone alone                        | never           |
+      | alone alone excused excused        | never           |
+      | shared shared shared shared        | never           |
+      | shared shared alone                | short           |
+      | alone alone alone                  | short           |
+      | shared alone alone alone           | short permanent |
+      | shared shared shared shared shared | short permanent |
 
   # Guards against permanent jobs that are given up for crashes by chance: the
   # first came long after their start.
--- a/libs/scheduling/features/decoding.feature
+++ b/libs/scheduling/features/decoding.feature
@@ -47,6 +47,7 @@
       | failed_attempts  | -1                   |
       | crashed_attempts | 9007199254740992     |
       | crash_points     | -1                   |
+      | excused_attempts | -1                   |
       | incarnation      | 18446744073709551616 |
 
   # Guards against an owner that fails in each of its terms, or takes the lease
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -50,7 +50,6 @@
         self.long_share = long_share
         # Of the attempts of tasks that end.
         self.failed_share = FAILED_SHARE
-        # How long a task runs, random if None.
         self.run_seconds = None
         self.random = random.Random(seed)
         self.late_random = random.Random(seed)
@@ -244,6 +243,7 @@
                 owner.scheduler.reconciler.note_silence(
                     worker.worker_id,
                     self._bound_lease_end(owner, worker.worker_id),
+                    self.now,
                 )
             return
         owner.failures[worker.worker_id] = 0
--- a/libs/scheduling/features/peaksimulation.py
+++ b/libs/scheduling/features/peaksimulation.py
@@ -291,7 +291,7 @@
         for worker_id in tuple(pool.scheduler.state.workers):
             worker = self.workers.get(worker_id)
             if worker is None:
-                reconciler.note_silence(worker_id, self.now)
+                reconciler.note_silence(worker_id, self.now, self.now)
                 continue
             ended = []
             for key, (attempt, ends_at) in tuple(worker.runs.items()):
--- a/libs/scheduling/features/restore.feature
+++ b/libs/scheduling/features/restore.feature
@@ -15,9 +15,9 @@
   # Guards against a count of crashes that each new owner starts anew.
   Scenario: The workers that crashed under a task are known to the next owner
     Given a job whose task 0 has failed on "w1 w3"
-    And two workers crashed under task 0, the second under no other job
+    And three workers crashed under task 0, two under no other job
     When its progress is stored and restored
-    Then 2 workers have crashed under task 0
+    Then 3 workers have crashed under task 0
     And 0 workers have crashed under task 1
     And task 1 is on an incarnation of its worker that is known
 
--- a/libs/scheduling/features/steps/bound_steps.py
+++ b/libs/scheduling/features/steps/bound_steps.py
@@ -92,7 +92,9 @@
 
 @when('the leases on "{name}", which is silent, end in {seconds:g} second')
 def end_leases(context, name, seconds):
-    context.scheduler.reconciler.note_silence(name, context.now + seconds)
+    context.scheduler.reconciler.note_silence(
+        name, context.now + seconds, context.now
+    )
 
 
 @then('no bound of "{name}" is stored within {seconds:g} seconds')
--- a/libs/scheduling/features/steps/decision_steps.py
+++ b/libs/scheduling/features/steps/decision_steps.py
@@ -270,7 +270,9 @@
 
 @when('the worker "{name}" becomes silent')
 def make_silent(context, name):
-    context.scheduler.reconciler.note_silence(name, context.now + 4)
+    context.scheduler.reconciler.note_silence(
+        name, context.now + 4, context.now
+    )
 
 
 @when('the directory entry of worker "{name}" expires and comes back')
--- a/libs/scheduling/features/steps/fit_steps.py
+++ b/libs/scheduling/features/steps/fit_steps.py
@@ -75,7 +75,7 @@
         task = TaskState()
         task.avoided = {f'w{number}' for number in avoided}
         if is_suspect:
-            task.crashes = task.crashes.add(1, 1)
+            task.crashes = task.crashes.count(1)
         workers = sorted(
             (
                 make_worker(number, cores, gb, failures=has_failed)
--- a/libs/scheduling/features/steps/lookahead_steps.py
+++ b/libs/scheduling/features/steps/lookahead_steps.py
@@ -225,7 +225,7 @@
         pool.entries['w0'] = replace(entry, is_draining=True)
     elif cause == 'worker w0 falls silent':
         pool.silent.add('w0')
-        pool.scheduler.reconciler.note_silence('w0', pool.now + 3)
+        pool.scheduler.reconciler.note_silence('w0', pool.now + 3, pool.now)
     elif cause == 'worker w0 shrinks to 8 cores':
         pool.entries['w0'] = replace(entry, capacity=Demand(8000, 64000, 0))
     else:
--- a/libs/scheduling/features/steps/usage_steps.py
+++ b/libs/scheduling/features/steps/usage_steps.py
@@ -96,7 +96,7 @@
 @when('the worker of the tasks is silent and they are copied')
 def copy_tasks(context):
     scheduler = context.scheduler
-    scheduler.reconciler.note_silence(context.first, 100.0)
+    scheduler.reconciler.note_silence(context.first, 100.0, 0.0)
     orders = scheduler.decide(Moment(2.0)).starts
     assert {order.worker_id for order in orders} == {context.second}, orders
 
--- a/libs/scheduling/features/steps/waiting_steps.py
+++ b/libs/scheduling/features/steps/waiting_steps.py
@@ -10,7 +10,10 @@
     start_scheduler,
 )
 
-from tarragonlb.scheduling.crashhistory import NO_CRASHES
+from tarragonlb.scheduling.crashhistory import (
+    ISOLATION_WAIT_SECONDS,
+    NO_CRASHES,
+)
 from tarragonlb.scheduling.placement import PackNearData
 from tarragonlb.scheduling.policies import SchedulingPolicies, StartLimit
 from tarragonlb.scheduling.queue import Advice
@@ -70,7 +73,8 @@
 @when('all its tasks are suspected of crashing workers')
 def suspect_tasks(context):
     for _, task in list_tasks(context):
-        task.crashes = NO_CRASHES.add(1, 1).add(2, 1)
+        task.crashes = NO_CRASHES.count(1).count(2)
+        task.isolate_until = context.now + ISOLATION_WAIT_SECONDS
 
 
 @when('all its tasks are being stopped')
--- a/libs/scheduling/features/verdictfleet.py
+++ b/libs/scheduling/features/verdictfleet.py
@@ -188,7 +188,8 @@
     def _run_owner(self, owner):
         super()._run_owner(owner)
         self.given_up.update(
-            task.key.job_id for task in owner.scheduler.state.given_up
+            task.key.job_id
+            for task in owner.scheduler.state.evidence.notes.given_up
         )
 
 
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -16,7 +16,11 @@
 from tarragonlb.scheduling.job import Moment, TaskKey
 from tarragonlb.scheduling.orders import StartOrder
 from tarragonlb.scheduling.partitionstate import PartitionState, note_limit
-from tarragonlb.scheduling.placement import is_candidate, will_be_candidate
+from tarragonlb.scheduling.placement import (
+    is_candidate,
+    must_wait_for_empty_worker,
+    will_be_candidate,
+)
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
 from tarragonlb.scheduling.retryguard import RetryGuard
@@ -244,16 +248,19 @@
         worker = None
         candidates = self._get_candidates(ready.job_state.job.pool)
         self.wait_notes.begin_task()
-        if not candidates.is_full(ready.step):
+        if _is_held_back(ready, task, candidates, now):
+            self.wait_notes.note_refused(WaitReason.SUSPECT)
+        elif not candidates.is_full(ready.step):
             worker = self._policies.placement.choose(
                 ready.step, task, self._list_candidates(ready, task, now)
             )
         if worker is None:
             self.wait_notes.note_no_worker(ready, task, candidates, now)
+            must_be_alone = must_wait_for_empty_worker(ready.step, task, now)
             if task.crashes.needs_isolation:
                 self._retry_later(ready.job_state.job.pool, now)
-            if ready.step.is_permanent:
-                self._reserve(ready, now)
+            if ready.step.is_permanent or must_be_alone:
+                self._reserve(ready, now, must_be_empty=must_be_alone)
             return None
         return self._attach(ready, index, worker, attempt, now)
 
@@ -337,7 +344,17 @@
         )
         return next(filter(None, tickets), '')
 
-    def _reserve(self, ready: ReadyStep, now: float) -> None:
+    def _reserve(
+        self, ready: ReadyStep, now: float, *, must_be_empty: bool
+    ) -> None:
+        """Keep the emptiest worker free of others that come later.
+
+        One that ``must_be_empty`` is kept for a suspect, and only a share of
+        the pool is.
+        """
+        candidates = self._get_candidates(ready.job_state.job.pool)
+        if must_be_empty and not candidates.may_keep(self._reserved, now):
+            return
         eligible = [
             worker
             for worker in self._partition.workers.values()
@@ -346,6 +363,8 @@
             and will_be_candidate(worker, ready.step, ready.key)
             and self._is_allowed_by_filters(worker, ready, now)
         ]
+        if must_be_empty:
+            eligible = [w for w in eligible if not w.count_permanent()]
         emptiest = max(eligible, key=_get_free_cpu, default=None)
         if emptiest is not None:
             self._reserved.add(emptiest.entry.worker_id)
@@ -358,3 +377,11 @@
 
 def _get_free_cpu(worker: WorkerState) -> int:
     return worker.free_cpu
+
+
+def _is_held_back(
+    ready: ReadyStep, task: TaskState, candidates: PoolCandidates, now: float
+) -> bool:
+    """Return whether suspects keep all the workers that they may keep."""
+    must_be_alone = must_wait_for_empty_worker(ready.step, task, now)
+    return must_be_alone and not candidates.may_keep((), now)
--- a/libs/scheduling/tarragonlb/scheduling/candidates.py
+++ b/libs/scheduling/tarragonlb/scheduling/candidates.py
@@ -8,11 +8,14 @@
 """
 
 from bisect import bisect_left, insort
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from tarragonlb.scheduling.job import Step
 from tarragonlb.scheduling.worker import WorkerState
 
+# Suspects of crashing workers keep one worker of so many to themselves.
+WORKERS_PER_SUSPECT = 8
+
 
 class PoolCandidates:
     """The usable workers of a pool, the one with the least free CPU first."""
@@ -55,6 +58,17 @@
             return True
         return False
 
+    def may_keep(self, reserved: Container[str], now: float) -> bool:
+        """Return whether one more worker may be kept for a suspect alone.
+
+        Those kept already run one, or are ``reserved`` for one.
+        """
+        kept = sum(
+            worker.is_kept_by_suspect(now) or worker.entry.worker_id in reserved
+            for worker in self._workers
+        )
+        return kept < max(len(self._workers) // WORKERS_PER_SUSPECT, 1)
+
     def move_after_change(self, worker: WorkerState) -> None:
         """Restore the order after the free capacity of a worker has changed."""
         if worker in self._workers:
--- /dev/null
+++ b/libs/scheduling/tarragonlb/scheduling/crashreview.py
@@ -0,0 +1,198 @@
+"""Weighs the crashes under tasks, and gives up the tasks that cause them.
+
+A crash counts at once, so that the task is isolated, and is reviewed a little
+later, when the losses of other workers at that time are known.  A task with a
+case against it waits: the longer no other worker of its pool goes, the less
+likely it is that chance explains its crashes.
+"""
+
+from tarragonlb.scheduling.crashhistory import (
+    UNKNOWN_ATTEMPT_SECONDS,
+    ConfirmedCrash,
+    get_max_chance,
+)
+from tarragonlb.scheduling.evidence import CrashReview
+from tarragonlb.scheduling.job import TaskKey
+from tarragonlb.scheduling.jobstate import JobOutcome, JobState
+from tarragonlb.scheduling.losslog import WINDOW_SECONDS, SeenLoss
+from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.task import TaskPhase, TaskState
+from tarragonlb.scheduling.verdictnotes import GivenUpTask, NotedCrash
+from tarragonlb.scheduling.workerloss import LostAttempt
+
+# After this time it is known which workers went together.
+REVIEW_SECONDS = 1.5
+# A task with a case waits for at most this long while no other worker goes.
+MAX_QUIET_SECONDS = 40.0
+# An attempt lasts at least as long as an order takes to be answered.
+MIN_ATTEMPT_SECONDS = 0.1
+COUNTED = 'counted'
+TRIAL = 'counted, as it was alone'
+UNCONFIRMED = 'excused, as the start was not confirmed'
+
+
+class CrashReviewer:
+    """Counts crashes for the tasks of a partition, and reviews them."""
+
+    __slots__ = ('_partition',)
+
+    def __init__(self, partition: PartitionState) -> None:
+        """Update ``partition``, which the caller owns."""
+        self._partition = partition
+
+    def note_crash(
+        self, lost: LostAttempt, loss: SeenLoss, now: float, *, is_alone: bool
+    ) -> None:
+        """Take note that the worker of an attempt crashed.
+
+        ``is_alone`` means that no other job had an attempt there.
+        """
+        state, task = self._find(lost.key)
+        if state is None or task is None or not state.is_open:
+            return
+        # Permanent tasks live long enough to see workers crash by chance.
+        is_permanent = self._partition.find_step(lost.key).is_permanent
+        if is_permanent and lost.has_survived:
+            return
+        if task.crashes.knows(lost.attempt):
+            return
+        task.avoided.add(loss.worker_id)
+        if lost.was_started:
+            task.crashes = task.crashes.count(lost.attempt)
+            self._partition.evidence.reviews.append(
+                CrashReview(
+                    lost.key,
+                    lost.attempt,
+                    state.job.pool,
+                    loss,
+                    _measure_attempt(lost, loss),
+                    is_alone,
+                    now + REVIEW_SECONDS,
+                )
+            )
+        else:
+            task.crashes = task.crashes.excuse(lost.attempt)
+            self._note(lost.key, lost.attempt, loss, UNCONFIRMED)
+        self._partition.note_changed(state)
+        self._partition.evidence.paused[lost.key] = now
+        self._review_paused(lost.key, now, now)
+
+    def review(self, now: float) -> None:
+        """Review the crashes that are due, and the tasks that wait."""
+        reviews = self._partition.evidence.reviews
+        while reviews and reviews[0].due_at <= now:
+            self._review(reviews.pop(0))
+        for key, since in tuple(self._partition.evidence.paused.items()):
+            self._review_paused(key, since, now)
+
+    def _review(self, review: CrashReview) -> None:
+        state, task = self._find(review.key)
+        if state is None or task is None or not state.is_open:
+            return
+        # Copies of one task may have crashed their workers together.
+        step = self._partition.find_step(review.key)
+        key = review.key if step.allows_copies else None
+        evidence = self._partition.evidence
+        others = evidence.losses.count_together(review.pool, review.loss, key)
+        share = 0.0
+        if others:
+            share = min((others + 1) / self._count_workers(review.pool), 1)
+        task.crashes = task.crashes.confirm(
+            ConfirmedCrash(
+                review.attempt, review.seconds, review.is_alone, share
+            )
+        )
+        verdict = TRIAL if review.is_alone else COUNTED
+        self._note(review.key, review.attempt, review.loss, verdict)
+        self._partition.note_changed(state)
+
+    def _review_paused(self, key: TaskKey, since: float, now: float) -> None:
+        """Give a task up, have it wait, or let it be tried."""
+        evidence = self._partition.evidence
+        state, task = self._find(key)
+        if state is None or task is None or not state.is_open:
+            evidence.paused.pop(key)
+            return
+        if task.phase is not TaskPhase.WAITING:
+            evidence.paused.pop(key)
+            return
+        others, rate = self._measure_losses(key, state, now)
+        pause = task.crashes.compute_pause(rate if others else 0)
+        if self._has_case(key, task):
+            self._give_up_if_proven(key, state, task, rate, now)
+            if not others:
+                pause = max(pause, MAX_QUIET_SECONDS)
+        task.not_before = since + pause
+        task.isolate_until = (
+            task.not_before + task.crashes.isolation_wait_seconds
+        )
+        if now >= task.not_before:
+            evidence.paused.pop(key)
+            self._partition.changed_pools.add(state.job.pool)
+
+    def _has_case(self, key: TaskKey, task: TaskState) -> bool:
+        """Return whether there is a case against a task, all crashes known."""
+        step = self._partition.find_step(key)
+        if not task.crashes.has_case(is_permanent=step.is_permanent):
+            return False
+        reviews = self._partition.evidence.reviews
+        return all(review.key != key for review in reviews)
+
+    def _give_up_if_proven(
+        self,
+        key: TaskKey,
+        state: JobState,
+        task: TaskState,
+        losses_per_second: float,
+        now: float,
+    ) -> None:
+        chance = task.crashes.compute_chance(losses_per_second)
+        max_chance = get_max_chance(
+            is_permanent=self._partition.find_step(key).is_permanent
+        )
+        if chance <= max_chance:
+            crashes = len(task.crashes.attempts)
+            self._partition.evidence.notes.given_up.append(
+                GivenUpTask(key, crashes, chance, max_chance)
+            )
+            self._partition.close_job(state, JobOutcome.FAILED, now)
+
+    def _measure_losses(
+        self, key: TaskKey, state: JobState, now: float
+    ) -> tuple[int, float]:
+        """Return how many workers went without a task, and how often one does.
+
+        The rate is per second of a worker, as if one more had just gone.
+        """
+        partition, pool = self._partition, state.job.pool
+        started = max(partition.taken_over_at, now - WINDOW_SECONDS)
+        others = partition.evidence.losses.count_without(pool, key, started)
+        seen_seconds = max(self._count_workers(pool) * (now - started), 1)
+        return others, (others + 1) / seen_seconds
+
+    def _count_workers(self, pool: str) -> int:
+        count = sum(
+            worker.entry.pool == pool and worker.is_listed
+            for worker in self._partition.workers.values()
+        )
+        return max(count, 1)
+
+    def _note(
+        self, key: TaskKey, attempt: int, loss: SeenLoss, verdict: str
+    ) -> None:
+        _, task = self._find(key)
+        if task is not None:
+            self._partition.evidence.notes.crashes.append(
+                NotedCrash(key, attempt, loss.worker_id, verdict, task.crashes)
+            )
+
+    def _find(self, key: TaskKey) -> tuple[JobState | None, TaskState | None]:
+        state = self._partition.jobs.get(key.job_id)
+        return state, None if state is None else state.find(key)
+
+
+def _measure_attempt(lost: LostAttempt, loss: SeenLoss) -> float:
+    """Return within how many seconds of its start an attempt was lost."""
+    if lost.placed_at is None:
+        return UNKNOWN_ATTEMPT_SECONDS
+    return max(loss.gone_at - lost.placed_at, MIN_ATTEMPT_SECONDS)
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -2,16 +2,12 @@
 
 from collections.abc import Container, Iterable, Iterator
 
-from tarragonlb.scheduling.crashhistory import (
-    ISOLATION_WAIT_SECONDS,
-    rate_crash,
-)
+from tarragonlb.scheduling.crashreview import CrashReviewer
 from tarragonlb.scheduling.job import TaskKey
-from tarragonlb.scheduling.jobstate import JobOutcome
+from tarragonlb.scheduling.losslog import SeenLoss
 from tarragonlb.scheduling.partitionstate import PartitionState
 from tarragonlb.scheduling.task import StartStage, TaskPhase
 from tarragonlb.scheduling.tenantusage import ORPHANED
-from tarragonlb.scheduling.verdictnotes import GivenUpTask
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
 from tarragonlb.scheduling.workerloss import (
     LossReason,
@@ -22,16 +18,37 @@
 # For this long after its leases have run out, it is still determined whether a
 # worker had crashed.
 MAX_DOUBT_SECONDS = 10.0
+# For this long before its end a worker may have been gone that this owner has
+# not heard of.
+UNHEARD_SECONDS = 2.0
 
 
 class LossRecorder:
     """Releases the attempts of lost workers and counts crashes."""
 
-    __slots__ = ('_partition',)
+    __slots__ = ('_partition', '_reviewer')
 
     def __init__(self, partition: PartitionState) -> None:
         """Update ``partition``, which the caller owns."""
         self._partition = partition
+        self._reviewer = CrashReviewer(partition)
+
+    def note_silence(self, worker: WorkerState) -> None:
+        """Take note of a worker that does not answer any more.
+
+        One that has not answered this owner yet may have been silent for long.
+        """
+        if worker.last_report_at is not None and not worker.is_leaving:
+            self._note_loss(worker, worker.silent_since)
+
+    def retract_silence(self, worker: WorkerState) -> None:
+        """Take note that a silent worker answers again, and had not ended."""
+        if worker.is_silent and worker.last_report_at is not None:
+            self._partition.evidence.losses.retract(
+                worker.entry.pool,
+                worker.entry.worker_id,
+                worker.last_report_at,
+            )
 
     def lose_all(
         self,
@@ -64,6 +81,8 @@
 
         ``report`` is the first one of the present incarnation.
         """
+        if not worker.is_leaving:
+            self._note_loss(worker, report.received_at)
         survivors = _adopt_survivors(worker, report)
         self.lose_all(worker, LossReason.REBORN, report.received_at, survivors)
 
@@ -144,43 +163,32 @@
 
         A worker that announced its end did not crash.
         """
-        if worker.is_leaving:
+        lost = tuple(lost)
+        if worker.is_leaving or not lost:
             return
+        loss = self._note_loss(worker, now, [attempt.key for attempt in lost])
         lost = tuple(attempt for attempt in lost if attempt.was_sent)
         is_alone = len({attempt.key.job_id for attempt in lost}) == 1
         for attempt in lost:
-            points = rate_crash(
-                is_alone=is_alone,
-                was_seen=attempt.was_seen,
-                was_started=attempt.was_started,
-            )
-            self._blame(worker, attempt, points, now)
+            self._reviewer.note_crash(attempt, loss, now, is_alone=is_alone)
 
-    def _blame(
+    def _note_loss(
         self,
         worker: WorkerState,
-        lost: LostAttempt,
-        points: int,
         now: float,
-    ) -> None:
-        partition = self._partition
-        state = partition.jobs.get(lost.key.job_id)
-        task = None if state is None else state.find(lost.key)
-        if state is None or task is None or not state.is_open:
-            return
-        # Permanent tasks live long enough to see workers crash by chance.
-        is_permanent = partition.find_step(lost.key).is_permanent
-        if is_permanent and lost.has_survived:
-            return
-        task.crashes = task.crashes.add(lost.attempt, points)
-        task.avoided.add(worker.entry.worker_id)
-        task.isolate_until = now + ISOLATION_WAIT_SECONDS
-        partition.note_changed(state)
-        if task.crashes.is_culprit(is_permanent=is_permanent):
-            partition.verdict_notes.given_up.append(
-                GivenUpTask(lost.key, len(task.crashes.attempts))
-            )
-            partition.close_job(state, JobOutcome.FAILED, now)
+        lost_keys: Iterable[TaskKey] = (),
+    ) -> SeenLoss:
+        gone_at = worker.silent_since if worker.is_silent else now
+        alive_at = worker.last_report_at
+        if alive_at is None:
+            alive_at = gone_at - UNHEARD_SECONDS
+        doubtful = (attempt.key for attempt in worker.doubtful)
+        keys = frozenset(
+            (*worker.attached, *worker.orphans, *doubtful, *lost_keys)
+        )
+        loss = SeenLoss(worker.entry.worker_id, alive_at, gone_at, keys)
+        self._partition.evidence.losses.note(worker.entry.pool, loss)
+        return loss
 
 
 def _adopt_survivors(worker: WorkerState, report: WorkerReport) -> set[TaskKey]:
@@ -212,15 +220,14 @@
             task.incarnation,
             was_sent=task.start_stage is not StartStage.DECIDED,
             was_seen=not (is_own and task.phase is TaskPhase.PLACED),
-            was_started=not is_own
-            or task.start_stage is StartStage.CONFIRMED
-            or task.phase is not TaskPhase.PLACED,
+            was_started=not is_own or task.start_stage is StartStage.CONFIRMED,
             has_survived=worker.last_report_at is not None
             and task.phase is not TaskPhase.PLACED
             and task.has_survived_start(worker.last_report_at),
             age_seconds=None
             if task.placed_at is None
             else now - task.placed_at,
+            placed_at=task.placed_at,
         )
     for key, orphan in worker.orphans.items():
         yield LostAttempt(key, orphan.attempt, worker.incarnation or 0)
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -7,6 +7,7 @@
 from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 
+from tarragonlb.scheduling.evidence import Evidence
 from tarragonlb.scheduling.job import Step, TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.lookaheadrecord import LookAheadRecord
@@ -16,7 +17,6 @@
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.tenant import NO_TENANTS, TenantTable
 from tarragonlb.scheduling.tenantusage import TenantUsage
-from tarragonlb.scheduling.verdictnotes import VerdictNotes
 from tarragonlb.scheduling.worker import Worker, WorkerState
 from tarragonlb.scheduling.workerloss import WorkerLoss
 
@@ -54,8 +54,8 @@
     ``changed_jobs`` are the ids of jobs whose progress record is out of date.
     ``begun_jobs`` maps those of which only a first start is not stored yet to
     when that was confirmed; they are stored with others.
-    ``released_attempts``, ``worker_losses`` and ``verdict_notes`` are still to
-    be logged.
+    ``released_attempts`` and ``worker_losses`` are still to be logged.
+    ``evidence`` is what may count against tasks.
     ``open_jobs`` are the jobs of which tasks may still be started; ``jobs``
     also holds finished ones for as long as their state can be queried.
     ``changed_pools`` are pools whose jobs or workers have changed since tasks
@@ -74,6 +74,7 @@
         'begun_jobs',
         'changed_jobs',
         'changed_pools',
+        'evidence',
         'jobs',
         'look_ahead',
         'open_jobs',
@@ -88,7 +89,6 @@
         'tenants',
         'unknown_paces',
         'usage',
-        'verdict_notes',
         'worker_losses',
         'workers',
     )
@@ -108,7 +108,7 @@
         self.changed_pools: set[str] = set()
         self.released_attempts: list[ReleasedAttempt] = []
         self.worker_losses: list[WorkerLoss] = []
-        self.verdict_notes = VerdictNotes()
+        self.evidence = Evidence()
         self.reported_workers: set[str] = set()
         self.stopping_workers: set[str] = set()
         self.unknown_paces: set[tuple[TaskKey, int]] = set()
@@ -151,6 +151,8 @@
                     self.taken_over_at + self.settings.compute_longest_lease()
                 )
                 self.usage.add_until('', key, state.job, until)
+            if task.crashes.needs_isolation:
+                self.evidence.paused[key] = self.taken_over_at
             if task.is_attached:
                 worker = self.find_worker(task.worker_id, state.job.pool)
                 self.attach(worker, key, task)
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -10,11 +10,11 @@
 from tarragonlb.model.decoding import Count, is_name
 from tarragonlb.scheduling.attemptprogress import AttemptProgress
 from tarragonlb.scheduling.crashhistory import (
-    ISOLATION_WAIT_SECONDS,
     NO_CRASHES,
+    ConfirmedCrash,
     CrashHistory,
 )
-from tarragonlb.scheduling.job import TaskKey
+from tarragonlb.scheduling.job import MS_PER_SECOND, TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.records import (
     MAX_VALUE_BYTES,
@@ -27,10 +27,23 @@
 
 # More than a progress record has room for.
 MAX_OCCURRENCES = 100_000
+PERMILLE = 1000
+
+
+class CrashRow(msgspec.Struct, array_like=True, frozen=True):
+    """A confirmed crash of a task; ``share_permille`` is of the pool."""
+
+    attempt: Count
+    milliseconds: Count
+    is_alone: bool
+    share_permille: Count
 
 
 class TaskRow(msgspec.Struct, array_like=True, frozen=True):
-    """A task in a progress record."""
+    """A task in a progress record.
+
+    ``crash_points`` is no longer used; an earlier version rated crashes.
+    """
 
     occurrence: Count
     step: Count
@@ -46,6 +59,8 @@
     incarnation: Count = 0
     was_copied: bool = False
     stalls: Count = 0
+    confirmed_crashes: list[CrashRow] = []
+    excused_attempts: list[Count] = []
 
 
 class Progress(msgspec.Struct, array_like=True, frozen=True):
@@ -134,10 +149,30 @@
         task.checkpoint,
         [] if is_done else sorted(task.avoided),
         sorted(crashes.attempts),
-        crashes.points,
+        0,
         task.incarnation if task.is_attached else 0,
         task.was_copied,
         0 if is_done else task.stalls,
+        [_build_crash_row(crash) for crash in crashes.confirmed],
+        sorted(crashes.excused),
+    )
+
+
+def _build_crash_row(crash: ConfirmedCrash) -> CrashRow:
+    return CrashRow(
+        crash.attempt,
+        round(crash.seconds * MS_PER_SECOND),
+        crash.is_alone,
+        round(crash.share * PERMILLE),
+    )
+
+
+def _restore_crash(row: CrashRow) -> ConfirmedCrash:
+    return ConfirmedCrash(
+        row.attempt,
+        row.milliseconds / MS_PER_SECOND,
+        row.is_alone,
+        row.share_permille / PERMILLE,
     )
 
 
@@ -155,9 +190,13 @@
     task.worker_id = row.worker_id
     task.checkpoint = row.checkpoint
     task.crashes = CrashHistory(
-        frozenset(row.crashed_attempts), row.crash_points
+        frozenset(row.crashed_attempts),
+        tuple(_restore_crash(crash) for crash in row.confirmed_crashes),
+        frozenset(row.excused_attempts),
     )
-    task.isolate_until = now + ISOLATION_WAIT_SECONDS
+    pause = task.crashes.compute_pause(losses_per_second=0)
+    task.not_before = now + pause if pause else 0.0
+    task.isolate_until = now + pause + task.crashes.isolation_wait_seconds
     task.incarnation = row.incarnation
     task.start_stage = StartStage.STORED
     task.was_copied = row.was_copied
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -76,10 +76,12 @@
         self,
         worker_id: str,
         lease_until: float,
+        now: float,
         unread_lease_until: float = 0.0,
     ) -> None:
         """Stop using a worker until it answers again.
 
+        It was found to be silent at ``now`` seconds.
         The leases that this owner granted to the incarnation that has last
         reported end at ``lease_until`` seconds, those of one that has not
         reported at ``unread_lease_until``.  Tasks that allow copies may start
@@ -94,6 +96,8 @@
         if worker.is_silent:
             return
         worker.is_silent = True
+        worker.silent_since = now
+        self._losses.note_silence(worker)
         for key, attachment in tuple(worker.attached.items()):
             # The task may be what silenced the worker, so it is copied once.
             is_first = not attachment.task.was_copied
@@ -137,7 +141,9 @@
         now = report.received_at
         if worker.incarnation is None:
             self._losses.lose_former(worker, report)
-        elif report.incarnation != worker.incarnation:
+        elif report.incarnation == worker.incarnation:
+            self._losses.retract_silence(worker)
+        else:
             self._losses.lose_reborn(worker, report)
         self._losses.settle_doubt(worker, report.incarnation, now)
         worker.incarnation = report.incarnation
@@ -326,7 +332,7 @@
     state = partition.jobs[end.key.job_id]
     queue = partition.queue_history.find(partition.queues, state, now)
     limit = None if queue is None else queue.max_attempts
-    partition.verdict_notes.failures.append(
+    partition.evidence.notes.failures.append(
         CountedFailure(end.key, end.attempt, task.failures, limit)
     )
 
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 
 from tarragonlb.scheduling.assignment import Assigner
+from tarragonlb.scheduling.crashreview import CrashReviewer
 from tarragonlb.scheduling.job import Moment
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.leasebound import LeaseBoundKeeper
@@ -47,6 +48,7 @@
 
     __slots__ = (
         '_assigner',
+        '_crash_reviewer',
         '_next_cleanup_at',
         '_stop_planner',
         'bound_keeper',
@@ -67,6 +69,7 @@
         self.state = PartitionState(settings, now)
         self.state.look_ahead = policies.look_ahead
         self.reconciler = Reconciler(self.state)
+        self._crash_reviewer = CrashReviewer(self.state)
         self.order_tracker = OrderTracker(self.state)
         self.pacer = Pacer(self.state)
         self.bound_keeper = LeaseBoundKeeper(self.state)
@@ -96,6 +99,7 @@
         """
         state = self.state
         self.reconciler.expire_leases(now.seconds)
+        self._crash_reviewer.review(now.seconds)
         self._stop_planner.evict_permanent_tasks()
         self._stop_planner.stop_stalled(now.seconds)
         removed = self._forget_finished(now.seconds)
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -157,8 +157,15 @@
         return now >= self.settled_at + PROBATION_SECONDS
 
     def keeps_worker(self, now: float) -> bool:
-        """Return whether the attempt's worker takes no other task now."""
-        return self.crashes.needs_isolation and not self.has_survived_start(now)
+        """Return whether the attempt's worker takes no other task now.
+
+        One that was placed beside others, as it has waited too long for an
+        empty worker, does not keep it.
+        """
+        if not self.crashes.needs_isolation or self.placed_at is None:
+            return False
+        is_isolated = self.placed_at < self.isolate_until
+        return is_isolated and not self.has_survived_start(now)
 
     def place(
         self, worker_id: str, incarnation: int, attempt: int, now: float
--- a/libs/scheduling/tarragonlb/scheduling/verdictnotes.py
+++ b/libs/scheduling/tarragonlb/scheduling/verdictnotes.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from tarragonlb.scheduling.crashhistory import CrashHistory
 from tarragonlb.scheduling.job import TaskKey
 
 
@@ -23,25 +24,43 @@
     limit: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class NotedCrash:
+    """A crash under an attempt, how it counts, and the history with it."""
+
+    key: TaskKey
+    attempt: int
+    worker_id: str
+    verdict: str
+    history: CrashHistory
+
+
 @dataclass(frozen=True, slots=True)
 class GivenUpTask:
-    """A task that is given up, as it crashed this many workers."""
+    """A task that is given up, as it crashed its workers.
+
+    ``chance`` is that of workers going by themselves in all its trials, and
+    ``max_chance`` the limit for it.
+    """
 
     key: TaskKey
     crashes: int
+    chance: float
+    max_chance: float
 
 
 class VerdictNotes:
     """The notes that are still to be logged."""
 
-    __slots__ = ('failures', 'given_up')
+    __slots__ = ('crashes', 'failures', 'given_up')
 
     def __init__(self) -> None:
         """Start without notes."""
+        self.crashes: list[NotedCrash] = []
         self.failures: list[CountedFailure] = []
         self.given_up: list[GivenUpTask] = []
 
     @property
     def are_empty(self) -> bool:
         """Return whether there is nothing to log."""
-        return not (self.failures or self.given_up)
+        return not (self.crashes or self.failures or self.given_up)
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -84,6 +84,7 @@
     """The state of a worker; times are seconds on the monotonic clock.
 
     ``suspects`` are the attached tasks that were on workers that crashed.
+    ``silent_since`` is when it was found to answer no more, if it is silent.
     ``doubtful`` are attempts whose leases ran out at ``doubtful_since``, while
     it is not known whether the worker crashed.  ``is_leaving`` means that the
     worker announced its end when it last reported or since.  ``must_report`` is
@@ -114,6 +115,7 @@
         'must_report',
         'orphans',
         'probation',
+        'silent_since',
         'suspects',
     )
 
@@ -136,6 +138,7 @@
         self.last_report_at: float | None = None
         self.is_listed = True
         self.is_silent = False
+        self.silent_since = 0.0
         self.is_drain_requested = False
         self.must_report = False
         self.lease_ends = LeaseEnds(lease_until)
--- a/libs/scheduling/tarragonlb/scheduling/workerloss.py
+++ b/libs/scheduling/tarragonlb/scheduling/workerloss.py
@@ -28,8 +28,8 @@
     if the worker surely never listed the attempt as running, ``was_started`` if
     it did not confirm the start either.  ``has_survived`` is true if it listed
     the attempt so long after its start that the start can't be what crashed it.
-    ``age_seconds`` is the time from the placement to the detection of the loss,
-    None if another owner placed the attempt.
+    ``age_seconds`` is the time from the placement, at ``placed_at``, to the
+    detection of the loss; both are None if another owner placed the attempt.
     """
 
     key: TaskKey
@@ -40,6 +40,7 @@
     was_started: bool = True
     has_survived: bool = False
     age_seconds: float | None = None
+    placed_at: float | None = None
 
     @property
     def known(self) -> str:
