--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -14,6 +14,7 @@
 from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
 from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
 from tarragonlb.scheduling.tenantusage import ORPHANED
+from tarragonlb.scheduling.verdictnotes import CountedFailure
 from tarragonlb.scheduling.vmevidence import VmListEvidence, VmListing
 from tarragonlb.scheduling.worker import (
     EndedAttempt,
@@ -22,6 +23,7 @@
     WorkerReport,
     WorkerState,
 )
+from tarragonlb.scheduling.workerblame import note_task_done, note_task_failed
 from tarragonlb.scheduling.workerloss import LossReason
 
 ENDED_DONE = 'done'
@@ -45,6 +47,8 @@
         if worker is None:
             return
         was_usable = worker.is_usable() and not worker.failures
+        margin = self._partition.settings.lease_margin_seconds
+        has_lapsed = _has_lapsed(worker, report.requested_at - margin)
         self._update_incarnation(worker, report)
         worker.last_report_at = report.received_at
         self._partition.reported_workers.add(report.worker_id)
@@ -52,7 +56,9 @@
         for end in report.ended:
             if end.number > worker.last_end_number:
                 worker.last_end_number = end.number
-                self._apply_end(worker, end, report.received_at)
+                self._apply_end(
+                    worker, end, report.received_at, has_lapsed=has_lapsed
+                )
         listed = self._apply_running(worker, report)
         for key, attachment in tuple(worker.attached.items()):
             is_listed = (key, attachment.attempt) in listed
@@ -186,7 +192,12 @@
             self._partition.note_changed(self._partition.jobs[row.key.job_id])
 
     def _apply_end(
-        self, worker: WorkerState, end: EndedAttempt, now: float
+        self,
+        worker: WorkerState,
+        end: EndedAttempt,
+        now: float,
+        *,
+        has_lapsed: bool,
     ) -> None:
         state = self._partition.jobs.get(end.key.job_id)
         task = None if state is None else state.find(end.key)
@@ -194,19 +205,20 @@
             return
         note_begun(self._partition, end.key.job_id, now)
         if end.outcome == ENDED_DONE:
-            worker.note_success()
+            note_task_done(self._partition, worker, end.key, task, now)
             self._learn_duration(worker, end, now)
             self._finish_task(end, task, now)
             return
-        if end.outcome == ENDED_FAILED:
-            # Also of a former attempt, whose end is known only from here.
-            task.failed_attempts.add(end.attempt)
-            self._partition.changed_jobs.add(end.key.job_id)
-            task.avoided.add(worker.entry.worker_id)
-            worker.note_failure(now)
         current = self._partition.find_attempt(
             end.key, end.attempt, worker.entry.worker_id
         )
+        if end.outcome == ENDED_FAILED:
+            # Also of a former attempt, whose end is known only from here.
+            if not has_lapsed or (current and current.has_open_start):
+                task.failed_attempts.add(end.attempt)
+            self._partition.changed_jobs.add(end.key.job_id)
+            note_task_failed(self._partition, worker, end.key, now)
+            _note_failure(self._partition, end, task, now)
         if current is not None:
             task.checkpoint = end.checkpoint or task.checkpoint
             self._partition.release(end.key, task, f'the attempt {end.outcome}')
@@ -260,12 +272,17 @@
         self, key: TaskKey, task: TaskState, now: float
     ) -> None:
         state = self._partition.jobs[key.job_id]
+        if task.phase is TaskPhase.DONE:
+            # A copy, or an attempt that was given up, failed before or after.
+            return
         queue = self._partition.queue_history.find(
             self._partition.queues, state, now
         )
-        if queue is None or self._partition.find_step(key).is_permanent:
+        if self._partition.find_step(key).is_permanent:
             return
-        if task.failures >= queue.max_attempts:
+        # While its queue is unknown, the job has its limit as last stored.
+        limit = state.max_attempts if queue is None else queue.max_attempts
+        if limit and task.failures >= limit:
             self._partition.close_job(state, JobOutcome.FAILED, now)
 
     def _handle_unlisted(
@@ -292,6 +309,26 @@
             self._partition.release(key, task, reason)
 
 
+def _note_failure(
+    partition: PartitionState, end: EndedAttempt, task: TaskState, now: float
+) -> None:
+    state = partition.jobs[end.key.job_id]
+    queue = partition.queue_history.find(partition.queues, state, now)
+    limit = None if queue is None else queue.max_attempts
+    partition.verdict_notes.failures.append(
+        CountedFailure(end.key, end.attempt, task.failures, limit)
+    )
+
+
+def _has_lapsed(worker: WorkerState, at: float) -> bool:
+    """Return whether the leases on a silent worker ran out before ``at``.
+
+    What it then lists as ended was over by then, unless its start was open.
+    """
+    is_unreachable = worker.is_silent or worker.last_report_at is None
+    return is_unreachable and at > worker.lease_ends.read
+
+
 def _list_lasting(
     worker: WorkerState, longest_seconds: float, at: float
 ) -> set[TaskKey]:
