--- a/libs/scheduling/tarragonlb/scheduling/failurelog.py
+++ b/libs/scheduling/tarragonlb/scheduling/failurelog.py
@@ -55,6 +55,12 @@
         """Let the failures of tasks no longer count against the worker."""
         self.blamed.difference_update(keys)
 
+    def forget(self, key: TaskKey) -> None:
+        """Drop the failure of a task that is at fault itself."""
+        self._failed.pop(key, None)
+        self.recent.discard(key)
+        self.blamed.discard(key)
+
     def list_matching(
         self, key: TaskKey, *, has_same_step: bool
     ) -> list[TaskKey]:
--- a/libs/scheduling/tarragonlb/scheduling/probation.py
+++ b/libs/scheduling/tarragonlb/scheduling/probation.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 
 from tarragonlb.scheduling.failurelog import FailureLog
+from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.task import TaskState
 
 # Backoff of a worker after a failed task; doubled for each failure in a row.
@@ -65,6 +66,11 @@
         self.failures = 0
         self.log.note_success()
 
+    def withdraw(self, key: TaskKey) -> None:
+        """Take back one failure, for which the task was at fault."""
+        self.log.forget(key)
+        self.failures = max(self.failures - 1, 0)
+
     def end(self) -> None:
         """End, as the failures have another cause."""
         self.failures = 0
