Pause suspects for no longer than sound tasks can bear

Cause: pauses of 20 s and more from the third crash on, and waits of 10 s for a worker that only one suspect in eight workers may have. Now the third and fourth pause are 4 and 8 s, a permanent task waits for 3 s at most, and the wait for an empty worker is 4 s.

--- a/libs/scheduling/tarragonlb/scheduling/crashhistory.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashhistory.py
@@ -53,10 +53,10 @@
 # A strong suspect waits this long for an empty worker after its pause: after
 # two crashes, and after more.
 ISOLATION_WAIT_SECONDS = 2.0
-LONG_ISOLATION_WAIT_SECONDS = 10.0
+LONG_ISOLATION_WAIT_SECONDS = 4.0
 # Pauses after one crash, two and so on; the last one is repeated.
-SHORT_PAUSES_SECONDS = (0.0, 2.0, 2.0, 4.0, 8.0, 16.0)
-LONG_PAUSES_SECONDS = (0.0, 2.0, 20.0, 40.0, 80.0, 120.0)
+SHORT_PAUSES_SECONDS = (0.0, 1.0, 2.0, 4.0, 8.0, 16.0)
+LONG_PAUSES_SECONDS = (0.0, 2.0, 4.0, 8.0, 120.0, 120.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/scheduling/tarragonlb/scheduling/crashreview.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashreview.py
@@ -7,6 +7,7 @@
 """
 
 from tarragonlb.scheduling.crashhistory import (
+    ISOLATION_WAIT_SECONDS,
     UNKNOWN_ATTEMPT_SECONDS,
     ConfirmedCrash,
     get_max_chance,
@@ -22,8 +23,12 @@
 
 # After this time it is known which workers went together.
 REVIEW_SECONDS = 1.5
+# Time between two reviews of the tasks that wait.
+REVIEW_INTERVAL_SECONDS = 0.2
 # A task with a case waits for at most this long while no other worker goes.
 MAX_QUIET_SECONDS = 40.0
+# A permanent task must not be away for longer than some seconds.
+MAX_PERMANENT_PAUSE_SECONDS = 3.0
 # An attempt lasts at least as long as an order takes to be answered.
 MIN_ATTEMPT_SECONDS = 0.1
 COUNTED = 'counted'
@@ -34,11 +39,12 @@
 class CrashReviewer:
     """Counts crashes for the tasks of a partition, and reviews them."""
 
-    __slots__ = ('_partition',)
+    __slots__ = ('_next_review_at', '_partition')
 
     def __init__(self, partition: PartitionState) -> None:
         """Update ``partition``, which the caller owns."""
         self._partition = partition
+        self._next_review_at = 0.0
 
     def note_crash(
         self, lost: LostAttempt, loss: SeenLoss, now: float, *, is_alone: bool
@@ -74,14 +80,18 @@
             task.crashes = task.crashes.excuse(lost.attempt)
             self._note(lost.key, lost.attempt, loss, UNCONFIRMED)
         self._partition.note_changed(state)
-        self._partition.evidence.paused[lost.key] = now
-        self._review_paused(lost.key, now, now)
+        if task.crashes.needs_isolation:
+            self._partition.evidence.paused[lost.key] = now
+            self._review_paused(lost.key, now, now)
 
     def review(self, now: float) -> None:
         """Review the crashes that are due, and the tasks that wait."""
         reviews = self._partition.evidence.reviews
         while reviews and reviews[0].due_at <= now:
             self._review(reviews.pop(0))
+        if now < self._next_review_at:
+            return
+        self._next_review_at = now + REVIEW_INTERVAL_SECONDS
         for key, since in tuple(self._partition.evidence.paused.items()):
             self._review_paused(key, since, now)
 
@@ -118,14 +128,16 @@
             return
         others, rate = self._measure_losses(key, state, now)
         pause = task.crashes.compute_pause(rate if others else 0)
+        wait = task.crashes.isolation_wait_seconds
+        if self._partition.find_step(key).is_permanent:
+            pause = min(pause, MAX_PERMANENT_PAUSE_SECONDS)
+            wait = min(wait, ISOLATION_WAIT_SECONDS)
         if self._has_case(key, task):
             self._give_up_if_proven(key, state, task, rate, now)
             if not others:
                 pause = max(pause, MAX_QUIET_SECONDS)
         task.not_before = since + pause
-        task.isolate_until = (
-            task.not_before + task.crashes.isolation_wait_seconds
-        )
+        task.isolate_until = task.not_before + wait
         if now >= task.not_before:
             evidence.paused.pop(key)
             self._partition.changed_pools.add(state.job.pool)
