Review no crash that is no longer in a task's history

A permanent task that has run long enough is cleared of its crashes; a review of one of them that was still due would have put it back as confirmed, without the attempt. By reading only: the review is due after 1.5 s and a task is cleared after 3 s, so no run shows it.

--- a/libs/scheduling/tarragonlb/scheduling/crashreview.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashreview.py
@@ -99,6 +99,9 @@
         state, task = self._find(review.key)
         if state is None or task is None or not state.is_open:
             return
+        # A permanent task may have been cleared since.
+        if review.attempt not in task.crashes.attempts:
+            return
         # Copies of one task may have crashed their workers together.
         step = self._partition.find_step(review.key)
         key = review.key if step.allows_copies else None
