Take no later quiet as evidence against a task

Cause: chances were computed from the rate at the time of the verdict, and only tasks that wait were weighed. Now the rate at which workers went is stored with each crash when it is confirmed and counts as the least one, and a crash that became known after the next placement is weighed at once. The row of five shared crashes in crashes.feature is now "never", which is what a sound task needs.

--- a/libs/scheduling/features/chancecrashes.feature
+++ b/libs/scheduling/features/chancecrashes.feature
@@ -39,3 +39,19 @@
   Scenario: Sound jobs outlive crashes of the workers while owners change
     When 10 fleets run 1 jobs each second while 1 workers crash every 2.5 s and owners are killed
     Then no job of the fleets is shown as failed, and all are completed
+
+  # Guards against a task that is given up because the next owner has seen no
+  # worker go yet, or because a noisy time is over.
+  Scenario: The quiet of a new owner does not count against a task
+    Given 4 fleets with a job of one task that runs for 30 seconds
+    When its worker and others crash by turns, and the owner after the third time
+    And 90 seconds pass in all fleets
+    Then no job of the fleets is shown as failed, and all are completed
+
+  # Guards against a deadly task that is never given up, as each of its crashes
+  # is proven only after its next placement.
+  Scenario: A task whose crashes are proven late is given up
+    Given 2 fleets with a job of one task that runs for 20 seconds
+    When it crashes its worker after 5 s and the list of VMs is away for 6 s each time
+    And 180 seconds pass in all fleets
+    Then the task has crashed at most 5 workers, and its job has failed
--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -114,7 +114,7 @@
       | shared shared alone                | short           |
       | alone alone alone                  | short           |
       | shared alone alone alone           | short permanent |
-      | shared shared shared shared shared | short permanent |
+      | shared shared shared shared shared | never           |
 
   # Guards against permanent jobs that are given up for crashes by chance: the
   # first came long after their start.
--- a/libs/scheduling/features/simulatedcrashes.py
+++ b/libs/scheduling/features/simulatedcrashes.py
@@ -19,6 +19,8 @@
         self.counts = Counter()
         self.has_new_ids = False
         self.starts_to_lose = 0
+        # For how long the list of VMs is away after a deadly task's crash.
+        self.listing_gap_seconds = 0
 
     def note_order(self, worker):
         if self.starts_to_lose and worker.is_up:
@@ -37,6 +39,9 @@
             if worker.incarnation == incarnation and is_there:
                 self.counts[key] += 1
                 self.crash(worker)
+                if self.listing_gap_seconds:
+                    back_at = self.fleet.now + self.listing_gap_seconds
+                    self.fleet.vm_listings.next_at = back_at
 
         if self.fuses[key]:
             at = self.fleet.now + self.fuses[key]
--- a/libs/scheduling/features/steps/chance_steps.py
+++ b/libs/scheduling/features/steps/chance_steps.py
@@ -7,6 +7,8 @@
 
 from fleetsimulation import FleetSimulation, make_step  # noqa: E402
 
+from tarragonlb.scheduling.job import TaskKey  # noqa: E402
+
 WORKERS = 8
 LOAD_SECONDS = 40.0
 # All jobs must be done this long after the last crash.
@@ -96,6 +98,7 @@
     """Crash the worker that runs the task, some time after the start."""
     while not any(worker.runs for worker in fleet.workers):
         fleet.step()
+        assert fleet.list_open()
     fleet.run(seconds)
     for worker in [w for w in fleet.workers if w.runs]:
         fleet.crashes.crash(worker)
@@ -130,3 +133,41 @@
     up = [worker for worker in fleet.workers if worker.is_up]
     for worker in fleet.random.sample(up, min(count, len(up))):
         fleet.crashes.crash(worker)
+
+
+@when(
+    'its worker and others crash by turns, and the owner after the third time'
+)
+def crash_by_turns(context):
+    for fleet in context.fleets:
+        for _ in range(3):
+            crash_after(fleet, 1)
+            crash_others(fleet)
+        fleet.kill_owner()
+
+
+@when(
+    'it crashes its worker after {fuse:g} s and the list of VMs is away for '
+    '{away:g} s each time'
+)
+def arm_task(context, fuse, away):
+    for fleet in context.fleets:
+        fleet.crashes.fuses[TaskKey(f'{0:016x}', 0, 0, 0)] = fuse
+        fleet.crashes.listing_gap_seconds = away
+        fleet.crashes.has_new_ids = True
+
+
+@then('the task has crashed at most {most:d} workers, and its job has failed')
+def check_given_up(context, most):
+    for fleet in context.fleets:
+        (crashes,) = fleet.crashes.counts.values()
+        assert crashes <= most, crashes
+        assert fleet.describe(f'{0:016x}') == 'failed'
+
+
+def crash_others(fleet):
+    """Crash three workers that run nothing, one after the other."""
+    for _ in range(3):
+        fleet.run(0.8)
+        idle = [w for w in fleet.workers if w.is_up and not w.runs]
+        fleet.crashes.crash(fleet.random.choice(idle))
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -282,6 +282,8 @@
             now,
         )
         self._partition.attach(worker, key, task)
+        if task.keeps_worker(now):
+            self._get_candidates(ready.job_state.job.pool).note_kept()
         self._get_candidates(ready.job_state.job.pool).move_after_change(worker)
         self._partition.changed_jobs.add(key.job_id)
         self._policies.order.note_placed(ready)
@@ -353,7 +355,7 @@
         the pool is.
         """
         candidates = self._get_candidates(ready.job_state.job.pool)
-        if must_be_empty and not candidates.may_keep(self._reserved, now):
+        if must_be_empty and not candidates.may_keep(now):
             return
         eligible = [
             worker
@@ -367,6 +369,8 @@
             eligible = [w for w in eligible if not w.count_permanent()]
         emptiest = max(eligible, key=_get_free_cpu, default=None)
         if emptiest is not None:
+            if must_be_empty:
+                candidates.note_kept()
             self._reserved.add(emptiest.entry.worker_id)
 
 
@@ -384,4 +388,4 @@
 ) -> bool:
     """Return whether suspects keep all the workers that they may keep."""
     must_be_alone = must_wait_for_empty_worker(ready.step, task, now)
-    return must_be_alone and not candidates.may_keep((), now)
+    return must_be_alone and not candidates.may_keep(now)
--- a/libs/scheduling/tarragonlb/scheduling/candidates.py
+++ b/libs/scheduling/tarragonlb/scheduling/candidates.py
@@ -8,7 +8,7 @@
 """
 
 from bisect import bisect_left, insort
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 
 from tarragonlb.scheduling.job import Step
 from tarragonlb.scheduling.worker import WorkerState
@@ -20,7 +20,7 @@
 class PoolCandidates:
     """The usable workers of a pool, the one with the least free CPU first."""
 
-    __slots__ = ('_rejected', '_workers')
+    __slots__ = ('_kept', '_rejected', '_workers')
 
     def __init__(self, workers: Iterable[WorkerState]) -> None:
         """Start with the usable ones among the pool's ``workers``."""
@@ -29,6 +29,8 @@
             key=_get_free_cpu,
         )
         self._rejected: list[tuple[int, int, int]] = []
+        # Workers kept for suspects, once that was asked for.
+        self._kept: int | None = None
 
     @property
     def is_empty(self) -> bool:
@@ -58,16 +60,18 @@
             return True
         return False
 
-    def may_keep(self, reserved: Container[str], now: float) -> bool:
-        """Return whether one more worker may be kept for a suspect alone.
-
-        Those kept already run one, or are ``reserved`` for one.
-        """
-        kept = sum(
-            worker.is_kept_by_suspect(now) or worker.entry.worker_id in reserved
-            for worker in self._workers
-        )
-        return kept < max(len(self._workers) // WORKERS_PER_SUSPECT, 1)
+    def may_keep(self, now: float) -> bool:
+        """Return whether one more worker may be kept for a suspect alone."""
+        if self._kept is None:
+            self._kept = sum(
+                worker.is_kept_by_suspect(now) for worker in self._workers
+            )
+        return self._kept < max(len(self._workers) // WORKERS_PER_SUSPECT, 1)
+
+    def note_kept(self) -> None:
+        """Note that one more worker is kept for a suspect in this round."""
+        if self._kept is not None:
+            self._kept += 1
 
     def move_after_change(self, worker: WorkerState) -> None:
         """Restore the order after the free capacity of a worker has changed."""
--- a/libs/scheduling/tarragonlb/scheduling/crashreview.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashreview.py
@@ -102,44 +102,59 @@
         # A permanent task may have been cleared since.
         if review.attempt not in task.crashes.attempts:
             return
-        # Copies of one task may have crashed their workers together.
-        step = self._partition.find_step(review.key)
-        key = review.key if step.allows_copies else None
-        evidence = self._partition.evidence
-        others = evidence.losses.count_together(review.pool, review.loss, key)
-        share = 0.0
-        if others:
-            share = min((others + 1) / self._count_workers(review.pool), 1)
+        others = self._count_together(review)
+        share = (others + 1) / self._count_workers(review.pool)
+        seen, rate = self._measure_losses(review.key, state, review.due_at)
         task.crashes = task.crashes.confirm(
             ConfirmedCrash(
-                review.attempt, review.seconds, review.is_alone, share
+                review.attempt,
+                review.seconds,
+                review.is_alone,
+                min(share, 1) if others else 0,
+                rate if seen else 0,
             )
         )
         verdict = TRIAL if review.is_alone else COUNTED
         self._note(review.key, review.attempt, review.loss, verdict)
         self._partition.note_changed(state)
 
+    def _count_together(self, review: CrashReview) -> int:
+        """Count the other workers of the pool that went at the same time."""
+        # Copies of one task may have crashed their workers together.
+        step = self._partition.find_step(review.key)
+        key = review.key if step.allows_copies else None
+        losses = self._partition.evidence.losses
+        return losses.count_together(review.pool, review.loss, key)
+
     def _review_paused(self, key: TaskKey, since: float, now: float) -> None:
         """Give a task up, have it wait, or let it be tried."""
-        evidence = self._partition.evidence
+        paused = self._partition.evidence.paused
         state, task = self._find(key)
         if state is None or task is None or not state.is_open:
-            evidence.paused.pop(key)
-            return
-        if task.phase is not TaskPhase.WAITING:
-            evidence.paused.pop(key)
-            return
+            paused.pop(key)
+        elif task.phase is TaskPhase.WAITING:
+            self._weigh(key, state, task, now)
+            self._extend_pause(key, state, task, now)
+        elif task.placed_at is not None and since > task.placed_at:
+            # The crash became known only after the next placement.
+            self._weigh(key, state, task, now)
+        else:
+            paused.pop(key)
+
+    def _extend_pause(
+        self, key: TaskKey, state: JobState, task: TaskState, now: float
+    ) -> None:
+        """Have a task wait until its pause is over."""
+        evidence = self._partition.evidence
         others, rate = self._measure_losses(key, state, now)
         pause = task.crashes.compute_pause(rate if others else 0)
         wait = task.crashes.isolation_wait_seconds
         if self._partition.find_step(key).is_permanent:
             pause = min(pause, MAX_PERMANENT_PAUSE_SECONDS)
             wait = min(wait, ISOLATION_WAIT_SECONDS)
-        if self._has_case(key, task):
-            self._give_up_if_proven(key, state, task, rate, now)
-            if not others:
-                pause = max(pause, MAX_QUIET_SECONDS)
-        task.not_before = since + pause
+        if not others and self._has_case(key, task):
+            pause = max(pause, MAX_QUIET_SECONDS)
+        task.not_before = evidence.paused[key] + pause
         task.isolate_until = task.not_before + wait
         if now >= task.not_before:
             evidence.paused.pop(key)
@@ -153,15 +168,14 @@
         reviews = self._partition.evidence.reviews
         return all(review.key != key for review in reviews)
 
-    def _give_up_if_proven(
-        self,
-        key: TaskKey,
-        state: JobState,
-        task: TaskState,
-        losses_per_second: float,
-        now: float,
+    def _weigh(
+        self, key: TaskKey, state: JobState, task: TaskState, now: float
     ) -> None:
-        chance = task.crashes.compute_chance(losses_per_second)
+        """Give a task up if there is a case, and chance is ruled out."""
+        if not self._has_case(key, task):
+            return
+        _, rate = self._measure_losses(key, state, now)
+        chance = task.crashes.compute_chance(rate)
         max_chance = get_max_chance(
             is_permanent=self._partition.find_step(key).is_permanent
         )
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -230,4 +230,9 @@
             placed_at=task.placed_at,
         )
     for key, orphan in worker.orphans.items():
-        yield LostAttempt(key, orphan.attempt, worker.incarnation or 0)
+        yield LostAttempt(
+            key,
+            orphan.attempt,
+            worker.incarnation or 0,
+            was_started=orphan.was_listed or orphan.was_started,
+        )
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -28,6 +28,7 @@
 # More than a progress record has room for.
 MAX_OCCURRENCES = 100_000
 PERMILLE = 1000
+SECONDS_PER_MEGASECOND = 1_000_000
 
 
 class CrashRow(msgspec.Struct, array_like=True, frozen=True):
@@ -37,6 +38,7 @@
     milliseconds: Count
     is_alone: bool
     share_permille: Count
+    losses_per_megasecond: Count
 
 
 class TaskRow(msgspec.Struct, array_like=True, frozen=True):
@@ -164,6 +166,7 @@
         round(crash.seconds * MS_PER_SECOND),
         crash.is_alone,
         round(crash.share * PERMILLE),
+        round(crash.losses_per_second * SECONDS_PER_MEGASECOND),
     )
 
 
@@ -173,6 +176,7 @@
         row.milliseconds / MS_PER_SECOND,
         row.is_alone,
         row.share_permille / PERMILLE,
+        row.losses_per_megasecond / SECONDS_PER_MEGASECOND,
     )
 
 
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -12,7 +12,12 @@
 from tarragonlb.scheduling.leaseends import LeaseEnds
 from tarragonlb.scheduling.lossrecorder import LossRecorder
 from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
-from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
+from tarragonlb.scheduling.task import (
+    StartStage,
+    StopReason,
+    TaskPhase,
+    TaskState,
+)
 from tarragonlb.scheduling.tenantusage import ORPHANED
 from tarragonlb.scheduling.verdictnotes import CountedFailure
 from tarragonlb.scheduling.vmevidence import VmListEvidence, VmListing
@@ -274,8 +279,11 @@
         self._partition.finish(end.key, now)
 
     def _orphan_attempt(self, worker: WorkerState, key: TaskKey) -> None:
-        attempt = worker.attached[key].attempt
-        worker.orphans[key] = OrphanedAttempt(attempt)
+        attachment = worker.attached[key]
+        stage = attachment.task.start_stage
+        worker.orphans[key] = OrphanedAttempt(
+            attachment.attempt, was_started=stage is StartStage.CONFIRMED
+        )
         self._count_orphan(worker, key)
 
     def _count_orphan(self, worker: WorkerState, key: TaskKey) -> None:
--- a/libs/scheduling/tarragonlb/scheduling/worker.py
+++ b/libs/scheduling/tarragonlb/scheduling/worker.py
@@ -59,14 +59,22 @@
     While a worker has one, its free capacity is unknown and it gets no tasks.
     ``was_listed`` means that a report listed the attempt: once a report no
     longer does, it is over.  One that was never listed must be barred first.
+    ``was_started`` means that its worker confirmed the start.
     """
 
-    __slots__ = ('attempt', 'barred_at', 'stop_sent_at', 'was_listed')
+    __slots__ = (
+        'attempt',
+        'barred_at',
+        'stop_sent_at',
+        'was_listed',
+        'was_started',
+    )
     stop_reason = StopReason.UNWANTED
 
-    def __init__(self, attempt: int) -> None:
+    def __init__(self, attempt: int, *, was_started: bool = False) -> None:
         """Start with an attempt that no report has listed."""
         self.attempt = attempt
+        self.was_started = was_started
         self.barred_at: float | None = None
         self.stop_sent_at: float | None = None
         self.was_listed = False
