--- a/libs/scheduling/tarragonlb/scheduling/crashhistory.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashhistory.py
@@ -49,8 +49,8 @@
 UNKNOWN_ATTEMPT_SECONDS = 2.0
 # Older ones are no longer told apart.
 MAX_CONFIRMED = 10
-# So many crashes that don't count make a pause longer.
-MAX_EXCUSED = 2
+# So many crashes that do not count make a pause longer.
+MAX_EXCUSED = 1
 # A suspect that has run for this long does not crash workers by its start.
 PROBATION_SECONDS = 3.0
 # A strong suspect waits this long for an empty worker after its pause: after
@@ -58,8 +58,8 @@
 ISOLATION_WAIT_SECONDS = 2.0
 LONG_ISOLATION_WAIT_SECONDS = 4.0
 # Pauses after one crash, two and so on; the last one is repeated.
-SHORT_PAUSES_SECONDS = (0.0, 1.0, 2.0, 4.0, 8.0, 16.0)
-LONG_PAUSES_SECONDS = (0.0, 2.0, 4.0, 8.0, 120.0, 120.0)
+SHORT_PAUSES_SECONDS = (0.0, 1.0, 2.0, 8.0, 45.0)
+LONG_PAUSES_SECONDS = (0.0, 2.0, 4.0, 8.0, 120.0)
 
 
 @dataclass(frozen=True, slots=True)
