Pause a task whose starts are never confirmed, too

None of these crashes counts, and since the last change only one of them made pauses longer. They have pauses of their own now, 1, 2, 8 and then 30 s; and a permanent task that has crashed five workers waits for more than 3 s.

--- a/libs/scheduling/tarragonlb/scheduling/crashhistory.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashhistory.py
@@ -49,8 +49,6 @@
 UNKNOWN_ATTEMPT_SECONDS = 2.0
 # Older ones are no longer told apart.
 MAX_CONFIRMED = 10
-# So many crashes that do not count make a pause longer.
-MAX_EXCUSED = 1
 # A suspect that has run for this long does not crash workers by its start.
 PROBATION_SECONDS = 3.0
 # A strong suspect waits this long for an empty worker after its pause: after
@@ -60,6 +58,8 @@
 # Pauses after one crash, two and so on; the last one is repeated.
 SHORT_PAUSES_SECONDS = (0.0, 1.0, 2.0, 8.0, 45.0)
 LONG_PAUSES_SECONDS = (0.0, 2.0, 4.0, 8.0, 120.0)
+# The same for crashes that don't count.
+EXCUSED_PAUSES_SECONDS = (0.0, 1.0, 2.0, 8.0, 30.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,8 +182,10 @@
         is_noisy = losses_per_second > 0
         if is_noisy and self._is_explained(losses_per_second):
             pauses = SHORT_PAUSES_SECONDS
-        crashes = len(self.attempts) + min(len(self.excused), MAX_EXCUSED)
-        return pauses[min(max(crashes - 1, 0), len(pauses) - 1)]
+        return max(
+            _get_pause(pauses, len(self.attempts)),
+            _get_pause(EXCUSED_PAUSES_SECONDS, len(self.excused)),
+        )
 
     def _is_explained(self, losses_per_second: float) -> bool:
         return self.compute_chance(losses_per_second) > MIN_CHANCE_TO_EXPLAIN
@@ -209,6 +211,10 @@
     return MAX_CHANCE_TO_GIVE_UP
 
 
+def _get_pause(pauses: Sequence[float], crashes: int) -> float:
+    return pauses[min(max(crashes - 1, 0), len(pauses) - 1)]
+
+
 def _combine(chances: Sequence[float]) -> float:
     """Return the chance of all events by Fisher's method.
 
--- a/libs/scheduling/tarragonlb/scheduling/crashreview.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashreview.py
@@ -29,6 +29,8 @@
 MAX_QUIET_SECONDS = 40.0
 # A permanent task must not be away for longer than some seconds.
 MAX_PERMANENT_PAUSE_SECONDS = 3.0
+# That does not hold for one that goes on to crash workers.
+MANY_CRASHES = 5
 # An attempt lasts at least as long as an order takes to be answered.
 MIN_ATTEMPT_SECONDS = 0.1
 COUNTED = 'counted'
@@ -150,7 +152,8 @@
         pause = task.crashes.compute_pause(rate if others else 0)
         wait = task.crashes.isolation_wait_seconds
         if self._partition.find_step(key).is_permanent:
-            pause = min(pause, MAX_PERMANENT_PAUSE_SECONDS)
+            if task.crashes.count_all() < MANY_CRASHES:
+                pause = min(pause, MAX_PERMANENT_PAUSE_SECONDS)
             wait = min(wait, ISOLATION_WAIT_SECONDS)
         if not others and self._has_case(key, task):
             pause = max(pause, MAX_QUIET_SECONDS)
