Log a failure only if it counts, and each crash with the chance and the limit

What an operator saw: "Failed attempts counted." named each end that a worker listed as failed, also those that did not count (after the leases) or had counted before (listed again), without the worker; and "Crashes under tasks counted." had the counts but neither the sum that decides nor the limit. Found on reading the diff. A failure is noted once, when it is added, with its worker; a crash with the chance that others caused all so far, and that below which a task is given up. Five rows of jobverdicts.feature, which now compare the notes with the failures, fail without the change ([1, 2] noted, {1} counted) and pass.

--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -213,6 +213,7 @@
                     (
                         str(failed.key),
                         failed.attempt,
+                        failed.worker_id,
                         failed.failures,
                         failed.limit,
                     )
@@ -236,6 +237,8 @@
                         len(crash.history.attempts),
                         crash.history.count_trials(),
                         len(crash.history.excused),
+                        crash.chance,
+                        crash.max_chance,
                     )
                     for crash in crashes[first : first + MAX_ROWS_PER_LINE]
                 ],
--- a/libs/scheduling/features/chancecrashes.feature
+++ b/libs/scheduling/features/chancecrashes.feature
@@ -55,3 +55,4 @@
     When it crashes its worker after 5 s and the list of VMs is away for 6 s each time
     And 180 seconds pass in all fleets
     Then the task has crashed at most 5 workers, and its job has failed
+    And each crash is noted once, with its worker, the chance and the limit
--- a/libs/scheduling/features/steps/chance_steps.py
+++ b/libs/scheduling/features/steps/chance_steps.py
@@ -165,6 +165,18 @@
         assert fleet.describe(f'{0:016x}') == 'failed'
 
 
+@then('each crash is noted once, with its worker, the chance and the limit')
+def check_notes(context):
+    for fleet in context.fleets:
+        notes = fleet.owner.scheduler.state.evidence.notes
+        (given_up,) = notes.given_up
+        attempts = [note.attempt for note in notes.crashes]
+        assert len(attempts) == len(set(attempts)) == given_up.crashes, notes
+        assert all(note.worker_id for note in notes.crashes)
+        assert all(0 < note.max_chance < 1 for note in notes.crashes)
+        assert notes.crashes[-1].chance >= given_up.chance
+
+
 def crash_others(fleet):
     """Crash three workers that run nothing, one after the other."""
     for _ in range(3):
--- a/libs/scheduling/features/steps/verdict_steps.py
+++ b/libs/scheduling/features/steps/verdict_steps.py
@@ -176,9 +176,12 @@
 @then('the job is {text}, and its first task counts {count:d} failures')
 def check_first(context, text, count):
     check_state(context, text)
-    assert get_first_task(context).failures == count, get_first_task(
-        context
-    ).failed_attempts
+    counted = get_first_task(context).failed_attempts
+    assert len(counted) == count, counted
+    # The log names each failure that counts once, and no other.
+    notes = context.scheduler.state.evidence.notes.failures
+    noted = [note.attempt for note in notes]
+    assert len(noted) == len(counted.intersection(noted)), (noted, counted)
 
 
 @then('the job is {text}, and its first task counts over {count:d} failures')
--- a/libs/scheduling/tarragonlb/scheduling/crashreview.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashreview.py
@@ -80,7 +80,7 @@
             )
         else:
             task.crashes = task.crashes.excuse(lost.attempt)
-            self._note(lost.key, lost.attempt, loss, UNCONFIRMED)
+            self._note(lost.key, lost.attempt, loss, UNCONFIRMED, now)
         self._partition.note_changed(state)
         if task.crashes.needs_isolation:
             self._partition.evidence.paused[lost.key] = now
@@ -117,7 +117,9 @@
             )
         )
         verdict = TRIAL if review.is_alone else COUNTED
-        self._note(review.key, review.attempt, review.loss, verdict)
+        self._note(
+            review.key, review.attempt, review.loss, verdict, review.due_at
+        )
         self._partition.note_changed(state)
 
     def _count_together(self, review: CrashReview) -> int:
@@ -210,13 +212,29 @@
         return max(count, 1)
 
     def _note(
-        self, key: TaskKey, attempt: int, loss: SeenLoss, verdict: str
+        self,
+        key: TaskKey,
+        attempt: int,
+        loss: SeenLoss,
+        verdict: str,
+        now: float,
     ) -> None:
-        _, task = self._find(key)
-        if task is not None:
-            self._partition.evidence.notes.crashes.append(
-                NotedCrash(key, attempt, loss.worker_id, verdict, task.crashes)
+        state, task = self._find(key)
+        if state is None or task is None:
+            return
+        _, rate = self._measure_losses(key, state, now)
+        step = self._partition.find_step(key)
+        self._partition.evidence.notes.crashes.append(
+            NotedCrash(
+                key,
+                attempt,
+                loss.worker_id,
+                verdict,
+                task.crashes,
+                task.crashes.compute_chance(rate),
+                get_max_chance(is_permanent=step.is_permanent),
             )
+        )
 
     def _find(self, key: TaskKey) -> tuple[JobState | None, TaskState | None]:
         state = self._partition.jobs.get(key.job_id)
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -236,11 +236,14 @@
         )
         if end.outcome == ENDED_FAILED:
             # Also of a former attempt, whose end is known only from here.
-            if not has_lapsed or (current and current.has_open_start):
+            is_counted = not has_lapsed or (
+                current is not None and current.has_open_start
+            )
+            if is_counted and end.attempt not in task.failed_attempts:
                 task.failed_attempts.add(end.attempt)
+                _note_failure(self._partition, worker, end, task, now)
             self._partition.changed_jobs.add(end.key.job_id)
             note_task_failed(self._partition, worker, end.key, now)
-            _note_failure(self._partition, end, task, now)
         if current is not None:
             task.checkpoint = end.checkpoint or task.checkpoint
             self._partition.release(end.key, task, f'the attempt {end.outcome}')
@@ -335,13 +338,23 @@
 
 
 def _note_failure(
-    partition: PartitionState, end: EndedAttempt, task: TaskState, now: float
+    partition: PartitionState,
+    worker: WorkerState,
+    end: EndedAttempt,
+    task: TaskState,
+    now: float,
 ) -> None:
     state = partition.jobs[end.key.job_id]
     queue = partition.queue_history.find(partition.queues, state, now)
     limit = None if queue is None else queue.max_attempts
     partition.evidence.notes.failures.append(
-        CountedFailure(end.key, end.attempt, task.failures, limit)
+        CountedFailure(
+            end.key,
+            end.attempt,
+            worker.entry.worker_id,
+            task.failures,
+            limit,
+        )
     )
 
 
--- a/libs/scheduling/tarragonlb/scheduling/verdictnotes.py
+++ b/libs/scheduling/tarragonlb/scheduling/verdictnotes.py
@@ -20,19 +20,26 @@
 
     key: TaskKey
     attempt: int
+    worker_id: str
     failures: int
     limit: int | None
 
 
 @dataclass(frozen=True, slots=True)
 class NotedCrash:
-    """A crash under an attempt, how it counts, and the history with it."""
+    """A crash under an attempt, how it counts, and the history with it.
+
+    ``chance`` is that of workers going by themselves in all crashes so far, and
+    ``max_chance`` that below which the task is given up once there is a case.
+    """
 
     key: TaskKey
     attempt: int
     worker_id: str
     verdict: str
     history: CrashHistory
+    chance: float
+    max_chance: float
 
 
 @dataclass(frozen=True, slots=True)
