--- a/libs/scheduling/tarragonlb/scheduling/crashreview.py
+++ b/libs/scheduling/tarragonlb/scheduling/crashreview.py
@@ -6,6 +6,9 @@
 likely it is that chance explains its crashes.
 """
 
+import math
+from collections import Counter
+
 from tarragonlb.scheduling.crashhistory import (
     ISOLATION_WAIT_SECONDS,
     UNKNOWN_ATTEMPT_SECONDS,
@@ -25,6 +28,8 @@
 REVIEW_SECONDS = 1.5
 # Time between two reviews of the tasks that wait.
 REVIEW_INTERVAL_SECONDS = 0.2
+# The workers of the pools are counted no more often.
+COUNT_INTERVAL_SECONDS = 0.2
 # A task with a case waits for at most this long while no other worker goes.
 MAX_QUIET_SECONDS = 40.0
 # A permanent task must not be away for longer than some seconds.
@@ -41,12 +46,19 @@
 class CrashReviewer:
     """Counts crashes for the tasks of a partition, and reviews them."""
 
-    __slots__ = ('_next_review_at', '_partition')
+    __slots__ = (
+        '_counted_at',
+        '_next_review_at',
+        '_partition',
+        '_worker_counts',
+    )
 
     def __init__(self, partition: PartitionState) -> None:
         """Update ``partition``, which the caller owns."""
         self._partition = partition
         self._next_review_at = 0.0
+        self._worker_counts: Counter[str] = Counter()
+        self._counted_at = -math.inf
 
     def note_crash(
         self, lost: LostAttempt, loss: SeenLoss, now: float, *, is_alone: bool
@@ -67,7 +79,7 @@
         task.avoided.add(loss.worker_id)
         if lost.was_started:
             task.crashes = task.crashes.count(lost.attempt)
-            self._partition.evidence.reviews.append(
+            self._partition.evidence.add_review(
                 CrashReview(
                     lost.key,
                     lost.attempt,
@@ -88,9 +100,8 @@
 
     def review(self, now: float) -> None:
         """Review the crashes that are due, and the tasks that wait."""
-        reviews = self._partition.evidence.reviews
-        while reviews and reviews[0].due_at <= now:
-            self._review(reviews.pop(0))
+        for review in self._partition.evidence.list_due_reviews(now):
+            self._review(review)
         if now < self._next_review_at:
             return
         self._next_review_at = now + REVIEW_INTERVAL_SECONDS
@@ -105,7 +116,7 @@
         if review.attempt not in task.crashes.attempts:
             return
         others = self._count_together(review)
-        share = (others + 1) / self._count_workers(review.pool)
+        share = (others + 1) / self._count_workers(review.pool, review.due_at)
         seen, rate = self._measure_losses(review.key, state, review.due_at)
         task.crashes = task.crashes.confirm(
             ConfirmedCrash(
@@ -170,8 +181,7 @@
         step = self._partition.find_step(key)
         if not task.crashes.has_case(is_permanent=step.is_permanent):
             return False
-        reviews = self._partition.evidence.reviews
-        return all(review.key != key for review in reviews)
+        return key not in self._partition.evidence.under_review
 
     def _weigh(
         self, key: TaskKey, state: JobState, task: TaskState, now: float
@@ -201,15 +211,19 @@
         partition, pool = self._partition, state.job.pool
         started = max(partition.taken_over_at, now - WINDOW_SECONDS)
         others = partition.evidence.losses.count_without(pool, key, started)
-        seen_seconds = max(self._count_workers(pool) * (now - started), 1)
+        seen_seconds = max(self._count_workers(pool, now) * (now - started), 1)
         return others, (others + 1) / seen_seconds
 
-    def _count_workers(self, pool: str) -> int:
-        count = sum(
-            worker.entry.pool == pool and worker.is_listed
-            for worker in self._partition.workers.values()
-        )
-        return max(count, 1)
+    def _count_workers(self, pool: str, now: float) -> int:
+        """Return the number of workers of a pool, as of a moment ago."""
+        if now >= self._counted_at + COUNT_INTERVAL_SECONDS:
+            self._counted_at = now
+            self._worker_counts = Counter(
+                worker.entry.pool
+                for worker in self._partition.workers.values()
+                if worker.is_listed
+            )
+        return max(self._worker_counts[pool], 1)
 
     def _note(
         self,
--- a/libs/scheduling/tarragonlb/scheduling/evidence.py
+++ b/libs/scheduling/tarragonlb/scheduling/evidence.py
@@ -3,6 +3,8 @@
 It begins empty with each term; what lasts is in the crash histories of tasks.
 """
 
+from collections import Counter, deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from tarragonlb.scheduling.job import TaskKey
@@ -32,15 +34,31 @@
     """The evidence of one partition.
 
     ``losses`` are the workers that went.  ``reviews`` are crashes to be looked
-    at again, the earliest first.  ``paused`` maps the tasks that wait after
-    crashes to since when.  ``notes`` are still to be logged.
+    at again, the earliest first, and ``under_review`` counts them by task.
+    ``paused`` maps the tasks that wait after crashes to since when.  ``notes``
+    are still to be logged.
     """
 
-    __slots__ = ('losses', 'notes', 'paused', 'reviews')
+    __slots__ = ('losses', 'notes', 'paused', 'reviews', 'under_review')
 
     def __init__(self) -> None:
         """Start without any evidence."""
         self.losses = LossLog()
-        self.reviews: list[CrashReview] = []
+        self.reviews: deque[CrashReview] = deque()
+        self.under_review: Counter[TaskKey] = Counter()
         self.paused: dict[TaskKey, float] = {}
         self.notes = VerdictNotes()
+
+    def add_review(self, review: CrashReview) -> None:
+        """Have a crash looked at again."""
+        self.reviews.append(review)
+        self.under_review[review.key] += 1
+
+    def list_due_reviews(self, now: float) -> Iterator[CrashReview]:
+        """Remove and yield the crashes to be looked at by ``now`` seconds."""
+        while self.reviews and self.reviews[0].due_at <= now:
+            review = self.reviews.popleft()
+            self.under_review[review.key] -= 1
+            if not self.under_review[review.key]:
+                self.under_review.pop(review.key)
+            yield review
