--- a/libs/scheduling/features/chancecrashes.feature
+++ b/libs/scheduling/features/chancecrashes.feature
@@ -56,3 +56,34 @@
     And 180 seconds pass in all fleets
     Then the task has crashed at most 5 workers, and its job has failed
     And each crash is noted once, with its worker, the chance and the limit
+
+  # Guards against a job that is closed as failed though nothing of it ran: each
+  # time the placement was stored, the worker died before its start, and the next
+  # owner took the attempt for a started one.
+  Scenario: A task that was only placed, by owners that were killed, is kept
+    Given 4 fleets with a job of one task that runs for 3 seconds
+    When its worker dies before the start arrives and the owner is killed, 3 times
+    And 90 seconds pass in all fleets
+    Then no job of the fleets is shown as failed, and all are completed
+
+  # Guards against a job that is closed as failed after three crashes that hit its
+  # task by chance, in a pool that is quiet otherwise.
+  Scenario: A task is kept after its workers have crashed three times by chance
+    Given 4 fleets with a job of one task that runs for 30 seconds
+    When its worker crashes 1 s after the start, 3 times
+    And 120 seconds pass in all fleets
+    Then no job of the fleets is shown as failed, and all are completed
+
+  # Guards against a sound task that waits for longer than 3 s while there is room,
+  # as its starts have reached dead workers.
+  Scenario: A task runs soon after its starts have reached dead workers
+    Given 4 fleets with a job of one task that runs for 3 seconds
+    When its next 5 starts reach dead workers
+    Then it runs within 3 seconds of the last one
+
+  # Guards against a pool of one worker that runs nothing any more beside a deadly
+  # task.
+  Scenario: Sound jobs of a pool of one worker are done beside a deadly task
+    Given 2 fleets of 1 worker with 3 jobs, and a deadly one that runs for 5 s
+    When 300 seconds pass in all fleets
+    Then all jobs but the deadly one are completed
--- a/libs/scheduling/features/steps/chance_steps.py
+++ b/libs/scheduling/features/steps/chance_steps.py
@@ -15,6 +15,8 @@
 FINISH_SECONDS = 60.0
 CHECK_SECONDS = 1.0
 OWNER_KILL_SECONDS = 7.0
+NOTICE_SECONDS = 2.0
+SMALL_POOL_RUN_SECONDS = 20.0
 # Of the tasks run for up to 8 s.
 LONG_SHARE = 0.3
 
@@ -157,6 +159,61 @@
         fleet.crashes.has_new_ids = True
 
 
+@when(
+    'its worker dies before the start arrives and the owner is killed, '
+    '{times:d} times'
+)
+def die_before_starts(context, times):
+    for fleet in context.fleets:
+        for _ in range(times):
+            fleet.crashes.starts_to_lose = 1
+            while fleet.crashes.starts_to_lose:
+                fleet.step()
+                assert fleet.list_open()
+            fleet.kill_owner()
+
+
+@when('its next {count:d} starts reach dead workers')
+def lose_starts(context, count):
+    for fleet in context.fleets:
+        fleet.crashes.starts_to_lose = count
+        while fleet.crashes.starts_to_lose:
+            fleet.step()
+
+
+@then('it runs within {seconds:d} seconds of the last one')
+def check_runs(context, seconds):
+    for fleet in context.fleets:
+        # After the time in which the loss of the worker is noticed.
+        fleet.run(NOTICE_SECONDS + seconds)
+        assert sum(fleet.start_counts.values()) == 1, fleet.start_counts
+
+
+@given(
+    '{count:d} fleets of {workers:d} worker with {jobs:d} jobs, and a deadly '
+    'one that runs for {fuse:g} s'
+)
+def build_small_fleets(context, count, workers, jobs, fuse):
+    context.fleets = []
+    for number in range(count):
+        fleet = FleetSimulation(number, workers, is_reliable=True)
+        fleet.failed_share = 0
+        fleet.run_seconds = SMALL_POOL_RUN_SECONDS
+        fleet.submit([make_step(1)])
+        fleet.crashes.fuses[TaskKey(f'{0:016x}', 0, 0, 0)] = fuse
+        for _ in range(jobs):
+            fleet.submit([make_step(1)])
+        context.fleets.append(fleet)
+
+
+@then('all jobs but the deadly one are completed')
+def check_sound(context):
+    for fleet in context.fleets:
+        sound = [job_id for job_id in fleet.specs if job_id != f'{0:016x}']
+        states = [fleet.describe(job_id) for job_id in sound]
+        assert set(states) == {'completed'}, states
+
+
 @then('the task has crashed at most {most:d} workers, and its job has failed')
 def check_given_up(context, most):
     for fleet in context.fleets:
