--- a/review/standins3/stage.py
+++ b/review/standins3/stage.py
@@ -30,6 +30,7 @@
 PARTITIONS = 12
 CALL_SECONDS = 3.0
 READY_SECONDS = 30.0
+PORTS = (10_000, 30_000)
 EXIT_HELD, EXIT_BROKEN, EXIT_FAILED = 0, 1, 2
 
 
@@ -48,6 +49,8 @@
         self.front, self.ready, self.metrics = find_ports(3)
         self.store_link = Link(f'{name} to store', random.Random(name))
         self.vm_link = Link(f'{name} to VM service', random.Random(name))
+        # Of the placement policy service, empty without one.
+        self.advisor_address = ''
         self.process: subprocess.Popen[bytes] | None = None
         self._settings = folder / f'{name}.toml'
         self.log = folder / f'{name}.log'
@@ -62,6 +65,7 @@
             ('ready', self.ready),
             ('store', self.store_link.address),
             ('vms', self.vm_link.address),
+            ('advisor', self.advisor_address),
         ):
             text = text.replace(f'{{{field}}}', str(value))
         self._settings.write_text(text)
@@ -100,14 +104,17 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports."""
-    holders = [socket.socket() for _ in range(count)]
-    for holder in holders:
-        holder.bind((HOST, 0))
-    ports = [holder.getsockname()[1] for holder in holders]
-    for holder in holders:
-        holder.close()
-    return ports
+    """Return free ports, below those of outgoing connections."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randint(*PORTS)
+        with socket.socket() as holder:
+            try:
+                holder.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 class Stage:
@@ -194,12 +201,16 @@
             )
             await daemon.store_link.open(store_port, self.nursery)
             await daemon.vm_link.open(vm_port, self.nursery)
+            await self.prepare(daemon)
             self.daemons.append(daemon)
             daemon.start()
         with trio.fail_after(READY_SECONDS):
             for daemon in self.daemons:
                 await self.wait_until_ready(daemon)
 
+    async def prepare(self, daemon: Daemon) -> None:
+        """Add to a daemon before it starts."""
+
     async def wait_until_ready(self, daemon: Daemon) -> None:
         """Wait until a daemon says that it is ready."""
         while (await self.call(daemon, 'GET', '/ready', quiet=True))[0] != 200:
