Keep a task with an open start on its worker until the order is over

Its start order got no answer, the next attempt began on another worker, and the first worker, back under its id after a crash, executed the order.

Cause: a report under a higher token, an answered stop order, leases that had run out and the list of VMs released the task for any worker, but each binds one incarnation only; and the next owner did not know which starts were open.

Change: a task with an open start is placed on the same worker only, under the same attempt number where that is possible, until the order can't be executed any more (12 s, or another worker has the address). Progress records hold open starts and whether a start is confirmed, so that the next owner knows. Why this works: all attempts that may still arrive then run at one worker, where numbers, tokens and reports tell them apart.

--- a/libs/controller/features/fakedocuments.py
+++ b/libs/controller/features/fakedocuments.py
@@ -41,7 +41,8 @@
         return Worker(
             worker_id=record.key,
             pool='pool',
-            address='x:1',
+            address=f'x:{record.key}',
+            is_draining=record.value == b'drains',
             capacity=Demand(
                 int(record.value) if record.value.isdigit() else 4000, 8000, 0
             ),
--- a/libs/controller/features/restartingworkers.py
+++ b/libs/controller/features/restartingworkers.py
@@ -78,11 +78,10 @@
 
 @dataclass(frozen=True)
 class HeldCall:
-    """A call on its way to an incarnation, None if the worker was down."""
+    """A start order on its way."""
 
     worker_id: str
-    token: int
-    incarnation: Incarnation | None
+    key: TaskKey
     execute: Callable[[], None]
 
 
@@ -122,10 +121,13 @@
             run.ended_at, run.how = now, 'gone'
         self.present.pop(worker_id)
 
-    def restart(self, worker_id):
+    def restart(self, worker_id, *, is_late=False):
+        """Begin an incarnation; ``is_late`` if held starts come first."""
         number = self.numbers.get(worker_id, 0) + 1
         self.numbers[worker_id] = number
         self.present[worker_id] = Incarnation(number, trio.current_time())
+        if is_late:
+            self.let_through()
         waiting = [row for row in self.waiting if row[0] == worker_id]
         self.waiting = [row for row in self.waiting if row[0] != worker_id]
         for _, execute in waiting:
@@ -137,30 +139,27 @@
         await answered.wait()
         await trio.sleep(ANSWERED_SECONDS)
 
-    def let_through(self, *, everywhere=False):
+    def let_through(self):
         """Execute the start orders that were held back.
 
-        Those for a worker that has restarted and can't be reached are dropped,
-        unless ``everywhere``: nothing limits when they may be executed.
+        A worker that can't be reached executes them, too.
         """
         held, self.held = self.held, []
         for held_call in held:
-            present = self.present.get(held_call.worker_id)
-            is_same = held_call.incarnation is present
-            is_reached = everywhere or held_call.worker_id not in self.cut
-            if present and (is_same or is_reached):
+            if self.present.get(held_call.worker_id):
                 held_call.execute()
 
-    def drop_shut_out(self, worker_id):
-        """Forget the held starts that the present incarnation would refuse.
+    def drop_done(self, worker_id):
+        """Forget the held starts of tasks that are done.
 
-        The next one would execute them, which nothing guards against.
+        The next incarnation would execute them, which nothing guards against.
         """
-        token = self.present[worker_id].token
+        self._advance(worker_id)
+        done = {run.key for run in self.runs if run.how == 'done'}
         self.held = [
             held_call
             for held_call in self.held
-            if held_call.worker_id != worker_id or held_call.token >= token
+            if held_call.worker_id != worker_id or held_call.key not in done
         ]
 
     async def poll_status(self, request):
@@ -190,10 +189,8 @@
             self._start, worker.worker_id, order, token, lease_until_ms
         )
         if worker.worker_id in self.holding:
-            present = self.find(worker.worker_id)
-            self.held.append(
-                HeldCall(worker.worker_id, token, present, execute)
-            )
+            self.find(worker.worker_id)
+            self.held.append(HeldCall(worker.worker_id, order.key, execute))
             await trio.sleep(TIMEOUT_SECONDS)
             return UNANSWERED
         await trio.sleep(next(self.delays))
--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -152,6 +152,108 @@
     And 6 seconds pass
     Then no task has run twice, and 1 runs or more were on worker "w1"
 
+  # Guards against a task that runs twice: a start order without an answer was
+  # executed by the next incarnation, when the next attempt ran elsewhere.
+  Scenario Outline: A start order that arrives just after a restart runs beside no other attempt
+    Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 20 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And <silent> seconds pass
+    And start orders are held back no more
+    And worker "w1" crashes
+    And <down> seconds pass
+    And worker "w1" restarts and executes those that were held back
+    And 6 seconds pass
+    Then no task has run twice, and 1 runs or more were on worker "w1"
+
+    Examples:
+      | silent | down |
+      | 0.2    | 1    |
+      | 0.8    | 1    |
+      | 0.8    | 2.5  |
+      | 1.2    | 5    |
+      | 2      | 8    |
+
+  # Guards against a task that runs twice: the next owner did not know which
+  # start orders of the former one were still on their way.
+  Scenario Outline: The next owner waits for start orders that may arrive yet
+    Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 20 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And <silent> seconds pass
+    And the owner of the pool is killed
+    And <later> seconds pass
+    And start orders are held back no more
+    And worker "w1" crashes
+    And 1 seconds pass
+    And worker "w1" restarts and executes those that were held back
+    And 6 seconds pass
+    Then no task has run twice, and 1 runs or more were on worker "w1"
+
+    Examples:
+      | silent | later |
+      | 0.2    | 1     |
+      | 0.2    | 5     |
+      | 0.2    | 9     |
+      | 1.2    | 5     |
+      | 1.2    | 9     |
+
+  # Guards against a task that waits for ever for a worker that is gone.
+  Scenario: The tasks of a worker that never comes back are done elsewhere
+    Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 0.5 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 1.2 seconds pass
+    And worker "w1" crashes
+    And 22 seconds pass
+    Then all jobs are completed, and every task was started once
+
+  # Guards against a task that stays with a worker that starts nothing.
+  Scenario: The tasks of a worker that leaves all starts unanswered are done elsewhere
+    Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 0.5 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 24 seconds pass
+    Then all jobs are completed, and every task was started once
+
+  # Guards against a task that waits for ever for a worker that drains.
+  Scenario: The tasks of a worker that drains are done elsewhere
+    Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 0.5 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 0.3 seconds pass
+    And worker "w1" drains
+    And 20 seconds pass
+    Then all jobs are completed, and every task was started once
+
+  # Guards against a task that waits for ever for a worker that others fill.
+  Scenario: A task that is bound to a full worker is done
+    Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 3 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 0.3 seconds pass
+    And start orders are held back no more
+    And a job of 60 tasks is submitted
+    And 40 seconds pass
+    Then all jobs are completed, and every task was started once
+
+  # Guards against a wait of tasks that no open start concerns.
+  Scenario: A start that gets no answer delays no other task of its step
+    Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 0.5 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 40 tasks is submitted
+    And 0.6 seconds pass
+    And start orders are held back no more
+    And 7 seconds pass
+    Then all jobs are completed, and every task was started once
+
   # Guards against calls for one incarnation of a worker that do harm in the next.
   # Each seed found such a call while one of the guards was taken out.
   Scenario Outline: No task runs twice whatever becomes of late calls
--- a/libs/controller/features/steps/decision_steps.py
+++ b/libs/controller/features/steps/decision_steps.py
@@ -68,7 +68,7 @@
             await context.store.append(OWNED.partition, (record,), None)
         with trio.move_on_after(MOST_SECONDS):
             started_at = trio.current_time()
-            context.reason = await storage.store(decision)
+            context.reason = await storage.store(decision, started_at)
             context.elapsed = trio.current_time() - started_at
             context.is_stored = True
 
--- a/libs/controller/features/steps/restartworker_steps.py
+++ b/libs/controller/features/steps/restartworker_steps.py
@@ -12,6 +12,9 @@
 from restartingworkers import RestartingWorkerApi
 from simulation import Simulation
 
+from tarragonlb.controller.ports import Topic
+from tarragonlb.scheduling.records import KeyedRecord
+
 # With each fault, of a kill of an owner beside it.
 KILL_PROBABILITY = 0.04
 HALF = 0.5
@@ -65,6 +68,15 @@
     add_action(context, action)
 
 
+@when('worker "{name}" restarts and executes those that were held back')
+def restart_late(context, name):
+    async def action(sim):
+        assert sim.worker_api.held, 'no start order was held back'
+        sim.worker_api.restart(name, is_late=True)
+
+    add_action(context, action)
+
+
 @when('worker "{name}" crashes once it has answered a status request')
 def crash_after_answer(context, name):
     async def action(sim):
@@ -84,6 +96,15 @@
     add_action(context, action)
 
 
+@when('worker "{name}" drains')
+def drain(context, name):
+    async def action(sim):
+        log = sim.store.logs[Topic.WORKERS, 0]
+        log.append(KeyedRecord(name, b'drains'))
+
+    add_action(context, action)
+
+
 @when('worker "{name}" stays cut off')
 def cut_for_good(context, name):
     async def action(sim):
@@ -121,7 +142,7 @@
 def let_through(context):
     async def action(sim):
         assert sim.worker_api.held, 'no start order was held back'
-        sim.worker_api.let_through(everywhere=True)
+        sim.worker_api.let_through()
 
     add_action(context, action)
 
@@ -191,7 +212,7 @@
             api.holding.add(name)
             self.sim.nursery.start_soon(self.submit)
             await trio.sleep(self.random.uniform(0, 0.4))
-        api.drop_shut_out(name)
+        api.drop_done(name)
         api.crash(name)
         await trio.sleep(self.random.uniform(0.05, 1.5))
         api.holding.discard(name)
--- a/libs/controller/tarragonlb/controller/decisionlog.py
+++ b/libs/controller/tarragonlb/controller/decisionlog.py
@@ -152,6 +152,7 @@
                     attempt.attempt,
                     attempt.worker_id,
                     attempt.reason,
+                    round(attempt.bound_seconds, 1),
                 )
                 for attempt in released
             ],
--- a/libs/controller/tarragonlb/controller/decisionstorage.py
+++ b/libs/controller/tarragonlb/controller/decisionstorage.py
@@ -45,12 +45,12 @@
         """Start the term; return why it can't start, '' if it has started."""
         return await self._writer.fence(self._feed.refresh)
 
-    async def store(self, decision: SchedulingDecision) -> str:
-        """Store the changes of a decision, retrying until they are stored.
+    async def store(self, decision: SchedulingDecision, now: float) -> str:
+        """Store the changes decided at ``now``, retrying until that is done.
 
         Return why the term has ended, '' if the decision is stored.
         """
-        for records in tuple(_split(self._list_groups(decision))):
+        for records in tuple(_split(self._list_groups(decision, now))):
             result = await self._writer.append(records)
             if isinstance(result, Fenced):
                 return result.reason
@@ -58,11 +58,11 @@
         return ''
 
     def _list_groups(
-        self, decision: SchedulingDecision
+        self, decision: SchedulingDecision, now: float
     ) -> Iterator[list[KeyedRecord]]:
         """Yield the records of a decision, those that go together at a time."""
         for job in decision.jobs:
-            yield [build_progress_record(job, self._term)]
+            yield [build_progress_record(job, self._term, now)]
         yield from map(build_removal_records, decision.removed)
         for record in build_bound_records(decision.bound_changes, self._term):
             yield [record]
--- a/libs/controller/tarragonlb/controller/feeds.py
+++ b/libs/controller/tarragonlb/controller/feeds.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+import operator
 
 import trio
 
@@ -23,6 +24,7 @@
 from tarragonlb.scheduling.fleetstate import FleetState
 from tarragonlb.scheduling.ownershiprecords import is_owner_record
 from tarragonlb.scheduling.wave import Wave
+from tarragonlb.scheduling.worker import Worker
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('feed')
@@ -205,6 +207,7 @@
         workers = {} if update.is_snapshot else dict(self._view.workers)
         # Most records only repeat an entry, and the newest valid one counts.
         applied: set[str] = set()
+        decoded: list[tuple[int, Worker]] = []
         for record in reversed(update.records):
             if record.key in applied:
                 continue
@@ -212,15 +215,25 @@
             if worker is not None:
                 workers[record.key] = worker
                 applied.add(record.key)
+                decoded.append((record.offset, worker))
             elif not record.value:
                 workers.pop(record.key, None)
                 applied.add(record.key)
         if update.is_at_end:
             self._view.workers_read_at = sent_at
         if workers != self._view.workers:
+            self._note_addresses(decoded, sent_at)
             self._view.workers = workers
             self._view.notify()
 
+    def _note_addresses(
+        self, decoded: list[tuple[int, Worker]], sent_at: float
+    ) -> None:
+        history = self._view.address_history
+        # Of two workers with one address the later entry is true.
+        for _, worker in sorted(decoded, key=operator.itemgetter(0)):
+            history.note(worker.worker_id, worker.address, sent_at)
+
 
 class FleetStateFeed:
     """Reads the records on drains, orders and loads in the fleet partition.
--- a/libs/controller/tarragonlb/controller/leasehandover.py
+++ b/libs/controller/tarragonlb/controller/leasehandover.py
@@ -77,7 +77,8 @@
             return
         self._decision_log.log_bounds(changes)
         with trio.move_on_after(LAST_APPEND_SECONDS, shield=True):
-            await self._storage.store(SchedulingDecision(bound_changes=changes))
+            decision = SchedulingDecision(bound_changes=changes)
+            await self._storage.store(decision, now)
 
     def _choose_lease_seconds(
         self, worker_id: str, lease_seconds: Callable[[], float]
--- a/libs/controller/tarragonlb/controller/platformview.py
+++ b/libs/controller/tarragonlb/controller/platformview.py
@@ -11,6 +11,7 @@
 from tarragonlb.controller.events import Event, ViewChanged
 from tarragonlb.controller.ports import Configuration
 from tarragonlb.controller.settings import ControllerSettings
+from tarragonlb.scheduling.addresshistory import AddressHistory
 from tarragonlb.scheduling.fleetstate import ANY_PARTITION, FleetState
 from tarragonlb.scheduling.routehistory import RouteHistory
 from tarragonlb.scheduling.wave import Wave
@@ -23,6 +24,7 @@
     __slots__ = (
         '_changed',
         '_owns',
+        'address_history',
         'configuration',
         'configuration_read_at',
         'fleet_state',
@@ -46,6 +48,7 @@
         # none, was sent, on the boot-time clock.
         self.configuration_read_at: float | None = None
         self.workers: dict[str, Worker] = {}
+        self.address_history = AddressHistory()
         self.waves: dict[int, Wave] = {}
         # When this process first read each wave, on the monotonic clock.
         self.wave_read_at: dict[int, float] = {}
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -250,7 +250,7 @@
         self._decision_log.log_bounds(decision.bound_changes)
         if decision.has_records:
             self._storing_since = now
-            self._nursery.start_soon(self._store_decision, decision)
+            self._nursery.start_soon(self._store_decision, decision, now)
         else:
             self._finish_round(decision)
 
@@ -281,8 +281,10 @@
         )
         return decision
 
-    async def _store_decision(self, decision: SchedulingDecision) -> None:
-        reason = await self._storage.store(decision)
+    async def _store_decision(
+        self, decision: SchedulingDecision, now: float
+    ) -> None:
+        reason = await self._storage.store(decision, now)
         if reason:
             raise TermEndedError(reason)
         await self._inbox.send(events.DecisionStored(decision))
@@ -375,6 +377,9 @@
             if view.find_partition(worker.pool) == self._owned.partition
         ]
         partition_state.update_workers(partition_workers)
+        partition_state.evidence.replaced_workers = (
+            view.address_history.replaced
+        )
         partition_state.apply_drain_requests(
             view.fleet_state.drain_requests_by_worker
         )
--- a/libs/scheduling/features/fakeworkers.py
+++ b/libs/scheduling/features/fakeworkers.py
@@ -64,7 +64,7 @@
         return Worker(
             worker_id=self.worker_id,
             pool='p',
-            address='x:1',
+            address=f'x:{self.worker_id.partition("-")[0]}',
             zone='z',
             is_draining=self.is_draining,
             labels=frozenset(('a', 'r1')),
@@ -76,8 +76,9 @@
         self.former.append((now, self.capacity))
         self.capacity = Demand(cpu_millicores, 8000, 0)
 
-    def publish(self, now):
+    def publish(self, now, address_history):
         if self.is_up and now >= self.published_at + BEAT_SECONDS:
+            address_history.note(self.worker_id, self.entry.address, now)
             self.published_at = now
             self.published = self.capacity
 
--- a/libs/scheduling/features/fleetsimulation.py
+++ b/libs/scheduling/features/fleetsimulation.py
@@ -161,7 +161,7 @@
         for worker in self.workers:
             worker.advance(self.now, self.log)
             if self.is_store_up:
-                worker.publish(self.now)
+                worker.publish(self.now, self.vm_listings.addresses)
         self._record_ends()
         self.vm_listings.send(self)
         for owner in [self.owner, *self.former_owners]:
@@ -178,6 +178,7 @@
             self._check_status(owner, worker)
         state = owner.scheduler.state
         state.update_workers(w.entry for w in self.workers)
+        state.evidence.replaced_workers = self.vm_listings.addresses.replaced
         state.apply_drain_requests(self.drain_requests)
         for entry in self.job_index.list_jobs():
             if is_current and entry.job_id not in state.jobs:
@@ -195,14 +196,12 @@
         if not (self.is_store_up and is_current):
             return
         decided, owner.pending = owner.pending, None
-        bound_records = build_bound_records(decided.bound_changes, owner.term)
-        self.append(
-            [
-                *(build_progress_record(j, owner.term) for j in decided.jobs),
-                *bound_records,
-            ]
-        )
-        self.bound_writes.extend([self.now] * bool(bound_records))
+        bounds = build_bound_records(decided.bound_changes, owner.term)
+        progress = [
+            build_progress_record(j, owner.term, self.now) for j in decided.jobs
+        ]
+        self.append([*progress, *bounds])
+        self.bound_writes.extend([self.now] * bool(bounds))
         owner.scheduler.note_stored(decided, self.now)
         for worker_id, seen in decided.end_acks.items():
             owner.end_acks[worker_id] = seen
--- a/libs/scheduling/features/simulatedvms.py
+++ b/libs/scheduling/features/simulatedvms.py
@@ -3,6 +3,7 @@
 import functools
 import random
 
+from tarragonlb.scheduling.addresshistory import AddressHistory
 from tarragonlb.scheduling.vmevidence import VmListing
 
 INTERVAL_SECONDS = 0.5
@@ -21,6 +22,7 @@
         self.random = random.Random(seed)
         self.loss_probability = loss_probability
         self.next_at = 0.0
+        self.addresses = AddressHistory()
 
     def send(self, fleet):
         if fleet.now < self.next_at:
--- a/libs/scheduling/features/stallsimulation.py
+++ b/libs/scheduling/features/stallsimulation.py
@@ -223,7 +223,7 @@
     def decide(self):
         decision = self.scheduler.decide(Moment(self.now))
         for job in decision.jobs:
-            self.append(build_progress_record(job, self.term))
+            self.append(build_progress_record(job, self.term, self.now))
         self.scheduler.note_stored(decision, self.now)
         for start in decision.starts:
             self.start(start)
--- a/libs/scheduling/features/steps/jobrecord_steps.py
+++ b/libs/scheduling/features/steps/jobrecord_steps.py
@@ -149,7 +149,7 @@
     for _, task in state.list_tasks():
         task.place('w0', 1, 1, 0.0)
         task.failed_attempts.add(1)
-    return build_progress_record(state, 7)
+    return build_progress_record(state, 7, 0)
 
 
 def load_row(record):
@@ -274,7 +274,7 @@
         measure_tenants(state, rates)
         check_load(measure_load(state, 'p'))
         for job_state in decision.jobs:
-            build_progress_record(job_state, 1)
+            build_progress_record(job_state, 1, now)
         scheduler.note_stored(decision, now)
         for order in (*decision.starts, *decision.stops):
             scheduler.apply_order_result(order, OrderResult.DONE, now)
--- a/libs/scheduling/features/steps/removal_steps.py
+++ b/libs/scheduling/features/steps/removal_steps.py
@@ -32,7 +32,9 @@
     state.queues = QUEUES
     state.update_workers(context.directory.values())
     for job_state in former.jobs.values():
-        progress = decode_progress(build_progress_record(job_state, 1).value)
+        progress = decode_progress(
+            build_progress_record(job_state, 1, context.now).value
+        )
         restored = JobState(job_state.job, Moment(context.now))
         restore_tasks(restored, progress, context.now)
         state.add_job(restored)
--- a/libs/scheduling/features/steps/restore_steps.py
+++ b/libs/scheduling/features/steps/restore_steps.py
@@ -68,7 +68,7 @@
 
 @when('its progress is stored and restored')
 def store(context):
-    restore(context, build_progress_record(context.job_state, 1).value)
+    restore(context, build_progress_record(context.job_state, 1, 0).value)
 
 
 @when('its progress is stored without workers to avoid and restored')
@@ -83,7 +83,7 @@
 
 def store_rows(context, length):
     """Store what an earlier version did, whose rows were shorter."""
-    content = cbor2.loads(build_progress_record(context.job_state, 1).value)
+    content = cbor2.loads(build_progress_record(context.job_state, 1, 0).value)
     content[TASKS:] = [[row[:length] for row in content[TASKS]]]
     restore(context, cbor2.dumps(content))
 
--- a/libs/scheduling/features/steps/task_steps.py
+++ b/libs/scheduling/features/steps/task_steps.py
@@ -214,7 +214,7 @@
     find_worker(fleet, name).resize(millicores, fleet.now)
     fleet.run(seconds - 1)
     # The entry of the worker may be written before the decisions are.
-    find_worker(fleet, name).publish(fleet.now)
+    find_worker(fleet, name).publish(fleet.now, fleet.vm_listings.addresses)
     fleet.is_store_up = True
 
 
--- a/libs/scheduling/features/steps/usage_steps.py
+++ b/libs/scheduling/features/steps/usage_steps.py
@@ -103,7 +103,7 @@
 
 @when('an owner takes the job over')
 def take_over(context):
-    record = build_progress_record(context.scheduler.state.jobs['j1'], 1)
+    record = build_progress_record(context.scheduler.state.jobs['j1'], 1, 0)
     job_state = JobState(JOB, Moment(0.0))
     restore_tasks(job_state, decode_progress(record.value), 3.0)
     context.former = context.scheduler
--- a/libs/scheduling/features/steps/verdict_steps.py
+++ b/libs/scheduling/features/steps/verdict_steps.py
@@ -222,9 +222,9 @@
     job = Job(job_id='0' * 16, queue='q', pool='p', spec=spec)
     state = JobState(job, Moment(0.0))
     state.began = True
-    newer = build_progress_record(state, 2)
+    newer = build_progress_record(state, 2, 0)
     state.close(JobOutcome.FAILED, 0.0)
-    older = build_progress_record(state, 1)
+    older = build_progress_record(state, 1, 0)
     records = (build_submission_record(job), older, newer)
     context.records = [
         KeyedRecord(record.key, record.value, offset)
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -18,12 +18,17 @@
 from tarragonlb.scheduling.partitionstate import PartitionState, note_limit
 from tarragonlb.scheduling.placement import (
     is_candidate,
+    is_choosy,
     must_wait_for_empty_worker,
     will_be_candidate,
 )
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.readystep import ReadyStep, list_ready_steps
 from tarragonlb.scheduling.retryguard import RetryGuard
+from tarragonlb.scheduling.startbinding import (
+    find_full_worker,
+    forget_closed_starts,
+)
 from tarragonlb.scheduling.startwindow import StartWindow
 from tarragonlb.scheduling.task import TaskState
 from tarragonlb.scheduling.waitnotes import WaitNotes
@@ -170,7 +175,7 @@
             order = self._place_task(ready, index, now)
             if order is not None:
                 orders.append(order)
-            elif not _is_choosy(ready.step_state.tasks[index]):
+            elif not is_choosy(ready.step_state.tasks[index]):
                 break
         if len(orders) < len(waiting):
             self._note_waiting(ready, now)
@@ -248,6 +253,8 @@
         worker = None
         candidates = self._get_candidates(ready.job_state.job.pool)
         self.wait_notes.begin_task()
+        key = TaskKey(*ready.key, index)
+        forget_closed_starts(self._partition, key, task, now)
         if _is_held_back(ready, task, candidates, now):
             self.wait_notes.note_refused(WaitReason.SUSPECT)
         elif not candidates.is_full(ready.step):
@@ -259,7 +266,11 @@
             must_be_alone = must_wait_for_empty_worker(ready.step, task, now)
             if task.crashes.needs_isolation:
                 self._retry_later(ready.job_state.job.pool, now)
-            if ready.step.is_permanent or must_be_alone:
+            if not task.open_starts.is_empty:
+                self._reserved.add(
+                    find_full_worker(self._partition, ready.step, task, now)
+                )
+            elif ready.step.is_permanent or must_be_alone:
                 self._reserve(ready, now, must_be_empty=must_be_alone)
             return None
         return self._attach(ready, index, worker, attempt, now)
@@ -278,7 +289,7 @@
         task.place(
             worker_id,
             worker.incarnation or 0,
-            attempt or task.attempt + 1,
+            attempt or task.open_starts.choose_attempt(task.attempt),
             now,
         )
         self._partition.attach(worker, key, task)
@@ -301,7 +312,9 @@
     ) -> Iterator[WorkerState]:
         candidates = self._get_candidates(ready.job_state.job.pool)
         for worker in candidates.list_fitting(ready.step):
-            if self._may_take(worker, ready, task, now):
+            if not task.open_starts.allow(worker.entry.worker_id, now):
+                self.wait_notes.note_refused(WaitReason.FORMER_ATTEMPT)
+            elif self._may_take(worker, ready, task, now):
                 yield worker
 
     def _may_take(
@@ -374,11 +387,6 @@
             self._reserved.add(emptiest.entry.worker_id)
 
 
-def _is_choosy(task: TaskState) -> bool:
-    """Return whether other tasks of a step may start where this one may not."""
-    return task.crashes.needs_isolation or task.failures > 0
-
-
 def _get_free_cpu(worker: WorkerState) -> int:
     return worker.free_cpu
 
--- a/libs/scheduling/tarragonlb/scheduling/evidence.py
+++ b/libs/scheduling/tarragonlb/scheduling/evidence.py
@@ -1,10 +1,10 @@
-"""What an owner has seen that may count against tasks.
+"""What an owner has seen of the workers, which may count against tasks.
 
 It begins empty with each term; what lasts is in the crash histories of tasks.
 """
 
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import dataclass
 
 from tarragonlb.scheduling.job import TaskKey
@@ -36,10 +36,20 @@
     ``losses`` are the workers that went.  ``reviews`` are crashes to be looked
     at again, the earliest first, and ``under_review`` counts them by task.
     ``paused`` maps the tasks that wait after crashes to since when.  ``notes``
-    are still to be logged.
+    are still to be logged.  ``complete_reports`` maps the ids of workers to
+    when the last report was requested that lists all attempts there, and
+    ``replaced_workers`` are those whose addresses others have.
     """
 
-    __slots__ = ('losses', 'notes', 'paused', 'reviews', 'under_review')
+    __slots__ = (
+        'complete_reports',
+        'losses',
+        'notes',
+        'paused',
+        'replaced_workers',
+        'reviews',
+        'under_review',
+    )
 
     def __init__(self) -> None:
         """Start without any evidence."""
@@ -48,6 +58,12 @@
         self.under_review: Counter[TaskKey] = Counter()
         self.paused: dict[TaskKey, float] = {}
         self.notes = VerdictNotes()
+        self.complete_reports: dict[str, float] = {}
+        self.replaced_workers: Container[str] = ()
+
+    def note_complete_report(self, worker_id: str, requested_at: float) -> None:
+        """Note when a report was requested that lists all attempts."""
+        self.complete_reports[worker_id] = requested_at
 
     def add_review(self, review: CrashReview) -> None:
         """Have a crash looked at again."""
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -6,6 +6,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.losslog import SeenLoss
 from tarragonlb.scheduling.partitionstate import PartitionState
+from tarragonlb.scheduling.startbinding import may_repeat_attempt
 from tarragonlb.scheduling.task import StartStage, TaskPhase
 from tarragonlb.scheduling.tenantusage import ORPHANED
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
@@ -142,17 +143,39 @@
             )
         )
         for attempt in lost:
-            task = partition.find_attempt(
-                attempt.key, attempt.attempt, worker.entry.worker_id
-            )
-            if task is not None:
-                partition.release(attempt.key, task, reason.value)
+            self._release(worker, attempt, reason, now)
         if reason is LossReason.LEASE_OVER:
             worker.doubtful = lost
             worker.doubtful_since = now
         else:
             self._count_crash(worker, lost, now)
 
+    def _release(
+        self,
+        worker: WorkerState,
+        attempt: LostAttempt,
+        reason: LossReason,
+        now: float,
+    ) -> None:
+        worker_id = worker.entry.worker_id
+        task = self._partition.find_attempt(
+            attempt.key, attempt.attempt, worker_id
+        )
+        if task is None:
+            return
+        # Crashes are counted by attempt, of those that were started.
+        is_same = not attempt.was_started and may_repeat_attempt(
+            self._partition.find_step(attempt.key), task
+        )
+        self._partition.release(attempt.key, task, reason.value, now)
+        starts = task.open_starts
+        if is_same:
+            starts = starts.repeat(attempt.attempt)
+        if reason is LossReason.REPLACED:
+            # A call for the worker is refused at that address.
+            starts = starts.drop_worker(worker_id)
+        task.replace_open_starts(starts)
+
     def _count_crash(
         self,
         worker: WorkerState,
--- a/libs/scheduling/tarragonlb/scheduling/ordertracker.py
+++ b/libs/scheduling/tarragonlb/scheduling/ordertracker.py
@@ -8,7 +8,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.lossrecorder import LossRecorder
 from tarragonlb.scheduling.orders import OrderResult, StartOrder, StopOrder
-from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
+from tarragonlb.scheduling.partitionstate import PartitionState, note_confirmed
 from tarragonlb.scheduling.refusedsteps import RefusedSteps
 from tarragonlb.scheduling.task import StartStage, StopReason, TaskPhase
 from tarragonlb.scheduling.worker import WorkerState
@@ -41,13 +41,14 @@
             order.key, order.attempt, order.worker_id
         )
         if task is None:
+            self._apply_late_result(order, result, now)
             return
         worker = self._partition.workers[order.worker_id]
         if result in {OrderResult.DONE, OrderResult.UNANSWERED}:
             if result is OrderResult.DONE:
                 task.settled_at = now
                 task.start_stage = StartStage.CONFIRMED
-                note_begun(self._partition, order.key.job_id, now)
+                note_confirmed(self._partition, order.key, now)
                 worker.note_start_accepted(now)
                 self._refused_steps.note_start(order.key[:3])
             else:
@@ -59,7 +60,8 @@
         backoff_seconds = self._partition.settings.refusal_backoff_seconds
         if result in REFUSALS:
             backoff_seconds = self._apply_refusal(worker, order.key, now)
-        self._partition.release(order.key, task, 'the start was refused')
+        task.start_stage = StartStage.DECIDED
+        self._partition.release(order.key, task, 'the start was refused', now)
         task.not_before = now + backoff_seconds
         if self._partition.find_step(order.key).is_gang:
             self._stop_gang(order.key)
@@ -82,6 +84,23 @@
             worker = self._partition.workers[order.worker_id]
             self._losses.lose_all(worker, LossReason.REPLACED, now)
 
+    def _apply_late_result(
+        self, order: StartOrder, result: OrderResult, now: float
+    ) -> None:
+        """Apply the result of a start whose task was released meanwhile."""
+        state = self._partition.jobs.get(order.key.job_id)
+        task = None if state is None else state.find(order.key)
+        if task is None:
+            return
+        if result is OrderResult.UNANSWERED:
+            until = now + self._partition.settings.late_call_seconds
+            starts = task.open_starts.extend(
+                order.attempt, order.worker_id, until
+            )
+        else:
+            starts = task.open_starts.drop(order.attempt, order.worker_id)
+        task.replace_open_starts(starts)
+
     def _apply_refusal(
         self, worker: WorkerState, key: TaskKey, now: float
     ) -> float:
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -11,10 +11,16 @@
 from tarragonlb.scheduling.job import Step, TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
 from tarragonlb.scheduling.lookaheadrecord import LookAheadRecord
+from tarragonlb.scheduling.openstarts import OpenStart
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.queuehistory import QueueHistory
 from tarragonlb.scheduling.settings import SchedulingSettings
-from tarragonlb.scheduling.task import StopReason, TaskPhase, TaskState
+from tarragonlb.scheduling.task import (
+    StartStage,
+    StopReason,
+    TaskPhase,
+    TaskState,
+)
 from tarragonlb.scheduling.tenant import NO_TENANTS, TenantTable
 from tarragonlb.scheduling.tenantusage import TenantUsage
 from tarragonlb.scheduling.worker import Worker, WorkerState
@@ -23,12 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleasedAttempt:
-    """An attempt that was released, and why, for the log."""
+    """An attempt that was released, and why, for the log.
+
+    For ``bound_seconds`` a start of the task may still be executed on a later
+    incarnation of its worker.
+    """
 
     reason: str
     key: TaskKey
     attempt: int
     worker_id: str
+    bound_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +210,7 @@
             is_in_use = state.attached or state.orphans or state.doubtful
             if not (state.is_listed or is_in_use):
                 self.workers.pop(worker_id)
+                self.evidence.complete_reports.pop(worker_id, None)
         for worker_id, worker in listed.items():
             known = self.workers.get(worker_id)
             if known is None:
@@ -259,10 +271,23 @@
         is_current = task.is_attached and task.worker_id == worker_id
         return task if is_current else None
 
-    def release(self, key: TaskKey, task: TaskState, reason: str) -> None:
-        """Return a task to waiting after the end of its attempt."""
+    def release(
+        self, key: TaskKey, task: TaskState, reason: str, now: float
+    ) -> None:
+        """Return a task to waiting after the end of its attempt.
+
+        A start that is not confirmed may still be executed.
+        """
+        if task.start_stage is StartStage.STORED:
+            _note_open_start(self, key, task, now)
         self.released_attempts.append(
-            ReleasedAttempt(reason, key, task.attempt, task.worker_id)
+            ReleasedAttempt(
+                reason,
+                key,
+                task.attempt,
+                task.worker_id,
+                max(task.open_starts.until - now, 0),
+            )
         )
         self._detach(key, task)
         task.release()
@@ -301,6 +326,17 @@
         partition.begun_jobs[job_id] = now
 
 
+def note_confirmed(partition: PartitionState, key: TaskKey, now: float) -> None:
+    """Take note that a worker has confirmed the start of a task.
+
+    For a permanent task that is stored.  The next owner would otherwise take
+    the start for open, and leave the task for long where its worker is lost.
+    """
+    note_begun(partition, key.job_id, now)
+    if partition.find_step(key).is_permanent:
+        partition.begun_jobs.setdefault(key.job_id, now)
+
+
 def note_limit(partition: PartitionState, state: JobState) -> None:
     """Have it stored how often a task of a job may fail, if that has changed.
 
@@ -310,3 +346,14 @@
     if queue is not None and queue.max_attempts != state.max_attempts:
         state.max_attempts = queue.max_attempts
         partition.changed_jobs.add(state.job.job_id)
+
+
+def _note_open_start(
+    partition: PartitionState, key: TaskKey, task: TaskState, now: float
+) -> None:
+    if partition.find_step(key).allows_copies:
+        return
+    settled_at = now if task.settled_at is None else task.settled_at
+    until = settled_at + partition.settings.late_call_seconds
+    start = OpenStart(task.attempt, task.worker_id, until)
+    task.replace_open_starts(task.open_starts.add(start, now))
--- a/libs/scheduling/tarragonlb/scheduling/placement.py
+++ b/libs/scheduling/tarragonlb/scheduling/placement.py
@@ -87,6 +87,13 @@
     return is_eligible(worker, step, step_key)
 
 
+def is_choosy(task: TaskState) -> bool:
+    """Return whether other tasks of a step may start where this one may not."""
+    if not task.open_starts.is_empty:
+        return True
+    return task.crashes.needs_isolation or task.failures > 0
+
+
 class PlacementPolicy(abc.ABC):
     """Chooses among the workers that may take a task."""
 
--- a/libs/scheduling/tarragonlb/scheduling/progress.py
+++ b/libs/scheduling/tarragonlb/scheduling/progress.py
@@ -11,11 +11,17 @@
 from tarragonlb.scheduling.attemptprogress import AttemptProgress
 from tarragonlb.scheduling.crashhistory import (
     NO_CRASHES,
-    ConfirmedCrash,
     CrashHistory,
 )
-from tarragonlb.scheduling.job import MS_PER_SECOND, TaskKey
+from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.jobstate import JobOutcome, JobState
+from tarragonlb.scheduling.progressrows import (
+    TaskRow,
+    build_crash_row,
+    build_open_starts,
+    restore_crash,
+    restore_open_starts,
+)
 from tarragonlb.scheduling.records import (
     MAX_VALUE_BYTES,
     PROGRESS,
@@ -27,42 +33,6 @@
 
 # More than a progress record has room for.
 MAX_OCCURRENCES = 100_000
-PERMILLE = 1000
-SECONDS_PER_MEGASECOND = 1_000_000
-
-
-class CrashRow(msgspec.Struct, array_like=True, frozen=True):
-    """A confirmed crash of a task; ``share_permille`` is of the pool."""
-
-    attempt: Count
-    milliseconds: Count
-    is_alone: bool
-    share_permille: Count
-    losses_per_megasecond: Count
-
-
-class TaskRow(msgspec.Struct, array_like=True, frozen=True):
-    """A task in a progress record.
-
-    ``crash_points`` is no longer used; an earlier version rated crashes.
-    """
-
-    occurrence: Count
-    step: Count
-    position: Count
-    phase: TaskPhase
-    attempt: Count
-    failed_attempts: list[Count]
-    worker_id: str
-    checkpoint: str
-    avoided: list[str] = []
-    crashed_attempts: list[Count] = []
-    crash_points: Count = 0
-    incarnation: Count = 0
-    was_copied: bool = False
-    stalls: Count = 0
-    confirmed_crashes: list[CrashRow] = []
-    excused_attempts: list[Count] = []
 
 
 class Progress(msgspec.Struct, array_like=True, frozen=True):
@@ -80,12 +50,14 @@
     max_attempts: Count = 0
 
 
-def build_progress_record(state: JobState, term: int) -> KeyedRecord:
-    """Return the progress record of a job."""
+def build_progress_record(
+    state: JobState, term: int, now: float
+) -> KeyedRecord:
+    """Return the progress record of a job, as of ``now``."""
     rows: list[TaskRow] = []
     if state.outcome is JobOutcome.OPEN:
         rows = [
-            _build_row(key, task)
+            _build_row(key, task, now)
             for key, task in state.list_tasks()
             if task.attempt
         ]
@@ -137,7 +109,7 @@
     return msgspec.structs.replace(progress, tasks=rows)
 
 
-def _build_row(key: TaskKey, task: TaskState) -> TaskRow:
+def _build_row(key: TaskKey, task: TaskState, now: float) -> TaskRow:
     is_done = task.phase is TaskPhase.DONE
     crashes = NO_CRASHES if is_done else task.crashes
     return TaskRow(
@@ -155,28 +127,10 @@
         task.incarnation if task.is_attached else 0,
         task.was_copied,
         0 if is_done else task.stalls,
-        [_build_crash_row(crash) for crash in crashes.confirmed],
+        [build_crash_row(crash) for crash in crashes.confirmed],
         sorted(crashes.excused),
-    )
-
-
-def _build_crash_row(crash: ConfirmedCrash) -> CrashRow:
-    return CrashRow(
-        crash.attempt,
-        round(crash.seconds * MS_PER_SECOND),
-        crash.is_alone,
-        round(crash.share * PERMILLE),
-        round(crash.losses_per_second * SECONDS_PER_MEGASECOND),
-    )
-
-
-def _restore_crash(row: CrashRow) -> ConfirmedCrash:
-    return ConfirmedCrash(
-        row.attempt,
-        row.milliseconds / MS_PER_SECOND,
-        row.is_alone,
-        row.share_permille / PERMILLE,
-        row.losses_per_megasecond / SECONDS_PER_MEGASECOND,
+        task.start_stage is StartStage.CONFIRMED,
+        [] if is_done else build_open_starts(task, now),
     )
 
 
@@ -195,7 +149,7 @@
     task.checkpoint = row.checkpoint
     task.crashes = CrashHistory(
         frozenset(row.crashed_attempts),
-        tuple(_restore_crash(crash) for crash in row.confirmed_crashes),
+        tuple(restore_crash(crash) for crash in row.confirmed_crashes),
         frozenset(row.excused_attempts),
     )
     pause = task.crashes.compute_pause(losses_per_second=0)
@@ -203,10 +157,16 @@
     task.isolate_until = now + pause + task.crashes.isolation_wait_seconds
     task.incarnation = row.incarnation
     task.start_stage = StartStage.STORED
+    if row.is_confirmed or row.phase is TaskPhase.RUNNING:
+        task.start_stage = StartStage.CONFIRMED
+    task.replace_open_starts(restore_open_starts(row, now))
     task.was_copied = row.was_copied
     task.stalls = row.stalls
     if task.is_attached:
         task.settled_at = now
         task.progress = AttemptProgress(now)
+        if task.start_stage is StartStage.STORED:
+            # The first report is requested under a higher token.
+            task.note_start_unanswered(0, now)
     if task.phase is TaskPhase.DONE:
         state.get_step(key).done += 1
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -11,7 +11,12 @@
 from tarragonlb.scheduling.jobstate import JobOutcome
 from tarragonlb.scheduling.leaseends import LeaseEnds
 from tarragonlb.scheduling.lossrecorder import LossRecorder
-from tarragonlb.scheduling.partitionstate import PartitionState, note_begun
+from tarragonlb.scheduling.partitionstate import (
+    PartitionState,
+    note_begun,
+    note_confirmed,
+)
+from tarragonlb.scheduling.startbinding import may_repeat_attempt
 from tarragonlb.scheduling.task import (
     StartStage,
     StopReason,
@@ -63,6 +68,10 @@
         worker.last_report_at = report.received_at
         self._partition.reported_workers.add(report.worker_id)
         worker.is_silent = False
+        if report.is_complete:
+            self._partition.evidence.note_complete_report(
+                report.worker_id, report.requested_at
+            )
         for end in report.ended:
             if end.number > worker.last_end_number:
                 worker.last_end_number = end.number
@@ -109,7 +118,7 @@
             if attachment.step.allows_copies and is_first:
                 attachment.task.was_copied = True
                 self._orphan_attempt(worker, key)
-                self._release_task(key, 'the worker is silent')
+                self._release_task(key, 'the worker is silent', now)
 
     def note_worker_replaced(self, worker_id: str, now: float) -> None:
         """Release the attempts of a worker whose address now is another's."""
@@ -192,6 +201,8 @@
         task: TaskState,
         report: WorkerReport,
     ) -> None:
+        if task.start_stage is not StartStage.CONFIRMED:
+            note_confirmed(self._partition, row.key, report.received_at)
         task.update_progress(
             row.percent,
             row.checkpoint,
@@ -245,8 +256,11 @@
             self._partition.changed_jobs.add(end.key.job_id)
             note_task_failed(self._partition, worker, end.key, now)
         if current is not None:
+            task.start_stage = StartStage.CONFIRMED
             task.checkpoint = end.checkpoint or task.checkpoint
-            self._partition.release(end.key, task, f'the attempt {end.outcome}')
+            self._partition.release(
+                end.key, task, f'the attempt {end.outcome}', now
+            )
         self._fail_job_if_exhausted(end.key, task, now)
 
     def _learn_duration(
@@ -321,20 +335,24 @@
             return
         if report.requested_at <= task.settled_at:
             return
+        now = report.received_at
         if task.is_shut_out(report.token):
-            self._partition.release(key, task, 'the start was shut out')
+            is_same = may_repeat_attempt(self._partition.find_step(key), task)
+            self._partition.release(key, task, 'the start was shut out', now)
+            if is_same:
+                task.replace_open_starts(task.open_starts.repeat(task.attempt))
             return
         if task.phase is not TaskPhase.STOPPING:
             self._partition.begin_stop(task, StopReason.NOT_LISTED)
         elif (
             task.barred_at is not None and report.requested_at > task.barred_at
         ):
-            self._partition.release(key, task, 'the attempt was barred')
+            self._partition.release(key, task, 'the attempt was barred', now)
 
-    def _release_task(self, key: TaskKey, reason: str) -> None:
+    def _release_task(self, key: TaskKey, reason: str, now: float) -> None:
         task = self._partition.jobs[key.job_id].find(key)
         if task is not None:
-            self._partition.release(key, task, reason)
+            self._partition.release(key, task, reason, now)
 
 
 def _note_failure(
--- a/libs/scheduling/tarragonlb/scheduling/task.py
+++ b/libs/scheduling/tarragonlb/scheduling/task.py
@@ -16,6 +16,7 @@
     AttemptProgress,
 )
 from tarragonlb.scheduling.crashhistory import NO_CRASHES, PROBATION_SECONDS
+from tarragonlb.scheduling.openstarts import NO_OPEN_STARTS, OpenStarts
 
 
 class TaskPhase(enum.IntEnum):
@@ -74,6 +75,7 @@
     """
 
     __slots__ = (
+        '_open_starts',
         '_open_token',
         'attempt',
         'avoided',
@@ -113,6 +115,7 @@
         self.not_before = 0.0
         self.avoided: set[str] = set()
         self.settled_at: float | None = None
+        self._open_starts = NO_OPEN_STARTS
         # Of a start order that timed out.
         self._open_token: int | None = None
         self.barred_at: float | None = None
@@ -143,6 +146,11 @@
             self.placed_at is not None and self.start_stage is StartStage.STORED
         )
 
+    @property
+    def open_starts(self) -> OpenStarts:
+        """Return the starts of former attempts that may still be executed."""
+        return self._open_starts
+
     @property
     def is_serving(self) -> bool:
         """Return whether a permanent task reports full readiness."""
@@ -179,9 +187,14 @@
         self.placed_at = now
         self.settled_at = None
         self._open_token = None
+        self._open_starts = self._open_starts.repeat(0)
         self._forget_orders()
         self.progress = AttemptProgress(now)
 
+    def replace_open_starts(self, starts: OpenStarts) -> None:
+        """Set the starts of former attempts that may still be executed."""
+        self._open_starts = starts
+
     def note_start_unanswered(self, token: int, now: float) -> None:
         """Take note of a start order, sent under ``token``, that timed out."""
         self.settled_at = now
