Bound what a task's open starts take in a progress record

Change: a record has one row for each worker, with the latest end; the attempts matter only to the owner that gets the answers.

--- a/libs/scheduling/tarragonlb/scheduling/progressrows.py
+++ b/libs/scheduling/tarragonlb/scheduling/progressrows.py
@@ -35,7 +35,6 @@
     attempt: Count
     worker_id: str
     remaining_ms: Count
-    orders: Count = 1
 
 
 class TaskRow(msgspec.Struct, array_like=True, frozen=True):
@@ -89,16 +88,24 @@
 
 
 def build_open_starts(task: TaskState, now: float) -> list[OpenStartRow]:
-    """Return rows for the open starts of a task, as of ``now``."""
+    """Return a row for each worker with open starts of a task.
+
+    The time left is counted from ``now``.  Which attempts they are of matters
+    only to the owner that gets the answers.
+    """
+    last: dict[str, OpenStart] = {}
+    for start in task.open_starts.starts:
+        known = last.get(start.worker_id)
+        is_last = known is None or known.until < start.until
+        if is_last and start.until > now:
+            last[start.worker_id] = start
     return [
         OpenStartRow(
             start.attempt,
             start.worker_id,
             math.ceil((start.until - now) * MS_PER_SECOND),
-            start.orders,
         )
-        for start in task.open_starts.starts
-        if start.until > now
+        for start in last.values()
     ]
 
 
@@ -116,7 +123,6 @@
                 start.attempt,
                 start.worker_id,
                 now + start.remaining_ms / MS_PER_SECOND,
-                start.orders,
             ),
             now,
         )
