Void submissions that are stored after their cancellation

Cause: a cancellation of a job that no daemon knew left nothing behind, so a submission that the store carried out later was a new job to everyone.

Change: such a cancellation is stored before it is answered, in each partition where the submission may arrive. A daemon reads the partition before it stores a submission, whose key says which early cancellation of the job it covers. A submission behind one that it does not cover is void. Why this works: the order of the log says which came first, also for readers that begin later, and a submission after the answer has always read the cancellation. It has a key of its own, so a late copy of the former one does not replace it.

Ruled out: to answer 410 only once all daemons have read the cancellation (up to 2 s); an epoch for open appends (it ends with its daemon).

Two scenarios change: "A queue that has moved costs a few calls" and "Without tenants ..." counted no read of the store for a submission. That was wrong together with this promise: without a read a daemon can't tell a submission that its client repeats after a cancellation from one that is late. They now demand exactly one read for each of five submissions in turn, and one in all.

--- /dev/null
+++ b/libs/controller/features/latecancels.feature
@@ -0,0 +1,109 @@
+Feature: Cancellations of jobs whose submissions are stored late
+
+  An append without an answer may be carried out seconds later, when the job's
+  client has been told that there is no such job.
+
+  # Guards against a job that starts after its cancellation was acknowledged: a
+  # daemon that knew no such job left nothing that a late submission would meet.
+  Scenario Outline: A submission that is stored after its cancellation runs nothing
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job at <where>, which is answered with "gone"
+    And the late append is carried out
+    Then the job has not run
+
+    Examples:
+      | where            |
+      | one daemon       |
+      | the other daemon |
+
+  # Guards against a cancellation that only the daemons know that took it.
+  Scenario: It runs nothing after a restart of all daemons
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And all daemons are restarted
+    And the late append is carried out
+    Then the job has not run
+
+  # Guards against a restart that revives what was cancelled.
+  Scenario: It runs nothing when all daemons are restarted behind it
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And the late append is carried out
+    And 1 seconds pass
+    And all daemons are restarted
+    Then the job has not run
+
+  # Guards against a job that is lost, as it counts as cancelled in advance.
+  Scenario Outline: The same job that is submitted again after that is run
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And the same job is submitted again at <where>
+    Then the job has run once and each daemon says "completed"
+
+    Examples:
+      | where            |
+      | one daemon       |
+      | the other daemon |
+
+  # Guards against a late submission that replaces the one that counts.
+  Scenario: A late submission does not undo the one after the cancellation
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job at one daemon, which is answered with "gone"
+    And the same job is submitted again at the other daemon
+    And the late append is carried out
+    And all daemons are restarted
+    Then the job has run once and each daemon says "completed"
+
+  # Guards against a cancelled job that runs, as the submission after its first
+  # cancellation is late as well.
+  Scenario: A second cancellation meets the second submission
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job at one daemon, which is answered with "gone"
+    And a client submits the same job, whose append is late, and leaves
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And the late append is carried out
+    Then the job has not run
+
+  # Guards against a tenant that cancels the jobs of others in advance.
+  Scenario: A cancellation binds the submissions of its tenant only
+    Given 2 daemons with tenants and a store that may be late
+    When a client of tenant "a" submits a job whose append is late, and leaves
+    And a client of tenant "b" cancels the job at the other daemon, which is answered with "gone"
+    And the late append is carried out
+    Then each daemon says "queued"
+
+  # Guards against a cancellation that is lost, as another tenant's replaces it.
+  Scenario: A cancellation of another tenant replaces none
+    Given 2 daemons with tenants and a store that may be late
+    When a client of tenant "a" submits a job whose append is late, and leaves
+    And a client of tenant "a" cancels the job at the other daemon, which is answered with "gone"
+    And a client of tenant "b" cancels the job at one daemon, which is answered with "gone"
+    And the late append is carried out
+    Then each daemon says "gone"
+
+  # Guards against cancellations of unknown ids that fill daemons and store.
+  Scenario: Unknown jobs that are cancelled by the hundred cost little
+    Given 2 daemons and a store that may be late
+    When clients cancel 300 unknown jobs at once
+    Then all are answered within 1 s
+    And each job that is submitted meanwhile runs
+
+  Scenario: Early cancellations are bounded
+    Given 2 daemons and a store that may be late
+    When clients cancel 4000 unknown jobs at once
+    Then no more are stored than are kept, and the others are told to come back
+    And each job that is submitted meanwhile runs
+
+  # Guards against a void submission that counts once its cancellation is gone.
+  Scenario: Early cancellations are removed with the submissions they made void
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And the late append is carried out
+    Then nothing is left of early cancellations after 130 s
--- a/libs/controller/features/moves.feature
+++ b/libs/controller/features/moves.feature
@@ -96,12 +96,12 @@
     Then each daemon counts 2 pending jobs of the queue
 
   # Guards against calls to the store that each request of a moved queue makes.
-  Scenario: A queue that has moved costs a few calls, one that has not costs none
+  Scenario: A queue that has moved costs a few calls, one that has not costs no more
     Given 2 daemons and the pools "pool b", of which the queue has "pool"
-    Then 5 jobs at daemon 0 take 5 appends and 0 reads of the store
+    Then 5 jobs at daemon 0 take 5 appends and 5 reads of the store
     When the queue moves to "b" at once
-    Then 5 jobs at daemon 0 take 7 appends and 1 reads of the store
-    And 5 jobs at daemon 0 take 5 appends and 0 reads of the store
+    Then 5 jobs at daemon 0 take 7 appends and 6 reads of the store
+    And 5 jobs at daemon 0 take 5 appends and 5 reads of the store
 
   # Guards against a refusal of a job that the daemon knows, as its queue has moved
   # and the store does not answer.
--- a/libs/controller/features/tenantjobs.feature
+++ b/libs/controller/features/tenantjobs.feature
@@ -39,8 +39,8 @@
     Then its record has the time at which it arrived
 
   # Guards against a change for installations without tenants.
-  Scenario: Without tenants nothing more is read or stored
+  Scenario: Without tenants a submission is looked up once, and nothing more is stored
     Given 1 daemons without tenants
     When a job is submitted and read
-    Then the submission caused one append and no read
+    Then the submission caused one append and one read
     And its record has no tenant
--- a/libs/controller/tarragonlb/controller/decisionstorage.py
+++ b/libs/controller/tarragonlb/controller/decisionstorage.py
@@ -15,10 +15,11 @@
 from tarragonlb.controller.results import Fenced
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.termwriter import TermWriter
+from tarragonlb.scheduling.earlyremovals import EarlyRemovals
 from tarragonlb.scheduling.leasebound import build_bound_records
 from tarragonlb.scheduling.orders import SchedulingDecision
 from tarragonlb.scheduling.progress import build_progress_record
-from tarragonlb.scheduling.records import KeyedRecord, build_removal_records
+from tarragonlb.scheduling.records import KeyedRecord
 
 # As much as the longest record; a link of 5 Mbit/s carries it in half a second.
 MAX_APPEND_BYTES = 262_144
@@ -27,7 +28,7 @@
 class DecisionStorage:
     """Stores decisions as records and applies these to the job index."""
 
-    __slots__ = ('_feed', '_term', '_writer')
+    __slots__ = ('_early_removals', '_feed', '_term', '_writer')
 
     def __init__(
         self,
@@ -39,12 +40,17 @@
         """Write to the partition ``owned``."""
         self._term = owned.term
         self._feed = feed
+        self._early_removals = EarlyRemovals()
         self._writer = TermWriter(owned, store, settings)
 
     async def fence(self) -> str:
         """Start the term; return why it can't start, '' if it has started."""
         return await self._writer.fence(self._feed.refresh)
 
+    def must_clean_up(self, now: float) -> bool:
+        """Return whether old records may be removed, without a decision."""
+        return self._early_removals.are_due(self._feed.job_index, now)
+
     async def store(self, decision: SchedulingDecision, now: float) -> str:
         """Store the changes decided at ``now``, retrying until that is done.
 
@@ -63,7 +69,9 @@
         """Yield the records of a decision, those that go together at a time."""
         for job in decision.jobs:
             yield [build_progress_record(job, self._term, now)]
-        yield from map(build_removal_records, decision.removed)
+        index = self._feed.job_index
+        yield from map(index.build_removals, decision.removed)
+        yield from self._early_removals.list_groups(index, now)
         for record in build_bound_records(decision.bound_changes, self._term):
             yield [record]
 
--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -10,20 +10,23 @@
 there is no such job.
 """
 
-import itertools
 import random
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 import trio
 
-from tarragonlb.controller.groupcommit import GroupCommit
+from tarragonlb.controller.earlycanceller import EarlyCanceller
 from tarragonlb.controller.jobadmission import JobAdmission
+from tarragonlb.controller.jobappender import (
+    RETRY_AFTER_SECONDS,
+    JobAppender,
+    RequestOutcome,
+)
 from tarragonlb.controller.partition import PartitionFeed
 from tarragonlb.controller.platformview import PlatformView
 from tarragonlb.controller.ports import Clock, Store
 from tarragonlb.controller.queuehomes import QueueHomes
-from tarragonlb.controller.results import NotDone, Stored
 from tarragonlb.controller.settings import ControllerSettings
 from tarragonlb.controller.submissionlog import SubmissionKind, SubmissionLog
 from tarragonlb.model.verdict import Verdict
@@ -31,7 +34,6 @@
 from tarragonlb.scheduling.jobrecords import JobRecords
 from tarragonlb.scheduling.queue import Queue
 from tarragonlb.scheduling.records import (
-    KeyedRecord,
     build_cancellation_record,
     build_submission_record,
 )
@@ -39,28 +41,6 @@
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('desk')
-# Long enough for another daemon to reach the store, short compared with the
-# deadlines of clients.
-RETRY_AFTER_SECONDS = 1
-# After two rejections the store counts as down for this daemon; another daemon
-# may still reach it.
-MAX_REJECTIONS = 2
-
-
-@dataclass(frozen=True, slots=True)
-class RequestOutcome:
-    """The outcome of a request to submit or cancel a job.
-
-    RAN: the request is stored.  NOT_RUN: it was rejected and may be retried
-    after ``retry_after`` seconds.  MAY_HAVE_RUN: the outcome is unknown.
-    ``reason`` is the store's last error.  ``is_conflict`` means that the id is
-    that of another tenant's job, so the same request never succeeds.
-    """
-
-    verdict: Verdict
-    retry_after: int = 0
-    reason: str = ''
-    is_conflict: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,12 +53,12 @@
 
     __slots__ = (
         '_admission',
+        '_appender',
         '_clock',
-        '_commits',
+        '_early_canceller',
         '_feeds',
         '_homes',
         '_settings',
-        '_store',
         '_submission_log',
         '_view',
     )
@@ -98,10 +78,12 @@
         clients are told when to return.
         """
         self._admission = JobAdmission(view, settings, clock, draw_share)
-        self._store = store
         self._submission_log = SubmissionLog(clock)
-        self._commits: dict[int, GroupCommit] = {}
         self._homes = QueueHomes(store, feeds, settings, clock, view)
+        self._appender = JobAppender(store, feeds, settings, clock, view)
+        self._early_canceller = EarlyCanceller(
+            self._homes, feeds, self._appender
+        )
         self._feeds = feeds
         self._settings = settings
         self._clock = clock
@@ -137,23 +119,37 @@
         refused = await self._refuse_hopeless(job, queue)
         if refused is not None:
             return refused
-        record = build_submission_record(replace(job, handed_in_ms=arrived_ms))
-        outcome = await self._append(partition, record)
+        outcome = await self._appender.append(
+            partition,
+            build_submission_record(
+                replace(job, handed_in_ms=arrived_ms),
+                self._find_covered(partition, job),
+            ),
+        )
         self._note_submission(job, outcome)
         return outcome
 
     async def cancel(
         self, queue: Queue, job_id: str, tenant: str = ''
     ) -> RequestOutcome | None:
-        """Cancel a job; return None if the tenant has no such job."""
+        """Cancel a job; return None if the tenant has no such job.
+
+        A submission of it that comes later is void.
+        """
         found = await self._find_or_refresh(queue, job_id, tenant)
+        if found is None:
+            refused = await self._early_canceller.cancel(queue, job_id, tenant)
+            if refused is not None:
+                return refused
+            # It may have been stored meanwhile.
+            found = await self._find_or_refresh(queue, job_id, tenant)
         if found is None:
             return None
         if isinstance(found, StoreUnavailable):
             return RequestOutcome(Verdict.NOT_RUN, RETRY_AFTER_SECONDS)
         if found[1].is_cancelled:
             return RequestOutcome(Verdict.RAN)
-        outcome = await self._append(
+        outcome = await self._appender.append(
             found[0], build_cancellation_record(job_id)
         )
         FLEET_METER.count(JOB_REQUESTS, 'cancel', outcome.verdict.value)
@@ -217,7 +213,7 @@
 
     async def _settle(self, job: Job, queue: Queue) -> Job | RequestOutcome:
         """Return a job as it may be accepted while its queue moves."""
-        refused = self._refuse_without_contact()
+        refused = self._appender.refuse_without_contact()
         if refused is not None:
             return refused
         settled = await self._homes.settle(job, queue)
@@ -258,17 +254,17 @@
     ) -> RequestOutcome | None:
         """Return the outcome of a submission whose id is known, else None.
 
-        With tenants, an unknown id is looked up in the store first: the record
-        would replace one that another tenant has stored at another daemon since
-        the last read, up to 1.8 s ago.
+        An unknown id is looked up in the store first, since the last read may
+        be 1.8 s ago: the submission has to cover a cancellation that has been
+        answered since, and must not replace a job of another tenant.
         """
         if self._find_job(queue, job.job_id, job.tenant) is not None:
             return RequestOutcome(Verdict.RAN)
         feed = self._homes.find_feed(job.pool)
-        if not self._settings.has_tenants or feed is None:
+        if feed is None:
             return None
         # A read of a store that does not answer would hold the client.
-        refused = self._refuse_without_contact()
+        refused = self._appender.refuse_without_contact()
         if refused is not None:
             return refused
         if not (any(self._list_jobs(job.job_id)) or await feed.refresh()):
@@ -277,7 +273,7 @@
             )
         if self._find_job(queue, job.job_id, job.tenant) is not None:
             return RequestOutcome(Verdict.RAN)
-        if any(self._list_jobs(job.job_id)):
+        if self._settings.has_tenants and any(self._list_jobs(job.job_id)):
             return RequestOutcome(
                 Verdict.NOT_RUN,
                 reason="another tenant's job has this id",
@@ -285,6 +281,13 @@
             )
         return None
 
+    def _find_covered(self, partition: int, job: Job) -> int:
+        """Return which early cancellation a submission covers, -1 if none."""
+        feed = self._feeds.get(partition)
+        if feed is None:
+            return -1
+        return feed.job_index.find_covered(job.job_id, job.tenant, job.queue)
+
     def _note_submission(self, job: Job, outcome: RequestOutcome) -> None:
         FLEET_METER.count(JOB_REQUESTS, 'submit', outcome.verdict.value)
         self._submission_log.note(
@@ -298,16 +301,6 @@
             ),
         )
 
-    def _refuse_without_contact(self) -> RequestOutcome | None:
-        """Return a refusal if the store may be unavailable, else None."""
-        contact_age = self._view.compute_contact_age(
-            self._clock.read_boottime()
-        )
-        if contact_age <= self._settings.store_suspect_seconds:
-            return None
-        reason = f'no contact with the store for {contact_age:.1f} s'
-        return RequestOutcome(Verdict.NOT_RUN, RETRY_AFTER_SECONDS, reason)
-
     async def _refuse_hopeless(
         self, job: Job, queue: Queue
     ) -> RequestOutcome | None:
@@ -330,45 +323,3 @@
         return RequestOutcome(
             Verdict.NOT_RUN, rejection.retry_after, 'it would end too late'
         )
-
-    async def _append(
-        self, partition: int, record: KeyedRecord
-    ) -> RequestOutcome:
-        refused = self._refuse_without_contact()
-        if refused is not None:
-            return refused
-        verdict = Verdict.NOT_RUN
-        reason = ''
-        deadline = (
-            self._clock.read_monotonic() + self._settings.submit_timeout_seconds
-        )
-        for attempt in itertools.count(1):
-            result = await self._get_group_commit(partition).append(record)
-            if isinstance(result, Stored):
-                self._apply_stored(partition, record, result.first)
-                return RequestOutcome(Verdict.RAN)
-            reason = result.reason
-            if not isinstance(result, NotDone):
-                verdict = Verdict.MAY_HAVE_RUN
-            is_expired = self._clock.read_monotonic() >= deadline
-            is_rejected = (
-                verdict is Verdict.NOT_RUN and attempt >= MAX_REJECTIONS
-            )
-            if is_expired or is_rejected:
-                break
-            await trio.sleep(self._settings.store_retry_seconds)
-        return RequestOutcome(verdict, RETRY_AFTER_SECONDS, reason)
-
-    def _get_group_commit(self, partition: int) -> GroupCommit:
-        commit = self._commits.get(partition)
-        if commit is None:
-            commit = GroupCommit(self._store, partition)
-            self._commits[partition] = commit
-        return commit
-
-    def _apply_stored(
-        self, partition: int, record: KeyedRecord, first: int
-    ) -> None:
-        feed = self._feeds.get(partition)
-        if feed is not None:
-            feed.apply_stored((record,), first)
--- a/libs/controller/tarragonlb/controller/poolowner.py
+++ b/libs/controller/tarragonlb/controller/poolowner.py
@@ -248,7 +248,7 @@
             self._enqueue_order(pace)
         self._start_reports(now)
         self._decision_log.log_bounds(decision.bound_changes)
-        if decision.has_records:
+        if decision.has_records or self._storage.must_clean_up(now):
             self._storing_since = now
             self._nursery.start_soon(self._store_decision, decision, now)
         else:
--- a/libs/scheduling/tarragonlb/scheduling/jobindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobindex.py
@@ -9,39 +9,48 @@
 from collections.abc import Iterable, Iterator
 
 from tarragonlb.scheduling.jobrecords import JobRecords
-from tarragonlb.scheduling.records import KINDS, KeyedRecord, RecordError
+from tarragonlb.scheduling.records import (
+    KINDS,
+    SEPARATOR,
+    KeyedRecord,
+    RecordError,
+    build_removal_records,
+)
 
 
 class JobIndex:
     """All jobs of one partition.
 
     ``errors`` describes records that could not be applied, for the caller to
-    log.
+    log.  ``early_cancellations`` is how many there are of all jobs.
     """
 
-    __slots__ = ('_jobs', 'errors')
+    __slots__ = ('_jobs', 'early_cancellations', 'errors')
 
     def __init__(self) -> None:
         """Start without jobs."""
         self._jobs: dict[str, JobRecords] = {}
+        self.early_cancellations = 0
         self.errors: list[RecordError] = []
 
     def apply(self, records: Iterable[KeyedRecord]) -> list[str]:
         """Apply records and return the ids of their jobs."""
         changed = []
         for record in records:
-            job_id, kind = record.key[:-1], record.key[-1:]
-            if kind not in KINDS or not job_id:
+            job_id, tail = _split_key(record.key)
+            if tail[-1:] not in KINDS or not job_id:
                 self.errors.append(RecordError(f'unknown key {record.key!r}'))
                 continue
             job = self._jobs.get(job_id)
             if job is None:
                 job = JobRecords(job_id)
                 self._jobs[job_id] = job
+            self.early_cancellations -= job.submissions.early_cancellations
             try:
-                job.apply(kind, record.offset, record.value)
+                job.apply(tail, record.offset, record.value)
             except RecordError as error:
                 self.errors.append(RecordError(f'job {job_id}: {error}'))
+            self.early_cancellations += job.submissions.early_cancellations
             if job.is_empty:
                 self._jobs.pop(job_id)
             changed.append(job_id)
@@ -57,7 +66,9 @@
         found = tuple(records)
         listed = frozenset(record.key for record in found)
         for job_id, job in tuple(self._jobs.items()):
+            self.early_cancellations -= job.submissions.early_cancellations
             job.drop_unlisted(listed, end)
+            self.early_cancellations += job.submissions.early_cancellations
             if job.is_empty:
                 self._jobs.pop(job_id)
         return self.apply(found)
@@ -69,6 +80,35 @@
             return None
         return job
 
+    def find_covered(self, job_id: str, tenant: str, queue: str) -> int:
+        """Return which early cancellation a new submission covers, -1 if none.
+
+        The submission is that of a tenant for a queue.
+        """
+        job = self._jobs.get(job_id)
+        return (
+            -1 if job is None else job.submissions.find_covered(tenant, queue)
+        )
+
+    def list_early_cancelled(self) -> Iterator[JobRecords]:
+        """Yield the records of ids with early cancellations."""
+        for job in tuple(self._jobs.values()):
+            if job.submissions.early_cancellations:
+                yield job
+
+    def build_removals(self, job_id: str) -> list[KeyedRecord]:
+        """Return the records that remove a job."""
+        removals = build_removal_records(job_id)
+        job = self._jobs.get(job_id)
+        if job is not None:
+            known = {removal.key for removal in removals}
+            removals.extend(
+                KeyedRecord(key, b'')
+                for key in job.submissions.list_keys(job_id)
+                if key not in known
+            )
+        return removals
+
     def find_forwarded(self, job_id: str) -> JobRecords | None:
         """Return the records of a job that was forwarded, or None."""
         job = self._jobs.get(job_id)
@@ -102,3 +142,13 @@
         except RecordError as error:
             self.errors.append(RecordError(f'job {job.job_id}: {error}'))
             return ''
+
+
+def _split_key(key: str) -> tuple[str, str]:
+    """Return the id of a job, and what follows it in the key of a record.
+
+    >>> _split_key('9fj'), _split_key('9f-12j')
+    (('9f', 'j'), ('9f', '-12j'))
+    """
+    job_id, separator, rest = key[:-1].partition(SEPARATOR)
+    return job_id, f'{separator}{rest}{key[-1:]}'
--- a/libs/scheduling/tarragonlb/scheduling/jobrecords.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobrecords.py
@@ -18,11 +18,12 @@
     FORWARDING,
     PROGRESS,
     SUBMISSION,
+    SUBMISSION_KINDS,
     RecordError,
     SubmissionHead,
     decode_spec,
-    decode_submission_head,
 )
+from tarragonlb.scheduling.submissions import Submissions
 
 # Of a job whose progress can't be decoded, all that is known is that an owner
 # has stored some.
@@ -36,20 +37,28 @@
     was not needed yet.
     """
 
-    __slots__ = ('_progress', '_values', 'error', 'job_id')
+    __slots__ = ('_progress', '_values', 'error', 'job_id', 'submissions')
 
     def __init__(self, job_id: str) -> None:
         """Start without records."""
         self.job_id = job_id
+        self.submissions = Submissions()
         self._values: dict[str, tuple[int, bytes]] = {}
         self._progress: Progress | None = None
         self.error: RecordError | None = None
 
-    def apply(self, kind: str, offset: int, value: bytes) -> None:
-        """Apply a record unless a newer one of its kind is known.
+    def apply(self, tail: str, offset: int, value: bytes) -> None:
+        """Apply a record unless a newer one of its key is known.
 
-        Raise ``RecordError`` for a mark of forwarding that can't be decoded.
+        ``tail`` is what follows the job's id in the key.  Raise ``RecordError``
+        for one that can't be applied.
         """
+        kind = tail[-1:]
+        if kind in SUBMISSION_KINDS:
+            self.submissions.apply(tail, offset, value)
+            return
+        if kind != tail:
+            raise RecordError(f'unknown key: {tail!r}')
         if kind == FORWARDING and value:
             decode_forwarding(value)
         known = self._values.get(kind)
@@ -67,14 +76,16 @@
             for kind, (offset, value) in self._values.items()
             if offset >= end or self.job_id + kind in listed
         }
+        self.submissions.keep_listed(self.job_id, listed, end)
 
     @property
     def is_submitted(self) -> bool:
         """Return whether the job was accepted and has not been removed.
 
-        One that was forwarded to another partition is no job of this one.
+        One that was forwarded to another partition is no job of this one, and
+        one that was cancelled before it was stored is none at all.
         """
-        if not self.get_value(SUBMISSION):
+        if not self.submissions.value or self.submissions.is_void():
             return False
         return FORWARDING not in self._values or not self.is_forwarded
 
@@ -84,12 +95,14 @@
         value = self.get_value(FORWARDING)
         if not value:
             return False
-        return decode_forwarding(value) == self.get_offset(SUBMISSION)
+        return decode_forwarding(value) == self.submissions.offset
 
     @property
     def is_cancelled(self) -> bool:
         """Return whether a client cancelled the job."""
-        return bool(self.get_value(CANCELLATION))
+        if self.get_value(CANCELLATION):
+            return True
+        return self.submissions.is_cancelled()
 
     @property
     def is_over(self) -> bool:
@@ -102,19 +115,27 @@
     @property
     def is_empty(self) -> bool:
         """Return whether all records have been removed."""
-        return not any(value for _, value in self._values.values())
+        is_any = any(value for _, value in self._values.values())
+        return self.submissions.is_empty and not is_any
 
     def get_value(self, kind: str) -> bytes:
-        """Return the newest value of a kind, or an empty one."""
+        """Return the newest value of a kind, or an empty one.
+
+        Of submissions, that of the one which counts.
+        """
+        if kind == SUBMISSION:
+            return self.submissions.value
         return self._values.get(kind, (-1, b''))[1]
 
     def get_offset(self, kind: str) -> int:
         """Return the offset of the newest record of a kind, -1 without one."""
+        if kind == SUBMISSION:
+            return self.submissions.offset
         return self._values.get(kind, (-1, b''))[0]
 
     def decode_head(self) -> SubmissionHead:
         """Return the submission; raise ``RecordError`` if it is invalid."""
-        return decode_submission_head(self.get_value(SUBMISSION))
+        return self.submissions.decode_head()
 
     def find_progress(self) -> Progress | None:
         """Return the newest progress, or None if no owner has recorded any.
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -1,9 +1,11 @@
 """Records about jobs in the store, and their CBOR encoding.
 
-A job has up to four records, distinguished by the last letter of their key:
-the submission, a cancellation, the progress that the partition's owner writes,
-and a mark that the submission was forwarded to another partition, see
+A job has up to four kinds of records, distinguished by the last letter of their
+key: the submission, a cancellation, the progress that the partition's owner
+writes, and a mark that the submission was forwarded to another partition, see
 ``tarragonlb.scheduling.queuemoves``.  The newest record of each kind counts.  A
+job that is cancelled before it is known has more keys, see
+``tarragonlb.scheduling.earlycancellation``.  A
 progress record replaces the previous one, so recovery needs only the newest
 records.
 """
@@ -26,7 +28,13 @@
 CANCELLATION = 'c'
 PROGRESS = 'p'
 FORWARDING = 'f'
-KINDS = frozenset((SUBMISSION, CANCELLATION, PROGRESS, FORWARDING))
+EARLY_CANCELLATION = 'x'
+KINDS = frozenset(
+    (SUBMISSION, CANCELLATION, PROGRESS, FORWARDING, EARLY_CANCELLATION)
+)
+SUBMISSION_KINDS = frozenset((SUBMISSION, EARLY_CANCELLATION))
+# Between the id of a job and the rest of a key, of the kinds with several keys.
+SEPARATOR = '-'
 # Those of a job that was not forwarded.
 COMMON_KINDS = (CANCELLATION, SUBMISSION, PROGRESS)
 SUBMISSION_FIELDS = ('queue', 'pool', 'spec', 'handed_in_ms', 'tenant')
@@ -51,14 +59,19 @@
     offset: int = -1
 
 
-def build_submission_record(job: Job) -> KeyedRecord:
-    """Return the record that accepts a job."""
+def build_submission_record(job: Job, covers: int = -1) -> KeyedRecord:
+    """Return the record that accepts a job.
+
+    ``covers`` is the offset of the last early cancellation of the job that the
+    writer had read, -1 if it had read none.
+    """
     spec = msgspec.to_builtins(job.spec)
     spec['steps'] = [_drop_defaults(step) for step in spec['steps']]
     content = [job.queue, job.pool, cbor2.dumps(spec), job.handed_in_ms]
     if job.tenant:
         content.append(job.tenant)
-    return KeyedRecord(job.job_id + SUBMISSION, cbor2.dumps(content))
+    tail = SUBMISSION if covers < 0 else f'{SEPARATOR}{covers}{SUBMISSION}'
+    return KeyedRecord(job.job_id + tail, cbor2.dumps(content))
 
 
 def build_cancellation_record(job_id: str) -> KeyedRecord:
