Store the time left of open starts again while it passes

Cause: the record was written once, when the order was given up.

Change: while a task has open starts, its record is stored again every 2 s, so a takeover adds the time in which there is no owner and 2 s more. It costs nothing where no start is open.

Result: "The time left of open starts is stored again as it passes" fails without the call of store_open_starts and passes with it.

--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -200,6 +200,18 @@
       | 1.2    | 5     |
       | 1.2    | 9     |
 
+  # Guards against a wait that each takeover begins anew: the time left was only
+  # stored when the order was given up.
+  Scenario: The time left of open starts is stored again as it passes
+    Given 1 daemons, and 3 workers that can restart under their ids, with tasks of 20 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 1.2 seconds pass
+    And worker "w1" crashes
+    And 7 seconds pass
+    Then the open starts that are stored have less than 9 s left
+
   # Guards against a task that waits for ever for a worker that is gone.
   Scenario: The tasks of a worker that never comes back are done elsewhere
     Given 2 daemons, and 3 workers that can restart under their ids, with tasks of 0.5 s
--- a/libs/controller/features/steps/restartworker_steps.py
+++ b/libs/controller/features/steps/restartworker_steps.py
@@ -13,7 +13,8 @@
 from simulation import Simulation
 
 from tarragonlb.controller.ports import Topic
-from tarragonlb.scheduling.records import KeyedRecord
+from tarragonlb.scheduling.progress import decode_progress
+from tarragonlb.scheduling.records import PROGRESS, KeyedRecord
 
 # With each fault, of a kill of an owner beside it.
 KILL_PROBABILITY = 0.04
@@ -182,6 +183,23 @@
     context.simulation.run()
 
 
+@then('the open starts that are stored have less than {seconds:g} s left')
+def check_stored_starts(context, seconds):
+    async def action(sim):
+        log = sim.store.logs[Topic.JOBS, sim.find_partition('pool')]
+        newest = [r.value for r in log if r.key.endswith(PROGRESS)][-1]
+        stored = [
+            start.remaining_ms
+            for row in decode_progress(newest).tasks
+            for start in row.open_starts
+        ]
+        assert stored
+        assert max(stored) < 1000 * seconds, stored
+
+    add_action(context, action)
+    context.simulation.run()
+
+
 class RandomFaults:
     """Faults of workers and owners that overlap, drawn from a seed."""
 
--- a/libs/scheduling/tarragonlb/scheduling/evidence.py
+++ b/libs/scheduling/tarragonlb/scheduling/evidence.py
@@ -9,6 +9,7 @@
 
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.losslog import LossLog, SeenLoss
+from tarragonlb.scheduling.task import TaskState
 from tarragonlb.scheduling.verdictnotes import VerdictNotes
 
 
@@ -38,10 +39,12 @@
     ``paused`` maps the tasks that wait after crashes to since when.  ``notes``
     are still to be logged.  ``complete_reports`` maps the ids of workers to
     when the last report was requested that lists all attempts there, and
-    ``replaced_workers`` are those whose addresses others have.
+    ``replaced_workers`` are those whose addresses others have.  ``bound_tasks``
+    maps tasks with open starts to when these are stored again.
     """
 
     __slots__ = (
+        'bound_tasks',
         'complete_reports',
         'losses',
         'notes',
@@ -58,9 +61,17 @@
         self.under_review: Counter[TaskKey] = Counter()
         self.paused: dict[TaskKey, float] = {}
         self.notes = VerdictNotes()
+        self.bound_tasks: dict[TaskKey, float] = {}
         self.complete_reports: dict[str, float] = {}
         self.replaced_workers: Container[str] = ()
 
+    def note_restored(self, key: TaskKey, task: TaskState, now: float) -> None:
+        """Note what the record of a task says of crashes and open starts."""
+        if task.crashes.needs_isolation:
+            self.paused[key] = now
+        if not task.open_starts.is_empty:
+            self.bound_tasks[key] = now
+
     def note_complete_report(self, worker_id: str, requested_at: float) -> None:
         """Note when a report was requested that lists all attempts."""
         self.complete_reports[worker_id] = requested_at
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -162,8 +162,7 @@
                     self.taken_over_at + self.settings.compute_longest_lease()
                 )
                 self.usage.add_until('', key, state.job, until)
-            if task.crashes.needs_isolation:
-                self.evidence.paused[key] = self.taken_over_at
+            self.evidence.note_restored(key, task, self.taken_over_at)
             if task.is_attached:
                 worker = self.find_worker(task.worker_id, state.job.pool)
                 self.attach(worker, key, task)
@@ -357,3 +356,4 @@
     until = settled_at + partition.settings.late_call_seconds
     start = OpenStart(task.attempt, task.worker_id, until)
     task.replace_open_starts(task.open_starts.add(start, now))
+    partition.evidence.bound_tasks[key] = now
--- a/libs/scheduling/tarragonlb/scheduling/scheduler.py
+++ b/libs/scheduling/tarragonlb/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 from tarragonlb.scheduling.policies import SchedulingPolicies
 from tarragonlb.scheduling.reconciliation import Reconciler
 from tarragonlb.scheduling.settings import SchedulingSettings
+from tarragonlb.scheduling.startbinding import store_open_starts
 from tarragonlb.scheduling.startwindow import StartWindow
 from tarragonlb.scheduling.stopping import StopPlanner
 from tarragonlb.scheduling.task import StartStage, TaskPhase
@@ -100,6 +101,7 @@
         state = self.state
         self.reconciler.expire_leases(now.seconds)
         self._crash_reviewer.review(now.seconds)
+        store_open_starts(state, now.seconds)
         self._stop_planner.evict_permanent_tasks()
         self._stop_planner.stop_stalled(now.seconds)
         removed = self._forget_finished(now.seconds)
--- a/libs/scheduling/tarragonlb/scheduling/startbinding.py
+++ b/libs/scheduling/tarragonlb/scheduling/startbinding.py
@@ -9,6 +9,23 @@
     TaskState,
 )
 
+# The time left of open starts is stored again after this, as the next owner
+# counts it from its reading.
+STORE_INTERVAL_SECONDS = 2.0
+
+
+def store_open_starts(partition: PartitionState, now: float) -> None:
+    """Have the time left of open starts stored again, and forget old ones."""
+    bound = partition.evidence.bound_tasks
+    for key, due_at in tuple(bound.items()):
+        task = _find_bound_task(partition, key)
+        if task is None:
+            bound.pop(key)
+        elif now >= due_at:
+            forget_closed_starts(partition, key, task, now)
+            partition.changed_jobs.add(key.job_id)
+            bound[key] = now + STORE_INTERVAL_SECONDS
+
 
 def forget_closed_starts(
     partition: PartitionState, key: TaskKey, task: TaskState, now: float
@@ -66,3 +83,14 @@
         if is_allowed and worker is not None and not worker.can_fit(step):
             return start.worker_id
     return ''
+
+
+def _find_bound_task(
+    partition: PartitionState, key: TaskKey
+) -> TaskState | None:
+    """Return a task if it is to be done and has open starts."""
+    state = partition.open_jobs.get(key.job_id)
+    task = None if state is None else state.find(key)
+    if task is None or task.phase is TaskPhase.DONE:
+        return None
+    return None if task.open_starts.is_empty else task
