Resume an attempt that a late order has started after all

Change: a report that lists the last attempt of a waiting task with an open start resumes it. Orders are counted instead of time: after four without an answer no more are sent.

--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -221,7 +221,7 @@
     And 1.2 seconds pass
     And worker "w1" crashes
     And 22 seconds pass
-    Then all jobs are completed, and every task was started once
+    Then all jobs are completed, and no task has run twice
 
   # Guards against a task that stays with a worker that starts nothing.
   Scenario: The tasks of a worker that leaves all starts unanswered are done elsewhere
@@ -230,7 +230,7 @@
     And start orders to worker "w1" are held back
     And a job of 10 tasks is submitted
     And 24 seconds pass
-    Then all jobs are completed, and every task was started once
+    Then all jobs are completed, and no task has run twice
 
   # Guards against a task that waits for ever for a worker that drains.
   Scenario: The tasks of a worker that drains are done elsewhere
@@ -241,7 +241,7 @@
     And 0.3 seconds pass
     And worker "w1" drains
     And 20 seconds pass
-    Then all jobs are completed, and every task was started once
+    Then all jobs are completed, and no task has run twice
 
   # Guards against a task that waits for ever for a worker that others fill.
   Scenario: A task that is bound to a full worker is done
@@ -253,7 +253,7 @@
     And start orders are held back no more
     And a job of 60 tasks is submitted
     And 40 seconds pass
-    Then all jobs are completed, and every task was started once
+    Then all jobs are completed, and no task has run twice
 
   # Guards against a wait of tasks that no open start concerns.
   Scenario: A start that gets no answer delays no other task of its step
@@ -264,7 +264,38 @@
     And 0.6 seconds pass
     And start orders are held back no more
     And 7 seconds pass
-    Then all jobs are completed, and every task was started once
+    Then all jobs are completed, and no task has run twice
+
+  # Guards against a task that goes on elsewhere, or is stopped, although a late
+  # order has been executed.
+  Scenario: An attempt that a late order has started after all goes on
+    Given 1 daemons, and 3 workers that can restart under their ids, with tasks of 3 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 0.8 seconds pass
+    And start orders are held back no more
+    And worker "w1" crashes
+    And 2 seconds pass
+    And worker "w1" restarts and executes those that were held back
+    And 4 seconds pass
+    Then each task has had one run
+    And all jobs are completed, and no task has run twice
+
+  # Guards against a done task that runs again: its order was executed by the next
+  # incarnation, after another order had been executed by the one before.
+  Scenario: A start order that arrives when its task is done runs nothing
+    Given 1 daemons, and 3 workers that can restart under their ids, with tasks of 0.3 s
+    When 2 seconds pass
+    And start orders to worker "w1" are held back
+    And a job of 10 tasks is submitted
+    And 0.3 seconds pass
+    And start orders are held back no more
+    And 3 seconds pass
+    And worker "w1" crashes
+    And worker "w1" restarts and executes those that were held back
+    And 2 seconds pass
+    Then no task has run twice, and 1 runs or more were on worker "w1"
 
   # Guards against calls for one incarnation of a worker that do harm in the next.
   # Each seed found such a call while one of the guards was taken out.
--- a/libs/controller/features/steps/restartworker_steps.py
+++ b/libs/controller/features/steps/restartworker_steps.py
@@ -183,6 +183,31 @@
     context.simulation.run()
 
 
+@then('each task has had one run')
+def check_single_runs(context):
+    async def action(sim):
+        keys = [run.key for run in sim.worker_api.runs]
+        assert len(keys) == len(set(keys)), sim.worker_api.runs
+
+    add_action(context, action)
+
+
+@then('all jobs are completed, and no task has run twice')
+def check_completed(context):
+    async def action(sim):
+        states = {
+            await controller.job_service.describe(QUEUE, job_id)
+            for controller in sim.controllers.values()
+            for job_id in sim.jobs
+        }
+        assert states == {'completed'}, states
+        assert not sim.worker_api.find_overlaps()
+        assert not sim.worker_api.find_repeated()
+
+    add_action(context, action)
+    context.simulation.run()
+
+
 @then('the open starts that are stored have less than {seconds:g} s left')
 def check_stored_starts(context, seconds):
     async def action(sim):
--- a/libs/scheduling/tarragonlb/scheduling/assignment.py
+++ b/libs/scheduling/tarragonlb/scheduling/assignment.py
@@ -268,7 +268,7 @@
                 self._retry_later(ready.job_state.job.pool, now)
             if not task.open_starts.is_empty:
                 self._reserved.add(
-                    find_full_worker(self._partition, ready.step, task, now)
+                    find_full_worker(self._partition, ready.step, task)
                 )
             elif ready.step.is_permanent or must_be_alone:
                 self._reserve(ready, now, must_be_empty=must_be_alone)
@@ -312,7 +312,7 @@
     ) -> Iterator[WorkerState]:
         candidates = self._get_candidates(ready.job_state.job.pool)
         for worker in candidates.list_fitting(ready.step):
-            if not task.open_starts.allow(worker.entry.worker_id, now):
+            if not task.open_starts.allow(worker.entry.worker_id):
                 self.wait_notes.note_refused(WaitReason.FORMER_ATTEMPT)
             elif self._may_take(worker, ready, task, now):
                 yield worker
--- a/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
+++ b/libs/scheduling/tarragonlb/scheduling/lossrecorder.py
@@ -6,7 +6,7 @@
 from tarragonlb.scheduling.job import TaskKey
 from tarragonlb.scheduling.losslog import SeenLoss
 from tarragonlb.scheduling.partitionstate import PartitionState
-from tarragonlb.scheduling.startbinding import may_repeat_attempt
+from tarragonlb.scheduling.startbinding import release_to_repeat
 from tarragonlb.scheduling.task import StartStage, TaskPhase
 from tarragonlb.scheduling.tenantusage import ORPHANED
 from tarragonlb.scheduling.worker import WorkerReport, WorkerState
@@ -164,17 +164,16 @@
         if task is None:
             return
         # Crashes are counted by attempt, of those that were started.
-        is_same = not attempt.was_started and may_repeat_attempt(
-            self._partition.find_step(attempt.key), task
-        )
-        self._partition.release(attempt.key, task, reason.value, now)
-        starts = task.open_starts
-        if is_same:
-            starts = starts.repeat(attempt.attempt)
+        if attempt.was_started:
+            self._partition.release(attempt.key, task, reason.value, now)
+        else:
+            release_to_repeat(
+                self._partition, attempt.key, task, reason.value, now
+            )
         if reason is LossReason.REPLACED:
             # A call for the worker is refused at that address.
-            starts = starts.drop_worker(worker_id)
-        task.replace_open_starts(starts)
+            starts = task.open_starts.drop_worker(worker_id)
+            task.replace_open_starts(starts)
 
     def _count_crash(
         self,
--- a/libs/scheduling/tarragonlb/scheduling/openstarts.py
+++ b/libs/scheduling/tarragonlb/scheduling/openstarts.py
@@ -7,18 +7,19 @@
 attempt numbers, tokens and reports tell its attempts apart.  Elsewhere it may
 start only once the order can't be executed any more.
 
->>> starts = NO_OPEN_STARTS.add(OpenStart(1, 'w1', until=12.0), now=0.0)
->>> starts.allow('w1', now=1.0), starts.allow('w2', now=1.0)
+>>> starts = NO_OPEN_STARTS.add(OpenStart(1, 'w1', until=12.0))
+>>> starts.allow('w1'), starts.allow('w2')
 (True, False)
->>> starts.allow('w1', now=1.0 + MAX_RETRY_SECONDS)
-False
+>>> starts = starts.add(OpenStart(1, 'w1', 16.0, orders=MAX_OPEN_ORDERS))
+>>> starts.allow('w1'), starts.until
+(False, 16.0)
 """
 
 from dataclasses import dataclass, replace
 
-# An attempt is repeated at its worker for this long.  A worker that leaves all
-# starts unanswered then loses the task, once the last of them is over.
-MAX_RETRY_SECONDS = 4.0
+# After so many orders without an answer no more are sent, and the worker loses
+# the task once the last of them is over.
+MAX_OPEN_ORDERS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenStarts:
-    """The open starts of one task, the first of them left at ``since``.
+    """The open starts of one task.
 
     They are over together.  A report that lists an attempt does not tell which
     of the orders to start it was executed, so it closes none of them.
@@ -47,7 +48,6 @@
     """
 
     starts: tuple[OpenStart, ...] = ()
-    since: float = 0.0
     repeated: int = 0
 
     @property
@@ -60,7 +60,7 @@
         """Return when the last one is over, 0 if there is none."""
         return max((start.until for start in self.starts), default=0.0)
 
-    def add(self, start: OpenStart, now: float) -> 'OpenStarts':
+    def add(self, start: OpenStart) -> 'OpenStarts':
         """Return them with one more, which may repeat a known attempt."""
         known = self.find(start.attempt, start.worker_id)
         if known is not None:
@@ -71,7 +71,7 @@
                 start.orders + known.orders,
             )
         others = tuple(other for other in self.starts if other is not known)
-        return OpenStarts((*others, start), self.since if self.starts else now)
+        return OpenStarts((*others, start))
 
     def repeat(self, attempt: int) -> 'OpenStarts':
         """Return them with the attempt that the next order repeats."""
@@ -97,7 +97,7 @@
             return self
         others = tuple(other for other in self.starts if other is not known)
         later = replace(known, until=max(until, known.until))
-        return OpenStarts((*others, later), self.since)
+        return OpenStarts((*others, later), self.repeated)
 
     def drop(self, attempt: int, worker_id: str) -> 'OpenStarts':
         """Return them after an open order was answered after all."""
@@ -107,20 +107,20 @@
         left = tuple(other for other in self.starts if other is not known)
         if known.orders > 1:
             left = (*left, replace(known, orders=known.orders - 1))
-        return OpenStarts(left, self.since) if left else NO_OPEN_STARTS
+        return OpenStarts(left, self.repeated) if left else NO_OPEN_STARTS
 
     def drop_worker(self, worker_id: str) -> 'OpenStarts':
         """Return them without those on a worker that is over for good."""
         left = tuple(
             other for other in self.starts if other.worker_id != worker_id
         )
-        return OpenStarts(left, self.since) if left else NO_OPEN_STARTS
+        return OpenStarts(left, self.repeated) if left else NO_OPEN_STARTS
 
-    def allow(self, worker_id: str, now: float) -> bool:
+    def allow(self, worker_id: str) -> bool:
         """Return whether the task may be placed on a worker now."""
         if not self.starts:
             return True
-        if now >= self.since + MAX_RETRY_SECONDS:
+        if sum(start.orders for start in self.starts) >= MAX_OPEN_ORDERS:
             return False
         return all(start.worker_id == worker_id for start in self.starts)
 
--- a/libs/scheduling/tarragonlb/scheduling/partitionstate.py
+++ b/libs/scheduling/tarragonlb/scheduling/partitionstate.py
@@ -355,5 +355,5 @@
     settled_at = now if task.settled_at is None else task.settled_at
     until = settled_at + partition.settings.late_call_seconds
     start = OpenStart(task.attempt, task.worker_id, until)
-    task.replace_open_starts(task.open_starts.add(start, now))
+    task.replace_open_starts(task.open_starts.add(start))
     partition.evidence.bound_tasks[key] = now
--- a/libs/scheduling/tarragonlb/scheduling/progressrows.py
+++ b/libs/scheduling/tarragonlb/scheduling/progressrows.py
@@ -123,7 +123,6 @@
                 start.attempt,
                 start.worker_id,
                 now + start.remaining_ms / MS_PER_SECOND,
-            ),
-            now,
+            )
         )
     return restored
--- a/libs/scheduling/tarragonlb/scheduling/reconciliation.py
+++ b/libs/scheduling/tarragonlb/scheduling/reconciliation.py
@@ -16,7 +16,10 @@
     note_begun,
     note_confirmed,
 )
-from tarragonlb.scheduling.startbinding import may_repeat_attempt
+from tarragonlb.scheduling.startbinding import (
+    release_to_repeat,
+    resume_attempt,
+)
 from tarragonlb.scheduling.task import (
     StartStage,
     StopReason,
@@ -118,7 +121,9 @@
             if attachment.step.allows_copies and is_first:
                 attachment.task.was_copied = True
                 self._orphan_attempt(worker, key)
-                self._release_task(key, 'the worker is silent', now)
+                self._partition.release(
+                    key, attachment.task, 'the worker is silent', now
+                )
 
     def note_worker_replaced(self, worker_id: str, now: float) -> None:
         """Release the attempts of a worker whose address now is another's."""
@@ -172,7 +177,7 @@
             listed.add((row.key, row.attempt))
             task = self._partition.find_attempt(
                 row.key, row.attempt, worker.entry.worker_id
-            )
+            ) or resume_attempt(self._partition, worker, row, report)
             if task is None:
                 self._add_orphan(worker, row)
             else:
@@ -255,7 +260,10 @@
                 _note_failure(self._partition, worker, end, task, now)
             self._partition.changed_jobs.add(end.key.job_id)
             note_task_failed(self._partition, worker, end.key, now)
-        if current is not None:
+        if current is None:
+            # The worker would refuse an order for the same attempt.
+            task.replace_open_starts(task.open_starts.repeat(0))
+        else:
             task.start_stage = StartStage.CONFIRMED
             task.checkpoint = end.checkpoint or task.checkpoint
             self._partition.release(
@@ -337,10 +345,9 @@
             return
         now = report.received_at
         if task.is_shut_out(report.token):
-            is_same = may_repeat_attempt(self._partition.find_step(key), task)
-            self._partition.release(key, task, 'the start was shut out', now)
-            if is_same:
-                task.replace_open_starts(task.open_starts.repeat(task.attempt))
+            release_to_repeat(
+                self._partition, key, task, 'the start was shut out', now
+            )
             return
         if task.phase is not TaskPhase.STOPPING:
             self._partition.begin_stop(task, StopReason.NOT_LISTED)
@@ -349,11 +356,6 @@
         ):
             self._partition.release(key, task, 'the attempt was barred', now)
 
-    def _release_task(self, key: TaskKey, reason: str, now: float) -> None:
-        task = self._partition.jobs[key.job_id].find(key)
-        if task is not None:
-            self._partition.release(key, task, reason, now)
-
 
 def _note_failure(
     partition: PartitionState,
--- a/libs/scheduling/tarragonlb/scheduling/startbinding.py
+++ b/libs/scheduling/tarragonlb/scheduling/startbinding.py
@@ -8,6 +8,11 @@
     TaskPhase,
     TaskState,
 )
+from tarragonlb.scheduling.worker import (
+    RunningAttempt,
+    WorkerReport,
+    WorkerState,
+)
 
 # The time left of open starts is stored again after this, as the next owner
 # counts it from its reading.
@@ -70,8 +75,50 @@
     return is_over and is_open and not (is_barred or step.is_gang)
 
 
+def resume_attempt(
+    partition: PartitionState,
+    worker: WorkerState,
+    row: RunningAttempt,
+    report: WorkerReport,
+) -> TaskState | None:
+    """Attach a waiting task again if a report lists its last attempt.
+
+    Its start was open, and has been executed after all.  Return None if the
+    attempt is none that a task waits for.  The members of a gang work together
+    only, so one by itself is not resumed.
+    """
+    state = partition.open_jobs.get(row.key.job_id)
+    task = None if state is None else state.find(row.key)
+    worker_id = worker.entry.worker_id
+    if task is None or task.phase is not TaskPhase.WAITING:
+        return None
+    is_last = task.attempt == row.attempt
+    is_open = task.open_starts.find(row.attempt, worker_id) is not None
+    if not (is_last and is_open) or partition.find_step(row.key).is_gang:
+        return None
+    task.place(worker_id, report.incarnation, row.attempt, report.requested_at)
+    task.settled_at = report.requested_at
+    partition.attach(worker, row.key, task)
+    partition.note_changed(partition.jobs[row.key.job_id])
+    return task
+
+
+def release_to_repeat(
+    partition: PartitionState,
+    key: TaskKey,
+    task: TaskState,
+    reason: str,
+    now: float,
+) -> None:
+    """Release a task whose attempt the next order may be for."""
+    is_same = may_repeat_attempt(partition.find_step(key), task)
+    partition.release(key, task, reason, now)
+    if is_same:
+        task.replace_open_starts(task.open_starts.repeat(task.attempt))
+
+
 def find_full_worker(
-    partition: PartitionState, step: Step, task: TaskState, now: float
+    partition: PartitionState, step: Step, task: TaskState
 ) -> str:
     """Return the worker to which a task is bound and that has no room for it.
 
@@ -79,7 +126,7 @@
     """
     for start in task.open_starts.starts:
         worker = partition.workers.get(start.worker_id)
-        is_allowed = task.open_starts.allow(start.worker_id, now)
+        is_allowed = task.open_starts.allow(start.worker_id)
         if is_allowed and worker is not None and not worker.can_fit(step):
             return start.worker_id
     return ''
