Number early cancellations by rounds, so that late copies change nothing

Cause: which of the two came first was told by offsets, and a late copy has a higher one.

Change: a cancellation has a round, one more than the last one that its daemon has read. All that are sent before one is answered are of its round or a lower one, and a submission after the answer covers that.

--- a/libs/controller/features/latecancels.feature
+++ b/libs/controller/features/latecancels.feature
@@ -70,6 +70,17 @@
     And the late append is carried out
     Then the job has not run
 
+  # Guards against a job that is lost, as a cancellation that its client had to
+  # repeat is stored once more behind the next submission.
+  Scenario: A late copy of a cancellation does not cancel the next submission
+    Given 2 daemons and a store that may be late
+    When a client submits a job whose append is late, and leaves
+    And a client cancels the job while appends are late, and leaves
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And the same job is submitted again at the other daemon
+    And the late append is carried out
+    Then the job has run once and each daemon says "completed"
+
   # Guards against a tenant that cancels the jobs of others in advance.
   Scenario: A cancellation binds the submissions of its tenant only
     Given 2 daemons with tenants and a store that may be late
--- a/libs/controller/features/steps/latecancel_steps.py
+++ b/libs/controller/features/steps/latecancel_steps.py
@@ -63,6 +63,19 @@
     add(context, action)
 
 
+@when('a client cancels the job while appends are late, and leaves')
+def cancel_late(context):
+    async def action(sim):
+        sim.store.is_late = True
+        held = len(sim.store.held)
+        with trio.move_on_after(LEAVES_SECONDS):
+            await get_service(sim, 'one daemon').cancel(QUEUE, sim.job.job_id)
+        sim.store.is_late = False
+        assert len(sim.store.held) > held, 'no append was late'
+
+    add(context, action)
+
+
 @when('a client cancels the job at {which}, which is answered with "{answer}"')
 @when(
     'a client of tenant "{tenant}" cancels the job at {which}, which is '
--- a/libs/controller/tarragonlb/controller/earlycanceller.py
+++ b/libs/controller/tarragonlb/controller/earlycanceller.py
@@ -3,7 +3,6 @@
 See ``tarragonlb.scheduling.earlycancellation``.
 """
 
-import secrets
 from collections import Counter
 from collections.abc import Mapping
 
@@ -24,7 +23,6 @@
 from tarragonlb.telemetry.log import Log
 
 LOG = Log('desk')
-TOKEN_BYTES = 8
 
 
 class EarlyCanceller:
@@ -55,10 +53,12 @@
         partitions = {
             place.feed.partition for place in self._homes.list_places(queue)
         }
-        record = build_early_cancellation_record(
-            job_id, secrets.token_hex(TOKEN_BYTES), tenant, queue.name
-        )
         for partition in sorted(partitions):
+            index = self._feeds[partition].job_index
+            last = index.find_covered(job_id, tenant, queue.name)
+            record = build_early_cancellation_record(
+                job_id, last + 1, tenant, queue.name
+            )
             outcome = await self._store(partition, record)
             if outcome.verdict is not Verdict.RAN:
                 return outcome
--- a/libs/controller/tarragonlb/controller/jobservice.py
+++ b/libs/controller/tarragonlb/controller/jobservice.py
@@ -282,7 +282,7 @@
         return None
 
     def _find_covered(self, partition: int, job: Job) -> int:
-        """Return which early cancellation a submission covers, -1 if none."""
+        """Return which early cancellations a submission covers, -1 if none."""
         feed = self._feeds.get(partition)
         if feed is None:
             return -1
--- a/libs/scheduling/tarragonlb/scheduling/earlycancellation.py
+++ b/libs/scheduling/tarragonlb/scheduling/earlycancellation.py
@@ -5,22 +5,26 @@
 the job.  Such a cancellation is stored as well, in each partition where the
 submission may arrive:
 
-    ID-TOKEN + x   the tenant and the queue of the request
+    ID-ROUND-OWNER + x   the tenant and the queue of the request
 
-It is one of the tenant's jobs of that id only, and each has a token of its own,
-so that none replaces another.
+It is one of the tenant's jobs of that id only; OWNER is a digest of both, so
+that none replaces that of another.  A round is one more than the last one that
+its daemon has read, 0 if it has read none.  All cancellations that clients send
+before one of them is answered have its round or a lower one.
 
 A daemon reads the partition before it stores a submission, which says with its
-key up to which such record the daemon had read:
+key up to which round the daemon had read:
 
-    ID + j             none of this job
-    ID-OFFSET + j      the one at the offset, and all before
+    ID + j         none
+    ID-ROUND + j   that one, and all before
 
-A submission that comes behind a cancellation which it does not cover was sent
-before that, or at the same time, and is void.  One that covers it is a new job.
-Since these have different keys, a late submission replaces no newer one.
+A submission that does not cover a round was sent before its cancellation was
+answered, and does not count.  One that covers all of them is a new job.  Late
+copies change nothing: a cancellation keeps its round, and submissions of
+different rounds have different keys.
 """
 
+import hashlib
 from dataclasses import dataclass
 
 import cbor2
@@ -28,7 +32,9 @@
 
 from tarragonlb.scheduling.records import (
     EARLY_CANCELLATION,
+    SEPARATOR,
     KeyedRecord,
+    RecordError,
     decode_content,
 )
 
@@ -37,6 +43,8 @@
 RETENTION_SECONDS = 60.0
 # Bounds what the daemons hold, as cancellations of unknown ids cost nothing.
 MAX_IN_PARTITION = 3000
+DIGEST_BYTES = 6
+MAX_ROUND_DIGITS = 9
 
 
 class EarlyCancellationContent(msgspec.Struct, array_like=True, frozen=True):
@@ -48,14 +56,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EarlyCancellation:
-    """A cancellation at an offset, by a tenant for a queue.
+    """A cancellation by a tenant for a queue, first seen at an offset.
 
-    >>> early = EarlyCancellation(7, 'acme', 'q')
+    >>> early = EarlyCancellation(7, 0, 'acme', 'q')
     >>> early.concerns('acme', 'r'), early.concerns('other', 'q')
     (True, False)
     """
 
     offset: int
+    number: int
     tenant: str
     queue: str
 
@@ -71,19 +80,31 @@
 
 
 def build_early_cancellation_record(
-    job_id: str, token: str, tenant: str, queue: str
+    job_id: str, number: int, tenant: str, queue: str
 ) -> KeyedRecord:
-    """Return the record that cancels a job which is not known."""
+    """Return the record of a round in which an unknown job is cancelled."""
     content = EarlyCancellationContent(tenant, queue)
-    return KeyedRecord(
-        f'{job_id}-{token}{EARLY_CANCELLATION}',
-        cbor2.dumps(msgspec.to_builtins(content)),
-    )
+    value = cbor2.dumps(msgspec.to_builtins(content))
+    owner = hashlib.blake2s(value, digest_size=DIGEST_BYTES).hexdigest()
+    return KeyedRecord(f'{job_id}-{number}-{owner}{EARLY_CANCELLATION}', value)
+
 
+def decode_early_cancellation(
+    tail: str, offset: int, value: bytes
+) -> EarlyCancellation:
+    """Decode a record, of whose key ``tail`` follows the job's id.
 
-def decode_early_cancellation(offset: int, value: bytes) -> EarlyCancellation:
-    """Decode a record; raise ``RecordError`` if that is impossible."""
+    Raise ``RecordError`` if that is impossible.
+    """
     content = decode_content(
         value, EarlyCancellationContent, 'early cancellation'
     )
-    return EarlyCancellation(offset, content.tenant, content.queue)
+    number = tail[1:].partition(SEPARATOR)[0]
+    if not is_round(number):
+        raise RecordError(f'unknown key of an early cancellation: {tail!r}')
+    return EarlyCancellation(offset, int(number), content.tenant, content.queue)
+
+
+def is_round(digits: str) -> bool:
+    """Return whether part of a key is the number of a round."""
+    return digits.isdecimal() and len(digits) <= MAX_ROUND_DIGITS
--- a/libs/scheduling/tarragonlb/scheduling/jobindex.py
+++ b/libs/scheduling/tarragonlb/scheduling/jobindex.py
@@ -81,7 +81,7 @@
         return job
 
     def find_covered(self, job_id: str, tenant: str, queue: str) -> int:
-        """Return which early cancellation a new submission covers, -1 if none.
+        """Return which round a new submission covers, -1 if there is none.
 
         The submission is that of a tenant for a queue.
         """
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -62,7 +62,7 @@
 def build_submission_record(job: Job, covers: int = -1) -> KeyedRecord:
     """Return the record that accepts a job.
 
-    ``covers`` is the offset of the last early cancellation of the job that the
+    ``covers`` is the last round of early cancellations of the job that the
     writer had read, -1 if it had read none.
     """
     spec = msgspec.to_builtins(job.spec)
--- a/libs/scheduling/tarragonlb/scheduling/submissions.py
+++ b/libs/scheduling/tarragonlb/scheduling/submissions.py
@@ -5,11 +5,11 @@
 
 >>> import cbor2
 >>> submissions = Submissions()
->>> submissions.apply('-a1x', 4, cbor2.dumps(['', 'q']))
+>>> submissions.apply('-0-a1x', 4, cbor2.dumps(['', 'q']))
 >>> submissions.apply('j', 5, cbor2.dumps(['q', 'pool', b'', 0]))
 >>> submissions.is_void()
 True
->>> submissions.apply('-4j', 6, cbor2.dumps(['q', 'pool', b'', 0]))
+>>> submissions.apply('-0j', 6, cbor2.dumps(['q', 'pool', b'', 0]))
 >>> submissions.is_void()
 False
 """
@@ -19,6 +19,7 @@
 from tarragonlb.scheduling.earlycancellation import (
     EarlyCancellation,
     decode_early_cancellation,
+    is_round,
 )
 from tarragonlb.scheduling.records import (
     EARLY_CANCELLATION,
@@ -28,8 +29,6 @@
     decode_submission_head,
 )
 
-MAX_OFFSET_DIGITS = 18
-
 
 class Submissions:
     """The newest record of each key, by what follows the job's id in it."""
@@ -48,15 +47,20 @@
 
         Raise ``RecordError`` if it can't be applied.
         """
+        is_submission = _is_submission(tail)
         if tail.endswith(EARLY_CANCELLATION):
             if value:
-                decode_early_cancellation(offset, value)
-        elif not _is_submission(tail):
+                decode_early_cancellation(tail, offset, value)
+        elif not is_submission:
             raise RecordError(f'unknown key of a submission: {tail!r}')
         known = self._values.get(tail)
-        if known is None or known[0] < offset:
-            self._values[tail] = (offset, value)
-            self._index()
+        if known is not None and known[0] >= offset:
+            return
+        if known is not None and known[1] == value and not is_submission:
+            # A late copy of a cancellation came no later than the first one.
+            return
+        self._values[tail] = (offset, value)
+        self._index()
 
     def keep_listed(
         self, job_id: str, listed: Container[str], end: int
@@ -102,13 +106,13 @@
         return decode_submission_head(self.value)
 
     def find_covered(self, tenant: str, queue: str) -> int:
-        """Return which cancellation a new submission covers, -1 if none.
+        """Return which round a new submission covers, -1 if there is none.
 
         The submission is that of a tenant for a queue.
         """
         return max(
             (
-                early.offset
+                early.number
                 for early in self._early
                 if early.concerns(tenant, queue)
             ),
@@ -148,17 +152,17 @@
             head = self.decode_head()
         except RecordError:
             return []
-        covered = _find_covered_offset(self._present)
+        covered = _find_covered(self._present)
         return [
             early.offset
             for early in self._early
-            if early.offset > covered
+            if early.number > covered
             and early.concerns(head.tenant, head.queue)
         ]
 
     def _index(self) -> None:
         self._early = tuple(
-            decode_early_cancellation(offset, value)
+            decode_early_cancellation(tail, offset, value)
             for tail, (offset, value) in self._values.items()
             if value and not _is_submission(tail)
         )
@@ -167,19 +171,14 @@
             for tail, (_, value) in self._values.items()
             if value and _is_submission(tail)
         )
-        self._present = max(
-            submissions, key=_find_covered_offset, default=SUBMISSION
-        )
+        self._present = max(submissions, key=_find_covered, default=SUBMISSION)
 
 
 def _is_submission(tail: str) -> bool:
     digits = tail[1:-1]
-    is_known = not digits or (
-        digits.isdecimal() and len(digits) <= MAX_OFFSET_DIGITS
-    )
-    return is_known and tail.endswith(SUBMISSION)
+    return tail.endswith(SUBMISSION) and (not digits or is_round(digits))
 
 
-def _find_covered_offset(tail: str) -> int:
-    """Return the offset in the key of a submission, -1 if it has none."""
+def _find_covered(tail: str) -> int:
+    """Return the round in the key of a submission, -1 if it has none."""
     return int(tail[1:-1] or -1)
