Let the scenario of a resumed attempt reach a task that waits

The worker is away for longer than the longest lease now. So it fails without resume_attempt (run with that returning None) and passes with it.

--- a/libs/controller/features/restarts.feature
+++ b/libs/controller/features/restarts.feature
@@ -276,7 +276,7 @@
     And 0.8 seconds pass
     And start orders are held back no more
     And worker "w1" crashes
-    And 2 seconds pass
+    And 8 seconds pass
     And worker "w1" restarts and executes those that were held back
     And 4 seconds pass
     Then each task has had one run
