Let early cancellations hold for jobs of queues that move

Callers would lose a job that they submit again after a 410, if its queue moves at that moment: the submission was forwarded under a key that covers nothing, and the new partition knows the cancellation. What was left of it in the former partition would not have been removed.

Change: a forwarded submission covers what it covered; the rounds of a cancellation are the same in all partitions that it is stored in; the removal of a forwarded job names all its submissions.

Tests: "A forwarded submission covers what it covered before" calls the changed functions.

--- a/libs/controller/features/latecancels.feature
+++ b/libs/controller/features/latecancels.feature
@@ -81,6 +81,42 @@
     And the late append is carried out
     Then the job has run once and each daemon says "completed"
 
+  # Guards against a late submission in the partition that its queue has left, and
+  # against one that is forwarded and counts as cancelled where it gets.
+  Scenario Outline: Submissions and cancellations meet though the queue moves, <case>
+    Given 3 daemons, the pools "pool b" and a store that may be late
+    And daemon 0 reads no configuration for <seconds> seconds
+    When a client submits a job whose append is late, and leaves
+    And the queue moves to "b" at once
+    And 2 seconds pass
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And the late append is carried out
+    Then the job has not run
+
+    Examples:
+      | case            | seconds |
+      | known to all    | 0.1     |
+      | known to others | 6       |
+
+  # Guards against a job that is lost, as the new partition knows its cancellation.
+  Scenario: A forwarded submission covers what it covered before
+    Given the records of a job that was cancelled early in two partitions
+    When a submission that covers this is forwarded from one to the other
+    Then the job is known there
+    And nothing is left where it was once it is removed
+
+  # Guards against a job that is lost while its queue moves.
+  Scenario: A job that is submitted again where the move is not known is run
+    Given 3 daemons, the pools "pool b" and a store that may be late
+    And daemon 0 reads no configuration for 9 seconds
+    When a client submits a job whose append is late, and leaves
+    And the queue moves to "b" at once
+    And 2 seconds pass
+    And a client cancels the job at the other daemon, which is answered with "gone"
+    And the same job is submitted again at one daemon
+    And 8 seconds pass
+    Then the job has run once and each daemon says "completed"
+
   # Guards against a tenant that cancels the jobs of others in advance.
   Scenario: A cancellation binds the submissions of its tenant only
     Given 2 daemons with tenants and a store that may be late
--- a/libs/controller/features/steps/latecancel_steps.py
+++ b/libs/controller/features/steps/latecancel_steps.py
@@ -6,11 +6,25 @@
 from behave import given, then, when
 from fakeplatform import QUEUE, FakeWorkerApi
 from latestore import LateStore
+from movesimulation import MoveSimulation
 from simulation import SETTINGS, Simulation
 
 from tarragonlb.controller.ports import Topic
-from tarragonlb.scheduling.earlycancellation import MAX_IN_PARTITION
-from tarragonlb.scheduling.records import EARLY_CANCELLATION
+from tarragonlb.scheduling.earlycancellation import (
+    MAX_IN_PARTITION,
+    build_early_cancellation_record,
+)
+from tarragonlb.scheduling.forwarding import (
+    build_forwarded_removal,
+    build_forwarded_submission,
+)
+from tarragonlb.scheduling.job import Demand, Job, JobSpec, Step
+from tarragonlb.scheduling.jobindex import JobIndex
+from tarragonlb.scheduling.records import (
+    EARLY_CANCELLATION,
+    KeyedRecord,
+    build_submission_record,
+)
 
 # Clients leave before a daemon has given up their submissions.
 LEAVES_SECONDS = 0.9
@@ -35,6 +49,35 @@
     build(context, daemons, has_tenants=True)
 
 
+class LateMoveSimulation(MoveSimulation):
+    """Daemons with a store that is late, and a queue that moves."""
+
+    create_store = LateStore
+
+
+@given('{daemons:d} daemons, the pools "{pools}" and a store that may be late')
+def build_with_pools(context, daemons, pools):
+    context.simulation = LateMoveSimulation(daemons, pools.split())
+
+
+def find_queue(sim, service):
+    """Return the queue as a daemon knows it."""
+    if not isinstance(sim, MoveSimulation):
+        return QUEUE
+    name = next(
+        name
+        for name, one in sim.controllers.items()
+        if one.job_service is service
+    )
+    return sim.find_queue(name)
+
+
+def build_job(sim, service, job):
+    """Return a job as a client submits it at a daemon."""
+    queue = find_queue(sim, service)
+    return replace(job, queue=queue.name, pool=queue.pool)
+
+
 def add(context, action):
     context.simulation.actions.append(action)
 
@@ -55,8 +98,9 @@
         sim.store.is_late = True
         if not again:
             sim.job = replace(sim.add_job(1), tenant=tenant)
+        service = get_service(sim, 'one daemon')
         with trio.move_on_after(LEAVES_SECONDS):
-            await get_service(sim, 'one daemon').submit(sim.job)
+            await service.submit(build_job(sim, service, sim.job))
         sim.store.is_late = False
         assert sim.store.held, 'no append was late'
 
@@ -84,7 +128,8 @@
 def cancel(context, which, answer, tenant=''):
     async def action(sim):
         service = get_service(sim, which)
-        outcome = await service.cancel(QUEUE, sim.job.job_id, tenant)
+        queue = find_queue(sim, service)
+        outcome = await service.cancel(queue, sim.job.job_id, tenant)
         found = 'gone' if outcome is None else outcome.verdict.value
         assert found == answer, outcome
 
@@ -116,8 +161,9 @@
 @when('tenant "{tenant}" submits the same job at {which}')
 def submit_again(context, which, tenant=''):
     async def action(sim):
-        job = replace(sim.job, tenant=tenant)
-        outcome = await get_service(sim, which).submit(job)
+        service = get_service(sim, which)
+        job = build_job(sim, service, replace(sim.job, tenant=tenant))
+        outcome = await service.submit(job)
         assert outcome.verdict.value == 'ran', outcome
 
     add(context, action)
@@ -193,7 +239,9 @@
 async def check_states(sim, expected):
     job = sim.job
     states = {
-        await one.job_service.describe(QUEUE, job.job_id, job.tenant)
+        await one.job_service.describe(
+            find_queue(sim, one.job_service), job.job_id, job.tenant
+        )
         for one in sim.controllers.values()
     }
     assert states == {expected}, states
@@ -233,3 +281,53 @@
 
     add(context, action)
     context.simulation.run()
+
+
+@given('the records of a job that was cancelled early in two partitions')
+def cancel_in_two(context):
+    context.job = Job(
+        job_id='f' * 16,
+        queue='q',
+        pool='pool',
+        spec=JobSpec(payload='x', steps=(Step(width=1, demand=Demand()),)),
+    )
+    record = build_early_cancellation_record(context.job.job_id, 0, '', 'q')
+    context.former, context.present = JobIndex(), JobIndex()
+    for index in (context.former, context.present):
+        index.apply([replace_offset(record, 0)])
+
+
+def replace_offset(record, offset):
+    return KeyedRecord(record.key, record.value, offset)
+
+
+@when('a submission that covers this is forwarded from one to the other')
+def forward(context):
+    job = context.job
+    covers = context.former.find_covered(job.job_id, '', 'q')
+    submission = build_submission_record(job, covers)
+    context.former.apply([replace_offset(submission, 1)])
+    records = context.former.find(job.job_id)
+    forwarded = build_forwarded_submission(
+        job.job_id,
+        records.submissions.value,
+        'q',
+        'b',
+        records.submissions.covers,
+    )
+    context.present.apply([replace_offset(forwarded, 1)])
+
+
+@then('the job is known there')
+def check_forwarded(context):
+    assert context.present.find(context.job.job_id) is not None
+
+
+@then('nothing is left where it was once it is removed')
+def check_forwarded_removal(context):
+    job_id = context.job.job_id
+    removals = context.former.build_removals(job_id)
+    removals = build_forwarded_removal(job_id, removals)
+    context.former.apply([replace_offset(one, 2) for one in removals])
+    assert context.former.find(job_id) is None
+    assert not list(context.former.list_jobs())
--- a/libs/controller/tarragonlb/controller/earlycanceller.py
+++ b/libs/controller/tarragonlb/controller/earlycanceller.py
@@ -53,12 +53,20 @@
         partitions = {
             place.feed.partition for place in self._homes.list_places(queue)
         }
+        # The same in all of them, since submissions may be forwarded.
+        last = max(
+            (
+                self._feeds[partition].job_index.find_covered(
+                    job_id, tenant, queue.name
+                )
+                for partition in partitions
+            ),
+            default=-1,
+        )
+        record = build_early_cancellation_record(
+            job_id, last + 1, tenant, queue.name
+        )
         for partition in sorted(partitions):
-            index = self._feeds[partition].job_index
-            last = index.find_covered(job_id, tenant, queue.name)
-            record = build_early_cancellation_record(
-                job_id, last + 1, tenant, queue.name
-            )
             outcome = await self._store(partition, record)
             if outcome.verdict is not Verdict.RAN:
                 return outcome
--- a/libs/controller/tarragonlb/controller/jobforwarder.py
+++ b/libs/controller/tarragonlb/controller/jobforwarder.py
@@ -173,6 +173,7 @@
                 records.get_value(SUBMISSION),
                 move.target_queue,
                 move.target_pool,
+                records.submissions.covers,
             )
         except RecordError as error:
             LOG.emit(
@@ -228,7 +229,8 @@
                 self._seen_at.pop(job_id)
                 self._cancelled.discard(job_id)
             else:
-                records.extend(build_forwarded_removal(job_id))
+                removals = self._feed.job_index.build_removals(job_id)
+                records.extend(build_forwarded_removal(job_id, removals))
         first = None
         if records:
             first = await self._append(self._feed.partition, records)
--- a/libs/scheduling/tarragonlb/scheduling/forwarding.py
+++ b/libs/scheduling/tarragonlb/scheduling/forwarding.py
@@ -3,15 +3,15 @@
 See ``tarragonlb.scheduling.queuemoves``.
 """
 
+from collections.abc import Iterable
 from typing import Any
 
 import cbor2
 
 from tarragonlb.scheduling.records import (
     FORWARDING,
-    SUBMISSION,
     KeyedRecord,
-    build_removal_records,
+    build_submission_tail,
     decode_content,
 )
 
@@ -27,20 +27,26 @@
 
 
 def build_forwarded_submission(
-    job_id: str, value: bytes, queue: str, pool: str
+    job_id: str, value: bytes, queue: str, pool: str, covers: int = -1
 ) -> KeyedRecord:
     """Return the submission of a job for another queue and pool.
 
-    ``value`` is that of the former record.  Raise ``RecordError`` if it can't
-    be decoded.
+    ``value`` is that of the former record, and ``covers`` the last round of
+    early cancellations that it covers.  Raise ``RecordError`` if it can't be
+    decoded.
     """
     _, _, *rest = decode_content(value, list[Any], 'submission')
-    return KeyedRecord(job_id + SUBMISSION, cbor2.dumps([queue, pool, *rest]))
+    return KeyedRecord(
+        job_id + build_submission_tail(covers),
+        cbor2.dumps([queue, pool, *rest]),
+    )
 
 
-def build_forwarded_removal(job_id: str) -> list[KeyedRecord]:
-    """Return the records that remove what is left of a forwarded job."""
-    return [
-        *build_removal_records(job_id),
-        KeyedRecord(job_id + FORWARDING, b''),
-    ]
+def build_forwarded_removal(
+    job_id: str, removals: Iterable[KeyedRecord]
+) -> list[KeyedRecord]:
+    """Return the records that remove what is left of a forwarded job.
+
+    ``removals`` are those that would remove it if it had not been forwarded.
+    """
+    return [*removals, KeyedRecord(job_id + FORWARDING, b'')]
--- a/libs/scheduling/tarragonlb/scheduling/records.py
+++ b/libs/scheduling/tarragonlb/scheduling/records.py
@@ -70,8 +70,13 @@
     content = [job.queue, job.pool, cbor2.dumps(spec), job.handed_in_ms]
     if job.tenant:
         content.append(job.tenant)
-    tail = SUBMISSION if covers < 0 else f'{SEPARATOR}{covers}{SUBMISSION}'
-    return KeyedRecord(job.job_id + tail, cbor2.dumps(content))
+    key = job.job_id + build_submission_tail(covers)
+    return KeyedRecord(key, cbor2.dumps(content))
+
+
+def build_submission_tail(covers: int) -> str:
+    """Return what follows the job's id in the key of a submission."""
+    return SUBMISSION if covers < 0 else f'{SEPARATOR}{covers}{SUBMISSION}'
 
 
 def build_cancellation_record(job_id: str) -> KeyedRecord:
--- a/libs/scheduling/tarragonlb/scheduling/submissions.py
+++ b/libs/scheduling/tarragonlb/scheduling/submissions.py
@@ -83,6 +83,11 @@
         """Return the offset of the submission that counts, -1 without one."""
         return self._values.get(self._present, (-1, b''))[0]
 
+    @property
+    def covers(self) -> int:
+        """Return the last round that the one which counts covers, or -1."""
+        return _find_covered(self._present)
+
     @property
     def is_empty(self) -> bool:
         """Return whether all records have been removed."""
