--- a/libs/scheduling/tarragonlb/scheduling/settings.py
+++ b/libs/scheduling/tarragonlb/scheduling/settings.py
@@ -35,8 +35,7 @@
     # sooner and shows why.
     refusal_backoff_seconds: float = 0.3
     # A call without an answer is executed within this time after it was given
-    # up, or never.  The platform's pages say "seconds"; its list of troubles
-    # has orders that are carried out up to 12 s late.
+    # up, or never.
     late_call_seconds: float = 12.0
     # Added to computed lease ends, for rounding and delays in the network.
     lease_margin_seconds: float = 0.3
--- a/libs/scheduling/tarragonlb/scheduling/startbinding.py
+++ b/libs/scheduling/tarragonlb/scheduling/startbinding.py
@@ -14,8 +14,8 @@
     WorkerState,
 )
 
-# The time left of open starts is stored again after this, as the next owner
-# counts it from its reading.
+# The next owner counts the time left of open starts from its reading, so it is
+# stored again this often.
 STORE_INTERVAL_SECONDS = 2.0
 
 
